--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"trayhub"
-	"trayhub/internal/wire"
+	"raventrestle"
+	"raventrestle/internal/wire"
 )
 
 func main() {
@@ -21,7 +21,7 @@
 
 func run(in io.Reader, out io.Writer) error {
 	r, w := bufio.NewReaderSize(in, 1<<20), bufio.NewWriterSize(out, 1<<20)
-	dec, hosted := wire.NewDecoder(), map[int]*trayhub.Policy{}
+	dec, hosted := wire.NewDecoder(), map[int]*raventrestle.Policy{}
 	for {
 		line, err := r.ReadBytes('\n')
 		if len(line) > 0 {
@@ -40,24 +40,24 @@
 
 // step answers one line. Each instance gets its events of the batch at once; a
 // boot within the batch starts it afresh.
-func step(dec *wire.Decoder, hosted map[int]*trayhub.Policy, line []byte, w *bufio.Writer) error {
+func step(dec *wire.Decoder, hosted map[int]*raventrestle.Policy, line []byte, w *bufio.Writer) error {
 	batch, err := dec.Decode(line)
 	if err != nil {
 		return err
 	}
 	var reply wire.Reply
 	var order []int
-	events := map[int][]trayhub.Event{}
+	events := map[int][]raventrestle.Event{}
 	for _, it := range batch.Items {
 		if _, seen := events[it.Instance]; !seen {
 			order = append(order, it.Instance)
-			events[it.Instance] = []trayhub.Event{}
+			events[it.Instance] = []raventrestle.Event{}
 		}
 		switch it.Op {
 		case wire.Boot:
 			delete(hosted, it.Instance)
-			events[it.Instance] = []trayhub.Event{}
-			p, err := trayhub.New(it.Settings, it.Seed)
+			events[it.Instance] = []raventrestle.Event{}
+			p, err := raventrestle.New(it.Settings, it.Seed)
 			if err != nil {
 				reply.AddError(it.Instance, err)
 				continue
@@ -65,7 +65,7 @@
 			hosted[it.Instance] = p
 		case wire.Kill:
 			delete(hosted, it.Instance)
-			events[it.Instance] = []trayhub.Event{}
+			events[it.Instance] = []raventrestle.Event{}
 		case wire.Event:
 			events[it.Instance] = append(events[it.Instance], it.Event)
 		}
--- a/example_test.go
+++ b/example_test.go
@@ -1,19 +1,19 @@
-package trayhub_test
+package raventrestle_test
 
 import (
 	"fmt"
 	"time"
 
-	"trayhub"
+	"raventrestle"
 )
 
 // A small host loop: it carries out actions in order and turns what happens into events.
 // Here each call is answered at once, and the clock starts anywhere.
 func Example() {
-	p, err := trayhub.New(trayhub.Settings{
+	p, err := raventrestle.New(raventrestle.Settings{
 		Forwarders: 1, Tick: 5 * time.Millisecond, CallSlots: 4, MostHeld: 20,
-		Classes: []trayhub.Class{{Name: "notice", Aim: 2 * time.Second, Deadline: 10 * time.Second, Credit: 1}},
-		Kinds:   []trayhub.Kind{{BundleMax: 1}}, Zones: []trayhub.Zone{{Name: "here"}},
+		Classes: []raventrestle.Class{{Name: "notice", Aim: 2 * time.Second, Deadline: 10 * time.Second, Credit: 1}},
+		Kinds:   []raventrestle.Kind{{BundleMax: 1}}, Zones: []raventrestle.Zone{{Name: "here"}},
 		ConnectWithin: time.Second, IdleClose: 15 * time.Second, SendCap: 6,
 	}, 1)
 	if err != nil {
@@ -21,32 +21,32 @@
 		return
 	}
 	now := 40 * time.Second
-	events := []trayhub.Event{
-		trayhub.Listing{How: trayhub.ListStored, Entries: []trayhub.Entry{{Target: "10.0.0.1:80", Dest: 7}}},
-		trayhub.Arrival{ID: "a", Dest: 7, Budget: 10 * time.Second},
-		trayhub.Arrival{ID: "b", Dest: 8, Budget: time.Second}, // no target is listed for it
+	events := []raventrestle.Event{
+		raventrestle.Listing{How: raventrestle.ListStored, Entries: []raventrestle.Entry{{Target: "10.0.0.1:80", Dest: 7}}},
+		raventrestle.Arrival{ID: "a", Dest: 7, Budget: 10 * time.Second},
+		raventrestle.Arrival{ID: "b", Dest: 8, Budget: time.Second}, // no target is listed for it
 	}
 	var wake time.Duration // the earliest WakeAt that is owed, 0 if none
 	for len(events) > 0 {
-		var next []trayhub.Event
+		var next []raventrestle.Event
 		for _, a := range p.Step(now, events) {
 			switch a := a.(type) {
-			case trayhub.Send:
+			case raventrestle.Send:
 				fmt.Println("send", a.ID, "to", a.Target)
-				next = append(next, trayhub.Outcome{ID: a.ID, Target: a.Target, Status: trayhub.OK,
+				next = append(next, raventrestle.Outcome{ID: a.ID, Target: a.Target, Status: raventrestle.OK,
 					Took: 80 * time.Millisecond, Closed: true})
-			case trayhub.Refuse:
+			case raventrestle.Refuse:
 				fmt.Println("refuse", a.ID)
-			case trayhub.Fail:
+			case raventrestle.Fail:
 				fmt.Println("fail", a.ID)
-			case trayhub.WakeAt:
+			case raventrestle.WakeAt:
 				if wake == 0 || a.At < wake {
 					wake = a.At
 				}
 			}
 		}
 		if len(next) == 0 && wake > 0 { // nothing else happens: let the time pass
-			now, wake, next = wake, 0, append(next, trayhub.Wake{})
+			now, wake, next = wake, 0, append(next, raventrestle.Wake{})
 		}
 		events = next
 	}
--- a/internal/wire/settings.go
+++ b/internal/config/settings.go
@@ -1,6 +1,33 @@
-package wire
+// Package config reads the settings of a courier, as the deployment's file and the
+// simulator's first message both give them. It decides nothing.
+package config
 
-import "trayhub"
+import (
+	"fmt"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"raventrestle"
+)
+
+// Names tell the module's indices from the deployment's names.
+type Names struct {
+	Classes, Tenants, Kinds, Zones map[string]int
+}
+
+// Index is the name's index, or -1.
+func Index(m map[string]int, name string) int {
+	if i, ok := m[name]; ok {
+		return i
+	}
+	return -1
+}
+
+// api reads JSON as encoding/json does.
+var api = jsoniter.ConfigCompatibleWithStandardLibrary
+
+func us(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
 
 // info holds the settings of the wire that the library knows; others are passed over.
 type info struct {
@@ -80,22 +107,32 @@
 	} `json:"specifics"`
 }
 
-var effects = map[string]trayhub.Effect{
-	"free": trayhub.Safe, "guarded": trayhub.Keyed, "single_shot": trayhub.Unsafe,
+var effects = map[string]raventrestle.Effect{
+	"free": raventrestle.Safe, "guarded": raventrestle.Keyed, "single_shot": raventrestle.Unsafe,
 }
 
-var groups = map[string]trayhub.Group{
-	"all": trayhub.GroupAll, "zone": trayhub.GroupZone, "cell": trayhub.GroupTarget,
+var groups = map[string]raventrestle.Group{
+	"all": raventrestle.GroupAll, "zone": raventrestle.GroupZone, "cell": raventrestle.GroupTarget,
 }
 
-var losses = map[string]trayhub.Loss{"linear": trayhub.LossEven, "halving": trayhub.LossHalving}
+var losses = map[string]raventrestle.Loss{"linear": raventrestle.LossEven, "halving": raventrestle.LossHalving}
 
-var sizes = map[string]trayhub.Sizes{"nominal": trayhub.SizesExact, "rough": trayhub.SizesRough}
+var sizes = map[string]raventrestle.Sizes{"nominal": raventrestle.SizesExact, "rough": raventrestle.SizesRough}
+
+// Settings are read from their JSON object.
+func Settings(object []byte) (raventrestle.Settings, *Names, error) {
+	var in info
+	if err := api.Unmarshal(object, &in); err != nil {
+		return raventrestle.Settings{}, nil, fmt.Errorf("settings: %w", err)
+	}
+	s, nm := in.settings()
+	return s, nm, nil
+}
 
-func (in *info) settings() (trayhub.Settings, *names) {
-	nm := &names{classes: map[string]int{}, tenants: map[string]int{}, kinds: map[string]int{}, zones: map[string]int{}}
+func (in *info) settings() (raventrestle.Settings, *Names) {
+	nm := &Names{Classes: map[string]int{}, Tenants: map[string]int{}, Kinds: map[string]int{}, Zones: map[string]int{}}
 	l, r := &in.Limits, &in.Rules
-	s := trayhub.Settings{
+	s := raventrestle.Settings{
 		Forwarders: in.Forwarders, Sizes: sizes[in.Sizes], Tick: us(in.Tick),
 		CallSlots: in.Specifics.CallSlots, MostHeld: l.MostHeld, SendCap: l.SendCap,
 		IdleClose: us(l.IdleClose), ConnectWithin: us(l.Connect), RetryAfter: l.RetryAfter,
@@ -103,31 +140,31 @@
 		KeyRest: us(r.KeyRest), DrainGrace: us(r.DrainGrace), Slack: us(r.Slack), Streams: l.Streams,
 		Probes: l.Probes, Notes: l.Peers, Cancels: l.Cancel, SecondCopies: l.SecondCopies,
 		MarksRetry: in.Habits.MarksRetry, Position: in.Position, OverShare: in.OverShare,
-		Loss: losses[in.Specifics.Loses], Mix: trayhub.Mix{Whole: in.Mix.Whole, WorstWindow: in.Mix.Window,
+		Loss: losses[in.Specifics.Loses], Mix: raventrestle.Mix{Whole: in.Mix.Whole, WorstWindow: in.Mix.Window,
 			WorstClass: in.Mix.Class, WorstTenant: in.Mix.Tenant},
-		Charges: trayhub.Charges{CrossZone: in.Charges.CrossZone, Handshake: in.Charges.Handshake,
+		Charges: raventrestle.Charges{CrossZone: in.Charges.CrossZone, Handshake: in.Charges.Handshake,
 			Waste: in.Charges.Waste, LateFail: in.Charges.LateFail, Refused: in.Specifics.Refused,
 			Probe: in.Charges.Probe, Note: in.Charges.Peer},
 		TipMultiple: r.TipMultiple, TipAfter: us(r.TipAfter), ColdFor: us(r.ColdFor),
 		StartCapacity: r.StartCapacity,
 	}
 	for i, c := range in.Classes {
-		nm.classes[c.Name] = i
+		nm.Classes[c.Name] = i
 		effect, known := effects[c.Effect]
 		if !known {
-			effect = trayhub.Unsafe
+			effect = raventrestle.Unsafe
 		}
-		s.Classes = append(s.Classes, trayhub.Class{Name: c.Name, Aim: us(c.Aim), Stretch: c.Stretch,
+		s.Classes = append(s.Classes, raventrestle.Class{Name: c.Name, Aim: us(c.Aim), Stretch: c.Stretch,
 			Deadline: us(c.Deadline), Credit: c.Credit, Late: c.Late, Effect: effect,
 			Group: groups[c.Group], Window: us(c.Window), InOrder: c.InOrder})
 	}
 	for i, t := range in.Tenants {
-		nm.tenants[t.Name] = i
-		s.Tenants = append(s.Tenants, trayhub.Tenant{Name: t.Name, Share: t.Share, Quota: t.Quota})
+		nm.Tenants[t.Name] = i
+		s.Tenants = append(s.Tenants, raventrestle.Tenant{Name: t.Name, Share: t.Share, Quota: t.Quota})
 	}
 	for i, k := range in.Kinds {
-		nm.kinds[k] = i
-		kind := trayhub.Kind{BundleMax: 1}
+		nm.Kinds[k] = i
+		kind := raventrestle.Kind{BundleMax: 1}
 		if i < len(in.Specifics.BundleMax) {
 			kind.BundleMax = in.Specifics.BundleMax[i]
 		}
@@ -137,13 +174,13 @@
 		s.Kinds = append(s.Kinds, kind)
 	}
 	for i, z := range in.Zones {
-		nm.zones[z] = i
-		zone := trayhub.Zone{Name: z}
+		nm.Zones[z] = i
+		zone := raventrestle.Zone{Name: z}
 		if i < len(in.Specifics.RouteFee) {
 			zone.Fee = in.Specifics.RouteFee[i]
 		}
 		s.Zones = append(s.Zones, zone)
 	}
-	s.Zone = index(nm.zones, in.Zone)
+	s.Zone = Index(nm.Zones, in.Zone)
 	return s, nm
 }
--- /dev/null
+++ b/internal/journal/journal.go
@@ -0,0 +1,302 @@
+// Package journal is the lasting store: it remembers the messages that the courier has
+// taken on, their tries and the endings still owed, so that they outlast the process.
+//
+// Records are appended to one file by a single goroutine, before what they tell of is
+// done. Plain writes suffice: they survive the process. When the file has grown it is
+// written anew with what is still owed, and renamed over the old one.
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+)
+
+// ErrFull says that the disk's limit leaves no room for another message.
+var ErrFull = errors.New("journal: full")
+
+// ErrClosed says that the journal takes nothing more.
+var ErrClosed = errors.New("journal: closed")
+
+// Message is what a client handed in. It does not change.
+type Message struct {
+	ID, Key       string
+	Class, Tenant string
+	Dest          int64
+	Until         int64 // when its time is up, Unix time in nanoseconds
+	Body          []byte
+}
+
+// Try is one attempt at a message.
+type Try struct {
+	Peer, Zone string
+	At         int64 // Unix time in nanoseconds
+}
+
+// Progress is how far a message has come.
+type Progress struct {
+	Tries int
+	Out   *Try // begun, with no word of its end
+	Ran   *Try // the first that may have run
+	Owed  *End // ended by the courier, and the platform has not heard of it yet
+}
+
+// End is an ending that the platform is told of.
+type End struct {
+	Deferred bool // safe to hand in again
+	AgainMS  int64
+}
+
+// Kept is a message that the journal holds.
+type Kept struct {
+	*Message
+	Progress
+}
+
+// entry asks the writer for some records; then hears of it, in the writer's goroutine.
+type entry struct {
+	records []Record
+	then    func(error)
+}
+
+// Store is an open journal. Its methods may be called from any goroutine.
+type Store struct {
+	dir    string
+	limit  int64 // bytes of the disk
+	log    *slog.Logger
+	mail   chan entry
+	quit   chan struct{}
+	done   chan struct{}
+	file   *os.File
+	size   int64 // of the file
+	live   int64 // bytes that a new file would have at least
+	held   map[string]*Kept
+	order  []string // ids as taken, those that are over among them
+	frozen error    // a write that failed halfway, until the file is made anew
+}
+
+const fileName, nextName = "journal", "journal.next"
+
+// Open reads the journal in the folder and returns it with what it holds, in the order
+// taken. It keeps its files under limit bytes together.
+func Open(dir string, limit int64, log *slog.Logger) (*Store, []Kept, error) {
+	s := &Store{dir: dir, limit: limit, log: log, held: map[string]*Kept{},
+		mail: make(chan entry, 256), quit: make(chan struct{}), done: make(chan struct{})}
+	if err := os.Remove(filepath.Join(dir, nextName)); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, nil, fmt.Errorf("journal: %w", err)
+	}
+	old, err := os.ReadFile(filepath.Join(dir, fileName))
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, nil, fmt.Errorf("journal: %w", err)
+	}
+	bad := decode(old, s.apply)
+	if bad > 0 {
+		log.Warn("journal: bytes that are no record were passed over", "bytes", bad)
+	}
+	if err := s.renew(); err != nil {
+		return nil, nil, err
+	}
+	var kept []Kept
+	for _, id := range s.order {
+		kept = append(kept, *s.held[id])
+	}
+	go s.write()
+	return s, kept, nil
+}
+
+// Take writes a message down, or says why it could not.
+func (s *Store) Take(m *Message) error {
+	heard := make(chan error, 1)
+	if err := s.Append([]Record{Taken(m)}, func(err error) { heard <- err }); err != nil {
+		return err
+	}
+	return <-heard
+}
+
+// Append hands records to the writer, which calls then, if not nil, once they are written.
+// It must not block.
+func (s *Store) Append(records []Record, then func(error)) error {
+	select {
+	case <-s.quit:
+		return ErrClosed
+	default:
+	}
+	select {
+	case s.mail <- entry{records, then}:
+		return nil
+	case <-s.done:
+		return ErrClosed
+	}
+}
+
+// Close writes what has been handed in and closes the file.
+func (s *Store) Close() error {
+	close(s.quit)
+	<-s.done
+	return s.file.Close()
+}
+
+// write is the only goroutine that touches the file once the journal is open.
+func (s *Store) write() {
+	defer close(s.done)
+	for {
+		select {
+		case e := <-s.mail:
+			s.batch(e)
+		case <-s.quit:
+			for {
+				select {
+				case e := <-s.mail:
+					s.batch(e)
+				default:
+					return
+				}
+			}
+		}
+	}
+}
+
+// batch writes all that waits with one call.
+func (s *Store) batch(e entry) {
+	batch := []entry{e}
+	for len(s.mail) > 0 && len(batch) < cap(s.mail) {
+		batch = append(batch, <-s.mail)
+	}
+	var text []byte
+	results := make([]error, len(batch))
+	for i, e := range batch {
+		if results[i] = s.room(e.records, int64(len(text))); results[i] != nil {
+			continue
+		}
+		for _, r := range e.records {
+			text = r.append(text)
+			s.apply(r)
+		}
+	}
+	err := s.put(text)
+	for i, e := range batch {
+		if results[i] == nil && err != nil {
+			results[i] = err
+			for _, r := range e.records {
+				if r.kind == taken {
+					s.drop(r.id)
+				}
+			}
+		}
+		if e.then != nil {
+			e.then(results[i])
+		}
+	}
+}
+
+// room says whether a further message still leaves the old file and the new one, counted
+// together, under the limit; see renew.
+func (s *Store) room(records []Record, more int64) error {
+	for _, r := range records {
+		if r.kind == taken && s.live+more+r.size() > s.limit*7/20 {
+			return ErrFull
+		}
+	}
+	return nil
+}
+
+// put appends the text. The file is made anew once it has come to more than half of the
+// limit: the new one takes 7/20 at most, which leaves room for both and for a batch.
+func (s *Store) put(text []byte) error {
+	if len(text) == 0 {
+		return nil
+	}
+	if s.frozen != nil || s.size+int64(len(text)) > s.limit/2 {
+		if s.frozen = s.renew(); s.frozen == nil {
+			return nil // the new file tells of the batch as well
+		}
+		return s.frozen
+	}
+	n, err := s.file.Write(text)
+	s.size += int64(n)
+	if err != nil {
+		s.frozen = err
+		s.log.Error("journal: write", "err", err)
+	}
+	return err
+}
+
+// renew writes a file of what is still owed and puts it in the old one's place.
+func (s *Store) renew() error {
+	var text []byte
+	s.order = slices.DeleteFunc(s.order, func(id string) bool { return s.held[id] == nil })
+	for _, id := range s.order {
+		for _, r := range s.held[id].records() {
+			text = r.append(text)
+		}
+	}
+	next := filepath.Join(s.dir, nextName)
+	f, err := os.OpenFile(next, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return fmt.Errorf("journal: %w", err)
+	}
+	if _, err = f.Write(text); err == nil {
+		err = os.Rename(next, filepath.Join(s.dir, fileName))
+	}
+	if err != nil {
+		return errors.Join(fmt.Errorf("journal: %w", err), f.Close(), os.Remove(next))
+	}
+	if s.file != nil {
+		if err := s.file.Close(); err != nil {
+			s.log.Warn("journal: close", "err", err)
+		}
+	}
+	s.file, s.size, s.live = f, int64(len(text)), int64(len(text))
+	return nil
+}
+
+// apply brings what is held up to date.
+func (s *Store) apply(r Record) {
+	if r.kind == taken {
+		if s.held[r.id] == nil {
+			s.held[r.id] = &Kept{Message: r.msg}
+			s.order = append(s.order, r.id)
+			s.live += r.size()
+		}
+		return
+	}
+	k := s.held[r.id]
+	if k == nil {
+		return
+	}
+	switch r.kind {
+	case begun:
+		if k.Ran == nil {
+			k.Ran = k.Out
+		}
+		try := r.try
+		k.Tries, k.Out = k.Tries+1, &try
+	case neverRan:
+		k.Out = nil
+	case mayHaveRun:
+		if k.Ran == nil {
+			k.Ran = k.Out
+		}
+		k.Out = nil
+	case ended:
+		end := r.end
+		k.Owed = &end
+	case counted:
+		k.Tries = int(r.n)
+	case over:
+		s.drop(r.id)
+	}
+}
+
+func (s *Store) drop(id string) {
+	if k := s.held[id]; k != nil {
+		s.live -= Taken(k.Message).size()
+		delete(s.held, id)
+		if len(s.order) > 2*len(s.held)+1024 {
+			s.order = slices.DeleteFunc(s.order, func(id string) bool { return s.held[id] == nil })
+		}
+	}
+}
--- /dev/null
+++ b/internal/journal/record.go
@@ -0,0 +1,208 @@
+package journal
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+)
+
+type kind byte
+
+const (
+	taken      kind = 'T' // taken on
+	begun      kind = 'B' // a try is about to be sent
+	neverRan   kind = 'N' // the try has ended and never ran
+	mayHaveRun kind = 'M' // the try has ended and may have run
+	ended      kind = 'E' // ended by the courier; a notice is owed
+	over       kind = 'O' // nothing more is owed
+	counted    kind = 'C' // so many tries before, written when the file is made anew
+)
+
+// Record is one line of the journal.
+type Record struct {
+	kind kind
+	id   string
+	msg  *Message
+	try  Try
+	end  End
+	n    int64
+}
+
+// Taken says that the message is taken on.
+func Taken(m *Message) Record { return Record{kind: taken, id: m.ID, msg: m} }
+
+// Begun says that a try is about to be sent.
+func Begun(id string, t Try) Record { return Record{kind: begun, id: id, try: t} }
+
+// NeverRan says that the try that was out has ended and never ran.
+func NeverRan(id string) Record { return Record{kind: neverRan, id: id} }
+
+// MayHaveRun says that the try that was out has ended and may have run.
+func MayHaveRun(id string) Record { return Record{kind: mayHaveRun, id: id} }
+
+// Ended says that the courier has ended the message, and owes a notice of it.
+func Ended(id string, e End) Record { return Record{kind: ended, id: id, end: e} }
+
+// Over says that nothing more is owed.
+func Over(id string) Record { return Record{kind: over, id: id} }
+
+// A record is a mark, the length and checksum of its text, and the text: kind, id, and
+// what the kind holds, numbers as varints and strings with their length before them.
+const (
+	mark      = "\xa7\x52\n"
+	headBytes = len(mark) + 8
+	mostBytes = 1 << 20 // of one record's text
+)
+
+func (r Record) size() int64 { return int64(len(r.append(nil))) + 256 } // with its tries and end
+
+func (r Record) append(b []byte) []byte {
+	b = append(b, mark...)
+	start := len(b) + 8
+	b = append(b, make([]byte, 8)...)
+	b = append(b, byte(r.kind))
+	b = text(b, r.id)
+	switch r.kind {
+	case taken:
+		m := r.msg
+		for _, s := range []string{m.Key, m.Class, m.Tenant} {
+			b = text(b, s)
+		}
+		b = binary.AppendVarint(binary.AppendVarint(b, m.Dest), m.Until)
+		b = append(binary.AppendUvarint(b, uint64(len(m.Body))), m.Body...)
+	case begun:
+		b = text(text(b, r.try.Peer), r.try.Zone)
+		b = binary.AppendVarint(b, r.try.At)
+	case ended:
+		b = binary.AppendVarint(b, map[bool]int64{true: 1}[r.end.Deferred])
+		b = binary.AppendVarint(b, r.end.AgainMS)
+	case counted:
+		b = binary.AppendVarint(b, r.n)
+	}
+	binary.BigEndian.PutUint32(b[start-8:], uint32(len(b)-start))
+	binary.BigEndian.PutUint32(b[start-4:], crc32.ChecksumIEEE(b[start:]))
+	return b
+}
+
+func text(b []byte, s string) []byte {
+	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
+}
+
+// records tell all that is known of the message.
+func (k *Kept) records() []Record {
+	rs := []Record{Taken(k.Message)}
+	known := 0
+	for _, t := range []*Try{k.Ran, k.Out} {
+		if t != nil {
+			rs = append(rs, Begun(k.ID, *t))
+			known++
+			if t == k.Ran {
+				rs = append(rs, MayHaveRun(k.ID))
+			}
+		}
+	}
+	if k.Tries > known {
+		rs = append(rs, Record{kind: counted, id: k.ID, n: int64(k.Tries)})
+	}
+	if k.Owed != nil {
+		rs = append(rs, Ended(k.ID, *k.Owed))
+	}
+	return rs
+}
+
+// decode calls each for every whole record and returns how many bytes were no part of one.
+// What was torn or spoilt is passed over up to the next whole record.
+func decode(b []byte, each func(Record)) (bad int) {
+	for len(b) > 0 {
+		r, n, err := first(b)
+		if err != nil {
+			n = 1
+			if i := bytes.Index(b[1:], []byte(mark)); i >= 0 {
+				n = 1 + i
+			} else {
+				n = len(b)
+			}
+			bad += n
+		} else {
+			each(r)
+		}
+		b = b[n:]
+	}
+	return bad
+}
+
+var errSpoilt = errors.New("no whole record")
+
+// first reads the record at the head of b, and says how long it is.
+func first(b []byte) (Record, int, error) {
+	if len(b) < headBytes || string(b[:len(mark)]) != mark {
+		return Record{}, 0, errSpoilt
+	}
+	n := int(binary.BigEndian.Uint32(b[len(mark):]))
+	sum := binary.BigEndian.Uint32(b[len(mark)+4:])
+	if n > mostBytes || len(b) < headBytes+n || crc32.ChecksumIEEE(b[headBytes:headBytes+n]) != sum {
+		return Record{}, 0, errSpoilt
+	}
+	d := &reader{b: b[headBytes : headBytes+n]}
+	r := Record{kind: kind(d.byte())}
+	r.id = d.text()
+	switch r.kind {
+	case taken:
+		m := &Message{ID: r.id, Key: d.text(), Class: d.text(), Tenant: d.text(), Dest: d.int(), Until: d.int()}
+		m.Body = bytes.Clone(d.bytes())
+		r.msg = m
+	case begun:
+		r.try = Try{Peer: d.text(), Zone: d.text(), At: d.int()}
+	case ended:
+		r.end = End{Deferred: d.int() == 1, AgainMS: d.int()}
+	case counted:
+		r.n = d.int()
+	case neverRan, mayHaveRun, over:
+	default:
+		return Record{}, 0, errSpoilt
+	}
+	if d.bad {
+		return Record{}, 0, errSpoilt
+	}
+	return r, headBytes + n, nil
+}
+
+// reader takes values off a record's text; bad says that one was missing.
+type reader struct {
+	b   []byte
+	bad bool
+}
+
+func (d *reader) byte() byte {
+	if len(d.b) == 0 {
+		d.bad = true
+		return 0
+	}
+	c := d.b[0]
+	d.b = d.b[1:]
+	return c
+}
+
+func (d *reader) int() int64 {
+	v, n := binary.Varint(d.b)
+	if n <= 0 {
+		d.bad = true
+		return 0
+	}
+	d.b = d.b[n:]
+	return v
+}
+
+func (d *reader) bytes() []byte {
+	v, n := binary.Uvarint(d.b)
+	if n <= 0 || v > uint64(len(d.b)-n) {
+		d.bad = true
+		return nil
+	}
+	out := d.b[n : n+int(v)]
+	d.b = d.b[n+int(v):]
+	return out
+}
+
+func (d *reader) text() string { return string(d.bytes()) }
--- /dev/null
+++ b/internal/net/courier/courier.go
@@ -0,0 +1,475 @@
+// Package courier is the actor of the decision module: events come in by its mailbox, its
+// actions go out to the journal, the peers and the notices. It decides nothing.
+package courier
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"raventrestle"
+	"raventrestle/internal/config"
+	"raventrestle/internal/journal"
+	"raventrestle/internal/net/notice"
+	"raventrestle/internal/net/peer"
+	"raventrestle/internal/net/upstream"
+)
+
+// Errors of Take.
+var (
+	ErrFull  = errors.New("courier: holds all that it may")
+	ErrKnown = errors.New("courier: has this message already")
+)
+
+// Counts are what the courier has done.
+type Counts struct {
+	Taken, Full, Withdrawn, Restored         atomic.Int64
+	Delivered, Void, Deferred, Undeliverable atomic.Int64
+	Steps, LateSteps, Panics                 atomic.Int64
+	ByStatus                                 [raventrestle.Moot + 1]atomic.Int64
+	Peers                                    peer.Counts
+}
+
+// Courier is the module's actor.
+type Courier struct {
+	Counts  Counts
+	conf    *config.Config
+	policy  *raventrestle.Policy
+	log     *slog.Logger
+	journal *journal.Store
+	group   *upstream.Group
+	notices *notice.Sender
+	mail    chan any
+	quiet   chan struct{} // closed once it is closing and nothing is out or owed
+
+	mu    sync.Mutex
+	known map[string]bool // ids taken on whose end is not told yet
+
+	// What follows is the actor's own.
+	msgs    map[raventrestle.MessageID]*message
+	peers   map[raventrestle.TargetID]*ref
+	out     int
+	wake    time.Duration
+	closing bool
+}
+
+type message struct {
+	*journal.Message
+	tries int
+}
+
+// ref is a peer as the list names it.
+type ref struct {
+	*peer.Peer
+	entry upstream.Entry
+}
+
+// arrival is a message whose client has heard that it is taken on.
+type arrival struct {
+	*journal.Message
+	again, orphan bool
+}
+
+type closingMsg struct{ at time.Time }
+
+type heardMsg struct{} // notices were taken
+
+// New puts a courier together. Kept is what the journal held at the start.
+func New(conf *config.Config, store *journal.Store, kept []journal.Kept, log *slog.Logger) (*Courier, error) {
+	policy, err := raventrestle.New(conf.Settings, conf.Seed)
+	if err != nil {
+		return nil, err
+	}
+	set := &conf.Settings
+	room := set.MostHeld + len(kept) + 16*set.CallSlots + 256
+	c := &Courier{conf: conf, policy: policy, log: log, journal: store, mail: make(chan any, room),
+		quiet: make(chan struct{}), known: map[string]bool{},
+		msgs: map[raventrestle.MessageID]*message{}, peers: map[raventrestle.TargetID]*ref{}}
+	c.notices = notice.New(conf.Discovery, room, log, c.heard)
+	c.group, err = upstream.New(conf.Discovery, conf.Known, conf.Names, log, func(u upstream.Update) { c.mail <- u })
+	if err != nil {
+		return nil, err
+	}
+	for _, k := range kept {
+		c.known[k.ID] = true
+		if k.Owed != nil {
+			c.notices.Add(notice.Item{ID: k.ID, End: *k.Owed})
+			continue
+		}
+		c.Counts.Restored.Add(1)
+		c.mail <- k
+	}
+	return c, nil
+}
+
+// Run is the actor; it ends with the context.
+func (c *Courier) Run(ctx context.Context) {
+	go c.group.Run(ctx)
+	go c.notices.Run(ctx)
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	var last time.Time
+	for {
+		var first any
+		if c.wake > 0 {
+			timer.Reset(time.Until(time.Unix(0, int64(c.wake))))
+		} else {
+			timer.Reset(time.Hour)
+		}
+		select {
+		case <-ctx.Done():
+			for _, r := range c.peers {
+				r.Stop()
+			}
+			return
+		case first = <-c.mail:
+		case <-timer.C:
+		}
+		// The module's least time between two batches: what comes meanwhile goes along.
+		if rest := c.conf.Settings.Tick - time.Since(last); rest > 0 {
+			time.Sleep(rest)
+		}
+		last = time.Now()
+		mail := []any{first}
+		for range len(c.mail) {
+			mail = append(mail, <-c.mail)
+		}
+		c.step(ctx, mail)
+	}
+}
+
+// clock is the module's: Unix time, which outlasts the process, read off a clock that never
+// goes back.
+var start = time.Now()
+
+func now() time.Duration { return time.Duration(start.UnixNano()) + time.Since(start) }
+
+// step hands the module all that has come in, answers and the list first.
+func (c *Courier) step(ctx context.Context, mail []any) {
+	t := now()
+	var lists, answers, rest []raventrestle.Event
+	var records []journal.Record
+	for _, m := range mail {
+		switch m := m.(type) {
+		case upstream.Update:
+			lists = append(lists, c.update(ctx, m))
+		case raventrestle.Outcome:
+			answers = append(answers, m)
+			records = append(records, c.outcome(m)...)
+		case arrival:
+			c.msgs[raventrestle.MessageID(m.ID)] = &message{Message: m.Message}
+			rest = append(rest, c.arrived(m, t))
+		case journal.Kept:
+			c.msgs[raventrestle.MessageID(m.ID)] = &message{Message: m.Message, tries: m.Tries}
+			rest = append(rest, c.restored(m, t))
+		case closingMsg:
+			c.closing = true
+			rest = append(rest, raventrestle.Closing{At: time.Duration(m.at.UnixNano())})
+		}
+	}
+	events := slices.Concat(lists, answers, rest)
+	if c.wake > 0 && c.wake <= t {
+		if t-c.wake > 2*c.conf.Settings.Tick {
+			c.Counts.LateSteps.Add(1)
+		}
+		c.wake = 0
+		events = append(events, raventrestle.Wake{})
+	}
+	c.Counts.Steps.Add(1)
+	c.act(c.decide(t, events), records)
+	if c.closing && c.out == 0 && c.owed() == len(c.msgs) {
+		select {
+		case <-c.quiet:
+		default:
+			close(c.quiet)
+		}
+	}
+}
+
+// decide keeps a fault of the module from ending the process: the batch is lost, not the courier.
+func (c *Courier) decide(t time.Duration, events []raventrestle.Event) (actions []raventrestle.Action) {
+	defer func() {
+		if e := recover(); e != nil {
+			c.Counts.Panics.Add(1)
+			c.log.Error("courier: the module broke", "panic", fmt.Sprint(e), "stack", string(debug.Stack()))
+			actions = []raventrestle.Action{raventrestle.WakeAt{At: t + c.conf.Settings.Tick}}
+		}
+	}()
+	return c.policy.Step(t, events)
+}
+
+func (c *Courier) arrived(a arrival, t time.Duration) raventrestle.Arrival {
+	return raventrestle.Arrival{ID: raventrestle.MessageID(a.ID), Class: config.Index(c.conf.Names.Classes, a.Class),
+		Tenant: config.Index(c.conf.Names.Tenants, a.Tenant), Dest: raventrestle.DestID(a.Dest),
+		Budget: time.Duration(a.Until) - t, Again: a.again, Orphan: a.orphan}
+}
+
+// restored: a try that was out when the last process ended may have run.
+func (c *Courier) restored(k journal.Kept, t time.Duration) raventrestle.Restored {
+	r := raventrestle.Restored{Arrival: c.arrived(arrival{Message: k.Message}, t), Sends: k.Tries}
+	ran := k.Ran
+	if ran == nil {
+		ran = k.Out
+	}
+	if ran != nil {
+		r.MayRun, r.RanOn, r.RanAt = true, raventrestle.TargetID(ran.Peer), time.Duration(ran.At)
+		r.RanZone = config.Index(c.conf.Names.Zones, ran.Zone)
+	}
+	return r
+}
+
+// update brings the peers up to date with the list.
+func (c *Courier) update(ctx context.Context, u upstream.Update) raventrestle.Listing {
+	l := raventrestle.Listing{How: u.How}
+	listed := map[raventrestle.TargetID]bool{}
+	for _, e := range u.Entries {
+		l.Entries = append(l.Entries, e.Entry)
+		r := c.peers[e.Target]
+		if e.State == raventrestle.Gone {
+			continue
+		}
+		listed[e.Target] = true
+		if r != nil && r.entry.Addr == e.Addr {
+			r.entry = e
+			continue
+		}
+		if r != nil {
+			r.Stop()
+		}
+		c.peers[e.Target] = &ref{entry: e, Peer: peer.New(ctx, peer.Config{Name: string(e.Target), Addr: e.Addr,
+			ConnectWithin: c.conf.Settings.ConnectWithin, IdleClose: c.conf.Settings.IdleClose,
+			Mailbox: 4*c.conf.Settings.CallSlots + 16, Log: c.log, Counts: &c.Counts.Peers,
+			Tell: func(e raventrestle.Event) { c.mail <- e }})}
+	}
+	for id, r := range c.peers {
+		whole := u.How == raventrestle.ListWhole || u.How == raventrestle.ListStored
+		gone := slices.ContainsFunc(u.Entries, func(e upstream.Entry) bool {
+			return e.Target == id && e.State == raventrestle.Gone
+		})
+		if gone || whole && !listed[id] {
+			r.Stop()
+			delete(c.peers, id)
+		}
+	}
+	return l
+}
+
+// outcome notes how a try ended.
+func (c *Courier) outcome(o raventrestle.Outcome) []journal.Record {
+	c.out--
+	c.Counts.ByStatus[o.Status].Add(1)
+	id := string(o.ID)
+	switch {
+	case o.Closed:
+		if o.Status == raventrestle.OK {
+			c.Counts.Delivered.Add(1)
+		} else {
+			c.Counts.Void.Add(1)
+		}
+		delete(c.msgs, o.ID)
+		c.forget(id)
+		return []journal.Record{journal.Over(id)}
+	case o.Status == raventrestle.Full || o.Status == raventrestle.ConnectFailed || o.Status == raventrestle.Moot:
+		return []journal.Record{journal.NeverRan(id)}
+	}
+	return []journal.Record{journal.MayHaveRun(id)}
+}
+
+// calls are the tries of one step, in calls.
+type calls struct {
+	to     *peer.Peer
+	target raventrestle.TargetID
+	tries  []peer.Try
+}
+
+// act carries the actions out in order; what they do waits until the journal has them.
+func (c *Courier) act(actions []raventrestle.Action, records []journal.Record) {
+	var out []*calls
+	var moot []raventrestle.Outcome
+	var owed []notice.Item
+	t := now()
+	for _, a := range actions {
+		switch a := a.(type) {
+		case raventrestle.Send:
+			m := c.msgs[a.ID]
+			if m == nil {
+				c.log.Error("courier: send of an unknown message", "id", a.ID)
+				continue
+			}
+			r := c.peers[a.Target]
+			try := peer.Try{ID: m.ID, Key: m.Key, N: m.tries, Body: m.Body, Wait: a.Timeout,
+				Until: time.Unix(0, m.Until)}
+			m.tries++
+			c.out++
+			if r == nil || r.entry.Dest != raventrestle.DestID(m.Dest) {
+				moot = append(moot, raventrestle.Outcome{ID: a.ID, Target: a.Target, Try: try.N, Status: raventrestle.Moot})
+				continue
+			}
+			zone := ""
+			if z := r.entry.Zone; z >= 0 {
+				zone = c.conf.Settings.Zones[z].Name
+			}
+			records = append(records, journal.Begun(m.ID, journal.Try{Peer: string(a.Target), Zone: zone, At: int64(t)}))
+			i := slices.IndexFunc(out, func(x *calls) bool { return x.to == r.Peer && len(x.tries) < c.bundle(r) })
+			if i < 0 {
+				i, out = len(out), append(out, &calls{to: r.Peer, target: a.Target})
+			}
+			out[i].tries = append(out[i].tries, try)
+		case raventrestle.Refuse:
+			c.Counts.Deferred.Add(1)
+			owed = append(owed, notice.Item{ID: string(a.ID), End: journal.End{Deferred: true, AgainMS: a.After.Milliseconds()}})
+		case raventrestle.Fail:
+			c.Counts.Undeliverable.Add(1)
+			owed = append(owed, notice.Item{ID: string(a.ID)})
+		case raventrestle.CloseIdle:
+			if r := c.peers[a.Target]; r != nil {
+				r.CloseIdle()
+			}
+		case raventrestle.Cancel:
+			for _, r := range c.peers {
+				r.Cancel(string(a.ID))
+			}
+		case raventrestle.Subscribe:
+			c.group.Subscribe()
+		case raventrestle.WakeAt:
+			if c.wake == 0 || a.At < c.wake {
+				c.wake = a.At
+			}
+		case raventrestle.Log:
+			c.log.Info(a.Text)
+		}
+	}
+	for _, it := range owed {
+		delete(c.msgs, raventrestle.MessageID(it.ID))
+		records = append(records, journal.Ended(it.ID, it.End))
+	}
+	for _, o := range moot {
+		c.post(o)
+	}
+	if len(records) == 0 {
+		return
+	}
+	then := func(err error) { c.written(err, out, owed) }
+	if err := c.journal.Append(records, then); err != nil {
+		then(err)
+	}
+}
+
+func (c *Courier) bundle(r *ref) int {
+	if k := r.entry.Kind; k >= 0 {
+		return c.conf.Settings.Kinds[k].BundleMax
+	}
+	return 1
+}
+
+// written goes on with a step once the journal has it. What it could not write is not sent;
+// an ending is told all the same.
+func (c *Courier) written(err error, out []*calls, owed []notice.Item) {
+	if err != nil {
+		c.log.Error("courier: journal", "err", err)
+	}
+	for _, x := range out {
+		if err == nil && x.to.Call(x.tries) {
+			continue
+		}
+		for _, t := range x.tries {
+			c.post(raventrestle.Outcome{ID: raventrestle.MessageID(t.ID), Target: x.target, Try: t.N,
+				Status: raventrestle.Moot})
+		}
+	}
+	for _, it := range owed {
+		if !c.notices.Add(it) { // the journal owes it still
+			c.log.Error("courier: no room for a notice", "id", it.ID)
+		}
+	}
+}
+
+// post puts mail in the box without blocking whoever does.
+func (c *Courier) post(m any) {
+	select {
+	case c.mail <- m:
+	default:
+		go func() { c.mail <- m }()
+	}
+}
+
+// Take writes a message down, unless the courier holds all that it may. The caller then either
+// admits or withdraws it.
+func (c *Courier) Take(m *journal.Message) error {
+	c.mu.Lock()
+	full, known := len(c.known) >= c.conf.Settings.MostHeld, c.known[m.ID]
+	if !full && !known {
+		c.known[m.ID] = true
+	}
+	c.mu.Unlock()
+	if known {
+		return ErrKnown
+	}
+	if full {
+		c.Counts.Full.Add(1)
+		return ErrFull
+	}
+	err := c.journal.Take(m)
+	if err != nil {
+		c.Counts.Full.Add(1)
+		c.forget(m.ID)
+	}
+	return err
+}
+
+// Admit lets a message in whose client has heard that it is taken on.
+func (c *Courier) Admit(m *journal.Message, again, orphan bool) {
+	c.Counts.Taken.Add(1)
+	c.mail <- arrival{m, again, orphan}
+}
+
+// Withdraw drops a message whose client never heard of its being taken on.
+func (c *Courier) Withdraw(m *journal.Message) {
+	c.Counts.Withdrawn.Add(1)
+	c.over(m.ID)
+}
+
+// over ends all that is owed for the messages.
+func (c *Courier) over(ids ...string) {
+	var records []journal.Record
+	for _, id := range ids {
+		records = append(records, journal.Over(id))
+	}
+	if err := c.journal.Append(records, nil); err != nil {
+		c.log.Warn("courier: journal", "err", err)
+	}
+	for _, id := range ids {
+		c.forget(id)
+	}
+}
+
+func (c *Courier) heard(ids []string) {
+	c.over(ids...)
+	c.post(heardMsg{})
+}
+
+func (c *Courier) forget(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.known, id)
+}
+
+// owed is how many messages have no end yet that is told.
+func (c *Courier) owed() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.known)
+}
+
+// Close makes the courier finish by then: the channel closes once no call is out and no notice
+// is owed. What it still holds is the journal's.
+func (c *Courier) Close(by time.Time) <-chan struct{} {
+	c.post(closingMsg{by})
+	return c.quiet
+}
--- /dev/null
+++ b/internal/net/front/front.go
@@ -0,0 +1,219 @@
+// Package front is the clients' side: it reads what they hand in and answers them. A reverse
+// proxy takes each request, and its RoundTripper is the courier's taking it on.
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"raventrestle/internal/config"
+	"raventrestle/internal/journal"
+)
+
+// Courier is what takes messages on.
+type Courier interface {
+	Take(*journal.Message) error // write it down
+	Admit(m *journal.Message, again, orphan bool)
+	Withdraw(*journal.Message)
+}
+
+// Counts are what the client connections brought.
+type Counts struct {
+	Requests, Taken, Refused, BadForm, TooLarge, Left atomic.Int64
+}
+
+// Front is the handler of the client connections.
+type Front struct {
+	Counts   Counts
+	courier  Courier
+	names    *config.Names
+	proxy    *httputil.ReverseProxy
+	log      *slog.Logger
+	draining atomic.Bool
+}
+
+const (
+	mostBody = 64 << 10
+	patience = 300 * time.Millisecond // of a client, less what the answer's way may take
+	mostText = 128                    // bytes of an id or key
+)
+
+// New returns the handler.
+func New(c Courier, names *config.Names, log *slog.Logger) *Front {
+	f := &Front{courier: c, names: names, log: log}
+	f.proxy = &httputil.ReverseProxy{Transport: f, Rewrite: func(*httputil.ProxyRequest) {},
+		ErrorHandler: f.failed, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
+	return f
+}
+
+// Drain refuses all that comes from now on.
+func (f *Front) Drain() { f.draining.Store(true) }
+
+// handIn is the request context's part of a message that is handed in.
+type handIn struct {
+	began         time.Time
+	msg           *journal.Message // set once it is written down
+	again, orphan bool
+}
+
+type handInKey struct{}
+
+// ServeHTTP answers a request. A message is let in only once its 202 is written to a client
+// that is still there; else it is withdrawn.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	draining := f.draining.Load()
+	if draining {
+		w.Header().Set("Connection", "close")
+	}
+	switch {
+	case r.URL.Path == "/healthz" && draining:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case r.URL.Path == "/healthz":
+		w.WriteHeader(http.StatusOK)
+		return
+	case r.Method != http.MethodPost:
+		http.Error(w, "hand messages in by POST", http.StatusMethodNotAllowed)
+		return
+	}
+	f.Counts.Requests.Add(1)
+	in := &handIn{began: time.Now()}
+	settled := false
+	defer func() {
+		if in.msg != nil && !settled { // a panic on the way ends only this connection
+			f.courier.Withdraw(in.msg)
+		}
+	}()
+	f.proxy.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), handInKey{}, in)))
+	if in.msg == nil {
+		return
+	}
+	if err := http.NewResponseController(w).Flush(); err != nil || r.Context().Err() != nil {
+		f.Counts.Left.Add(1)
+		return
+	}
+	settled = true
+	f.Counts.Taken.Add(1)
+	f.courier.Admit(in.msg, in.again, in.orphan)
+}
+
+// formError is a request that can't be read as a message.
+type formError struct {
+	code int
+	why  string
+}
+
+func (e *formError) Error() string { return e.why }
+
+// RoundTrip takes the message on instead of sending the request anywhere.
+func (f *Front) RoundTrip(r *http.Request) (*http.Response, error) {
+	in := r.Context().Value(handInKey{}).(*handIn)
+	m, err := f.message(r, in)
+	if err != nil {
+		return nil, err
+	}
+	if f.draining.Load() || m.Until <= time.Now().UnixNano() {
+		return f.answer(r, http.StatusServiceUnavailable), nil
+	}
+	if err := f.courier.Take(m); err != nil {
+		f.log.Debug("front: refused", "id", m.ID, "err", err)
+		return f.answer(r, http.StatusServiceUnavailable), nil
+	}
+	if err := r.Context().Err(); err != nil || time.Since(in.began) > patience {
+		f.Counts.Left.Add(1)
+		f.courier.Withdraw(m)
+		return f.answer(r, http.StatusServiceUnavailable), nil
+	}
+	in.msg = m
+	return f.answer(r, http.StatusAccepted), nil
+}
+
+func (f *Front) answer(r *http.Request, code int) *http.Response {
+	if code != http.StatusAccepted {
+		f.Counts.Refused.Add(1)
+	}
+	return &http.Response{StatusCode: code, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: http.Header{"Content-Length": {"0"}}, Body: http.NoBody, Request: r}
+}
+
+// failed answers for what could not be taken on.
+func (f *Front) failed(w http.ResponseWriter, r *http.Request, err error) {
+	var form *formError
+	if !errors.As(err, &form) {
+		form = &formError{http.StatusServiceUnavailable, err.Error()}
+	}
+	switch form.code {
+	case http.StatusBadRequest:
+		f.Counts.BadForm.Add(1)
+	case http.StatusRequestEntityTooLarge:
+		f.Counts.TooLarge.Add(1)
+	default:
+		f.Counts.Refused.Add(1)
+	}
+	f.log.Info("front: not a message", "code", form.code, "why", form.why)
+	http.Error(w, form.why, form.code)
+}
+
+// message takes out of a request what the courier needs of it; the rest stays as it came.
+func (f *Front) message(r *http.Request, in *handIn) (*journal.Message, error) {
+	bad := func(why string) (*journal.Message, error) { return nil, &formError{http.StatusBadRequest, why} }
+	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	m := &journal.Message{ID: r.Header.Get("X-Txn"), Key: r.Header.Get("Idempotency-Key"), Class: class,
+		Tenant: r.Header.Get("X-Org")}
+	if _, ok := f.names.Classes[class]; !ok {
+		return bad("no such class")
+	}
+	if !word(m.ID) {
+		return bad("X-Txn is missing or malformed")
+	}
+	if m.Key != "" && !word(m.Key) {
+		return bad("Idempotency-Key is malformed")
+	}
+	left, err := strconv.ParseFloat(r.Header.Get("X-Remaining"), 64)
+	if err != nil || math.IsNaN(left) || math.Abs(left) > 1e6 {
+		return bad("X-Remaining is missing or malformed")
+	}
+	m.Until = in.began.Add(time.Duration(left * float64(time.Second))).UnixNano()
+	dest, ok := field(r.Header.Get("X-Consignee"), "dest")
+	if m.Dest, err = strconv.ParseInt(dest, 10, 64); !ok || err != nil {
+		return bad("X-Consignee names no dest")
+	}
+	switch r.Header.Get("X-Resent") {
+	case "":
+	case "again":
+		in.orphan = true
+	default:
+		in.again = true
+	}
+	if m.Body, err = io.ReadAll(io.LimitReader(r.Body, mostBody+1)); err != nil {
+		return bad("the body broke off")
+	}
+	if len(m.Body) > mostBody {
+		return nil, &formError{http.StatusRequestEntityTooLarge, "a body holds 64 KiB at most"}
+	}
+	return m, nil
+}
+
+// word says whether the text fits a line of a call: visible ASCII, not too long.
+func word(s string) bool {
+	return s != "" && len(s) <= mostText && strings.IndexFunc(s, func(c rune) bool { return c <= ' ' || c > '~' }) < 0
+}
+
+// field is the value of a name in a list such as "dest=7; lane=2".
+func field(list, name string) (string, bool) {
+	for _, part := range strings.FieldsFunc(list, func(c rune) bool { return c == ';' || c == ',' || c == '&' }) {
+		if k, v, ok := strings.Cut(strings.TrimSpace(part), "="); ok && k == name {
+			return strings.TrimSpace(v), true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/net/peer/peer.go
@@ -0,0 +1,313 @@
+// Package peer speaks to one endpoint: an actor that keeps its connections and makes the
+// calls. One try is one call, written once on one connection; an answer that comes too
+// late never meets a later try, since its connection is closed by then.
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"raventrestle"
+)
+
+// Try is one attempt at a message.
+type Try struct {
+	ID, Key string
+	N       int // index of the attempt, from 0
+	Body    []byte
+	Wait    time.Duration // how long the courier waits for it
+	Until   time.Time     // when the message's time is up
+}
+
+// Config is what a peer needs to know.
+type Config struct {
+	Name, Addr    string
+	ConnectWithin time.Duration // a connection takes at most this long
+	IdleClose     time.Duration // the endpoint closes a connection that has been idle so long
+	Mailbox       int
+	Log           *slog.Logger
+	Counts        *Counts
+	Tell          func(raventrestle.Event) // hands an event to the courier
+}
+
+// Counts are what all peers do together.
+type Counts struct {
+	Dials, Calls, Bulks, Tries, Answers, Failures atomic.Int64
+}
+
+// margin is how much sooner than the endpoint a peer closes idle connections: a call on its
+// way takes that long, and one that meets the endpoint's close ends as a reset.
+const margin = 250 * time.Millisecond
+
+// Peer is the actor of one endpoint.
+type Peer struct {
+	Config
+	mail chan any
+	quit context.CancelFunc
+	idle []*conn // the one used last is last
+}
+
+type conn struct {
+	net.Conn
+	r     *bufio.Reader
+	since time.Time // idle since
+}
+
+type (
+	callMsg   struct{ tries []Try }
+	cancelMsg struct{ id string }
+	idleMsg   struct{ c *conn }
+	closeMsg  struct{}
+	doneMsg   struct{ cl *call }
+)
+
+// call is one call that is out.
+type call struct {
+	tries  []Try
+	cancel context.CancelCauseFunc
+}
+
+var errCancelled = errors.New("called off")
+
+// New starts a peer; it ends with the context, once its calls are done.
+func New(ctx context.Context, c Config) *Peer {
+	ctx, quit := context.WithCancel(ctx)
+	p := &Peer{Config: c, mail: make(chan any, c.Mailbox), quit: quit}
+	go p.run(ctx)
+	return p
+}
+
+// Call makes one call of the tries. It reports whether the mailbox took it.
+func (p *Peer) Call(tries []Try) bool { return p.post(callMsg{tries}) }
+
+// Cancel closes the connection of the call with the message.
+func (p *Peer) Cancel(id string) bool { return p.post(cancelMsg{id}) }
+
+// CloseIdle closes the connections that carry no call.
+func (p *Peer) CloseIdle() bool { return p.post(closeMsg{}) }
+
+// Stop ends the actor; its idle connections are closed, and calls out run on.
+func (p *Peer) Stop() { p.quit() }
+
+func (p *Peer) post(m any) bool {
+	select {
+	case p.mail <- m:
+		return true
+	default:
+		return false
+	}
+}
+
+// send hands the actor word from one of its calls.
+func (p *Peer) send(ctx context.Context, m any) bool {
+	select {
+	case p.mail <- m:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (p *Peer) run(ctx context.Context) {
+	out := map[*call]bool{}
+	sweep := time.NewTicker(max(margin/2, 10*time.Millisecond))
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.closeIdle(0)
+			return
+		case <-sweep.C:
+			p.closeIdle(p.IdleClose - 2*margin)
+		case m := <-p.mail:
+			switch m := m.(type) {
+			case callMsg:
+				cl := &call{tries: m.tries}
+				var callCtx context.Context
+				callCtx, cl.cancel = context.WithCancelCause(context.WithoutCancel(ctx))
+				out[cl] = true
+				c := p.take()
+				go func() {
+					defer p.send(ctx, doneMsg{cl})
+					p.call(ctx, callCtx, cl, c)
+				}()
+			case cancelMsg:
+				for cl := range out {
+					if len(cl.tries) == 1 && cl.tries[0].ID == m.id {
+						cl.cancel(errCancelled)
+					}
+				}
+			case idleMsg:
+				m.c.since = time.Now()
+				p.idle = append(p.idle, m.c)
+			case closeMsg:
+				p.closeIdle(0)
+			case doneMsg:
+				m.cl.cancel(nil)
+				delete(out, m.cl)
+			}
+		}
+	}
+}
+
+// take is an idle connection that is still fit, or nil.
+func (p *Peer) take() *conn {
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if time.Since(c.since) < p.IdleClose-margin && c.r.Buffered() == 0 && alive(c.Conn) {
+			return c
+		}
+		c.Close()
+	}
+	return nil
+}
+
+// closeIdle closes connections idle for so long, and those that the endpoint has closed.
+func (p *Peer) closeIdle(after time.Duration) {
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if after > 0 && time.Since(c.since) < after && alive(c.Conn) {
+			kept = append(kept, c)
+		} else {
+			c.Close()
+		}
+	}
+	p.idle = kept
+}
+
+// call makes the call and tells the courier how each try of it ended.
+func (p *Peer) call(ctx, callCtx context.Context, cl *call, c *conn) {
+	began := time.Now()
+	wait := time.Duration(0)
+	for _, t := range cl.tries {
+		wait = max(wait, t.Wait)
+	}
+	callCtx, stop := context.WithDeadline(callCtx, began.Add(wait))
+	defer stop()
+	told := &teller{p: p, began: began, tries: cl.tries, open: map[string]bool{}}
+	for _, t := range cl.tries {
+		told.open[t.ID] = true
+	}
+	if len(cl.tries) > 1 {
+		defer told.watch(callCtx, began.Add(wait))()
+	}
+	defer func() {
+		if e := recover(); e != nil { // the fault stays with this call
+			p.Log.Error("peer: call broke", "peer", p.Name, "panic", fmt.Sprint(e))
+			told.all(raventrestle.Reset)
+		}
+	}()
+	p.Counts.Calls.Add(1)
+	p.Counts.Tries.Add(int64(len(cl.tries)))
+	if len(cl.tries) > 1 {
+		p.Counts.Bulks.Add(1)
+	}
+	a, c, err := p.exchange(callCtx, cl, c, wait)
+	if err == nil && a.reuse {
+		if !p.send(ctx, idleMsg{c}) {
+			c.Close()
+		}
+	} else if c != nil {
+		c.Close()
+	}
+	var failed *TryError
+	switch {
+	case err == nil:
+		p.Counts.Answers.Add(1)
+		for _, o := range a.outcomes(cl.tries) {
+			told.one(o)
+		}
+	case errors.As(err, &failed):
+		p.Counts.Failures.Add(1)
+		p.Log.Debug("peer: try failed", "peer", p.Name, "id", cl.tries[0].ID, "n", len(cl.tries), "err", err,
+			"took", time.Since(began))
+		status := failed.Status()
+		if status == raventrestle.TimedOut && errors.Is(context.Cause(callCtx), errCancelled) {
+			status = raventrestle.Cancelled
+		}
+		told.all(status)
+	}
+}
+
+// exchange writes the call and reads its answer; errors are of type *TryError.
+func (p *Peer) exchange(ctx context.Context, cl *call, c *conn, wait time.Duration) (answer, *conn, error) {
+	if c == nil {
+		p.Counts.Dials.Add(1)
+		d := net.Dialer{Timeout: p.ConnectWithin, KeepAlive: -1}
+		raw, err := d.DialContext(ctx, "tcp", p.Addr)
+		if err != nil {
+			return answer{}, nil, &TryError{NotConnected, ctx.Err() != nil, err}
+		}
+		c = &conn{Conn: raw, r: bufio.NewReaderSize(raw, 4<<10)}
+	}
+	// Closing the connection is how a call is given up, whether time ran out or it was called off.
+	defer context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })()
+	text := request(p.Addr, cl.tries, wait)
+	if n, err := c.Write(text); err != nil {
+		reach := NotWritten
+		if n == len(text) {
+			reach = Written
+		}
+		return answer{}, c, &TryError{reach, ctx.Err() != nil, err}
+	}
+	a, err := read(c.r)
+	if err != nil {
+		return answer{}, c, &TryError{Written, ctx.Err() != nil, err}
+	}
+	if ctx.Err() != nil { // the deadline above may have fallen into the reading
+		a.reuse = false
+	}
+	return a, c, nil
+}
+
+// teller tells each try's outcome once.
+type teller struct {
+	p     *Peer
+	began time.Time
+	tries []Try
+	mu    sync.Mutex
+	open  map[string]bool
+}
+
+func (t *teller) one(o raventrestle.Outcome) {
+	t.mu.Lock()
+	first := t.open[string(o.ID)]
+	delete(t.open, string(o.ID))
+	t.mu.Unlock()
+	if first {
+		o.Target, o.Took = raventrestle.TargetID(t.p.Name), time.Since(t.began)
+		t.p.Tell(o)
+	}
+}
+
+func (t *teller) all(s raventrestle.Status) {
+	for _, try := range t.tries {
+		t.one(raventrestle.Outcome{ID: raventrestle.MessageID(try.ID), Try: try.N, Status: s})
+	}
+}
+
+// watch ends the tries whose message's time is up while the call goes on for its mates. Others
+// stay out until the call ends: another try beside it would be a second copy.
+func (t *teller) watch(ctx context.Context, end time.Time) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	for _, try := range t.tries {
+		if try.Until.Before(end) {
+			timer := time.AfterFunc(time.Until(try.Until), func() {
+				if ctx.Err() == nil {
+					t.one(raventrestle.Outcome{ID: raventrestle.MessageID(try.ID), Try: try.N,
+						Status: raventrestle.TimedOut})
+				}
+			})
+			context.AfterFunc(ctx, func() { timer.Stop() })
+		}
+	}
+	return cancel
+}
--- /dev/null
+++ b/internal/net/upstream/upstream.go
@@ -0,0 +1,169 @@
+// Package upstream keeps the upstream group: discovery's list of the peers that messages may
+// go to. An actor asks for it and watches its changes once the courier has subscribed.
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"raventrestle"
+	"raventrestle/internal/config"
+)
+
+// Entry is one line of the list, with where the peer is.
+type Entry struct {
+	raventrestle.Entry
+	Addr string
+}
+
+// Update is news of the list.
+type Update struct {
+	How     raventrestle.ListKind
+	Entries []Entry
+	Index   int64
+}
+
+// Group is the actor of the list.
+type Group struct {
+	url    string
+	names  *config.Names
+	client *http.Client
+	log    *slog.Logger
+	tell   func(Update)
+	asked  chan struct{}
+	index  int64
+}
+
+const (
+	wait     = 10 * time.Second // of one watch
+	patience = 2 * time.Second  // for an answer, beyond the wait
+	mostList = 4 << 20
+)
+
+// New returns a group that starts from what the courier knew, which it tells at once.
+func New(discovery string, known []byte, names *config.Names, log *slog.Logger, tell func(Update)) (*Group, error) {
+	g := &Group{url: "http://" + discovery + "/v1/servers", names: names, log: log, tell: tell,
+		asked: make(chan struct{}, 1),
+		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConns: 1,
+			IdleConnTimeout: time.Minute, ResponseHeaderTimeout: wait + patience}}}
+	u := Update{}
+	if len(known) > 0 {
+		var err error
+		if u, err = g.parse(known); err != nil {
+			return nil, fmt.Errorf("known list: %w", err)
+		}
+	}
+	u.How = raventrestle.ListStored
+	g.index = u.Index
+	tell(u)
+	return g, nil
+}
+
+// Subscribe starts a watch if none is on.
+func (g *Group) Subscribe() {
+	select {
+	case g.asked <- struct{}{}:
+	default:
+	}
+}
+
+// Run watches, from a Subscribe until a call fails, which it tells; then it waits to be asked.
+func (g *Group) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.asked:
+		}
+		for {
+			u, err := g.watch(ctx)
+			if ctx.Err() != nil {
+				return
+			}
+			if err != nil {
+				g.log.Warn("upstream: watch ended", "err", err)
+				select { // what was asked meanwhile was for this watch
+				case <-g.asked:
+				default:
+				}
+				g.tell(Update{How: raventrestle.ListFailed})
+				break
+			}
+			g.index = u.Index
+			g.tell(u)
+		}
+	}
+}
+
+// watch makes one call; a watch goes on as long as the next follows at once.
+func (g *Group) watch(ctx context.Context) (Update, error) {
+	ctx, stop := context.WithTimeout(ctx, wait+patience)
+	defer stop()
+	url := fmt.Sprintf("%s?index=%d&wait=%d", g.url, g.index, wait.Milliseconds())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return Update{}, err
+	}
+	res, err := g.client.Do(req)
+	if err != nil {
+		return Update{}, err
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(res.Body, mostList))
+	if err != nil {
+		return Update{}, err
+	}
+	if res.StatusCode != http.StatusOK {
+		return Update{}, fmt.Errorf("discovery answered %s", res.Status)
+	}
+	return g.parse(text)
+}
+
+var states = map[string]raventrestle.Readiness{
+	"SERVING": raventrestle.Ready, "DRAINING": raventrestle.Draining, "DELETED": raventrestle.Gone,
+}
+
+// parse reads a list or changes of one. A status that is not known gets nothing new.
+func (g *Group) parse(text []byte) (Update, error) {
+	var raw struct {
+		Index     *int64 `json:"index"`
+		Snapshot  bool   `json:"snapshot"`
+		Endpoints []struct {
+			Name    string  `json:"name"`
+			Address string  `json:"address"`
+			Zone    string  `json:"zone"`
+			Type    string  `json:"type"`
+			Group   int64   `json:"group"`
+			Status  string  `json:"status"`
+			Weight  float64 `json:"weight"`
+			SinceMS float64 `json:"since_ms"`
+		} `json:"endpoints"`
+	}
+	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(text, &raw); err != nil {
+		return Update{}, err
+	}
+	if raw.Index == nil {
+		return Update{}, fmt.Errorf("a list without its index")
+	}
+	u := Update{How: raventrestle.ListChanges, Index: *raw.Index}
+	if raw.Snapshot {
+		u.How = raventrestle.ListWhole
+	}
+	for _, e := range raw.Endpoints {
+		state, ok := states[e.Status]
+		if !ok {
+			state = raventrestle.Draining
+		}
+		u.Entries = append(u.Entries, Entry{Addr: e.Address, Entry: raventrestle.Entry{
+			Target: raventrestle.TargetID(e.Name), Dest: raventrestle.DestID(e.Group), State: state,
+			Kind: config.Index(g.names.Kinds, e.Type), Zone: config.Index(g.names.Zones, e.Zone),
+			Size: e.Weight, Joined: time.Duration(e.SinceMS * float64(time.Millisecond))}})
+	}
+	return u, nil
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,4 +1,4 @@
-// Package wire translates between the bench's JSON lines and trayhub's types.
+// Package wire translates between the bench's JSON lines and raventrestle's types.
 // It decides nothing.
 package wire
 
@@ -10,7 +10,8 @@
 	"strconv"
 	"time"
 
-	"trayhub"
+	"raventrestle"
+	"raventrestle/internal/config"
 )
 
 // Op says what an Item does to its instance.
@@ -28,8 +29,8 @@
 	Instance int
 	Op       Op
 	Seed     uint64
-	Settings trayhub.Settings
-	Event    trayhub.Event
+	Settings raventrestle.Settings
+	Event    raventrestle.Event
 }
 
 // Batch is one line of input.
@@ -41,38 +42,34 @@
 // Decoder reads batches. It keeps the numbered lists and each instance's names.
 type Decoder struct {
 	tables map[int][]rawEntry
-	names  map[int]*names
-}
-
-type names struct {
-	classes, tenants, kinds, zones map[string]int
+	names  map[int]*config.Names
 }
 
 type rawEntry struct {
 	target, kind, zone string
 	dest               int64
-	state              trayhub.Readiness
+	state              raventrestle.Readiness
 	size               float64
 	joined             int64
 }
 
 // NewDecoder returns an empty Decoder.
 func NewDecoder() *Decoder {
-	return &Decoder{tables: map[int][]rawEntry{}, names: map[int]*names{}}
+	return &Decoder{tables: map[int][]rawEntry{}, names: map[int]*config.Names{}}
 }
 
-var states = map[string]trayhub.Readiness{
-	"Ready": trayhub.Ready, "Terminating": trayhub.Draining, "Gone": trayhub.Gone,
+var states = map[string]raventrestle.Readiness{
+	"Ready": raventrestle.Ready, "Terminating": raventrestle.Draining, "Gone": raventrestle.Gone,
 }
 
-var listKinds = map[string]trayhub.ListKind{
-	"diff": trayhub.ListChanges, "snapshot": trayhub.ListWhole,
-	"disk": trayhub.ListStored, "error": trayhub.ListFailed,
+var listKinds = map[string]raventrestle.ListKind{
+	"diff": raventrestle.ListChanges, "snapshot": raventrestle.ListWhole,
+	"disk": raventrestle.ListStored, "error": raventrestle.ListFailed,
 }
 
-var statuses = map[int]trayhub.Status{
-	0: trayhub.OK, 255: trayhub.Error, 254: trayhub.Full, 253: trayhub.TimedOut,
-	252: trayhub.ConnectFailed, 251: trayhub.Reset, 250: trayhub.Cancelled, 249: trayhub.Moot,
+var statuses = map[int]raventrestle.Status{
+	0: raventrestle.OK, 255: raventrestle.Error, 254: raventrestle.Full, 253: raventrestle.TimedOut,
+	252: raventrestle.ConnectFailed, 251: raventrestle.Reset, 250: raventrestle.Cancelled, 249: raventrestle.Moot,
 }
 
 // Decode reads one line.
@@ -133,11 +130,9 @@
 	}
 	if name == "boot" {
 		it.Op, it.Seed = Boot, uint64(r.integer(2))
-		var info info
-		r.into(3, &info)
-		var nm *names
-		it.Settings, nm = info.settings()
-		d.names[it.Instance] = nm
+		if len(r.vals) > 3 && r.err == nil {
+			it.Settings, d.names[it.Instance], r.err = config.Settings(r.vals[3])
+		}
 		return it
 	}
 	nm := d.names[it.Instance]
@@ -149,16 +144,16 @@
 	case "crash_now":
 		it.Op = Kill
 	case "wake":
-		it.Event = trayhub.Wake{}
+		it.Event = raventrestle.Wake{}
 	case "timed_out_client":
-		it.Event = trayhub.Withdrawn{ID: trayhub.MessageID(r.text(2))}
+		it.Event = raventrestle.Withdrawn{ID: raventrestle.MessageID(r.text(2))}
 	case "ingress":
-		class, ok := nm.classes[r.text(3)]
+		class, ok := nm.Classes[r.text(3)]
 		if !ok && r.err == nil {
 			r.err = fmt.Errorf("unknown class %q", r.text(3))
 		}
-		a := trayhub.Arrival{ID: trayhub.MessageID(r.text(2)), Class: class, Key: trayhub.Key(r.text(5)),
-			Budget: us(r.integer(6)), Dest: trayhub.DestID(r.integer(8)), Tenant: r.tenant(4, nm.tenants),
+		a := raventrestle.Arrival{ID: raventrestle.MessageID(r.text(2)), Class: class, Key: raventrestle.Key(r.text(5)),
+			Budget: us(r.integer(6)), Dest: raventrestle.DestID(r.integer(8)), Tenant: r.tenant(4, nm.Tenants),
 			Again: r.integer(9)&2 != 0, Orphan: r.integer(9)&16 != 0}
 		if r.integer(9)&1 != 0 {
 			a.Estimate = us(r.integer(7))
@@ -169,9 +164,9 @@
 		if !ok && r.err == nil {
 			r.err = fmt.Errorf("unknown status %d", r.integer(5))
 		}
-		o := trayhub.Outcome{ID: trayhub.MessageID(r.text(2)), Target: trayhub.TargetID(r.text(4)),
+		o := raventrestle.Outcome{ID: raventrestle.MessageID(r.text(2)), Target: raventrestle.TargetID(r.text(4)),
 			Try: int(r.integer(3)), Status: status, Took: us(r.integer(6)), Closed: r.flag(7)}
-		if status == trayhub.Full {
+		if status == raventrestle.Full {
 			o.Wait = time.Duration(r.integer(8)) * time.Millisecond
 		}
 		o.Report = r.report(9)
@@ -181,10 +176,10 @@
 		if !ok && r.err == nil {
 			r.err = fmt.Errorf("unknown status %d", r.integer(2))
 		}
-		it.Event = trayhub.Probed{Target: trayhub.TargetID(r.text(4)), Status: status, Took: us(r.integer(3)),
+		it.Event = raventrestle.Probed{Target: raventrestle.TargetID(r.text(4)), Status: status, Took: us(r.integer(3)),
 			Report: r.report(5)}
 	case "from_peer":
-		n := trayhub.Note{From: int(r.integer(2))}
+		n := raventrestle.Note{From: int(r.integer(2))}
 		r.into(3, &n.Data)
 		it.Event = n
 	case "directory_update":
@@ -192,16 +187,16 @@
 		if !ok && r.err == nil {
 			r.err = fmt.Errorf("unknown list kind %q", r.text(2))
 		}
-		l := trayhub.Listing{How: how}
-		if how != trayhub.ListFailed {
+		l := raventrestle.Listing{How: how}
+		if how != raventrestle.ListFailed {
 			list, ok := d.tables[int(r.integer(4))]
 			if !ok && r.err == nil {
 				r.err = fmt.Errorf("unknown table %d", r.integer(4))
 			}
 			for _, e := range list {
-				l.Entries = append(l.Entries, trayhub.Entry{Target: trayhub.TargetID(e.target),
-					Dest: trayhub.DestID(e.dest), State: e.state, Kind: index(nm.kinds, e.kind),
-					Zone: index(nm.zones, e.zone), Size: e.size, Joined: us(e.joined)})
+				l.Entries = append(l.Entries, raventrestle.Entry{Target: raventrestle.TargetID(e.target),
+					Dest: raventrestle.DestID(e.dest), State: e.state, Kind: config.Index(nm.Kinds, e.kind),
+					Zone: config.Index(nm.Zones, e.zone), Size: e.size, Joined: us(e.joined)})
 			}
 		}
 		it.Event = l
@@ -211,13 +206,6 @@
 	return it
 }
 
-func index(m map[string]int, name string) int {
-	if i, ok := m[name]; ok {
-		return i
-	}
-	return -1
-}
-
 // row is one message of the wire; the first fault met is kept.
 type row struct {
 	vals []json.RawMessage
@@ -241,7 +229,7 @@
 	var v any
 	r.into(i, &v)
 	name, _ := v.(string)
-	return index(m, name)
+	return config.Index(m, name)
 }
 
 func (r *row) number(i int) (f float64) { r.into(i, &f); return }
@@ -266,7 +254,7 @@
 	return int64(f)
 }
 
-func (r *row) report(i int) (rep trayhub.Report) {
+func (r *row) report(i int) (rep raventrestle.Report) {
 	var m map[string]any
 	r.into(i, &m)
 	rep.Left, _ = m["x0"].(float64)
@@ -280,7 +268,7 @@
 type Reply struct{ buf []byte }
 
 // Add appends one action of an instance.
-func (r *Reply) Add(instance int, a trayhub.Action) {
+func (r *Reply) Add(instance int, a raventrestle.Action) {
 	if len(r.buf) > 0 {
 		r.buf = append(r.buf, ',')
 	}
@@ -296,25 +284,25 @@
 		r.buf = append(r.buf, ']')
 	}
 	switch a := a.(type) {
-	case trayhub.Send:
+	case raventrestle.Send:
 		put("attempt", a.ID, a.Timeout.Microseconds(), a.Target)
-	case trayhub.Refuse:
+	case raventrestle.Refuse:
 		put("reject", a.ID, a.After.Microseconds())
-	case trayhub.Fail:
+	case raventrestle.Fail:
 		put("surrender", a.ID)
-	case trayhub.Cancel:
+	case raventrestle.Cancel:
 		put("cancel", a.ID, a.Try)
-	case trayhub.Probe:
+	case raventrestle.Probe:
 		put("test", a.Target)
-	case trayhub.Tell:
+	case raventrestle.Tell:
 		put("signal", a.To, a.Data)
-	case trayhub.CloseIdle:
+	case raventrestle.CloseIdle:
 		put("close", a.Target)
-	case trayhub.Subscribe:
+	case raventrestle.Subscribe:
 		put("listen", true)
-	case trayhub.WakeAt:
+	case raventrestle.WakeAt:
 		put("notify_me", "w", (a.At + time.Microsecond - 1).Microseconds())
-	case trayhub.Log:
+	case raventrestle.Log:
 		put("log", a.Text)
 	}
 }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"trayhub"
+	"raventrestle"
 )
 
 const boot = `["boot",3,18446744073709551615,{"az":"y","balancers":2,"position":1,"granularity_us":5000,` +
@@ -36,14 +36,14 @@
 	s := b.Items[0].Settings
 	if b.Clock != 8412250*time.Microsecond || b.Items[0].Seed != 1<<64-1 || s.Zone != 1 || s.CallSlots != 4 ||
 		!s.Kinds[0].Apart || s.Kinds[0].BundleMax != 10 || s.Zones[0].Fee != 0.5 || !s.AskForList ||
-		s.Sizes != trayhub.SizesRough || s.Classes[0].Effect != trayhub.Keyed ||
-		s.Classes[0].Group != trayhub.GroupZone || !s.Classes[0].InOrder {
+		s.Sizes != raventrestle.SizesRough || s.Classes[0].Effect != raventrestle.Keyed ||
+		s.Classes[0].Group != raventrestle.GroupZone || !s.Classes[0].InOrder {
 		t.Fatalf("settings: %+v", s)
 	}
-	if s.Position != 1 || len(s.Tenants) != 2 || s.Tenants[1] != (trayhub.Tenant{Name: "q", Share: 0.3, Quota: 30}) ||
-		s.OverShare != 0.1 || s.Mix != (trayhub.Mix{Whole: 0.7, WorstWindow: 0.1, WorstClass: 0.05, WorstTenant: 0.15}) ||
-		s.Charges != (trayhub.Charges{CrossZone: 0.01, Handshake: 0.04, Waste: 0.05, LateFail: 0.02, Refused: 0.07,
-			Probe: 0.03, Note: 0.06}) || s.Loss != trayhub.LossHalving || s.Classes[0].Late != 0.5 ||
+	if s.Position != 1 || len(s.Tenants) != 2 || s.Tenants[1] != (raventrestle.Tenant{Name: "q", Share: 0.3, Quota: 30}) ||
+		s.OverShare != 0.1 || s.Mix != (raventrestle.Mix{Whole: 0.7, WorstWindow: 0.1, WorstClass: 0.05, WorstTenant: 0.15}) ||
+		s.Charges != (raventrestle.Charges{CrossZone: 0.01, Handshake: 0.04, Waste: 0.05, LateFail: 0.02, Refused: 0.07,
+			Probe: 0.03, Note: 0.06}) || s.Loss != raventrestle.LossHalving || s.Classes[0].Late != 0.5 ||
 		!s.MarksRetry || s.Streams != 8 || !s.Probes || !s.Notes || !s.Cancels || !s.SecondCopies ||
 		s.DrainGrace != 250*time.Millisecond || s.Slack != 20*time.Millisecond {
 		t.Fatalf("settings: %+v", s)
@@ -56,22 +56,22 @@
 		`["wake",3,"w"],["timed_out_client",3,"48a935400e6f2b19"],["probe_result",3,252,1,"10.0.0.1:1",{"x0":0.5,"x1":7}],`+
 		`["ingress",3,"9069a7405d3a91c4","text",0,null,240000,null,57,0],["from_peer",3,2,"aGkgNw=="],["novel",3],`+
 		`["crash_now",3]`)
-	want := []trayhub.Event{
-		trayhub.Listing{How: trayhub.ListStored, Entries: []trayhub.Entry{
-			{Target: "10.0.0.1:1", Dest: 57, State: trayhub.Draining, Kind: 1, Zone: 0, Size: 1.5},
-			{Target: "10.0.0.2:1", Dest: 57, State: trayhub.Ready, Kind: -1, Zone: -1, Joined: time.Microsecond}}},
-		trayhub.Arrival{ID: "8069a7405d3a91c4", Key: "91f03b7c55d20a64", Dest: 57,
+	want := []raventrestle.Event{
+		raventrestle.Listing{How: raventrestle.ListStored, Entries: []raventrestle.Entry{
+			{Target: "10.0.0.1:1", Dest: 57, State: raventrestle.Draining, Kind: 1, Zone: 0, Size: 1.5},
+			{Target: "10.0.0.2:1", Dest: 57, State: raventrestle.Ready, Kind: -1, Zone: -1, Joined: time.Microsecond}}},
+		raventrestle.Arrival{ID: "8069a7405d3a91c4", Key: "91f03b7c55d20a64", Dest: 57,
 			Budget: 240 * time.Millisecond, Estimate: 12 * time.Millisecond, Tenant: 1, Again: true, Orphan: true},
-		trayhub.Outcome{ID: "8069a7405d3a91c4", Target: "10.0.0.1:1", Status: trayhub.Full,
+		raventrestle.Outcome{ID: "8069a7405d3a91c4", Target: "10.0.0.1:1", Status: raventrestle.Full,
 			Took: 18500 * time.Microsecond, Wait: 250 * time.Millisecond,
-			Report: trayhub.Report{Left: 0.5, Limit: 7}},
-		trayhub.Outcome{ID: "8069a7405d3a91c4", Target: "10.0.0.1:1", Status: trayhub.Moot, Try: 1,
+			Report: raventrestle.Report{Left: 0.5, Limit: 7}},
+		raventrestle.Outcome{ID: "8069a7405d3a91c4", Target: "10.0.0.1:1", Status: raventrestle.Moot, Try: 1,
 			Took: 5 * time.Microsecond, Closed: true},
-		trayhub.Wake{}, trayhub.Withdrawn{ID: "48a935400e6f2b19"},
-		trayhub.Probed{Target: "10.0.0.1:1", Status: trayhub.ConnectFailed, Took: time.Microsecond,
-			Report: trayhub.Report{Left: 0.5, Limit: 7}},
-		trayhub.Arrival{ID: "9069a7405d3a91c4", Dest: 57, Budget: 240 * time.Millisecond, Tenant: -1},
-		trayhub.Note{From: 2, Data: []byte("hi 7")}, nil, nil,
+		raventrestle.Wake{}, raventrestle.Withdrawn{ID: "48a935400e6f2b19"},
+		raventrestle.Probed{Target: "10.0.0.1:1", Status: raventrestle.ConnectFailed, Took: time.Microsecond,
+			Report: raventrestle.Report{Left: 0.5, Limit: 7}},
+		raventrestle.Arrival{ID: "9069a7405d3a91c4", Dest: 57, Budget: 240 * time.Millisecond, Tenant: -1},
+		raventrestle.Note{From: 2, Data: []byte("hi 7")}, nil, nil,
 	}
 	for i, w := range want {
 		if !reflect.DeepEqual(b.Items[i].Event, w) {
@@ -90,9 +90,9 @@
 	b := decode(t, d, `["table",0,[["a:1",1,"Ready","k","x",1,null]]],["directory_update",3,"diff",1,0],`+
 		`["table",0,[["b:1",1,"Gone","k","x",1,null]]],["directory_update",3,"snapshot",2,0],`+
 		`["directory_update",3,"error",2,null]`)
-	first, second := b.Items[0].Event.(trayhub.Listing), b.Items[1].Event.(trayhub.Listing)
+	first, second := b.Items[0].Event.(raventrestle.Listing), b.Items[1].Event.(raventrestle.Listing)
 	if first.Entries[0].Target != "a:1" || second.Entries[0].Target != "b:1" ||
-		second.How != trayhub.ListWhole || b.Items[2].Event.(trayhub.Listing).How != trayhub.ListFailed {
+		second.How != raventrestle.ListWhole || b.Items[2].Event.(raventrestle.Listing).How != raventrestle.ListFailed {
 		t.Fatalf("%+v", b.Items)
 	}
 }
@@ -114,15 +114,15 @@
 
 func TestReply(t *testing.T) {
 	var r Reply
-	r.Add(3, trayhub.Send{ID: "ab", Target: "t:1", Timeout: 80 * time.Millisecond})
-	r.Add(3, trayhub.Refuse{ID: "ab", After: time.Second})
-	r.Add(3, trayhub.Fail{ID: "ab"})
-	r.Add(3, trayhub.Subscribe{})
-	r.Add(3, trayhub.Cancel{ID: "ab", Try: 1})
-	r.Add(3, trayhub.Probe{Target: "t:1"})
-	r.Add(3, trayhub.Tell{To: -1, Data: []byte("hi 7")})
-	r.Add(3, trayhub.WakeAt{At: 1500 * time.Nanosecond})
-	r.Add(3, trayhub.Log{Text: `say "x"`})
+	r.Add(3, raventrestle.Send{ID: "ab", Target: "t:1", Timeout: 80 * time.Millisecond})
+	r.Add(3, raventrestle.Refuse{ID: "ab", After: time.Second})
+	r.Add(3, raventrestle.Fail{ID: "ab"})
+	r.Add(3, raventrestle.Subscribe{})
+	r.Add(3, raventrestle.Cancel{ID: "ab", Try: 1})
+	r.Add(3, raventrestle.Probe{Target: "t:1"})
+	r.Add(3, raventrestle.Tell{To: -1, Data: []byte("hi 7")})
+	r.Add(3, raventrestle.WakeAt{At: 1500 * time.Nanosecond})
+	r.Add(3, raventrestle.Log{Text: `say "x"`})
 	want := `{"cmds":[["attempt",3,"ab",80000,"t:1"],["reject",3,"ab",1000000],["surrender",3,"ab"],` +
 		`["listen",3,true],["cancel",3,"ab",1],["test",3,"t:1"],["signal",3,-1,"aGkgNw=="],["notify_me",3,"w",2],["log",3,"say \"x\""]]}`
 	if got := strings.TrimSpace(string(r.Line())); got != want {
--- a/policy.go
+++ b/policy.go
@@ -1,7 +1,7 @@
-package trayhub
+package raventrestle
 
 // This module holds all decisions of a forwarder. Its interface (settings, events and
-// actions) is in trayhub.go, the fields of its records in state.go. Reading order:
+// actions) is in raventrestle.go, the fields of its records in state.go. Reading order:
 // settings, events, destination state, guards, worth, select and send, final answers.
 //
 // The ordinary path is ASFQ: each destination is a flow, the held head with the lowest
@@ -43,6 +43,7 @@
 	borne           [2]time.Duration // longest idle time before an answered call, this period and last
 	askAt, askGap   time.Duration    // when to ask for the list again, and the backoff
 	stood           bool             // this batch came late
+	closing         time.Duration    // when the host ends its life, 0 while it does not
 	crowded         time.Duration    // targets may have few connections left, until then
 	wakeAt, pending time.Duration    // when a decision may change, and the WakeAt still owed
 }
@@ -50,14 +51,14 @@
 // New returns the policy of one forwarder, or says what it can't work with.
 func New(set Settings, seed uint64) (*Policy, error) {
 	if min(set.CallSlots, set.MostHeld, set.Forwarders, len(set.Classes)) < 1 {
-		return nil, errors.New("trayhub: CallSlots, MostHeld, Forwarders and Classes must be at least one each")
+		return nil, errors.New("raventrestle: CallSlots, MostHeld, Forwarders and Classes must be at least one each")
 	}
 	p := &Policy{set: set, rng: rand.New(rand.NewPCG(seed, 0)), dests: map[DestID]*dest{},
 		targets: map[TargetID]*target{}, msgs: map[MessageID]*msg{}, keys: map[Key]*keyLine{},
 		period: time.Hour, askAt: -1}
 	for _, c := range set.Classes {
 		if c.Aim <= 0 || c.Deadline < c.Aim {
-			return nil, fmt.Errorf("trayhub: class %q needs 0 < Aim <= Deadline", c.Name)
+			return nil, fmt.Errorf("raventrestle: class %q needs 0 < Aim <= Deadline", c.Name)
 		}
 		p.period, p.longest = min(p.period, c.Aim), max(p.longest, c.Deadline)
 	}
@@ -83,6 +84,10 @@
 			p.listing(e)
 		case Arrival:
 			p.arrival(e)
+		case Restored:
+			p.restored(e)
+		case Closing:
+			p.closing = e.At
 		case Outcome:
 			p.outcome(e)
 		case Withdrawn:
@@ -182,9 +187,9 @@
 	p.wakeBy(p.askAt)
 }
 
-func (p *Policy) arrival(a Arrival) {
+func (p *Policy) arrival(a Arrival) *msg {
 	if p.msgs[a.ID] != nil || a.Class < 0 || a.Class >= len(p.set.Classes) {
-		return
+		return nil
 	}
 	c := &p.set.Classes[a.Class]
 	end := p.now + a.Budget
@@ -200,6 +205,21 @@
 		m.line.msgs = append(m.line.msgs, m)
 	}
 	p.hold(m)
+	return m
+}
+
+// restored: where an earlier attempt may have run stands for a target, which may be gone.
+func (p *Policy) restored(r Restored) {
+	m := p.arrival(r.Arrival)
+	if m == nil {
+		return
+	}
+	m.sends, m.mayRun, m.ranAt = r.Sends, r.MayRun, r.RanAt
+	m.ranOn = &target{id: r.RanOn, zone: r.RanZone}
+	if p.spent(m) {
+		m.d.unhold(m)
+		p.giveUp(m)
+	}
 }
 
 func (p *Policy) withdrawn(w Withdrawn) {
@@ -218,7 +238,7 @@
 	}
 	c := m.call
 	m.call = nil
-	if o.Status == Full && o.Wait > 0 { // each mate of a call may be told for itself
+	if o.Wait > 0 { // each mate of a call may be told for itself
 		c.t.r.until = max(c.t.r.until, p.now+o.Wait)
 	}
 	if !c.told {
@@ -235,17 +255,21 @@
 	if m.line != nil && lost {
 		m.line.rest = max(m.line.rest, p.now+p.set.KeyRest)
 	}
-	spent := p.set.SendCap > 0 && m.sends >= p.set.SendCap || m.mayRun && m.class.Effect == Unsafe
 	switch {
 	case o.Closed || m.over || o.Status == OK:
 		p.forget(m)
-	case spent || p.now >= p.lastCall(m):
+	case p.spent(m) || p.now >= p.lastCall(m):
 		p.giveUp(m)
 	default:
 		p.hold(m)
 	}
 }
 
+// spent says that no further attempt is allowed.
+func (p *Policy) spent(m *msg) bool {
+	return p.set.SendCap > 0 && m.sends >= p.set.SendCap || m.mayRun && m.class.Effect == Unsafe
+}
+
 // ---- destination state ----
 
 // hold gives the message's flow one more turn.
@@ -679,6 +703,9 @@
 	if !t.ready || t.onTrial() && t.trials > 0 {
 		return false
 	}
+	if mean, dev := p.usual(r); p.closing > 0 && p.now+mean+4*dev > p.closing {
+		return false // the answer would hardly come in this life
+	}
 	p.wakeBy(from)
 	return from <= p.now
 }
@@ -687,7 +714,7 @@
 
 // allowed says whether the message may go to the target: a repeat only where they are dropped.
 func (p *Policy) allowed(m *msg, t *target) bool {
-	return !m.mayRun || m.class.Effect == Safe || m.class.Group == GroupAll || t == m.ranOn ||
+	return !m.mayRun || m.class.Effect == Safe || m.class.Group == GroupAll || t.id == m.ranOn.id ||
 		m.class.Group == GroupZone && t.zone == m.ranOn.zone
 }
 
--- a/policy_test.go
+++ b/policy_test.go
@@ -1,4 +1,4 @@
-package trayhub_test
+package raventrestle_test
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	. "trayhub"
+	. "raventrestle"
 )
 
 const (
--- a/trayhub.go
+++ b/raventrestle.go
@@ -1,11 +1,11 @@
-// Package trayhub decides, for one forwarder of a delivery service, when each
+// Package raventrestle decides, for one forwarder of a delivery service, when each
 // held message leaves, over which target, and how it is finally answered.
 //
 // This file is the interface: settings, events and actions. It decides nothing.
 // The decisions are all in policy.go. A host makes one [Policy] per forwarder with
 // [New], hands it batches of events through [Policy.Step], and carries out the
 // returned actions in the order given.
-package trayhub
+package raventrestle
 
 import "time"
 
@@ -143,7 +143,7 @@
 	StartCapacity float64       // share of its capacity just after an outage
 }
 
-// Event is one of Listing, Arrival, Outcome, Withdrawn, Probed, Note and Wake.
+// Event is one of Listing, Arrival, Restored, Closing, Outcome, Withdrawn, Probed, Note and Wake.
 type Event interface{ event() }
 
 // ListKind says how a Listing relates to what came before.
@@ -195,6 +195,20 @@
 	Orphan   bool          // comes from a forwarder that died
 }
 
+// Restored is a message taken on in an earlier life of the host, which still owes its answer.
+// It comes before any attempt of this life.
+type Restored struct {
+	Arrival               // Budget is what is left of it, negative once its time is up
+	Sends   int           // attempts so far
+	MayRun  bool          // one of them may have run
+	RanOn   TargetID      // and went there first
+	RanZone int           // index into Settings.Zones, -1 if unknown
+	RanAt   time.Duration // on the clock of Step
+}
+
+// Closing says that the host ends its life at that time: attempts out then may have run.
+type Closing struct{ At time.Duration }
+
 // Status is how an attempt ended.
 type Status uint8
 
@@ -223,7 +237,7 @@
 	Status Status
 	Took   time.Duration
 	Closed bool          // the message needs no further answer
-	Wait   time.Duration // with Full: how long to send nothing there
+	Wait   time.Duration // told with it: how long to send nothing there
 	Report Report
 }
 
@@ -249,6 +263,8 @@
 
 func (Listing) event()   {}
 func (Arrival) event()   {}
+func (Restored) event()  {}
+func (Closing) event()   {}
 func (Outcome) event()   {}
 func (Withdrawn) event() {}
 func (Probed) event()    {}
--- a/rules_test.go
+++ b/rules_test.go
@@ -1,4 +1,4 @@
-package trayhub_test
+package raventrestle_test
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	. "trayhub"
+	. "raventrestle"
 )
 
 // history plays random events to a policy and checks the rules on every action.
--- a/state.go
+++ b/state.go
@@ -1,4 +1,4 @@
-package trayhub
+package raventrestle
 
 // The records that policy.go keeps. Nothing is decided here.
 
