--- a/policy.go
+++ b/policy.go
@@ -40,7 +40,7 @@
 	period, tickAt  time.Duration    // of the monitor, and when this one ends
 	longest, memory time.Duration    // deadline of the classes; how long failures count
 	idleLife        time.Duration    // idle connections seem to live so long
-	borne           [2]time.Duration // longest idle time before an answered call, this period and last
+	borne           [2]time.Duration // longest idle before an answered call, this period and last
 	askAt, askGap   time.Duration    // when to ask for the list again, and the backoff
 	stood           bool             // this batch came late
 	closing         time.Duration    // when the host ends its life, 0 while it does not
@@ -51,7 +51,7 @@
 // New returns the policy of one forwarder, or says what it can't work with.
 func New(set Settings, seed uint64) (*Policy, error) {
 	if min(set.CallSlots, set.MostHeld, set.Forwarders, len(set.Classes)) < 1 {
-		return nil, errors.New("raventrestle: CallSlots, MostHeld, Forwarders and Classes must be at least one each")
+		return nil, errors.New("raventrestle: CallSlots, MostHeld, Forwarders and Classes must be at least one")
 	}
 	p := &Policy{set: set, rng: rand.New(rand.NewPCG(seed, 0)), dests: map[DestID]*dest{},
 		targets: map[TargetID]*target{}, msgs: map[MessageID]*msg{}, keys: map[Key]*keyLine{},
