--- /dev/null
+++ b/cmd/raventrestle/main_test.go
@@ -0,0 +1,244 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"raventrestle/internal/net/nettest"
+)
+
+// The tests start this test's own program again as the courier.
+func TestMain(m *testing.M) {
+	if os.Getenv("RAVENTRESTLE_TEST_COURIER") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+const settings = `{"az":"a","failure_domains":["a","b"],"models":["k"],"balancers":1,"granularity_us":5000,` +
+	`"membership_mode":"on_request","classes":[` +
+	`{"name":"free","aim_us":2000000,"deadline_us":20000000,"effect":"free","group":"all","credit":1},` +
+	`{"name":"guarded","aim_us":2000000,"deadline_us":20000000,"effect":"guarded","group":"zone","window_us":15000000,"credit":1},` +
+	`{"name":"single","aim_us":2000000,"deadline_us":20000000,"effect":"single_shot","group":"all","credit":1}],` +
+	`"limits":{"most_held":50,"send_cap":8,"connect_timeout_us":1000000,"idle_close_us":5000000},` +
+	`"rules":{"answer_slack_us":20000,"ask_within_us":10000000},"specifics":{"call_slots":12,"bundle_max":[1]}}`
+
+// deployment is a courier's surroundings; its processes come and go.
+type deployment struct {
+	t            *testing.T
+	addr, config string
+	state        string
+	discovery    *nettest.Peer
+	notices      chan string
+	process      *exec.Cmd
+	ended        chan error
+}
+
+func deploy(t *testing.T, peers ...*nettest.Peer) *deployment {
+	d := &deployment{t: t, state: t.TempDir(), notices: make(chan string, 64)}
+	d.discovery = nettest.NewPeer(t, func(c net.Conn, call nettest.Call) bool {
+		if call.Path != "/v1/outcomes" {
+			return true // a watch with no news
+		}
+		for line := range strings.Lines(call.Body) {
+			d.notices <- strings.TrimSpace(line)
+		}
+		_, err := io.WriteString(c, "HTTP/1.1 204 No Content\r\n\r\n")
+		return err == nil
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.addr = l.Addr().String()
+	l.Close()
+	var list []string
+	for i, p := range peers { // zones a, b, a, ...
+		list = append(list, fmt.Sprintf(`{"name":"s-%d","address":%q,"zone":%q,"type":"k","group":7,"status":"SERVING",`+
+			`"weight":1,"since_ms":0}`, i, p.Addr(), string("ab"[i%2])))
+	}
+	d.config = filepath.Join(t.TempDir(), "config.json")
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","state":%q,`+
+		`"limits":{"cores":1.0,"memory_mb":192,"sockets":256,"disk_mb":3},`+
+		`"known":{"index":1,"snapshot":true,"endpoints":[%s]},"settings":%s}`,
+		d.addr, d.discovery.Addr(), d.state, strings.Join(list, ","), settings)
+	if err := os.WriteFile(d.config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.kill)
+	return d
+}
+
+func (d *deployment) start() {
+	d.t.Helper()
+	exe, err := os.Executable()
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.process = exec.Command(exe)
+	d.process.Env = append(os.Environ(), "RAVENTRESTLE_TEST_COURIER=1", "EDGE_CONFIG="+d.config)
+	d.process.Stderr = os.Stderr
+	if err := d.process.Start(); err != nil {
+		d.t.Fatal(err)
+	}
+	p, ended := d.process, make(chan error, 1)
+	d.ended = ended
+	go func() { ended <- p.Wait() }()
+	for began := time.Now(); ; time.Sleep(5 * time.Millisecond) { // until it is ready
+		if res, err := http.Get("http://" + d.addr + "/healthz"); err == nil {
+			res.Body.Close()
+			return
+		}
+		if time.Since(began) > nettest.Patience {
+			d.t.Fatal("the courier does not get ready")
+		}
+	}
+}
+
+func (d *deployment) kill() {
+	if d.process != nil {
+		d.process.Process.Kill()
+		<-d.ended
+		d.process = nil
+	}
+}
+
+func (d *deployment) handIn(class, id string, left float64) int {
+	d.t.Helper()
+	req, err := http.NewRequest("POST", "http://"+d.addr+"/"+class, strings.NewReader("body of "+id))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	for k, v := range map[string]string{"X-Txn": id, "X-Consignee": "dest=7", "X-Remaining": fmt.Sprint(left),
+		"Idempotency-Key": "key-" + id} {
+		req.Header.Set(k, v)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	res.Body.Close()
+	return res.StatusCode
+}
+
+// A courier that is killed with calls out owes all that it took on. What may have run: a single
+// shot is not sent again, a guarded message goes to the same zone only, a free one to any; one
+// whose time went by meanwhile gets its notice. None is forgotten and none is ended twice.
+func TestKillAndRestart(t *testing.T) {
+	first := map[string]string{} // id to the peer of its first call
+	again := make(chan string, 64)
+	killed := make(chan struct{})
+	scripted := func(name string) *nettest.Peer {
+		return nettest.NewPeer(t, func(c net.Conn, call nettest.Call) bool {
+			select {
+			case <-killed:
+				again <- call.Header.Get("X-Txn") + " " + name
+				return nettest.Answer(nettest.Plain(200, "", ""))(c, call)
+			default:
+				return true // no answer in this life
+			}
+		})
+	}
+	a, b := scripted("s-0"), scripted("s-1")
+	d := deploy(t, a, b)
+	d.start()
+	for _, m := range []struct {
+		class, id string
+		left      float64
+	}{{"guarded", "g", 10}, {"single", "s", 10}, {"free", "f", 10}, {"free", "short", 0.7}} {
+		if code := d.handIn(m.class, m.id, m.left); code != 202 {
+			t.Fatalf("%s answered %d", m.id, code)
+		}
+		select {
+		case c := <-a.Calls:
+			first[c.Header.Get("X-Txn")] = "s-0"
+		case c := <-b.Calls:
+			first[c.Header.Get("X-Txn")] = "s-1"
+		case <-time.After(nettest.Patience):
+			t.Fatalf("%s is not sent", m.id)
+		}
+	}
+	d.kill()
+	close(killed)
+	time.Sleep(800 * time.Millisecond) // the short one's time goes by
+	d.start()
+	notices := map[string]bool{nettest.Wait(t, "notice", d.notices): true, nettest.Wait(t, "notice", d.notices): true}
+	if !notices[`{"id":"s","status":"undeliverable"}`] || !notices[`{"id":"short","status":"deferred"}`] {
+		t.Fatalf("notices %v", notices)
+	}
+	sent := map[string]string{}
+	for range 2 {
+		id, peer, _ := strings.Cut(nettest.Wait(t, "second try", again), " ")
+		sent[id] = peer
+	}
+	if sent["g"] != first["g"] || sent["f"] == "" {
+		t.Fatalf("first sent %v, then %v", first, sent)
+	}
+	time.Sleep(50 * time.Millisecond) // room for what must not come
+	d.kill()
+	d.start()
+	if len(again)+len(d.notices) > 0 {
+		t.Fatal("what was over came back in the third life")
+	}
+}
+
+// SIGTERM: requests from then on are refused in words, the call out gets its answer, and the
+// program ends with 0 in time. What it held is sent in its next life.
+func TestTerminate(t *testing.T) {
+	answer := make(chan struct{})
+	end := nettest.NewPeer(t, func(c net.Conn, call nettest.Call) bool {
+		<-answer
+		return nettest.Answer(nettest.Plain(200, "", ""))(c, call)
+	})
+	d := deploy(t, end)
+	d.start()
+	if code := d.handIn("single", "out", 10); code != 202 {
+		t.Fatalf("answered %d", code)
+	}
+	nettest.Wait(t, "call", end.Calls)
+	conn, err := net.Dial("tcp", d.addr) // between requests
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	io.WriteString(conn, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+	if res, err := http.ReadResponse(r, nil); err != nil || res.StatusCode != 200 {
+		t.Fatalf("%v %v", res, err)
+	}
+	began := time.Now()
+	if err := d.process.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	conn.SetDeadline(time.Now().Add(nettest.Patience))
+	if _, err := r.ReadByte(); err != io.EOF {
+		t.Fatalf("an idle client connection: %v", err)
+	}
+	if code := d.handIn("free", "late", 10); code != 503 {
+		t.Fatalf("a late hand-in got %d", code)
+	}
+	close(answer)
+	if err := nettest.Wait(t, "end", d.ended); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(began); took > 3*time.Second {
+		t.Fatalf("the end took %v", took)
+	}
+	d.process = nil
+	d.start()
+	time.Sleep(50 * time.Millisecond) // room for what must not come
+	if len(d.notices)+len(end.Calls) > 0 {
+		t.Fatal("the answered message came back")
+	}
+}
--- a/internal/net/front/front.go
+++ b/internal/net/front/front.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"math"
@@ -89,9 +90,18 @@
 	in := &handIn{began: time.Now()}
 	settled := false
 	defer func() {
-		if in.msg != nil && !settled { // a panic on the way ends only this connection
+		fault := recover() // it stays with this request, which is answered all the same
+		if in.msg != nil && !settled {
 			f.courier.Withdraw(in.msg)
 		}
+		switch fault {
+		case nil:
+		case http.ErrAbortHandler: // the client's end broke
+			panic(fault)
+		default:
+			f.log.Error("front: request broke", "panic", fmt.Sprint(fault))
+			http.Error(w, "a fault of the courier", http.StatusServiceUnavailable)
+		}
 	}()
 	f.proxy.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), handInKey{}, in)))
 	if in.msg == nil {
--- /dev/null
+++ b/internal/net/front/front_test.go
@@ -0,0 +1,178 @@
+package front
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"raventrestle/internal/config"
+	"raventrestle/internal/journal"
+	"raventrestle/internal/net/nettest"
+)
+
+// scripted is a courier that takes messages on as the story says.
+type scripted struct {
+	take      func(*journal.Message) error
+	admitted  chan *journal.Message
+	withdrawn chan *journal.Message
+}
+
+func (s *scripted) Take(m *journal.Message) error                { return s.take(m) }
+func (s *scripted) Admit(m *journal.Message, again, orphan bool) { s.admitted <- m }
+func (s *scripted) Withdraw(m *journal.Message)                  { s.withdrawn <- m }
+
+func serve(t *testing.T, take func(*journal.Message) error) (*scripted, *Front, string) {
+	c := &scripted{take, make(chan *journal.Message, 16), make(chan *journal.Message, 16)}
+	f := New(c, &config.Names{Classes: map[string]int{"notice": 0}}, nettest.Log)
+	s := httptest.NewUnstartedServer(f)
+	s.Config.ErrorLog = f.proxy.ErrorLog
+	s.Start()
+	t.Cleanup(s.Close)
+	return c, f, s.Listener.Addr().String()
+}
+
+func dial(t *testing.T, addr string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(nettest.Patience))
+	return c, bufio.NewReader(c)
+}
+
+func status(t *testing.T, r *bufio.Reader) *http.Response {
+	t.Helper()
+	res, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		t.Fatal(err)
+	}
+	return res
+}
+
+const good = "X-Txn: 9b1f\r\nX-Org: acme\r\nX-Remaining: 0.480\r\nIdempotency-Key: 5c0f\r\nX-Consignee: dest=7\r\n"
+
+func request(class, head, body string) string {
+	return fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: x\r\n%sContent-Length: %d\r\n\r\n%s", class, head, len(body), body)
+}
+
+// Every request gets an answer, on one connection, and only a message that is written down and
+// whose client heard of it is let in.
+func TestHandIn(t *testing.T) {
+	full := errors.New("full")
+	without := func(line string) string { return strings.Replace(good, line, "", 1) }
+	for name, c := range map[string]struct {
+		request string
+		take    error
+		want    int
+	}{
+		"taken on":      {request("notice", good, "\r\n\x00any"), nil, 202},
+		"full":          {request("notice", good, "b"), full, 503},
+		"no id":         {request("notice", without("X-Txn: 9b1f\r\n"), "b"), nil, 400},
+		"id of two":     {request("notice", strings.Replace(good, "9b1f", "9b 1f", 1), "b"), nil, 400},
+		"no time":       {request("notice", without("X-Remaining: 0.480\r\n"), "b"), nil, 400},
+		"no number":     {request("notice", strings.Replace(good, "0.480", "NaN", 1), "b"), nil, 400},
+		"time is up":    {request("notice", strings.Replace(good, "0.480", "-0.1", 1), "b"), nil, 503},
+		"no dest":       {request("notice", without("X-Consignee: dest=7\r\n"), "b"), nil, 400},
+		"no such class": {request("other", good, "b"), nil, 400},
+		"largest body":  {request("notice", good, strings.Repeat("x", 64<<10)), nil, 202},
+		"too large":     {request("notice", good, strings.Repeat("x", 64<<10+1)), nil, 413},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, _, addr := serve(t, func(*journal.Message) error { return c.take })
+			conn, r := dial(t, addr)
+			if _, err := io.WriteString(conn, c.request); err != nil {
+				t.Fatal(err)
+			}
+			if got := status(t, r).StatusCode; got != c.want {
+				t.Fatalf("answered %d, want %d", got, c.want)
+			}
+			if c.want != 202 {
+				if len(s.admitted)+len(s.withdrawn) > 0 {
+					t.Fatal("let in")
+				}
+				return
+			}
+			m := nettest.Wait(t, "message", s.admitted)
+			_, body, _ := strings.Cut(c.request, "\r\n\r\n")
+			if left := time.Until(time.Unix(0, m.Until)); left <= 0 || left > 480*time.Millisecond {
+				t.Errorf("%v left", left)
+			}
+			m.Until = 0
+			if diff := cmp.Diff(&journal.Message{ID: "9b1f", Key: "5c0f", Class: "notice", Tenant: "acme", Dest: 7,
+				Body: []byte(body)}, m); diff != "" {
+				t.Fatal(diff)
+			}
+		})
+	}
+}
+
+// A client that has left before its 202 hands the message in again: the first one must not be
+// sent as well. Neither must one whose connection broke by a fault of ours.
+func TestNotHeardIsWithdrawn(t *testing.T) {
+	taking, left := make(chan bool), make(chan bool)
+	s, _, addr := serve(t, func(m *journal.Message) error {
+		taking <- true
+		<-left
+		return nil
+	})
+	conn, _ := dial(t, addr)
+	io.WriteString(conn, request("notice", good, "b"))
+	nettest.Wait(t, "hand-in", taking)
+	conn.Close()
+	time.AfterFunc(patience+50*time.Millisecond, func() { close(left) })
+	nettest.Wait(t, "withdrawal", s.withdrawn)
+	if len(s.admitted) > 0 {
+		t.Fatal("let in")
+	}
+}
+
+// A fault in one request stays with it: it is answered, since a connection that ends without
+// an answer loses the message.
+func TestPanicStaysWithItsRequest(t *testing.T) {
+	first := true
+	s, _, addr := serve(t, func(m *journal.Message) error {
+		if first {
+			first = false
+			panic("a fault")
+		}
+		return nil
+	})
+	conn, r := dial(t, addr)
+	for _, want := range []int{503, 202} {
+		io.WriteString(conn, request("notice", good, "b"))
+		if got := status(t, r).StatusCode; got != want {
+			t.Fatalf("answered %d, want %d", got, want)
+		}
+	}
+	nettest.Wait(t, "message", s.admitted)
+}
+
+// Before its end the courier refuses, in words, and closes the connection behind the answer.
+func TestDrain(t *testing.T) {
+	s, f, addr := serve(t, func(*journal.Message) error { return nil })
+	f.Drain()
+	for _, text := range []string{request("notice", good, "b"), "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"} {
+		conn, r := dial(t, addr)
+		io.WriteString(conn, text)
+		if res := status(t, r); res.StatusCode != 503 || !res.Close {
+			t.Fatalf("%d, close %v", res.StatusCode, res.Close)
+		}
+	}
+	if len(s.admitted) > 0 {
+		t.Fatal("let in")
+	}
+}
--- /dev/null
+++ b/internal/net/notice/notice_test.go
@@ -0,0 +1,50 @@
+package notice
+
+import (
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"raventrestle/internal/journal"
+	"raventrestle/internal/net/nettest"
+)
+
+// A notice is owed until the platform answers 204, and one that it can't read does not keep
+// the others from it.
+func TestNoticesAreSentUntilTaken(t *testing.T) {
+	platform := nettest.NewPeer(t, func(c net.Conn, call nettest.Call) bool {
+		switch {
+		case call.N == 1:
+			return false // a reset
+		case call.N == 2:
+			return nettest.Answer(nettest.Plain(503, "", ""))(c, call)
+		case strings.Contains(call.Body, "bad"):
+			return nettest.Answer(nettest.Plain(400, "", ""))(c, call)
+		}
+		return nettest.Answer("HTTP/1.1 204 No Content\r\n\r\n")(c, call)
+	})
+	heard := make(chan string, 16)
+	s := New(platform.Addr(), 16, nettest.Log, func(ids []string) {
+		for _, id := range ids {
+			heard <- id
+		}
+	})
+	s.Add(Item{ID: "a", End: journal.End{Deferred: true, AgainMS: 500}})
+	s.Add(Item{ID: "bad"})
+	s.Add(Item{ID: "b", End: journal.End{Deferred: true}})
+	go s.Run(t.Context())
+	got := map[string]bool{}
+	for range 3 {
+		got[nettest.Wait(t, "notice that is taken", heard)] = true
+	}
+	if diff := cmp.Diff(map[string]bool{"a": true, "bad": true, "b": true}, got); diff != "" {
+		t.Fatal(diff)
+	}
+	want := `{"id":"a","status":"deferred","again_ms":500}` + "\n" + `{"id":"bad","status":"undeliverable"}` + "\n" +
+		`{"id":"b","status":"deferred"}` + "\n"
+	if call := nettest.Wait(t, "call", platform.Calls); call.Path != "/v1/outcomes" || call.Body != want {
+		t.Fatalf("%s %q", call.Path, call.Body)
+	}
+}
--- /dev/null
+++ b/internal/net/peer/peer_test.go
@@ -0,0 +1,218 @@
+package peer
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"raventrestle"
+	"raventrestle/internal/net/nettest"
+)
+
+func start(t *testing.T, addr string) (*Peer, chan raventrestle.Outcome) {
+	out := make(chan raventrestle.Outcome, 64)
+	p := New(t.Context(), Config{Name: "p", Addr: addr, ConnectWithin: time.Second, IdleClose: 5 * time.Second,
+		Mailbox: 64, Log: nettest.Log, Counts: &Counts{}, Tell: func(e raventrestle.Event) { out <- e.(raventrestle.Outcome) }})
+	return p, out
+}
+
+func try(id string, wait time.Duration) Try {
+	return Try{ID: id, Key: "key" + id, N: 2, Body: []byte("body " + id), Wait: wait, Until: time.Now().Add(time.Hour)}
+}
+
+var ignoreTook = cmpopts.IgnoreFields(raventrestle.Outcome{}, "Took")
+
+// Each way in which a call can end has its outcome, and none is made twice. A call whose last
+// byte was written may have run; what could not be written never ran.
+func TestOutcomes(t *testing.T) {
+	const soon, long = 100 * time.Millisecond, nettest.Patience
+	reset := func(c net.Conn, _ nettest.Call) bool { c.(*net.TCPConn).SetLinger(0); return false }
+	hang := func(net.Conn, nettest.Call) bool { time.Sleep(2 * soon); return false }
+	for name, c := range map[string]struct {
+		script nettest.Script
+		wait   time.Duration
+		want   raventrestle.Outcome
+	}{
+		"delivered": {nettest.Answer(nettest.Plain(200, "X-Pressure: {\"x9\":[1],\"x0\":0.4,\"x1\":25}\r\n", "any")), long,
+			raventrestle.Outcome{Status: raventrestle.OK, Closed: true, Report: raventrestle.Report{Left: 0.4, Limit: 25}}},
+		"error": {nettest.Answer(nettest.Plain(500, "", "")), long, raventrestle.Outcome{Status: raventrestle.Error}},
+		"told to wait": {nettest.Answer(nettest.Plain(429, "X-Come-Back-Ms: 340\r\n", "")), long,
+			raventrestle.Outcome{Status: raventrestle.Full, Wait: 340 * time.Millisecond}},
+		"turned away":               {nettest.Answer(nettest.Plain(503, "", "")), long, raventrestle.Outcome{Status: raventrestle.Full}},
+		"no slot":                   {nettest.Answer(nettest.Plain(503, "X-Line-Busy: 1\r\n", "")), long, raventrestle.Outcome{Status: raventrestle.Moot}},
+		"used up":                   {nettest.Answer(nettest.Plain(504, "", "")), long, raventrestle.Outcome{Status: raventrestle.Moot}},
+		"over":                      {nettest.Answer(nettest.Plain(410, "", "")), long, raventrestle.Outcome{Status: raventrestle.Moot, Closed: true}},
+		"reset":                     {reset, long, raventrestle.Outcome{Status: raventrestle.Reset}},
+		"half a first line":         {nettest.Script(func(c net.Conn, _ nettest.Call) bool { io.WriteString(c, "HTTP/1.1 20"); return false }), long, raventrestle.Outcome{Status: raventrestle.Reset}},
+		"broken after a first line": {nettest.Script(func(c net.Conn, _ nettest.Call) bool { io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Pre"); return false }), long, raventrestle.Outcome{Status: raventrestle.OK, Closed: true}},
+		"nothing":                   {hang, soon, raventrestle.Outcome{Status: raventrestle.TimedOut}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			end := nettest.NewPeer(t, c.script)
+			p, out := start(t, end.Addr())
+			p.Call([]Try{try("a", c.wait)})
+			c.want.ID, c.want.Target, c.want.Try = "a", "p", 2
+			if diff := cmp.Diff(c.want, nettest.Wait(t, "outcome", out), ignoreTook); diff != "" {
+				t.Fatal(diff)
+			}
+			call := nettest.Wait(t, "call", end.Calls)
+			if call.Path != "/inbox" || call.Body != "body a" || call.Header.Get("X-Txn") != "a" ||
+				call.Header.Get("Idempotency-Key") != "keya" || len(end.Calls) > 0 {
+				t.Fatalf("call %+v, and %d more", call, len(end.Calls))
+			}
+		})
+	}
+	t.Run("refused connection", func(t *testing.T) {
+		end := nettest.NewPeer(t, nil)
+		end.Close()
+		p, out := start(t, end.Addr())
+		p.Call([]Try{try("a", long)})
+		if o := nettest.Wait(t, "outcome", out); o.Status != raventrestle.ConnectFailed {
+			t.Fatalf("%+v", o)
+		}
+	})
+}
+
+// http.Transport would send the request again by itself when an idle connection turns out to be
+// dead. Here the end of an idle connection is seen before it is used, and one try is one call.
+func TestOneTryIsOneCall(t *testing.T) {
+	end := nettest.NewPeer(t, func(c net.Conn, _ nettest.Call) bool {
+		io.WriteString(c, nettest.Plain(200, "", ""))
+		return false // closed without a word
+	})
+	p, out := start(t, end.Addr())
+	for range 5 {
+		p.Call([]Try{try("a", nettest.Patience)})
+		if o := nettest.Wait(t, "outcome", out); o.Status != raventrestle.OK && o.Status != raventrestle.Reset {
+			t.Fatalf("%+v", o)
+		}
+		nettest.Wait(t, "call", end.Calls)
+	}
+	if len(end.Calls) > 0 || p.Counts.Calls.Load() != 5 {
+		t.Fatalf("%d more calls came than the %d that were made", len(end.Calls), p.Counts.Calls.Load())
+	}
+}
+
+// An answer that comes after its try was given up must not be taken for the next try's: the
+// connection is closed before the outcome is told.
+func TestLateAnswerMeetsNoLaterTry(t *testing.T) {
+	answerNow := make(chan bool)
+	end := nettest.NewPeer(t, func(c net.Conn, call nettest.Call) bool {
+		if call.Header.Get("X-Txn") == "slow" {
+			<-answerNow
+			io.WriteString(c, nettest.Plain(200, "", ""))
+		} else {
+			close(answerNow)
+			io.WriteString(c, nettest.Plain(500, "", ""))
+		}
+		return true
+	})
+	p, out := start(t, end.Addr())
+	p.Call([]Try{try("slow", 50*time.Millisecond)})
+	if o := nettest.Wait(t, "outcome", out); o.Status != raventrestle.TimedOut {
+		t.Fatalf("%+v", o)
+	}
+	p.Call([]Try{try("next", nettest.Patience)})
+	if o := nettest.Wait(t, "outcome", out); o.ID != "next" || o.Status != raventrestle.Error {
+		t.Fatalf("%+v", o)
+	}
+}
+
+// Connections are kept for the next call, and shut on CloseIdle and on Cancel.
+func TestConnections(t *testing.T) {
+	end := nettest.NewPeer(t, func(c net.Conn, call nettest.Call) bool {
+		return call.Header.Get("X-Txn") == "hang" || nettest.Answer(nettest.Plain(200, "", ""))(c, call)
+	})
+	p, out := start(t, end.Addr())
+	for range 3 {
+		p.Call([]Try{try("a", nettest.Patience)})
+		nettest.Wait(t, "outcome", out)
+		nettest.Wait(t, "call", end.Calls)
+	}
+	if n := p.Counts.Dials.Load(); n != 1 {
+		t.Fatalf("%d connections for three calls in turn", n)
+	}
+	p.CloseIdle()
+	nettest.Wait(t, "end of the idle connection", end.Ends)
+	p.Call([]Try{try("hang", nettest.Patience)})
+	nettest.Wait(t, "call", end.Calls)
+	p.Cancel("hang")
+	if o := nettest.Wait(t, "outcome", out); o.Status != raventrestle.Cancelled {
+		t.Fatalf("%+v", o)
+	}
+	nettest.Wait(t, "end of the cancelled call", end.Ends)
+}
+
+// Several messages in a call: the frames are exact, each has its own end, and one that the
+// answer does not name may have run. A refused call has run nothing.
+func TestBulk(t *testing.T) {
+	tries := []Try{{ID: "a", Key: "k", Body: []byte("x\r\ny")}, {ID: "b"}, {ID: "c", Body: []byte("z")}, {ID: "d"}, {ID: "e"}, {ID: "f"}}
+	status := func(s ...raventrestle.Status) []raventrestle.Status { return s }
+	const ok, er, full, moot, rst = raventrestle.OK, raventrestle.Error, raventrestle.Full, raventrestle.Moot, raventrestle.Reset
+	for name, c := range map[string]struct {
+		answer string
+		want   []raventrestle.Status
+		closed string
+	}{
+		"each its own": {nettest.Plain(200, "X-Come-Back-Ms: 70\r\n", "a done\r\nc failed\r\nb busy\r\nd void\r\ne used_up\r\n"),
+			status(ok, full, er, moot, moot, rst), "ad"},
+		"cut off":    {"HTTP/1.1 200 OK\r\nContent-Length: 60\r\n\r\na done\r\nb do", status(ok, rst, rst, rst, rst, rst), "a"},
+		"all error":  {nettest.Plain(500, "", ""), status(er, er, er, er, er, er), ""},
+		"too many":   {nettest.Plain(413, "", ""), status(moot, moot, moot, moot, moot, moot), ""},
+		"unreadable": {nettest.Plain(400, "", ""), status(moot, moot, moot, moot, moot, moot), ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			script := nettest.NewPeer(t, func(conn net.Conn, _ nettest.Call) bool { io.WriteString(conn, c.answer); return false })
+			p, out := start(t, script.Addr())
+			sent := make([]Try, len(tries))
+			for i, x := range tries {
+				x.Wait, x.Until = nettest.Patience, time.Now().Add(time.Hour)
+				sent[i] = x
+			}
+			p.Call(sent)
+			got, closed := make([]raventrestle.Status, len(tries)), ""
+			for range tries {
+				o := nettest.Wait(t, "outcome", out)
+				got[o.ID[0]-'a'] = o.Status
+				if o.Closed {
+					closed += string(o.ID)
+				}
+				if strings.Contains(c.answer, "Come-Back") && o.Wait != 70*time.Millisecond {
+					t.Errorf("%s was told to wait %v", o.ID, o.Wait)
+				}
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" || closed != c.closed {
+				t.Fatalf("closed %q: %s", closed, diff)
+			}
+			call := nettest.Wait(t, "call", script.Calls)
+			want := "a k 4\r\nx\r\ny\r\nb - 0\r\n\r\nc - 1\r\nz\r\nd - 0\r\n\r\ne - 0\r\n\r\nf - 0\r\n\r\n"
+			if call.Path != "/inbox/bulk" || call.Body != want {
+				t.Fatalf("%s %q", call.Path, call.Body)
+			}
+		})
+	}
+}
+
+// In a call of several, the one whose time is up ends by itself; its mate stays out until the
+// call ends, since another try beside it would be a second copy.
+func TestBulkTimeout(t *testing.T) {
+	end := nettest.NewPeer(t, func(net.Conn, nettest.Call) bool { return true })
+	p, out := start(t, end.Addr())
+	late, mate := try("late", 50*time.Millisecond), try("mate", 50*time.Millisecond)
+	late.Until = time.Now().Add(50 * time.Millisecond)
+	longest := try("longest", 300*time.Millisecond)
+	p.Call([]Try{late, mate, longest})
+	if o := nettest.Wait(t, "outcome", out); o.ID != "late" || o.Status != raventrestle.TimedOut || len(end.Ends) > 0 {
+		t.Fatalf("%+v with %d connections ended", o, len(end.Ends))
+	}
+	if o := nettest.Wait(t, "outcome", out); o.ID != "mate" || o.Took < 300*time.Millisecond {
+		t.Fatalf("%+v", o)
+	}
+	nettest.Wait(t, "end of the call", end.Ends)
+}
--- /dev/null
+++ b/internal/net/upstream/upstream_test.go
@@ -0,0 +1,81 @@
+package upstream
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"raventrestle"
+	"raventrestle/internal/config"
+	"raventrestle/internal/net/nettest"
+)
+
+const known = `{"index":41,"snapshot":true,"endpoints":[{"name":"s-1","address":"127.0.0.1:1","zone":"b",` +
+	`"type":"m2","group":3,"status":"SERVING","weight":1.5,"since_ms":1500,"new":{"a":[]}}]}`
+
+// The list starts from what is known; changes and whole lists follow, each watch right after the
+// last answer and from its version; a failure is told, and the next watch waits to be asked.
+func TestWatch(t *testing.T) {
+	answers := []string{
+		nettest.Plain(200, "", `{"index":43,"snapshot":false,"endpoints":[{"name":"s-1","address":"127.0.0.1:1",`+
+			`"zone":"?","type":"?","group":3,"status":"DRAINING"},{"name":"s-2","status":"DELETED"},{"name":"s-3","status":"NEW"}]}`),
+		nettest.Plain(200, "", `{"index":44,"snapshot":true,"endpoints":[]}`),
+		nettest.Plain(503, "", ""),
+		nettest.Plain(200, "", `{"endpoints":`),
+		nettest.Plain(200, "", `{"index":45,"snapshot":false,"endpoints":[]}`),
+	}
+	discovery := nettest.NewPeer(t, func(c net.Conn, call nettest.Call) bool {
+		if call.N > len(answers) {
+			return true // a watch that waits
+		}
+		return nettest.Answer(answers[call.N-1])(c, call)
+	})
+	names := &config.Names{Kinds: map[string]int{"m1": 0, "m2": 1}, Zones: map[string]int{"a": 0, "b": 1}}
+	updates := make(chan Update, 16)
+	g, err := New(discovery.Addr(), []byte(known), names, nettest.Log, func(u Update) { updates <- u })
+	if err != nil {
+		t.Fatal(err)
+	}
+	go g.Run(t.Context())
+	entry := func(name string, state raventrestle.Readiness) Entry {
+		return Entry{Entry: raventrestle.Entry{Target: raventrestle.TargetID(name), State: state, Kind: -1, Zone: -1}}
+	}
+	drains := entry("s-1", raventrestle.Draining)
+	drains.Addr, drains.Dest = "127.0.0.1:1", 3
+	want := []Update{
+		{raventrestle.ListStored, []Entry{{Addr: "127.0.0.1:1", Entry: raventrestle.Entry{Target: "s-1", Dest: 3,
+			Kind: 1, Zone: 1, Size: 1.5, Joined: 1500 * time.Millisecond}}}, 41},
+		{raventrestle.ListChanges, []Entry{drains, entry("s-2", raventrestle.Gone), entry("s-3", raventrestle.Draining)}, 43},
+		{raventrestle.ListWhole, nil, 44},
+		{How: raventrestle.ListFailed}, {How: raventrestle.ListFailed},
+		{raventrestle.ListChanges, nil, 45},
+	}
+	for i, w := range want {
+		if i == 0 || w.How == raventrestle.ListFailed || i == 5 {
+			g.Subscribe()
+		}
+		if diff := cmp.Diff(w, nettest.Wait(t, "update", updates)); diff != "" {
+			t.Fatalf("update %d: %s", i, diff)
+		}
+		if w.How == raventrestle.ListFailed {
+			if n := len(discovery.Calls); n != i {
+				t.Fatalf("%d calls after update %d: a watch was made unasked", n, i)
+			}
+		}
+	}
+	var last time.Time
+	for i, index := range []string{"41", "43", "44", "44", "44", "45"} {
+		call := nettest.Wait(t, "watch", discovery.Calls)
+		if !strings.HasPrefix(call.Query, "index="+index+"&wait=") {
+			t.Errorf("watch %d: %s", i, call.Query)
+		}
+		// discovery ends a watch whose next call comes more than 200 ms after its answer
+		if gap := call.At.Sub(last); i == 1 && gap > 200*time.Millisecond {
+			t.Errorf("the next watch came after %v", gap)
+		}
+		last = call.At
+	}
+}
--- a/policy_test.go
+++ b/policy_test.go
@@ -924,3 +924,73 @@
 		t.Fatalf("%d calls of 60 forwarders in 10 s, want at most two each", n)
 	}
 }
+
+// What an earlier life sent may have run: an unsafe message is failed, a keyed one goes to the
+// same zone within its window only, spent and late ones end at once.
+func TestRestored(t *testing.T) {
+	now := 40 * sec
+	arrival := func(class int) Arrival { return Arrival{ID: "m", Class: class, Dest: 1, Budget: 10 * sec} }
+	for name, c := range map[string]struct {
+		r    Restored
+		want []Action
+	}{
+		"never ran":         {Restored{Arrival: arrival(2), Sends: 3}, []Action{Send{ID: "m"}}},
+		"unsafe":            {Restored{Arrival: arrival(2), Sends: 1, MayRun: true, RanOn: "a1", RanAt: now - sec}, []Action{Fail{"m"}}},
+		"keyed":             {Restored{Arrival: arrival(1), Sends: 1, MayRun: true, RanOn: "gone", RanZone: 1, RanAt: now - sec}, []Action{Send{ID: "m", Target: "a2"}}},
+		"keyed, too late":   {Restored{Arrival: arrival(1), Sends: 1, MayRun: true, RanOn: "a1", RanAt: now - 9*sec}, []Action{Fail{"m"}}},
+		"keyed, other zone": {Restored{Arrival: arrival(1), Sends: 1, MayRun: true, RanOn: "gone", RanZone: -1, RanAt: now - sec}, nil},
+		"all attempts used": {Restored{Arrival: arrival(0), Sends: 6}, []Action{Refuse{ID: "m"}}},
+		"time is up":        {Restored{Arrival: Arrival{ID: "m", Dest: 1, Budget: -sec}}, []Action{Refuse{ID: "m"}}},
+	} {
+		p, err := New(settings(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got []Action
+		for _, a := range p.Step(now, []Event{Listing{How: ListWhole, Entries: fleet}, c.r}) {
+			switch a := a.(type) {
+			case Send:
+				if a.Timeout = 0; c.r.Class != 1 {
+					a.Target = ""
+				}
+				got = append(got, a)
+			case Refuse:
+				a.After = 0
+				got = append(got, a)
+			case Fail:
+				got = append(got, a)
+			}
+		}
+		if !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// A host that ends soon is handed no call that it would hardly see the answer of: its next life
+// would have to take it for one that may have run.
+func TestClosing(t *testing.T) {
+	p, err := New(settings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := 40 * sec
+	p.Step(now, []Event{Listing{How: ListWhole, Entries: fleet}})
+	var sent []bool
+	for i := range 12 {
+		if i == 8 {
+			p.Step(now, []Event{Closing{At: now + sec}})
+		}
+		sent = append(sent, false)
+		for _, a := range p.Step(now, []Event{Arrival{ID: MessageID(fmt.Sprint(i)), Dest: 1, Budget: 10 * sec}}) {
+			if s, ok := a.(Send); ok {
+				p.Step(now+100*ms, []Event{Outcome{ID: s.ID, Target: s.Target, Took: 100 * ms, Closed: true}})
+				sent[i] = true
+			}
+		}
+		now += 300 * ms
+	}
+	if !sent[7] || !sent[8] || sent[11] {
+		t.Fatalf("sent %v, with a second to go at the ninth", sent)
+	}
+}
