Lose no call to a moved peer, keep bulk bodies under 64 KiB, trust a written 202

Found by reading against the protocol, each with a story that fails without: - A peer that the list moves or drops between the module's decision and its call read its mailbox no more: the try had no outcome, and its slot and message were gone for ever (peer.go, run). A stopped peer now ends what lies in its mailbox as never sent, and takes nothing more. - Ten messages in a call could make a body of 640 KiB; a call's body holds 64 (courier.go, act). The step splits them. - A client that closed at once after reading its 202 had its message withdrawn, since the request context was asked after the flush (front.go, ServeHTTP): lost, as the client had heard. Only the write's own error counts from there on. - A hand-in that comes again under an id that was let in got 503, an invitation to a second copy: it gets 202. Also: until its end at SIGTERM the courier goes on with what it holds as long as answers can still come, instead of stopping at the first moment with no call out.

--- a/cmd/raventrestle/main.go
+++ b/cmd/raventrestle/main.go
@@ -73,7 +73,7 @@
 		return err
 	}
 	server := &http.Server{Handler: f, ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second,
-		WriteTimeout: 15 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 16 << 10,
+		WriteTimeout: 15 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
 		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(netutil.LimitListener(listener, conf.Limits.Sockets/2)) }()
--- a/internal/net/courier/courier.go
+++ b/internal/net/courier/courier.go
@@ -16,16 +16,14 @@
 	"raventrestle"
 	"raventrestle/internal/config"
 	"raventrestle/internal/journal"
+	"raventrestle/internal/net/front"
 	"raventrestle/internal/net/notice"
 	"raventrestle/internal/net/peer"
 	"raventrestle/internal/net/upstream"
 )
 
-// Errors of Take.
-var (
-	ErrFull  = errors.New("courier: holds all that it may")
-	ErrKnown = errors.New("courier: has this message already")
-)
+// ErrFull says that the courier holds all that it may.
+var ErrFull = errors.New("courier: full")
 
 // Counts are what the courier has done.
 type Counts struct {
@@ -46,10 +44,10 @@
 	group   *upstream.Group
 	notices *notice.Sender
 	mail    chan any
-	quiet   chan struct{} // closed once it is closing and nothing is out or owed
+	quiet   chan struct{} // closed once it is closing and owes nothing
 
 	mu    sync.Mutex
-	known map[string]bool // ids taken on whose end is not told yet
+	known map[string]bool // ids written down whose end is not told yet; true once let in
 
 	// What follows is the actor's own.
 	msgs    map[raventrestle.MessageID]*message
@@ -188,7 +186,7 @@
 	}
 	c.Counts.Steps.Add(1)
 	c.act(c.decide(t, events), records)
-	if c.closing && c.out == 0 && c.owed() == len(c.msgs) {
+	if c.closing && c.owed() == 0 {
 		select {
 		case <-c.quiet:
 		default:
@@ -291,8 +289,14 @@
 	to     *peer.Peer
 	target raventrestle.TargetID
 	tries  []peer.Try
+	size   int // of its body, in frames
 }
 
+const (
+	mostBody = 64 << 10 // of a call; more gets 413
+	frame    = 16       // of a message in a call, beside its id, key and bytes
+)
+
 // act carries the actions out in order; what they do waits until the journal has them.
 func (c *Courier) act(actions []raventrestle.Action, records []journal.Record) {
 	var out []*calls
@@ -321,11 +325,14 @@
 				zone = c.conf.Settings.Zones[z].Name
 			}
 			records = append(records, journal.Begun(m.ID, journal.Try{Peer: string(a.Target), Zone: zone, At: int64(t)}))
-			i := slices.IndexFunc(out, func(x *calls) bool { return x.to == r.Peer && len(x.tries) < c.bundle(r) })
+			size := len(m.ID) + len(m.Key) + len(m.Body) + frame
+			i := slices.IndexFunc(out, func(x *calls) bool {
+				return x.to == r.Peer && len(x.tries) < c.bundle(r) && x.size+size <= mostBody
+			})
 			if i < 0 {
 				i, out = len(out), append(out, &calls{to: r.Peer, target: a.Target})
 			}
-			out[i].tries = append(out[i].tries, try)
+			out[i].tries, out[i].size = append(out[i].tries, try), out[i].size+size
 		case raventrestle.Refuse:
 			c.Counts.Deferred.Add(1)
 			owed = append(owed, notice.Item{ID: string(a.ID), End: journal.End{Deferred: true, AgainMS: a.After.Milliseconds()}})
@@ -408,15 +415,16 @@
 // admits or withdraws it.
 func (c *Courier) Take(m *journal.Message) error {
 	c.mu.Lock()
-	full, known := len(c.known) >= c.conf.Settings.MostHeld, c.known[m.ID]
+	full := len(c.known) >= c.conf.Settings.MostHeld
+	admitted, known := c.known[m.ID]
 	if !full && !known {
-		c.known[m.ID] = true
+		c.known[m.ID] = false
 	}
 	c.mu.Unlock()
-	if known {
-		return ErrKnown
+	if admitted {
+		return front.ErrKnown
 	}
-	if full {
+	if full || known {
 		c.Counts.Full.Add(1)
 		return ErrFull
 	}
@@ -431,6 +439,9 @@
 // Admit lets a message in whose client has heard that it is taken on.
 func (c *Courier) Admit(m *journal.Message, again, orphan bool) {
 	c.Counts.Taken.Add(1)
+	c.mu.Lock()
+	c.known[m.ID] = true
+	c.mu.Unlock()
 	c.mail <- arrival{m, again, orphan}
 }
 
@@ -472,8 +483,8 @@
 	return len(c.known)
 }
 
-// Close makes the courier finish by then: the channel closes once no call is out and no notice
-// is owed. What it still holds is the journal's.
+// Close makes the courier finish by then: the channel closes if it comes to owe nothing before.
+// What it still holds then is the journal's.
 func (c *Courier) Close(by time.Time) <-chan struct{} {
 	c.post(closingMsg{by})
 	return c.quiet
--- /dev/null
+++ b/internal/net/courier/courier_test.go
@@ -0,0 +1,88 @@
+package courier
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"raventrestle"
+	"raventrestle/internal/config"
+	"raventrestle/internal/journal"
+	"raventrestle/internal/net/front"
+	"raventrestle/internal/net/nettest"
+	"raventrestle/internal/net/upstream"
+)
+
+func open(t *testing.T, known string) *Courier {
+	t.Helper()
+	store, _, err := journal.Open(t.TempDir(), 3e6, nettest.Log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := New(&config.Config{Discovery: "127.0.0.1:1", Known: []byte(known),
+		Names: &config.Names{Classes: map[string]int{"c": 0}, Kinds: map[string]int{"k": 0}},
+		Settings: raventrestle.Settings{Forwarders: 1, CallSlots: 4, MostHeld: 3, Kinds: []raventrestle.Kind{{BundleMax: 4}},
+			Classes:       []raventrestle.Class{{Name: "c", Aim: time.Second, Deadline: 9 * time.Second, Credit: 1}},
+			ConnectWithin: time.Second, IdleClose: 5 * time.Second}}, store, nil, nettest.Log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Messages of a step for one peer share calls as far as its kind and a call's size allow: a body
+// of more than 64 KiB would be refused whole.
+func TestSharedCalls(t *testing.T) {
+	end := nettest.NewPeer(t, nettest.Answer(nettest.Plain(500, "", "")))
+	c := open(t, "")
+	c.update(t.Context(), upstream.Update{Entries: []upstream.Entry{{Addr: end.Addr(),
+		Entry: raventrestle.Entry{Target: "p", Dest: 7, Zone: -1}}}})
+	var sends []raventrestle.Action
+	for i, size := range []int{40 << 10, 30 << 10, 64 << 10, 9, 9, 9, 9} {
+		id := fmt.Sprint("m", i)
+		c.msgs[raventrestle.MessageID(id)] = &message{Message: &journal.Message{ID: id, Dest: 7, Body: make([]byte, size)}}
+		sends = append(sends, raventrestle.Send{ID: raventrestle.MessageID(id), Target: "p", Timeout: nettest.Patience})
+	}
+	c.act(sends, nil)
+	got := map[string]int{}
+	for range 3 {
+		call := nettest.Wait(t, "call", end.Calls)
+		if len(call.Body) > 64<<10 {
+			t.Errorf("a body of %d bytes", len(call.Body))
+		}
+		ids := call.Header.Get("X-Txn")
+		for word := range strings.FieldsSeq(call.Body) {
+			if strings.HasPrefix(word, "m") {
+				ids += word
+			}
+		}
+		got[ids]++
+	}
+	if diff := cmp.Diff(map[string]int{"m0m3m4m5": 1, "m1m6": 1, "m2": 1}, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// What the courier owes is bounded, an id that it has let in is known, and one that was withdrawn
+// makes room.
+func TestTake(t *testing.T) {
+	c := open(t, "")
+	take := func(id string) error { return c.Take(&journal.Message{ID: id, Class: "c"}) }
+	for _, id := range []string{"a", "b", "c"} {
+		if err := take(id); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.Admit(&journal.Message{ID: "a"}, false, false)
+	if a, b, d := take("a"), take("b"), take("d"); !errors.Is(a, front.ErrKnown) || !errors.Is(b, ErrFull) || !errors.Is(d, ErrFull) {
+		t.Fatal(a, b, d)
+	}
+	c.Withdraw(&journal.Message{ID: "b"})
+	if err := take("d"); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/net/front/front.go
+++ b/internal/net/front/front.go
@@ -20,6 +20,9 @@
 	"raventrestle/internal/journal"
 )
 
+// ErrKnown is Take's word that the message was let in before.
+var ErrKnown = errors.New("taken on before")
+
 // Courier is what takes messages on.
 type Courier interface {
 	Take(*journal.Message) error // write it down
@@ -107,7 +110,8 @@
 	if in.msg == nil {
 		return
 	}
-	if err := http.NewResponseController(w).Flush(); err != nil || r.Context().Err() != nil {
+	// A client that has its 202 may leave at once: only the write's own error tells that it left before.
+	if err := http.NewResponseController(w).Flush(); err != nil {
 		f.Counts.Left.Add(1)
 		return
 	}
@@ -134,7 +138,10 @@
 	if f.draining.Load() || m.Until <= time.Now().UnixNano() {
 		return f.answer(r, http.StatusServiceUnavailable), nil
 	}
-	if err := f.courier.Take(m); err != nil {
+	switch err := f.courier.Take(m); {
+	case errors.Is(err, ErrKnown): // handed in once more over another connection
+		return f.answer(r, http.StatusAccepted), nil
+	case err != nil:
 		f.log.Debug("front: refused", "id", m.ID, "err", err)
 		return f.answer(r, http.StatusServiceUnavailable), nil
 	}
@@ -169,7 +176,7 @@
 	default:
 		f.Counts.Refused.Add(1)
 	}
-	f.log.Info("front: not a message", "code", form.code, "why", form.why)
+	f.log.Debug("front: not a message", "code", form.code, "why", form.why)
 	http.Error(w, form.why, form.code)
 }
 
--- a/internal/net/peer/peer.go
+++ b/internal/net/peer/peer.go
@@ -49,9 +49,11 @@
 // Peer is the actor of one endpoint.
 type Peer struct {
 	Config
-	mail chan any
-	quit context.CancelFunc
-	idle []*conn // the one used last is last
+	quit  context.CancelFunc
+	idle  []*conn // the one used last is last
+	mu    sync.Mutex
+	ended bool // nobody reads the mailbox any more
+	mail  chan any
 }
 
 type conn struct {
@@ -96,7 +98,13 @@
 // Stop ends the actor; its idle connections are closed, and calls out run on.
 func (p *Peer) Stop() { p.quit() }
 
+// post puts mail in the box, if there is room and somebody reads it.
 func (p *Peer) post(m any) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		return false
+	}
 	select {
 	case p.mail <- m:
 		return true
@@ -105,13 +113,20 @@
 	}
 }
 
-// send hands the actor word from one of its calls.
-func (p *Peer) send(ctx context.Context, m any) bool {
-	select {
-	case p.mail <- m:
-		return true
-	case <-ctx.Done():
-		return false
+// end closes the mailbox. Calls in it are not made, and are told as such: a peer may be stopped
+// between the module's decision and its call.
+func (p *Peer) end() {
+	p.mu.Lock()
+	p.ended = true
+	p.mu.Unlock()
+	p.closeIdle(0)
+	for range len(p.mail) {
+		switch m := (<-p.mail).(type) {
+		case callMsg:
+			(&teller{p: p, began: time.Now(), tries: m.tries, open: open(m.tries)}).all(raventrestle.Moot)
+		case idleMsg:
+			m.c.Close()
+		}
 	}
 }
 
@@ -122,7 +137,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			p.closeIdle(0)
+			p.end()
 			return
 		case <-sweep.C:
 			p.closeIdle(p.IdleClose - 2*margin)
@@ -135,8 +150,8 @@
 				out[cl] = true
 				c := p.take()
 				go func() {
-					defer p.send(ctx, doneMsg{cl})
-					p.call(ctx, callCtx, cl, c)
+					defer p.post(doneMsg{cl})
+					p.call(callCtx, cl, c)
 				}()
 			case cancelMsg:
 				for cl := range out {
@@ -184,20 +199,17 @@
 }
 
 // call makes the call and tells the courier how each try of it ended.
-func (p *Peer) call(ctx, callCtx context.Context, cl *call, c *conn) {
+func (p *Peer) call(ctx context.Context, cl *call, c *conn) {
 	began := time.Now()
 	wait := time.Duration(0)
 	for _, t := range cl.tries {
 		wait = max(wait, t.Wait)
 	}
-	callCtx, stop := context.WithDeadline(callCtx, began.Add(wait))
+	ctx, stop := context.WithDeadline(ctx, began.Add(wait))
 	defer stop()
-	told := &teller{p: p, began: began, tries: cl.tries, open: map[string]bool{}}
-	for _, t := range cl.tries {
-		told.open[t.ID] = true
-	}
+	told := &teller{p: p, began: began, tries: cl.tries, open: open(cl.tries)}
 	if len(cl.tries) > 1 {
-		defer told.watch(callCtx, began.Add(wait))()
+		defer told.watch(ctx, began.Add(wait))()
 	}
 	defer func() {
 		if e := recover(); e != nil { // the fault stays with this call
@@ -210,9 +222,9 @@
 	if len(cl.tries) > 1 {
 		p.Counts.Bulks.Add(1)
 	}
-	a, c, err := p.exchange(callCtx, cl, c, wait)
+	a, c, err := p.exchange(ctx, cl, c, wait)
 	if err == nil && a.reuse {
-		if !p.send(ctx, idleMsg{c}) {
+		if !p.post(idleMsg{c}) {
 			c.Close()
 		}
 	} else if c != nil {
@@ -230,7 +242,7 @@
 		p.Log.Debug("peer: try failed", "peer", p.Name, "id", cl.tries[0].ID, "n", len(cl.tries), "err", err,
 			"took", time.Since(began))
 		status := failed.Status()
-		if status == raventrestle.TimedOut && errors.Is(context.Cause(callCtx), errCancelled) {
+		if status == raventrestle.TimedOut && errors.Is(context.Cause(ctx), errCancelled) {
 			status = raventrestle.Cancelled
 		}
 		told.all(status)
@@ -277,6 +289,14 @@
 	open  map[string]bool
 }
 
+func open(tries []Try) map[string]bool {
+	ids := map[string]bool{}
+	for _, t := range tries {
+		ids[t.ID] = true
+	}
+	return ids
+}
+
 func (t *teller) one(o raventrestle.Outcome) {
 	t.mu.Lock()
 	first := t.open[string(o.ID)]
--- a/internal/net/peer/peer_test.go
+++ b/internal/net/peer/peer_test.go
@@ -216,3 +216,20 @@
 	}
 	nettest.Wait(t, "end of the call", end.Ends)
 }
+
+// A peer that is stopped, as when the list moves it, between the decision and the call still
+// ends each try: the message would else stay out for ever.
+func TestStoppedPeerEndsItsTries(t *testing.T) {
+	end := nettest.NewPeer(t, nettest.Answer(nettest.Plain(200, "", "")))
+	p, out := start(t, end.Addr())
+	p.Stop()
+	for i := range 20 {
+		if p.Call([]Try{try("a", nettest.Patience)}) {
+			if o := nettest.Wait(t, "outcome", out); o.Status != raventrestle.Moot && o.Status != raventrestle.OK {
+				t.Fatalf("%+v", o)
+			}
+		} else if i == 0 {
+			t.Log("the mailbox was closed at once")
+		}
+	}
+}
