--- /dev/null
+++ b/cmd/raventrestle-settings/main.go
@@ -0,0 +1,35 @@
+// Command raventrestle-settings checks the operators' settings files and hands the daemon their
+// JSON. It is a program of its own so that the daemon does not carry the CUE evaluator.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"raventrestle/internal/settings/schema"
+)
+
+func main() {
+	root := &cobra.Command{Use: "raventrestle-settings", Short: "Check settings files (used by raventrestle)",
+		SilenceErrors: true, SilenceUsage: true}
+	root.AddCommand(
+		&cobra.Command{Use: "export FILE", Short: "Check a file and print it as JSON, defaults filled in",
+			Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error {
+				out, err := schema.File(args[0])
+				if err == nil {
+					_, err = fmt.Fprintf(c.OutOrStdout(), "%s\n", out)
+				}
+				return err
+			}},
+		&cobra.Command{Use: "schema", Short: "Print the schema", Args: cobra.NoArgs,
+			RunE: func(c *cobra.Command, _ []string) error {
+				_, err := fmt.Fprint(c.OutOrStdout(), schema.Text)
+				return err
+			}})
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+}
--- /dev/null
+++ b/cmd/raventrestle/commands_test.go
@@ -0,0 +1,292 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"raventrestle/internal/deadletter"
+	"raventrestle/internal/net/nettest"
+	"raventrestle/internal/settings"
+)
+
+// helper builds the settings helper beside this test's program, where the commands look for it.
+var helper = sync.OnceValue(func() error {
+	exe, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	out, err := exec.Command("go", "build", "-o", filepath.Join(filepath.Dir(exe), settings.Helper), "raventrestle/cmd/raventrestle-settings").CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("%w: %s", err, out)
+	}
+	return nil
+})
+
+// command runs the program with those arguments.
+func command(t *testing.T, env []string, args ...string) (out, complaint string, code int) {
+	t.Helper()
+	if err := helper(); err != nil {
+		t.Fatal(err)
+	}
+	exe, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := exec.Command(exe, args...)
+	c.Env = append(append(os.Environ(), "RAVENTRESTLE_TEST_COURIER=1", "EDGE_CONFIG=", "RAVENTRESTLE_SETTINGS="), env...)
+	var o, e bytes.Buffer
+	c.Stdout, c.Stderr = &o, &e
+	var exit *exec.ExitError
+	if err := c.Run(); err != nil && !errors.As(err, &exit) {
+		t.Fatal(err)
+	}
+	return o.String(), e.String(), c.ProcessState.ExitCode()
+}
+
+// Exit codes tell failed from wrongly used, and complaints are one sentence on standard error.
+func TestExitCodes(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	good, bad := write("good.cue", "log: level: \"warn\"\n"), write("bad.cue", "log: {\n\tlevle: \"warn\"\n}\n")
+	for _, c := range []struct {
+		args           []string
+		code           int
+		out, complaint string
+	}{
+		{[]string{"version"}, 0, "raventrestle", ""},
+		{[]string{"version", "--json"}, 0, `"program": "raventrestle"`, ""},
+		{[]string{"settings", "check", good}, 0, "valid", ""},
+		{[]string{"settings", "check", bad}, 2, "", "bad.cue:2:2: field log.levle: no such field"},
+		{[]string{"settings", "check", "--json", bad}, 2, `"valid": false`, "no such field"},
+		{[]string{"settings", "check", filepath.Join(dir, "none")}, 2, "", "no such file"},
+		{[]string{"settings", "show", good}, 0, `"level": "warn"`, ""},
+		{[]string{"settings", "schema"}, 0, "#Settings", ""},
+		{[]string{"settings", "check"}, 2, "", "accepts 1 arg"},
+		{[]string{"run", "--settings", bad}, 2, "", "log.levle"},
+		{[]string{"run"}, 1, "", "EDGE_CONFIG names no file"},
+		{nil, 1, "", "EDGE_CONFIG names no file"},
+		{[]string{"nonsense"}, 2, "", "unknown command"},
+		{[]string{"completion", "bash"}, 0, "bash completion", ""},
+		{[]string{"undeliverable", "list"}, 1, "", "no folder is named"},
+		{[]string{"undeliverable", "list", "--state", "lost"}, 2, "", "is no state"},
+		{[]string{"undeliverable", "list", "--reason", "because"}, 2, "", "is no reason"},
+		{[]string{"undeliverable", "list", "--folder", dir}, 1, "", "no such file"},
+		{[]string{"undeliverable", "discard", "--folder", dir, "--offline"}, 2, "", "--all"},
+		{[]string{"undeliverable", "discard", "--folder", dir, "--all"}, 1, "", "--offline"},
+	} {
+		t.Run(strings.Join(c.args, " "), func(t *testing.T) {
+			out, complaint, code := command(t, nil, c.args...)
+			if code != c.code || !strings.Contains(out, c.out) || !strings.Contains(complaint, c.complaint) {
+				t.Fatalf("code %d\nout: %s\ncomplaint: %s", code, out, complaint)
+			}
+			if code != 0 && strings.Count(complaint, "\n") != 1 {
+				t.Fatalf("no sentence: %q", complaint)
+			}
+		})
+	}
+}
+
+// lines collects what a courier logs.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(b)
+}
+
+func (l *lines) await(t *testing.T, word string) {
+	t.Helper()
+	for began := time.Now(); ; time.Sleep(5 * time.Millisecond) {
+		l.mu.Lock()
+		text := l.text.String()
+		l.mu.Unlock()
+		if strings.Contains(text, word) {
+			return
+		}
+		if time.Since(began) > nettest.Patience {
+			t.Fatalf("no %q in the log:\n%s", word, text)
+		}
+	}
+}
+
+// An operator's day: a payment whose answer was lost is kept, shown as never to be sent again and
+// refused by resend; a rate change that never ran is sent again when its channel is back. A
+// half-written settings file changes nothing. A stopped courier's folder can be read, and changed
+// only with --offline; two couriers do not share one.
+func TestOperatorsDay(t *testing.T) {
+	if err := helper(); err != nil {
+		t.Fatal(err)
+	}
+	var mu sync.Mutex
+	well := false
+	calls := map[string]int{}
+	end := nettest.NewPeer(t, func(c net.Conn, call nettest.Call) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		id := call.Header.Get("X-Txn")
+		calls[id]++
+		if id == "pay" {
+			return false // after its last byte
+		}
+		code := 503
+		if well {
+			code = 200
+		}
+		return nettest.Answer(nettest.Plain(code, "", ""))(c, call)
+	})
+	d := deploy(t, end)
+	socket := filepath.Join(t.TempDir(), "admin.sock")
+	file := filepath.Join(t.TempDir(), "settings.cue")
+	write := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	good := fmt.Sprintf("log: format: \"json\"\nadmin: socket: %q\nundeliverable: {keep: true, resend: {backoff_s: 0.1, max_backoff_s: 0.1}}\n", socket)
+	write(good)
+	t.Setenv("RAVENTRESTLE_SETTINGS", file)
+	log := &lines{}
+	d.log = log
+	d.start()
+	for _, m := range []struct {
+		class, id string
+	}{{"single", "pay"}, {"free", "rate"}} {
+		if code := d.handIn(m.class, m.id, 1.5); code != 202 {
+			t.Fatalf("%s answered %d", m.id, code)
+		}
+	}
+	got := map[string]bool{nettest.Wait(t, "notice", d.notices): true, nettest.Wait(t, "notice", d.notices): true}
+	if !got[`{"id":"pay","status":"undeliverable"}`] {
+		t.Fatal(got)
+	}
+	var items []deadletter.Item
+	list := func(args ...string) {
+		t.Helper()
+		out, complaint, code := command(t, []string{"RAVENTRESTLE_SETTINGS=" + file, "EDGE_CONFIG=" + d.config}, append([]string{"undeliverable", "list", "--json"}, args...)...)
+		items = nil
+		if err := json.Unmarshal([]byte(out), &items); err != nil || code != 0 {
+			t.Fatalf("%v %d %s %s", err, code, out, complaint)
+		}
+	}
+	list("--class", "single")
+	if len(items) != 1 || items[0].ID != "pay" || items[0].Reason != "may_have_run" || len(items[0].Tries) != 1 || items[0].Tries[0].Outcome != "reset" {
+		t.Fatalf("%+v", items)
+	}
+	if info, err := os.Stat(socket); err != nil || info.Mode().Perm() != 0o600 {
+		t.Fatal(info, err)
+	}
+	env := []string{"RAVENTRESTLE_SETTINGS=" + file}
+	out, _, code := command(t, env, "undeliverable", "resend", "pay")
+	if code != 0 || !strings.Contains(out, "must never be sent again") || !strings.Contains(out, "0 of 1 letters") {
+		t.Fatal(code, out)
+	}
+	out, _, code = command(t, env, "undeliverable", "show", "pay")
+	if code != 0 || !strings.Contains(out, "may have run") || !strings.Contains(out, `"body of pay"`) {
+		t.Fatal(code, out)
+	}
+	if _, complaint, code := command(t, env, "undeliverable", "show", "none"); code != 1 || !strings.Contains(complaint, "no such letter") {
+		t.Fatal(code, complaint)
+	}
+
+	// Settings: half a file, then an unknown field, then a good one.
+	for _, c := range []struct{ text, word string }{
+		{good[:len(good)/2], "the old ones stay"},
+		{good + "undeliverable: max_age_ms: 5\n", "max_age_ms: no such field"},
+		{good + "log: level: \"debug\"\n", "settings: read anew"},
+	} {
+		write(c.text)
+		if err := d.process.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		log.await(t, c.word)
+	}
+	list()
+	n := len(items)
+
+	// Two couriers at one folder: the second takes messages and keeps no letters.
+	second := deploy(t, end)
+	other := filepath.Join(t.TempDir(), "second.cue")
+	if err := os.WriteFile(other, []byte(fmt.Sprintf("undeliverable: {keep: true, folder: %q}\n", filepath.Join(d.state, "undeliverable"))), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("RAVENTRESTLE_SETTINGS", other)
+	second.log = &lines{}
+	second.start()
+	second.log.(*lines).await(t, "another process has the store open")
+	if code := second.handIn("free", "x", 1); code != 202 {
+		t.Fatal(code)
+	}
+	second.kill()
+
+	// Stopped: the folder can be read; it changes only with --offline.
+	d.kill()
+	list()
+	if len(items) != n {
+		t.Fatalf("%d letters, and %d before", len(items), n)
+	}
+	if _, complaint, code := command(t, env, "undeliverable", "discard", "pay", "--settings", file); code != 1 ||
+		!strings.Contains(complaint, "--offline") && !strings.Contains(complaint, "no courier answers") {
+		t.Fatal(code, complaint)
+	}
+	folder := filepath.Join(d.state, "undeliverable")
+	if out, complaint, code := command(t, env, "undeliverable", "discard", "pay", "--offline", "--folder", folder); code != 0 || !strings.Contains(out, "1 of 1") {
+		t.Fatal(code, out, complaint)
+	}
+	if out, complaint, code := command(t, env, "undeliverable", "check", "--folder", folder); code != 0 {
+		t.Fatal(code, out, complaint)
+	}
+	mu.Lock()
+	well = true
+	before := calls["rate"]
+	mu.Unlock()
+	if out, complaint, code := command(t, env, "undeliverable", "resend", "rate", "--offline", "--folder", folder); code != 0 || n == 2 && !strings.Contains(out, "1 of 1") {
+		t.Fatal(code, out, complaint)
+	}
+	t.Setenv("RAVENTRESTLE_SETTINGS", file)
+	d.start()
+	if n == 2 { // the rate change was given up too, not deferred
+		for began := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+			list("--state", "delivered")
+			if len(items) == 1 && items[0].ID == "rate" {
+				break
+			}
+			if time.Since(began) > nettest.Patience {
+				list()
+				t.Fatalf("%+v", items)
+			}
+		}
+	}
+	list("--state", "discarded")
+	if len(items) != 1 || items[0].ID != "pay" {
+		t.Fatalf("%+v", items)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if calls["pay"] != 1 || n == 2 && calls["rate"] != before+1 {
+		t.Fatal(calls)
+	}
+	if len(d.notices) > 0 {
+		t.Fatal("an end was told twice: ", <-d.notices)
+	}
+}
--- a/cmd/raventrestle/main.go
+++ b/cmd/raventrestle/main.go
@@ -1,150 +1,96 @@
-// Command raventrestle is one courier on sockets: it takes messages from clients, decides with
-// the module when and where each leaves, and owes each its end, across its own restarts.
+// Command raventrestle is one courier on sockets, and the operators' commands for it. Without a
+// sub-command it takes messages from clients, decides with the module when and where each leaves,
+// and owes each its end, across its own restarts.
 package main
 
 import (
-	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
-	"log/slog"
-	"net"
-	"net/http"
 	"os"
-	"os/signal"
-	"runtime"
 	"runtime/debug"
-	"syscall"
-	"time"
 
-	"raventrestle/internal/config"
-	"raventrestle/internal/journal"
-	"raventrestle/internal/net/courier"
-	"raventrestle/internal/net/front"
+	"github.com/spf13/cobra"
+
+	"raventrestle/internal/settings"
 )
 
+// Exit codes.
 const (
-	lastWord  = 2500 * time.Millisecond // from SIGTERM to the end, at most
-	lastGuest = 700 * time.Millisecond  // new client connections still come for so long
+	exitFailed = 1
+	exitUsage  = 2 // wrong usage or invalid settings
 )
 
-func main() {
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level(os.Getenv("RAVENTRESTLE_LOG"))}))
-	if err := run(log); err != nil {
-		log.Error("raventrestle", "err", err)
-		os.Exit(1)
-	}
-}
+// failure is an error of the command's work, not of its usage.
+type failure struct{ error }
 
-func level(name string) (l slog.Level) {
-	if err := l.UnmarshalText([]byte(name)); err != nil {
-		return slog.LevelInfo
-	}
-	return l
-}
+func (f failure) Unwrap() error { return f.error }
 
-func run(log *slog.Logger) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	conf, err := config.Load(os.Getenv)
-	if err != nil {
-		return err
-	}
-	runtime.GOMAXPROCS(max(1, int(conf.Limits.Cores)))
-	memory := int64(conf.Limits.MemoryMB * 1e6)
-	debug.SetMemoryLimit(memory * 6 / 10) // the journal's files count as well
+func main() { os.Exit(execute(os.Args[1:])) }
 
-	disk := min(int64(conf.Limits.DiskMB*1e6), memory/4)
-	store, kept, err := journal.Open(conf.State, disk, log)
-	if err != nil {
-		return err
+func execute(args []string) int {
+	root := commands()
+	root.SetArgs(args)
+	err := root.Execute()
+	if err == nil {
+		return 0
 	}
-	c, err := courier.New(conf, store, kept, log)
-	if err != nil {
-		return err
+	fmt.Fprintln(os.Stderr, "raventrestle:", err)
+	var invalid *settings.Invalid
+	var failed failure
+	if errors.As(err, &invalid) || !errors.As(err, &failed) {
+		return exitUsage
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	go c.Run(ctx)
+	return exitFailed
+}
 
-	f := front.New(c, conf.Names, log)
-	listener, err := net.Listen("tcp", conf.Listen)
-	if err != nil {
-		return err
+// works makes a command's errors those of its work.
+func works(f func(*cobra.Command, []string) error) func(*cobra.Command, []string) error {
+	return func(c *cobra.Command, args []string) error {
+		if err := f(c, args); err != nil {
+			return failure{err}
+		}
+		return nil
 	}
-	gate := front.NewGate(listener, conf.Limits.Sockets/2)
-	server := &http.Server{Handler: f, ReadHeaderTimeout: 2 * time.Second, ReadTimeout: 2500 * time.Millisecond,
-		WriteTimeout: 15 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
-		ConnContext: front.ConnContext, ConnState: gate.SetState,
-		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(gate) }()
-	log.Info("raventrestle: ready", "name", conf.Name, "listen", conf.Listen,
-		"discovery", conf.Discovery, "restored", len(kept))
+}
 
-	for {
-		select {
-		case err := <-failed:
-			return fmt.Errorf("client connections: %w", err)
-		case s := <-signals:
-			switch s {
-			case syscall.SIGUSR1:
-				count(log, f, c)
-				continue
-			case syscall.SIGHUP:
-				reload(log, c)
-				continue
-			}
-			began := time.Now()
-			f.Drain()
-			server.SetKeepAlivesEnabled(false) // closes the connections that are between requests
-			end := began.Add(lastWord)
-			quiet := c.Close(end)
-			time.Sleep(lastGuest)
-			select {
-			case <-quiet:
-			case <-time.After(time.Until(end)):
-			}
-			closing, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
-			defer cancel()
-			if err := server.Shutdown(closing); err != nil {
-				log.Warn("raventrestle: client connections", "err", err)
+func commands() *cobra.Command {
+	file := os.Getenv("RAVENTRESTLE_SETTINGS")
+	serve := works(func(c *cobra.Command, _ []string) error { return serve(c.Context(), file) })
+	root := &cobra.Command{Use: "raventrestle", Short: "A courier that delivers messages and owes each its end",
+		Args: cobra.NoArgs, SilenceErrors: true, SilenceUsage: true, RunE: serve}
+	run := &cobra.Command{Use: "run", Short: "Run the courier, as without a sub-command", Args: cobra.NoArgs, RunE: serve}
+	run.Flags().StringVar(&file, "settings", file, "operators' settings (CUE); RAVENTRESTLE_SETTINGS names it too")
+	root.AddCommand(run, settingsCommands(), undeliverableCommands(&file), versionCommand())
+	return root
+}
+
+func versionCommand() *cobra.Command {
+	var asJSON bool
+	c := &cobra.Command{Use: "version", Short: "Print what this program was built from", Args: cobra.NoArgs,
+		RunE: works(func(c *cobra.Command, _ []string) error {
+			v := map[string]string{"program": "raventrestle"}
+			if info, ok := debug.ReadBuildInfo(); ok {
+				v["version"], v["go"] = info.Main.Version, info.GoVersion
+				for _, s := range info.Settings {
+					if s.Key == "vcs.revision" || s.Key == "vcs.time" || s.Key == "vcs.modified" {
+						v[s.Key] = s.Value
+					}
+				}
 			}
-			stop()
-			if err := store.Close(); err != nil {
-				log.Warn("raventrestle: journal", "err", err)
+			if asJSON {
+				return print(c, v)
 			}
-			count(log, f, c)
-			log.Info("raventrestle: done", "took", time.Since(began))
+			fmt.Fprintf(c.OutOrStdout(), "raventrestle %s, %s %s\n", v["version"], v["go"], v["vcs.revision"])
 			return nil
-		}
-	}
+		})}
+	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	return c
 }
 
-// reload reads the configuration anew and moves to the discovery that it names; its other
-// settings hold from the next start on. One that can't be read changes nothing.
-func reload(log *slog.Logger, c *courier.Courier) {
-	conf, err := config.Reload(os.Getenv)
-	if err != nil {
-		log.Error("raventrestle: the old settings stay", "err", err)
-		return
-	}
-	log.Info("raventrestle: settings read anew", "discovery", conf.Discovery)
-	c.Move(conf.Discovery)
-}
-
-// count prints what was taken in, sent and answered.
-func count(log *slog.Logger, f *front.Front, c *courier.Courier) {
-	in, out, net := &f.Counts, &c.Counts, &c.Counts.Peers
-	log.Info("counters: client connections", "requests", in.Requests.Load(), "taken", in.Taken.Load(),
-		"refused", in.Refused.Load(), "bad_form", in.BadForm.Load(), "too_large", in.TooLarge.Load(),
-		"left", in.Left.Load())
-	log.Info("counters: messages", "taken", out.Taken.Load(), "restored", out.Restored.Load(), "full", out.Full.Load(),
-		"withdrawn", out.Withdrawn.Load(), "delivered", out.Delivered.Load(), "void", out.Void.Load(),
-		"deferred", out.Deferred.Load(), "undeliverable", out.Undeliverable.Load())
-	names := []string{"ok", "error", "full", "timed_out", "connect_failed", "reset", "cancelled", "moot"}
-	tries := []any{"dials", net.Dials.Load(), "calls", net.Calls.Load(), "bulk", net.Bulks.Load(), "tries", net.Tries.Load()}
-	for i, name := range names {
-		tries = append(tries, name, out.ByStatus[i].Load())
-	}
-	log.Info("counters: tries", tries...)
-	log.Info("counters: decisions", "steps", out.Steps.Load(), "late", out.LateSteps.Load(), "panics", out.Panics.Load())
+// print writes JSON for programs to read.
+func print(c *cobra.Command, v any) error {
+	e := json.NewEncoder(c.OutOrStdout())
+	e.SetIndent("", "  ")
+	return e.Encode(v)
 }
--- a/cmd/raventrestle/main_test.go
+++ b/cmd/raventrestle/main_test.go
@@ -26,7 +26,7 @@
 	os.Exit(m.Run())
 }
 
-const settings = `{"az":"a","failure_domains":["a","b"],"models":["k"],"balancers":1,"granularity_us":5000,` +
+const platform = `{"az":"a","failure_domains":["a","b"],"models":["k"],"balancers":1,"granularity_us":5000,` +
 	`"membership_mode":"on_request","classes":[` +
 	`{"name":"free","aim_us":2000000,"deadline_us":20000000,"effect":"free","group":"all","credit":1},` +
 	`{"name":"guarded","aim_us":2000000,"deadline_us":20000000,"effect":"guarded","group":"zone","window_us":15000000,"credit":1},` +
@@ -42,11 +42,12 @@
 	discovery    *nettest.Peer
 	notices      chan string
 	process      *exec.Cmd
+	log          io.Writer
 	ended        chan error
 }
 
 func deploy(t *testing.T, peers ...*nettest.Peer) *deployment {
-	d := &deployment{t: t, state: t.TempDir(), notices: make(chan string, 64)}
+	d := &deployment{t: t, state: t.TempDir(), notices: make(chan string, 64), log: os.Stderr}
 	d.discovery = discover(t, d.notices, "")
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -57,7 +58,7 @@
 	d.config = filepath.Join(t.TempDir(), "config.json")
 	d.write(fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","state":%q,`+
 		`"limits":{"cores":1.0,"memory_mb":192,"sockets":256,"disk_mb":3},"known":%s,"settings":%s}`,
-		d.addr, d.discovery.Addr(), d.state, list(peers), settings))
+		d.addr, d.discovery.Addr(), d.state, list(peers), platform))
 	t.Cleanup(d.kill)
 	return d
 }
@@ -103,7 +104,7 @@
 	d.process = exec.Command(exe)
 	d.process.Env = append(os.Environ(), "RAVENTRESTLE_TEST_COURIER=1", "EDGE_CONFIG="+d.config,
 		"EDGE_DISCOVERY="+d.discovery.Addr())
-	d.process.Stderr = os.Stderr
+	d.process.Stderr = d.log
 	if err := d.process.Start(); err != nil {
 		d.t.Fatal(err)
 	}
--- /dev/null
+++ b/cmd/raventrestle/serve.go
@@ -0,0 +1,260 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"raventrestle"
+	"raventrestle/internal/config"
+	"raventrestle/internal/deadletter"
+	"raventrestle/internal/journal"
+	"raventrestle/internal/net/admin"
+	"raventrestle/internal/net/courier"
+	"raventrestle/internal/net/front"
+	"raventrestle/internal/settings"
+)
+
+const (
+	lastWord  = 2500 * time.Millisecond // from SIGTERM to the end, at most
+	lastGuest = 700 * time.Millisecond  // new client connections still come for so long
+)
+
+// daemon is what a running courier consists of.
+type daemon struct {
+	log     *slog.Logger
+	level   *slog.LevelVar
+	conf    *config.Config
+	file    string // operators' settings, "" for none
+	store   *journal.Store
+	letters *deadletter.Keeper // nil where none are kept
+	courier *courier.Courier
+	front   *front.Front
+}
+
+// serve runs the courier until SIGTERM. File names the operators' settings, "" for none.
+func serve(ctx context.Context, file string) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	set := &settings.Settings{}
+	if file != "" {
+		var err error
+		if set, err = settings.Load(ctx, file); err != nil {
+			return err
+		}
+	}
+	d := &daemon{level: &slog.LevelVar{}, file: file}
+	d.log = settings.Logger(set.Log, d.level)
+	if name := os.Getenv("RAVENTRESTLE_LOG"); name != "" {
+		if err := d.level.UnmarshalText([]byte(name)); err != nil {
+			d.log.Warn("raventrestle: RAVENTRESTLE_LOG names no level", "level", name)
+		}
+	}
+	var err error
+	if d.conf, err = config.Load(os.Getenv); err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(max(1, int(d.conf.Limits.Cores)))
+	memory := int64(d.conf.Limits.MemoryMB * 1e6)
+	debug.SetMemoryLimit(memory * 6 / 10) // the journal's files count as well
+
+	disk := min(int64(d.conf.Limits.DiskMB*1e6), memory/4)
+	var kept []journal.Kept
+	d.store, kept, err = journal.Open(d.conf.State, journal.Options{Limit: disk, Tries: set.Undeliverable.Keep}, d.log)
+	if err != nil {
+		return err
+	}
+	kept = d.openLetters(set, kept)
+	if d.courier, err = courier.New(d.conf, d.store, kept, d.log); err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	if d.letters != nil {
+		d.courier.Keep(d.letters)
+		go d.letters.Run(ctx)
+	}
+	go d.courier.Run(ctx)
+	if set.Admin.Socket != "" {
+		l, err := admin.Listen(set.Admin.Socket)
+		if err != nil { // the courier serves on without
+			d.log.Error("admin: no listener", "err", err)
+		} else {
+			var desk deadletter.Desk
+			if d.letters != nil {
+				desk = d.letters
+			}
+			defer admin.Serve(l, desk, d.log).Close()
+		}
+	}
+
+	d.front = front.New(d.courier, d.conf.Names, d.log)
+	listener, err := net.Listen("tcp", d.conf.Listen)
+	if err != nil {
+		return err
+	}
+	gate := front.NewGate(listener, d.conf.Limits.Sockets/2)
+	server := &http.Server{Handler: d.front, ReadHeaderTimeout: 2 * time.Second, ReadTimeout: 2500 * time.Millisecond,
+		WriteTimeout: 15 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
+		ConnContext: front.ConnContext, ConnState: gate.SetState,
+		ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelWarn)}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(gate) }()
+	d.log.Info("raventrestle: ready", "name", d.conf.Name, "listen", d.conf.Listen,
+		"discovery", d.conf.Discovery, "restored", len(kept), "letters", d.letters != nil)
+
+	for {
+		select {
+		case err := <-failed:
+			return fmt.Errorf("client connections: %w", err)
+		case s := <-signals:
+			switch s {
+			case syscall.SIGUSR1:
+				d.count()
+				continue
+			case syscall.SIGHUP:
+				d.reload(ctx)
+				continue
+			}
+			began := time.Now()
+			d.front.Drain()
+			server.SetKeepAlivesEnabled(false) // closes the connections that are between requests
+			end := began.Add(lastWord)
+			quiet := d.courier.Close(end)
+			time.Sleep(lastGuest)
+			select {
+			case <-quiet:
+			case <-time.After(time.Until(end)):
+			}
+			closing, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+			defer cancel()
+			if err := server.Shutdown(closing); err != nil {
+				d.log.Warn("raventrestle: client connections", "err", err)
+			}
+			stop()
+			if d.letters != nil {
+				d.letters.Wait() // what it was handed in is written
+			}
+			if err := d.store.Close(); err != nil {
+				d.log.Warn("raventrestle: journal", "err", err)
+			}
+			d.count()
+			d.log.Info("raventrestle: done", "took", time.Since(began))
+			return nil
+		}
+	}
+}
+
+// openLetters opens the store of letters, if the settings want one, and returns what of the journal
+// the courier takes up. A store that can't be opened stops nothing: the courier serves on without,
+// and resends that the journal holds stay there untouched until a life that has the store.
+func (d *daemon) openLetters(set *settings.Settings, kept []journal.Kept) []journal.Kept {
+	var fresh, resends []journal.Kept
+	for _, k := range kept {
+		if k.Resend > 0 {
+			resends = append(resends, k)
+		} else {
+			fresh = append(fresh, k)
+		}
+	}
+	if !set.Undeliverable.Keep {
+		if len(resends) > 0 {
+			d.log.Warn("undeliverable: resends wait in the journal, since no letters are kept", "n", len(resends))
+		}
+		return fresh
+	}
+	c := d.keeping(set)
+	var live []journal.Kept
+	var stale []string
+	var err error
+	if d.letters, live, stale, err = deadletter.Start(c, kept, d.store.Sound()); err != nil {
+		d.letters = nil
+		d.log.Error("undeliverable: no store, serving on without", "folder", c.Folder, "err", err)
+		return fresh
+	}
+	var over []journal.Record
+	for _, id := range stale {
+		over = append(over, journal.Over(id))
+	}
+	if err := d.store.Append(over, nil); err != nil {
+		d.log.Error("undeliverable: journal", "err", err)
+	}
+	return append(fresh, live...)
+}
+
+// keeping are the settings in the keeper's terms.
+func (d *daemon) keeping(set *settings.Settings) deadletter.Config {
+	u := set.Undeliverable
+	names, classes := d.conf.Names, d.conf.Settings.Classes
+	return deadletter.Config{Folder: lettersFolder(set, d.conf.State), Limits: limits(u), MaxAge: u.MaxAge.Duration(),
+		Settled: u.SettledAge.Duration(), Log: d.log, Seed: d.conf.Seed, Append: d.store.Append,
+		Options: deadletter.Options{MaxBytes: u.MaxBytes, MaxLetters: u.MaxLetters, Sync: u.Sync},
+		Begin:   func(a deadletter.Again) bool { return d.courier.Again(a) },
+		Class: func(name string) (raventrestle.Class, bool) {
+			i, ok := names.Classes[name]
+			if !ok {
+				return raventrestle.Class{}, false
+			}
+			return classes[i], true
+		}}
+}
+
+// reload reads both files anew, each whole or not at all. Of the configuration it moves to the
+// discovery that it names; of the operators' settings it takes the log's level and what bounds and
+// paces the letters. The rest holds from the next start on.
+func (d *daemon) reload(ctx context.Context) {
+	if conf, err := config.Reload(os.Getenv); err != nil {
+		d.log.Error("raventrestle: the old settings stay", "err", err)
+	} else {
+		d.log.Info("raventrestle: settings read anew", "discovery", conf.Discovery)
+		d.courier.Move(conf.Discovery)
+	}
+	if d.file == "" {
+		return
+	}
+	go func() { // the helper may take its time, and signals wait
+		set, err := settings.Load(ctx, d.file)
+		if err != nil {
+			d.log.Error("settings: the old ones stay", "file", d.file, "err", err)
+			return
+		}
+		d.level.Set(set.Log.Level)
+		if d.letters != nil {
+			d.letters.Set(d.keeping(set))
+		}
+		d.log.Info("settings: read anew", "file", d.file)
+	}()
+}
+
+// count prints what was taken in, sent and answered.
+func (d *daemon) count() {
+	in, out, net := &d.front.Counts, &d.courier.Counts, &d.courier.Counts.Peers
+	d.log.Info("counters: client connections", "requests", in.Requests.Load(), "taken", in.Taken.Load(),
+		"refused", in.Refused.Load(), "bad_form", in.BadForm.Load(), "too_large", in.TooLarge.Load(),
+		"left", in.Left.Load())
+	d.log.Info("counters: messages", "taken", out.Taken.Load(), "restored", out.Restored.Load(), "full", out.Full.Load(),
+		"withdrawn", out.Withdrawn.Load(), "delivered", out.Delivered.Load(), "void", out.Void.Load(),
+		"deferred", out.Deferred.Load(), "undeliverable", out.Undeliverable.Load())
+	names := []string{"ok", "error", "full", "timed_out", "connect_failed", "reset", "cancelled", "moot"}
+	tries := []any{"dials", net.Dials.Load(), "calls", net.Calls.Load(), "bulk", net.Bulks.Load(), "tries", net.Tries.Load()}
+	for i, name := range names {
+		tries = append(tries, name, out.ByStatus[i].Load())
+	}
+	d.log.Info("counters: tries", tries...)
+	d.log.Info("counters: decisions", "steps", out.Steps.Load(), "late", out.LateSteps.Load(), "panics", out.Panics.Load())
+	if d.letters == nil {
+		return
+	}
+	l := &d.letters.Counts
+	d.log.Info("counters: undeliverable", "kept", l.Kept.Load(), "lost", l.Lost.Load(), "gave_way", l.GaveWay.Load(),
+		"expired", l.Expired.Load(), "begun", l.Begun.Load(), "delivered", l.Delivered.Load(), "failed", l.Failed.Load(),
+		"yielded", l.Yielded.Load(), "void", l.Voids.Load())
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -28,6 +28,8 @@
 	Dest          int64
 	Until         int64 // when its time is up, Unix time in nanoseconds
 	Body          []byte
+	Since         int64 // when it was taken on, Unix time in nanoseconds; 0 in a journal of an older build
+	Resend        int64 // of an undeliverable message: which resend this is, from 1; 0 for a client's hand-in
 }
 
 // Try is one attempt at a message.
@@ -36,14 +38,25 @@
 	At         int64 // Unix time in nanoseconds
 }
 
+// Tried is an attempt that has ended.
+type Tried struct {
+	Try
+	Outcome string // in the module's words, see internal/net/courier
+}
+
 // Progress is how far a message has come.
 type Progress struct {
 	Tries int
-	Out   *Try // begun, with no word of its end
-	Ran   *Try // the first that may have run
-	Owed  *End // ended by the courier, and the platform has not heard of it yet
+	Out   *Try    // begun, with no word of its end
+	Ran   *Try    // the first that may have run
+	Owed  *End    // ended by the courier, and the platform has not heard of it yet
+	Prior *Try    // of a resend: what may have run before it
+	Past  []Tried // the tries that have ended, the first mostPast of them; only with Options.Tries
 }
 
+// mostPast bounds what is remembered of one message's tries.
+const mostPast = 16
+
 // End is an ending that the platform is told of.
 type End struct {
 	Deferred bool // safe to hand in again
@@ -62,11 +75,21 @@
 	then    func(error)
 }
 
+// Options say how a journal is kept.
+type Options struct {
+	Limit int64 // bytes of the disk that its files take together
+	Tries bool  // remember how each try ended, for whoever keeps undeliverable messages
+	// Before is asked before each write; an error stands for the write's own. It is nil in service:
+	// tests use it to end a life at a chosen boundary.
+	Before func() error
+}
+
 // Store is an open journal. Its methods may be called from any goroutine.
 type Store struct {
+	Options
 	dir    string
-	limit  int64 // bytes of the disk
 	log    *slog.Logger
+	sound  bool
 	mail   chan entry
 	quit   chan struct{}
 	done   chan struct{}
@@ -74,16 +97,16 @@
 	size   int64 // of the file
 	live   int64 // bytes that a new file would have at least
 	held   map[string]*Kept
-	order  []string // ids as taken, those that are over among them
-	frozen error    // a write that failed halfway, until the file is made anew
+	order  []*Kept // as taken, those that are over among them: an id may come again after its end
+	frozen error   // a write that failed halfway, until the file is made anew
 }
 
 const fileName, nextName = "journal", "journal.next"
 
 // Open reads the journal in the folder and returns it with what it holds, in the order
-// taken. It keeps its files under limit bytes together.
-func Open(dir string, limit int64, log *slog.Logger) (*Store, []Kept, error) {
-	s := &Store{dir: dir, limit: limit, log: log, held: map[string]*Kept{},
+// taken.
+func Open(dir string, opts Options, log *slog.Logger) (*Store, []Kept, error) {
+	s := &Store{Options: opts, dir: dir, log: log, held: map[string]*Kept{},
 		mail: make(chan entry, 256), quit: make(chan struct{}), done: make(chan struct{})}
 	if err := os.Remove(filepath.Join(dir, nextName)); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, nil, fmt.Errorf("journal: %w", err)
@@ -93,6 +116,7 @@
 		return nil, nil, fmt.Errorf("journal: %w", err)
 	}
 	bad := decode(old, s.apply)
+	s.sound = err == nil && bad == 0
 	if bad > 0 {
 		log.Warn("journal: bytes that are no record were passed over", "bytes", bad)
 	}
@@ -100,13 +124,17 @@
 		return nil, nil, err
 	}
 	var kept []Kept
-	for _, id := range s.order {
-		kept = append(kept, *s.held[id])
+	for _, k := range s.order {
+		kept = append(kept, *k)
 	}
 	go s.write()
 	return s, kept, nil
 }
 
+// Sound says that the journal was there at the start and whole: what it did not tell of then, the
+// earlier life did not do.
+func (s *Store) Sound() bool { return s.sound }
+
 // Take writes a message down, or says why it could not.
 func (s *Store) Take(m *Message) error {
 	heard := make(chan error, 1)
@@ -196,25 +224,37 @@
 // together, under the limit; see renew.
 func (s *Store) room(records []Record, more int64) error {
 	for _, r := range records {
-		if r.kind == taken && s.live+more+r.size() > s.limit*7/20 {
+		if r.kind == taken && s.live+more+s.cost(r) > s.Limit*7/20 {
 			return ErrFull
 		}
 	}
 	return nil
 }
 
+// cost is the most that a message takes in a new file, its tries and end included.
+func (s *Store) cost(r Record) int64 {
+	if s.Tries {
+		return r.size() + 1024
+	}
+	return r.size()
+}
+
 // put appends the text. The file is made anew once it has come to more than half of the
 // limit: the new one takes 7/20 at most, which leaves room for both and for a batch.
 func (s *Store) put(text []byte) error {
 	if len(text) == 0 {
 		return nil
 	}
-	if s.frozen != nil || s.size+int64(len(text)) > s.limit/2 {
+	if s.frozen != nil || s.size+int64(len(text)) > s.Limit/2 {
 		if s.frozen = s.renew(); s.frozen == nil {
 			return nil // the new file tells of the batch as well
 		}
 		return s.frozen
 	}
+	if err := s.before(); err != nil {
+		s.frozen = err
+		return err
+	}
 	n, err := s.file.Write(text)
 	s.size += int64(n)
 	if err != nil {
@@ -224,15 +264,25 @@
 	return err
 }
 
+func (s *Store) before() error {
+	if s.Before == nil {
+		return nil
+	}
+	return s.Before()
+}
+
 // renew writes a file of what is still owed and puts it in the old one's place.
 func (s *Store) renew() error {
 	var text []byte
-	s.order = slices.DeleteFunc(s.order, func(id string) bool { return s.held[id] == nil })
-	for _, id := range s.order {
-		for _, r := range s.held[id].records() {
+	s.order = slices.DeleteFunc(s.order, s.isOver)
+	for _, k := range s.order {
+		for _, r := range k.records() {
 			text = r.append(text)
 		}
 	}
+	if err := s.before(); err != nil {
+		return fmt.Errorf("journal: %w", err)
+	}
 	next := filepath.Join(s.dir, nextName)
 	f, err := os.OpenFile(next, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
@@ -257,9 +307,10 @@
 func (s *Store) apply(r Record) {
 	if r.kind == taken {
 		if s.held[r.id] == nil {
-			s.held[r.id] = &Kept{Message: r.msg}
-			s.order = append(s.order, r.id)
-			s.live += r.size()
+			k := &Kept{Message: r.msg}
+			s.held[r.id] = k
+			s.order = append(s.order, k)
+			s.live += s.cost(r)
 		}
 		return
 	}
@@ -272,15 +323,21 @@
 		if k.Ran == nil {
 			k.Ran = k.Out
 		}
+		s.past(k, "") // with no word of its end
 		try := r.try
 		k.Tries, k.Out = k.Tries+1, &try
 	case neverRan:
+		s.past(k, r.outcome)
 		k.Out = nil
 	case mayHaveRun:
 		if k.Ran == nil {
 			k.Ran = k.Out
 		}
+		s.past(k, r.outcome)
 		k.Out = nil
+	case prior:
+		try := r.try
+		k.Prior, k.Ran = &try, &try
 	case ended:
 		end := r.end
 		k.Owed = &end
@@ -291,12 +348,21 @@
 	}
 }
 
+// past remembers the try that was out.
+func (s *Store) past(k *Kept, outcome string) {
+	if s.Tries && k.Out != nil && len(k.Past) < mostPast {
+		k.Past = append(k.Past, Tried{*k.Out, outcome})
+	}
+}
+
+func (s *Store) isOver(k *Kept) bool { return s.held[k.ID] != k }
+
 func (s *Store) drop(id string) {
 	if k := s.held[id]; k != nil {
-		s.live -= Taken(k.Message).size()
+		s.live -= s.cost(Taken(k.Message))
 		delete(s.held, id)
 		if len(s.order) > 2*len(s.held)+1024 {
-			s.order = slices.DeleteFunc(s.order, func(id string) bool { return s.held[id] == nil })
+			s.order = slices.DeleteFunc(s.order, s.isOver)
 		}
 	}
 }
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -16,7 +16,7 @@
 
 func open(t *testing.T, dir string, limit int64) (*Store, []Kept) {
 	t.Helper()
-	s, kept, err := Open(dir, limit, quiet)
+	s, kept, err := Open(dir, Options{Limit: limit}, quiet)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -39,10 +39,10 @@
 	}{
 		"taken":             {nil, []Kept{{Message: m}}},
 		"a try is out":      {[]Record{Begun("a", first)}, []Kept{{m, Progress{Tries: 1, Out: &first}}}},
-		"the try never ran": {[]Record{Begun("a", first), NeverRan("a")}, []Kept{{m, Progress{Tries: 1}}}},
-		"the try may have run, the next did not": {[]Record{Begun("a", first), MayHaveRun("a"), Begun("a", second),
-			NeverRan("a")}, []Kept{{m, Progress{Tries: 2, Ran: &first}}}},
-		"one may have run and one is out": {[]Record{Begun("a", first), MayHaveRun("a"), Begun("a", second)},
+		"the try never ran": {[]Record{Begun("a", first), NeverRan("a", "")}, []Kept{{m, Progress{Tries: 1}}}},
+		"the try may have run, the next did not": {[]Record{Begun("a", first), MayHaveRun("a", ""), Begun("a", second),
+			NeverRan("a", "")}, []Kept{{m, Progress{Tries: 2, Ran: &first}}}},
+		"one may have run and one is out": {[]Record{Begun("a", first), MayHaveRun("a", ""), Begun("a", second)},
 			[]Kept{{m, Progress{Tries: 2, Ran: &first, Out: &second}}}},
 		"a notice is owed": {[]Record{Ended("a", End{true, 500})},
 			[]Kept{{m, Progress{Owed: &End{true, 500}}}}},
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -17,6 +17,7 @@
 	ended      kind = 'E' // ended by the courier; a notice is owed
 	over       kind = 'O' // nothing more is owed
 	counted    kind = 'C' // so many tries before, written when the file is made anew
+	prior      kind = 'P' // of a resend: a try of an earlier life of the message that may have run
 )
 
 // Record is one line of the journal.
@@ -27,6 +28,8 @@
 	try  Try
 	end  End
 	n    int64
+
+	outcome string // of the try, if it is to be remembered
 }
 
 // Taken says that the message is taken on.
@@ -35,11 +38,14 @@
 // Begun says that a try is about to be sent.
 func Begun(id string, t Try) Record { return Record{kind: begun, id: id, try: t} }
 
-// NeverRan says that the try that was out has ended and never ran.
-func NeverRan(id string) Record { return Record{kind: neverRan, id: id} }
+// NeverRan says that the try that was out has ended so and never ran.
+func NeverRan(id, outcome string) Record { return Record{kind: neverRan, id: id, outcome: outcome} }
+
+// MayHaveRun says that the try that was out has ended so and may have run.
+func MayHaveRun(id, outcome string) Record { return Record{kind: mayHaveRun, id: id, outcome: outcome} }
 
-// MayHaveRun says that the try that was out has ended and may have run.
-func MayHaveRun(id string) Record { return Record{kind: mayHaveRun, id: id} }
+// Prior says of a resend that this try, before it, may have run.
+func Prior(id string, t Try) Record { return Record{kind: prior, id: id, try: t} }
 
 // Ended says that the courier has ended the message, and owes a notice of it.
 func Ended(id string, e End) Record { return Record{kind: ended, id: id, end: e} }
@@ -71,7 +77,10 @@
 		}
 		b = binary.AppendVarint(binary.AppendVarint(b, m.Dest), m.Until)
 		b = append(binary.AppendUvarint(b, uint64(len(m.Body))), m.Body...)
-	case begun:
+		b = binary.AppendVarint(binary.AppendVarint(b, m.Since), m.Resend)
+	case neverRan, mayHaveRun:
+		b = text(b, r.outcome)
+	case begun, prior:
 		b = text(text(b, r.try.Peer), r.try.Zone)
 		b = binary.AppendVarint(b, r.try.At)
 	case ended:
@@ -92,16 +101,27 @@
 // records tell all that is known of the message.
 func (k *Kept) records() []Record {
 	rs := []Record{Taken(k.Message)}
-	known := 0
-	for _, t := range []*Try{k.Ran, k.Out} {
-		if t != nil {
-			rs = append(rs, Begun(k.ID, *t))
-			known++
-			if t == k.Ran {
-				rs = append(rs, MayHaveRun(k.ID))
-			}
+	known, ran := 0, k.Ran == nil
+	if k.Prior != nil {
+		rs, ran = append(rs, Prior(k.ID, *k.Prior)), true
+	}
+	for _, t := range k.Past {
+		rs = append(rs, Begun(k.ID, t.Try))
+		known++
+		if !ran && t.Try == *k.Ran {
+			rs, ran = append(rs, MayHaveRun(k.ID, t.Outcome)), true
+		} else { // Ran is the first alone: what came after it need not say so again
+			rs = append(rs, NeverRan(k.ID, t.Outcome))
 		}
 	}
+	if !ran && (k.Out == nil || *k.Out != *k.Ran) {
+		rs = append(rs, Begun(k.ID, *k.Ran), MayHaveRun(k.ID, ""))
+		known++
+	}
+	if k.Out != nil {
+		rs = append(rs, Begun(k.ID, *k.Out))
+		known++
+	}
 	if k.Tries > known {
 		rs = append(rs, Record{kind: counted, id: k.ID, n: int64(k.Tries)})
 	}
@@ -151,14 +171,21 @@
 	case taken:
 		m := &Message{ID: r.id, Key: d.text(), Class: d.text(), Tenant: d.text(), Dest: d.int(), Until: d.int()}
 		m.Body = bytes.Clone(d.bytes())
+		if len(d.b) > 0 { // an older build wrote no more
+			m.Since, m.Resend = d.int(), d.int()
+		}
 		r.msg = m
-	case begun:
+	case begun, prior:
 		r.try = Try{Peer: d.text(), Zone: d.text(), At: d.int()}
 	case ended:
 		r.end = End{Deferred: d.int() == 1, AgainMS: d.int()}
 	case counted:
 		r.n = d.int()
-	case neverRan, mayHaveRun, over:
+	case neverRan, mayHaveRun:
+		if len(d.b) > 0 {
+			r.outcome = d.text()
+		}
+	case over:
 	default:
 		return Record{}, 0, errSpoilt
 	}
--- /dev/null
+++ b/internal/net/admin/admin.go
@@ -0,0 +1,222 @@
+// Package admin is the operators' side: a listener on a Unix socket that only the courier's own user
+// may open, and the client that the commands use. It decides nothing.
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"raventrestle/internal/deadletter"
+)
+
+// Request is what a command asks for.
+type Request struct {
+	Filter deadletter.Filter `json:"filter"`
+	ID     string            `json:"id,omitempty"`
+	DryRun bool              `json:"dry_run,omitempty"`
+}
+
+const (
+	mostRequest = 1 << 20
+	patience    = time.Minute // of one command
+	mostClients = 8
+)
+
+// Listen opens the socket with mode 0600. One that a dead courier left behind is taken over; one
+// that answers belongs to another courier.
+func Listen(path string) (net.Listener, error) {
+	if c, err := net.DialTimeout("unix", path, time.Second); err == nil {
+		c.Close()
+		return nil, fmt.Errorf("admin: %s: another process listens there", path)
+	}
+	if info, err := os.Lstat(path); err == nil {
+		if info.Mode().Type() != os.ModeSocket {
+			return nil, fmt.Errorf("admin: %s is there and is no socket", path)
+		}
+		if err := os.Remove(path); err != nil {
+			return nil, fmt.Errorf("admin: %w", err)
+		}
+	}
+	// Between bind and chmod others could open the socket: it is made under a name that is free, with
+	// its mode, and then moved.
+	next := fmt.Sprintf("%s.%d", path, os.Getpid())
+	l, err := net.Listen("unix", next)
+	if err != nil {
+		return nil, fmt.Errorf("admin: %w", err)
+	}
+	l.(*net.UnixListener).SetUnlinkOnClose(false)
+	if err := errors.Join(os.Chmod(next, 0o600), os.Rename(next, path)); err != nil {
+		return nil, errors.Join(fmt.Errorf("admin: %w", err), l.Close(), os.Remove(next))
+	}
+	return &listener{l, path}, nil
+}
+
+// listener takes its socket away when it closes.
+type listener struct {
+	net.Listener
+	path string
+}
+
+func (l *listener) Close() error { return errors.Join(l.Listener.Close(), os.Remove(l.path)) }
+
+// Serve answers commands until the listener closes. Desk is nil where no letters are kept.
+func Serve(l net.Listener, desk deadletter.Desk, log *slog.Logger) *http.Server {
+	mux := http.NewServeMux()
+	handle := func(verb string, do func(context.Context, Request) (any, error)) {
+		mux.HandleFunc("POST /undeliverable/"+verb, func(w http.ResponseWriter, r *http.Request) {
+			var q Request
+			body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, mostRequest))
+			if err == nil {
+				err = json.Unmarshal(body, &q)
+			}
+			if err != nil {
+				answer(w, http.StatusBadRequest, map[string]string{"error": err.Error()})
+				return
+			}
+			if desk == nil {
+				answer(w, http.StatusConflict, map[string]string{"error": "this courier keeps no undeliverable messages (undeliverable.keep is off, or its store could not be opened)"})
+				return
+			}
+			ctx, stop := context.WithTimeout(r.Context(), patience)
+			defer stop()
+			out, err := do(ctx, q)
+			switch {
+			case errors.Is(err, deadletter.ErrMissing):
+				answer(w, http.StatusNotFound, map[string]string{"error": err.Error()})
+			case err != nil:
+				answer(w, http.StatusServiceUnavailable, map[string]string{"error": err.Error()})
+			default:
+				answer(w, http.StatusOK, out)
+			}
+			log.Info("admin: command", "verb", verb, "dry_run", q.DryRun, "err", err)
+		})
+	}
+	handle("list", func(ctx context.Context, q Request) (any, error) { return desk.List(ctx, q.Filter) })
+	handle("show", func(ctx context.Context, q Request) (any, error) { return desk.Show(ctx, q.ID) })
+	handle("resend", func(ctx context.Context, q Request) (any, error) { return desk.Resend(ctx, q.Filter, q.DryRun) })
+	handle("discard", func(ctx context.Context, q Request) (any, error) { return desk.Discard(ctx, q.Filter, q.DryRun) })
+	handle("stats", func(ctx context.Context, q Request) (any, error) { return desk.Stats(ctx) })
+	s := &http.Server{Handler: mux, ReadTimeout: 5 * time.Second, WriteTimeout: patience, IdleTimeout: 5 * time.Second,
+		MaxHeaderBytes: 8 << 10, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
+	go func() {
+		if err := s.Serve(&few{l, make(chan struct{}, mostClients)}); !errors.Is(err, http.ErrServerClosed) {
+			log.Error("admin: listener", "err", err)
+		}
+	}()
+	return s
+}
+
+// few lets in a few connections at a time: the courier's descriptors are its clients'.
+type few struct {
+	net.Listener
+	room chan struct{}
+}
+
+func (f *few) Accept() (net.Conn, error) {
+	f.room <- struct{}{}
+	c, err := f.Listener.Accept()
+	if err != nil {
+		<-f.room
+		return nil, err
+	}
+	return &guest{Conn: c, leave: func() { <-f.room }}, nil
+}
+
+type guest struct {
+	net.Conn
+	once  sync.Once
+	leave func()
+}
+
+func (g *guest) Close() error {
+	g.once.Do(g.leave)
+	return g.Conn.Close()
+}
+
+func answer(w http.ResponseWriter, code int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	if err := json.NewEncoder(w).Encode(v); err != nil { // the client has left
+		return
+	}
+}
+
+// Client is the desk of a running courier, over its socket.
+type Client struct{ Path string }
+
+// ErrNobody says that no courier listens at the socket.
+var ErrNobody = errors.New("no courier listens there")
+
+func (c *Client) call(ctx context.Context, verb string, q Request, out any) error {
+	text, err := json.Marshal(q)
+	if err != nil {
+		return err
+	}
+	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			conn, err := (&net.Dialer{Timeout: 2 * time.Second}).DialContext(ctx, "unix", c.Path)
+			if err != nil {
+				return nil, fmt.Errorf("%s: %w (%w)", c.Path, ErrNobody, err)
+			}
+			return conn, nil
+		}}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://courier/undeliverable/"+verb, bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return fmt.Errorf("admin: %w", err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		var fault struct {
+			Error string `json:"error"`
+		}
+		if err := json.NewDecoder(res.Body).Decode(&fault); err != nil {
+			return fmt.Errorf("admin: %s", res.Status)
+		}
+		return errors.New(fault.Error)
+	}
+	return json.NewDecoder(res.Body).Decode(out)
+}
+
+// List implements deadletter.Desk.
+func (c *Client) List(ctx context.Context, f deadletter.Filter) (out []deadletter.Item, err error) {
+	err = c.call(ctx, "list", Request{Filter: f}, &out)
+	return out, err
+}
+
+// Show implements deadletter.Desk.
+func (c *Client) Show(ctx context.Context, id string) (out *deadletter.Item, err error) {
+	err = c.call(ctx, "show", Request{ID: id}, &out)
+	return out, err
+}
+
+// Resend implements deadletter.Desk.
+func (c *Client) Resend(ctx context.Context, f deadletter.Filter, dry bool) (out []deadletter.Answer, err error) {
+	err = c.call(ctx, "resend", Request{Filter: f, DryRun: dry}, &out)
+	return out, err
+}
+
+// Discard implements deadletter.Desk.
+func (c *Client) Discard(ctx context.Context, f deadletter.Filter, dry bool) (out []deadletter.Answer, err error) {
+	err = c.call(ctx, "discard", Request{Filter: f, DryRun: dry}, &out)
+	return out, err
+}
+
+// Stats implements deadletter.Desk.
+func (c *Client) Stats(ctx context.Context) (out *deadletter.Stats, err error) {
+	err = c.call(ctx, "stats", Request{}, &out)
+	return out, err
+}
--- a/internal/net/courier/courier.go
+++ b/internal/net/courier/courier.go
@@ -16,6 +16,8 @@
 
 	"raventrestle"
 	"raventrestle/internal/config"
+	"raventrestle/internal/deadletter"
+	"raventrestle/internal/deadletter/rule"
 	"raventrestle/internal/journal"
 	"raventrestle/internal/net/front"
 	"raventrestle/internal/net/notice"
@@ -45,12 +47,14 @@
 	group   *upstream.Group
 	notices *notice.Sender
 	mail    chan any
-	quiet   chan struct{} // closed once it is closing and owes nothing
-	longest time.Duration // that a message may wait
+	quiet   chan struct{}      // closed once it is closing and owes nothing
+	longest time.Duration      // that a message may wait
+	letters *deadletter.Keeper // nil where none are kept
 
-	mu    sync.Mutex
-	known map[string]bool     // ids written down whose end is not told yet; true once let in
-	dests map[int64]time.Time // when the list last named a peer of the destination
+	mu      sync.Mutex
+	known   map[string]bool     // ids written down whose end is not told yet; true once let in
+	resends map[string]bool     // ids of letters that are being sent again
+	dests   map[int64]time.Time // when the list last named a peer of the destination
 
 	// What follows is the actor's own.
 	msgs    map[raventrestle.MessageID]*message
@@ -58,11 +62,15 @@
 	out     int
 	wake    time.Duration
 	closing bool
+	seen    []deadletter.Seen // of this step
+	again   int               // resends that the module has
+	shown   time.Time         // when the letters' keeper last heard of the load
 }
 
 type message struct {
 	*journal.Message
-	tries int
+	journal.Progress // Tries always; how they ended only where letters are kept
+	out              bool
 }
 
 // ref is a peer as the list names it.
@@ -95,7 +103,7 @@
 	set := &conf.Settings
 	room := set.MostHeld + len(kept) + 16*set.CallSlots + 256
 	c := &Courier{conf: conf, policy: policy, log: log, journal: store, mail: make(chan any, room),
-		quiet: make(chan struct{}), known: map[string]bool{}, dests: map[int64]time.Time{},
+		quiet: make(chan struct{}), known: map[string]bool{}, resends: map[string]bool{}, dests: map[int64]time.Time{},
 		msgs: map[raventrestle.MessageID]*message{}, peers: map[raventrestle.TargetID]*ref{}}
 	for _, class := range set.Classes {
 		c.longest = max(c.longest, class.Deadline)
@@ -106,6 +114,11 @@
 		return nil, err
 	}
 	for _, k := range kept {
+		if k.Resend > 0 {
+			c.resends[k.ID] = true
+			c.mail <- k
+			continue
+		}
 		c.known[k.ID] = true
 		if k.Owed != nil {
 			c.notices.Add(notice.Item{ID: k.ID, End: *k.Owed})
@@ -164,6 +177,7 @@
 	t := now()
 	var lists, answers, rest []raventrestle.Event
 	var records []journal.Record
+	rest = append(rest, c.yield(mail)...)
 	for _, m := range mail {
 		switch m := m.(type) {
 		case upstream.Update:
@@ -175,8 +189,15 @@
 			c.msgs[raventrestle.MessageID(m.ID)] = &message{Message: m.Message}
 			rest = append(rest, c.arrived(m, t))
 		case journal.Kept:
-			c.msgs[raventrestle.MessageID(m.ID)] = &message{Message: m.Message, tries: m.Tries}
+			c.msgs[raventrestle.MessageID(m.ID)] = &message{Message: m.Message, Progress: m.Progress}
+			if m.Resend > 0 {
+				c.again++
+			}
 			rest = append(rest, c.restored(m, t))
+		case deadletter.Again:
+			if e := c.resend(m, t); e != nil {
+				rest = append(rest, e)
+			}
 		case closingMsg:
 			c.closing = true
 			rest = append(rest, raventrestle.Closing{At: time.Duration(m.at.UnixNano())})
@@ -192,6 +213,7 @@
 	}
 	c.Counts.Steps.Add(1)
 	c.act(c.decide(t, events), records)
+	c.show()
 	if c.closing && c.owed() == 0 {
 		select {
 		case <-c.quiet:
@@ -281,12 +303,33 @@
 	maps.DeleteFunc(c.dests, func(_ int64, last time.Time) bool { return t.Sub(last) > c.longest })
 }
 
+// statuses are the words for how a try ended, in records, letters and counters.
+var statuses = [...]string{raventrestle.OK: "ok", raventrestle.Error: "error", raventrestle.Full: "full",
+	raventrestle.TimedOut: "timed_out", raventrestle.ConnectFailed: "connect_failed", raventrestle.Reset: "reset",
+	raventrestle.Cancelled: "cancelled", raventrestle.Moot: "moot"}
+
 // outcome notes how a try ended.
 func (c *Courier) outcome(o raventrestle.Outcome) []journal.Record {
 	c.out--
 	c.Counts.ByStatus[o.Status].Add(1)
-	id := string(o.ID)
+	id, m := string(o.ID), c.msgs[o.ID]
+	word := ""
+	if c.letters != nil {
+		word = statuses[o.Status]
+		c.note(m, o, word)
+	}
+	if m != nil {
+		m.out = false
+	}
+	never := o.Status == raventrestle.Full || o.Status == raventrestle.ConnectFailed || o.Status == raventrestle.Moot
 	switch {
+	case o.Closed && m != nil && m.Resend > 0:
+		what := "delivered"
+		if o.Status != raventrestle.OK {
+			what = "void"
+		}
+		c.resent(m, what)
+		return nil // the letter comes first
 	case o.Closed:
 		if o.Status == raventrestle.OK {
 			c.Counts.Delivered.Add(1)
@@ -296,10 +339,10 @@
 		delete(c.msgs, o.ID)
 		c.forget(id)
 		return []journal.Record{journal.Over(id)}
-	case o.Status == raventrestle.Full || o.Status == raventrestle.ConnectFailed || o.Status == raventrestle.Moot:
-		return []journal.Record{journal.NeverRan(id)}
+	case never:
+		return []journal.Record{journal.NeverRan(id, word)}
 	}
-	return []journal.Record{journal.MayHaveRun(id)}
+	return []journal.Record{journal.MayHaveRun(id, word)}
 }
 
 // calls are the tries of one step, in calls.
@@ -330,9 +373,10 @@
 				continue
 			}
 			r := c.peers[a.Target]
-			try := peer.Try{ID: m.ID, Key: m.Key, N: m.tries, Body: m.Body, Wait: a.Timeout,
+			try := peer.Try{ID: m.ID, Key: m.Key, N: m.Tries, Body: m.Body, Wait: a.Timeout,
 				Until: time.Unix(0, m.Until)}
-			m.tries++
+			m.Tries++
+			m.out = true
 			c.out++
 			if r == nil || r.entry.Dest != raventrestle.DestID(m.Dest) {
 				moot = append(moot, raventrestle.Outcome{ID: a.ID, Target: a.Target, Try: try.N, Status: raventrestle.Moot})
@@ -342,7 +386,11 @@
 			if z := r.entry.Zone; z >= 0 {
 				zone = c.conf.Settings.Zones[z].Name
 			}
-			records = append(records, journal.Begun(m.ID, journal.Try{Peer: string(a.Target), Zone: zone, At: int64(t)}))
+			begun := journal.Try{Peer: string(a.Target), Zone: zone, At: int64(t)}
+			if c.letters != nil {
+				c.begin(m, begun)
+			}
+			records = append(records, journal.Begun(m.ID, begun))
 			size := len(m.ID) + len(m.Key) + len(m.Body) + frame
 			i := slices.IndexFunc(out, func(x *calls) bool {
 				return x.to == r.Peer && len(x.tries) < c.bundle(r) && x.size+size <= mostBody
@@ -352,9 +400,27 @@
 			}
 			out[i].tries, out[i].size = append(out[i].tries, try), out[i].size+size
 		case raventrestle.Refuse:
+			if m := c.msgs[a.ID]; m != nil && m.Resend > 0 {
+				c.resent(m, "refused")
+				continue
+			}
+			end := journal.End{Deferred: true, AgainMS: a.After.Milliseconds()}
+			if m := c.msgs[a.ID]; m != nil && c.letters != nil && rule.Lost(time.Duration(m.Until)-t) {
+				c.undeliverable(m, t, end)
+				continue
+			}
 			c.Counts.Deferred.Add(1)
-			owed = append(owed, notice.Item{ID: string(a.ID), End: journal.End{Deferred: true, AgainMS: a.After.Milliseconds()}})
+			owed = append(owed, notice.Item{ID: string(a.ID), End: end})
 		case raventrestle.Fail:
+			m := c.msgs[a.ID]
+			if m != nil && m.Resend > 0 {
+				c.resent(m, "failed")
+				continue
+			}
+			if m != nil && c.letters != nil {
+				c.undeliverable(m, t, journal.End{})
+				continue
+			}
 			c.Counts.Undeliverable.Add(1)
 			owed = append(owed, notice.Item{ID: string(a.ID)})
 		case raventrestle.CloseIdle:
@@ -433,7 +499,7 @@
 // admits or withdraws it.
 func (c *Courier) Take(m *journal.Message) error {
 	c.mu.Lock()
-	full := len(c.known) >= c.conf.Settings.MostHeld
+	full := len(c.known) >= c.conf.Settings.MostHeld || c.resends[m.ID]
 	admitted, known := c.known[m.ID]
 	_, served := c.dests[m.Dest]
 	served = served || len(c.dests) == 0 // no list has come yet
@@ -497,13 +563,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.known, id)
+	delete(c.resends, id)
 }
 
-// owed is how many messages have no end yet that is told.
+// owed is how many messages have no end yet that is told, or written into their letter.
 func (c *Courier) owed() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.known)
+	return len(c.known) + len(c.resends)
 }
 
 // Move makes the courier ask and tell at another discovery from now on.
--- a/internal/net/courier/courier_test.go
+++ b/internal/net/courier/courier_test.go
@@ -19,7 +19,7 @@
 
 func open(t *testing.T, known string) *Courier {
 	t.Helper()
-	store, _, err := journal.Open(t.TempDir(), 3e6, nettest.Log)
+	store, _, err := journal.Open(t.TempDir(), journal.Options{Limit: 3e6}, nettest.Log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/net/courier/letters.go
@@ -0,0 +1,244 @@
+package courier
+
+import (
+	"time"
+
+	"raventrestle"
+	"raventrestle/internal/deadletter"
+	"raventrestle/internal/deadletter/rule"
+	"raventrestle/internal/journal"
+	"raventrestle/internal/net/notice"
+)
+
+// Keep makes the courier keep what it gives up. Call it before Run.
+func (c *Courier) Keep(k *deadletter.Keeper) { c.letters = k }
+
+// Again takes a letter that is to be sent again; the journal has it already. It does not block, and
+// says whether there was room.
+func (c *Courier) Again(a deadletter.Again) bool {
+	c.mu.Lock()
+	c.resends[a.ID] = true
+	c.mu.Unlock()
+	select {
+	case c.mail <- a:
+		return true
+	default:
+		c.forget(a.ID)
+		return false
+	}
+}
+
+// begin and note keep the message's tries for its letter.
+func (c *Courier) begin(m *message, t journal.Try) {
+	c.past(m, "")
+	m.Out = &t
+}
+
+func (c *Courier) note(m *message, o raventrestle.Outcome, word string) {
+	if o.Status != raventrestle.Moot && o.Status != raventrestle.Cancelled {
+		c.seen = append(c.seen, deadletter.Seen{Dest: destOf(m, c.peers[o.Target]), Delivered: o.Status == raventrestle.OK})
+	}
+	if m != nil {
+		c.past(m, word)
+	}
+}
+
+func destOf(m *message, r *ref) int64 {
+	if m != nil {
+		return m.Dest
+	}
+	if r != nil {
+		return int64(r.entry.Dest)
+	}
+	return -1
+}
+
+// mostPast bounds the tries that are remembered of one message.
+const mostPast = 16
+
+// past moves the try that was out to those that have ended. The first that may have run is
+// remembered whatever becomes of the list.
+func (c *Courier) past(m *message, word string) {
+	if m.Out == nil {
+		return
+	}
+	t := deadletter.Try{Outcome: word}
+	if m.Ran == nil && t.MayHaveRun() {
+		m.Ran = m.Out
+	}
+	if len(m.Past) < mostPast {
+		m.Past = append(m.Past, journal.Tried{Try: *m.Out, Outcome: word})
+	}
+	m.Out = nil
+}
+
+// undeliverable writes the letter of a message that was given up, then its end, and then tells the
+// platform, in that order. Without the letter the module's own end is told.
+func (c *Courier) undeliverable(m *message, t time.Duration, end journal.End) {
+	delete(c.msgs, raventrestle.MessageID(m.ID))
+	class := raventrestle.Class{Name: m.Class, Effect: raventrestle.Unsafe}
+	if i, known := c.conf.Names.Classes[m.Class]; known {
+		class = c.conf.Settings.Classes[i]
+	}
+	l := deadletter.Of(journal.Kept{Message: m.Message, Progress: m.Progress}, class, c.why(m, class, t), time.Unix(0, int64(t)))
+	it := notice.Item{ID: m.ID}
+	c.letters.Keep(l, end.Deferred, func(err error) { // the keeper has counted and logged what it could not write
+		if err != nil {
+			it.End = end
+		}
+		if it.Deferred {
+			c.Counts.Deferred.Add(1)
+		} else {
+			c.Counts.Undeliverable.Add(1)
+		}
+		then := func(err error) { c.written(err, nil, []notice.Item{it}) }
+		if err := c.journal.Append([]journal.Record{journal.Ended(it.ID, it.End)}, then); err != nil {
+			then(err)
+		}
+	})
+}
+
+// why words for operators what the message had come to when the module gave it up.
+func (c *Courier) why(m *message, class raventrestle.Class, t time.Duration) string {
+	most := c.conf.Settings.SendCap
+	switch {
+	case m.Ran != nil && class.Effect == raventrestle.Unsafe:
+		return "may have run"
+	case most > 0 && m.Tries >= most:
+		return "all tries used"
+	case m.Tries == 0 && c.peersOf(m.Dest) == 0:
+		return "no endpoint listed"
+	case int64(t) >= m.Until-int64(time.Second):
+		return "out of time"
+	}
+	return "given up"
+}
+
+func (c *Courier) peersOf(dest int64) (n int) {
+	for _, r := range c.peers {
+		if int64(r.entry.Dest) == dest {
+			n++
+		}
+	}
+	return n
+}
+
+// resend hands a letter to the module as a message of its own life, unless a fresh one would have to
+// wait for it; then it goes back unsent.
+func (c *Courier) resend(a deadletter.Again, t time.Duration) raventrestle.Event {
+	m := &message{Message: a.Message}
+	if a.MayRun {
+		m.Prior, m.Ran = &a.Ran, &a.Ran
+	}
+	c.msgs[raventrestle.MessageID(m.ID)] = m
+	c.again++
+	load := c.load()
+	if c.closing || c.letters == nil || load.Held > load.MostHeld*3/4 || c.waiting()[m.Dest] > 0 {
+		c.resent(m, "yielded")
+		return nil
+	}
+	e := c.arrived(arrival{Message: a.Message}, t)
+	if !a.MayRun {
+		return e
+	}
+	return raventrestle.Restored{Arrival: e, MayRun: true, RanOn: raventrestle.TargetID(a.Ran.Peer),
+		RanZone: c.zone(a.Ran.Zone), RanAt: time.Duration(a.Ran.At)}
+}
+
+func (c *Courier) zone(name string) int {
+	if i, ok := c.conf.Names.Zones[name]; ok {
+		return i
+	}
+	return -1
+}
+
+// resent writes a resend's end into its letter, and then lets the journal forget it. Where the letter
+// can't be written, the journal goes on answering for it until the next start.
+func (c *Courier) resent(m *message, what string) {
+	delete(c.msgs, raventrestle.MessageID(m.ID))
+	c.again--
+	if c.letters == nil {
+		return
+	}
+	id := m.ID
+	c.letters.Finish(deadletter.Result{ID: id, Dest: m.Dest, What: what, List: deadletter.Tries(m.Progress)}, func(err error) {
+		if err != nil {
+			return
+		}
+		c.over(id)
+		c.post(heardMsg{})
+	})
+}
+
+// yield takes resends that wait back out of the module where fresh messages come for their
+// destination, or for the room.
+func (c *Courier) yield(mail []any) (events []raventrestle.Event) {
+	if c.again == 0 {
+		return nil
+	}
+	fresh := map[int64]bool{}
+	load := c.load()
+	for _, m := range mail {
+		if a, ok := m.(arrival); ok {
+			fresh[a.Dest] = true
+			load.Held++
+		}
+	}
+	crowded := rule.Limits{}.Crowded(load)
+	for id, m := range c.msgs {
+		if m.Resend == 0 || m.out || !fresh[m.Dest] && crowded <= 0 {
+			continue
+		}
+		crowded--
+		events = append(events, raventrestle.Withdrawn{ID: id})
+		c.resent(m, "yielded")
+	}
+	return events
+}
+
+func (c *Courier) load() rule.Load {
+	return rule.Load{Slots: c.conf.Settings.CallSlots, Out: c.out, MostHeld: c.conf.Settings.MostHeld,
+		Held: len(c.msgs), Resends: c.again}
+}
+
+// waiting counts the fresh messages that are held and not out, by destination.
+func (c *Courier) waiting() map[int64]int {
+	n := map[int64]int{}
+	for _, m := range c.msgs {
+		if m.Resend == 0 && !m.out {
+			n[m.Dest]++
+		}
+	}
+	return n
+}
+
+// showEvery is how often the letters' keeper hears of the load.
+const showEvery = 20 * time.Millisecond
+
+// show tells the letters' keeper how calls ended and what there is to do.
+func (c *Courier) show() {
+	if c.letters == nil {
+		return
+	}
+	c.letters.Saw(c.seen)
+	c.seen = nil
+	if time.Since(c.shown) < showEvery {
+		return
+	}
+	c.shown = time.Now()
+	v := &deadletter.View{Load: c.load(), Waiting: c.waiting(), Places: map[int64][]rule.Place{}}
+	if c.closing { // nothing begins any more
+		v.Slots, v.MostHeld = 0, 0
+	}
+	for _, r := range c.peers {
+		if r.entry.State != raventrestle.Ready {
+			continue
+		}
+		floor := ""
+		if z := r.entry.Zone; z >= 0 {
+			floor = c.conf.Settings.Zones[z].Name
+		}
+		v.Places[int64(r.entry.Dest)] = append(v.Places[int64(r.entry.Dest)], rule.Place{Peer: string(r.entry.Target), Floor: floor})
+	}
+	c.letters.Tell(v)
+}
--- a/internal/net/front/front.go
+++ b/internal/net/front/front.go
@@ -219,7 +219,7 @@
 	}
 	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	m := &journal.Message{ID: r.Header.Get("X-Txn"), Key: r.Header.Get("Idempotency-Key"), Class: class,
-		Tenant: r.Header.Get("X-Org")}
+		Tenant: r.Header.Get("X-Org"), Since: in.began.UnixNano()}
 	if _, ok := f.names.Classes[class]; !ok {
 		return bad("no such class")
 	}
--- a/internal/net/front/front_test.go
+++ b/internal/net/front/front_test.go
@@ -129,7 +129,7 @@
 			if left := time.Until(time.Unix(0, m.Until)); left <= 0 || left > 20480*time.Millisecond {
 				t.Errorf("%v left", left)
 			}
-			m.Until = 0
+			m.Until, m.Since = 0, 0
 			if diff := cmp.Diff(&journal.Message{ID: "9b1f", Key: "5c0f", Class: "notice", Tenant: "acme", Dest: 7,
 				Body: []byte(body)}, m, cmpopts.EquateEmpty()); diff != "" {
 				t.Fatal(diff)
--- /dev/null
+++ b/internal/settings/schema/schema.cue
@@ -0,0 +1,61 @@
+// The operators' settings of a courier. Every field has a unit in its name, a range and a default;
+// a file need only say what differs. Fields that are not here are errors.
+package settings
+
+#Settings: {
+	// What the courier writes to standard error.
+	log: {
+		// One line for each event: key=value pairs, or a JSON object.
+		format: *"text" | "json"
+		// The least that is written. SIGHUP changes it.
+		level: *"info" | "debug" | "warn" | "error"
+	}
+
+	// Where the operators' commands reach a running courier.
+	admin: {
+		// Path of a Unix socket, made with mode 0600; empty for none. At most 100 bytes.
+		socket: *"" | =~"^/.{1,99}$"
+	}
+
+	// What the courier gave up as failed: kept, and sent again by a rule.
+	undeliverable: {
+		// Keep failed messages at all. Takes effect at the next start.
+		keep: bool | *false
+		// Folder of the store; empty for "undeliverable" in the folder that lasts. Next start.
+		folder: *"" | =~"^/.+$"
+		// Letters give way above this sum of their sizes. The file may be twice as large.
+		max_bytes: int & >=65536 & <=1099511627776 | *67108864
+		// Letters give way above this number.
+		max_letters: int & >=1 & <=10000000 | *100000
+		// Letters older than this are dropped, whatever became of them.
+		max_age_s: number & >=1 & <=31536000 | *259200
+		// A letter that has its end (delivered, discarded) stays to be looked at for so long.
+		settled_age_s: number & >=0 & <=31536000 | *3600
+		// Wait for the disk, so that letters outlast a power cut and not the process alone. Next start.
+		sync: bool | *true
+
+		// Sending again.
+		resend: {
+			// Send again without being asked.
+			automatic: bool | *true
+			// Resends of one letter, at most.
+			max_resends: int & >=1 & <=100 | *5
+			// A letter is not sent again later than this after its failure.
+			last_date_s: number & >=1 & <=31536000 | *86400
+			// The pace of one destination, in calls a second: first, and at most.
+			first_rate: number & >=0.01 & <=1000 | *1
+			max_rate:   number & >=0.01 & <=10000 | *20
+			// Each delivery raises the pace by this share of it.
+			growth: number & >0 & <=4 | *0.25
+			// After a failure the letter, and its destination, rest so long; twice as long after each more.
+			backoff_s: number & >=0.05 & <=3600 | *2
+			// The longest such rest.
+			max_backoff_s: number & >=0.05 & <=86400 | *300
+			// A rest is drawn shorter or longer by up to this share.
+			jitter: number & >=0 & <=0.9 | *0.2
+			// The most of the courier's slots, and of what it may hold, that resends take.
+			slots_share: number & >0 & <=0.5 | *0.25
+			held_share:  number & >0 & <=0.5 | *0.1
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/schema/schema_test.go
@@ -0,0 +1,73 @@
+package schema
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"raventrestle/internal/settings"
+)
+
+// What operators get wrong is told by file, line and field, in one sentence.
+func TestFaults(t *testing.T) {
+	for name, c := range map[string]struct{ text, want string }{
+		"unknown field":    {"log: {\n\tformat: \"json\"\n\tcolour: true\n}", "f.cue:3:2: field log.colour: no such field"},
+		"wrong unit":       {"undeliverable: max_age_ms: 5000", "f.cue:1:16: field undeliverable.max_age_ms: no such field"},
+		"unit in a string": {"undeliverable: max_age_s: \"72h\"", `f.cue:1:16: field undeliverable.max_age_s: "72h" is not in`},
+		"out of range":     {"undeliverable: {\n\tresend: slots_share: 0.9\n}", "f.cue:2:10: field undeliverable.resend.slots_share"},
+		"wrong choice":     {"log: level: \"loud\"", "f.cue:1:6: field log.level"},
+		"half a file":      {"undeliverable: {\n\tkeep: tr", "f.cue:2:"},
+		"half a word":      {"undeliverable: {\n\tkeep: tr\n}", "f.cue:2:8: field undeliverable.keep"},
+		"relative socket":  {"admin: socket: \"run/x\"", "field admin.socket"},
+		"order":            {"undeliverable: resend: {first_rate: 9, max_rate: 3}", "first_rate is 9, above undeliverable.resend.max_rate"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			out, err := Compile("f.cue", []byte(c.text))
+			if err == nil {
+				t.Fatalf("taken as %s", out)
+			}
+			if !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+				t.Fatalf("got  %v\nwant %s", err, c.want)
+			}
+		})
+	}
+}
+
+// The defaults of an empty file are all there, and the daemon's records know every field.
+func TestDefaults(t *testing.T) {
+	out, err := Compile("f.cue", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := settings.Decode(out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := &settings.Settings{Log: settings.Log{Format: "text"}, Undeliverable: settings.Undeliverable{
+		MaxBytes: 64 << 20, MaxLetters: 100000, MaxAge: 259200, SettledAge: 3600, Sync: true,
+		Resend: settings.Resend{Automatic: true, MaxResends: 5, LastDate: 86400, FirstRate: 1, MaxRate: 20,
+			Growth: 0.25, Backoff: 2, MaxBackoff: 300, Jitter: 0.2, SlotsShare: 0.25, HeldShare: 0.1}}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// The operators' own file is valid, and what it says is taken.
+func TestDeployFile(t *testing.T) {
+	out, err := File(filepath.Join("..", "..", "..", "deploy", "raventrestle.cue"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := settings.Decode(out); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := File(t.TempDir()); err == nil {
+		t.Fatal("a folder was taken for a file")
+	}
+	if _, err := File(filepath.Join(t.TempDir(), "none")); !os.IsNotExist(err) && err == nil {
+		t.Fatal("a missing file was taken")
+	}
+}
