--- a/cmd/ravenlab/main.go
+++ b/cmd/ravenlab/main.go
@@ -39,7 +39,7 @@
 func root() *cobra.Command {
 	c := &cobra.Command{Use: "ravenlab", Short: "Play scenarios against real couriers on an emulated world",
 		SilenceErrors: true, SilenceUsage: true}
-	c.AddCommand(run(), cost(), demo())
+	c.AddCommand(run(), scenarioCommands(), cost(), demo())
 	return c
 }
 
@@ -111,19 +111,19 @@
 func run() *cobra.Command {
 	var o lab.Options
 	var seed uint64
-	var seeds int
+	var seeds, side int
 	var out string
-	c := &cobra.Command{Use: "run NAME", Short: "Play a scenario (undeliverable, cold-return); exit 1 if a rule is broken", Args: cobra.ExactArgs(1),
-		ValidArgs: []string{"undeliverable", "cold-return"}, RunE: func(c *cobra.Command, args []string) error {
+	c := &cobra.Command{Use: "run NAME", Short: "Play a scenario, or undeliverable or cold-return; exit 1 if a rule is broken", Args: cobra.ExactArgs(1),
+		ValidArgs: append(lab.Names(), "undeliverable", "cold-return"), RunE: func(c *cobra.Command, args []string) error {
+			for i := range seeds {
+				o.Seeds = append(o.Seeds, seed+uint64(i))
+			}
 			switch args[0] {
 			case "undeliverable":
 			case "cold-return":
 				return coldReturn(c, out, o)
 			default:
-				return fmt.Errorf("no scenario is called %q; there are: undeliverable, cold-return", args[0])
-			}
-			for i := range seeds {
-				o.Seeds = append(o.Seeds, seed+uint64(i))
+				return days(c, args[0], o.Seeds, side, out, o)
 			}
 			plays, err := lab.Undeliverable(c.Context(), o)
 			if err != nil {
@@ -141,6 +141,7 @@
 	f := c.Flags()
 	f.Uint64Var(&seed, "seed", 1, "first seed")
 	f.IntVar(&seeds, "seeds", 1, "how many seeds, from the first on, side by side")
+	f.IntVar(&side, "side-by-side", 1, "days of a scenario played at once; each needs about a core")
 	f.StringVar(&out, "out", "", "folder for the table (table.md) and all figures (plays.json)")
 	f.BoolVar(&o.Short, "short", false, "a run of some seconds")
 	courier(c, &o)
--- a/internal/emulator/channel.go
+++ b/internal/emulator/channel.go
@@ -52,6 +52,7 @@
 	StartShare  float64 // of its capacity, just after an outage
 	Window      time.Duration
 	Bulk        int
+	Weight      float64 // of its part of the messages, against other channels'; 0 is 1
 	Fails       float64 // share of the calls that run and are answered with an error, when it is well
 }
 
--- a/internal/emulator/ledger.go
+++ b/internal/emulator/ledger.go
@@ -78,6 +78,23 @@
 	guests     int // the courier whose messages others may hand in, -1 for none
 	Calls      int // on the receiving side, messages counted one by one
 	Refused    int
+	counts     Counts
+}
+
+// Counts are the ledger's figures so far.
+type Counts struct {
+	HandIns, Taken, TurnedAway, Unanswered int // by clients
+	Delivered, Undeliverable, Deferred     int // first ends
+	Calls, CallsRefused, Effects, Resends  int // on the receiving side
+}
+
+// Counts reads the figures so far.
+func (l *Ledger) Counts() Counts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.counts
+	c.Calls, c.CallsRefused = l.Calls, l.Refused
+	return c
 }
 
 // life is the time of one courier's process.
@@ -111,6 +128,7 @@
 	h := &handIn{id: id, msg: m, courier: courier}
 	l.ids[id] = h
 	m.handIns = append(m.handIns, h)
+	l.counts.HandIns++
 	l.note(m, at, "handed in to n%d as %s", courier, id)
 }
 
@@ -122,8 +140,14 @@
 	l.note(h.msg, at, "%s answered %d", id, code)
 	if code == 200 || code == 202 {
 		h.taken = at
+		l.counts.Taken++
 		return
 	}
+	if code == 0 {
+		l.counts.Unanswered++
+	} else {
+		l.counts.TurnedAway++
+	}
 	h.withdrawn = true
 }
 
@@ -147,6 +171,7 @@
 	resend = !m.FailedAt.IsZero()
 	if resend {
 		m.Resent++
+		l.counts.Resends++
 	}
 	l.note(m, at, "n%d calls %s on %s%s", courier, endpoint, floor, map[bool]string{true: " (resend)"}[resend])
 	if m.Dest != dest {
@@ -196,6 +221,7 @@
 	m := h.msg
 	if m.Delivered.IsZero() {
 		m.Delivered = at
+		l.counts.Delivered++
 		if resend {
 			m.LateDelivered = at
 		}
@@ -219,6 +245,7 @@
 		return
 	}
 	m.Effects++
+	l.counts.Effects++
 	if m.Effects == 1 {
 		m.FirstEffect = at
 	}
@@ -251,6 +278,11 @@
 	}
 	if first = h.over.IsZero(); first {
 		h.over = at
+		if status == "deferred" {
+			l.counts.Deferred++
+		} else {
+			l.counts.Undeliverable++
+		}
 	}
 	if status == "undeliverable" && m.FailedAt.IsZero() && m.Delivered.IsZero() {
 		m.FailedAt = at
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -39,6 +39,13 @@
 	Gone    string // the list says so of its endpoints on this floor meanwhile, "" for none
 }
 
+// Restart is the end and new beginning of a courier's process.
+type Restart struct {
+	Courier  int
+	At, Down time.Duration
+	Term     bool // by SIGTERM, not by SIGKILL
+}
+
 // Spec is one run: a world, its traffic and what goes wrong in it.
 type Spec struct {
 	Seed     uint64
@@ -55,6 +62,12 @@
 	Traffic  time.Duration
 	Settle   time.Duration // after the last message, at most, until Done says yes
 	Troubles []Trouble
+	Restarts []Restart
+	// HotelShares are the hotels' parts of the messages; even ones where there are none.
+	HotelShares []float64
+	// Clumps is the share of the messages that come at once for one channel, as many as it gets in ClumpLen.
+	Clumps   float64
+	ClumpLen time.Duration
 	// Kills is how many SIGKILLs a run is to have, each while the courier that it hits has a resend out.
 	Kills    int
 	KillGap  time.Duration // between two, at least
@@ -63,9 +76,9 @@
 	MostHeld int
 	MemoryMB float64
 	DiskMB   float64
-	Log      *slog.Logger
+	Log      *slog.Logger `json:"-"`
 	// Done says during settling that nothing more will happen, as far as the run's author can tell.
-	Done func(*World) bool
+	Done func(*World) bool `json:"-"`
 }
 
 // World is a run.
@@ -211,6 +224,11 @@
 	var all sync.WaitGroup
 	end, finish := context.WithCancel(ctx)
 	all.Go(func() { w.troubles(end) })
+	all.Go(func() {
+		if err := w.restarts(end); err != nil {
+			stop(err)
+		}
+	})
 	all.Go(func() {
 		if err := w.killer(end); err != nil {
 			stop(err)
@@ -287,21 +305,28 @@
 		first int
 	}
 	var plan []arrival
+	add := func(at time.Duration, class *ClassSpec, dest int64) {
+		m := &Message{Key: fmt.Sprintf("k%06d", len(plan)), Class: class.Name, Allowed: class.Allowed, Worth: class.Worth,
+			Hotel: w.hotel(), Dest: dest}
+		plan = append(plan, arrival{at, class, m, w.rnd.IntN(w.Spec.Couriers)})
+	}
 	for at := time.Duration(0); ; {
 		at += time.Duration(w.rnd.ExpFloat64() / w.Rate * float64(time.Second))
 		if at > w.Traffic {
 			break
 		}
 		class := w.draw()
-		var to []ChannelSpec
-		for _, c := range w.Spec.Channels {
-			if class.Kind == "" || class.Kind == c.Kind {
-				to = append(to, c)
+		dest, part := w.destination(class)
+		size := w.Rate * class.Share * part * w.ClumpLen.Seconds()
+		if w.Clumps > 0 && size > 1 && w.rnd.Float64() < w.Clumps/size {
+			for range int(size) {
+				add(at, class, dest)
 			}
+			continue
+		}
+		if w.rnd.Float64() >= w.Clumps { // the rest of the share came in clumps
+			add(at, class, dest)
 		}
-		m := &Message{Key: fmt.Sprintf("k%06d", len(plan)), Class: class.Name, Allowed: class.Allowed, Worth: class.Worth,
-			Hotel: w.Hotels[w.rnd.IntN(len(w.Hotels))], Dest: to[w.rnd.IntN(len(to))].Dest}
-		plan = append(plan, arrival{at, class, m, w.rnd.IntN(w.Spec.Couriers)})
 	}
 	w.Asked = len(plan)
 	var out sync.WaitGroup
@@ -322,6 +347,47 @@
 // Late is how many messages the rig itself handed in more than 50 ms late.
 func (w *World) Late() int64 { return w.late.Load() }
 
+// destination draws a channel that takes the class, and says what part of the class goes there.
+func (w *World) destination(class *ClassSpec) (dest int64, part float64) {
+	sum := 0.0
+	weight := func(c *ChannelSpec) float64 {
+		switch {
+		case class.Kind != "" && class.Kind != c.Kind:
+			return 0
+		case c.Weight == 0:
+			return 1
+		}
+		return c.Weight
+	}
+	for i := range w.Spec.Channels {
+		sum += weight(&w.Spec.Channels[i])
+	}
+	x := w.rnd.Float64() * sum
+	for i := range w.Spec.Channels {
+		c := &w.Spec.Channels[i]
+		if n := weight(c); n > 0 {
+			dest, part = c.Dest, n/sum
+			if x -= n; x < 0 {
+				break
+			}
+		}
+	}
+	return dest, part
+}
+
+func (w *World) hotel() string {
+	if len(w.HotelShares) == 0 {
+		return w.Hotels[w.rnd.IntN(len(w.Hotels))]
+	}
+	x := w.rnd.Float64()
+	for i, share := range w.HotelShares {
+		if x -= share; x < 0 {
+			return w.Hotels[i]
+		}
+	}
+	return w.Hotels[len(w.Hotels)-1]
+}
+
 func (w *World) draw() *ClassSpec {
 	x := w.rnd.Float64()
 	for i := range w.Classes {
@@ -457,6 +523,46 @@
 	all.Wait()
 }
 
+// restarts plays the planned ends of couriers.
+func (w *World) restarts(ctx context.Context) error {
+	var all errgroup.Group
+	for _, r := range w.Restarts {
+		all.Go(func() error {
+			if !until(ctx, w.start.Add(r.At)) {
+				return nil
+			}
+			c := w.Couriers[r.Courier]
+			w.Log.Info("restart", "courier", r.Courier, "term", r.Term, "down", r.Down)
+			if r.Term {
+				if err := c.Stop(); err != nil {
+					return err
+				}
+			} else {
+				c.Kill()
+			}
+			return w.back(ctx, c, r.Down)
+		})
+	}
+	return all.Wait()
+}
+
+// back starts a courier again that has been down for so long, with the list that it last held. A run
+// that ends meanwhile still waits for it.
+func (w *World) back(ctx context.Context, c *Courier, down time.Duration) error {
+	time.Sleep(down)
+	for _, ch := range w.Channels {
+		for _, e := range ch.Endpoints {
+			e.Restarted(c.N)
+		}
+	}
+	ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), 20*time.Second)
+	defer stop()
+	if err := c.Know(w.Discovery.Held(c.N)); err != nil {
+		return err
+	}
+	return c.Start(ctx)
+}
+
 // killer ends couriers that have a resend out, at a random moment of it, and starts them again.
 func (w *World) killer(ctx context.Context) error {
 	rnd := rand.New(rand.NewPCG(w.Seed, 2))
@@ -472,20 +578,7 @@
 				continue
 			}
 			kills++
-			all.Go(func() error {
-				time.Sleep(w.Down)
-				for _, ch := range w.Channels {
-					for _, e := range ch.Endpoints {
-						e.Restarted(n)
-					}
-				}
-				ctx, stop := context.WithTimeout(context.WithoutCancel(ctx), 20*time.Second)
-				defer stop()
-				if err := c.Know(w.Discovery.Held(n)); err != nil {
-					return err
-				}
-				return c.Start(ctx)
-			})
+			all.Go(func() error { return w.back(ctx, c, w.Down) })
 			until(ctx, time.Now().Add(w.KillGap))
 			for len(w.resends) > 0 { // those of before the kill
 				<-w.resends
--- /dev/null
+++ b/internal/lab/day.go
@@ -0,0 +1,285 @@
+package lab
+
+import (
+	"context"
+	"encoding/csv"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"raventrestle/internal/emulator"
+	"raventrestle/internal/lab/scenario"
+	"raventrestle/internal/lab/verdict"
+	"raventrestle/lab/scenarios"
+)
+
+// resultVersion goes into every day's file; a reader of another version says so.
+const resultVersion = 1
+
+// Find reads a scenario by its name, of those that come with the program, or by its file's path.
+func Find(name string) (*scenario.Scenario, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		var inside error
+		if text, inside = scenarios.Files.ReadFile(name + ".cue"); inside != nil {
+			return nil, fmt.Errorf("no scenario is called %q (there are: %s), and as a file: %w", name, strings.Join(Names(), ", "), err)
+		}
+	}
+	return scenario.Parse(strings.TrimSuffix(filepath.Base(name), ".cue"), text)
+}
+
+// Names are the scenarios that come with the program.
+func Names() []string {
+	entries, err := scenarios.Files.ReadDir(".")
+	if err != nil {
+		return nil
+	}
+	var names []string
+	for _, e := range entries {
+		names = append(names, strings.TrimSuffix(e.Name(), ".cue"))
+	}
+	return names
+}
+
+// Latency is of deliveries, from a message's birth, in milliseconds.
+type Latency struct {
+	N   int64 `json:"n"`
+	P50 int64 `json:"p50_ms"`
+	P90 int64 `json:"p90_ms"`
+	P99 int64 `json:"p99_ms"`
+	Max int64 `json:"max_ms"`
+}
+
+// Day is what came of one run of a scenario.
+type Day struct {
+	Version    int                `json:"version"`
+	Scenario   string             `json:"scenario"`
+	Seed       uint64             `json:"seed"`
+	Rate       float64            `json:"rate_per_s"`
+	Service    verdict.Service    `json:"service"`
+	Latency    map[string]Latency `json:"latency_by_class"`
+	Counts     emulator.Counts    `json:"counts"`
+	Asked      int                `json:"asked"`
+	RigLate    int64              `json:"rig_late"`
+	Void       string             `json:"void,omitempty"` // why the run proves nothing, "" if it does
+	Violations []string           `json:"violations"`
+	Failed     []string           `json:"failed"` // of what must hold
+	Troubles   []emulator.Trouble `json:"troubles"`
+	Restarts   []emulator.Restart `json:"restarts"`
+}
+
+// second is a line of the time series: what happened in it, and what each courier had at its end.
+type second struct {
+	at       int
+	counts   emulator.Counts
+	couriers []usage
+}
+
+type usage struct {
+	cpu, rss, anon float64
+	files          int
+}
+
+// PlayDay plays a scenario's day of a seed with real processes. Out is a folder for its figures
+// (NAME-SEED.json) and its time series (NAME-SEED.csv), "" for none.
+func PlayDay(ctx context.Context, s *scenario.Scenario, seed uint64, out string, o Options) (day *Day, err error) {
+	dir, err := os.MkdirTemp(o.Dir, "rl")
+	if err != nil {
+		return nil, err
+	}
+	if !o.Keep {
+		defer os.RemoveAll(dir)
+	}
+	spec, err := s.Draw(seed)
+	if err != nil {
+		return nil, err
+	}
+	spec.Dir, spec.Program, spec.Log = dir, o.Program, o.Log
+	spec.Done = func(w *emulator.World) bool { return true }
+	w, err := emulator.New(spec)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, w.Close()) }()
+	watching, stop := context.WithCancel(ctx)
+	lines := make(chan []second, 1)
+	go func() { lines <- watch(watching, w) }()
+	err = w.Run(ctx)
+	stop()
+	series := <-lines
+	if err != nil {
+		return nil, fmt.Errorf("%s, seed %d: %w", s.Name, seed, err)
+	}
+	day = judge(s, seed, spec, w)
+	if out == "" {
+		return day, nil
+	}
+	if err := os.MkdirAll(out, 0o755); err != nil {
+		return nil, err
+	}
+	base := filepath.Join(out, fmt.Sprintf("%s-%d", s.Name, seed))
+	text, err := json.MarshalIndent(day, "", "  ")
+	if err != nil {
+		return nil, err
+	}
+	file, err := os.Create(base + ".csv")
+	if err != nil {
+		return nil, err
+	}
+	return day, errors.Join(os.WriteFile(base+".json", text, 0o644), write(file, series, spec.Couriers), file.Close())
+}
+
+// watch samples the world once a second.
+func watch(ctx context.Context, w *emulator.World) (all []second) {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return all
+		case <-t.C:
+		}
+		x := second{at: n, counts: w.Ledger.Counts()}
+		for _, c := range w.Couriers {
+			var u usage
+			if pid := c.PID(); pid != 0 { // it may end between; then nothing is known of this second
+				if cpu, rss, anon, err := proc(pid); err == nil {
+					u = usage{cpu, rss, anon, 0}
+				}
+				if files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)); err == nil {
+					u.files = len(files)
+				}
+			}
+			x.couriers = append(x.couriers, u)
+		}
+		all = append(all, x)
+	}
+}
+
+// write puts the series into a CSV file: counts as what the second brought, by the names of
+// emulator.Counts; then for each courier its time on the processor since its start, memory in MB and
+// descriptors.
+func write(out io.Writer, all []second, couriers int) error {
+	c := csv.NewWriter(out)
+	head := []string{"second"}
+	fields := reflect.TypeFor[emulator.Counts]()
+	for i := range fields.NumField() {
+		head = append(head, strings.ToLower(fields.Field(i).Name))
+	}
+	for n := range couriers {
+		for _, what := range []string{"cpu_s", "rss_mb", "anonymous_mb", "descriptors"} {
+			head = append(head, fmt.Sprintf("n%d_%s", n, what))
+		}
+	}
+	if err := c.Write(head); err != nil {
+		return err
+	}
+	var last emulator.Counts
+	for _, x := range all {
+		row := []string{strconv.Itoa(x.at)}
+		now, before := reflect.ValueOf(x.counts), reflect.ValueOf(last)
+		for i := range now.NumField() {
+			row = append(row, strconv.FormatInt(now.Field(i).Int()-before.Field(i).Int(), 10))
+		}
+		last = x.counts
+		for _, u := range x.couriers {
+			row = append(row, fmt.Sprintf("%.2f", u.cpu), fmt.Sprintf("%.1f", u.rss), fmt.Sprintf("%.1f", u.anon), strconv.Itoa(u.files))
+		}
+		if err := c.Write(row); err != nil {
+			return err
+		}
+	}
+	c.Flush()
+	return c.Error()
+}
+
+// judge reads the day off the ledger.
+func judge(s *scenario.Scenario, seed uint64, spec emulator.Spec, w *emulator.World) *Day {
+	d := &Day{Version: resultVersion, Scenario: s.Name, Seed: seed, Rate: spec.Rate, Latency: map[string]Latency{}, Counts: w.Ledger.Counts(),
+		Asked: w.Asked, RigLate: w.Late(), Violations: []string{}, Failed: []string{}, Troubles: spec.Troubles, Restarts: spec.Restarts}
+	classes := map[string]emulator.ClassSpec{}
+	times := map[string]*hdrhistogram.Histogram{}
+	for _, c := range spec.Classes {
+		classes[c.Name], times[c.Name] = c, hdrhistogram.New(1, 600_000, 3)
+	}
+	var all []verdict.Message
+	w.Ledger.Messages(func(m emulator.Message) {
+		c := classes[m.Class]
+		v := verdict.Message{Class: m.Class, Hotel: m.Hotel, Born: m.Born.Sub(w.Start()), Took: -1, Worth: m.Worth, Aim: c.Aim, Deadline: c.Deadline, Late: c.Late}
+		if !m.Delivered.IsZero() {
+			v.Took = m.Delivered.Sub(m.Born)
+			// Over ten minutes is the last bucket: no class waits so long.
+			if err := times[m.Class].RecordValue(min(max(v.Took.Milliseconds(), 1), 600_000)); err != nil {
+				d.Failed = append(d.Failed, err.Error())
+			}
+		}
+		all = append(all, v)
+	})
+	share := map[string]float64{}
+	for i, h := range spec.Hotels {
+		share[h] = spec.HotelShares[i]
+	}
+	d.Service = verdict.Of(all, spec.Traffic, share)
+	for name, h := range times {
+		d.Latency[name] = Latency{h.TotalCount(), h.ValueAtQuantile(50), h.ValueAtQuantile(90), h.ValueAtQuantile(99), h.Max()}
+	}
+	for _, v := range w.Ledger.Check(time.Now()) {
+		d.Violations = append(d.Violations, v.String())
+	}
+	if late := float64(d.RigLate) / float64(max(d.Asked, 1)); late > s.Holds.RigLateShare {
+		d.Void = fmt.Sprintf("the rig itself handed in %.1f%% of the messages more than 50 ms late", 100*late)
+	}
+	if len(d.Violations) > s.Holds.Violations {
+		d.Failed = append(d.Failed, fmt.Sprintf("%d violations, at most %d may be", len(d.Violations), s.Holds.Violations))
+	}
+	if d.Service.Figure < s.Holds.Service {
+		d.Failed = append(d.Failed, fmt.Sprintf("service %.3f, under %.3f", d.Service.Figure, s.Holds.Service))
+	}
+	return d
+}
+
+// ReadDay reads a day's file. One of another version is refused.
+func ReadDay(path string) (*Day, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	d := &Day{}
+	if err := json.Unmarshal(text, d); err != nil {
+		return nil, fmt.Errorf("%s is no day's result: %w", path, err)
+	}
+	if d.Version != resultVersion {
+		return nil, fmt.Errorf("%s was written as version %d, and this program reads version %d: play it again", path, d.Version, resultVersion)
+	}
+	return d, nil
+}
+
+// DayTable writes days, a line each.
+func DayTable(out io.Writer, days []*Day) error {
+	t := tabwriter.NewWriter(out, 0, 4, 1, ' ', tabwriter.Debug)
+	fmt.Fprintln(t, "| scenario\tseed\tasked\tservice\twhole\tworst 10 s\tworst class\tworst hotel\tp50/p99 ms\tundeliverable\tdeferred\tcalls refused\tviolations\tvoid\t")
+	fmt.Fprintln(t, "|---\t---\t---\t---\t---\t---\t---\t---\t---\t---\t---\t---\t---\t---\t")
+	for _, d := range days {
+		var p []string
+		for _, name := range slices.Sorted(maps.Keys(d.Latency)) {
+			p = append(p, fmt.Sprintf("%d/%d", d.Latency[name].P50, d.Latency[name].P99))
+		}
+		s := d.Service
+		fmt.Fprintf(t, "| %s\t%d\t%d\t%.3f\t%.3f\t%.3f at %.0f s\t%.3f %s\t%.3f %s\t%s\t%d\t%d\t%d\t%d\t%s\t\n", d.Scenario, d.Seed, d.Asked, s.Figure, s.Whole, s.Worst,
+			s.WorstAt.Seconds(), s.ByClass[s.WorstClass], s.WorstClass, s.ByHotel[s.WorstHotel], s.WorstHotel, strings.Join(p, " "), d.Counts.Undeliverable,
+			d.Counts.Deferred, d.Counts.CallsRefused, len(d.Violations), d.Void)
+	}
+	return t.Flush()
+}
--- /dev/null
+++ b/lab/scenarios/calm.cue
@@ -0,0 +1,3 @@
+about: "A quiet day: nothing goes wrong"
+load: [0.36, 0.6]
+holds: service: 0.8
