--- a/cmd/ravenlab/main.go
+++ b/cmd/ravenlab/main.go
@@ -39,7 +39,7 @@
 func root() *cobra.Command {
 	c := &cobra.Command{Use: "ravenlab", Short: "Play scenarios against real couriers on an emulated world",
 		SilenceErrors: true, SilenceUsage: true}
-	c.AddCommand(run(), scenarioCommands(), cost(), demo())
+	c.AddCommand(run(), scenarioCommands(), reportCommand(), compareCommand(), cost(), demo())
 	return c
 }
 
@@ -129,7 +129,7 @@
 			if err != nil {
 				return &failure{err}
 			}
-			if err := report(c.OutOrStdout(), out, plays, func(w io.Writer) error { return lab.Table(w, plays) }); err != nil {
+			if err := store(c.OutOrStdout(), out, plays, func(w io.Writer) error { return lab.Table(w, plays) }); err != nil {
 				return &failure{err}
 			}
 			var broken []string
@@ -153,7 +153,7 @@
 	if err != nil {
 		return &failure{err}
 	}
-	if err := report(c.OutOrStdout(), out, rows, func(w io.Writer) error { return lab.ReturnTable(w, rows) }); err != nil {
+	if err := store(c.OutOrStdout(), out, rows, func(w io.Writer) error { return lab.ReturnTable(w, rows) }); err != nil {
 		return &failure{err}
 	}
 	var broken []string
@@ -174,8 +174,8 @@
 	return nil
 }
 
-// report prints the table and, if a folder is named, keeps it there beside all figures.
-func report(w io.Writer, dir string, figures any, table func(io.Writer) error) error {
+// store prints the table and, if a folder is named, keeps it there beside all figures.
+func store(w io.Writer, dir string, figures any, table func(io.Writer) error) error {
 	if err := table(w); err != nil || dir == "" {
 		return err
 	}
--- a/internal/emulator/channel.go
+++ b/internal/emulator/channel.go
@@ -376,10 +376,14 @@
 	runs, fails, slips := e.rnd.Float64() < 0.5, e.rnd.Float64() < 0.8, e.rnd.Float64() < e.channel.Fails
 	service := e.draw(parts[0].id)
 	e.mu.Unlock()
+	var repeat []bool
+	if silent := mode == Cut || mode == Hang; !(silent || mode == Errors && fails) || runs {
+		repeat = e.register(parts, codes, now)
+	}
 	switch mode {
 	case Cut:
 		if runs {
-			e.effect(parts, codes)
+			e.effect(parts, codes, repeat)
 		}
 		e.failed(courier)
 		end(0)
@@ -387,7 +391,7 @@
 		return false
 	case Hang:
 		if runs {
-			e.effect(parts, codes)
+			e.effect(parts, codes, repeat)
 		}
 		e.failed(courier)
 		<-gone // until the courier gives up
@@ -404,14 +408,14 @@
 	e.mu.Unlock()
 	if mode == Errors && fails {
 		if runs {
-			e.effect(parts, codes)
+			e.effect(parts, codes, repeat)
 		}
 		e.failed(courier)
 		end(500)
 		_, err := io.WriteString(c, "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
 	}
-	e.effect(parts, codes)
+	e.effect(parts, codes, repeat)
 	if mode == Broken {
 		e.failed(courier)
 		end(0)
@@ -572,25 +576,33 @@
 	e.sawFail[courier] = true
 }
 
-// effect lets the messages run, each by its class.
-func (e *Endpoint) effect(parts []part, codes []int) {
-	now := time.Now()
+// register notes a call's guarded messages on their floor as it comes, and says which are repeats: a
+// repeat is known by when the first call that ran was sent, however long that takes.
+func (e *Endpoint) register(parts []part, codes []int, now time.Time) []bool {
 	c := e.channel
+	repeat := make([]bool, len(parts))
 	for i, p := range parts {
-		if codes[i] != 0 {
+		if _, allowed := c.classOf(p.id); codes[i] != 0 || allowed != OnceByFloor {
 			continue
 		}
-		dropped := false
-		if _, allowed := c.classOf(p.id); allowed == OnceByFloor {
-			place := e.Floor + " " + p.key
-			c.mu.Lock()
-			if last, ok := c.seen[place]; ok && now.Sub(last) < c.Window {
-				dropped = true
-			} else {
-				c.seen[place] = now
-			}
-			c.mu.Unlock()
+		place := e.Floor + " " + p.key
+		c.mu.Lock()
+		if first, ok := c.seen[place]; ok && now.Sub(first) < c.Window {
+			repeat[i] = true
+		} else {
+			c.seen[place] = now
+		}
+		c.mu.Unlock()
+	}
+	return repeat
+}
+
+// effect lets the messages run, but for the repeats.
+func (e *Endpoint) effect(parts []part, codes []int, repeat []bool) {
+	now := time.Now()
+	for i, p := range parts {
+		if codes[i] == 0 {
+			e.channel.ledger.Effect(p.id, e.Name, e.Floor, repeat[i], now)
 		}
-		c.ledger.Effect(p.id, e.Name, e.Floor, dropped, now)
 	}
 }
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -170,6 +171,43 @@
 	}
 }
 
+// A repeat on the floor of the first call is dropped within the window, also where the first one takes
+// longer than that to run; on another floor, or later, it runs.
+func TestRepeats(t *testing.T) {
+	for name, c := range map[string]struct {
+		second  int // endpoint
+		pause   time.Duration
+		effects int
+	}{"same floor": {0, 0, 1}, "other floor": {1, 0, 2}, "after the window": {0, 500 * time.Millisecond, 2}} {
+		t.Run(name, func(t *testing.T) {
+			ledger := NewLedger(time.Now())
+			ch, err := NewChannel(ChannelSpec{Dest: 7, Floors: []string{"a", "b"}, Capacity: 4, Window: 400 * time.Millisecond,
+				Service: map[string][2]time.Duration{"c": {time.Second, time.Second + 1}}}, 1, ledger, 1,
+				func(string) (string, Allowed) { return "c", OnceByFloor })
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ch.Close()
+			m := &Message{Key: "k", Dest: 7, Until: time.Now().Add(time.Hour), Allowed: OnceByFloor}
+			ledger.HandIn(m, "t1", 0, time.Now())
+			ledger.Answered("t1", 202, time.Now())
+			var both sync.WaitGroup
+			both.Go(func() { call(t, ch.Endpoints[0].Addr(0), "t1") })
+			for began := time.Now(); ledger.Counts().Calls == 0; time.Sleep(time.Millisecond) {
+				if time.Since(began) > 10*time.Second {
+					t.Fatal("no call came")
+				}
+			}
+			time.Sleep(c.pause)
+			both.Go(func() { call(t, ch.Endpoints[c.second].Addr(0), "t1") })
+			both.Wait()
+			if got := ledger.Counts().Effects; got != c.effects {
+				t.Fatalf("%d effects, want %d", got, c.effects)
+			}
+		})
+	}
+}
+
 // call makes one call and returns the first line of what comes back.
 func call(t *testing.T, addr, id string) string {
 	t.Helper()
--- /dev/null
+++ b/internal/lab/report/report_test.go
@@ -0,0 +1,42 @@
+package report
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"raventrestle/internal/emulator"
+	"raventrestle/internal/lab"
+)
+
+// The page has every day's table, charts with shaded troubles, and broken rules; what comes from a
+// scenario's name is text, never markup.
+func TestWrite(t *testing.T) {
+	series, err := ReadSeries(strings.NewReader("second,taken,delivered,undeliverable,deferred,calls,callsrefused,effects,resends,n0_rss_mb\n" +
+		"0,5,4,0,0,5,1,4,0,11.5\n1,6,5,1,0,7,2,5,1,12.0\n2,4,4,0,1,4,0,4,0,12.5\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &lab.Day{Scenario: "<b>lunch", Seed: 3, Violations: []string{"allowance: took effect 2 times"}, Latency: map[string]lab.Latency{"rate": {N: 9, P99: 77}},
+		Troubles: []emulator.Trouble{{At: time.Second, For: time.Second}}, Restarts: []emulator.Restart{{At: time.Second}}}
+	var out bytes.Buffer
+	if err := Write(&out, "A page", []Day{{d, series}}); err != nil {
+		t.Fatal(err)
+	}
+	text := out.String()
+	if n := strings.Count(text, "<svg"); n != 3 {
+		t.Errorf("%d charts", n)
+	}
+	for _, want := range []string{"&lt;b&gt;lunch, seed 3", "took effect 2 times", "<td>77</td>", "#F4D9C6", "undeliverable", "n0"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("no %q", want)
+		}
+	}
+	if strings.Contains(text, "<b>lunch") || strings.Contains(text, "http://") && strings.Contains(text, "src=") {
+		t.Error("markup or a link to elsewhere got in")
+	}
+	if _, err := ReadSeries(strings.NewReader("second,taken\n0,many\n")); err == nil || !strings.Contains(err.Error(), "line 2, taken") {
+		t.Error(err)
+	}
+}
