Make the cost run's world in one place, and say what the memory test writes

Found on reading the change again: two measurements set up the same world by the same lines, and the test of memory at rest spoke of 100,000 letters where it writes 20,000 (ravenlab cost measures 100,000 in a courier).

--- a/internal/deadletter/store_test.go
+++ b/internal/deadletter/store_test.go
@@ -417,10 +417,10 @@
 	}
 }
 
-// What 100,000 letters at rest take in memory: under 200 bytes each.
+// What letters at rest take in memory: under 200 bytes each. `ravenlab cost` measures 100,000 in a courier.
 func TestMemoryAtRest(t *testing.T) {
 	if testing.Short() {
-		t.Skip("writes 100,000 letters")
+		t.Skip("writes 20,000 letters")
 	}
 	dir := t.TempDir()
 	s := open(t, dir, large)
--- a/internal/lab/cost.go
+++ b/internal/lab/cost.go
@@ -72,20 +72,28 @@
 	return rows, err
 }
 
-func cost(ctx context.Context, store bool, clients int, d time.Duration, o Options) (row CostRow, err error) {
-	row.Store = store
+// costWorld makes the world in a folder of its own, which goes with it.
+func costWorld(store bool, o Options) (*emulator.World, func() error, error) {
 	dir, err := os.MkdirTemp(o.Dir, "rl")
 	if err != nil {
-		return row, err
+		return nil, nil, err
 	}
-	defer os.RemoveAll(dir)
 	s := costSpec(store, o)
 	s.Dir = dir
 	w, err := emulator.New(s)
+	if err != nil {
+		return nil, nil, errors.Join(err, os.RemoveAll(dir))
+	}
+	return w, func() error { return errors.Join(w.Close(), os.RemoveAll(dir)) }, nil
+}
+
+func cost(ctx context.Context, store bool, clients int, d time.Duration, o Options) (row CostRow, err error) {
+	row.Store = store
+	w, done, err := costWorld(store, o)
 	if err != nil {
 		return row, err
 	}
-	defer func() { err = errors.Join(err, w.Close()) }()
+	defer func() { err = errors.Join(err, done()) }()
 	c := w.Couriers[0]
 	if err := c.Start(ctx); err != nil {
 		return row, err
@@ -192,18 +200,11 @@
 }
 
 func atRest(ctx context.Context, n, body int, o Options) (row RestRow, err error) {
-	dir, err := os.MkdirTemp(o.Dir, "rl")
-	if err != nil {
-		return row, err
-	}
-	defer os.RemoveAll(dir)
-	s := costSpec(true, o)
-	s.Dir = dir
-	w, err := emulator.New(s)
+	w, done, err := costWorld(true, o)
 	if err != nil {
 		return row, err
 	}
-	defer func() { err = errors.Join(err, w.Close()) }()
+	defer func() { err = errors.Join(err, done()) }()
 	c := w.Couriers[0]
 	folder := filepath.Join(c.Folder, "state", "undeliverable")
 	store, err := deadletter.Open(folder, deadletter.Options{MaxBytes: 1 << 40, MaxLetters: 1 << 30}, slog.New(slog.DiscardHandler))
