Start slowly in a new life where calls failed in the last one

Traced by the calls that the channel counted: all came from couriers that had seen it fail, but none in its present life. Each courier was killed about once a second, and every new life sent the whole backlog that it found for the channel (ten messages, later more) within a millisecond, since it knew nothing of the outage.

Change: Restored tells whether the earlier attempt had failed, as against being out when that life ended. Two such at one endpoint within the time that failures count put it in slow start: one trial, then what is left goes in about TipAfter.

--- a/internal/net/courier/courier.go
+++ b/internal/net/courier/courier.go
@@ -247,6 +247,8 @@
 	ran := k.Ran
 	if ran == nil {
 		ran = k.Out
+	} else {
+		r.Failed = true
 	}
 	if ran != nil {
 		r.MayRun, r.RanOn, r.RanAt = true, raventrestle.TargetID(ran.Peer), time.Duration(ran.At)
--- a/policy.go
+++ b/policy.go
@@ -220,6 +220,14 @@
 	m.d.came, m.d.heir = m.d.came+1, p.now+p.longest
 	m.sends, m.mayRun, m.ranAt = r.Sends, r.MayRun, r.RanAt
 	m.ranOn = &target{id: r.RanOn, zone: r.RanZone}
+	if t := p.targets[r.RanOn]; t != nil && r.Failed && p.now-r.RanAt < p.memory {
+		// Two failures: it may be cold, and what is left takes about TipAfter to go. Lives that end early would
+		// else each send all that they found at once.
+		t.usual += 1 / p.set.TipAfter.Seconds()
+		if t.fails++; t.fails > 1 && t.health == open {
+			t.health, t.rampAt = ramp, p.now
+		}
+	}
 	if p.spent(m) {
 		m.d.unhold(m)
 		p.giveUp(m)
--- a/policy_test.go
+++ b/policy_test.go
@@ -1036,6 +1036,44 @@
 	}
 }
 
+// Calls that failed in the last life make the next one start slowly there: lives that end every second
+// would else each send a whole backlog at once, and push over what is just returning. Calls that
+// were only out when it ended say nothing.
+func TestFailedInTheLastLifeStartsSlowly(t *testing.T) {
+	for name, c := range map[string]struct {
+		failed bool
+		ago    time.Duration
+		first  int    // calls at once
+		most   [2]int // calls in two seconds, each answered after a tenth: at least, at most
+	}{
+		"failed":        {true, sec, 1, [2]int{5, 20}},
+		"failed before": {true, 15 * sec, 6, [2]int{30, 30}},
+		"were out":      {false, sec, 6, [2]int{30, 30}},
+	} {
+		set := settings()
+		h := newHost(t, set, entry("t1", 1, 0, 0))
+		h.now = 40 * sec
+		var evs []Event
+		for i := range 30 {
+			evs = append(evs, Restored{Arrival: Arrival{ID: MessageID(fmt.Sprint("r", i)), Dest: 1, Budget: 15 * sec},
+				Sends: 1, MayRun: true, RanOn: "t1", RanAt: h.now - c.ago, Failed: c.failed})
+		}
+		h.step(evs...)
+		if len(h.out) != c.first {
+			t.Errorf("%s: %d calls at once, want %d", name, len(h.out), c.first)
+		}
+		n := len(h.out)
+		for range 20 {
+			h.end(len(h.out), OK)
+			h.pass(100 * ms)
+			n += len(h.out)
+		}
+		if n < c.most[0] || n > c.most[1] {
+			t.Errorf("%s: %d calls in 2 s, want %v", name, n, c.most)
+		}
+	}
+}
+
 // A host that ends soon is handed no call that it would hardly see the answer of: its next life
 // would have to take it for one that may have run.
 func TestClosing(t *testing.T) {
--- a/raventrestle.go
+++ b/raventrestle.go
@@ -205,6 +205,7 @@
 	RanOn   TargetID      // and went there first
 	RanZone int           // index into Settings.Zones, -1 if unknown
 	RanAt   time.Duration // on the clock of Step
+	Failed  bool          // it was over before that life ended, which was not its success
 }
 
 // Closing says that the host ends its life at that time: attempts out then may have run.
