Split the emulated channels into a pure model, and add what the world still lacked

Need: the same channels must answer over sockets and in virtual time, or a gap between the two means nothing; and the world knew no hot channels, drains, delay between floors, late front layer or discovery that is late or out.

Change: internal/emulator/model decides what a call meets, when it ends and what takes effect, with times and chance as arguments; the listeners only carry that out. Arrivals are drawn by Spec.Plan. New in worlds and scenarios: hot, mode drain, floor_delay_ms, front_notices_s, list_late_s, list_out; couriers stand on alternating floors.

--- a/internal/emulator/channel.go
+++ b/internal/emulator/channel.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,48 +14,32 @@
 	"sync"
 	"time"
 
-	"golang.org/x/time/rate"
+	"raventrestle/internal/emulator/model"
 )
 
-// Mode is what is the matter with an endpoint.
-type Mode string
+// The model's words, for those who describe worlds.
+type (
+	Mode        = model.Mode
+	Allowed     = model.Allowed
+	ChannelSpec = model.ChannelSpec
+)
 
+// Modes and allowances, as the model explains them.
 const (
-	Well   Mode = "well"
-	Errors Mode = "errors" // most calls fail; half of those have run
-	Shut   Mode = "shut"   // every call is turned away
-	Hang   Mode = "hang"   // calls are taken and not answered; half run
-	Slow   Mode = "slow"   // answers take ten times as long
-	Cut    Mode = "cut"    // connections break after the call; half have run
-	Torn   Mode = "torn"   // connections break while the call is read; none has run
-	Broken Mode = "broken" // the answer can't be read; all have run
+	Well        = model.Well
+	Errors      = model.Errors
+	Shut        = model.Shut
+	Hang        = model.Hang
+	Slow        = model.Slow
+	Cut         = model.Cut
+	Torn        = model.Torn
+	Broken      = model.Broken
+	AnyNumber   = model.AnyNumber
+	OnceByFloor = model.OnceByFloor
+	OnceEver    = model.OnceEver
 )
 
-// outage says that the mode leaves the endpoint cold when it ends.
-func (m Mode) outage() bool { return m != Well && m != Slow }
-
-// ChannelSpec is one channel. Times are ranges from which each call draws.
-type ChannelSpec struct {
-	Dest        int64
-	Kind        string
-	Floors      []string // one endpoint on each
-	Service     map[string][2]time.Duration
-	Limit       float64 // calls a second from all couriers, to the channel, or to a route apart; 0 for none
-	Capacity    int     // calls served at once by an endpoint
-	Queue       int     // calls that wait for that
-	TellsWait   float64 // share of refusals that tell a wait
-	Wait        time.Duration
-	Apart       bool // its endpoints are routes with limits, waits and outages of their own
-	Connections int  // that an endpoint holds; 0 for any number
-	ColdFor     time.Duration
-	StartShare  float64 // of its capacity, just after an outage
-	Window      time.Duration
-	Bulk        int
-	Weight      float64 // of its part of the messages, against other channels'; 0 is 1
-	Fails       float64 // share of the calls that run and are answered with an error, when it is well
-}
-
-// Channel is a destination at work.
+// Channel is a destination at work: the model behind listeners.
 type Channel struct {
 	ChannelSpec
 	ledger    *Ledger
@@ -64,8 +47,8 @@
 	Endpoints []*Endpoint
 	onResend  func(courier int)
 
-	mu   sync.Mutex
-	seen map[string]time.Time // floor and key of what took effect there, and when
+	mu    sync.Mutex // of the model
+	model *model.Channel
 }
 
 // Endpoint serves calls on a listener for each courier, so that it knows who calls.
@@ -73,51 +56,19 @@
 	Name, Floor string
 	channel     *Channel
 	listeners   []net.Listener
-	slots       chan struct{}
-
-	mu       sync.Mutex
-	rnd      *rand.Rand
-	mode     Mode
-	recover  time.Time // end of the last outage
-	limiter  *rate.Limiter
-	cold     *rate.Limiter
-	waiting  int
-	conns    map[net.Conn]bool
-	waits    map[int]wait // by courier
-	drained  map[int]time.Time
-	sawFail  map[int]bool // couriers that saw a call fail here in the last outage
-	came     []arrivalAt  // calls since the end of the outage
-	fell     bool
-	draining bool
-}
-
-type wait struct{ told, until time.Time }
+	model       *model.Endpoint
+	delay       func(courier int) time.Duration // of what the courier sends it, one way
 
-type arrivalAt struct {
-	at      time.Time
-	courier int
-	resend  bool
+	mu    sync.Mutex
+	conns map[net.Conn]bool
 }
 
-// Rules of a returning channel.
-const (
-	fallMultiple = 2.5
-	fallAfter    = 2 * time.Second
-)
-
 // NewChannel listens for so many couriers.
 func NewChannel(spec ChannelSpec, couriers int, ledger *Ledger, seed uint64, classOf func(string) (string, Allowed)) (*Channel, error) {
-	c := &Channel{ChannelSpec: spec, ledger: ledger, classOf: classOf, seen: map[string]time.Time{}, onResend: func(int) {}}
-	for i, floor := range spec.Floors {
-		e := &Endpoint{Name: fmt.Sprintf("s-%d-%d", spec.Dest, i), Floor: floor, channel: c, mode: Well,
-			rnd: rand.New(rand.NewPCG(seed, uint64(spec.Dest)<<8|uint64(i))), slots: make(chan struct{}, spec.Capacity),
-			conns: map[net.Conn]bool{}, waits: map[int]wait{}, drained: map[int]time.Time{}, sawFail: map[int]bool{}}
-		limit := rate.Inf
-		if spec.Limit > 0 {
-			limit = rate.Limit(spec.Limit)
-		}
-		e.limiter = rate.NewLimiter(limit, max(int(spec.Limit), 1))
-		e.cold = rate.NewLimiter(rate.Limit(e.rate()), 1)
+	c := &Channel{ChannelSpec: spec, ledger: ledger, classOf: classOf, onResend: func(int) {}, model: model.New(spec, seed)}
+	for _, m := range c.model.Endpoints {
+		e := &Endpoint{Name: m.Name, Floor: m.Floor, channel: c, model: m, conns: map[net.Conn]bool{},
+			delay: func(int) time.Duration { return 0 }}
 		for n := range couriers {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			if err != nil {
@@ -128,23 +79,9 @@
 		}
 		c.Endpoints = append(c.Endpoints, e)
 	}
-	if !spec.Apart { // one limit for all
-		for _, e := range c.Endpoints[1:] {
-			e.limiter = c.Endpoints[0].limiter
-		}
-	}
 	return c, nil
 }
 
-// rate is about what the endpoint can do, in calls a second.
-func (e *Endpoint) rate() float64 {
-	mean, n := 0.0, 0.0
-	for _, r := range e.channel.Service {
-		mean, n = mean+(r[0]+r[1]).Seconds()/2, n+1
-	}
-	return float64(e.channel.Capacity) * n / mean
-}
-
 // Close ends the channel's listeners and connections.
 func (c *Channel) Close() (err error) {
 	for _, e := range c.Endpoints {
@@ -176,32 +113,37 @@
 
 // Set changes what is the matter with the endpoint.
 func (e *Endpoint) Set(m Mode, at time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.mode.outage() && !m.outage() {
-		e.recover, e.came = at, nil
-	}
-	if m.outage() && !e.mode.outage() {
-		clear(e.sawFail)
-		e.recover, e.fell = time.Time{}, false
-	}
-	e.mode = m
+	e.channel.mu.Lock()
+	defer e.channel.mu.Unlock()
+	e.model.Set(m, at)
 }
 
 // Drain notes that the courier has been told that the endpoint takes nothing new.
 func (e *Endpoint) Drain(courier int, told time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.drained[courier].IsZero() {
-		e.drained[courier] = told
-	}
+	e.channel.mu.Lock()
+	defer e.channel.mu.Unlock()
+	e.model.Drain(courier, told)
+}
+
+// Serving notes that the courier has been told that the endpoint takes work again.
+func (e *Endpoint) Serving(courier int) {
+	e.channel.mu.Lock()
+	defer e.channel.mu.Unlock()
+	e.model.Serving(courier)
+}
+
+// Drains says whether the courier has been told so of the endpoint.
+func (e *Endpoint) Drains(courier int) bool {
+	e.channel.mu.Lock()
+	defer e.channel.mu.Unlock()
+	return e.model.Drains(courier)
 }
 
 // Restarted ends the waits that the courier was told.
 func (e *Endpoint) Restarted(courier int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	delete(e.waits, courier)
+	e.channel.mu.Lock()
+	defer e.channel.mu.Unlock()
+	e.model.Restarted(courier)
 }
 
 func (e *Endpoint) accept(l net.Listener, courier int) {
@@ -241,9 +183,9 @@
 	_, err := r.Peek(1)
 	for err == nil {
 		began := time.Now()
-		e.mu.Lock()
-		torn := e.mode == Torn
-		e.mu.Unlock()
+		e.channel.mu.Lock()
+		torn := e.model.Mode() == Torn
+		e.channel.mu.Unlock()
 		if torn {
 			reset(c)
 			return
@@ -331,15 +273,15 @@
 
 // call serves one call whose last byte has come, and says whether the connection goes on.
 func (e *Endpoint) call(c net.Conn, gone <-chan struct{}, courier int, parts []part, began time.Time, bulk bool) bool {
+	time.Sleep(e.delay(courier))
 	now := time.Now()
-	e.told(courier, parts[0].id, began)
-	codes, calls := make([]int, len(parts)), make([]int, len(parts))
-	again := false
+	codes, calls, whole := make([]int, len(parts)), make([]int, len(parts)), make([]model.Part, len(parts))
 	for i, p := range parts {
 		call, code, resend := e.channel.ledger.Begin(p.id, e.channel.Dest, e.Name, e.Floor, courier, now)
 		codes[i], calls[i] = code, call
+		whole[i] = model.Part{Key: p.key, Void: code != 0, Resend: resend}
+		whole[i].Class, whole[i].Allowed = e.channel.classOf(p.id)
 		if resend {
-			again = true
 			e.channel.onResend(courier)
 		}
 	}
@@ -361,68 +303,43 @@
 		case <-ended:
 		}
 	}()
-	mode, code, after := e.admit(courier, again, now)
-	if code != 0 {
+	e.channel.mu.Lock()
+	fate, broken := e.model.Call(courier, whole, began, now)
+	e.channel.mu.Unlock()
+	e.channel.ledger.Broken(broken, parts[0].id)
+	if fate.Code != 0 {
 		head := ""
-		if after > 0 {
-			head = fmt.Sprintf("X-Come-Back-Ms: %d\r\n", after.Milliseconds())
+		if fate.After > 0 {
+			head = fmt.Sprintf("X-Come-Back-Ms: %d\r\n", fate.After.Milliseconds())
 		}
-		end(code) // before it is written: a courier may be quick
-		e.wait(courier, after)
-		_, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\n%sContent-Length: 0\r\n\r\n", code, head)
+		end(fate.Code) // before it is written: a courier may be quick
+		time.Sleep(e.delay(courier))
+		_, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\n%sContent-Length: 0\r\n\r\n", fate.Code, head)
 		return err == nil
 	}
-	e.mu.Lock()
-	runs, fails, slips := e.rnd.Float64() < 0.5, e.rnd.Float64() < 0.8, e.rnd.Float64() < e.channel.Fails
-	service := e.draw(parts[0].id)
-	e.mu.Unlock()
-	var repeat []bool
-	if silent := mode == Cut || mode == Hang; !(silent || mode == Errors && fails) || runs {
-		repeat = e.register(parts, codes, now)
-	}
-	switch mode {
-	case Cut:
-		if runs {
-			e.effect(parts, codes, repeat)
+	time.Sleep(time.Until(fate.At))
+	if fate.Runs {
+		for i, p := range parts {
+			if codes[i] == 0 {
+				e.channel.ledger.Effect(p.id, e.Name, e.Floor, fate.Repeat[i], time.Now())
+			}
 		}
-		e.failed(courier)
+	}
+	time.Sleep(e.delay(courier))
+	switch fate.Answer {
+	case model.Reset:
 		end(0)
 		reset(c)
 		return false
-	case Hang:
-		if runs {
-			e.effect(parts, codes, repeat)
-		}
-		e.failed(courier)
+	case model.Silence:
 		<-gone // until the courier gives up
 		end(0)
 		return false
-	case Slow:
-		service *= 10
-	}
-	e.slots <- struct{}{}
-	time.Sleep(service)
-	<-e.slots
-	e.mu.Lock()
-	e.waiting--
-	e.mu.Unlock()
-	if mode == Errors && fails {
-		if runs {
-			e.effect(parts, codes, repeat)
-		}
-		e.failed(courier)
-		end(500)
-		_, err := io.WriteString(c, "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n")
-		return err == nil
-	}
-	e.effect(parts, codes, repeat)
-	if mode == Broken {
-		e.failed(courier)
+	case model.Spoilt:
 		end(0)
 		io.WriteString(c, "HTTP/x.1 tw\x00 hundred\r\n\r\n")
 		return false
-	}
-	if slips {
+	case model.Failed:
 		end(500)
 		_, err := io.WriteString(c, "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
@@ -456,153 +373,3 @@
 	}
 	return fmt.Appendf(nil, "HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n%s", b.Len(), b.String())
 }
-
-func (e *Endpoint) draw(id string) time.Duration {
-	class, _ := e.channel.classOf(id)
-	r, ok := e.channel.Service[class]
-	if !ok {
-		r = [2]time.Duration{50 * time.Millisecond, 100 * time.Millisecond}
-	}
-	return r[0] + time.Duration(e.rnd.Float64()*float64(r[1]-r[0]))
-}
-
-// told checks what the courier was told before: waits and drains.
-func (e *Endpoint) told(courier int, id string, at time.Time) {
-	e.mu.Lock()
-	drained := e.drained[courier]
-	e.mu.Unlock()
-	if !drained.IsZero() && at.After(drained.Add(drainLeeway)) {
-		e.channel.ledger.Told("drains kept", id, "n%d called %s %.3f s after it was told that it drains", courier, e.Name, at.Sub(drained).Seconds())
-	}
-	for _, o := range e.channel.Endpoints {
-		if e.channel.Apart && o != e {
-			continue
-		}
-		o.mu.Lock()
-		w := o.waits[courier]
-		o.mu.Unlock()
-		if at.After(w.told.Add(waitLeeway)) && at.Before(w.until.Add(-5*time.Millisecond)) {
-			e.channel.ledger.Told("waits heeded", id, "n%d called %s %.3f s before the end of a wait that %s told it", courier, e.Name,
-				w.until.Sub(at).Seconds(), o.Name)
-		}
-	}
-}
-
-func (e *Endpoint) wait(courier int, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	now := time.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.waits[courier] = wait{now, now.Add(d)}
-}
-
-// admit says whether the call is served, or with what it is turned away.
-func (e *Endpoint) admit(courier int, resend bool, now time.Time) (Mode, int, time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	tell := func() time.Duration {
-		if e.rnd.Float64() < e.channel.TellsWait {
-			return e.channel.Wait
-		}
-		return 0
-	}
-	if e.mode == Shut || e.fell {
-		e.sawFail[courier] = true
-		return e.mode, 503, tell()
-	}
-	if e.mode == Hang || e.mode == Cut {
-		return e.mode, 0, 0
-	}
-	if share := e.share(now); share < 1 {
-		e.pushed(arrivalAt{now, courier, resend}, share)
-		if e.fell {
-			return e.mode, 503, 0
-		}
-		e.cold.SetLimitAt(now, rate.Limit(share*e.rate()))
-		if !e.cold.AllowN(now, 1) {
-			return e.mode, 503, 0
-		}
-	}
-	if !e.limiter.AllowN(now, 1) {
-		return e.mode, 429, tell()
-	}
-	if e.waiting >= e.channel.Capacity+e.channel.Queue {
-		return e.mode, 503, 0
-	}
-	e.waiting++
-	return e.mode, 0, 0
-}
-
-// share is what the endpoint can do now, as a part of its capacity.
-func (e *Endpoint) share(now time.Time) float64 {
-	if e.recover.IsZero() || e.channel.ColdFor == 0 {
-		return 1
-	}
-	return min(e.channel.StartShare+(1-e.channel.StartShare)*now.Sub(e.recover).Seconds()/e.channel.ColdFor.Seconds(), 1)
-}
-
-// pushed counts what a cold endpoint is sent. Too much for too long and it falls over; the rule is
-// broken if most of that came from couriers that saw it fail.
-func (e *Endpoint) pushed(call arrivalAt, share float64) {
-	now := call.at
-	e.came = append(e.came, call)
-	for len(e.came) > 0 && now.Sub(e.came[0].at) > fallAfter {
-		e.came = e.came[1:]
-	}
-	if now.Sub(e.recover) < fallAfter || float64(len(e.came)) <= fallMultiple*share*e.rate()*fallAfter.Seconds()+4 {
-		return
-	}
-	e.fell = true
-	knew, resends := 0, 0
-	for _, a := range e.came {
-		if e.sawFail[a.courier] {
-			knew++
-		}
-		if a.resend {
-			resends++
-		}
-	}
-	if 3*knew >= 2*len(e.came) {
-		e.channel.ledger.Told("no returning channel pushed over", "", "%s had %d calls in %v at %.0f%% of %.1f a second, %d of them resends, %d from couriers that had seen it fail",
-			e.Name, len(e.came), fallAfter, 100*share, e.rate(), resends, knew)
-	}
-}
-
-func (e *Endpoint) failed(courier int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.sawFail[courier] = true
-}
-
-// register notes a call's guarded messages on their floor as it comes, and says which are repeats: a
-// repeat is known by when the first call that ran was sent, however long that takes.
-func (e *Endpoint) register(parts []part, codes []int, now time.Time) []bool {
-	c := e.channel
-	repeat := make([]bool, len(parts))
-	for i, p := range parts {
-		if _, allowed := c.classOf(p.id); codes[i] != 0 || allowed != OnceByFloor {
-			continue
-		}
-		place := e.Floor + " " + p.key
-		c.mu.Lock()
-		if first, ok := c.seen[place]; ok && now.Sub(first) < c.Window {
-			repeat[i] = true
-		} else {
-			c.seen[place] = now
-		}
-		c.mu.Unlock()
-	}
-	return repeat
-}
-
-// effect lets the messages run, but for the repeats.
-func (e *Endpoint) effect(parts []part, codes []int, repeat []bool) {
-	now := time.Now()
-	for i, p := range parts {
-		if codes[i] == 0 {
-			e.channel.ledger.Effect(p.id, e.Name, e.Floor, repeat[i], now)
-		}
-	}
-}
--- a/internal/emulator/courier.go
+++ b/internal/emulator/courier.go
@@ -28,6 +28,8 @@
 	log     *os.File
 	config  map[string]any
 
+	onLife func(up bool) // it is ready, or its process has ended or was told to
+
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan error
@@ -37,7 +39,7 @@
 
 // NewCourier makes the folder and the configuration of a courier, and picks its address.
 func NewCourier(n int, dir, program string, args, env []string, platform any, discovery string, known json.RawMessage, memoryMB, diskMB float64, l *Ledger) (*Courier, error) {
-	c := &Courier{N: n, Folder: filepath.Join(dir, fmt.Sprint("n", n)), Program: program, Args: args, ledger: l}
+	c := &Courier{N: n, Folder: filepath.Join(dir, fmt.Sprint("n", n)), Program: program, Args: args, ledger: l, onLife: func(bool) {}}
 	if err := os.MkdirAll(filepath.Join(c.Folder, "state"), 0o700); err != nil {
 		return nil, err
 	}
@@ -109,6 +111,7 @@
 			if res.StatusCode == http.StatusOK {
 				tick.Stop()
 				c.ledger.Ready(c.N, time.Now())
+				c.onLife(true)
 				return nil
 			}
 		}
@@ -133,6 +136,7 @@
 		return false
 	}
 	c.ledger.Ended(c.N, time.Now())
+	c.onLife(false)
 	if err := c.process.Process.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return false
 	}
@@ -149,6 +153,7 @@
 		return nil
 	}
 	c.ledger.Ended(c.N, time.Now())
+	c.onLife(false)
 	if err := c.process.Process.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,6 +22,7 @@
 	// onDeferred hears of each message once whose client may come again, and after what time.
 	onDeferred func(id string, after time.Duration)
 	addrs      []string
+	late       [2]time.Duration // with its changes
 
 	mu      sync.Mutex
 	index   int64
@@ -28,6 +30,8 @@
 	changes []change          // in order
 	held    []json.RawMessage // the whole list, as each courier was last told of it
 	state   map[string]string // endpoint's status, where it is not SERVING
+	out     bool
+	gone    chan struct{} // closed while it is out: watches end
 }
 
 type change struct {
@@ -55,7 +59,7 @@
 
 // NewDiscovery listens for so many couriers.
 func NewDiscovery(couriers int, channels []*Channel, ledger *Ledger) (*Discovery, error) {
-	d := &Discovery{ledger: ledger, channels: channels, index: 1, changed: make(chan struct{}), state: map[string]string{}, onDeferred: func(string, time.Duration) {}}
+	d := &Discovery{ledger: ledger, channels: channels, index: 1, changed: make(chan struct{}), state: map[string]string{}, gone: make(chan struct{}), onDeferred: func(string, time.Duration) {}}
 	for n := range couriers {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -83,6 +87,20 @@
 // Addr is where the courier reaches discovery.
 func (d *Discovery) Addr(courier int) string { return d.addrs[courier] }
 
+// Out makes discovery answer nothing but notices, or answer again. Watches end.
+func (d *Discovery) Out(out bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if out == d.out {
+		return
+	}
+	if d.out = out; out {
+		close(d.gone)
+	} else {
+		d.gone = make(chan struct{})
+	}
+}
+
 // Mark marks an endpoint DRAINING, or DELETED, or SERVING again.
 func (d *Discovery) Mark(e *Endpoint, status string) {
 	d.mu.Lock()
@@ -129,6 +147,11 @@
 func (d *Discovery) list(w http.ResponseWriter, r *http.Request, courier int) {
 	index, err := strconv.ParseInt(r.URL.Query().Get("index"), 10, 64)
 	d.mu.Lock()
+	if d.out {
+		d.mu.Unlock()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if err != nil {
 		text := d.whole(courier)
 		d.told(courier, 0)
@@ -140,17 +163,24 @@
 	if err != nil || wait < 0 || wait > 60000 {
 		wait = 60000
 	}
-	changed, now := d.changed, d.index
+	changed, now, gone := d.changed, d.index, d.gone
 	d.mu.Unlock()
 	if index >= now {
 		select {
 		case <-changed:
+			time.Sleep(d.late[0] + time.Duration(rand.Float64()*float64(d.late[1]-d.late[0])))
 		case <-time.After(time.Duration(wait) * time.Millisecond):
+		case <-gone:
 		case <-r.Context().Done():
 			return
 		}
 	}
 	d.mu.Lock()
+	if d.out {
+		d.mu.Unlock()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	l := listing{Index: d.index, Endpoints: []line{}}
 	for _, c := range d.changes {
 		if c.index > index {
@@ -173,7 +203,12 @@
 func (d *Discovery) told(courier int, since int64) {
 	d.held[courier] = d.whole(courier)
 	for _, c := range d.changes {
-		if c.index > since && d.state[c.endpoint.Name] != "SERVING" {
+		if c.index <= since {
+			continue
+		}
+		if d.state[c.endpoint.Name] == "SERVING" {
+			c.endpoint.Serving(courier)
+		} else {
 			c.endpoint.Drain(courier, time.Now())
 		}
 	}
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -227,36 +227,6 @@
 	return line
 }
 
-// A channel that comes back is cold; pushed too hard it falls over, and the rule is broken if those
-// who push had seen it fail.
-func TestPushedOver(t *testing.T) {
-	for _, knew := range []bool{true, false} {
-		ledger := NewLedger(time.Now())
-		ch, err := NewChannel(ChannelSpec{Dest: 7, Floors: []string{"a"}, Capacity: 1, ColdFor: time.Minute, StartShare: 0.15,
-			Service: map[string][2]time.Duration{"c": {100 * time.Millisecond, 101 * time.Millisecond}}}, 1, ledger, 1,
-			func(string) (string, Allowed) { return "c", AnyNumber })
-		if err != nil {
-			t.Fatal(err)
-		}
-		e, now := ch.Endpoints[0], time.Now()
-		e.Set(Shut, now)
-		if knew {
-			e.admit(0, false, now)
-		}
-		e.Set(Well, now)
-		for i := range 100 {
-			e.admit(0, false, now.Add(fallAfter+time.Duration(i)*20*time.Millisecond))
-		}
-		if !e.fell {
-			t.Fatal("50 calls a second did not push over what can do 2")
-		}
-		if got := len(ledger.Check(time.Now())) > 0; got != knew {
-			t.Fatalf("knew %v, broken %v", knew, got)
-		}
-		ch.Close()
-	}
-}
-
 // Bulk bodies are read as the protocol has them.
 func TestParts(t *testing.T) {
 	for _, c := range []struct {
@@ -277,3 +247,15 @@
 		}
 	}
 }
+
+// fetch asks discovery, and returns the answer's code.
+func fetch(t *testing.T, addr, query string) int {
+	t.Helper()
+	res, err := http.Get("http://" + addr + "/v1/servers" + query)
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	res.Body.Close()
+	return res.StatusCode
+}
--- a/internal/emulator/ledger.go
+++ b/internal/emulator/ledger.go
@@ -4,24 +4,21 @@
 package emulator
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
 	"time"
-)
 
-// Allowed says how often a message of a class may take effect.
-type Allowed uint8
+	"raventrestle/internal/emulator/model"
+)
 
+// Leeway of the rules.
 const (
-	AnyNumber     Allowed = iota // free
-	OnceByFloor                  // guarded: repeats are dropped on one floor, within a window
-	OnceEver                     // single_shot
 	grace         = 300 * time.Millisecond
 	afterRestart  = 1500 * time.Millisecond
-	waitLeeway    = 100 * time.Millisecond
-	drainLeeway   = time.Second + 50*time.Millisecond
 	wordOfEnd     = 30 * time.Millisecond
 	historyAtMost = 60
 )
@@ -79,6 +76,8 @@
 	Calls      int // on the receiving side, messages counted one by one
 	Refused    int
 	counts     Counts
+	// Later calls f after d; virtual time has its own.
+	Later func(d time.Duration, f func())
 }
 
 // Counts are the ledger's figures so far.
@@ -102,7 +101,8 @@
 
 // NewLedger returns an empty one.
 func NewLedger(start time.Time) *Ledger {
-	return &Ledger{start: start, messages: map[string]*Message{}, ids: map[string]*handIn{}, lives: map[int][]life{}, guests: -1}
+	return &Ledger{start: start, messages: map[string]*Message{}, ids: map[string]*handIn{}, lives: map[int][]life{}, guests: -1,
+		Later: func(d time.Duration, f func()) { time.AfterFunc(d, f) }}
 }
 
 func (l *Ledger) note(m *Message, at time.Time, format string, args ...any) {
@@ -183,7 +183,7 @@
 	}
 	for earlier := range h.open {
 		// Its connection may have ended already, and word of that be on its way to the ledger.
-		time.AfterFunc(wordOfEnd, func() {
+		l.Later(wordOfEnd, func() {
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			if _, out := h.open[earlier]; out {
@@ -334,22 +334,24 @@
 	}
 }
 
-// Told says that a courier broke what it was told: a wait, or a drain.
-func (l *Ledger) Told(rule, id, format string, args ...any) {
+// Broken takes in what a call broke; id is its first message's.
+func (l *Ledger) Broken(all []model.Breach, id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var m *Message
-	if h := l.ids[id]; h != nil {
-		m = h.msg
+	for _, b := range all {
+		var m *Message
+		if h := l.ids[id]; h != nil && b.Told {
+			m = h.msg
+		}
+		l.broken(b.Rule, m, "%s", b.Text)
 	}
-	l.broken(rule, m, format, args...)
 }
 
 // Check looks at every message at the end of a run and returns all broken rules.
 func (l *Ledger) Check(now time.Time) []Violation {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, m := range l.messages {
+	for _, m := range l.sorted() {
 		for _, h := range m.handIns {
 			if h.taken.IsZero() {
 				continue
@@ -390,16 +392,18 @@
 func (l *Ledger) Messages(f func(Message)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	all := make([]*Message, 0, len(l.messages))
-	for _, m := range l.messages {
-		all = append(all, m)
-	}
-	slices.SortFunc(all, func(a, b *Message) int { return a.Born.Compare(b.Born) })
-	for _, m := range all {
+	for _, m := range l.sorted() {
 		f(*m)
 	}
 }
 
+// sorted are all messages in the order of their birth.
+func (l *Ledger) sorted() []*Message {
+	all := slices.Collect(maps.Values(l.messages))
+	slices.SortFunc(all, func(a, b *Message) int { return cmp.Or(a.Born.Compare(b.Born), cmp.Compare(a.Key, b.Key)) })
+	return all
+}
+
 // Taken says whether a courier took the message on.
 func (m Message) Taken() bool {
 	return slices.ContainsFunc(m.handIns, func(h *handIn) bool { return !h.taken.IsZero() })
@@ -413,3 +417,6 @@
 	}
 	return ids
 }
+
+// History is what is known of the message, a line for each event.
+func (m Message) History() []string { return slices.Clone(m.history) }
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -36,9 +37,13 @@
 	Dest    int64
 	At, For time.Duration // from the start
 	Mode    Mode
-	Gone    string // the list says so of its endpoints on this floor meanwhile, "" for none
+	Gone    string // the list says from then on that its endpoints on this floor are gone, "" for none
+	Drain   bool   // nothing is the matter, but its first endpoint drains meanwhile
 }
 
+// Span is a stretch of time, from the start.
+type Span struct{ At, For time.Duration }
+
 // Restart is the end and new beginning of a courier's process.
 type Restart struct {
 	Courier  int
@@ -63,6 +68,14 @@
 	Settle   time.Duration // after the last message, at most, until Done says yes
 	Troubles []Trouble
 	Restarts []Restart
+	Hot      []Hot
+	// FloorDelay is how long a call takes to another floor than its courier's, each way.
+	FloorDelay time.Duration
+	// FrontNotices is how long the front layer takes to notice a dead courier.
+	FrontNotices [2]time.Duration
+	// ListLate is how late discovery tells of a change; in ListOut it does not answer at all.
+	ListLate [2]time.Duration
+	ListOut  []Span
 	// HotelShares are the hotels' parts of the messages; even ones where there are none.
 	HotelShares []float64
 	// Clumps is the share of the messages that come at once for one channel, as many as it gets in ClumpLen.
@@ -89,7 +102,8 @@
 	Discovery *Discovery
 	Couriers  []*Courier
 	start     time.Time
-	rnd       *rand.Rand
+	frontMu   sync.Mutex
+	front     *Front
 	client    *http.Client
 	ids       atomic.Int64
 	resends   chan int // couriers that have a resend out
@@ -103,8 +117,8 @@
 	leave     context.CancelFunc
 }
 
-// platform is the object that the platform tells couriers as their settings.
-func (s *Spec) platform() any {
+// Platform is the object that the platform tells a courier as its settings.
+func (s *Spec) Platform(courier int) any {
 	var classes []map[string]any
 	for _, c := range s.Classes {
 		effect, group := "free", "all"
@@ -140,7 +154,7 @@
 	for _, h := range s.Hotels {
 		tenants = append(tenants, map[string]any{"name": h, "share": 1 / float64(len(s.Hotels)), "quota_per_s": 2 * s.Rate / float64(len(s.Hotels))})
 	}
-	return map[string]any{"az": floors[0], "failure_domains": floors, "models": kinds, "balancers": s.Couriers, "granularity_us": 5000,
+	return map[string]any{"az": s.Home(courier), "failure_domains": floors, "models": kinds, "balancers": s.Couriers, "granularity_us": 5000,
 		"membership_mode": "on_request", "classes": classes, "tenants": tenants, "over_share_worth": 0.2,
 		"limits": map[string]any{"most_held": s.MostHeld, "send_cap": 8, "connect_timeout_us": 1000000, "idle_close_us": 5000000,
 			"cancel": true, "retry_after": true, "max_retry_after_us": 2000000},
@@ -149,10 +163,23 @@
 		"specifics": map[string]any{"call_slots": s.Slots, "bundle_max": bulk, "routes_apart": apart, "loses_worth": "halving"}}
 }
 
+// Home is the floor that a courier stands on.
+func (s *Spec) Home(courier int) string {
+	var floors []string
+	for _, c := range s.Channels {
+		for _, f := range c.Floors {
+			if !slices.Contains(floors, f) {
+				floors = append(floors, f)
+			}
+		}
+	}
+	return floors[courier%len(floors)]
+}
+
 // New builds a world. Close ends it.
 func New(s Spec) (w *World, err error) {
-	w = &World{Spec: s, start: time.Now(), rnd: rand.New(rand.NewPCG(s.Seed, 1)), resends: make(chan int, 1024),
-		client: &http.Client{Timeout: 400 * time.Millisecond, Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 4 * time.Second}}}
+	w = &World{Spec: s, start: time.Now(), front: NewFront(s.Couriers, s.FrontNotices, s.Seed), resends: make(chan int, 1024),
+		client: &http.Client{Timeout: Patience, Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 4 * time.Second}}}
 	w.Ledger = NewLedger(w.start)
 	w.clients, w.leave = context.WithCancel(context.Background())
 	defer func() {
@@ -171,12 +198,21 @@
 			default:
 			}
 		}
+		for _, e := range c.Endpoints {
+			e.delay = func(courier int) time.Duration {
+				if s.Home(courier) == e.Floor {
+					return 0
+				}
+				return s.FloorDelay
+			}
+		}
 		w.Channels = append(w.Channels, c)
 	}
 	if w.Discovery, err = NewDiscovery(s.Couriers, w.Channels, w.Ledger); err != nil {
 		return w, err
 	}
 	w.Discovery.onDeferred = w.again
+	w.Discovery.late = s.ListLate
 	for n := range s.Couriers {
 		folder := filepath.Join(s.Dir, fmt.Sprint("n", n))
 		args := s.Args
@@ -190,10 +226,19 @@
 			}
 			args = append([]string{"run", "--settings", file}, args...)
 		}
-		c, err := NewCourier(n, s.Dir, s.Program, args, s.Env, s.platform(), w.Discovery.Addr(n), w.Discovery.Whole(n), s.MemoryMB, s.DiskMB, w.Ledger)
+		c, err := NewCourier(n, s.Dir, s.Program, args, s.Env, s.Platform(n), w.Discovery.Addr(n), w.Discovery.Whole(n), s.MemoryMB, s.DiskMB, w.Ledger)
 		if err != nil {
 			return w, err
 		}
+		c.onLife = func(up bool) {
+			w.frontMu.Lock()
+			defer w.frontMu.Unlock()
+			if up {
+				w.front.Up(n)
+			} else {
+				w.front.Down(n, time.Now())
+			}
+		}
 		w.Couriers = append(w.Couriers, c)
 	}
 	return w, nil
@@ -298,48 +343,19 @@
 // traffic hands messages in, open loop: all are drawn ahead and leave at their time whatever came of
 // those before.
 func (w *World) traffic(ctx context.Context) {
-	type arrival struct {
-		at    time.Duration
-		class *ClassSpec
-		m     *Message
-		first int
-	}
-	var plan []arrival
-	add := func(at time.Duration, class *ClassSpec, dest int64) {
-		m := &Message{Key: fmt.Sprintf("k%06d", len(plan)), Class: class.Name, Allowed: class.Allowed, Worth: class.Worth,
-			Hotel: w.hotel(), Dest: dest}
-		plan = append(plan, arrival{at, class, m, w.rnd.IntN(w.Spec.Couriers)})
-	}
-	for at := time.Duration(0); ; {
-		at += time.Duration(w.rnd.ExpFloat64() / w.Rate * float64(time.Second))
-		if at > w.Traffic {
-			break
-		}
-		class := w.draw()
-		dest, part := w.destination(class)
-		size := w.Rate * class.Share * part * w.ClumpLen.Seconds()
-		if w.Clumps > 0 && size > 1 && w.rnd.Float64() < w.Clumps/size {
-			for range int(size) {
-				add(at, class, dest)
-			}
-			continue
-		}
-		if w.rnd.Float64() >= w.Clumps { // the rest of the share came in clumps
-			add(at, class, dest)
-		}
-	}
+	plan := w.Plan()
 	w.Asked = len(plan)
 	var out sync.WaitGroup
 	for _, a := range plan {
-		due := w.start.Add(a.at)
+		due := w.start.Add(a.At)
 		if !until(ctx, due) {
 			break
 		}
 		if time.Since(due) > 50*time.Millisecond {
 			w.late.Add(1)
 		}
-		a.m.Born, a.m.Until = due, due.Add(a.class.Deadline)
-		out.Go(func() { w.deliver(ctx, a.m, a.class, a.first) })
+		m := a.Message(w.start)
+		out.Go(func() { w.deliver(ctx, m, a.Class, a.Courier) })
 	}
 	out.Wait()
 }
@@ -347,65 +363,16 @@
 // Late is how many messages the rig itself handed in more than 50 ms late.
 func (w *World) Late() int64 { return w.late.Load() }
 
-// destination draws a channel that takes the class, and says what part of the class goes there.
-func (w *World) destination(class *ClassSpec) (dest int64, part float64) {
-	sum := 0.0
-	weight := func(c *ChannelSpec) float64 {
-		switch {
-		case class.Kind != "" && class.Kind != c.Kind:
-			return 0
-		case c.Weight == 0:
-			return 1
-		}
-		return c.Weight
-	}
-	for i := range w.Spec.Channels {
-		sum += weight(&w.Spec.Channels[i])
-	}
-	x := w.rnd.Float64() * sum
-	for i := range w.Spec.Channels {
-		c := &w.Spec.Channels[i]
-		if n := weight(c); n > 0 {
-			dest, part = c.Dest, n/sum
-			if x -= n; x < 0 {
-				break
-			}
-		}
-	}
-	return dest, part
-}
-
-func (w *World) hotel() string {
-	if len(w.HotelShares) == 0 {
-		return w.Hotels[w.rnd.IntN(len(w.Hotels))]
-	}
-	x := w.rnd.Float64()
-	for i, share := range w.HotelShares {
-		if x -= share; x < 0 {
-			return w.Hotels[i]
-		}
-	}
-	return w.Hotels[len(w.Hotels)-1]
-}
-
-func (w *World) draw() *ClassSpec {
-	x := w.rnd.Float64()
-	for i := range w.Classes {
-		if x -= w.Classes[i].Share; x < 0 {
-			return &w.Classes[i]
-		}
-	}
-	return &w.Classes[len(w.Classes)-1]
-}
-
 // deliver hands one message in, and again after a refusal or no answer, each time at another courier.
 func (w *World) deliver(ctx context.Context, m *Message, class *ClassSpec, courier int) {
-	for try := range 4 {
+	for try := 0; ; try++ {
 		now := time.Now()
 		if ctx.Err() != nil || now.After(m.Until) {
 			return
 		}
-		n := (courier + try) % len(w.Couriers)
+		w.frontMu.Lock()
+		n := w.front.Pick((courier+try)%len(w.Couriers), now)
+		w.frontMu.Unlock()
 		id := fmt.Sprintf("t%08d", w.ids.Add(1))
 		w.classes.Store(id, class)
 		w.Ledger.HandIn(m, id, n, now)
@@ -419,7 +386,8 @@
 		default:
 			w.Refused.Add(1)
 		}
-		if !until(ctx, time.Now().Add(time.Duration(100+100*try)*time.Millisecond)) {
+		after, again := Comeback(try)
+		if !again || !until(ctx, time.Now().Add(after)) {
 			return
 		}
 	}
@@ -429,8 +397,11 @@
 func (w *World) again(id string, after time.Duration) {
 	m, n := w.Ledger.Of(id)
 	class, known := w.classes.Load(id)
-	back := time.Now().Add(max(after, 100*time.Millisecond))
-	if m == nil || !known || n > 6 || back.After(m.Until) {
+	if m == nil || !known {
+		return
+	}
+	back, again := Recall(after, n, time.Now(), m.Until)
+	if !again {
 		return
 	}
 	w.comeAgain.Go(func() {
@@ -500,6 +471,16 @@
 
 func (w *World) troubles(ctx context.Context) {
 	var all sync.WaitGroup
+	for _, o := range w.ListOut {
+		all.Go(func() {
+			if until(ctx, w.start.Add(o.At)) {
+				w.Log.Info("trouble", "discovery", "out", "for", o.For)
+				w.Discovery.Out(true)
+				until(ctx, w.start.Add(o.At+o.For))
+				w.Discovery.Out(false)
+			}
+		})
+	}
 	for _, t := range w.Troubles {
 		c := w.channel(t.Dest)
 		if c == nil {
@@ -510,6 +491,12 @@
 				return
 			}
 			w.Log.Info("trouble", "channel", t.Dest, "mode", t.Mode, "for", t.For)
+			if t.Drain {
+				w.Discovery.Mark(c.Endpoints[0], "DRAINING")
+				until(ctx, w.start.Add(t.At+t.For))
+				w.Discovery.Mark(c.Endpoints[0], "SERVING")
+				return
+			}
 			c.Set(t.Mode, time.Now())
 			for _, e := range c.Endpoints {
 				if e.Floor == t.Gone {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -68,6 +68,21 @@
 	For      Range         `json:"for_s"`
 }
 
+// Span is a stretch of time.
+type Span struct {
+	At  Range `json:"at_s"`
+	For Range `json:"for_s"`
+}
+
+// Hot channels get more messages for a while.
+type Hot struct {
+	Channels int    `json:"channels"`
+	Kind     string `json:"kind"`
+	Times    Range  `json:"times"`
+	At       Range  `json:"at_s"`
+	For      Range  `json:"for_s"`
+}
+
 // Restart strikes couriers.
 type Restart struct {
 	How      string `json:"how"`
@@ -99,6 +114,11 @@
 	Zipf     Range               `json:"zipf"`
 	Classes  map[string]Class    `json:"classes"`
 	Channels map[string]Channels `json:"channels"`
+	Delay    Range               `json:"floor_delay_ms"`
+	Notices  Range               `json:"front_notices_s"`
+	ListLate Range               `json:"list_late_s"`
+	ListOut  []Span              `json:"list_out"`
+	Hot      []Hot               `json:"hot"`
 	Troubles []Trouble           `json:"troubles"`
 	Restarts []Restart           `json:"restarts"`
 	Slots    Range               `json:"slots_room"`
@@ -162,17 +182,27 @@
 	if math.Abs(shares-1) > 0.001 {
 		return bad("classes", "the shares add up to %.3f, not 1", shares)
 	}
-	for i, t := range s.Troubles {
-		n := 0
+	of := func(wanted string) (n int) {
 		for kind, c := range s.Channels {
-			if t.Kind == "" || t.Kind == kind {
+			if wanted == "" || wanted == kind {
 				n += c.Count
 			}
 		}
-		if t.Channels > n {
+		return n
+	}
+	for i, t := range s.Troubles {
+		if n := of(t.Kind); t.Channels > n {
 			return bad(fmt.Sprintf("troubles.%d.channels", i), "%d are struck, and there are %d", t.Channels, n)
 		}
 	}
+	for i, h := range s.Hot {
+		if n := of(h.Kind); h.Channels > n {
+			return bad(fmt.Sprintf("hot.%d.channels", i), "%d are hot, and there are %d", h.Channels, n)
+		}
+		if h.Times[0] < 1 {
+			return bad(fmt.Sprintf("hot.%d.times", i), "%v is under 1", h.Times[0])
+		}
+	}
 	for i, r := range s.Restarts {
 		if r.Couriers > s.Couriers {
 			return bad(fmt.Sprintf("restarts.%d.couriers", i), "%d are struck, and there are %d", r.Couriers, s.Couriers)
@@ -225,7 +255,11 @@
 		}
 		at, length := seconds(t.At.draw(rnd)), seconds(t.For.draw(rnd))
 		for _, i := range to[:t.Channels] {
-			d.Troubles = append(d.Troubles, emulator.Trouble{Dest: d.Channels[i].Dest, Mode: t.Mode, At: at, For: length})
+			x := emulator.Trouble{Dest: d.Channels[i].Dest, Mode: t.Mode, At: at, For: length}
+			if t.Mode == "drain" {
+				x.Mode, x.Drain = emulator.Well, true
+			}
+			d.Troubles = append(d.Troubles, x)
 		}
 	}
 	for _, r := range s.Restarts {
@@ -238,6 +272,25 @@
 			}
 		}
 	}
+	// What came later to the schema draws for itself, so that older scenarios keep their days.
+	rnd = rand.New(rand.NewPCG(seed, 0x5cf))
+	span := func(r Range) [2]time.Duration { return [2]time.Duration{seconds(r[0]), seconds(r[1])} }
+	d.FloorDelay, d.FrontNotices, d.ListLate = seconds(s.Delay.draw(rnd)/1000), span(s.Notices), span(s.ListLate)
+	for _, o := range s.ListOut {
+		d.ListOut = append(d.ListOut, emulator.Span{At: seconds(o.At.draw(rnd)), For: seconds(o.For.draw(rnd))})
+	}
+	for _, h := range s.Hot {
+		var to []int
+		for i, c := range d.Channels {
+			if h.Kind == "" || h.Kind == c.Kind {
+				to = append(to, i)
+			}
+		}
+		rnd.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
+		for _, i := range to[:h.Channels] {
+			d.Hot = append(d.Hot, emulator.Hot{Dest: d.Channels[i].Dest, Times: h.Times.draw(rnd), At: seconds(h.At.draw(rnd)), For: seconds(h.For.draw(rnd))})
+		}
+	}
 	if len(d.Channels) == 0 {
 		return d, errors.New("scenario: no channels")
 	}
--- a/internal/lab/scenario/schema.cue
+++ b/internal/lab/scenario/schema.cue
@@ -3,7 +3,7 @@
 package scenario
 
 #Range: [number & >=0, number & >=0]
-#Mode: "errors" | "shut" | "hang" | "slow" | "cut" | "torn" | "broken"
+#Mode: "drain" | "errors" | "shut" | "hang" | "slow" | "cut" | "torn" | "broken"
 
 #Scenario: {
 	// What it is for, in a sentence.
@@ -29,6 +29,16 @@
 	classes: {[string]: #Class} | *#usual
 	channels: {[string]: #Channels} | *#three
 
+	// Time that a call takes to another floor than its courier's, each way.
+	floor_delay_ms: #Range | *[0.3, 1.5]
+	// How late the front layer notices that a courier is dead; until then it leads connections there.
+	front_notices_s: #Range | *[1.4, 3.3]
+	// How late discovery tells of a change, and when it does not answer at all.
+	list_late_s: #Range | *[0, 0.2]
+	list_out: [...{at_s: #Range, for_s: #Range}]
+	// Channels that get a multiple of their messages for a while, drawn from the kind or from all.
+	hot: [...{channels: int & >=1, kind?: string, times: #Range, at_s: #Range, for_s: #Range}]
+
 	// What goes wrong with channels.
 	troubles: [...#Trouble]
 	// What happens to couriers.
@@ -82,6 +92,7 @@
 	start_share: #Range | *[0.15, 0.4]
 }
 
+// A drain is no fault: the list marks one endpoint of the channel as draining for so long.
 // So many channels are struck, drawn from the kind or from all, the busiest first where busiest is set.
 #Trouble: {
 	mode:     #Mode
