--- a/cmd/ravenlab/main.go
+++ b/cmd/ravenlab/main.go
@@ -113,6 +113,7 @@
 	var seed uint64
 	var seeds, side int
 	var out string
+	var alone bool
 	c := &cobra.Command{Use: "run NAME", Short: "Play a scenario, or undeliverable or cold-return; exit 1 if a rule is broken", Args: cobra.ExactArgs(1),
 		ValidArgs: append(lab.Names(), "undeliverable", "cold-return"), RunE: func(c *cobra.Command, args []string) error {
 			for i := range seeds {
@@ -123,7 +124,7 @@
 			case "cold-return":
 				return coldReturn(c, out, o)
 			default:
-				return days(c, args[0], o.Seeds, side, out, o)
+				return days(c, args[0], o.Seeds, side, out, alone, o)
 			}
 			plays, err := lab.Undeliverable(c.Context(), o)
 			if err != nil {
@@ -143,6 +144,7 @@
 	f.IntVar(&seeds, "seeds", 1, "how many seeds, from the first on, side by side")
 	f.IntVar(&side, "side-by-side", 1, "days of a scenario played at once; each needs about a core")
 	f.StringVar(&out, "out", "", "folder for the table (table.md) and all figures (plays.json)")
+	f.BoolVar(&alone, "virtual", false, "against the decision module alone, in virtual time")
 	f.BoolVar(&o.Short, "short", false, "a run of some seconds")
 	courier(c, &o)
 	return c
--- a/cmd/ravenlab/scenario.go
+++ b/cmd/ravenlab/scenario.go
@@ -79,7 +79,7 @@
 }
 
 // days plays a scenario's days of so many seeds, some side by side, and keeps each as it ends.
-func days(c *cobra.Command, name string, seeds []uint64, side int, out string, o lab.Options) error {
+func days(c *cobra.Command, name string, seeds []uint64, side int, out string, alone bool, o lab.Options) error {
 	s, err := lab.Find(name)
 	if err != nil {
 		return err
@@ -102,7 +102,13 @@
 					return err
 				}
 			}
-			d, err := lab.PlayDay(c.Context(), s, seed, out, o)
+			var d *lab.Day
+			var err error
+			if alone {
+				d, err = lab.PlayVirtual(s, seed, out, nil)
+			} else {
+				d, err = lab.PlayDay(c.Context(), s, seed, out, o)
+			}
 			all[i] = d
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -22,6 +22,7 @@
 	"raventrestle/internal/emulator"
 	"raventrestle/internal/lab/scenario"
 	"raventrestle/internal/lab/verdict"
+	"raventrestle/internal/lab/virtual"
 	"raventrestle/lab/scenarios"
 )
 
@@ -67,6 +68,7 @@
 	Version    int                `json:"version"`
 	Scenario   string             `json:"scenario"`
 	Seed       uint64             `json:"seed"`
+	Virtual    bool               `json:"virtual,omitempty"` // against the module alone
 	Rate       float64            `json:"rate_per_s"`
 	Service    verdict.Service    `json:"service"`
 	Latency    map[string]Latency `json:"latency_by_class"`
@@ -122,23 +124,52 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s, seed %d: %w", s.Name, seed, err)
 	}
-	day = judge(s, seed, spec, w)
+	day = judge(s, seed, spec, played{w.Ledger, w.Start(), time.Now(), w.Asked, w.Late()})
+	return day, keep(out, day, series, spec.Couriers)
+}
+
+// PlayVirtual plays the same day against the decision module alone, in virtual time. A nil maker is the
+// module as it stands.
+func PlayVirtual(s *scenario.Scenario, seed uint64, out string, maker virtual.Maker) (*Day, error) {
+	spec, err := s.Draw(seed)
+	if err != nil {
+		return nil, err
+	}
+	r, err := virtual.Play(spec, virtual.Usual, maker)
+	if err != nil {
+		return nil, fmt.Errorf("%s, seed %d, virtual: %w", s.Name, seed, err)
+	}
+	day := judge(s, seed, spec, played{r.Ledger, r.Start, r.End, r.Asked, 0})
+	day.Virtual = true
+	var series []second
+	for i, c := range r.Series {
+		series = append(series, second{at: i, counts: c})
+	}
+	return day, keep(out, day, series, 0)
+}
+
+// keep writes a day's figures and series into the folder, the figures last and whole: a day that has
+// its file was played to its end.
+func keep(out string, day *Day, series []second, couriers int) error {
 	if out == "" {
-		return day, nil
+		return nil
 	}
 	if err := os.MkdirAll(out, 0o755); err != nil {
-		return nil, err
+		return err
 	}
-	base := filepath.Join(out, fmt.Sprintf("%s-%d", s.Name, seed))
+	base := filepath.Join(out, fmt.Sprintf("%s-%d", day.Scenario, day.Seed))
 	text, err := json.MarshalIndent(day, "", "  ")
 	if err != nil {
-		return nil, err
+		return err
 	}
 	file, err := os.Create(base + ".csv")
 	if err != nil {
-		return nil, err
+		return err
+	}
+	if err := errors.Join(write(file, series, couriers), file.Close(), os.WriteFile(base+".part", text, 0o644)); err != nil {
+		return err
 	}
-	return day, errors.Join(os.WriteFile(base+".json", text, 0o644), write(file, series, spec.Couriers), file.Close())
+	return os.Rename(base+".part", base+".json")
 }
 
 // watch samples the world once a second.
@@ -205,19 +236,27 @@
 	return c.Error()
 }
 
+// played is a run that has ended, whoever played it.
+type played struct {
+	ledger     *emulator.Ledger
+	start, end time.Time
+	asked      int
+	late       int64
+}
+
 // judge reads the day off the ledger.
-func judge(s *scenario.Scenario, seed uint64, spec emulator.Spec, w *emulator.World) *Day {
-	d := &Day{Version: resultVersion, Scenario: s.Name, Seed: seed, Rate: spec.Rate, Latency: map[string]Latency{}, Counts: w.Ledger.Counts(),
-		Asked: w.Asked, RigLate: w.Late(), Violations: []string{}, Failed: []string{}, Troubles: spec.Troubles, Restarts: spec.Restarts}
+func judge(s *scenario.Scenario, seed uint64, spec emulator.Spec, w played) *Day {
+	d := &Day{Version: resultVersion, Scenario: s.Name, Seed: seed, Rate: spec.Rate, Latency: map[string]Latency{}, Counts: w.ledger.Counts(),
+		Asked: w.asked, RigLate: w.late, Violations: []string{}, Failed: []string{}, Troubles: spec.Troubles, Restarts: spec.Restarts}
 	classes := map[string]emulator.ClassSpec{}
 	times := map[string]*hdrhistogram.Histogram{}
 	for _, c := range spec.Classes {
 		classes[c.Name], times[c.Name] = c, hdrhistogram.New(1, 600_000, 3)
 	}
 	var all []verdict.Message
-	w.Ledger.Messages(func(m emulator.Message) {
+	w.ledger.Messages(func(m emulator.Message) {
 		c := classes[m.Class]
-		v := verdict.Message{Class: m.Class, Hotel: m.Hotel, Born: m.Born.Sub(w.Start()), Took: -1, Worth: m.Worth, Aim: c.Aim, Deadline: c.Deadline, Late: c.Late}
+		v := verdict.Message{Class: m.Class, Hotel: m.Hotel, Born: m.Born.Sub(w.start), Took: -1, Worth: m.Worth, Aim: c.Aim, Deadline: c.Deadline, Late: c.Late}
 		if !m.Delivered.IsZero() {
 			v.Took = m.Delivered.Sub(m.Born)
 			// Over ten minutes is the last bucket: no class waits so long.
@@ -235,7 +274,7 @@
 	for name, h := range times {
 		d.Latency[name] = Latency{h.TotalCount(), h.ValueAtQuantile(50), h.ValueAtQuantile(90), h.ValueAtQuantile(99), h.Max()}
 	}
-	for _, v := range w.Ledger.Check(time.Now()) {
+	for _, v := range w.ledger.Check(w.end) {
 		d.Violations = append(d.Violations, v.String())
 	}
 	if late := float64(d.RigLate) / float64(max(d.Asked, 1)); late > s.Holds.RigLateShare {
