--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -284,7 +284,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := day(3)
 			if strings.HasPrefix(name, "no returning") { // it makes thousands of calls a second
-				s.Traffic, s.Restarts = 8*time.Second, nil
+				s.Traffic, s.Restarts = 14*time.Second, nil
 			}
 			r, err := Play(s, Usual, func(n int, set raventrestle.Settings, seed uint64) (Decider, error) {
 				inner, err := Module(n, set, seed)
