Give an instance one life that all ask, show it to operators, and one owner for its folder

Need: couriers run by the dozen must say whether they are ready and why not, be taken out and put back, and never share a folder. Until now a flag in the front answered for all of that.

A kernel's lock on the folder (gofrs/flock): a second courier ends with code 75 within half a second.

--- a/cmd/raventrestle/main.go
+++ b/cmd/raventrestle/main.go
@@ -18,7 +18,8 @@
 // Exit codes.
 const (
 	exitFailed = 1
-	exitUsage  = 2 // wrong usage or invalid settings
+	exitUsage  = 2  // wrong usage or invalid settings: another try fares no better
+	exitOwned  = 75 // another courier has the folder: try again later (EX_TEMPFAIL)
 )
 
 // failure is an error of the command's work, not of its usage.
@@ -41,6 +42,9 @@
 	if errors.As(err, &invalid) || !errors.As(err, &failed) {
 		return exitUsage
 	}
+	if errors.Is(err, errOwned) {
+		return exitOwned
+	}
 	return exitFailed
 }
 
@@ -61,7 +65,7 @@
 		Args: cobra.NoArgs, SilenceErrors: true, SilenceUsage: true, RunE: serve}
 	run := &cobra.Command{Use: "run", Short: "Run the courier, as without a sub-command", Args: cobra.NoArgs, RunE: serve}
 	run.Flags().StringVar(&file, "settings", file, "operators' settings (CUE); RAVENTRESTLE_SETTINGS names it too")
-	root.AddCommand(run, settingsCommands(), undeliverableCommands(&file), versionCommand())
+	root.AddCommand(run, settingsCommands(), undeliverableCommands(&file), statusCommand(&file), drainCommand(&file, true), drainCommand(&file, false), versionCommand())
 	return root
 }
 
--- a/cmd/raventrestle/serve.go
+++ b/cmd/raventrestle/serve.go
@@ -2,30 +2,37 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"syscall"
 	"time"
 
+	"github.com/gofrs/flock"
+
 	"raventrestle"
 	"raventrestle/internal/config"
 	"raventrestle/internal/deadletter"
 	"raventrestle/internal/journal"
+	"raventrestle/internal/lifecycle"
 	"raventrestle/internal/net/admin"
 	"raventrestle/internal/net/courier"
 	"raventrestle/internal/net/front"
+	"raventrestle/internal/net/instance"
 	"raventrestle/internal/settings"
 )
 
 const (
 	lastWord  = 2500 * time.Millisecond // from SIGTERM to the end, at most
 	lastGuest = 700 * time.Millisecond  // new client connections still come for so long
+	ownWithin = 500 * time.Millisecond  // for the lock on the folder: one that was killed may still be going
 )
 
 // daemon is what a running courier consists of.
@@ -34,6 +41,7 @@
 	level   *slog.LevelVar
 	conf    *config.Config
 	file    string // operators' settings, "" for none
+	life    *instance.Instance
 	store   *journal.Store
 	letters *deadletter.Keeper // nil where none are kept
 	courier *courier.Courier
@@ -53,6 +61,11 @@
 	}
 	d := &daemon{level: &slog.LevelVar{}, file: file}
 	d.log = settings.Logger(set.Log, d.level)
+	d.life = instance.New(d.log, func(drains bool) {
+		if d.front != nil {
+			d.front.Drain(drains)
+		}
+	})
 	if name := os.Getenv("RAVENTRESTLE_LOG"); name != "" {
 		if err := d.level.UnmarshalText([]byte(name)); err != nil {
 			d.log.Warn("raventrestle: RAVENTRESTLE_LOG names no level", "level", name)
@@ -66,16 +79,25 @@
 	memory := int64(d.conf.Limits.MemoryMB * 1e6)
 	debug.SetMemoryLimit(memory * 6 / 10) // the journal's files count as well
 
+	owner, err := own(ctx, d.conf.State, d.log)
+	if err != nil {
+		return err
+	}
+	defer owner()
+
 	disk := min(int64(d.conf.Limits.DiskMB*1e6), memory/4)
 	var kept []journal.Kept
 	d.store, kept, err = journal.Open(d.conf.State, journal.Options{Limit: disk, Tries: set.Undeliverable.Keep}, d.log)
 	if err != nil {
 		return err
 	}
+	d.tell(lifecycle.Done{Step: lifecycle.Journal})
 	kept = d.openLetters(set, kept)
 	if d.courier, err = courier.New(d.conf, d.store, kept, d.log); err != nil {
 		return err
 	}
+	d.courier.Tell = d.tell
+	d.front = front.New(d.courier, d.conf.Names, d.log)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	if d.letters != nil {
@@ -83,6 +105,7 @@
 		go d.letters.Run(ctx)
 	}
 	go d.courier.Run(ctx)
+	d.tell(lifecycle.Done{Step: lifecycle.Notices})
 	if set.Admin.Socket != "" {
 		l, err := admin.Listen(set.Admin.Socket)
 		if err != nil { // the courier serves on without
@@ -92,11 +115,10 @@
 			if d.letters != nil {
 				desk = d.letters
 			}
-			defer admin.Serve(l, desk, d.log).Close()
+			defer admin.Serve(l, desk, d, d.log).Close()
 		}
 	}
 
-	d.front = front.New(d.courier, d.conf.Names, d.log)
 	listener, err := net.Listen("tcp", d.conf.Listen)
 	if err != nil {
 		return err
@@ -108,6 +130,7 @@
 		ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelWarn)}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(gate) }()
+	d.tell(lifecycle.Done{Step: lifecycle.Listening})
 	d.log.Info("raventrestle: ready", "name", d.conf.Name, "listen", d.conf.Listen,
 		"discovery", d.conf.Discovery, "restored", len(kept), "letters", d.letters != nil)
 
@@ -125,7 +148,7 @@
 				continue
 			}
 			began := time.Now()
-			d.front.Drain()
+			d.tell(lifecycle.End{})
 			server.SetKeepAlivesEnabled(false) // closes the connections that are between requests
 			end := began.Add(lastWord)
 			quiet := d.courier.Close(end)
@@ -147,12 +170,60 @@
 				d.log.Warn("raventrestle: journal", "err", err)
 			}
 			d.count()
+			d.tell(lifecycle.Gone{})
 			d.log.Info("raventrestle: done", "took", time.Since(began))
 			return nil
 		}
 	}
 }
 
+// tell tells the life of an event; what the machine refuses is logged there.
+func (d *daemon) tell(e lifecycle.Event) { d.life.On(e) }
+
+// Report is the instance's life in words.
+func (d *daemon) Report() instance.Report { return d.life.Report() }
+
+// Drain makes the courier take nothing new, or take it on again.
+func (d *daemon) Drain(on bool) error {
+	if on {
+		return d.life.On(lifecycle.Drain{})
+	}
+	return d.life.On(lifecycle.Undrain{})
+}
+
+// Status is all that operators see of a running courier.
+func (d *daemon) Status(ctx context.Context) (admin.Status, error) {
+	s, err := d.courier.Status(ctx)
+	return admin.Status{Name: d.conf.Name, Listen: d.conf.Listen, PID: os.Getpid(), Report: d.life.Report(), Courier: s, JournalBytes: d.store.Size(),
+		Settings: d.file}, err
+}
+
+// errOwned says that another courier has the folder.
+var errOwned = errors.New("the folder belongs to another courier")
+
+// own takes the folder that lasts for this process alone, until the returned function is called or the
+// process ends, however it does. A file system without locks stops nothing.
+func own(ctx context.Context, folder string, log *slog.Logger) (func(), error) {
+	lock := flock.New(filepath.Join(folder, "owner"))
+	wait, stop := context.WithTimeout(ctx, ownWithin)
+	defer stop()
+	ok, err := lock.TryLockContext(wait, 20*time.Millisecond)
+	switch {
+	case ok:
+		return func() {
+			if err := lock.Unlock(); err != nil {
+				log.Warn("raventrestle: the folder's lock", "err", err)
+			}
+		}, nil
+	case errors.Is(err, context.DeadlineExceeded):
+		return nil, fmt.Errorf("%s: %w (it holds the lock on %s)", folder, errOwned, lock.Path())
+	case ctx.Err() != nil:
+		return nil, ctx.Err()
+	}
+	log.Warn("raventrestle: no lock on the folder", "folder", folder, "err", err)
+	return func() {}, nil
+}
+
 // openLetters opens the store of letters, if the settings want one, and returns what of the journal
 // the courier takes up. A store that can't be opened stops nothing: the courier serves on without,
 // and resends that the journal holds stay there untouched until a life that has the store.
@@ -177,6 +248,7 @@
 	var err error
 	if d.letters, live, stale, err = deadletter.Start(c, kept, d.store.Sound()); err != nil {
 		d.letters = nil
+		d.tell(lifecycle.Began{Trouble: lifecycle.LettersFail})
 		d.log.Error("undeliverable: no store, serving on without", "folder", c.Folder, "err", err)
 		return fresh
 	}
--- /dev/null
+++ b/cmd/raventrestle/status.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"raventrestle/internal/net/admin"
+	"raventrestle/internal/settings"
+)
+
+// reach is the running courier, by the socket that is named or that the settings name.
+func reach(ctx context.Context, file, socket string) (*admin.Client, error) {
+	if socket == "" && file != "" {
+		set, err := settings.Load(ctx, file)
+		if err != nil {
+			return nil, err
+		}
+		socket = set.Admin.Socket
+	}
+	if socket == "" {
+		return nil, errors.New("no socket is named: give --socket, or --settings with admin.socket in it")
+	}
+	c := &admin.Client{Path: socket}
+	if !c.Reaches() {
+		return nil, fmt.Errorf("no courier answers at %s", socket)
+	}
+	return c, nil
+}
+
+func statusCommand(file *string) *cobra.Command {
+	var socket string
+	var asJSON bool
+	c := &cobra.Command{Use: "status", Short: "Show what a running courier is at, by channel; exit 1 if none answers", Args: cobra.NoArgs,
+		RunE: works(func(c *cobra.Command, _ []string) error {
+			client, err := reach(c.Context(), *file, socket)
+			if err != nil {
+				return err
+			}
+			s, err := client.Status(c.Context())
+			if err != nil {
+				return err
+			}
+			if asJSON {
+				return print(c, s)
+			}
+			return tell(c.OutOrStdout(), s, time.Now())
+		})}
+	f := c.Flags()
+	f.StringVar(&socket, "socket", "", "the courier's admin socket (default: the settings')")
+	f.StringVar(file, "settings", *file, "operators' settings (CUE)")
+	f.BoolVar(&asJSON, "json", false, "print JSON")
+	return c
+}
+
+// tell writes the status for people.
+func tell(out io.Writer, s admin.Status, now time.Time) error {
+	ago := func(t time.Time) string {
+		if t.IsZero() {
+			return "never"
+		}
+		return now.Sub(t).Round(100 * time.Millisecond).String()
+	}
+	t := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	r, c := s.Report, s.Courier
+	fmt.Fprintf(t, "courier\t%s, process %d, at %s\n", s.Name, s.PID, s.Listen)
+	fmt.Fprintf(t, "state\t%s for %s, up for %s\n", r.State, ago(r.Since), ago(r.Started))
+	if len(r.Why) > 0 {
+		fmt.Fprintf(t, "not ready\t%s\n", strings.Join(r.Why, "; "))
+	}
+	if len(r.Troubles) > 0 {
+		fmt.Fprintf(t, "trouble\t%s\n", strings.Join(r.Troubles, "; "))
+	}
+	fmt.Fprintf(t, "messages\t%d held of %d, %d of them resends; %d owed their end\n", c.Held, c.MostHeld, c.Resends, c.Owed)
+	fmt.Fprintf(t, "tries\t%d out in %d slots\n", c.Out, c.Slots)
+	fmt.Fprintf(t, "journal\t%.1f KB\n", float64(s.JournalBytes)/1024)
+	fmt.Fprintf(t, "list\tversion %d, last answer %s ago\n", c.Index, ago(c.Listed))
+	fmt.Fprintf(t, "settings\t%s\n", cmp.Or(s.Settings, "none"))
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintln(out)
+	t = tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "CHANNEL\tHELD\tOUT\tENDPOINT\tLIST\tHEALTH\tOUT\tFAILS\tPACE/S\tWAIT\tMEAN")
+	for _, d := range c.Channels {
+		if len(d.Targets) == 0 {
+			fmt.Fprintf(t, "%d\t%d\t%d\tnone\t\t\t\t\t\t\t\n", d.Dest, d.Held, d.Out)
+		}
+		for i, e := range d.Targets {
+			channel := "\t\t"
+			if i == 0 {
+				channel = fmt.Sprintf("%d\t%d\t%d", d.Dest, d.Held, d.Out)
+			}
+			list, pace := "serving", "-"
+			if !e.Ready {
+				list = "draining"
+			}
+			if e.Pace > 0 {
+				pace = fmt.Sprintf("%.1f", e.Pace)
+			}
+			fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\t%s\n", channel, e.Target, list, e.Health, e.Out, e.Fails, pace,
+				max(e.Wait, d.Wait).Round(time.Millisecond), e.Mean.Round(time.Millisecond))
+		}
+	}
+	return t.Flush()
+}
+
+func drainCommand(file *string, on bool) *cobra.Command {
+	var socket string
+	var wait time.Duration
+	use, short := "drain", "Make a running courier take nothing new; what it holds goes on"
+	if !on {
+		use, short = "undrain", "Make a drained courier take messages again"
+	}
+	c := &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: works(func(c *cobra.Command, _ []string) error {
+		client, err := reach(c.Context(), *file, socket)
+		if err != nil {
+			return err
+		}
+		r, err := client.Drain(c.Context(), on)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(c.OutOrStdout(), r.State)
+		if !on || wait == 0 {
+			return nil
+		}
+		ctx, stop := context.WithTimeout(c.Context(), wait)
+		defer stop()
+		for tick := time.NewTicker(200 * time.Millisecond); ; {
+			s, err := client.Status(ctx)
+			switch {
+			case ctx.Err() != nil:
+				return fmt.Errorf("after %v the courier still owes %d messages their end", wait, s.Courier.Owed)
+			case err != nil:
+				return err
+			case s.Courier.Owed == 0:
+				fmt.Fprintln(c.OutOrStdout(), "owes nothing")
+				return nil
+			}
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("after %v the courier still owes %d messages their end", wait, s.Courier.Owed)
+			case <-tick.C:
+			}
+		}
+	})}
+	f := c.Flags()
+	f.StringVar(&socket, "socket", "", "the courier's admin socket (default: the settings')")
+	f.StringVar(file, "settings", *file, "operators' settings (CUE)")
+	if on {
+		f.DurationVar(&wait, "wait", 0, "wait so long for it to owe nothing; exit 1 if it still does")
+	}
+	return c
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"sync/atomic"
 )
 
 // ErrFull says that the disk's limit leaves no room for another message.
@@ -90,6 +91,7 @@
 	dir    string
 	log    *slog.Logger
 	sound  bool
+	shown  atomic.Int64 // size, for those that ask
 	mail   chan entry
 	quit   chan struct{}
 	done   chan struct{}
@@ -135,6 +137,9 @@
 // earlier life did not do.
 func (s *Store) Sound() bool { return s.sound }
 
+// Size is the file's, in bytes.
+func (s *Store) Size() int64 { return s.shown.Load() }
+
 // Take writes a message down, or says why it could not.
 func (s *Store) Take(m *Message) error {
 	heard := make(chan error, 1)
@@ -242,6 +247,7 @@
 // put appends the text. The file is made anew once it has come to more than half of the
 // limit: the new one takes 7/20 at most, which leaves room for both and for a batch.
 func (s *Store) put(text []byte) error {
+	defer func() { s.shown.Store(s.size) }()
 	if len(text) == 0 {
 		return nil
 	}
--- a/internal/net/admin/admin.go
+++ b/internal/net/admin/admin.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"raventrestle/internal/deadletter"
+	"raventrestle/internal/net/courier"
+	"raventrestle/internal/net/instance"
 )
 
 // Request is what a command asks for.
@@ -27,9 +29,10 @@
 }
 
 const (
-	mostRequest = 1 << 20
-	patience    = time.Minute // of one command
-	mostClients = 8
+	mostRequest  = 1 << 20
+	patience     = time.Minute // of one command
+	mostClients  = 8
+	statusWithin = 5 * time.Second // of the courier's actor
 )
 
 // Listen opens the socket with mode 0600. One that a dead courier left behind is taken over; one
@@ -69,9 +72,68 @@
 
 func (l *listener) Close() error { return errors.Join(l.Listener.Close(), os.Remove(l.path)) }
 
-// Serve answers commands until the listener closes. Desk is nil where no letters are kept.
-func Serve(l net.Listener, desk deadletter.Desk, log *slog.Logger) *http.Server {
+// Daemon is the running courier.
+type Daemon interface {
+	Report() instance.Report
+	Status(context.Context) (Status, error)
+	Drain(on bool) error
+}
+
+// Status is what operators see of a running courier.
+type Status struct {
+	Name         string          `json:"name"`
+	Listen       string          `json:"listen"`
+	PID          int             `json:"pid"`
+	Settings     string          `json:"settings,omitempty"` // the operators' file
+	Report       instance.Report `json:"life"`
+	Courier      courier.Status  `json:"courier"`
+	JournalBytes int64           `json:"journal_bytes"`
+}
+
+// life answers what a supervisor or front layer asks: /livez and /readyz with 200 or 503 and the reasons,
+// /status, and the wish to drain.
+func life(mux *http.ServeMux, d Daemon, log *slog.Logger) {
+	health := func(path string, good func(instance.Report) bool) {
+		mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
+			r, code := d.Report(), http.StatusOK
+			if !good(r) {
+				code = http.StatusServiceUnavailable
+			}
+			answer(w, code, r)
+		})
+	}
+	health("/livez", func(r instance.Report) bool { return r.Live })
+	health("/readyz", func(r instance.Report) bool { return r.Ready })
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, r *http.Request) {
+		ctx, stop := context.WithTimeout(r.Context(), statusWithin)
+		defer stop()
+		s, err := d.Status(ctx)
+		if err != nil {
+			answer(w, http.StatusServiceUnavailable, map[string]string{"error": fmt.Sprintf("the courier does not answer: %v", err)})
+			return
+		}
+		answer(w, http.StatusOK, s)
+	})
+	for verb, on := range map[string]bool{"drain": true, "undrain": false} {
+		mux.HandleFunc("POST /"+verb, func(w http.ResponseWriter, _ *http.Request) {
+			err := d.Drain(on)
+			log.Info("admin: command", "verb", verb, "err", err)
+			if err != nil {
+				answer(w, http.StatusConflict, map[string]string{"error": err.Error()})
+				return
+			}
+			answer(w, http.StatusOK, d.Report())
+		})
+	}
+}
+
+// Serve answers commands until the listener closes. Desk is nil where no letters are kept, the daemon
+// where only letters are served.
+func Serve(l net.Listener, desk deadletter.Desk, d Daemon, log *slog.Logger) *http.Server {
 	mux := http.NewServeMux()
+	if d != nil {
+		life(mux, d, log)
+	}
 	handle := func(verb string, do func(context.Context, Request) (any, error)) {
 		mux.HandleFunc("POST /undeliverable/"+verb, func(w http.ResponseWriter, r *http.Request) {
 			var q Request
@@ -168,11 +230,31 @@
 	if err != nil {
 		return err
 	}
+	return c.do(ctx, http.MethodPost, "undeliverable/"+verb, text, out)
+}
+
+// Status asks the running courier what it is at.
+func (c *Client) Status(ctx context.Context) (out Status, err error) {
+	err = c.do(ctx, http.MethodGet, "status", nil, &out)
+	return out, err
+}
+
+// Drain makes the running courier take nothing new, or take it on again.
+func (c *Client) Drain(ctx context.Context, on bool) (out instance.Report, err error) {
+	verb := "undrain"
+	if on {
+		verb = "drain"
+	}
+	err = c.do(ctx, http.MethodPost, verb, nil, &out)
+	return out, err
+}
+
+func (c *Client) do(ctx context.Context, method, path string, text []byte, out any) error {
 	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			return (&net.Dialer{Timeout: 2 * time.Second}).DialContext(ctx, "unix", c.Path)
 		}}}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://courier/undeliverable/"+verb, bytes.NewReader(text))
+	req, err := http.NewRequestWithContext(ctx, method, "http://courier/"+path, bytes.NewReader(text))
 	if err != nil {
 		return err
 	}
--- a/internal/net/admin/admin_test.go
+++ b/internal/net/admin/admin_test.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := Serve(l, nil, nettest.Log)
+	s := Serve(l, nil, nil, nettest.Log)
 	t.Cleanup(func() { s.Close() })
 	for range mostClients - 1 {
 		c, err := net.Dial("unix", path)
--- a/internal/net/courier/courier.go
+++ b/internal/net/courier/courier.go
@@ -19,6 +19,7 @@
 	"raventrestle/internal/deadletter"
 	"raventrestle/internal/deadletter/rule"
 	"raventrestle/internal/journal"
+	"raventrestle/internal/lifecycle"
 	"raventrestle/internal/net/front"
 	"raventrestle/internal/net/notice"
 	"raventrestle/internal/net/peer"
@@ -65,6 +66,14 @@
 	seen    []deadletter.Seen // of this step
 	again   int               // resends that the module has
 	shown   time.Time         // when the letters' keeper last heard of the load
+	listed  time.Time         // when discovery last answered
+	index   int64             // of its list
+
+	// Tell hears of what concerns the life of the instance; set it before Run.
+	Tell         func(lifecycle.Event)
+	journalFails atomic.Bool
+	listStale    bool
+	listKnown    bool
 }
 
 type message struct {
@@ -103,7 +112,7 @@
 	set := &conf.Settings
 	room := set.MostHeld + len(kept) + 16*set.CallSlots + 256
 	c := &Courier{conf: conf, policy: policy, log: log, journal: store, mail: make(chan any, room),
-		quiet: make(chan struct{}), known: map[string]bool{}, resends: map[string]bool{}, dests: map[int64]time.Time{},
+		Tell: func(lifecycle.Event) {}, quiet: make(chan struct{}), known: map[string]bool{}, resends: map[string]bool{}, dests: map[int64]time.Time{},
 		msgs: map[raventrestle.MessageID]*message{}, peers: map[raventrestle.TargetID]*ref{}}
 	for _, class := range set.Classes {
 		c.longest = max(c.longest, class.Deadline)
@@ -177,6 +186,7 @@
 	t := now()
 	var lists, answers, rest []raventrestle.Event
 	var records []journal.Record
+	var asked []chan<- Status
 	rest = append(rest, c.yield(mail)...)
 	for _, m := range mail {
 		switch m := m.(type) {
@@ -198,6 +208,8 @@
 			if e := c.resend(m, t); e != nil {
 				rest = append(rest, e)
 			}
+		case statusMsg:
+			asked = append(asked, m.to)
 		case closingMsg:
 			c.closing = true
 			rest = append(rest, raventrestle.Closing{At: time.Duration(m.at.UnixNano())})
@@ -214,6 +226,9 @@
 	c.Counts.Steps.Add(1)
 	c.act(c.decide(t, events), records)
 	c.show()
+	for _, to := range asked {
+		to <- c.status()
+	}
 	if c.closing && c.owed() == 0 {
 		select {
 		case <-c.quiet:
@@ -260,6 +275,16 @@
 // update brings the peers up to date with the list.
 func (c *Courier) update(ctx context.Context, u upstream.Update) raventrestle.Listing {
 	l := raventrestle.Listing{How: u.How}
+	if stale := u.How == raventrestle.ListFailed; u.How != raventrestle.ListStored {
+		if stale && !c.listStale {
+			c.Tell(lifecycle.Began{Trouble: lifecycle.ListStale})
+		} else if !stale && c.listStale {
+			c.Tell(lifecycle.Ended{Trouble: lifecycle.ListStale})
+		}
+		if c.listStale = stale; !stale {
+			c.listed, c.index = time.Now(), u.Index
+		}
+	}
 	listed := map[raventrestle.TargetID]bool{}
 	for _, e := range u.Entries {
 		l.Entries = append(l.Entries, e.Entry)
@@ -302,6 +327,10 @@
 	for _, r := range c.peers {
 		c.dests[int64(r.entry.Dest)] = t
 	}
+	if !c.listKnown && len(c.dests) > 0 {
+		c.listKnown = true
+		defer c.Tell(lifecycle.Done{Step: lifecycle.List})
+	}
 	maps.DeleteFunc(c.dests, func(_ int64, last time.Time) bool { return t.Sub(last) > c.longest })
 }
 
@@ -472,6 +501,7 @@
 	if err != nil {
 		c.log.Error("courier: journal", "err", err)
 	}
+	c.writes(err == nil)
 	for _, x := range out {
 		if err == nil && x.to.Call(x.tries) {
 			continue
@@ -488,6 +518,18 @@
 	}
 }
 
+// writes notes whether the journal can be written.
+func (c *Courier) writes(ok bool) {
+	if c.journalFails.Swap(!ok) == !ok {
+		return
+	}
+	if ok {
+		c.Tell(lifecycle.Ended{Trouble: lifecycle.JournalFails})
+	} else {
+		c.Tell(lifecycle.Began{Trouble: lifecycle.JournalFails})
+	}
+}
+
 // post puts mail in the box without blocking whoever does.
 func (c *Courier) post(m any) {
 	select {
--- a/internal/net/front/front.go
+++ b/internal/net/front/front.go
@@ -65,8 +65,8 @@
 	return f
 }
 
-// Drain refuses all that comes from now on.
-func (f *Front) Drain() { f.draining.Store(true) }
+// Drain refuses all that comes from now on, or takes it on again.
+func (f *Front) Drain(on bool) { f.draining.Store(on) }
 
 // handIn is the request context's part of a message that is handed in.
 type handIn struct {
--- a/internal/net/front/front_test.go
+++ b/internal/net/front/front_test.go
@@ -249,7 +249,7 @@
 // Before its end the courier refuses, in words, and closes the connection behind the answer.
 func TestDrain(t *testing.T) {
 	s, f, addr := serve(t, func(*journal.Message) error { return nil })
-	f.Drain()
+	f.Drain(true)
 	for _, text := range []string{request("notice", good, "b"), "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"} {
 		conn, r := dial(t, addr)
 		io.WriteString(conn, text)
--- /dev/null
+++ b/view.go
@@ -0,0 +1,47 @@
+package raventrestle
+
+import (
+	"slices"
+	"time"
+)
+
+// DestView is what the policy believes of a destination, for operators' eyes.
+type DestView struct {
+	Dest    DestID        `json:"dest"`
+	Held    int           `json:"held"`           // messages that wait here
+	Out     int           `json:"out"`            // calls under way
+	Sick    bool          `json:"sick,omitempty"` // as of the last batch: it shares the slots of the sick
+	Setback float64       `json:"setback"`        // by the monitor, in messages
+	Wait    time.Duration `json:"wait_ns"`        // what is left of a wait that it told
+	Targets []TargetView  `json:"targets"`        // in the order of their ids
+}
+
+// TargetView is what the policy believes of a target.
+type TargetView struct {
+	Target TargetID      `json:"target"`
+	Ready  bool          `json:"ready"`  // by the list
+	Health string        `json:"health"` // open, half-open or slow start
+	Out    int           `json:"out"`
+	Fails  int           `json:"fails,omitempty"` // in a row
+	Pace   float64       `json:"pace,omitempty"`  // calls a second that its route may send, 0 while no limit is known
+	Wait   time.Duration `json:"wait_ns"`         // what is left of a wait that its route told
+	Mean   time.Duration `json:"mean_ns"`         // of its answers' times
+}
+
+var healths = [...]string{open: "open", halfOpen: "half-open", ramp: "slow start"}
+
+// View is what the policy believes of all destinations, in the order of their numbers. It changes nothing.
+func (p *Policy) View() []DestView {
+	all := make([]DestView, 0, len(p.dests))
+	for _, d := range p.dests {
+		v := DestView{Dest: d.id, Held: len(d.held), Out: len(d.out), Sick: d.sick, Setback: d.delta, Wait: max(d.shared.until-p.now, 0),
+			Targets: []TargetView{}}
+		for _, t := range d.targets {
+			v.Targets = append(v.Targets, TargetView{Target: t.id, Ready: t.ready, Health: healths[t.health], Out: t.inFlight, Fails: t.fails,
+				Pace: t.r.rate, Wait: max(t.r.until-p.now, 0), Mean: t.mean})
+		}
+		all = append(all, v)
+	}
+	slices.SortFunc(all, func(a, b DestView) int { return int(a.Dest - b.Dest) })
+	return all
+}
