Start slowly in a new life also where messages were turned away in the last one

Change: a restored message that was tried and never ran counts for all endpoints of its channel as one that failed counts for its own.

--- a/policy.go
+++ b/policy.go
@@ -220,13 +220,8 @@
 	m.d.came, m.d.heir = m.d.came+1, p.now+p.longest
 	m.sends, m.mayRun, m.ranAt = r.Sends, r.MayRun, r.RanAt
 	m.ranOn = &target{id: r.RanOn, zone: r.RanZone}
-	if t := p.targets[r.RanOn]; t != nil && r.Failed && p.now-r.RanAt < p.memory {
-		// Two failures: it may be cold, and what is left takes about TipAfter to go. Lives that end early would
-		// else each send all that they found at once.
-		t.usual += 1 / p.set.TipAfter.Seconds()
-		if t.fails++; t.fails > 1 && t.health == open {
-			t.health, t.rampAt = ramp, p.now
-		}
+	if r.Sends > 0 && p.set.TipAfter > 0 {
+		p.failedBefore(m, r)
 	}
 	if p.spent(m) {
 		m.d.unhold(m)
@@ -234,6 +229,25 @@
 	}
 }
 
+// failedBefore: a message that failed at a target in the last life, or was turned away by whichever. With
+// two such a target may be cold, and what is left goes in about TipAfter: lives that end early would else
+// each send all that they found at once.
+func (p *Policy) failedBefore(m *msg, r Restored) {
+	from := m.d.targets
+	if t := p.targets[r.RanOn]; r.MayRun {
+		if from = nil; t != nil && r.Failed && p.now-r.RanAt < p.memory {
+			t.fails++
+			from = []*target{t}
+		}
+	}
+	for _, t := range from {
+		if t.usual > 0 && t.health == open {
+			t.health, t.rampAt = ramp, p.now
+		}
+		t.usual += 1 / p.set.TipAfter.Seconds() / float64(len(from))
+	}
+}
+
 func (p *Policy) withdrawn(w Withdrawn) {
 	if m := p.msgs[w.ID]; m != nil && m.call != nil {
 		m.over = true
--- a/policy_test.go
+++ b/policy_test.go
@@ -1036,19 +1036,20 @@
 	}
 }
 
-// Calls that failed in the last life make the next one start slowly there: lives that end every second
+// Calls that failed or were turned away in the last life make the next one start slowly there: lives that end every second
 // would else each send a whole backlog at once, and push over what is just returning. Calls that
 // were only out when it ended say nothing.
 func TestFailedInTheLastLifeStartsSlowly(t *testing.T) {
 	for name, c := range map[string]struct {
 		failed bool
-		ago    time.Duration
-		first  int    // calls at once
-		most   [2]int // calls in two seconds, each answered after a tenth: at least, at most
+		ago    time.Duration // 0: it never ran
+		first  int           // calls at once
+		most   [2]int        // calls in two seconds, each answered after a tenth: at least, at most
 	}{
 		"failed":        {true, sec, 1, [2]int{5, 20}},
 		"failed before": {true, 15 * sec, 6, [2]int{30, 30}},
 		"were out":      {false, sec, 6, [2]int{30, 30}},
+		"turned away":   {false, 0, 1, [2]int{5, 20}},
 	} {
 		set := settings()
 		h := newHost(t, set, entry("t1", 1, 0, 0))
@@ -1056,7 +1057,7 @@
 		var evs []Event
 		for i := range 30 {
 			evs = append(evs, Restored{Arrival: Arrival{ID: MessageID(fmt.Sprint("r", i)), Dest: 1, Budget: 15 * sec},
-				Sends: 1, MayRun: true, RanOn: "t1", RanAt: h.now - c.ago, Failed: c.failed})
+				Sends: 1, MayRun: c.ago > 0, RanOn: "t1", RanAt: h.now - c.ago, Failed: c.failed})
 		}
 		h.step(evs...)
 		if len(h.out) != c.first {
