End a run whose courier's port another process holds without answering

Cause: the wait for a courier to get ready asked its port with no time limit; whoever held the port and never answered kept the run for ever. Seen with a test that hung. Now each question waits half a second, and the run ends with the courier's log, which names the address in use.

--- a/internal/emulator/courier.go
+++ b/internal/emulator/courier.go
@@ -98,6 +98,7 @@
 	ended := make(chan error, 1)
 	go func() { ended <- p.Wait() }()
 	c.process, c.ended, c.Starts = p, ended, c.Starts+1
+	probe := &http.Client{Timeout: 500 * time.Millisecond} // whoever holds the port may never answer
 	for tick := time.NewTicker(5 * time.Millisecond); ; {
 		select {
 		case <-ctx.Done():
@@ -107,7 +108,7 @@
 			return fmt.Errorf("courier n%d ended at its start: %v%s", c.N, err, c.tail())
 		case <-tick.C:
 		}
-		if res, err := http.Get("http://" + c.Addr + "/healthz"); err == nil {
+		if res, err := probe.Get("http://" + c.Addr + "/healthz"); err == nil {
 			res.Body.Close()
 			if res.StatusCode == http.StatusOK {
 				tick.Stop()
--- a/internal/lab/experiment_test.go
+++ b/internal/lab/experiment_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -151,3 +152,24 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// A courier's port that another process has taken, and that never answers, ends the run, and the error
+// says so.
+func TestPortInUse(t *testing.T) {
+	w, err := emulator.New(doubles(t, "none"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", w.Couriers[1].Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	err = w.Run(t.Context())
+	if e := w.Close(); e != nil {
+		t.Error(e)
+	}
+	if err == nil || !strings.Contains(err.Error(), "courier n1") || !strings.Contains(err.Error(), "address already in use") {
+		t.Error(err)
+	}
+}
