--- a/internal/net/courier/courier.go
+++ b/internal/net/courier/courier.go
@@ -145,6 +145,8 @@
 	go c.notices.Run(ctx)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
+	look := time.NewTicker(lookAgain)
+	defer look.Stop()
 	var last time.Time
 	for {
 		var first any
@@ -161,6 +163,9 @@
 			return
 		case first = <-c.mail:
 		case <-timer.C:
+		case <-look.C:
+			c.tryJournal()
+			continue
 		}
 		// The module's least time between two batches: what comes meanwhile goes along.
 		if rest := c.conf.Settings.Tick - time.Since(last); rest > 0 {
@@ -501,7 +506,7 @@
 	if err != nil {
 		c.log.Error("courier: journal", "err", err)
 	}
-	c.writes(err == nil)
+	c.writes(err)
 	for _, x := range out {
 		if err == nil && x.to.Call(x.tries) {
 			continue
@@ -518,15 +523,29 @@
 	}
 }
 
-// writes notes whether the journal can be written.
-func (c *Courier) writes(ok bool) {
-	if c.journalFails.Swap(!ok) == !ok {
+// lookAgain is how often a journal that could not be written is tried.
+const lookAgain = time.Second
+
+// tryJournal writes a record that says nothing while the journal fails: a courier that is not sent
+// messages for that reason would else never hear that it is well again.
+func (c *Courier) tryJournal() {
+	if !c.journalFails.Load() {
 		return
 	}
-	if ok {
-		c.Tell(lifecycle.Ended{Trouble: lifecycle.JournalFails})
-	} else {
+	if err := c.journal.Append([]journal.Record{journal.Over("")}, c.writes); err != nil {
+		c.writes(err)
+	}
+}
+
+// writes notes what came of a write: one that found the journal full, or closed, tells nothing of the disk.
+func (c *Courier) writes(err error) {
+	fails := err != nil
+	switch {
+	case errors.Is(err, journal.ErrFull), errors.Is(err, journal.ErrClosed), c.journalFails.Swap(fails) == fails:
+	case fails:
 		c.Tell(lifecycle.Began{Trouble: lifecycle.JournalFails})
+	default:
+		c.Tell(lifecycle.Ended{Trouble: lifecycle.JournalFails})
 	}
 }
 
@@ -562,6 +581,7 @@
 		return ErrFull
 	}
 	err := c.journal.Take(m)
+	c.writes(err)
 	if err != nil {
 		c.Counts.Full.Add(1)
 		c.forget(m.ID)
--- a/internal/net/courier/courier_test.go
+++ b/internal/net/courier/courier_test.go
@@ -1,9 +1,11 @@
 package courier
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,14 +14,18 @@
 	"raventrestle"
 	"raventrestle/internal/config"
 	"raventrestle/internal/journal"
+	"raventrestle/internal/lifecycle"
 	"raventrestle/internal/net/front"
 	"raventrestle/internal/net/nettest"
 	"raventrestle/internal/net/upstream"
 )
 
-func open(t *testing.T, known string) *Courier {
+func open(t *testing.T, known string) *Courier { return openOn(t, known, nil) }
+
+// openOn has a disk of which before is asked at each write.
+func openOn(t *testing.T, known string, before func() error) *Courier {
 	t.Helper()
-	store, _, err := journal.Open(t.TempDir(), journal.Options{Limit: 3e6}, nettest.Log)
+	store, _, err := journal.Open(t.TempDir(), journal.Options{Limit: 3e6, Before: before}, nettest.Log)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -107,3 +113,35 @@
 		t.Fatal(err)
 	}
 }
+
+// A disk that takes no writes is told as a trouble with the first message that meets it, and its end
+// without one: an instance that is not ready for that reason is sent none.
+func TestJournalFailsAndHeals(t *testing.T) {
+	var full atomic.Bool
+	c := openOn(t, "", func() error {
+		if full.Load() {
+			return errors.New("read-only file system")
+		}
+		return nil
+	})
+	told := make(chan lifecycle.Event, 8)
+	c.Tell = func(e lifecycle.Event) { told <- e }
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go c.Run(ctx)
+	full.Store(true)
+	m := &journal.Message{ID: "a", Class: "c", Dest: 7, Until: time.Now().Add(time.Hour).UnixNano()}
+	if err := c.Take(m); err == nil {
+		t.Fatal("taken on without a journal")
+	}
+	if e := nettest.Wait(t, "trouble", told); e != (lifecycle.Began{Trouble: lifecycle.JournalFails}) {
+		t.Fatalf("%#v", e)
+	}
+	full.Store(false)
+	if e := nettest.Wait(t, "its end", told); e != (lifecycle.Ended{Trouble: lifecycle.JournalFails}) {
+		t.Fatalf("%#v", e)
+	}
+	if err := c.Take(m); err != nil {
+		t.Fatal(err)
+	}
+}
