--- a/cmd/ravenlab/scenario.go
+++ b/cmd/ravenlab/scenario.go
@@ -3,16 +3,12 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"os"
-	"path/filepath"
 	"strings"
-	"sync"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
-	"golang.org/x/sync/errgroup"
 
 	"raventrestle/internal/lab"
 	"raventrestle/internal/lab/scenario"
@@ -84,40 +80,11 @@
 	if err != nil {
 		return err
 	}
-	all := make([]*lab.Day, len(seeds))
-	var done int
-	var mu sync.Mutex
-	var plays errgroup.Group
-	plays.SetLimit(side)
-	for i, seed := range seeds {
-		plays.Go(func() error {
-			if c.Context().Err() != nil {
-				return c.Context().Err()
-			}
-			if out != "" { // a run that was broken off goes on where it was
-				if d, err := lab.ReadDay(filepath.Join(out, fmt.Sprintf("%s-%d.json", s.Name, seed))); err == nil {
-					all[i] = d
-					return nil
-				} else if !errors.Is(err, os.ErrNotExist) {
-					return err
-				}
-			}
-			var d *lab.Day
-			var err error
-			if alone {
-				d, err = lab.PlayVirtual(s, seed, out, nil)
-			} else {
-				d, err = lab.PlayDay(c.Context(), s, seed, out, o)
-			}
-			all[i] = d
-			mu.Lock()
-			defer mu.Unlock()
-			done++
-			fmt.Fprintf(os.Stderr, "%s: %d of %d days\n", s.Name, done, len(seeds))
-			return err
-		})
+	var jobs []lab.Job
+	for _, seed := range seeds {
+		jobs = append(jobs, lab.Job{Scenario: s, Seed: seed, Virtual: alone, Out: out, Options: o})
 	}
-	err = plays.Wait()
+	all, err := lab.PlayAll(c.Context(), jobs, side, os.Stderr)
 	var kept []*lab.Day
 	var broken []string
 	for _, d := range all {
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -6,17 +6,15 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math"
 	"os"
 	"path/filepath"
 	"runtime"
 	"slices"
-	"sync"
 	"text/tabwriter"
-	"time"
 
 	"github.com/google/go-cmp/cmp"
-	"golang.org/x/sync/errgroup"
 
 	"raventrestle/internal/lab/compare"
 	"raventrestle/internal/lab/experiment"
@@ -44,44 +42,19 @@
 		}
 		scenarios[name] = s
 	}
-	var mu sync.Mutex
 	results := Results{}
-	play := func(plays []experiment.Play, side int) error {
-		var missing []experiment.Play
+	play := func(plays []experiment.Play, atOnce int) error {
+		var jobs []Job
 		for _, p := range plays {
-			d, err := ReadDay(filepath.Join(out, p.Variant, fmt.Sprintf("%s-%d.json", scenarios[p.Scenario].Name, p.Seed)))
-			switch {
-			case err == nil:
-				results[p.Variant] = append(results[p.Variant], d)
-			case errors.Is(err, os.ErrNotExist):
-				missing = append(missing, p)
-			default:
-				return err
-			}
+			jobs = append(jobs, job(e.Variants[p.Variant], scenarios[p.Scenario], p.Seed, base, filepath.Join(out, p.Variant), o))
 		}
-		began, done := time.Now(), 0
-		var all errgroup.Group
-		all.SetLimit(side)
-		for _, p := range missing {
-			all.Go(func() error {
-				if err := ctx.Err(); err != nil {
-					return err
-				}
-				d, err := playSide(ctx, e.Variants[p.Variant], scenarios[p.Scenario], p.Seed, base, filepath.Join(out, p.Variant), o)
-				if err != nil {
-					return fmt.Errorf("%s: %w", p.Variant, err)
-				}
-				mu.Lock()
-				defer mu.Unlock()
-				results[p.Variant] = append(results[p.Variant], d)
-				done++
-				if step := max(len(missing)/50, 1); done%step == 0 || done == len(missing) {
-					fmt.Fprintf(progress, "%d of %d days, about %v left\n", done, len(missing), experiment.Left(done, len(missing)-done, time.Since(began)))
-				}
-				return nil
-			})
+		days, err := PlayAll(ctx, jobs, atOnce, progress)
+		for i, p := range plays {
+			if days[i] != nil {
+				results[p.Variant] = append(results[p.Variant], days[i])
+			}
 		}
-		return all.Wait()
+		return err
 	}
 	virtual, real := e.Plays()
 	side := e.SideBySide
@@ -92,27 +65,9 @@
 	if err == nil {
 		err = play(real, side)
 	}
-	for _, days := range results {
-		slices.SortFunc(days, func(a, b *Day) int {
-			if a.Scenario != b.Scenario {
-				return compareText(a.Scenario, b.Scenario)
-			}
-			return int(a.Seed) - int(b.Seed)
-		})
-	}
 	return results, err
 }
 
-func compareText(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 func beside(base, name string) string {
 	if filepath.IsAbs(name) {
 		return name
@@ -120,10 +75,7 @@
 	return filepath.Join(base, name)
 }
 
-func playSide(ctx context.Context, v experiment.Variant, s *scenario.Scenario, seed uint64, base, out string, o Options) (*Day, error) {
-	if v.Virtual {
-		return PlayVirtual(s, seed, out, nil)
-	}
+func job(v experiment.Variant, s *scenario.Scenario, seed uint64, base, out string, o Options) Job {
 	if v.Courier != "" {
 		o.Program = beside(base, v.Courier)
 	}
@@ -132,7 +84,7 @@
 		other.Settings = v.Settings
 		s = &other
 	}
-	return PlayDay(ctx, s, seed, out, o)
+	return Job{s, seed, v.Virtual, out, o}
 }
 
 // claim writes the experiment into its folder, or holds it against the one that is there.
@@ -188,11 +140,7 @@
 			names[d.Scenario] = true
 		}
 	}
-	var order []string
-	for name := range names {
-		order = append(order, name)
-	}
-	slices.Sort(order)
+	order := slices.Sorted(maps.Keys(names))
 	for _, name := range order {
 		for _, side := range e.Sides() {
 			n, sum, worst, least, most := 0, 0.0, 0.0, math.Inf(1), math.Inf(-1)
--- a/internal/lab/experiment_test.go
+++ b/internal/lab/experiment_test.go
@@ -79,6 +79,17 @@
 	if _, err := RunExperiment(t.Context(), parse(t, strings.Replace(text, "kills", "slow", 1)), ".", out, io.Discard, Options{}); err == nil || !strings.Contains(err.Error(), "another experiment") {
 		t.Error(err)
 	}
+	other := parse(t, strings.Replace(text, "two: {virtual: true}", "two: {}", 1))
+	if _, err := RunExperiment(t.Context(), other, ".", out, io.Discard, Options{}); err == nil || !strings.Contains(err.Error(), "another experiment") {
+		t.Error(err)
+	}
+	calm, err := Find("calm")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := PlayAll(t.Context(), []Job{{Scenario: calm, Seed: 1, Out: filepath.Join(out, "one")}}, 1, io.Discard); err == nil || !strings.Contains(err.Error(), "a folder of its own") {
+		t.Errorf("a day in virtual time taken for one with real processes: %v", err)
+	}
 	more := parse(t, strings.Replace(text, "count: 4", "count: 5", 1))
 	if r, err := RunExperiment(t.Context(), more, ".", out, io.Discard, Options{}); err != nil || len(r["one"]) != 10 {
 		t.Errorf("more seeds: %d days, %v", len(r["one"]), err)
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -80,7 +80,12 @@
 	if err != nil {
 		return "", err
 	}
-	canvas := vgsvg.New(22*vg.Centimeter, 6.5*vg.Centimeter)
+	return svg(p, 22*vg.Centimeter, 6.5*vg.Centimeter)
+}
+
+// svg draws the plot for a page.
+func svg(p *plot.Plot, width, height vg.Length) (template.HTML, error) {
+	canvas := vgsvg.New(width, height)
 	p.Draw(draw.New(canvas))
 	var out bytes.Buffer
 	if _, err := canvas.WriteTo(&out); err != nil {
--- a/internal/lab/report/sides.go
+++ b/internal/lab/report/sides.go
@@ -1,7 +1,6 @@
 package report
 
 import (
-	"bytes"
 	_ "embed"
 	"fmt"
 	"html/template"
@@ -14,7 +13,6 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
 
 	"raventrestle/internal/lab"
 	"raventrestle/internal/lab/experiment"
@@ -89,17 +87,7 @@
 		p.NominalX(scenarios...)
 	}
 	p.Y.Min, p.Y.Max = 0, 1.2
-	canvas := vgsvg.New(vg.Length(max(len(scenarios), 4))*3.4*vg.Centimeter, 8*vg.Centimeter)
-	p.Draw(draw.New(canvas))
-	var out bytes.Buffer
-	if _, err := canvas.WriteTo(&out); err != nil {
-		return "", err
-	}
-	text := out.String()
-	if i := strings.Index(text, "<svg"); i > 0 { // inside a page there is no XML head
-		text = text[i:]
-	}
-	return template.HTML(text), nil
+	return svg(p, vg.Length(max(len(scenarios), 4))*3.4*vg.Centimeter, 8*vg.Centimeter)
 }
 
 // shifted draws the spans where their bars are.
@@ -158,11 +146,11 @@
 		{"Service: mean of the days, from the least to the most", func(d *lab.Day) float64 { return d.Service.Figure }},
 		{"Worst ten seconds", func(d *lab.Day) float64 { return d.Service.Worst }},
 	} {
-		svg, err := bars(e, r, scenarios, c.title, c.figure)
+		chart, err := bars(e, r, scenarios, c.title, c.figure)
 		if err != nil {
 			return fmt.Errorf("report: %w", err)
 		}
-		data.Charts = append(data.Charts, svg)
+		data.Charts = append(data.Charts, chart)
 	}
 	if err := t.Execute(out, data); err != nil {
 		return fmt.Errorf("report: %w", err)
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -3,6 +3,7 @@
 package scenario
 
 import (
+	"cmp"
 	_ "embed"
 	"encoding/json"
 	"errors"
@@ -250,7 +251,7 @@
 			}
 		}
 		if t.Busiest {
-			slices.SortStableFunc(to, func(a, b int) int { return -compare(d.Channels[a].Weight, d.Channels[b].Weight) })
+			slices.SortStableFunc(to, func(a, b int) int { return cmp.Compare(d.Channels[b].Weight, d.Channels[a].Weight) })
 		} else {
 			rnd.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
 		}
@@ -298,16 +299,6 @@
 	return d, nil
 }
 
-func compare(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // channels draws every channel and returns how many slots full load keeps busy. What a channel can
 // do follows from what full load brings it.
 func (s *Scenario) channels(d *emulator.Spec, classes []string, rnd *rand.Rand) (busy float64) {
