Keep no idle connection at a kind of channel that was seen to have no room

Ruled out: the limit (what is refused for it brings left 0.00 and the limit, 43 tries), a shut channel (1 in 4 calls delivered throughout), discovery. At fault: Policy.letGo, which shut a connection only for 12 s after a failed connect and only where the usual gap is over IdleClose; a retry makes that gap short. Mend: a call on a new connection, turned away with neither wait nor report although answers bring reports, marks the kind; there no connection is left idle.

--- a/policy.go
+++ b/policy.go
@@ -43,6 +43,8 @@
 	borne           [2]time.Duration // longest idle before an answered call, this period and last
 	askAt, askGap   time.Duration    // when to ask for the list again, and the backoff
 	stood           bool             // this batch came late
+	told            bool             // answers bring reports
+	cramped         []bool           // by kind, the last for unknown ones: no room for idle connections
 	closing         time.Duration    // when the host ends its life, 0 while it does not
 	crowded         time.Duration    // targets may have few connections left, until then
 	wakeAt, pending time.Duration    // when a decision may change, and the WakeAt still owed
@@ -63,7 +65,7 @@
 		p.period, p.longest = min(p.period, c.Aim), max(p.longest, c.Deadline)
 	}
 	p.idleLife, p.memory = set.IdleClose, max(set.ColdFor, p.period)
-	p.tenants = make([]odds, len(set.Tenants))
+	p.tenants, p.cramped = make([]odds, len(set.Tenants)), make([]bool, len(set.Kinds)+1)
 	return p, nil
 }
 
@@ -141,7 +143,7 @@
 		if t == nil {
 			d := p.dest(e.Dest)
 			if e.Kind >= 0 && e.Kind < len(p.set.Kinds) {
-				d.kind = p.set.Kinds[e.Kind]
+				d.ki, d.kind = e.Kind, p.set.Kinds[e.Kind]
 			}
 			t = &target{id: e.Target, d: d, zone: e.Zone, r: d.shared, since: p.now, lastOK: -1 << 60,
 				lastSent: -1 << 60, taste: 1 + p.rng.Float64()/4, odds: make([]odds, len(p.set.Classes)+1)}
@@ -346,11 +348,13 @@
 // letGo ends a call's use of its connection. One not expected to be used before it closes by
 // itself is shut at once: those of hundreds of forwarders would fill targets that take few. That
 // costs new ones, so it ends once no call has missed one for a while; few forwarders do without.
+// Where a destination of the kind was seen to take no more, none is left idle: another waits for it.
 func (p *Policy) letGo(t *target) {
 	t.inFlight--
 	t.idleAt = p.now
-	if t.inFlight+len(t.d.held) == 0 && p.set.Forwarders > p.set.CallSlots &&
-		p.now < p.crowded && (t.gap == 0 || t.gap > p.set.IdleClose) {
+	seldom := t.inFlight+len(t.d.held) == 0 && p.set.Forwarders > p.set.CallSlots &&
+		p.now < p.crowded && (t.gap == 0 || t.gap > p.set.IdleClose)
+	if seldom || p.cramped[t.d.ki] {
 		p.closeIdle(t)
 	}
 }
@@ -490,8 +494,11 @@
 			}
 		}
 	}
+	if o.Status == Full && c.idle == 0 && o.Wait == 0 && o.Report == (Report{}) && p.told {
+		p.cramped[t.d.ki] = true // the load would come with its report
+	}
 	if o.Report.Limit > 0 {
-		r.told = true
+		r.told, p.told = true, true
 		p.limit(r, o.Report.Limit)
 	}
 	if (o.Status == OK || silent) && !p.stood { // else it was lost, not slow
--- a/policy_test.go
+++ b/policy_test.go
@@ -924,6 +924,54 @@
 	}
 }
 
+// A call on a new connection that is turned away with neither wait nor report, where answers else
+// bring one, found no room for its connection. From then on none is left idle at its kind: of 309
+// forwarders a few that each left one open filled endpoints that take eight, with one call out.
+func TestNoConnectionIsLeftIdleWhereNewOnesFindNoRoom(t *testing.T) {
+	report := Report{Left: 0.8, Limit: 20}
+	for name, c := range map[string]struct {
+		idle    bool // the call that is turned away goes over a connection that was left open
+		answer  Outcome
+		cramped bool
+	}{
+		"no word":           {false, Outcome{Status: Full}, true},
+		"its load":          {false, Outcome{Status: Full, Report: Report{Limit: 20}}, false},
+		"a wait":            {false, Outcome{Status: Full, Wait: 100 * ms}, false},
+		"on an open one":    {true, Outcome{Status: Full}, false},
+		"an error":          {false, Outcome{Status: Error}, false},
+		"delivered, silent": {false, Outcome{Status: OK}, false},
+	} {
+		set := settings()
+		set.Kinds[0].Apart = true
+		h := newHost(t, set, entry("t1", 1, 0, 0), entry("t2", 2, 0, 0), entry("t3", 3, 2, 0))
+		call := func(dest int, o Outcome) (shut bool) {
+			h.pass(100 * ms) // a connection used this very moment counts as new
+			for h.arrive(0, dest, "", 1); len(h.out) == 0; {
+				h.pass(20 * ms)
+			}
+			s := h.out[0]
+			h.out, h.now = h.out[1:], h.now+100*ms
+			o.ID, o.Target, o.Took, o.Closed = s.ID, s.Target, 100*ms, true
+			for _, a := range h.p.Step(h.now, []Event{o}) {
+				_, is := a.(CloseIdle)
+				shut = shut || is
+			}
+			return shut
+		}
+		call(3, Outcome{Status: OK, Report: report})
+		if c.idle {
+			call(1, Outcome{Status: OK, Report: report})
+		}
+		call(1, c.answer)
+		if got := call(2, Outcome{Status: OK, Report: report}); got != c.cramped {
+			t.Errorf("%s: the next connection at the kind was shut: %v", name, got)
+		}
+		if call(3, Outcome{Status: OK, Report: report}) {
+			t.Errorf("%s: another kind's connection was shut", name)
+		}
+	}
+}
+
 // Two endpoints of a destination fail in a row: for one that calls seldom the next
 // waits its place as well (i3b8694).
 func TestLastEndpointWaitsToo(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -7,6 +7,7 @@
 // dest is one flow: a destination with its hold.
 type dest struct {
 	id           DestID
+	ki           int // index of its kind, the number of kinds if unknown
 	kind         Kind
 	targets      []*target // by id
 	shared       *route    // the route of all targets where they are not apart
