--- a/policy.go
+++ b/policy.go
@@ -494,7 +494,8 @@
 			}
 		}
 	}
-	if o.Status == Full && c.idle == 0 && o.Wait == 0 && o.Report == (Report{}) && p.told {
+	if o.Status == Full && c.idle == 0 && o.Wait == 0 && o.Report == (Report{}) && p.told &&
+		p.set.Forwarders > p.set.CallSlots {
 		p.cramped[t.d.ki] = true // the load would come with its report
 	}
 	if o.Report.Limit > 0 {
