Write no call whose route was told to wait while its connection came up

A list that names the peer as draining meanwhile is the same case. At fault: peer.exchange between DialContext and Write, which asked nothing. Mend: courier.outcome tells all peers of the route how long to hold, update tells those that drain or go, and exchange looks before it writes. Such a try ends as Moot and its connection stays for the next. Tests: TestHeldCallIsNotWritten, TestWaitHoldsCallsOnTheirWay; both fail without the check.

--- a/internal/net/courier/courier.go
+++ b/internal/net/courier/courier.go
@@ -298,8 +298,17 @@
 			continue
 		}
 		listed[e.Target] = true
+		was := e.State
+		if r != nil {
+			was = r.entry.State
+		}
 		if r != nil && r.entry.Addr == e.Addr {
-			r.entry = e
+			switch r.entry = e; {
+			case e.State == raventrestle.Draining:
+				r.Hold(peer.Never)
+			case was == raventrestle.Draining:
+				r.Hold(time.Time{})
+			}
 			continue
 		}
 		if r != nil {
@@ -309,6 +318,9 @@
 			ConnectWithin: c.conf.Settings.ConnectWithin, IdleClose: c.conf.Settings.IdleClose,
 			Mailbox: 4*c.conf.Settings.CallSlots + 16, Log: c.log, Counts: &c.Counts.Peers,
 			Tell: func(e raventrestle.Event) { c.mail <- e }})}
+		if e.State == raventrestle.Draining {
+			c.peers[e.Target].Hold(peer.Never)
+		}
 	}
 	for id, r := range c.peers {
 		whole := u.How == raventrestle.ListWhole || u.How == raventrestle.ListStored
@@ -348,6 +360,9 @@
 func (c *Courier) outcome(o raventrestle.Outcome) []journal.Record {
 	c.out--
 	c.Counts.ByStatus[o.Status].Add(1)
+	if o.Wait > 0 {
+		c.hold(o.Target, time.Now().Add(o.Wait))
+	}
 	id, m := string(o.ID), c.msgs[o.ID]
 	word := ""
 	if c.letters != nil {
@@ -381,6 +396,20 @@
 	return []journal.Record{journal.MayHaveRun(id, word)}
 }
 
+// hold tells the peers of the target's route that it was told to wait: calls whose connection is
+// still coming up would else be written within the wait.
+func (c *Courier) hold(target raventrestle.TargetID, until time.Time) {
+	told := c.peers[target]
+	if told == nil {
+		return
+	}
+	for id, r := range c.peers {
+		if id == target || r.entry.Dest == told.entry.Dest && !c.kind(r).Apart {
+			r.Hold(until)
+		}
+	}
+}
+
 // calls are the tries of one step, in calls.
 type calls struct {
 	to     *peer.Peer
@@ -429,7 +458,7 @@
 			records = append(records, journal.Begun(m.ID, begun))
 			size := len(m.ID) + len(m.Key) + len(m.Body) + frame
 			i := slices.IndexFunc(out, func(x *calls) bool {
-				return x.to == r.Peer && len(x.tries) < c.bundle(r) && x.size+size <= mostBody
+				return x.to == r.Peer && len(x.tries) < c.kind(r).BundleMax && x.size+size <= mostBody
 			})
 			if i < 0 {
 				i, out = len(out), append(out, &calls{to: r.Peer, target: a.Target})
@@ -493,11 +522,12 @@
 	}
 }
 
-func (c *Courier) bundle(r *ref) int {
+// kind is that of the peer's destination; one of an unknown kind shares its limit and takes single calls.
+func (c *Courier) kind(r *ref) raventrestle.Kind {
 	if k := r.entry.Kind; k >= 0 {
-		return c.conf.Settings.Kinds[k].BundleMax
+		return c.conf.Settings.Kinds[k]
 	}
-	return 1
+	return raventrestle.Kind{BundleMax: 1}
 }
 
 // written goes on with a step once the journal has it. What it could not write is not sent;
--- a/internal/net/courier/courier_test.go
+++ b/internal/net/courier/courier_test.go
@@ -145,3 +145,48 @@
 		t.Fatal(err)
 	}
 }
+
+// A wait told at one peer holds what is still on its way to all that share its route, and to none
+// that is a route apart; a draining peer holds for itself, until it serves again.
+func TestWaitHoldsCallsOnTheirWay(t *testing.T) {
+	for name, apart := range map[string]bool{"shared": false, "apart": true} {
+		t.Run(name, func(t *testing.T) {
+			end := nettest.NewPeer(t, nettest.Answer(nettest.Plain(500, "", "")))
+			c := open(t, "")
+			c.conf.Settings.Kinds[0].Apart = apart
+			list := func(state raventrestle.Readiness) {
+				u := upstream.Update{}
+				for target, dest := range map[raventrestle.TargetID]raventrestle.DestID{"told": 7, "mate": 7, "other": 8, "drains": 9} {
+					e := raventrestle.Entry{Target: target, Dest: dest, Zone: -1}
+					if target == "drains" {
+						e.State = state
+					}
+					u.Entries = append(u.Entries, upstream.Entry{Addr: end.Addr(), Entry: e})
+				}
+				c.update(t.Context(), u)
+			}
+			n := 0
+			status := func(target raventrestle.TargetID) raventrestle.Status {
+				n++
+				id := raventrestle.MessageID(fmt.Sprint("m", n))
+				c.msgs[id] = &message{Message: &journal.Message{ID: string(id), Dest: int64(c.peers[target].entry.Dest)}}
+				c.act([]raventrestle.Action{raventrestle.Send{ID: id, Target: target, Timeout: nettest.Patience}}, nil)
+				return nettest.Wait(t, "outcome", c.mail).(raventrestle.Outcome).Status
+			}
+			list(raventrestle.Ready)
+			<-c.mail // the list it starts from
+			c.outcome(raventrestle.Outcome{ID: "x", Target: "told", Status: raventrestle.Full, Wait: time.Hour})
+			list(raventrestle.Draining)
+			got := map[raventrestle.TargetID]bool{}
+			for target := range c.peers {
+				got[target] = status(target) == raventrestle.Moot
+			}
+			list(raventrestle.Ready)
+			got["serves again"] = status("drains") == raventrestle.Moot
+			want := map[raventrestle.TargetID]bool{"told": true, "mate": !apart, "other": false, "drains": true, "serves again": false}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Fatalf("held: %s", diff)
+			}
+		})
+	}
+}
--- a/internal/net/peer/peer.go
+++ b/internal/net/peer/peer.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -57,7 +58,8 @@
 type Peer struct {
 	Config
 	quit  context.CancelFunc
-	idle  []*conn // the one used last is last
+	idle  []*conn      // the one used last is last
+	until atomic.Int64 // nothing is written before that time, in Unix nanoseconds: see Hold
 	mu    sync.Mutex
 	ended bool // nobody reads the mailbox any more
 	mail  chan any
@@ -103,7 +105,10 @@
 	cancel context.CancelCauseFunc
 }
 
-var errCancelled = errors.New("called off")
+var (
+	errCancelled = errors.New("called off")
+	errHeld      = errors.New("held: the route waits or the peer drains")
+)
 
 // New starts a peer; it ends with the context, once its calls are done.
 func New(ctx context.Context, c Config) *Peer {
@@ -122,8 +127,27 @@
 // CloseIdle closes the connections that carry no call.
 func (p *Peer) CloseIdle() bool { return p.post(closeMsg{}) }
 
-// Stop ends the actor; its idle connections are closed, and calls out run on.
-func (p *Peer) Stop() { p.quit() }
+// Hold keeps calls from being written before that time, those included whose connection is still
+// coming up: that takes up to ConnectWithin, in which the route may be told to wait or the list may
+// name the peer as draining. They end as Moot. The zero time lets calls through again.
+func (p *Peer) Hold(until time.Time) {
+	if until.IsZero() {
+		p.until.Store(0)
+		return
+	}
+	for old := p.until.Load(); old < until.UnixNano() && !p.until.CompareAndSwap(old, until.UnixNano()); {
+		old = p.until.Load()
+	}
+}
+
+// Never is a Hold without end.
+var Never = time.Unix(0, math.MaxInt64)
+
+// Stop ends the actor; its idle connections are closed, and calls that are written run on.
+func (p *Peer) Stop() {
+	p.Hold(Never)
+	p.quit()
+}
 
 // post puts mail in the box, if there is room and somebody reads it.
 func (p *Peer) post(m any) bool {
@@ -261,14 +285,15 @@
 		p.Counts.Bulks.Add(1)
 	}
 	a, c, err := p.exchange(ctx, cl, c, wait)
-	if err == nil && a.reuse {
+	var failed *TryError
+	held := errors.As(err, &failed) && failed.Reach == Held
+	if err == nil && a.reuse || held {
 		if !p.post(idleMsg{c}) {
 			c.Close()
 		}
 	} else if c != nil {
 		c.Close()
 	}
-	var failed *TryError
 	switch {
 	case err == nil:
 		p.Counts.Answers.Add(1)
@@ -276,7 +301,9 @@
 			o.Took = a.at.Sub(began)
 			told.one(o)
 		}
-	case errors.As(err, &failed):
+	case held:
+		told.all(raventrestle.Moot)
+	case failed != nil:
 		p.Counts.Failures.Add(1)
 		p.Log.Debug("peer: try failed", "peer", p.Name, "id", cl.tries[0].ID, "n", len(cl.tries), "err", err,
 			"took", time.Since(began))
@@ -300,6 +327,9 @@
 		c = &conn{Conn: raw}
 		c.r = bufio.NewReaderSize(c, 4<<10)
 	}
+	if time.Now().UnixNano() < p.until.Load() {
+		return answer{}, c, &TryError{Held, false, errHeld}
+	}
 	c.ctx, c.left = ctx, mostHead+mostBody
 	// Closing the connection is how a call is given up, whether time ran out or it was called off.
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
--- a/internal/net/peer/peer_test.go
+++ b/internal/net/peer/peer_test.go
@@ -293,3 +293,33 @@
 		}
 	}
 }
+
+// A call whose connection comes up within a wait that its route was told meanwhile, or after the
+// list named the peer as draining, isn't written: it never ran (BROKEN: wait on the mass zone day).
+// The connection stays for the call after the wait.
+func TestHeldCallIsNotWritten(t *testing.T) {
+	end := nettest.NewPeer(t, nettest.Answer(nettest.Plain(200, "", "")))
+	p, out := start(t, end.Addr())
+	call := func(id string) raventrestle.Status {
+		p.Call([]Try{try(id, nettest.Patience)})
+		return nettest.Wait(t, "outcome", out).Status
+	}
+	p.Hold(time.Now().Add(time.Hour))
+	p.Hold(time.Now().Add(time.Second)) // a shorter one ends no longer one
+	if s := call("held"); s != raventrestle.Moot {
+		t.Fatalf("a held call ended as %v", s)
+	}
+	time.Sleep(2 * rest)
+	p.Hold(time.Time{})
+	if s := call("later"); s != raventrestle.OK || p.Counts.Dials.Load() != 1 {
+		t.Fatalf("the call after it ended as %v, %d connections", s, p.Counts.Dials.Load())
+	}
+	if c := nettest.Wait(t, "call", end.Calls); c.Header.Get("X-Txn") != "later" || len(end.Calls) > 0 {
+		t.Fatalf("%s was written, and %d more", c.Header.Get("X-Txn"), len(end.Calls))
+	}
+	p.Hold(time.Now().Add(20 * time.Millisecond))
+	time.Sleep(2 * rest)
+	if s := call("after"); s != raventrestle.OK {
+		t.Fatalf("a call after the wait ended as %v", s)
+	}
+}
--- a/internal/net/peer/wire.go
+++ b/internal/net/peer/wire.go
@@ -25,6 +25,7 @@
 	NotWritten                // it broke before the last byte was written
 	Written                   // the endpoint may have the whole call
 	Answered                  // an answer came that can't be read: the call has run
+	Held                      // not written on purpose, see Peer.Hold
 )
 
 // TryError says why a try has no answer and how far it got.
@@ -35,7 +36,7 @@
 }
 
 func (e *TryError) Error() string {
-	return fmt.Sprintf("try: %v: %v", [...]string{"not connected", "not written", "written", "answered"}[e.Reach], e.Err)
+	return fmt.Sprintf("try: %v: %v", [...]string{"not connected", "not written", "written", "answered", "held"}[e.Reach], e.Err)
 }
 
 func (e *TryError) Unwrap() error { return e.Err }
@@ -43,6 +44,8 @@
 // Status is the outcome that the error stands for.
 func (e *TryError) Status() raventrestle.Status {
 	switch {
+	case e.Reach == Held:
+		return raventrestle.Moot
 	case e.Reach < Written:
 		return raventrestle.ConnectFailed
 	case e.Reach == Answered: // it is no longer running, as one that was lost may be
