--- a/internal/lab/experiment_test.go
+++ b/internal/lab/experiment_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -44,36 +45,38 @@
 // An experiment that is broken off keeps what is done, and the same one goes on there: each day is played
 // once. Another one is refused the folder, and so is a day of another version.
 func TestExperimentGoesOn(t *testing.T) {
-	const text = `about: "two sides"
+	seeds := max(4, runtime.NumCPU()) // more days than can be under way at once
+	days := 4 * seeds
+	text := fmt.Sprintf(`about: "two sides"
 scenarios: ["calm", "kills"]
-seeds: count: 4
+seeds: count: %d
 variants: {one: {virtual: true}, two: {virtual: true}}
-against: "one"`
+against: "one"`, seeds)
 	e, out := parse(t, text), t.TempDir()
 	ctx, stop := context.WithCancel(t.Context())
 	var first bytes.Buffer
 	r, err := RunExperiment(ctx, e, ".", out, writer(func(p []byte) {
-		if first.Write(p); strings.Contains(first.String(), "3 of 16") {
+		if first.Write(p); strings.Contains(first.String(), fmt.Sprintf("3 of %d", days)) {
 			stop()
 		}
 	}), Options{})
 	done := len(r["one"]) + len(r["two"])
-	if !errors.Is(err, context.Canceled) || done < 3 || done == 16 {
+	if !errors.Is(err, context.Canceled) || done < 3 || done == days {
 		t.Fatalf("%d days, %v", done, err)
 	}
 	var second bytes.Buffer
 	r, err = RunExperiment(t.Context(), e, ".", out, &second, Options{})
-	if err != nil || len(r["one"]) != 8 || len(r["two"]) != 8 {
+	if err != nil || len(r["one"]) != days/2 || len(r["two"]) != days/2 {
 		t.Fatalf("%d and %d days, %v", len(r["one"]), len(r["two"]), err)
 	}
-	if want := fmt.Sprintf("of %d days", 16-done); !strings.Contains(second.String(), want) {
+	if want := fmt.Sprintf("of %d days", days-done); !strings.Contains(second.String(), want) {
 		t.Errorf("no %q in %q", want, second.String())
 	}
 	var table bytes.Buffer
 	if err := ResultsTable(&table, e, r); err != nil {
 		t.Fatal(err)
 	}
-	if want := "two against one, all of them: 8 pairs: +0.0000"; !strings.Contains(table.String(), want) {
+	if want := fmt.Sprintf("two against one, all of them: %d pairs: +0.0000", days/2); !strings.Contains(table.String(), want) {
 		t.Errorf("no %q in\n%s", want, table.String())
 	}
 	if _, err := RunExperiment(t.Context(), parse(t, strings.Replace(text, "kills", "slow", 1)), ".", out, io.Discard, Options{}); err == nil || !strings.Contains(err.Error(), "another experiment") {
@@ -90,8 +93,8 @@
 	if _, err := PlayAll(t.Context(), []Job{{Scenario: calm, Seed: 1, Out: filepath.Join(out, "one")}}, 1, io.Discard); err == nil || !strings.Contains(err.Error(), "a folder of its own") {
 		t.Errorf("a day in virtual time taken for one with real processes: %v", err)
 	}
-	more := parse(t, strings.Replace(text, "count: 4", "count: 5", 1))
-	if r, err := RunExperiment(t.Context(), more, ".", out, io.Discard, Options{}); err != nil || len(r["one"]) != 10 {
+	more := parse(t, strings.Replace(text, fmt.Sprint("count: ", seeds), fmt.Sprint("count: ", seeds+1), 1))
+	if r, err := RunExperiment(t.Context(), more, ".", out, io.Discard, Options{}); err != nil || len(r["one"]) != days/2+2 {
 		t.Errorf("more seeds: %d days, %v", len(r["one"]), err)
 	}
 	if err := os.WriteFile(filepath.Join(out, "one", "calm-2.json"), []byte(`{"version": 99}`), 0o600); err != nil {
