--- a/cmd/raventrestle/serve.go
+++ b/cmd/raventrestle/serve.go
@@ -75,6 +75,9 @@
 	if d.conf, err = config.Load(os.Getenv); err != nil {
 		return err
 	}
+	for _, what := range d.conf.Aside {
+		d.log.Warn("raventrestle: set aside", "file", os.Getenv("EDGE_CONFIG"), "what", what)
+	}
 	runtime.GOMAXPROCS(max(1, int(d.conf.Limits.Cores)))
 	memory := int64(d.conf.Limits.MemoryMB * 1e6)
 	debug.SetMemoryLimit(memory * 6 / 10) // the journal's files count as well
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -103,19 +103,26 @@
 	frozen error   // a write that failed halfway, until the file is made anew
 }
 
-const fileName, nextName = "journal", "journal.next"
+const (
+	fileName, nextName = "journal", "journal.next"
+	asideName          = ".aside" // added to the name of a journal that could not be read
+)
 
 // Open reads the journal in the folder and returns it with what it holds, in the order
 // taken.
 func Open(dir string, opts Options, log *slog.Logger) (*Store, []Kept, error) {
 	s := &Store{Options: opts, dir: dir, log: log, held: map[string]*Kept{},
 		mail: make(chan entry, 256), quit: make(chan struct{}), done: make(chan struct{})}
-	if err := os.Remove(filepath.Join(dir, nextName)); err != nil && !errors.Is(err, os.ErrNotExist) {
+	if err := os.RemoveAll(filepath.Join(dir, nextName)); err != nil {
 		return nil, nil, fmt.Errorf("journal: %w", err)
 	}
-	old, err := os.ReadFile(filepath.Join(dir, fileName))
+	path := filepath.Join(dir, fileName)
+	old, err := os.ReadFile(path)
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, nil, fmt.Errorf("journal: %w", err)
+		log.Error("journal: can't be read: begun anew, the old one set aside", "as", path+asideName, "err", err)
+		if err := errors.Join(os.RemoveAll(path+asideName), os.Rename(path, path+asideName)); err != nil {
+			return nil, nil, fmt.Errorf("journal: %w", err)
+		}
 	}
 	bad := decode(old, s.apply)
 	s.sound = err == nil && bad == 0
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -138,3 +138,27 @@
 		t.Fatalf("a closed journal: %v", err)
 	}
 }
+
+// A journal that can't be read, and a folder where a file was to be, stop no start: they are set aside
+// and the life begins with an empty one.
+func TestUnreadableJournalIsSetAside(t *testing.T) {
+	dir := t.TempDir()
+	for _, name := range []string{fileName + "/x", nextName + "/x", fileName + asideName + "/x"} {
+		if err := os.MkdirAll(filepath.Join(dir, name), 0o700); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s, kept, err := Open(dir, Options{Limit: 1e6}, slog.New(slog.DiscardHandler))
+	if err != nil || len(kept) > 0 || s.Sound() {
+		t.Fatalf("%d kept, %v", len(kept), err)
+	}
+	if err := s.Take(&Message{ID: "a", Until: 1 << 60}); err != nil {
+		t.Error(err)
+	}
+	if err := s.Close(); err != nil {
+		t.Error(err)
+	}
+	if _, err := os.Stat(filepath.Join(dir, fileName+asideName, "x")); err != nil {
+		t.Errorf("what was set aside is gone: %v", err)
+	}
+}
--- a/internal/net/courier/courier.go
+++ b/internal/net/courier/courier.go
@@ -118,10 +118,7 @@
 		c.longest = max(c.longest, class.Deadline)
 	}
 	c.notices = notice.New(conf.Discovery, room, log, c.heard)
-	c.group, err = upstream.New(conf.Discovery, conf.Known, conf.Names, log, func(u upstream.Update) { c.mail <- u })
-	if err != nil {
-		return nil, err
-	}
+	c.group = upstream.New(conf.Discovery, conf.Known, conf.Names, log, func(u upstream.Update) { c.mail <- u })
 	for _, k := range kept {
 		if k.Resend > 0 {
 			c.resends[k.ID] = true
