--- a/internal/net/courier/courier_test.go
+++ b/internal/net/courier/courier_test.go
@@ -50,7 +50,7 @@
 	var sends []raventrestle.Action
 	for i, size := range []int{40 << 10, 30 << 10, 64 << 10, 9, 9, 9, 9} {
 		id := fmt.Sprint("m", i)
-		c.msgs[raventrestle.MessageID(id)] = &message{Message: &journal.Message{ID: id, Dest: 7, Body: make([]byte, size)}}
+		c.msgs[raventrestle.MessageID(id)] = &message{Message: &journal.Message{ID: id, Dest: 7, Until: 1 << 62, Body: make([]byte, size)}}
 		sends = append(sends, raventrestle.Send{ID: raventrestle.MessageID(id), Target: "p", Timeout: nettest.Patience})
 	}
 	c.act(sends, nil)
