--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -124,6 +124,14 @@
 			return nil, nil, fmt.Errorf("journal: %w", err)
 		}
 	}
+	// What is set aside counts for the folder's limit: it goes once it would take half of the journal's room.
+	if i, err := os.Stat(path + asideName); err == nil && i.Mode().IsRegular() {
+		if i.Size() <= s.Limit/2 {
+			s.Limit -= i.Size()
+		} else if err := os.Remove(path + asideName); err != nil {
+			return nil, nil, fmt.Errorf("journal: %w", err)
+		}
+	}
 	bad := decode(old, s.apply)
 	s.sound = err == nil && bad == 0
 	if bad > 0 {
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -162,3 +162,24 @@
 		t.Errorf("what was set aside is gone: %v", err)
 	}
 }
+
+// What an earlier life set aside shares the folder's limit, and makes way where it would take half of it.
+func TestSetAsideSharesTheLimit(t *testing.T) {
+	for size, want := range map[int]int64{1000: 99_000, 50_000: 50_000, 50_001: 100_000} {
+		dir := t.TempDir()
+		aside := filepath.Join(dir, fileName+asideName)
+		if err := os.WriteFile(aside, make([]byte, size), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, _, err := Open(dir, Options{Limit: 100_000}, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := os.Stat(aside); s.Limit != want || (err == nil) != (want < 100_000) {
+			t.Errorf("%d bytes aside: limit %d, want %d; %v", size, s.Limit, want, err)
+		}
+		if err := s.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/policy.go
+++ b/policy.go
@@ -117,7 +117,8 @@
 func (p *Policy) dest(id DestID) *dest {
 	d := p.dests[id]
 	if d == nil {
-		d = &dest{id: id, kind: Kind{BundleMax: 1}, shared: &route{filledAt: p.now}, usedAt: p.now}
+		d = &dest{id: id, ki: len(p.set.Kinds), kind: Kind{BundleMax: 1}, usedAt: p.now}
+		d.shared = &route{filledAt: p.now}
 		p.dests[id] = d
 	}
 	return d
--- a/policy_test.go
+++ b/policy_test.go
@@ -959,7 +959,7 @@
 	} {
 		set := settings()
 		set.Forwarders, set.Kinds[0].Apart = c.forwarders, true
-		h := newHost(t, set, entry("t1", 1, 0, 0), entry("t2", 2, 0, 0), entry("t3", 3, 2, 0))
+		h := newHost(t, set, entry("t1", 1, 0, 0), entry("t2", 2, 0, 0), entry("t3", 3, 2, 0), entry("t4", 4, -1, 0))
 		call := func(dest int, o Outcome) (shut bool) {
 			h.pass(100 * ms) // a connection used this very moment counts as new
 			for h.arrive(0, dest, "", 1); len(h.out) == 0; {
@@ -976,6 +976,7 @@
 		}
 		h.pass(set.ColdFor + sec) // till then whatever is seldom used is shut
 		call(3, Outcome{Status: OK, Report: report})
+		call(4, Outcome{Status: OK, Report: report})
 		if c.idle {
 			call(1, Outcome{Status: OK, Report: report})
 		}
@@ -986,6 +987,9 @@
 		if call(3, Outcome{Status: OK, Report: report}) {
 			t.Errorf("%s: another kind's connection was shut", name)
 		}
+		if call(4, Outcome{Status: OK, Report: report}) {
+			t.Errorf("%s: a connection at an unknown kind was shut", name)
+		}
 	}
 }
 
