Move the gate of client connections into a package of its own

Need: a second listener is to keep its callers to a number by the same means. Change: internal/net/gate, with how long a connection is left alone as parameters; a connection that came when the gate closes is let in all the same, since its request may be on it. Nothing else changes. Seen: the front's tests hold.

--- a/cmd/raventrestle/serve.go
+++ b/cmd/raventrestle/serve.go
@@ -25,6 +25,7 @@
 	"raventrestle/internal/net/admin"
 	"raventrestle/internal/net/courier"
 	"raventrestle/internal/net/front"
+	"raventrestle/internal/net/gate"
 	"raventrestle/internal/net/instance"
 	"raventrestle/internal/settings"
 )
@@ -126,13 +127,13 @@
 	if err != nil {
 		return err
 	}
-	gate := front.NewGate(listener, d.conf.Limits.Sockets/2)
+	clients := gate.New(listener, d.conf.Limits.Sockets/2, front.Room)
 	server := &http.Server{Handler: d.front, ReadHeaderTimeout: 2 * time.Second, ReadTimeout: 2500 * time.Millisecond,
 		WriteTimeout: 15 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
-		ConnContext: front.ConnContext, ConnState: gate.SetState,
+		ConnContext: gate.ConnContext, ConnState: clients.SetState,
 		ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelWarn)}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(gate) }()
+	go func() { failed <- server.Serve(clients) }()
 	d.tell(lifecycle.Done{Step: lifecycle.Listening})
 	d.log.Info("raventrestle: ready", "name", d.conf.Name, "listen", d.conf.Listen,
 		"discovery", d.conf.Discovery, "restored", len(kept), "letters", d.letters != nil)
--- a/internal/net/front/front.go
+++ b/internal/net/front/front.go
@@ -18,6 +18,7 @@
 
 	"raventrestle/internal/config"
 	"raventrestle/internal/journal"
+	"raventrestle/internal/net/gate"
 	"raventrestle/internal/net/sock"
 )
 
@@ -34,6 +35,9 @@
 	Withdraw(*journal.Message)
 }
 
+// Room is how long client connections are left alone where others want their room.
+var Room = gate.Limits{Busy: 400 * time.Millisecond}
+
 // Counts are what the client connections brought.
 type Counts struct {
 	Requests, Taken, Refused, BadForm, TooLarge, Left atomic.Int64
@@ -70,7 +74,7 @@
 
 // handIn is the request context's part of a message that is handed in.
 type handIn struct {
-	conn          *clientConn
+	conn          *gate.Conn
 	began         time.Time        // when the request came
 	msg           *journal.Message // set once it is written down
 	again, orphan bool
@@ -98,7 +102,7 @@
 	}
 	f.Counts.Requests.Add(1)
 	in := &handIn{began: time.Now()}
-	if in.conn, _ = r.Context().Value(connKey{}).(*clientConn); in.conn != nil {
+	if in.conn = gate.Of(r.Context()); in.conn != nil {
 		in.began = in.began.Add(-min(sock.Age(in.conn), longestStall)) // it may have waited to be read
 	}
 	settled := false
@@ -146,7 +150,7 @@
 		return nil, err
 	}
 	if in.conn != nil {
-		in.conn.whole()
+		in.conn.Whole()
 	}
 	if f.draining.Load() || m.Until <= time.Now().UnixNano() {
 		return f.answer(r, http.StatusServiceUnavailable), nil
--- a/internal/net/front/front_test.go
+++ b/internal/net/front/front_test.go
@@ -17,6 +17,7 @@
 
 	"raventrestle/internal/config"
 	"raventrestle/internal/journal"
+	"raventrestle/internal/net/gate"
 	"raventrestle/internal/net/nettest"
 )
 
@@ -42,8 +43,8 @@
 	f := New(c, &config.Names{Classes: map[string]int{"notice": 0, "free": 1}, Tenants: map[string]int{"acme": 0},
 		Keyed: map[string]bool{"notice": true}}, nettest.Log)
 	s := httptest.NewUnstartedServer(f)
-	s.Config.ErrorLog, s.Config.ConnContext = f.proxy.ErrorLog, ConnContext
-	g := NewGate(s.Listener, 4)
+	s.Config.ErrorLog, s.Config.ConnContext = f.proxy.ErrorLog, gate.ConnContext
+	g := gate.New(s.Listener, 4, Room)
 	s.Listener, s.Config.ConnState = g, g.SetState
 	t.Cleanup(s.Close)
 	return c, f, s
--- a/internal/net/front/listener.go
+++ b/internal/net/gate/gate.go
@@ -1,9 +1,10 @@
-package front
+// Package gate keeps the connections of a listener to a number, so that none of those who say nothing
+// shuts out others.
+package gate
 
 import (
 	"container/list"
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -12,12 +13,12 @@
 	"raventrestle/internal/net/sock"
 )
 
-// Gate keeps the client connections that are open to a number. Where one too many comes, another
-// makes room for it: the one between requests that has said nothing for longest, else one whose
-// request has been on its way for longer than its client waits. None with a request that is read
-// gives way.
+// Gate keeps the connections that are open to a number. Where one too many comes, another makes room
+// for it: the one between requests that has said nothing for longest, else one whose request has been
+// on its way for longer than its caller waits. None with a request that is read gives way.
 type Gate struct {
 	net.Listener
+	Limits
 	most   int
 	mu     sync.Mutex
 	quiet  *list.List // connections between requests, the longest silent first
@@ -27,14 +28,17 @@
 	close  context.CancelFunc
 }
 
-const (
-	clientWaits = 400 * time.Millisecond // for an answer
-	fullPause   = 10 * time.Millisecond  // before another look for room
-)
+const fullPause = 10 * time.Millisecond // before another look for room
+
+// Limits say how long a connection is left alone where another wants its room.
+type Limits struct {
+	Quiet time.Duration // with nothing said since it came, or since its last answer
+	Busy  time.Duration // with a request that has not come whole: its caller waits no longer
+}
 
-// NewGate returns the gate of a listener. Its SetState is the server's ConnState.
-func NewGate(l net.Listener, most int) *Gate {
-	g := &Gate{Listener: l, most: most, quiet: list.New(), busy: list.New(), change: make(chan struct{}, 1)}
+// New returns the gate of a listener. Its SetState is the server's ConnState.
+func New(l net.Listener, most int, limits Limits) *Gate {
+	g := &Gate{Listener: l, Limits: limits, most: most, quiet: list.New(), busy: list.New(), change: make(chan struct{}, 1)}
 	g.closed, g.close = context.WithCancel(context.Background())
 	return g
 }
@@ -45,8 +49,8 @@
 	return g.Listener.Close()
 }
 
-// clientConn is a connection that has come through the gate; the gate's lock holds its state.
-type clientConn struct {
+// Conn is a connection that has come through the gate; the gate's lock holds its state.
+type Conn struct {
 	*net.TCPConn
 	gate   *Gate
 	in     *list.List // of the gate, nil once closed
@@ -66,12 +70,14 @@
 	for !g.room() {
 		select {
 		case <-g.change:
+			continue
 		case <-time.After(fullPause):
-		case <-g.closed.Done():
-			return nil, errors.Join(net.ErrClosed, c.Close())
+			continue
+		case <-g.closed.Done(): // it is let in all the same: its request may be on it
 		}
+		break
 	}
-	cc := &clientConn{TCPConn: tcp, gate: g}
+	cc := &Conn{TCPConn: tcp, gate: g}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	cc.move(g.quiet)
@@ -86,14 +92,17 @@
 		return true
 	}
 	for e := g.quiet.Front(); e != nil; e = e.Next() {
-		c := e.Value.(*clientConn)
+		c := e.Value.(*Conn)
+		if time.Since(c.since) < g.Quiet {
+			break // as those after it
+		}
 		if _, quiet := sock.Look(c.TCPConn); quiet {
 			c.shut()
 			return true
 		}
 	}
 	for e := g.busy.Front(); e != nil; e = e.Next() {
-		if c := e.Value.(*clientConn); !c.read && time.Since(c.since) > clientWaits {
+		if c := e.Value.(*Conn); !c.read && time.Since(c.since) > g.Busy {
 			c.shut()
 			return true
 		}
@@ -103,7 +112,7 @@
 
 // SetState hears from the server when a connection is between requests again, or is not.
 func (g *Gate) SetState(conn net.Conn, s http.ConnState) {
-	c, ok := conn.(*clientConn)
+	c, ok := conn.(*Conn)
 	if !ok {
 		return
 	}
@@ -118,7 +127,7 @@
 }
 
 // move puts the connection into a list of the gate, nil for none, under its lock.
-func (c *clientConn) move(to *list.List) {
+func (c *Conn) move(to *list.List) {
 	if c.closed {
 		return
 	}
@@ -136,14 +145,14 @@
 	}
 }
 
-func (c *clientConn) shut() {
+func (c *Conn) shut() {
 	c.move(nil)
 	c.TCPConn.Close()
 }
 
 // Read gives what has come, unless the connection was closed meanwhile: what is read then has
 // not been, and its client sends it once more.
-func (c *clientConn) Read(b []byte) (int, error) {
+func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
@@ -156,14 +165,14 @@
 	return n, err
 }
 
-// whole marks that the request has come whole: from now on it gets its answer.
-func (c *clientConn) whole() {
+// Whole marks that the request has come whole: from now on it gets its answer.
+func (c *Conn) Whole() {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
 	c.read = true
 }
 
-func (c *clientConn) Close() error {
+func (c *Conn) Close() error {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
 	c.move(nil)
@@ -172,7 +181,13 @@
 
 type connKey struct{}
 
-// ConnContext is for the http.Server: requests then know their client connection.
+// ConnContext is for the http.Server: requests then know their connection, see Of.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
+
+// Of is the connection that a request came on, nil if it came through no gate.
+func Of(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	return c
+}
