Answer /ready and /metrics on a second address from counters alone

Design: the address (admin in the configuration, EDGE_ADMIN before it) has a listener of its own beside the Unix admin socket and shares the instance's life with it. Figures are atomics that the hot path adds to; each end is counted once, where the courier's actor carries it out. Not taken: asking the actor for its status, as the Unix socket does, since a step or a full mailbox would hold the answer up; and one mux for both listeners, since what one caller may do (drain, resend) the other may not. An address in use is logged and clients are served on: a courier that can't be watched is better than none.

--- a/cmd/raventrestle/serve.go
+++ b/cmd/raventrestle/serve.go
@@ -20,6 +20,7 @@
 	"raventrestle"
 	"raventrestle/internal/config"
 	"raventrestle/internal/deadletter"
+	"raventrestle/internal/figures"
 	"raventrestle/internal/journal"
 	"raventrestle/internal/lifecycle"
 	"raventrestle/internal/net/admin"
@@ -27,6 +28,7 @@
 	"raventrestle/internal/net/front"
 	"raventrestle/internal/net/gate"
 	"raventrestle/internal/net/instance"
+	"raventrestle/internal/net/monitor"
 	"raventrestle/internal/settings"
 )
 
@@ -47,6 +49,7 @@
 	letters *deadletter.Keeper // nil where none are kept
 	courier *courier.Courier
 	front   *front.Front
+	figures *figures.Book
 }
 
 // serve runs the courier until SIGTERM. File names the operators' settings, "" for none.
@@ -60,7 +63,7 @@
 			return err
 		}
 	}
-	d := &daemon{level: &slog.LevelVar{}, file: file}
+	d := &daemon{level: &slog.LevelVar{}, file: file, figures: &figures.Book{}}
 	d.log = settings.Logger(set.Log, d.level)
 	d.life = instance.New(d.log, func(drains bool) {
 		if d.front != nil {
@@ -83,6 +86,20 @@
 	memory := int64(d.conf.Limits.MemoryMB * 1e6)
 	debug.SetMemoryLimit(memory * 6 / 10) // the journal's files count as well
 
+	for name := range d.conf.Names.Classes {
+		d.figures.Class(name) // shown from the start on
+	}
+	descriptors := d.conf.Limits.Sockets / 2 // of client connections
+	if d.conf.Admin != "" {
+		m, err := monitor.Serve(d.conf.Admin, d.life.Report, d.figures, d.log)
+		if err != nil { // clients are served on without
+			d.log.Error("monitor: no second address", "admin", d.conf.Admin, "err", err)
+		} else {
+			defer m.Close()
+			descriptors -= monitor.MostCallers + 1
+		}
+	}
+
 	owner, err := own(ctx, d.conf.State, d.log)
 	if err != nil {
 		return err
@@ -97,11 +114,11 @@
 	}
 	d.tell(lifecycle.Done{Step: lifecycle.Journal})
 	kept = d.openLetters(set, kept)
-	if d.courier, err = courier.New(d.conf, d.store, kept, d.log); err != nil {
+	if d.courier, err = courier.New(d.conf, d.store, kept, d.figures, d.log); err != nil {
 		return err
 	}
 	d.courier.Tell = d.tell
-	d.front = front.New(d.courier, d.conf.Names, d.log)
+	d.front = front.New(d.courier, d.conf.Names, d.figures, d.log)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	if d.letters != nil {
@@ -127,7 +144,7 @@
 	if err != nil {
 		return err
 	}
-	clients := gate.New(listener, d.conf.Limits.Sockets/2, front.Room)
+	clients := gate.New(listener, descriptors, front.Room)
 	server := &http.Server{Handler: d.front, ReadHeaderTimeout: 2 * time.Second, ReadTimeout: 2500 * time.Millisecond,
 		WriteTimeout: 15 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
 		ConnContext: gate.ConnContext, ConnState: clients.SetState,
@@ -288,8 +305,10 @@
 // paces the letters. The rest holds from the next start on.
 func (d *daemon) reload(ctx context.Context) {
 	if conf, err := config.Reload(os.Getenv); err != nil {
+		d.figures.ConfigReloadFails.Add(1)
 		d.log.Error("raventrestle: the old settings stay", "err", err)
 	} else {
+		d.figures.ConfigReloads.Add(1)
 		d.log.Info("raventrestle: settings read anew", "discovery", conf.Discovery)
 		d.courier.Move(conf.Discovery)
 	}
--- a/cmd/raventrestle/undeliverable.go
+++ b/cmd/raventrestle/undeliverable.go
@@ -211,7 +211,7 @@
 			if w.asJSON {
 				return print(c, st)
 			}
-			return figures(c.OutOrStdout(), st)
+			return letterFigures(c.OutOrStdout(), st)
 		})}
 	check := &cobra.Command{Use: "check", Short: "Read a stopped courier's whole store and say what is wrong with it", Args: cobra.NoArgs,
 		RunE: works(func(c *cobra.Command, _ []string) error {
@@ -292,7 +292,7 @@
 
 func clip(b []byte) []byte { return b[:min(len(b), 200)] }
 
-func figures(out io.Writer, st *deadletter.Stats) error {
+func letterFigures(out io.Writer, st *deadletter.Stats) error {
 	t := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
 	row := func(name string, v any) { fmt.Fprintf(t, "%s\t%v\n", name, v) }
 	row("letters", st.Letters)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -22,6 +22,7 @@
 // Config is all that a courier is told at its start.
 type Config struct {
 	Name, Listen, Discovery string
+	Admin                   string // the second address, "" for none
 	State                   string // the folder that lasts
 	Seed                    uint64
 	Limits                  Limits
@@ -50,6 +51,7 @@
 		Name      string              `json:"name"`
 		Listen    string              `json:"listen"`
 		Discovery string              `json:"discovery"`
+		Admin     string              `json:"admin"`
 		State     string              `json:"state"`
 		Seed      string              `json:"seed"`
 		Limits    Limits              `json:"limits"`
@@ -59,10 +61,10 @@
 	if err := api.Unmarshal(text, &raw); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
-	c := &Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, State: raw.State,
+	c := &Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Admin: raw.Admin, State: raw.State,
 		Limits: raw.Limits, Known: raw.Known}
 	for name, field := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen,
-		"EDGE_DISCOVERY": &c.Discovery, "EDGE_STATE": &c.State} {
+		"EDGE_DISCOVERY": &c.Discovery, "EDGE_ADMIN": &c.Admin, "EDGE_STATE": &c.State} {
 		if v := getenv(name); v != "" && (first || *field == "") {
 			*field = v
 		}
--- a/internal/net/courier/courier.go
+++ b/internal/net/courier/courier.go
@@ -18,6 +18,7 @@
 	"raventrestle/internal/config"
 	"raventrestle/internal/deadletter"
 	"raventrestle/internal/deadletter/rule"
+	"raventrestle/internal/figures"
 	"raventrestle/internal/journal"
 	"raventrestle/internal/lifecycle"
 	"raventrestle/internal/net/front"
@@ -69,6 +70,7 @@
 	listed  time.Time         // when discovery last answered
 	index   int64             // of its list
 
+	Figures *figures.Book // counts the ends
 	// Tell hears of what concerns the life of the instance; set it before Run.
 	Tell         func(lifecycle.Event)
 	journalFails atomic.Bool
@@ -103,7 +105,7 @@
 const lag = 250 * time.Millisecond
 
 // New puts a courier together. Kept is what the journal held at the start.
-func New(conf *config.Config, store *journal.Store, kept []journal.Kept, log *slog.Logger) (*Courier, error) {
+func New(conf *config.Config, store *journal.Store, kept []journal.Kept, book *figures.Book, log *slog.Logger) (*Courier, error) {
 	conf.Settings.Lag = lag
 	policy, err := raventrestle.New(conf.Settings, conf.Seed)
 	if err != nil {
@@ -112,7 +114,7 @@
 	set := &conf.Settings
 	room := set.MostHeld + len(kept) + 16*set.CallSlots + 256
 	c := &Courier{conf: conf, policy: policy, log: log, journal: store, mail: make(chan any, room),
-		Tell: func(lifecycle.Event) {}, quiet: make(chan struct{}), known: map[string]bool{}, resends: map[string]bool{}, dests: map[int64]time.Time{},
+		Tell: func(lifecycle.Event) {}, Figures: book, quiet: make(chan struct{}), known: map[string]bool{}, resends: map[string]bool{}, dests: map[int64]time.Time{},
 		msgs: map[raventrestle.MessageID]*message{}, peers: map[raventrestle.TargetID]*ref{}}
 	for _, class := range set.Classes {
 		c.longest = max(c.longest, class.Deadline)
@@ -131,6 +133,7 @@
 			continue
 		}
 		c.Counts.Restored.Add(1)
+		book.Pending.Add(1)
 		c.mail <- k
 	}
 	return c, nil
@@ -143,6 +146,9 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	look := time.NewTicker(lookAgain)
+	if c.conf.Admin != "" {
+		look.Reset(showAgain)
+	}
 	defer look.Stop()
 	var last time.Time
 	for {
@@ -162,6 +168,7 @@
 		case <-timer.C:
 		case <-look.C:
 			c.tryJournal()
+			c.figure()
 			continue
 		}
 		// The module's least time between two batches: what comes meanwhile goes along.
@@ -228,6 +235,7 @@
 	c.Counts.Steps.Add(1)
 	c.act(c.decide(t, events), records)
 	c.show()
+	c.figure()
 	for _, to := range asked {
 		to <- c.status()
 	}
@@ -240,6 +248,12 @@
 	}
 }
 
+// figure brings the figures that are not counted up to date.
+func (c *Courier) figure() {
+	c.Figures.Members.Store(int64(len(c.peers)))
+	c.Figures.MembersUnavailable.Store(int64(c.policy.Avoided(now())))
+}
+
 // decide keeps a fault of the module from ending the process: the batch is lost, not the courier.
 func (c *Courier) decide(t time.Duration, events []raventrestle.Event) (actions []raventrestle.Action) {
 	defer func() {
@@ -314,7 +328,8 @@
 		c.peers[e.Target] = &ref{entry: e, Peer: peer.New(ctx, peer.Config{Name: string(e.Target), Addr: e.Addr,
 			ConnectWithin: c.conf.Settings.ConnectWithin, IdleClose: c.conf.Settings.IdleClose,
 			Mailbox: 4*c.conf.Settings.CallSlots + 16, Log: c.log, Counts: &c.Counts.Peers,
-			Tell: func(e raventrestle.Event) { c.mail <- e }})}
+			Wrote: func(n int) { c.Figures.UpstreamRequests.Add(int64(n)) },
+			Tell:  func(e raventrestle.Event) { c.mail <- e }})}
 		if e.State == raventrestle.Draining {
 			c.peers[e.Target].Hold(peer.Never)
 		}
@@ -379,10 +394,13 @@
 		c.resent(m, what)
 		return nil // the letter comes first
 	case o.Closed:
-		if o.Status == raventrestle.OK {
-			c.Counts.Delivered.Add(1)
-		} else {
-			c.Counts.Void.Add(1)
+		end := &c.Counts.Delivered
+		if o.Status != raventrestle.OK {
+			end = &c.Counts.Void
+		}
+		end.Add(1)
+		if m != nil {
+			c.counted(m.Message, o.Status == raventrestle.OK, false)
 		}
 		delete(c.msgs, o.ID)
 		c.forget(id)
@@ -393,6 +411,20 @@
 	return []journal.Record{journal.MayHaveRun(id, word)}
 }
 
+// counted adds a message's end to the figures: delivered, handed back, or else failed.
+func (c *Courier) counted(m *journal.Message, delivered, handedBack bool) {
+	class := c.Figures.Class(m.Class)
+	switch {
+	case delivered:
+		class.Completed.Add(1)
+	case handedBack:
+		class.Rejected.Add(1)
+	default:
+		class.Failed.Add(1)
+	}
+	c.Figures.Pending.Add(-1)
+}
+
 // hold tells the peers of the target's route that it was told to wait: calls whose connection is
 // still coming up would else be written within the wait.
 func (c *Courier) hold(target raventrestle.TargetID, until time.Time) {
@@ -475,6 +507,9 @@
 				continue
 			}
 			c.Counts.Deferred.Add(1)
+			if m := c.msgs[a.ID]; m != nil {
+				c.counted(m.Message, false, true)
+			}
 			owed = append(owed, notice.Item{ID: string(a.ID), End: end})
 		case raventrestle.Fail:
 			m := c.msgs[a.ID]
@@ -487,6 +522,9 @@
 				continue
 			}
 			c.Counts.Undeliverable.Add(1)
+			if m != nil {
+				c.counted(m.Message, false, false)
+			}
 			owed = append(owed, notice.Item{ID: string(a.ID)})
 		case raventrestle.CloseIdle:
 			if r := c.peers[a.Target]; r != nil {
@@ -556,6 +594,9 @@
 // lookAgain is how often a journal that could not be written is tried.
 const lookAgain = time.Second
 
+// showAgain is how often the figures are brought up to date where nothing happens.
+const showAgain = 200 * time.Millisecond
+
 // tryJournal writes a record that says nothing while the journal fails: a courier that is not sent
 // messages for that reason would else never hear that it is well again.
 func (c *Courier) tryJournal() {
@@ -622,6 +663,7 @@
 // Admit lets a message in whose client has heard that it is taken on.
 func (c *Courier) Admit(m *journal.Message, again, orphan bool) {
 	c.Counts.Taken.Add(1)
+	c.Figures.Pending.Add(1)
 	c.mu.Lock()
 	c.known[m.ID] = true
 	c.mu.Unlock()
--- a/internal/net/courier/courier_test.go
+++ b/internal/net/courier/courier_test.go
@@ -13,6 +13,7 @@
 
 	"raventrestle"
 	"raventrestle/internal/config"
+	"raventrestle/internal/figures"
 	"raventrestle/internal/journal"
 	"raventrestle/internal/lifecycle"
 	"raventrestle/internal/net/front"
@@ -33,7 +34,7 @@
 		Names: &config.Names{Classes: map[string]int{"c": 0}, Kinds: map[string]int{"k": 0}},
 		Settings: raventrestle.Settings{Forwarders: 1, CallSlots: 4, MostHeld: 3, Kinds: []raventrestle.Kind{{BundleMax: 4}},
 			Classes:       []raventrestle.Class{{Name: "c", Aim: time.Second, Deadline: 9 * time.Second, Credit: 1}},
-			ConnectWithin: time.Second, IdleClose: 5 * time.Second}}, store, nil, nettest.Log)
+			ConnectWithin: time.Second, IdleClose: 5 * time.Second}}, store, nil, &figures.Book{}, nettest.Log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/net/courier/letters.go
+++ b/internal/net/courier/letters.go
@@ -86,6 +86,7 @@
 		if err != nil {
 			it.End = end
 		}
+		c.counted(m.Message, false, it.Deferred)
 		if it.Deferred {
 			c.Counts.Deferred.Add(1)
 		} else {
--- a/internal/net/courier/letters_test.go
+++ b/internal/net/courier/letters_test.go
@@ -18,6 +18,7 @@
 	"raventrestle/internal/config"
 	"raventrestle/internal/deadletter"
 	"raventrestle/internal/deadletter/rule"
+	"raventrestle/internal/figures"
 	"raventrestle/internal/journal"
 	"raventrestle/internal/net/nettest"
 )
@@ -173,7 +174,7 @@
 			t.Fatal(err)
 		}
 	}
-	if c, err = New(conf, store, live, nettest.Log); err != nil {
+	if c, err = New(conf, store, live, &figures.Book{}, nettest.Log); err != nil {
 		t.Fatal(err)
 	}
 	c.Keep(k)
@@ -331,7 +332,7 @@
 		t.Fatal(err)
 	}
 	nettest.Wait(t, "making of the store", order)
-	if c, err = New(conf, store, nil, nettest.Log); err != nil {
+	if c, err = New(conf, store, nil, &figures.Book{}, nettest.Log); err != nil {
 		t.Fatal(err)
 	}
 	c.Keep(k)
@@ -403,7 +404,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if c, err = New(conf, store, nil, nettest.Log); err != nil {
+	if c, err = New(conf, store, nil, &figures.Book{}, nettest.Log); err != nil {
 		t.Fatal(err)
 	}
 	c.Keep(k)
--- a/internal/net/front/front.go
+++ b/internal/net/front/front.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"raventrestle/internal/config"
+	"raventrestle/internal/figures"
 	"raventrestle/internal/journal"
 	"raventrestle/internal/net/gate"
 	"raventrestle/internal/net/sock"
@@ -51,6 +52,7 @@
 	proxy    *httputil.ReverseProxy
 	log      *slog.Logger
 	draining atomic.Bool
+	figures  *figures.Book
 }
 
 const (
@@ -62,8 +64,8 @@
 )
 
 // New returns the handler.
-func New(c Courier, names *config.Names, log *slog.Logger) *Front {
-	f := &Front{courier: c, names: names, log: log}
+func New(c Courier, names *config.Names, book *figures.Book, log *slog.Logger) *Front {
+	f := &Front{courier: c, names: names, log: log, figures: book}
 	f.proxy = &httputil.ReverseProxy{Transport: f, Rewrite: func(*httputil.ProxyRequest) {},
 		ErrorHandler: f.failed, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 	return f
@@ -153,14 +155,14 @@
 		in.conn.Whole()
 	}
 	if f.draining.Load() || m.Until <= time.Now().UnixNano() {
-		return f.answer(r, http.StatusServiceUnavailable), nil
+		return f.refuse(r, m), nil
 	}
 	switch err := f.courier.Take(m); {
 	case errors.Is(err, ErrKnown): // handed in once more over another connection
 		return f.answer(r, http.StatusAccepted), nil
 	case err != nil:
 		f.log.Debug("front: refused", "id", m.ID, "err", err)
-		return f.answer(r, http.StatusServiceUnavailable), nil
+		return f.refuse(r, m), nil
 	}
 	if r.Context().Err() != nil || !in.stays() || time.Since(in.began) > patience {
 		f.Counts.Left.Add(1)
@@ -181,6 +183,12 @@
 	return open
 }
 
+// refuse answers for a message that is not taken on.
+func (f *Front) refuse(r *http.Request, m *journal.Message) *http.Response {
+	f.figures.Class(m.Class).Rejected.Add(1)
+	return f.answer(r, http.StatusServiceUnavailable)
+}
+
 func (f *Front) answer(r *http.Request, code int) *http.Response {
 	if code != http.StatusAccepted {
 		f.Counts.Refused.Add(1)
--- a/internal/net/front/front_test.go
+++ b/internal/net/front/front_test.go
@@ -16,6 +16,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"raventrestle/internal/config"
+	"raventrestle/internal/figures"
 	"raventrestle/internal/journal"
 	"raventrestle/internal/net/gate"
 	"raventrestle/internal/net/nettest"
@@ -41,7 +42,7 @@
 func unstarted(t *testing.T, take func(*journal.Message) error) (*scripted, *Front, *httptest.Server) {
 	c := &scripted{take, make(chan *journal.Message, 16), make(chan *journal.Message, 16)}
 	f := New(c, &config.Names{Classes: map[string]int{"notice": 0, "free": 1}, Tenants: map[string]int{"acme": 0},
-		Keyed: map[string]bool{"notice": true}}, nettest.Log)
+		Keyed: map[string]bool{"notice": true}}, &figures.Book{}, nettest.Log)
 	s := httptest.NewUnstartedServer(f)
 	s.Config.ErrorLog, s.Config.ConnContext = f.proxy.ErrorLog, gate.ConnContext
 	g := gate.New(s.Listener, 4, Room)
--- a/internal/net/peer/peer.go
+++ b/internal/net/peer/peer.go
@@ -40,6 +40,7 @@
 	Log           *slog.Logger
 	Counts        *Counts
 	Tell          func(raventrestle.Event)                                          // hands an event to the courier
+	Wrote         func(messages int)                                                // hears of a call that is written in full; nil for nobody
 	Dial          func(ctx context.Context, network, addr string) (net.Conn, error) // nil for the usual
 }
 
@@ -117,6 +118,9 @@
 	if c.Dial == nil {
 		c.Dial = (&net.Dialer{Timeout: c.ConnectWithin, KeepAlive: -1}).DialContext
 	}
+	if c.Wrote == nil {
+		c.Wrote = func(int) {}
+	}
 	ctx, quit := context.WithCancel(ctx)
 	p := &Peer{Config: c, mail: make(chan any, c.Mailbox), quit: quit}
 	go p.run(ctx)
@@ -348,6 +352,7 @@
 		}
 		return answer{}, c, &TryError{reach, ctx.Err() != nil, err}
 	}
+	p.Wrote(len(cl.tries))
 	a, err := read(c, len(cl.tries) == 1)
 	var failed *TryError
 	if errors.As(err, &failed) {
--- a/view.go
+++ b/view.go
@@ -30,6 +30,17 @@
 
 var healths = [...]string{open: "open", halfOpen: "half-open", ramp: "slow start"}
 
+// Avoided is how many targets get no usual traffic now: held off after failures, in a wait that they told,
+// or draining by the list. It changes nothing.
+func (p *Policy) Avoided(now time.Duration) (n int) {
+	for _, t := range p.targets {
+		if !t.ready || t.health == halfOpen || t.r.until > now {
+			n++
+		}
+	}
+	return n
+}
+
 // View is what the policy believes of all destinations, in the order of their numbers. It changes nothing.
 func (p *Policy) View() []DestView {
 	all := make([]DestView, 0, len(p.dests))
