Take the settings of a file at SIGHUP whole or not at all, while messages keep their class

Design: a file that comes in service is checked against the one in use: every key that was there must be there, with a value of its type, and what the courier can't do without must be a positive number; the log names the field. Not taken: a list of wanted keys in the program, which would have to follow the platform's. Not taken: replacing a class in place, which would change what was promised for a message that may have run. Fewer attempts hold from now on for all: an attempt beyond them is not made. Truncated at any byte, without any key, with odd numbers: turned down (tests; fails without: classes stay unknown).

--- a/cmd/raventrestle/main_test.go
+++ b/cmd/raventrestle/main_test.go
@@ -36,33 +36,39 @@
 
 // deployment is a courier's surroundings; its processes come and go.
 type deployment struct {
-	t            *testing.T
-	addr, config string
-	state        string
-	discovery    *nettest.Peer
-	notices      chan string
-	process      *exec.Cmd
-	log          io.Writer
-	ended        chan error
+	t           *testing.T
+	addr, admin string
+	config      string
+	state       string
+	discovery   *nettest.Peer
+	notices     chan string
+	process     *exec.Cmd
+	log         io.Writer
+	ended       chan error
 }
 
 func deploy(t *testing.T, peers ...*nettest.Peer) *deployment {
 	d := &deployment{t: t, state: t.TempDir(), notices: make(chan string, 64), log: os.Stderr}
 	d.discovery = discover(t, d.notices, "")
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	d.addr = l.Addr().String()
-	l.Close()
+	d.addr, d.admin = free(t), free(t)
 	d.config = filepath.Join(t.TempDir(), "config.json")
-	d.write(fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","state":%q,`+
+	d.write(fmt.Sprintf(`{"name":"n0","listen":%q,"admin":%q,"discovery":%q,"seed":"8c1f30d27a5be964","state":%q,`+
 		`"limits":{"cores":1.0,"memory_mb":192,"sockets":256,"disk_mb":3},"known":%s,"settings":%s}`,
-		d.addr, d.discovery.Addr(), d.state, list(peers), platform))
+		d.addr, d.admin, d.discovery.Addr(), d.state, list(peers), platform))
 	t.Cleanup(d.kill)
 	return d
 }
 
+// free is an address that nobody listens at.
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
 // discover is a discovery service with that list, or with no news, which hands on the notices.
 func discover(t *testing.T, notices chan string, list string) *nettest.Peer {
 	return nettest.NewPeer(t, func(c net.Conn, call nettest.Call) bool {
--- a/cmd/raventrestle/serve.go
+++ b/cmd/raventrestle/serve.go
@@ -42,8 +42,9 @@
 type daemon struct {
 	log     *slog.Logger
 	level   *slog.LevelVar
-	conf    *config.Config
-	file    string // operators' settings, "" for none
+	conf    *config.Config // as this process started
+	held    *config.Config // as it was last read
+	file    string         // operators' settings, "" for none
 	life    *instance.Instance
 	store   *journal.Store
 	letters *deadletter.Keeper // nil where none are kept
@@ -79,6 +80,7 @@
 	if d.conf, err = config.Load(os.Getenv); err != nil {
 		return err
 	}
+	d.held = d.conf
 	for _, what := range d.conf.Aside {
 		d.log.Warn("raventrestle: set aside", "file", os.Getenv("EDGE_CONFIG"), "what", what)
 	}
@@ -304,13 +306,12 @@
 // discovery that it names; of the operators' settings it takes the log's level and what bounds and
 // paces the letters. The rest holds from the next start on.
 func (d *daemon) reload(ctx context.Context) {
-	if conf, err := config.Reload(os.Getenv); err != nil {
+	if err := d.retune(ctx); err != nil {
 		d.figures.ConfigReloadFails.Add(1)
-		d.log.Error("raventrestle: the old settings stay", "err", err)
+		d.log.Error("raventrestle: the old settings stay", "file", os.Getenv("EDGE_CONFIG"), "err", err)
 	} else {
 		d.figures.ConfigReloads.Add(1)
-		d.log.Info("raventrestle: settings read anew", "discovery", conf.Discovery)
-		d.courier.Move(conf.Discovery)
+		d.log.Info("raventrestle: settings read anew", "discovery", d.held.Discovery, "classes", len(d.held.Names.Classes))
 	}
 	if d.file == "" {
 		return
@@ -329,6 +330,27 @@
 	}()
 }
 
+// retune takes the platform's file whole or not at all. The module has the new classes before a client can
+// hand one in.
+func (d *daemon) retune(ctx context.Context) error {
+	next, err := config.Reload(os.Getenv, d.held)
+	if err != nil {
+		return err
+	}
+	if err := d.courier.Retune(ctx, next); err != nil {
+		return err
+	}
+	for name := range next.Names.Classes {
+		d.figures.Class(name)
+	}
+	d.front.Serve(next.Names)
+	if next.Discovery != d.held.Discovery {
+		d.courier.Move(next.Discovery)
+	}
+	d.held = next
+	return nil
+}
+
 // count prints what was taken in, sent and answered.
 func (d *daemon) count() {
 	in, out, net := &d.front.Counts, &d.courier.Counts, &d.courier.Counts.Peers
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -30,14 +30,13 @@
 	Settings                raventrestle.Settings
 	Names                   *Names
 	Aside                   []string // what could not be used, and what is used in its place
+
+	text []byte // of the file
 }
 
 // Load reads the file named by EDGE_CONFIG; the other EDGE_ variables go before it.
 func Load(getenv func(string) string) (*Config, error) { return load(getenv, true) }
 
-// Reload reads the file anew. It was replaced after the variables were set, so it goes before them.
-func Reload(getenv func(string) string) (*Config, error) { return load(getenv, false) }
-
 func load(getenv func(string) string, first bool) (*Config, error) {
 	path := getenv("EDGE_CONFIG")
 	if path == "" {
@@ -61,7 +60,7 @@
 	if err := api.Unmarshal(text, &raw); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
-	c := &Config{Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Admin: raw.Admin, State: raw.State,
+	c := &Config{text: text, Name: raw.Name, Listen: raw.Listen, Discovery: raw.Discovery, Admin: raw.Admin, State: raw.State,
 		Limits: raw.Limits, Known: raw.Known}
 	for name, field := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen,
 		"EDGE_DISCOVERY": &c.Discovery, "EDGE_ADMIN": &c.Admin, "EDGE_STATE": &c.State} {
--- /dev/null
+++ b/internal/config/reload_test.go
@@ -0,0 +1,180 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"raventrestle"
+)
+
+const inUse = `{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","admin":"127.0.0.1:3","state":"/s","seed":"8c1f",` +
+	`"limits":{"cores":0.27,"memory_mb":72,"sockets":608,"disk_mb":3},"known":{"index":1,"endpoints":[{"name":"a"}]},"settings":{"balancers":3,"az":"b",` +
+	`"failure_domains":["a","b"],"models":["k"],"tenants":[{"name":"t","share":1}],"rate_by_class":{"free":0.5,"once":0.5},` +
+	`"classes":[{"name":"free","aim_us":1000000,"deadline_us":8000000,"effect":"free","credit":2},` +
+	`{"name":"once","aim_us":2000000,"deadline_us":16000000,"effect":"single_shot","credit":5,"window_us":1}],` +
+	`"limits":{"most_held":86,"send_cap":8},"specifics":{"call_slots":5,"bundle_max":[1]}}}`
+
+// held is the configuration in use, and reload reads another text in its place.
+func held(t interface {
+	Fatal(...any)
+	Helper()
+}, dir string) (*Config, func(text string) (*Config, error)) {
+	t.Helper()
+	file := filepath.Join(dir, "config.json")
+	getenv := func(key string) string { return map[string]string{"EDGE_CONFIG": file}[key] }
+	write := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(inUse)
+	c, err := Load(getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c, func(text string) (*Config, error) {
+		write(text)
+		return Reload(getenv, c)
+	}
+}
+
+// A file that comes in service is taken whole or not at all, and what is turned down names its field.
+func TestReloadTurnsDown(t *testing.T) {
+	_, reload := held(t, t.TempDir())
+	for name, c := range map[string]struct{ old, new, err string }{
+		"deadline of 0":       {`"deadline_us":8000000`, `"deadline_us":0`, `classes[0].deadline_us ("free")`},
+		"negative deadline":   {`"deadline_us":16000000`, `"deadline_us":-1`, `classes[1].deadline_us ("once")`},
+		"deadline in words":   {`"deadline_us":8000000`, `"deadline_us":"8000000"`, "deadline_us"},
+		"deadline null":       {`"deadline_us":8000000`, `"deadline_us":null`, "classes[0].deadline_us is no number"},
+		"deadline of a year":  {`"deadline_us":8000000`, `"deadline_us":31536000000000`, "classes[0].deadline_us"},
+		"deadline overflows":  {`"deadline_us":8000000`, `"deadline_us":9300000000000000`, "classes[0].deadline_us"},
+		"too many digits":     {`"deadline_us":8000000`, `"deadline_us":1e400`, "deadline_us"},
+		"no number":           {`"deadline_us":8000000`, `"deadline_us":NaN`, "config"},
+		"aim beyond":          {`"aim_us":1000000`, `"aim_us":9000000`, "classes[0].aim_us"},
+		"no attempts":         {`"send_cap":8`, `"send_cap":0`, "limits.send_cap"},
+		"negative attempts":   {`"send_cap":8`, `"send_cap":-8`, "limits.send_cap"},
+		"part of an attempt":  {`"send_cap":8`, `"send_cap":1.5`, "send_cap"},
+		"attempts missing":    {`,"send_cap":8`, ``, "settings.limits.send_cap is missing"},
+		"a class's key":       {`"aim_us":1000000,`, ``, "settings.classes[0].aim_us is missing"},
+		"a list for a number": {`"most_held":86`, `"most_held":[86]`, "most_held"},
+		"a class twice":       {`"name":"once"`, `"name":"free"`, "stands twice"},
+		"no class":            {inUse[strings.Index(inUse, `"classes"`):strings.Index(inUse, `,"limits":{"most`)], `"classes":[]`, "classes is empty"},
+		"no settings":         {inUse[strings.Index(inUse, `,"settings"`):], `}`, "settings"},
+		"no discovery":        {`"discovery":"127.0.0.1:2",`, ``, "discovery"},
+		"empty discovery":     {`"discovery":"127.0.0.1:2"`, `"discovery":""`, "discovery"},
+		"limits missing":      {`"sockets":608,`, ``, "limits.sockets"},
+		"more behind it":      {`{"name":"n"`, `{} {"name":"n"`, "config"},
+	} {
+		text := strings.Replace(inUse, c.old, c.new, 1)
+		if text == inUse {
+			t.Fatalf("%s: nothing replaced", name)
+		}
+		if _, err := reload(text); err == nil || !strings.Contains(err.Error(), c.err) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := reload(inUse); err != nil {
+		t.Error(err)
+	}
+	for n := range len(inUse) { // half written, at any byte
+		if _, err := reload(inUse[:n]); err == nil {
+			t.Fatalf("taken with %d of %d bytes", n, len(inUse))
+		}
+	}
+}
+
+// Any key that goes missing, at whatever depth, turns the file down, but for those of classes, which may go,
+// and of the list.
+func TestReloadMissesAnyKey(t *testing.T) {
+	dir := t.TempDir()
+	rapid.Check(t, func(t *rapid.T) {
+		_, reload := held(t, dir)
+		var file map[string]any
+		if err := json.Unmarshal([]byte(inUse), &file); err != nil {
+			t.Fatal(err)
+		}
+		at, path := file, ""
+		for {
+			key := rapid.SampledFrom(slices.Sorted(maps.Keys(at))).Draw(t, "key")
+			path += "." + key
+			next, ok := at[key].(map[string]any)
+			if list, is := at[key].([]any); is && len(list) > 0 {
+				next, ok = rapid.SampledFrom(list).Draw(t, "member").(map[string]any)
+			}
+			if ok && rapid.Bool().Draw(t, "deeper") {
+				at = next
+				continue
+			}
+			delete(at, key)
+			break
+		}
+		text, err := json.Marshal(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = reload(string(text))
+		may := map[string]bool{".settings.classes.window_us": true, ".settings.rate_by_class.free": true, ".settings.rate_by_class.once": true}
+		want := may[path] || strings.HasPrefix(path, ".known.")
+		if (err == nil) != want {
+			t.Fatalf("without %s: %v", path, err)
+		}
+	})
+}
+
+// Classes come, go, come back and get other terms; whatever has an index keeps it.
+func TestFollowKeepsIndices(t *testing.T) {
+	c, reload := held(t, t.TempDir())
+	next := func(old, new string) *Config {
+		t.Helper()
+		n, err := reload(strings.Replace(inUse, old, new, 1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.Follow(c)
+		return n
+	}
+	free := c.Settings.Classes[0]
+	n := next(`"classes":[{"name":"free","aim_us":1000000,"deadline_us":8000000,"effect":"free","credit":2},`,
+		`"classes":[{"name":"new","aim_us":1,"deadline_us":5,"effect":"guarded","credit":1},`)
+	if n.Names.Classes["new"] != 2 || n.Names.Classes["once"] != 1 || Index(n.Names.Classes, "free") != -1 || n.Settings.Classes[0] != free {
+		t.Fatalf("%v %+v", n.Names.Classes, n.Settings.Classes)
+	}
+	stricter := next(`"effect":"free"`, `"effect":"single_shot"`)
+	if i := stricter.Names.Classes["free"]; i != 2 || stricter.Settings.Classes[0] != free || stricter.Settings.Classes[i].Effect != raventrestle.Unsafe {
+		t.Fatalf("%v %+v", stricter.Names.Classes, stricter.Settings.Classes)
+	}
+	back, err := reload(inUse)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if back.Follow(stricter); back.Names.Classes["free"] != 0 || len(back.Settings.Classes) != 3 {
+		t.Fatalf("%v %+v", back.Names.Classes, back.Settings.Classes)
+	}
+	if z := next(`"failure_domains":["a","b"]`, `"failure_domains":["c","b"]`); z.Names.Zones["b"] != 1 || z.Names.Zones["c"] != 2 || z.Settings.Zone != 1 || len(z.Settings.Zones) != 3 {
+		t.Fatalf("%v %+v", z.Names.Zones, z.Settings.Zones)
+	}
+}
+
+// What a class's terms say is what it was.
+func TestTerms(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		aim := rapid.Int64Range(1, 1e12).Draw(t, "aim")
+		c := raventrestle.Class{Name: "c", Aim: us(aim), Deadline: us(aim + rapid.Int64Range(0, 1e12).Draw(t, "more")), Stretch: rapid.Float64Range(0, 9).Draw(t, "stretch"),
+			Credit: rapid.Float64Range(0, 1e9).Draw(t, "credit"), Late: rapid.Float64Range(0, 1).Draw(t, "late"), Effect: raventrestle.Effect(rapid.IntRange(0, 2).Draw(t, "effect")),
+			Group: raventrestle.Group(rapid.IntRange(0, 2).Draw(t, "group")), Window: us(rapid.Int64Range(0, 1e12).Draw(t, "window")), InOrder: rapid.Bool().Draw(t, "order")}
+		if got, err := OfTerms("c", Terms(c)); err != nil || got != c {
+			t.Fatalf("%q: %+v, want %+v: %v", Terms(c), got, c, err)
+		}
+	})
+	if c, err := OfTerms("c", "1 2"); err == nil || c.Effect != raventrestle.Unsafe {
+		t.Fatal(fmt.Sprint(c, err))
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -14,7 +14,8 @@
 // Names tell the module's indices from the deployment's names.
 type Names struct {
 	Classes, Tenants, Kinds, Zones map[string]int
-	Keyed                          map[string]bool // classes whose messages carry a key
+	Keyed                          map[string]bool   // classes whose messages carry a key
+	Terms                          map[string]string // of the classes, see Terms
 }
 
 // Index is the name's index, or -1.
@@ -132,7 +133,7 @@
 
 func (in *info) settings() (raventrestle.Settings, *Names) {
 	nm := &Names{Classes: map[string]int{}, Tenants: map[string]int{}, Kinds: map[string]int{}, Zones: map[string]int{},
-		Keyed: map[string]bool{}}
+		Keyed: map[string]bool{}, Terms: map[string]string{}}
 	l, r := &in.Limits, &in.Rules
 	s := raventrestle.Settings{
 		Forwarders: in.Forwarders, Sizes: sizes[in.Sizes], Tick: us(in.Tick),
@@ -151,7 +152,6 @@
 		StartCapacity: r.StartCapacity,
 	}
 	for i, c := range in.Classes {
-		nm.Classes[c.Name] = i
 		effect, known := effects[c.Effect]
 		if !known {
 			effect = raventrestle.Unsafe
@@ -160,6 +160,7 @@
 		s.Classes = append(s.Classes, raventrestle.Class{Name: c.Name, Aim: us(c.Aim), Stretch: c.Stretch,
 			Deadline: us(c.Deadline), Credit: c.Credit, Late: c.Late, Effect: effect,
 			Group: groups[c.Group], Window: us(c.Window), InOrder: c.InOrder})
+		nm.Classes[c.Name], nm.Terms[c.Name] = i, Terms(s.Classes[i])
 	}
 	for i, t := range in.Tenants {
 		nm.Tenants[t.Name] = i
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -29,8 +29,9 @@
 	Dest          int64
 	Until         int64 // when its time is up, Unix time in nanoseconds
 	Body          []byte
-	Since         int64 // when it was taken on, Unix time in nanoseconds; 0 in a journal of an older build
-	Resend        int64 // of an undeliverable message: which resend this is, from 1; 0 for a client's hand-in
+	Since         int64  // when it was taken on, Unix time in nanoseconds; 0 in a journal of an older build
+	Terms         string // what its class was when it was taken on; opaque here, "" in a journal of an older build
+	Resend        int64  // of an undeliverable message: which resend this is, from 1; 0 for a client's hand-in
 }
 
 // Try is one attempt at a message.
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -77,7 +77,7 @@
 		}
 		b = binary.AppendVarint(binary.AppendVarint(b, m.Dest), m.Until)
 		b = append(binary.AppendUvarint(b, uint64(len(m.Body))), m.Body...)
-		b = binary.AppendVarint(binary.AppendVarint(b, m.Since), m.Resend)
+		b = text(binary.AppendVarint(binary.AppendVarint(b, m.Since), m.Resend), m.Terms)
 	case neverRan, mayHaveRun:
 		b = text(b, r.outcome)
 	case begun, prior:
@@ -174,6 +174,9 @@
 		if len(d.b) > 0 { // an older build wrote no more
 			m.Since, m.Resend = d.int(), d.int()
 		}
+		if len(d.b) > 0 {
+			m.Terms = d.text()
+		}
 		r.msg = m
 	case begun, prior:
 		r.try = Try{Peer: d.text(), Zone: d.text(), At: d.int()}
--- a/internal/net/courier/courier.go
+++ b/internal/net/courier/courier.go
@@ -50,13 +50,14 @@
 	notices *notice.Sender
 	mail    chan any
 	quiet   chan struct{}      // closed once it is closing and owes nothing
-	longest time.Duration      // that a message may wait
 	letters *deadletter.Keeper // nil where none are kept
 
 	mu      sync.Mutex
 	known   map[string]bool     // ids written down whose end is not told yet; true once let in
 	resends map[string]bool     // ids of letters that are being sent again
 	dests   map[int64]time.Time // when the list last named a peer of the destination
+	longest time.Duration       // that a message may wait
+	most    int                 // messages that it may hold
 
 	// What follows is the actor's own.
 	msgs    map[raventrestle.MessageID]*message
@@ -98,6 +99,12 @@
 
 type closingMsg struct{ at time.Time }
 
+// retuneMsg are other settings; the answer says whether the module works with them.
+type retuneMsg struct {
+	conf *config.Config
+	done chan<- error
+}
+
 type heardMsg struct{} // notices were taken
 
 // lag is what a repeat may take longer on its way than the first try did: a new connection, a
@@ -116,9 +123,7 @@
 	c := &Courier{conf: conf, policy: policy, log: log, journal: store, mail: make(chan any, room),
 		Tell: func(lifecycle.Event) {}, Figures: book, quiet: make(chan struct{}), known: map[string]bool{}, resends: map[string]bool{}, dests: map[int64]time.Time{},
 		msgs: map[raventrestle.MessageID]*message{}, peers: map[raventrestle.TargetID]*ref{}}
-	for _, class := range set.Classes {
-		c.longest = max(c.longest, class.Deadline)
-	}
+	c.bound(set)
 	c.notices = notice.New(conf.Discovery, room, log, c.heard)
 	c.group = upstream.New(conf.Discovery, conf.Known, conf.Names, log, func(u upstream.Update) { c.mail <- u })
 	for _, k := range kept {
@@ -139,6 +144,63 @@
 	return c, nil
 }
 
+// bound takes what Take goes by out of the settings.
+func (c *Courier) bound(set *raventrestle.Settings) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.most, c.longest = set.MostHeld, 0
+	for _, class := range set.Classes {
+		c.longest = max(c.longest, class.Deadline)
+	}
+}
+
+// Retune makes the courier go by the settings of another configuration, which gets the indices of the one it
+// has, or returns the module's error and changes nothing. Messages under way keep their class.
+func (c *Courier) Retune(ctx context.Context, conf *config.Config) error {
+	done := make(chan error, 1)
+	c.post(retuneMsg{conf, done})
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *Courier) retune(ctx context.Context, conf *config.Config) error {
+	conf.Follow(c.conf)
+	was, set := c.conf.Settings, &conf.Settings
+	set.Lag = lag
+	if err := c.policy.Retune(*set); err != nil {
+		return err
+	}
+	next := *c.conf
+	next.Settings, next.Names = *set, conf.Names
+	c.conf = &next
+	c.bound(set)
+	c.group.Serve(conf.Names)
+	if was.ConnectWithin == set.ConnectWithin && was.IdleClose == set.IdleClose {
+		return nil
+	}
+	for _, r := range c.peers { // their connections go by the new times
+		r.Stop()
+		r.Peer = c.peer(ctx, r.entry)
+	}
+	return nil
+}
+
+// peer starts the peer of an entry.
+func (c *Courier) peer(ctx context.Context, e upstream.Entry) *peer.Peer {
+	p := peer.New(ctx, peer.Config{Name: string(e.Target), Addr: e.Addr, ConnectWithin: c.conf.Settings.ConnectWithin,
+		IdleClose: c.conf.Settings.IdleClose, Mailbox: 4*c.conf.Settings.CallSlots + 16, Log: c.log, Counts: &c.Counts.Peers,
+		Wrote: func(n int) { c.Figures.UpstreamRequests.Add(int64(n)) },
+		Tell:  func(e raventrestle.Event) { c.mail <- e }})
+	if e.State == raventrestle.Draining {
+		p.Hold(peer.Never)
+	}
+	return p
+}
+
 // Run is the actor; it ends with the context.
 func (c *Courier) Run(ctx context.Context) {
 	go c.group.Run(ctx)
@@ -217,6 +279,9 @@
 			if e := c.resend(m, t); e != nil {
 				rest = append(rest, e)
 			}
+		case retuneMsg:
+			err := c.retune(ctx, m.conf)
+			m.done <- err
 		case statusMsg:
 			asked = append(asked, m.to)
 		case closingMsg:
@@ -267,11 +332,35 @@
 }
 
 func (c *Courier) arrived(a arrival, t time.Duration) raventrestle.Arrival {
-	return raventrestle.Arrival{ID: raventrestle.MessageID(a.ID), Class: config.Index(c.conf.Names.Classes, a.Class),
+	return raventrestle.Arrival{ID: raventrestle.MessageID(a.ID), Class: c.class(a.Message),
 		Tenant: config.Index(c.conf.Names.Tenants, a.Tenant), Dest: raventrestle.DestID(a.Dest),
 		Budget: time.Duration(a.Until) - t, Again: a.again, Orphan: a.orphan}
 }
 
+// class is the index of the class that the message was taken with, -1 if it is not known any more.
+func (c *Courier) class(m *journal.Message) int {
+	i := config.Index(c.conf.Names.Classes, m.Class)
+	if m.Terms == "" || i >= 0 && c.conf.Names.Terms[m.Class] == m.Terms {
+		return i
+	}
+	class, err := config.OfTerms(m.Class, m.Terms)
+	if err != nil {
+		c.log.Error("courier: a class can't be read", "id", m.ID, "err", err)
+	}
+	if i := slices.Index(c.conf.Settings.Classes, class); i >= 0 {
+		return i
+	}
+	// Of a life that had other settings: it stands behind the others, and no name leads to it.
+	next := *c.conf
+	next.Settings.Classes = append(slices.Clone(next.Settings.Classes), class)
+	if err := c.policy.Retune(next.Settings); err != nil {
+		c.log.Error("courier: a class can't be taken up", "id", m.ID, "class", m.Class, "err", err)
+		return i
+	}
+	c.conf = &next
+	return len(next.Settings.Classes) - 1
+}
+
 // restored: a try that was out when the last process ended may have run.
 func (c *Courier) restored(k journal.Kept, t time.Duration) raventrestle.Restored {
 	r := raventrestle.Restored{Arrival: c.arrived(arrival{Message: k.Message}, t), Sends: k.Tries}
@@ -325,14 +414,7 @@
 		if r != nil {
 			r.Stop()
 		}
-		c.peers[e.Target] = &ref{entry: e, Peer: peer.New(ctx, peer.Config{Name: string(e.Target), Addr: e.Addr,
-			ConnectWithin: c.conf.Settings.ConnectWithin, IdleClose: c.conf.Settings.IdleClose,
-			Mailbox: 4*c.conf.Settings.CallSlots + 16, Log: c.log, Counts: &c.Counts.Peers,
-			Wrote: func(n int) { c.Figures.UpstreamRequests.Add(int64(n)) },
-			Tell:  func(e raventrestle.Event) { c.mail <- e }})}
-		if e.State == raventrestle.Draining {
-			c.peers[e.Target].Hold(peer.Never)
-		}
+		c.peers[e.Target] = &ref{entry: e, Peer: c.peer(ctx, e)}
 	}
 	for id, r := range c.peers {
 		whole := u.How == raventrestle.ListWhole || u.How == raventrestle.ListStored
@@ -633,7 +715,7 @@
 // admits or withdraws it.
 func (c *Courier) Take(m *journal.Message) error {
 	c.mu.Lock()
-	full := len(c.known) >= c.conf.Settings.MostHeld || c.resends[m.ID]
+	full := len(c.known) >= c.most || c.resends[m.ID]
 	admitted, known := c.known[m.ID]
 	_, served := c.dests[m.Dest]
 	served = served || len(c.dests) == 0 // no list has come yet
--- a/internal/net/front/front.go
+++ b/internal/net/front/front.go
@@ -48,7 +48,7 @@
 type Front struct {
 	Counts   Counts
 	courier  Courier
-	names    *config.Names
+	names    atomic.Pointer[config.Names]
 	proxy    *httputil.ReverseProxy
 	log      *slog.Logger
 	draining atomic.Bool
@@ -65,12 +65,16 @@
 
 // New returns the handler.
 func New(c Courier, names *config.Names, book *figures.Book, log *slog.Logger) *Front {
-	f := &Front{courier: c, names: names, log: log, figures: book}
+	f := &Front{courier: c, log: log, figures: book}
+	f.Serve(names)
 	f.proxy = &httputil.ReverseProxy{Transport: f, Rewrite: func(*httputil.ProxyRequest) {},
 		ErrorHandler: f.failed, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn)}
 	return f
 }
 
+// Serve takes messages of these classes and tenants from now on, once the courier knows them.
+func (f *Front) Serve(names *config.Names) { f.names.Store(names) }
+
 // Drain refuses all that comes from now on, or takes it on again.
 func (f *Front) Drain(on bool) { f.draining.Store(on) }
 
@@ -232,7 +236,8 @@
 	class, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	m := &journal.Message{ID: r.Header.Get("X-Txn"), Key: r.Header.Get("Idempotency-Key"), Class: class,
 		Tenant: r.Header.Get("X-Org"), Since: in.began.UnixNano()}
-	if _, ok := f.names.Classes[class]; !ok {
+	names := f.names.Load()
+	if _, ok := names.Classes[class]; !ok {
 		return bad("no such class")
 	}
 	if !word(m.ID) {
@@ -241,10 +246,11 @@
 	if m.Key != "" && !word(m.Key) {
 		return bad("Idempotency-Key is malformed")
 	}
-	if m.Key == "" && f.names.Keyed[class] {
+	m.Terms = names.Terms[class]
+	if m.Key == "" && names.Keyed[class] {
 		return bad("Idempotency-Key is missing")
 	}
-	if _, ok := f.names.Tenants[m.Tenant]; !ok && len(f.names.Tenants) > 0 {
+	if _, ok := names.Tenants[m.Tenant]; !ok && len(names.Tenants) > 0 {
 		return bad("no such tenant")
 	}
 	left, err := strconv.ParseFloat(r.Header.Get("X-Remaining"), 64)
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	jsoniter "github.com/json-iterator/go"
@@ -32,7 +33,7 @@
 // Group is the actor of the list.
 type Group struct {
 	url    string
-	names  *config.Names
+	names  atomic.Pointer[config.Names]
 	client *http.Client
 	log    *slog.Logger
 	tell   func(Update)
@@ -50,10 +51,11 @@
 // New returns a group that starts from what the courier knew, which it tells at once. What can't be read
 // of that is set aside: the courier starts without, and asks for the whole list.
 func New(discovery string, known []byte, names *config.Names, log *slog.Logger, tell func(Update)) *Group {
-	g := &Group{url: place(discovery), names: names, log: log, tell: tell,
+	g := &Group{url: place(discovery), log: log, tell: tell,
 		asked: make(chan struct{}, 1), moved: make(chan string, 1),
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConns: 1,
 			IdleConnTimeout: time.Minute, ResponseHeaderTimeout: wait + patience}}}
+	g.Serve(names)
 	u, err := Update{}, error(nil)
 	if len(known) > 0 {
 		u, err = g.parse(known)
@@ -67,6 +69,9 @@
 	return g
 }
 
+// Serve reads lists by these kinds and zones from now on.
+func (g *Group) Serve(names *config.Names) { g.names.Store(names) }
+
 // Subscribe starts a watch if none is on.
 func (g *Group) Subscribe() {
 	select {
@@ -205,7 +210,7 @@
 	if raw.Index == nil {
 		return Update{}, fmt.Errorf("a list without its index")
 	}
-	u := Update{How: raventrestle.ListChanges, Index: *raw.Index}
+	u, names := Update{How: raventrestle.ListChanges, Index: *raw.Index}, g.names.Load()
 	if raw.Snapshot {
 		u.How = raventrestle.ListWhole
 	}
@@ -216,7 +221,7 @@
 		}
 		u.Entries = append(u.Entries, Entry{Addr: e.Address, Entry: raventrestle.Entry{
 			Target: raventrestle.TargetID(e.Name), Dest: raventrestle.DestID(e.Group), State: state,
-			Kind: config.Index(g.names.Kinds, e.Type), Zone: config.Index(g.names.Zones, e.Zone),
+			Kind: config.Index(names.Kinds, e.Type), Zone: config.Index(names.Zones, e.Zone),
 			Size: e.Weight, Joined: time.Duration(e.SinceMS * float64(time.Millisecond))}})
 	}
 	return u, nil
--- a/policy.go
+++ b/policy.go
@@ -1029,7 +1029,7 @@
 	for _, d := range p.active {
 		for _, m := range slices.Clone(d.held) {
 			p.wakeBy(p.lastCall(m))
-			if p.now >= p.lastCall(m) {
+			if p.now >= p.lastCall(m) || p.spent(m) { // fewer attempts may be allowed than when it was held
 				d.unhold(m)
 				p.giveUp(m)
 			}
