--- a/cmd/raventrestle/serve.go
+++ b/cmd/raventrestle/serve.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,13 +30,16 @@
 	"raventrestle/internal/net/gate"
 	"raventrestle/internal/net/instance"
 	"raventrestle/internal/net/monitor"
+	"raventrestle/internal/net/upgrade"
 	"raventrestle/internal/settings"
 )
 
 const (
-	lastWord  = 2500 * time.Millisecond // from SIGTERM to the end, at most
-	lastGuest = 700 * time.Millisecond  // new client connections still come for so long
-	ownWithin = 500 * time.Millisecond  // for the lock on the folder: one that was killed may still be going
+	lastWord     = 2500 * time.Millisecond // from SIGTERM to the end, at most
+	lastGuest    = 700 * time.Millisecond  // new client connections still come for so long
+	lastHanding  = 3 * time.Second         // the same where another process follows
+	lastPatience = 1200 * time.Millisecond // of it, for client connections that say nothing
+	ownWithin    = 500 * time.Millisecond  // for the lock on the folder: one that was killed may still be going
 )
 
 // daemon is what a running courier consists of.
@@ -51,6 +55,7 @@
 	courier *courier.Courier
 	front   *front.Front
 	figures *figures.Book
+	handing atomic.Bool // to the process that follows
 }
 
 // serve runs the courier until SIGTERM. File names the operators' settings, "" for none.
@@ -67,7 +72,7 @@
 	d := &daemon{level: &slog.LevelVar{}, file: file, figures: &figures.Book{}}
 	d.log = settings.Logger(set.Log, d.level)
 	d.life = instance.New(d.log, func(drains bool) {
-		if d.front != nil {
+		if d.front != nil && !d.handing.Load() {
 			d.front.Drain(drains)
 		}
 	})
@@ -102,24 +107,47 @@
 		}
 	}
 
-	owner, err := own(ctx, d.conf.State, d.log)
+	// Where the platform holds the clients' socket, a next process may start beside this one, and each life
+	// has a folder of its own: half of the disk and of the memory is its part.
+	listener, err := upgrade.Inherited(os.Getenv)
 	if err != nil {
 		return err
 	}
-	defer owner()
-
 	disk := min(int64(d.conf.Limits.DiskMB*1e6), memory/4)
+	var life *upgrade.Life
+	if listener != nil {
+		if life, err = upgrade.Claim(d.conf.State, d.log); err != nil {
+			return err
+		}
+		debug.SetMemoryLimit(memory * 3 / 10)
+		disk, descriptors = disk/2, descriptors*3/4
+	} else {
+		owner, err := own(ctx, d.conf.State, d.log)
+		if err != nil {
+			return err
+		}
+		defer owner()
+		if life, err = upgrade.Alone(d.conf.State, d.log); errors.Is(err, upgrade.ErrRuns) {
+			return fmt.Errorf("%w: %w", errOwned, err)
+		} else if err != nil {
+			return err
+		}
+	}
 	var kept []journal.Kept
-	d.store, kept, err = journal.Open(d.conf.State, journal.Options{Limit: disk, Tries: set.Undeliverable.Keep}, d.log)
+	d.store, kept, err = journal.Open(life.Folder, journal.Options{Limit: disk, Tries: set.Undeliverable.Keep}, d.log)
 	if err != nil {
 		return err
 	}
 	d.tell(lifecycle.Done{Step: lifecycle.Journal})
+	if listener != nil && set.Undeliverable.Keep {
+		d.log.Warn("undeliverable: no letters are kept where the clients' socket is inherited: two processes would write one store")
+		set.Undeliverable.Keep = false
+	}
 	kept = d.openLetters(set, kept)
 	if d.courier, err = courier.New(d.conf, d.store, kept, d.figures, d.log); err != nil {
 		return err
 	}
-	d.courier.Tell = d.tell
+	d.courier.Tell, d.courier.Successors = d.tell, listener != nil
 	d.front = front.New(d.courier, d.conf.Names, d.figures, d.log)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -142,9 +170,11 @@
 		}
 	}
 
-	listener, err := net.Listen("tcp", d.conf.Listen)
-	if err != nil {
-		return err
+	inherited := listener != nil
+	if !inherited {
+		if listener, err = net.Listen("tcp", d.conf.Listen); err != nil {
+			return err
+		}
 	}
 	clients := gate.New(listener, descriptors, front.Room)
 	server := &http.Server{Handler: d.front, ReadHeaderTimeout: 2 * time.Second, ReadTimeout: 2500 * time.Millisecond,
@@ -152,10 +182,11 @@
 		ConnContext: gate.ConnContext, ConnState: clients.SetState,
 		ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelWarn)}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(clients) }()
-	d.tell(lifecycle.Done{Step: lifecycle.Listening})
-	d.log.Info("raventrestle: ready", "name", d.conf.Name, "listen", d.conf.Listen,
-		"discovery", d.conf.Discovery, "restored", len(kept), "letters", d.letters != nil)
+	go life.Run(ctx, d.courier, func() { go func() { failed <- server.Serve(clients) }() }, func() {
+		d.tell(lifecycle.Done{Step: lifecycle.Listening})
+		d.log.Info("raventrestle: ready", "name", d.conf.Name, "listen", d.conf.Listen, "inherited", inherited,
+			"discovery", d.conf.Discovery, "restored", len(kept), "letters", d.letters != nil)
+	})
 
 	for {
 		select {
@@ -171,14 +202,18 @@
 				continue
 			}
 			began := time.Now()
-			d.tell(lifecycle.End{})
-			server.SetKeepAlivesEnabled(false) // closes the connections that are between requests
-			end := began.Add(lastWord)
-			quiet := d.courier.Close(end)
-			time.Sleep(lastGuest)
-			select {
-			case <-quiet:
-			case <-time.After(time.Until(end)):
+			if inherited && life.Followed() {
+				d.handOver(began, clients)
+			} else {
+				d.tell(lifecycle.End{})
+				server.SetKeepAlivesEnabled(false) // closes the connections that are between requests
+				end := began.Add(lastWord)
+				quiet := d.courier.Close(end)
+				time.Sleep(lastGuest)
+				select {
+				case <-quiet:
+				case <-time.After(time.Until(end)):
+				}
 			}
 			closing, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
 			defer cancel()
@@ -192,6 +227,9 @@
 			if err := d.store.Close(); err != nil {
 				d.log.Warn("raventrestle: journal", "err", err)
 			}
+			if err := life.Release(); err != nil {
+				d.log.Warn("raventrestle: the life's folder", "err", err)
+			}
 			d.count()
 			d.tell(lifecycle.Gone{})
 			d.log.Info("raventrestle: done", "took", time.Since(began))
@@ -200,6 +238,33 @@
 	}
 }
 
+// handOver leaves the clients' socket and all that is held to the process that follows. Connections that are
+// still open are closed behind their next answer; those that stay silent for long, between requests.
+func (d *daemon) handOver(began time.Time, clients *gate.Gate) {
+	d.handing.Store(true)
+	if err := clients.Close(); err != nil {
+		d.log.Warn("raventrestle: client connections", "err", err)
+	}
+	d.front.Leave()
+	quiet := d.courier.Pass()
+	d.tell(lifecycle.End{})
+	look := time.NewTicker(20 * time.Millisecond)
+	defer look.Stop()
+	for left := 1; left > 0 || quiet != nil; {
+		select {
+		case <-quiet:
+			quiet = nil
+		case <-look.C:
+			if at := time.Since(began); at > lastHanding {
+				d.log.Warn("raventrestle: not all is handed over", "client connections", left, "owed", quiet != nil)
+				return
+			} else if at > lastPatience {
+				left = clients.Dismiss()
+			}
+		}
+	}
+}
+
 // tell tells the life of an event; what the machine refuses is logged there.
 func (d *daemon) tell(e lifecycle.Event) { d.life.On(e) }
 
--- /dev/null
+++ b/cmd/raventrestle/upgrade_test.go
@@ -0,0 +1,231 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"raventrestle/internal/net/nettest"
+)
+
+// service is one courier whose clients' socket the platform holds, its endpoint's ledger and its clients.
+type service struct {
+	*deployment
+	t       *testing.T
+	socket  *os.File
+	mu      sync.Mutex
+	effects map[string]int // by id: calls whose last byte came
+	doubled []string
+	handed  map[string]bool // ids whose client heard 202
+	broken  atomic.Int64    // hand-ins that met a refused, reset or unread connection
+	refused atomic.Int64
+	stop    chan struct{}
+	clients sync.WaitGroup
+}
+
+// process is one of the courier's processes.
+type process struct {
+	*exec.Cmd
+	admin string
+	ended chan error
+	log   *bytes.Buffer
+}
+
+func serviceUnderLoad(t *testing.T, seed uint64, clients int) *service {
+	s := &service{t: t, effects: map[string]int{}, handed: map[string]bool{}, stop: make(chan struct{})}
+	var drawing sync.Mutex
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	draw := func() float64 { drawing.Lock(); defer drawing.Unlock(); return rnd.Float64() }
+	end := nettest.NewPeer(t, func(c net.Conn, call nettest.Call) bool {
+		id := call.Header.Get("X-Txn")
+		s.mu.Lock()
+		s.effects[id]++
+		if s.effects[id] > 1 && strings.HasPrefix(id, "single") {
+			s.doubled = append(s.doubled, id)
+		}
+		s.mu.Unlock()
+		time.Sleep(time.Duration(draw()*200) * time.Millisecond)
+		return nettest.Answer(nettest.Plain(200, "", ""))(c, call)
+	})
+	go func() {
+		for range end.Calls {
+		}
+	}()
+	s.deployment = deploy(t, end)
+	l, err := net.Listen("tcp", s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if s.socket, err = l.(*net.TCPListener).File(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.socket.Close() })
+	for i := range clients {
+		rnd := rand.New(rand.NewPCG(seed, 2+uint64(i)))
+		s.clients.Go(func() { s.client(i, rnd) })
+	}
+	return s
+}
+
+// client hands in one message after the other, over a connection that it keeps while it may.
+func (s *service) client(i int, rnd *rand.Rand) {
+	client := &http.Client{Timeout: 400 * time.Millisecond, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	defer client.CloseIdleConnections()
+	for n := 0; ; n++ {
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(time.Duration(rnd.ExpFloat64() * 150 * float64(time.Millisecond))):
+		}
+		id := fmt.Sprintf("%s-%d-%d", []string{"free", "guarded", "single"}[rnd.IntN(3)], i, n)
+		class, _, _ := strings.Cut(id, "-")
+		req, err := http.NewRequest("POST", "http://"+s.addr+"/"+class, strings.NewReader("body of "+id))
+		if err != nil {
+			panic(err)
+		}
+		req.GetBody = nil // what meets a connection that closes is counted, not sent again
+		for k, v := range map[string]string{"X-Txn": id, "X-Consignee": "dest=7", "X-Remaining": "15", "Idempotency-Key": "key-" + id} {
+			req.Header.Set(k, v)
+		}
+		res, err := client.Do(req)
+		if err != nil {
+			s.broken.Add(1)
+			continue
+		}
+		io.Copy(io.Discard, res.Body)
+		res.Body.Close()
+		if res.StatusCode != 202 {
+			s.refused.Add(1)
+			continue
+		}
+		s.mu.Lock()
+		s.handed[id] = true
+		s.mu.Unlock()
+	}
+}
+
+// launch starts a process of the courier; it does not wait for its yes.
+func (s *service) launch() *process {
+	s.t.Helper()
+	exe, err := os.Executable()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	p := &process{Cmd: exec.Command(exe), admin: free(s.t), ended: make(chan error, 1), log: &bytes.Buffer{}}
+	p.Env = append(os.Environ(), "RAVENTRESTLE_TEST_COURIER=1", "EDGE_CONFIG="+s.config, "EDGE_ADMIN="+p.admin, "EDGE_SOCKET_FD=4")
+	p.ExtraFiles = []*os.File{s.socket, s.socket} // 3 and 4
+	p.Stderr = p.log
+	if err := p.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	go func() { p.ended <- p.Wait() }()
+	s.t.Cleanup(func() { p.Process.Kill() })
+	return p
+}
+
+func (p *process) ready() bool {
+	res, err := http.Get("http://" + p.admin + "/ready")
+	if err != nil {
+		return false
+	}
+	res.Body.Close()
+	return res.StatusCode == 200
+}
+
+func (s *service) awaitYes(p *process) {
+	s.t.Helper()
+	for began := time.Now(); !p.ready(); time.Sleep(5 * time.Millisecond) {
+		if time.Since(began) > 6*time.Second {
+			s.t.Fatalf("no yes within 6 s\n%s", p.log)
+		}
+	}
+}
+
+// settle ends the clients and checks the ledger: what was taken has one end, none was lost, none doubled.
+func (s *service) settle(last *process, mayFail bool) {
+	s.t.Helper()
+	close(s.stop)
+	s.clients.Wait()
+	ended := map[string]int{}
+	failed := 0
+	for began := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+		for len(s.notices) > 0 {
+			_, rest, _ := strings.Cut(<-s.notices, `"id":"`)
+			id, _, _ := strings.Cut(rest, `"`)
+			ended[id]++
+			failed++
+		}
+		s.admin = last.admin
+		if f := s.figures(); f["app.pending"] == "0" {
+			break
+		}
+		if time.Since(began) > nettest.Patience {
+			s.t.Fatalf("%v\n%s", s.figures(), last.log)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.handed {
+		if s.effects[id] == 0 && ended[id] == 0 {
+			s.t.Errorf("%s is lost", id)
+		}
+		if ended[id] > 1 {
+			s.t.Errorf("%s has %d ends", id, ended[id])
+		}
+	}
+	if len(s.doubled) > 0 {
+		s.t.Errorf("took effect twice: %v", s.doubled)
+	}
+	if !mayFail {
+		for id, n := range s.effects {
+			if n > 1 {
+				s.t.Errorf("%s was called %d times", id, n)
+			}
+		}
+		if failed > 0 {
+			s.t.Errorf("%d notices: %v", failed, ended)
+		}
+	}
+	if len(s.handed) < 50 {
+		s.t.Errorf("only %d handed in", len(s.handed))
+	}
+}
+
+// Two upgrades in a row under load: no hand-in meets a refused, reset or unread connection, none is refused,
+// every message has one effect and no notice, and the old process is gone before its SIGKILL would come.
+func TestUpgrade(t *testing.T) {
+	s := serviceUnderLoad(t, 1, 8)
+	old := s.launch()
+	s.awaitYes(old)
+	for range 2 {
+		time.Sleep(400 * time.Millisecond)
+		next := s.launch()
+		s.awaitYes(next)
+		began := time.Now()
+		old.Process.Signal(syscall.SIGTERM)
+		if err := nettest.Wait(t, "end of the old process", old.ended); err != nil {
+			t.Fatalf("%v\n%s", err, old.log)
+		}
+		if took := time.Since(began); took > 3500*time.Millisecond {
+			t.Errorf("the old process took %v", took)
+		}
+		old = next
+	}
+	time.Sleep(200 * time.Millisecond)
+	s.settle(old, false)
+	if b, r := s.broken.Load(), s.refused.Load(); b+r > 0 {
+		t.Errorf("%d hand-ins met a connection that was closed, %d were refused", b, r)
+	}
+}
--- /dev/null
+++ b/handover.go
@@ -0,0 +1,128 @@
+package raventrestle
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Beliefs are what a policy has learned of destinations, for the process that takes its place. They are told
+// on the clock of Step, which both share. What belongs to messages, calls and connections is not among them.
+type Beliefs struct {
+	CallSec  float64
+	Mean     time.Duration
+	Dev      time.Duration
+	N        int
+	IdleLife time.Duration
+	Told     bool
+	Dests    []DestBeliefs
+}
+
+// DestBeliefs are those of one destination. Route is that of all its targets, nil where they are apart.
+type DestBeliefs struct {
+	Dest    DestID
+	CallSec float64
+	Shut    int
+	Left    float64
+	Cramped bool
+	Route   *RouteBeliefs `json:",omitempty"`
+	Targets []TargetBeliefs
+}
+
+// TargetBeliefs are those of one target.
+type TargetBeliefs struct {
+	Target                  TargetID
+	Health                  uint8
+	Fails                   int
+	Mean                    time.Duration
+	Usual, Bad, All         float64
+	OddsAt, Since, RampAt   time.Duration
+	LastOK, LastSent, Every time.Duration
+	Route                   *RouteBeliefs `json:",omitempty"`
+}
+
+// RouteBeliefs are those of what has a limit and waits of its own.
+type RouteBeliefs struct {
+	Size, Knee, Rate, Tokens, Brisk   float64
+	Told, Shut                        bool
+	FilledAt, BriskAt, CutAt, Until   time.Duration
+	DownAt, LastOK, NextAt, Mean, Dev time.Duration
+	Fails, N                          int
+}
+
+func (r *route) beliefs() *RouteBeliefs {
+	return &RouteBeliefs{Size: r.size, Knee: r.knee, Rate: r.rate, Tokens: r.tokens, Brisk: r.brisk, Told: r.told, Shut: r.shut, FilledAt: r.filledAt,
+		BriskAt: r.briskAt, CutAt: r.cutAt, Until: r.until, DownAt: r.downAt, LastOK: r.lastOK, NextAt: r.nextAt, Mean: r.times.mean, Dev: r.times.dev,
+		Fails: r.fails, N: r.times.n}
+}
+
+func (r *route) believe(b *RouteBeliefs) {
+	if b == nil {
+		return
+	}
+	r.size, r.knee, r.rate, r.tokens, r.brisk, r.told, r.shut = b.Size, b.Knee, b.Rate, b.Tokens, b.Brisk, b.Told, b.Shut
+	r.filledAt, r.briskAt, r.cutAt, r.until = b.FilledAt, b.BriskAt, b.CutAt, max(r.until, b.Until)
+	r.downAt, r.lastOK, r.nextAt, r.fails = b.DownAt, b.LastOK, b.NextAt, b.Fails
+	r.times = times{mean: b.Mean, dev: b.Dev, n: b.N}
+}
+
+// Beliefs returns what the policy has learned. It changes nothing.
+func (p *Policy) Beliefs() Beliefs {
+	b := Beliefs{CallSec: p.callSec, Mean: p.times.mean, Dev: p.times.dev, N: p.times.n, IdleLife: p.idleLife, Told: p.told}
+	for _, d := range p.dests {
+		x := DestBeliefs{Dest: d.id, CallSec: d.callSec, Shut: d.shut, Left: d.left, Cramped: p.cramped[d.ki]}
+		if !d.kind.Apart {
+			x.Route = d.shared.beliefs()
+		}
+		for _, t := range d.targets {
+			all := t.odds[len(p.set.Classes)]
+			y := TargetBeliefs{Target: t.id, Health: uint8(t.health), Fails: t.fails, Mean: t.mean, Usual: t.usual, Bad: all.bad, All: all.all,
+				OddsAt: all.at, Since: t.since, RampAt: t.rampAt, LastOK: t.lastOK, LastSent: t.lastSent, Every: t.gap}
+			if d.kind.Apart {
+				y.Route = t.r.beliefs()
+			}
+			x.Targets = append(x.Targets, y)
+		}
+		b.Dests = append(b.Dests, x)
+	}
+	slices.SortFunc(b.Dests, func(a, b DestBeliefs) int { return cmp.Compare(a.Dest, b.Dest) })
+	return b
+}
+
+// Believe takes over what another process had learned, of the targets that this one's list names.
+func (p *Policy) Believe(b Beliefs) {
+	p.callSec, p.times, p.told = b.CallSec, times{mean: b.Mean, dev: b.Dev, n: b.N}, b.Told
+	if b.IdleLife > 0 {
+		p.idleLife = min(p.idleLife, b.IdleLife)
+	}
+	for _, x := range b.Dests {
+		d := p.dests[x.Dest]
+		if d == nil {
+			continue
+		}
+		d.callSec, d.shut, d.left, p.cramped[d.ki] = x.CallSec, x.Shut, x.Left, p.cramped[d.ki] || x.Cramped
+		d.shared.believe(x.Route)
+		for _, y := range x.Targets {
+			t := p.targets[y.Target]
+			if t == nil || t.d != d || y.Health > uint8(ramp) {
+				continue
+			}
+			t.health, t.fails, t.mean, t.usual = health(y.Health), y.Fails, y.Mean, y.Usual
+			t.odds[len(p.set.Classes)] = odds{bad: y.Bad, all: y.All, at: y.OddsAt}
+			t.since, t.rampAt, t.lastOK, t.lastSent, t.gap = y.Since, y.RampAt, y.LastOK, y.LastSent, y.Every
+			if d.kind.Apart {
+				t.r.believe(y.Route)
+			}
+		}
+	}
+}
+
+// Heed makes the policy keep a wait that another process of this forwarder was told.
+func (p *Policy) Heed(target TargetID, until time.Duration) {
+	if t := p.targets[target]; t != nil {
+		t.r.until = max(t.r.until, until)
+	}
+}
+
+// Elsewhere says how many of the slots another process of this forwarder uses now.
+func (p *Policy) Elsewhere(calls int) { p.calls, p.elsewhere = p.calls+calls-p.elsewhere, calls }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -10,10 +10,12 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
 	"sync/atomic"
+	"time"
 )
 
 // ErrFull says that the disk's limit leaves no room for another message.
@@ -48,12 +50,13 @@
 
 // Progress is how far a message has come.
 type Progress struct {
-	Tries int
-	Out   *Try    // begun, with no word of its end
-	Ran   *Try    // the first that may have run
-	Owed  *End    // ended by the courier, and the platform has not heard of it yet
-	Prior *Try    // of a resend: what may have run before it
-	Past  []Tried // the tries that have ended, the first mostPast of them; only with Options.Tries
+	Tries  int
+	Out    *Try    // begun, with no word of its end
+	Ran    *Try    // the first that may have run
+	Owed   *End    // ended by the courier, and the platform has not heard of it yet
+	Prior  *Try    // of a resend: what may have run before it
+	Handed bool    // the life that follows owns it
+	Past   []Tried // the tries that have ended, the first mostPast of them; only with Options.Tries
 }
 
 // mostPast bounds what is remembered of one message's tries.
@@ -98,10 +101,24 @@
 	done   chan struct{}
 	file   *os.File
 	size   int64 // of the file
-	live   int64 // bytes that a new file would have at least
-	held   map[string]*Kept
-	order  []*Kept // as taken, those that are over among them: an id may come again after its end
-	frozen error   // a write that failed halfway, until the file is made anew
+	frozen error // a write that failed halfway, until the file is made anew
+	content
+}
+
+// content is what a journal tells.
+type content struct {
+	tries   bool  // remember how each ended
+	live    int64 // bytes that a new file would have at least
+	held    map[string]*Kept
+	order   []*Kept          // as taken, those that are over among them: an id may come again after its end
+	waits   map[string]int64 // of peers, until when
+	adopted map[string]bool  // ids of messages taken up from earlier lives, whose journals may be there still
+	closing bool             // it begins nothing any more
+	left    []byte           // beside its messages
+}
+
+func newContent(tries bool) content {
+	return content{tries: tries, held: map[string]*Kept{}, waits: map[string]int64{}, adopted: map[string]bool{}}
 }
 
 const (
@@ -112,7 +129,7 @@
 // Open reads the journal in the folder and returns it with what it holds, in the order
 // taken.
 func Open(dir string, opts Options, log *slog.Logger) (*Store, []Kept, error) {
-	s := &Store{Options: opts, dir: dir, log: log, held: map[string]*Kept{},
+	s := &Store{Options: opts, dir: dir, log: log, content: newContent(opts.Tries),
 		mail: make(chan entry, 256), quit: make(chan struct{}), done: make(chan struct{})}
 	if err := os.RemoveAll(filepath.Join(dir, nextName)); err != nil {
 		return nil, nil, fmt.Errorf("journal: %w", err)
@@ -253,8 +270,8 @@
 }
 
 // cost is the most that a message takes in a new file, its tries and end included.
-func (s *Store) cost(r Record) int64 {
-	if s.Tries {
+func (s *content) cost(r Record) int64 {
+	if s.tries {
 		return r.size() + 1024
 	}
 	return r.size()
@@ -296,11 +313,8 @@
 // renew writes a file of what is still owed and puts it in the old one's place.
 func (s *Store) renew() error {
 	var text []byte
-	s.order = slices.DeleteFunc(s.order, s.isOver)
-	for _, k := range s.order {
-		for _, r := range k.records() {
-			text = r.append(text)
-		}
+	for _, r := range s.records(time.Now().UnixNano()) {
+		text = r.append(text)
 	}
 	if err := s.before(); err != nil {
 		return fmt.Errorf("journal: %w", err)
@@ -326,7 +340,21 @@
 }
 
 // apply brings what is held up to date.
-func (s *Store) apply(r Record) {
+func (s *content) apply(r Record) {
+	switch r.kind {
+	case adopted:
+		s.adopted[r.id] = true
+		return
+	case settled:
+		clear(s.adopted)
+		return
+	case wait:
+		s.waits[r.id] = max(s.waits[r.id], r.n)
+		return
+	case closing:
+		s.closing, s.left = true, r.left
+		return
+	}
 	if r.kind == taken {
 		if s.held[r.id] == nil {
 			k := &Kept{Message: r.msg}
@@ -365,21 +393,42 @@
 		k.Owed = &end
 	case counted:
 		k.Tries = int(r.n)
+	case handed:
+		k.Handed = true
 	case over:
 		s.drop(r.id)
 	}
 }
 
+// records tell all that is still owed or needed at that time.
+func (s *content) records(now int64) (rs []Record) {
+	s.order = slices.DeleteFunc(s.order, s.isOver)
+	maps.DeleteFunc(s.waits, func(_ string, until int64) bool { return until <= now })
+	for id := range s.adopted {
+		rs = append(rs, Record{kind: adopted, id: id})
+	}
+	for peer, until := range s.waits {
+		rs = append(rs, Wait(peer, until))
+	}
+	for _, k := range s.order {
+		rs = append(rs, k.records()...)
+	}
+	if s.closing {
+		rs = append(rs, Closing(s.left))
+	}
+	return rs
+}
+
 // past remembers the try that was out.
-func (s *Store) past(k *Kept, outcome string) {
-	if s.Tries && k.Out != nil && len(k.Past) < mostPast {
+func (s *content) past(k *Kept, outcome string) {
+	if s.tries && k.Out != nil && len(k.Past) < mostPast {
 		k.Past = append(k.Past, Tried{*k.Out, outcome})
 	}
 }
 
-func (s *Store) isOver(k *Kept) bool { return s.held[k.ID] != k }
+func (s *content) isOver(k *Kept) bool { return s.held[k.ID] != k }
 
-func (s *Store) drop(id string) {
+func (s *content) drop(id string) {
 	if k := s.held[id]; k != nil {
 		s.live -= s.cost(Taken(k.Message))
 		delete(s.held, id)
--- a/internal/journal/record.go
+++ b/internal/journal/record.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"hash/crc32"
+	"strings"
 )
 
 type kind byte
@@ -18,6 +19,11 @@
 	over       kind = 'O' // nothing more is owed
 	counted    kind = 'C' // so many tries before, written when the file is made anew
 	prior      kind = 'P' // of a resend: a try of an earlier life of the message that may have run
+	handed     kind = 'H' // handed over: the life that follows owns the message from now on
+	adopted    kind = 'A' // taken up from the journal of an earlier life, which may still be there
+	settled    kind = 'S' // the journals of earlier lives are gone
+	wait       kind = 'W' // the peer, named as the id, told to wait until then
+	closing    kind = 'Q' // this life begins nothing any more; with what it leaves to the one that follows
 )
 
 // Record is one line of the journal.
@@ -28,6 +34,7 @@
 	try  Try
 	end  End
 	n    int64
+	left []byte
 
 	outcome string // of the try, if it is to be remembered
 }
@@ -53,6 +60,24 @@
 // Over says that nothing more is owed.
 func Over(id string) Record { return Record{kind: over, id: id} }
 
+// Handed says that the life that follows owns the message from now on.
+func Handed(id string) Record { return Record{kind: handed, id: id} }
+
+// Adopted tells what is known of a message that an earlier life left, as part of this life's journal.
+func Adopted(k Kept) []Record {
+	k.Handed = false
+	return append([]Record{{kind: adopted, id: k.ID}}, k.records()...)
+}
+
+// Settled says that no journal of an earlier life is there any more.
+func Settled() Record { return Record{kind: settled} }
+
+// Wait says that the peer was told to wait until then, in Unix time in nanoseconds.
+func Wait(peer string, until int64) Record { return Record{kind: wait, id: peer, n: until} }
+
+// Closing says that this life begins nothing any more, and what it leaves beside its messages.
+func Closing(left []byte) Record { return Record{kind: closing, left: left} }
+
 // A record is a mark, the length and checksum of its text, and the text: kind, id, and
 // what the kind holds, numbers as varints and strings with their length before them.
 const (
@@ -86,8 +111,10 @@
 	case ended:
 		b = binary.AppendVarint(b, map[bool]int64{true: 1}[r.end.Deferred])
 		b = binary.AppendVarint(b, r.end.AgainMS)
-	case counted:
+	case counted, wait:
 		b = binary.AppendVarint(b, r.n)
+	case closing:
+		b = text(b, string(r.left))
 	}
 	binary.BigEndian.PutUint32(b[start-8:], uint32(len(b)-start))
 	binary.BigEndian.PutUint32(b[start-4:], crc32.ChecksumIEEE(b[start:]))
@@ -128,14 +155,29 @@
 	if k.Owed != nil {
 		rs = append(rs, Ended(k.ID, *k.Owed))
 	}
+	if k.Handed {
+		rs = append(rs, Handed(k.ID))
+	}
 	return rs
 }
 
 // decode calls each for every whole record and returns how many bytes were no part of one.
 // What was torn or spoilt is passed over up to the next whole record.
 func decode(b []byte, each func(Record)) (bad int) {
+	rest, bad := decodeHead(b, each)
+	return bad + len(rest)
+}
+
+// decodeHead does so for a file that is still being written: a record at its end that has not come whole is
+// returned.
+func decodeHead(b []byte, each func(Record)) (rest []byte, bad int) {
 	for len(b) > 0 {
 		r, n, err := first(b)
+		if err == errPart {
+			if i := bytes.Index(b[1:], []byte(mark)); i < 0 {
+				return b, bad
+			}
+		}
 		if err != nil {
 			n = 1
 			if i := bytes.Index(b[1:], []byte(mark)); i >= 0 {
@@ -149,19 +191,28 @@
 		}
 		b = b[n:]
 	}
-	return bad
+	return nil, bad
 }
 
-var errSpoilt = errors.New("no whole record")
+var (
+	errSpoilt = errors.New("no whole record")
+	errPart   = errors.New("a record that has not come whole")
+)
 
 // first reads the record at the head of b, and says how long it is.
 func first(b []byte) (Record, int, error) {
+	if len(b) < headBytes && strings.HasPrefix(mark, string(b[:min(len(b), len(mark))])) {
+		return Record{}, 0, errPart
+	}
 	if len(b) < headBytes || string(b[:len(mark)]) != mark {
 		return Record{}, 0, errSpoilt
 	}
 	n := int(binary.BigEndian.Uint32(b[len(mark):]))
 	sum := binary.BigEndian.Uint32(b[len(mark)+4:])
-	if n > mostBytes || len(b) < headBytes+n || crc32.ChecksumIEEE(b[headBytes:headBytes+n]) != sum {
+	if n <= mostBytes && len(b) < headBytes+n {
+		return Record{}, 0, errPart
+	}
+	if n > mostBytes || crc32.ChecksumIEEE(b[headBytes:headBytes+n]) != sum {
 		return Record{}, 0, errSpoilt
 	}
 	d := &reader{b: b[headBytes : headBytes+n]}
@@ -182,13 +233,15 @@
 		r.try = Try{Peer: d.text(), Zone: d.text(), At: d.int()}
 	case ended:
 		r.end = End{Deferred: d.int() == 1, AgainMS: d.int()}
-	case counted:
+	case counted, wait:
 		r.n = d.int()
+	case closing:
+		r.left = bytes.Clone(d.bytes())
 	case neverRan, mayHaveRun:
 		if len(d.b) > 0 {
 			r.outcome = d.text()
 		}
-	case over:
+	case over, handed, adopted, settled:
 	default:
 		return Record{}, 0, errSpoilt
 	}
--- a/internal/net/courier/courier.go
+++ b/internal/net/courier/courier.go
@@ -52,12 +52,14 @@
 	quiet   chan struct{}      // closed once it is closing and owes nothing
 	letters *deadletter.Keeper // nil where none are kept
 
-	mu      sync.Mutex
-	known   map[string]bool     // ids written down whose end is not told yet; true once let in
-	resends map[string]bool     // ids of letters that are being sent again
-	dests   map[int64]time.Time // when the list last named a peer of the destination
-	longest time.Duration       // that a message may wait
-	most    int                 // messages that it may hold
+	mu        sync.Mutex
+	known     map[string]bool     // ids written down whose end is not told yet; true once let in
+	resends   map[string]bool     // ids of letters that are being sent again
+	handed    int                 // of the known ones, how many are the next process's
+	elsewhere map[string]bool     // ids that another process of this courier has out
+	dests     map[int64]time.Time // when the list last named a peer of the destination
+	longest   time.Duration       // that a message may wait
+	most      int                 // messages that it may hold
 
 	// What follows is the actor's own.
 	msgs    map[raventrestle.MessageID]*message
@@ -65,13 +67,16 @@
 	out     int
 	wake    time.Duration
 	closing bool
-	seen    []deadletter.Seen // of this step
-	again   int               // resends that the module has
-	shown   time.Time         // when the letters' keeper last heard of the load
-	listed  time.Time         // when discovery last answered
-	index   int64             // of its list
+	handover
+	seen   []deadletter.Seen // of this step
+	again  int               // resends that the module has
+	shown  time.Time         // when the letters' keeper last heard of the load
+	listed time.Time         // when discovery last answered
+	index  int64             // of its list
 
 	Figures *figures.Book // counts the ends
+	// Successors says that another process may take over while this one runs: what it has to know is journalled.
+	Successors bool
 	// Tell hears of what concerns the life of the instance; set it before Run.
 	Tell         func(lifecycle.Event)
 	journalFails atomic.Bool
@@ -258,6 +263,7 @@
 	var lists, answers, rest []raventrestle.Event
 	var records []journal.Record
 	var asked []chan<- Status
+	pass := false
 	rest = append(rest, c.yield(mail)...)
 	for _, m := range mail {
 		switch m := m.(type) {
@@ -268,6 +274,10 @@
 			records = append(records, c.outcome(m)...)
 		case arrival:
 			c.msgs[raventrestle.MessageID(m.ID)] = &message{Message: m.Message}
+			if c.passing {
+				records = append(records, c.handOver(c.msgs[raventrestle.MessageID(m.ID)]))
+				continue
+			}
 			rest = append(rest, c.arrived(m, t))
 		case journal.Kept:
 			c.msgs[raventrestle.MessageID(m.ID)] = &message{Message: m.Message, Progress: m.Progress}
@@ -279,6 +289,15 @@
 			if e := c.resend(m, t); e != nil {
 				rest = append(rest, e)
 			}
+		case passMsg:
+			pass = !c.passing
+		case believeMsg:
+			c.believed = true
+			c.policy.Believe(m.Beliefs)
+		case heedMsg:
+			c.heed(m.waits)
+		case elsewhereMsg:
+			c.policy.Elsewhere(m.calls)
 		case retuneMsg:
 			err := c.retune(ctx, m.conf)
 			m.done <- err
@@ -289,6 +308,11 @@
 			rest = append(rest, raventrestle.Closing{At: time.Duration(m.at.UnixNano())})
 		}
 	}
+	if pass {
+		c.passing = true
+		gone, handed := c.pass()
+		rest, records = append(rest, gone...), append(records, handed...)
+	}
 	events := slices.Concat(lists, answers, rest)
 	if c.wake > 0 && c.wake <= t {
 		if t-c.wake > 2*c.conf.Settings.Tick {
@@ -304,7 +328,7 @@
 	for _, to := range asked {
 		to <- c.status()
 	}
-	if c.closing && c.owed() == 0 {
+	if (c.closing || c.passing) && c.owed() == 0 {
 		select {
 		case <-c.quiet:
 		default:
@@ -363,7 +387,7 @@
 
 // restored: a try that was out when the last process ended may have run.
 func (c *Courier) restored(k journal.Kept, t time.Duration) raventrestle.Restored {
-	r := raventrestle.Restored{Arrival: c.arrived(arrival{Message: k.Message}, t), Sends: k.Tries}
+	r := raventrestle.Restored{Arrival: c.arrived(arrival{Message: k.Message}, t), Sends: k.Tries, Moved: k.Handed || c.believed}
 	ran := k.Ran
 	if ran == nil {
 		ran = k.Out
@@ -454,8 +478,12 @@
 func (c *Courier) outcome(o raventrestle.Outcome) []journal.Record {
 	c.out--
 	c.Counts.ByStatus[o.Status].Add(1)
+	var records []journal.Record
 	if o.Wait > 0 {
-		c.hold(o.Target, time.Now().Add(o.Wait))
+		until := time.Now().Add(o.Wait)
+		if c.hold(o.Target, until); c.Successors {
+			records = append(records, journal.Wait(string(o.Target), until.UnixNano()))
+		}
 	}
 	id, m := string(o.ID), c.msgs[o.ID]
 	word := ""
@@ -474,7 +502,7 @@
 			what = "void"
 		}
 		c.resent(m, what)
-		return nil // the letter comes first
+		return records // the letter comes first
 	case o.Closed:
 		end := &c.Counts.Delivered
 		if o.Status != raventrestle.OK {
@@ -486,11 +514,16 @@
 		}
 		delete(c.msgs, o.ID)
 		c.forget(id)
-		return []journal.Record{journal.Over(id)}
+		return append(records, journal.Over(id))
 	case never:
-		return []journal.Record{journal.NeverRan(id, word)}
+		records = append(records, journal.NeverRan(id, word))
+	default:
+		records = append(records, journal.MayHaveRun(id, word))
 	}
-	return []journal.Record{journal.MayHaveRun(id, word)}
+	if c.passing && m != nil && m.Resend == 0 {
+		records = append(records, c.handOver(m))
+	}
+	return records
 }
 
 // counted adds a message's end to the figures: delivered, handed back, or else failed.
@@ -583,6 +616,9 @@
 				c.resent(m, "refused")
 				continue
 			}
+			if c.passing && c.msgs[a.ID] == nil { // it was handed over in this step: the next process ends it
+				continue
+			}
 			end := journal.End{Deferred: true, AgainMS: a.After.Milliseconds()}
 			if m := c.msgs[a.ID]; m != nil && c.letters != nil && rule.Lost(time.Duration(m.Until)-t) {
 				c.undeliverable(m, t, end)
@@ -603,6 +639,9 @@
 				c.undeliverable(m, t, journal.End{})
 				continue
 			}
+			if c.passing && m == nil {
+				continue
+			}
 			c.Counts.Undeliverable.Add(1)
 			if m != nil {
 				c.counted(m.Message, false, false)
@@ -715,8 +754,9 @@
 // admits or withdraws it.
 func (c *Courier) Take(m *journal.Message) error {
 	c.mu.Lock()
-	full := len(c.known) >= c.most || c.resends[m.ID]
+	full := len(c.known)-c.handed >= c.most || c.resends[m.ID]
 	admitted, known := c.known[m.ID]
+	admitted = admitted || c.elsewhere[m.ID]
 	_, served := c.dests[m.Dest]
 	served = served || len(c.dests) == 0 // no list has come yet
 	if !full && !known && served {
@@ -788,7 +828,7 @@
 func (c *Courier) owed() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.known) + len(c.resends)
+	return len(c.known) + len(c.resends) - c.handed
 }
 
 // Move makes the courier ask and tell at another discovery from now on.
--- a/internal/net/front/front.go
+++ b/internal/net/front/front.go
@@ -52,6 +52,7 @@
 	proxy    *httputil.ReverseProxy
 	log      *slog.Logger
 	draining atomic.Bool
+	leaving  atomic.Bool
 	figures  *figures.Book
 }
 
@@ -78,6 +79,9 @@
 // Drain refuses all that comes from now on, or takes it on again.
 func (f *Front) Drain(on bool) { f.draining.Store(on) }
 
+// Leave closes each connection behind its next answer; what comes on it is taken on all the same.
+func (f *Front) Leave() { f.leaving.Store(true) }
+
 // handIn is the request context's part of a message that is handed in.
 type handIn struct {
 	conn          *gate.Conn
@@ -92,7 +96,7 @@
 // that is still there; else it is withdrawn.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	draining := f.draining.Load()
-	if draining {
+	if draining || f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	switch {
--- a/internal/net/gate/gate.go
+++ b/internal/net/gate/gate.go
@@ -110,6 +110,20 @@
 	return false
 }
 
+// Dismiss closes the connections that are between requests, and says how many are left.
+func (g *Gate) Dismiss() (left int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for e := g.quiet.Front(); e != nil; {
+		c := e.Value.(*Conn)
+		e = e.Next()
+		if _, quiet := sock.Look(c.TCPConn); quiet {
+			c.shut()
+		}
+	}
+	return g.quiet.Len() + g.busy.Len()
+}
+
 // SetState hears from the server when a connection is between requests again, or is not.
 func (g *Gate) SetState(conn net.Conn, s http.ConnState) {
 	c, ok := conn.(*Conn)
--- a/policy.go
+++ b/policy.go
@@ -30,7 +30,7 @@
 	targets         map[TargetID]*target
 	msgs            map[MessageID]*msg
 	keys            map[Key]*keyLine
-	calls           int     // slots in use
+	calls           int     // slots in use, those elsewhere included
 	vs, vf          float64 // largest start and finish tag sent
 	tenants         []odds  // messages of each tenant, in odds.all, with weights that fade
 	stakes          float64 // the most that a held message has at stake, see stake
@@ -48,6 +48,7 @@
 	closing         time.Duration    // when the host ends its life, 0 while it does not
 	crowded         time.Duration    // targets may have few connections left, until then
 	wakeAt, pending time.Duration    // when a decision may change, and the WakeAt still owed
+	elsewhere       int              // slots that another process uses, see Elsewhere
 }
 
 // New returns the policy of one forwarder, or says what it can't work with.
@@ -220,10 +221,12 @@
 	if m == nil {
 		return
 	}
-	m.d.came, m.d.heir = m.d.came+1, p.now+p.longest
+	if !r.Moved {
+		m.d.came, m.d.heir = m.d.came+1, p.now+p.longest
+	}
 	m.sends, m.mayRun, m.ranAt = r.Sends, r.MayRun, r.RanAt
 	m.ranOn = &target{id: r.RanOn, zone: r.RanZone}
-	if r.Sends > 0 && p.set.TipAfter > 0 {
+	if r.Sends > 0 && !r.Moved && p.set.TipAfter > 0 {
 		p.failedBefore(m, r)
 	}
 	if p.spent(m) {
@@ -839,7 +842,7 @@
 // that is held has left, and a part of what it has left then.
 func (p *Policy) weigh() {
 	p.stakes = 0
-	held := len(p.msgs) - p.calls
+	held := max(len(p.msgs)-p.calls, 0)
 	wait := time.Duration(float64(held) * p.callSec / float64(p.set.CallSlots) * float64(time.Second))
 	for _, d := range p.active {
 		mean, _ := p.usual(d.shared)
