--- a/cmd/raventrestle/serve.go
+++ b/cmd/raventrestle/serve.go
@@ -108,7 +108,7 @@
 	}
 
 	// Where the platform holds the clients' socket, a next process may start beside this one, and each life
-	// has a folder of its own: half of the disk and of the memory is its part.
+	// has a folder of its own: of disk and memory it takes its part alone.
 	listener, err := upgrade.Inherited(os.Getenv)
 	if err != nil {
 		return err
@@ -120,7 +120,7 @@
 			return err
 		}
 		debug.SetMemoryLimit(memory * 3 / 10)
-		disk, descriptors = disk/2, descriptors*3/4
+		descriptors = descriptors * 3 / 4
 	} else {
 		owner, err := own(ctx, d.conf.State, d.log)
 		if err != nil {
@@ -134,7 +134,7 @@
 		}
 	}
 	var kept []journal.Kept
-	d.store, kept, err = journal.Open(life.Folder, journal.Options{Limit: disk, Tries: set.Undeliverable.Keep}, d.log)
+	d.store, kept, err = journal.Open(life.Folder, journal.Options{Limit: disk, Shared: listener != nil, Tries: set.Undeliverable.Keep}, d.log)
 	if err != nil {
 		return err
 	}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -83,7 +83,9 @@
 // Options say how a journal is kept.
 type Options struct {
 	Limit int64 // bytes of the disk that its files take together
-	Tries bool  // remember how each try ended, for whoever keeps undeliverable messages
+	// Shared says that another life's journal may stand beside this one, within the limit: see shares.
+	Shared bool
+	Tries  bool // remember how each try ended, for whoever keeps undeliverable messages
 	// Before is asked before each write; an error stands for the write's own. It is nil in service:
 	// tests use it to end a life at a chosen boundary.
 	Before func() error
@@ -262,13 +264,23 @@
 // together, under the limit; see renew.
 func (s *Store) room(records []Record, more int64) error {
 	for _, r := range records {
-		if r.kind == taken && s.live+more+s.cost(r) > s.Limit*7/20 {
+		if _, live := s.shares(); r.kind == taken && s.live+more+s.cost(r) > live {
 			return ErrFull
 		}
 	}
 	return nil
 }
 
+// shares are what the file may come to before it is made anew, and what a new one may hold. The two stand
+// side by side for an instant, and beside them, where the disk is shared, that of a life which is closing: that
+// one is not made anew any more, so that twice the first and once the second fit, with a rest for its last words.
+func (s *Store) shares() (renew, live int64) {
+	if s.Shared {
+		return s.Limit * 36 / 100, s.Limit * 25 / 100
+	}
+	return s.Limit / 2, s.Limit * 7 / 20
+}
+
 // cost is the most that a message takes in a new file, its tries and end included.
 func (s *content) cost(r Record) int64 {
 	if s.tries {
@@ -277,14 +289,16 @@
 	return r.size()
 }
 
-// put appends the text. The file is made anew once it has come to more than half of the
-// limit: the new one takes 7/20 at most, which leaves room for both and for a batch.
+// put appends the text. The file is made anew once it has come to its share of the limit.
 func (s *Store) put(text []byte) error {
 	defer func() { s.shown.Store(s.size) }()
 	if len(text) == 0 {
 		return nil
 	}
-	if s.frozen != nil || s.size+int64(len(text)) > s.Limit/2 {
+	if s.frozen != nil && s.closing && s.Shared {
+		return s.frozen
+	}
+	if renew, _ := s.shares(); s.frozen != nil || s.size+int64(len(text)) > renew && !(s.closing && s.Shared) {
 		if s.frozen = s.renew(); s.frozen == nil {
 			return nil // the new file tells of the batch as well
 		}
--- a/internal/net/upgrade/life.go
+++ b/internal/net/upgrade/life.go
@@ -157,14 +157,15 @@
 func (l *Life) Run(ctx context.Context, c Courier, begin, prepared func()) {
 	tick := time.NewTicker(lookEvery)
 	defer tick.Stop()
-	begun, ready := false, false
+	begun, ready, failing := false, false, ""
 	for {
 		may, err := true, error(nil)
 		if len(l.before) > 0 {
 			may, err = l.look(c)
 		}
-		if err != nil { // a full disk, say: what is not adopted stays where it is
-			l.log.Error("upgrade: the life before", "err", err)
+		if word := fmt.Sprint(err); err != nil && word != failing { // a full disk, say: what is not adopted stays where it is
+			l.log.Error("upgrade: the life before; tried again", "every", lookEvery, "err", err)
+			failing = word
 		}
 		if may && !begun {
 			begun = true
