--- a/handover.go
+++ b/handover.go
@@ -124,5 +124,5 @@
 	}
 }
 
-// Elsewhere says how many of the slots another process of this forwarder uses now.
-func (p *Policy) Elsewhere(calls int) { p.calls, p.elsewhere = p.calls+calls-p.elsewhere, calls }
+// Elsewhere says how many more of the slots another process of this forwarder uses than it did, or fewer.
+func (p *Policy) Elsewhere(more int) { p.calls += more }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -92,6 +92,7 @@
 	if c.Settings, c.Names, err = Settings(raw.Settings); err != nil {
 		return nil, err
 	}
+	c.Aside = append(c.Aside, c.Names.Aside...)
 	for name, x := range map[string]*int{"balancers": &c.Settings.Forwarders, "limits.most_held": &c.Settings.MostHeld,
 		"specifics.call_slots": &c.Settings.CallSlots} {
 		if *x < 1 {
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -222,14 +222,14 @@
 
 // Terms words what a class's messages are owed, so that they keep it across settings and lives.
 func Terms(c raventrestle.Class) string {
-	return fmt.Sprint(int64(c.Aim), c.Stretch, int64(c.Deadline), c.Credit, c.Late, uint8(c.Effect), uint8(c.Group), int64(c.Window), c.InOrder)
+	return fmt.Sprint(int64(c.Aim), c.Stretch, int64(c.Deadline), c.Credit, c.Late, uint8(c.Effect), uint8(c.Group), int64(c.Window))
 }
 
 // OfTerms is the class of the name with those terms. Terms that can't be read are an error, and the class is
 // then one that must not take effect twice.
 func OfTerms(name, terms string) (raventrestle.Class, error) {
 	c := raventrestle.Class{Name: name}
-	if _, err := fmt.Sscan(terms, &c.Aim, &c.Stretch, &c.Deadline, &c.Credit, &c.Late, &c.Effect, &c.Group, &c.Window, &c.InOrder); err != nil || c.Aim <= 0 || c.Deadline < c.Aim {
+	if _, err := fmt.Sscan(terms, &c.Aim, &c.Stretch, &c.Deadline, &c.Credit, &c.Late, &c.Effect, &c.Group, &c.Window); err != nil || c.Aim <= 0 || c.Deadline < c.Aim {
 		return raventrestle.Class{Name: name, Effect: raventrestle.Unsafe, Aim: time.Second, Deadline: time.Second}, fmt.Errorf("terms %q: %w", terms, err)
 	}
 	return c, nil
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -16,6 +16,7 @@
 	Classes, Tenants, Kinds, Zones map[string]int
 	Keyed                          map[string]bool   // classes whose messages carry a key
 	Terms                          map[string]string // of the classes, see Terms
+	Aside                          []string          // what is asked for and not kept
 }
 
 // Index is the name's index, or -1.
@@ -94,7 +95,6 @@
 		AskWithin     int64   `json:"ask_within_us"`
 		DrainGrace    int64   `json:"drain_grace_us"`
 		ColdFor       int64   `json:"cold_us"`
-		KeyRest       int64   `json:"key_rest_us"`
 		StartCapacity float64 `json:"start_capacity"`
 		TipAfter      int64   `json:"tip_after_us"`
 		TipMultiple   float64 `json:"tip_multiple"`
@@ -140,7 +140,7 @@
 		CallSlots: in.Specifics.CallSlots, MostHeld: l.MostHeld, SendCap: l.SendCap,
 		IdleClose: us(l.IdleClose), ConnectWithin: us(l.Connect), RetryAfter: l.RetryAfter,
 		MaxRetryAfter: us(l.MaxRetryAfter), AskForList: in.Mode == "on_request", AskWithin: us(r.AskWithin),
-		KeyRest: us(r.KeyRest), DrainGrace: us(r.DrainGrace), Slack: us(r.Slack), Streams: l.Streams,
+		DrainGrace: us(r.DrainGrace), Slack: us(r.Slack), Streams: l.Streams,
 		Probes: l.Probes, Notes: l.Peers, Cancels: l.Cancel, SecondCopies: l.SecondCopies,
 		MarksRetry: in.Habits.MarksRetry, Position: in.Position, OverShare: in.OverShare,
 		Loss: losses[in.Specifics.Loses], Mix: raventrestle.Mix{Whole: in.Mix.Whole, WorstWindow: in.Mix.Window,
@@ -159,7 +159,10 @@
 		nm.Keyed[c.Name] = effect == raventrestle.Keyed
 		s.Classes = append(s.Classes, raventrestle.Class{Name: c.Name, Aim: us(c.Aim), Stretch: c.Stretch,
 			Deadline: us(c.Deadline), Credit: c.Credit, Late: c.Late, Effect: effect,
-			Group: groups[c.Group], Window: us(c.Window), InOrder: c.InOrder})
+			Group: groups[c.Group], Window: us(c.Window)})
+		if c.InOrder {
+			nm.Aside = append(nm.Aside, fmt.Sprintf("settings.classes[%d].by_arrival (%q): messages leave in any order", i, c.Name))
+		}
 		nm.Classes[c.Name], nm.Terms[c.Name] = i, Terms(s.Classes[i])
 	}
 	for i, t := range in.Tenants {
--- a/internal/net/courier/courier.go
+++ b/internal/net/courier/courier.go
@@ -297,7 +297,8 @@
 		case heedMsg:
 			c.heed(m.waits)
 		case elsewhereMsg:
-			c.policy.Elsewhere(m.calls)
+			c.policy.Elsewhere(m.calls - c.theirs)
+			c.theirs = m.calls
 		case retuneMsg:
 			err := c.retune(ctx, m.conf)
 			m.done <- err
--- a/internal/net/courier/handover.go
+++ b/internal/net/courier/handover.go
@@ -15,6 +15,7 @@
 // handover is the actor's part of it.
 type handover struct {
 	passing  bool // this process goes: what is not out is the next one's
+	theirs   int  // slots that another process uses
 	believed bool // what the process before had learned has come
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -152,7 +152,7 @@
 		if !ok && r.err == nil {
 			r.err = fmt.Errorf("unknown class %q", r.text(3))
 		}
-		a := raventrestle.Arrival{ID: raventrestle.MessageID(r.text(2)), Class: class, Key: raventrestle.Key(r.text(5)),
+		a := raventrestle.Arrival{ID: raventrestle.MessageID(r.text(2)), Class: class,
 			Budget: us(r.integer(6)), Dest: raventrestle.DestID(r.integer(8)), Tenant: r.tenant(4, nm.Tenants),
 			Again: r.integer(9)&2 != 0, Orphan: r.integer(9)&16 != 0}
 		if r.integer(9)&1 != 0 {
--- a/policy.go
+++ b/policy.go
@@ -29,7 +29,6 @@
 	active          []*dest // those with messages held or calls out lately
 	targets         map[TargetID]*target
 	msgs            map[MessageID]*msg
-	keys            map[Key]*keyLine
 	calls           int     // slots in use, those elsewhere included
 	vs, vf          float64 // largest start and finish tag sent
 	tenants         []odds  // messages of each tenant, in odds.all, with weights that fade
@@ -48,7 +47,6 @@
 	closing         time.Duration    // when the host ends its life, 0 while it does not
 	crowded         time.Duration    // targets may have few connections left, until then
 	wakeAt, pending time.Duration    // when a decision may change, and the WakeAt still owed
-	elsewhere       int              // slots that another process uses, see Elsewhere
 }
 
 // New returns the policy of one forwarder, or says what it can't work with.
@@ -57,7 +55,7 @@
 		return nil, errors.New("raventrestle: CallSlots, MostHeld, Forwarders and Classes must be at least one")
 	}
 	p := &Policy{set: set, rng: rand.New(rand.NewPCG(seed, 0)), dests: map[DestID]*dest{},
-		targets: map[TargetID]*target{}, msgs: map[MessageID]*msg{}, keys: map[Key]*keyLine{},
+		targets: map[TargetID]*target{}, msgs: map[MessageID]*msg{},
 		period: time.Hour, askAt: -1}
 	for _, c := range set.Classes {
 		if c.Aim <= 0 || c.Deadline < c.Aim {
@@ -204,13 +202,6 @@
 	m := &msg{id: a.ID, class: c, ci: a.Class, d: p.dest(a.Dest), aim: end - c.Deadline + aim, end: end,
 		worth: c.Credit * p.inShare(a.Tenant)}
 	p.msgs[a.ID] = m
-	if c.InOrder && a.Key != "" {
-		if m.line = p.keys[a.Key]; m.line == nil {
-			m.line = &keyLine{}
-			p.keys[a.Key] = m.line
-		}
-		m.line.msgs = append(m.line.msgs, m)
-	}
 	p.hold(m)
 	return m
 }
@@ -284,9 +275,6 @@
 	if (lost || o.Status == Error) && !m.mayRun {
 		m.mayRun, m.ranAt, m.ranOn = true, c.at, c.t
 	}
-	if m.line != nil && lost {
-		m.line.rest = max(m.line.rest, p.now+p.set.KeyRest)
-	}
 	switch {
 	case o.Closed || m.over || o.Status == OK:
 		p.forget(m)
@@ -416,7 +404,6 @@
 		maps.DeleteFunc(p.dests, func(_ DestID, d *dest) bool {
 			return !d.active && len(d.targets) == 0 && d.shared.until <= p.now
 		})
-		maps.DeleteFunc(p.keys, func(_ Key, l *keyLine) bool { return len(l.msgs) == 0 && l.rest <= p.now })
 		p.borne = [2]time.Duration{0, p.borne[0]}
 	}
 	if len(p.msgs) > 0 {
@@ -789,15 +776,6 @@
 		m.class.Group == GroupZone && t.zone == m.ranOn.zone
 }
 
-// inTurn says whether the message's key lets it go.
-func (p *Policy) inTurn(m *msg) bool {
-	if m.line == nil || m.sends > 0 && m.line.msgs[0] == m {
-		return true
-	}
-	p.wakeBy(m.line.rest)
-	return m.line.msgs[0] == m && m.line.rest <= p.now
-}
-
 // ---- worth ----
 
 // inShare is what a message of the tenant is worth, as a part of its class's worth: beyond its
@@ -909,7 +887,7 @@
 // pick is the message that goes first to any of the targets, and its cheapest one.
 func (p *Policy) pick(d *dest, free []*target) (best *msg, on *target) {
 	for _, m := range d.held {
-		if len(free) == 0 || best != nil && !p.before(m, best) || !p.inTurn(m) {
+		if len(free) == 0 || best != nil && !p.before(m, best) {
 			continue
 		}
 		var to *target
@@ -1083,9 +1061,4 @@
 	return min(after, p.set.MaxRetryAfter)
 }
 
-func (p *Policy) forget(m *msg) {
-	delete(p.msgs, m.id)
-	if m.line != nil {
-		m.line.msgs = without(m.line.msgs, m)
-	}
-}
+func (p *Policy) forget(m *msg) { delete(p.msgs, m.id) }
--- a/raventrestle.go
+++ b/raventrestle.go
@@ -13,7 +13,6 @@
 type (
 	MessageID string // unique over the life of a Policy
 	TargetID  string // one endpoint of a destination
-	Key       string // messages with the same key may have to go in turn; "" is none
 	DestID    int64  // a destination: a firm's system with one or more targets
 )
 
@@ -46,7 +45,6 @@
 	Effect   Effect
 	Group    Group
 	Window   time.Duration // how long repeats of a keyed message are dropped
-	InOrder  bool          // messages of one key go one at a time, as taken
 }
 
 // Kind describes one kind of destination.
@@ -134,7 +132,6 @@
 
 	AskForList bool          // the list comes only when asked for
 	AskWithin  time.Duration // without asking for so long, it counts as told
-	KeyRest    time.Duration // a key rests after an attempt that may still run
 	DrainGrace time.Duration // sends to a target that drains or is gone must have stopped by then
 	Slack      time.Duration // a final answer this long after a message's time is up still counts
 
@@ -188,7 +185,6 @@
 	ID       MessageID
 	Class    int // index into Settings.Classes
 	Tenant   int // index into Settings.Tenants, -1 if unknown
-	Key      Key
 	Dest     DestID
 	Budget   time.Duration // how long it may still be delivered
 	Estimate time.Duration // expected work, 0 if unknown
--- a/state.go
+++ b/state.go
@@ -94,7 +94,6 @@
 	class    *Class
 	ci       int // index of the class
 	d        *dest
-	line     *keyLine
 	call     *call
 	aim, end time.Duration
 	worth    float64 // of its class, less beyond its tenant's share
@@ -106,11 +105,6 @@
 	over     bool // answered or withdrawn, with an attempt still out
 }
 
-type keyLine struct {
-	msgs []*msg
-	rest time.Duration
-}
-
 // call is one call to a target; mates that ride on it share its slot and fate.
 type call struct {
 	t           *target
