Let a turn be a call, call off calls that fell silent, and look at what seems to hang

One silent connection held its endpoint off: nothing was answered since, so it hangs (usable); with another that answers it was passed over (cost: times 10) and stayed half-open for up to 20 s, and half of its targets held off make a destination sick, all of which share two slots: held=875 out=2 of 9. 3. A channel whose calls carry ten messages held 228 with no call out (1:228h0o) while the slots served others: each message took a turn of its own, the call as a whole one slot. Change: a call that is overdue while one sent later was answered is called off; an unsafe message waits to its aim; a target that seems to hang before anything failed there gets one call that is harmless to repeat, all sick together half of the slots at most; messages that ride along take no turn. Cancel ends shared calls too.

--- a/internal/net/peer/peer.go
+++ b/internal/net/peer/peer.go
@@ -130,7 +130,7 @@
 // Call makes one call of the tries. It reports whether the mailbox took it.
 func (p *Peer) Call(tries []Try) bool { return p.post(callMsg{tries}) }
 
-// Cancel closes the connection of the call with the message.
+// Cancel closes the connection of the call with the message; its mates end with it.
 func (p *Peer) Cancel(id string) bool { return p.post(cancelMsg{id}) }
 
 // CloseIdle closes the connections that carry no call.
@@ -215,7 +215,7 @@
 				}()
 			case cancelMsg:
 				for cl := range out {
-					if len(cl.tries) == 1 && cl.tries[0].ID == m.id {
+					if slices.ContainsFunc(cl.tries, func(t Try) bool { return t.ID == m.id }) {
 						cl.cancel(errCancelled)
 					}
 				}
--- a/internal/net/peer/peer_test.go
+++ b/internal/net/peer/peer_test.go
@@ -357,3 +357,22 @@
 		}
 	}
 }
+
+// A call that is called off by one of its messages ends for all of them, and its connection with it: the
+// endpoint may have run them, so none of them is told as never run.
+func TestSharedCallIsCalledOff(t *testing.T) {
+	end := nettest.NewPeer(t, func(net.Conn, nettest.Call) bool { return true })
+	out := make(chan raventrestle.Outcome, 4)
+	p := New(t.Context(), Config{Name: "p", Addr: end.Addr(), ConnectWithin: time.Second, IdleClose: 5 * time.Second, Mailbox: 64, Log: nettest.Log,
+		Counts: &Counts{}, Tell: func(e raventrestle.Event) { out <- e.(raventrestle.Outcome) }})
+	until := time.Now().Add(nettest.Patience)
+	p.Call([]Try{{ID: "a", Wait: nettest.Patience, Until: until}, {ID: "b", Wait: nettest.Patience, Until: until}})
+	nettest.Wait(t, "call", end.Calls)
+	p.Cancel("a")
+	for range 2 {
+		if o := nettest.Wait(t, "outcome", out); o.Status != raventrestle.Cancelled {
+			t.Errorf("%+v", o)
+		}
+	}
+	nettest.Wait(t, "end of the connection", end.Ends)
+}
--- a/policy.go
+++ b/policy.go
@@ -522,7 +522,7 @@
 	}
 	switch o.Status {
 	case OK:
-		p.borne[0] = max(p.borne[0], c.idle)
+		p.borne[0], t.okSent = max(p.borne[0], c.idle), max(t.okSent, c.at)
 		p.answered(t)
 	case Full:
 		p.refused(c, o)
@@ -712,7 +712,7 @@
 // full says whether the destination holds all the slots that it may. Sick ones share a quarter:
 // several that are slow or hang at once would else hold most slots for as long as their calls
 // last, and each of them stays far under the half that the design allows it.
-func (p *Policy) full(d *dest) bool {
+func (p *Policy) full(d *dest, quarters int) bool {
 	if !d.sick {
 		return len(d.out) >= max(p.set.CallSlots*3/4, 1)
 	}
@@ -722,7 +722,7 @@
 			out += len(x.out)
 		}
 	}
-	return out >= max(p.set.CallSlots/4, 1)
+	return out >= max(p.set.CallSlots*quarters/4, 1)
 }
 
 // refill brings the token bucket up to now. It holds one call.
@@ -849,7 +849,7 @@
 			if d.stuck {
 				continue
 			}
-			if d.next == nil || p.full(d) {
+			if d.next == nil || p.full(d, 1) {
 				d.next, d.on = p.head(d)
 			}
 			if d.stuck = d.next == nil; d.stuck {
@@ -870,16 +870,25 @@
 	}
 }
 
-// head picks which message of the destination takes its turn, and the target.
+// head picks which message of the destination takes its turn, and the target. One that seems to hang before
+// anything has failed there gets a message that is harmless to repeat, whatever slots the sick hold: its
+// connection may have fallen silent alone.
 func (p *Policy) head(d *dest) (*msg, *target) {
-	if p.full(d) {
-		return nil, nil
-	}
 	var free []*target
+	full := p.full(d, 1)
 	for _, t := range d.targets {
-		if p.usable(t) {
-			free = append(free, t)
+		if !p.usable(t) {
+			continue
 		}
+		free = append(free, t)
+		if t.health == halfOpen && t.fails == 0 && !p.full(d, 2) {
+			if i := slices.IndexFunc(d.held, func(m *msg) bool { return m.class.Effect == Safe }); i >= 0 {
+				return d.held[i], t
+			}
+		}
+	}
+	if full {
+		return nil, nil
 	}
 	return p.pick(d, free)
 }
@@ -964,23 +973,27 @@
 
 func (p *Policy) send(m *msg, c *call) {
 	d := m.d
-	d.held = without(d.held, m)
-	p.vs, p.vf = max(p.vs, d.tags[0]), max(p.vf, d.tags[0]+1)
-	d.tags = d.tags[1:]
+	if c.n > 0 { // a mate takes no slot, and so no turn: the flow's last one is not needed
+		d.unhold(m)
+	} else {
+		d.held, c.first = without(d.held, m), m
+		p.vs, p.vf = max(p.vs, d.tags[0]), max(p.vf, d.tags[0]+1)
+		d.tags = d.tags[1:]
+	}
 	m.call, m.sends = c, m.sends+1
 	c.n++
 	p.out = append(p.out, Send{m.id, c.t.id, p.timeout(m, c.t), p.within(m)})
 }
 
-// timeout: an unsafe message is lost with its call, so it gets twice the time of others and
-// of its aim; beyond that an answer hardly comes and its slot is worth more. A keyed one
+// timeout: an unsafe message is lost with its call, so it gets twice the time of others, and its
+// aim; beyond that an answer hardly comes and its slot is worth more. A keyed one
 // keeps room for a repeat inside its window.
 func (p *Policy) timeout(m *msg, t *target) time.Duration {
 	mean, dev := p.usual(t.r)
 	usual := mean + 4*dev // nearly all answers come by then
 	limit := p.set.ConnectWithin + 2*usual
 	if m.class.Effect == Unsafe {
-		limit = 2 * max(limit, m.class.Aim)
+		limit = max(2*limit, m.class.Aim)
 	} else if m.class.Effect == Keyed && !m.mayRun && 2*usual < m.class.Window {
 		limit = min(limit, m.class.Window-usual) // a slower one has no time for a repeat anyway
 	}
@@ -1005,9 +1018,15 @@
 	return m.end - 2*p.set.Tick
 }
 
-// expire answers the held messages that can't be sent any more.
+// expire answers the held messages that can't be sent any more. A call that is overdue while its target
+// has answered one that was sent later is on a connection that has fallen silent: it is called off.
 func (p *Policy) expire() {
 	for _, d := range p.active {
+		for _, c := range d.out {
+			if p.set.Cancels && !c.off && c.t.okSent > c.at && p.overdue(c, 4) {
+				c.off, p.out = true, append(p.out, Cancel{c.first.id, c.first.sends - 1})
+			}
+		}
 		for _, m := range slices.Clone(d.held) {
 			p.wakeBy(p.lastCall(m))
 			if p.now >= p.lastCall(m) || p.spent(m) { // fewer attempts may be allowed than when it was held
--- a/state.go
+++ b/state.go
@@ -76,7 +76,7 @@
 	odds                  []odds        // of failure, by class, the last for all of them
 	usual                 float64       // calls a second before its outage
 	since, rampAt, lastOK time.Duration
-	lastSent              time.Duration
+	lastSent, okSent      time.Duration // okSent: of the calls that were answered
 	inFlight              int           // calls out
 	gap                   time.Duration // usual time between sends, 0 before the second
 	idleAt                time.Duration // when its connections were last used, 0 if none is idle
@@ -109,7 +109,9 @@
 type call struct {
 	t           *target
 	at          time.Duration
-	n           int           // messages without an outcome
+	n           int // messages without an outcome
+	first       *msg
+	off         bool          // called off
 	trial, told bool          // whether it was a trial; its fate has been learned
 	idle        time.Duration // how long its connection may have been idle, 0 for a new one
 }
