--- a/cmd/raventrestle/upgrade_test.go
+++ b/cmd/raventrestle/upgrade_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -235,7 +236,11 @@
 // is started. What was taken has its end all the same, a single shot takes effect once at most, and no
 // hand-in but those that the dead process had read meets a closed connection.
 func TestUpgradeKilled(t *testing.T) {
-	for seed := range uint64(8) {
+	seeds := uint64(8)
+	if n, err := strconv.ParseUint(os.Getenv("RAVENTRESTLE_UPGRADE_SEEDS"), 10, 32); err == nil {
+		seeds = n
+	}
+	for seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			rnd := rand.New(rand.NewPCG(seed, 0))
--- a/internal/journal/follow.go
+++ b/internal/journal/follow.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -68,7 +69,8 @@
 
 // Legacy is what has been read.
 func (f *Follower) Legacy() Legacy {
-	l := Legacy{Waits: f.waits, Adopted: f.adopted, Closing: f.closing, Left: f.left}
+	// Copies: whoever is told goes on reading while the next Poll writes.
+	l := Legacy{Waits: maps.Clone(f.waits), Adopted: maps.Clone(f.adopted), Closing: f.closing, Left: f.left}
 	for _, k := range f.order {
 		if !f.isOver(k) {
 			l.Kept = append(l.Kept, *k)
--- a/internal/net/courier/courier.go
+++ b/internal/net/courier/courier.go
@@ -283,6 +283,9 @@
 			c.msgs[raventrestle.MessageID(m.ID)] = &message{Message: m.Message, Progress: m.Progress}
 			if m.Resend > 0 {
 				c.again++
+			} else if c.passing { // two upgrades in a row: what is taken over meanwhile goes on to the next one
+				records = append(records, c.handOver(c.msgs[raventrestle.MessageID(m.ID)]))
+				continue
 			}
 			rest = append(rest, c.restored(m, t))
 		case deadletter.Again:
