Charge a turn by the slot time that the flow's calls take

The paper leaves the unit of cost open. Change: a turn costs the flow's mean slot time over that of all, a quarter at least, so that quick refusals win no turns. TestTurnCostsSlotTime: 75% of the slots for one slow flow of four before, under 40% now.

--- a/policy.go
+++ b/policy.go
@@ -300,7 +300,11 @@
 		v = p.vs
 	}
 	s := max(v, d.lastF)
-	d.lastF = s + 1
+	cost := 1.0 // in calls of the mean slot time; one that is quickly refused wins no turns by it
+	if d.callSec > 0 {
+		cost = max(d.callSec/p.callSec, 0.25)
+	}
+	d.lastF = s + cost
 	d.tags = append(d.tags, s)
 	d.held = append(d.held, m)
 	if !d.active {
--- a/policy_test.go
+++ b/policy_test.go
@@ -230,6 +230,50 @@
 	}
 }
 
+// A turn costs the time that the flow's calls hold a slot: one whose calls take ten times as long does not get
+// as many as another. With one unit for each it held seven of ten slots while 400 messages of nine others
+// waited (upgrade+scrape, seed 891016641346).
+func TestTurnCostsSlotTime(t *testing.T) {
+	set := settings()
+	set.MostHeld = 400
+	h := newHost(t, set, entry("slow", 1, 0, 0), entry("q1", 2, 0, 0), entry("q2", 3, 0, 0), entry("q3", 4, 0, 0))
+	began, slow, all := map[MessageID]time.Duration{}, 0, 0
+	for tick := range 400 { // of 50 ms: a quick call takes one, a slow one twelve
+		var over []Event
+		var left []Send
+		for _, s := range h.out {
+			if _, ok := began[s.ID]; !ok {
+				began[s.ID] = h.now
+			}
+			if s.Target == "slow" && h.now-began[s.ID] < 550*ms {
+				left = append(left, s)
+				continue
+			}
+			over = append(over, Outcome{ID: s.ID, Target: s.Target, Status: OK, Closed: true, Took: h.now + 50*ms - began[s.ID]})
+		}
+		h.out = left
+		h.now += 50 * ms
+		h.step(over...)
+		if tick%2 == 0 { // more than its share of the slots would serve
+			h.arrive(0, 1, 2)
+		}
+		for dest := 2; dest <= 4; dest++ {
+			h.arrive(0, dest, 3)
+		}
+		if tick < 100 {
+			continue
+		}
+		for _, s := range h.out {
+			if all++; s.Target == "slow" {
+				slow++
+			}
+		}
+	}
+	if share := float64(slow) / float64(all); share > 0.4 {
+		t.Fatalf("one slow flow of four holds %.0f%% of the slots", 100*share)
+	}
+}
+
 // A call that is overdue while one sent later was answered is on a connection that has fallen silent: it is
 // called off, and not as long as nothing has been answered since.
 func TestCallOnSilentConnectionIsCalledOff(t *testing.T) {
