--- a/internal/figures/figures_test.go
+++ b/internal/figures/figures_test.go
@@ -1,6 +1,7 @@
 package figures
 
 import (
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -42,3 +43,32 @@
 		t.Fatal(diff)
 	}
 }
+
+// What counting adds to a message: its class looked up, pending up and down, one end, one call.
+func BenchmarkMessage(b *testing.B) {
+	var book Book
+	for _, name := range []string{"booking-confirm", "rate-update", "deposit-charge"} {
+		book.Class(name)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		book.Pending.Add(1)
+		book.UpstreamRequests.Add(1)
+		book.Class("deposit-charge").Completed.Add(1)
+		book.Pending.Add(-1)
+	}
+}
+
+// What a look at all figures costs, which no message waits for.
+func BenchmarkWriteTo(b *testing.B) {
+	var book Book
+	for _, name := range []string{"booking-confirm", "rate-update", "deposit-charge"} {
+		book.Class(name)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := book.WriteTo(io.Discard); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/net/upgrade/socket.go
+++ b/internal/net/upgrade/socket.go
@@ -26,8 +26,10 @@
 	if err != nil || fd < 0 {
 		return nil, fmt.Errorf("%s=%q is no descriptor", Variable, text)
 	}
-	if on, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil || on != 1 {
-		return nil, fmt.Errorf("%s=%d: %w", Variable, fd, errors.Join(errNotListening, err))
+	if on, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil {
+		return nil, fmt.Errorf("%s=%d: %w: %w", Variable, fd, errNotListening, err)
+	} else if on != 1 {
+		return nil, fmt.Errorf("%s=%d: %w", Variable, fd, errNotListening)
 	}
 	unix.CloseOnExec(fd)
 	f := os.NewFile(uintptr(fd), "clients")
--- /dev/null
+++ b/internal/net/upgrade/socket_test.go
@@ -0,0 +1,94 @@
+package upgrade
+
+import (
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"testing"
+)
+
+// inherited is a copy of the file's descriptor, as a process that was started with it has one.
+func inherited(t *testing.T, f *os.File) string {
+	t.Helper()
+	fd, err := syscall.Dup(int(f.Fd()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strconv.Itoa(fd)
+}
+
+func env(text string) func(string) string { return func(string) string { return text } }
+
+// What is no listening TCP socket is a plain error in one line; without the variable there is none to serve.
+func TestInheritedIsChecked(t *testing.T) {
+	file, err := os.Create(filepath.Join(t.TempDir(), "f"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	packets, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	udp, err := packets.(*net.UDPConn).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	local, err := net.Listen("unix", filepath.Join(t.TempDir(), "s"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	unix, err := local.(*net.UnixListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, text := range map[string]string{"a word": "four", "negative": "-1", "closed": "1000000", "a file": inherited(t, file),
+		"a datagram socket": inherited(t, udp), "a listening Unix socket": inherited(t, unix)} {
+		if l, err := Inherited(env(text)); err == nil || l != nil {
+			t.Errorf("%s: taken", name)
+		} else if name[0] == 'a' && name != "a word" && !errors.Is(err, errNotListening) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if l, err := Inherited(env("")); l != nil || err != nil {
+		t.Error(l, err)
+	}
+}
+
+// Closing it here closes nothing for the platform or another process.
+func TestInheritedStaysOpenForOthers(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	f, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	for range 2 { // one process after the other
+		own, err := Inherited(env(inherited(t, f)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if own.Addr().String() != l.Addr().String() {
+			t.Fatal(own.Addr())
+		}
+		if err := own.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal("closed for others:", err)
+	}
+	defer c.Close()
+	if served, err := l.Accept(); err != nil {
+		t.Fatal(err)
+	} else {
+		served.Close()
+	}
+}
