--- a/internal/journal/follow_test.go
+++ b/internal/journal/follow_test.go
@@ -34,6 +34,7 @@
 	write(Taken(message("a", 40)), Taken(message("b", 40)), Wait("p", 1<<62))
 	first := look()
 	write(Handed("a"), Over("b"), Wait("q", 1<<62), Closing([]byte("left")))
+	look()
 	if diff := cmp.Diff(map[string]int64{"p": 1 << 62}, first.Waits); diff != "" {
 		t.Fatalf("changed while it was read: %s", diff)
 	}
--- a/internal/net/upgrade/life_test.go
+++ b/internal/net/upgrade/life_test.go
@@ -148,3 +148,39 @@
 		}
 	}
 }
+
+// A message that was adopted and ended by a second life, while the first one still ran out its calls, stays
+// ended when both die: the first one's journal has it still, and only the second one's mark tells of its end.
+func TestEndedInTheLifeBetweenStaysEnded(t *testing.T) {
+	state := t.TempDir()
+	first, err := Claim(state, nettest.Log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, _, err := journal.Open(first.Folder, journal.Options{Limit: 1 << 20}, nettest.Log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []string{"ended", "held", "out"} {
+		if err := s.Take(message(id)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.Append([]journal.Record{journal.Begun("out", journal.Try{Peer: "p", At: 5}), journal.Handed("ended"), journal.Handed("held"), journal.Closing(nil)}, nil)
+	if err := s.Close(); err != nil { // all is written; its lock is held on
+		t.Fatal(err)
+	}
+	second, h, err := live(t, state, 0)
+	if err != nil || h.has["ended"] != 1 || h.has["held"] != 1 || h.has["out"] != 0 {
+		t.Fatal(err, h.has)
+	}
+	h.Append([]journal.Record{journal.Over("ended")}, nil)
+	h.Close()
+	first.Release()
+	second.Release()
+	_, third, err := live(t, state, 0)
+	if err != nil || third.has["ended"] != 0 || third.has["held"] != 1 || third.has["out"] != 1 {
+		t.Fatal(err, third.has)
+	}
+	third.Close()
+}
