Poll discovery where couriers are many, and ask again at once after silence

Each courier held a watch of 10 s (upstream.go, wait and next), all that discovery serves at a time. After a silent watch the next call waited for the module's pause: 11.5 s and 0.5 s, told at 12 s. Change: internal/asking, pure, decides when discovery is asked and how; a fleet of more couriers than one has slots polls twice within ask_within, drawn apart; fewer hold watches as before. Silence is asked again at once by a poll; a connection has 1 s to come up. Where lists are pushed they are asked for from the first moment.

--- a/internal/net/courier/courier.go
+++ b/internal/net/courier/courier.go
@@ -130,7 +130,7 @@
 		msgs: map[raventrestle.MessageID]*message{}, peers: map[raventrestle.TargetID]*ref{}}
 	c.bound(set)
 	c.notices = notice.New(conf.Discovery, room, log, c.heard)
-	c.group = upstream.New(conf.Discovery, conf.Known, conf.Names, log, func(u upstream.Update) { c.mail <- u })
+	c.group = upstream.New(conf.Discovery, conf.Known, &conf.Settings, conf.Names, log, func(u upstream.Update) { c.mail <- u })
 	for _, k := range kept {
 		if k.Resend > 0 {
 			c.resends[k.ID] = true
@@ -183,7 +183,7 @@
 	next.Settings, next.Names = *set, conf.Names
 	c.conf = &next
 	c.bound(set)
-	c.group.Serve(conf.Names)
+	c.group.Serve(set, conf.Names)
 	if was.ConnectWithin == set.ConnectWithin && was.IdleClose == set.IdleClose {
 		return nil
 	}
--- /dev/null
+++ b/internal/net/upstream/silence_test.go
@@ -0,0 +1,176 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"raventrestle"
+	"raventrestle/internal/asking"
+	"raventrestle/internal/config"
+	"raventrestle/internal/net/nettest"
+)
+
+// scripted is a discovery over pipes in a test's own time; answer gets each call with its number, from 1, and says
+// whether the connection goes on.
+func scripted(g *Group, answer func(n int, query string, c net.Conn) bool) {
+	calls := 0
+	g.client.Transport.(*http.Transport).DialContext = func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			defer far.Close()
+			for r := bufio.NewReader(far); ; {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				calls++
+				if !answer(calls, req.URL.RawQuery, far) {
+					return
+				}
+			}
+		}()
+		return near, nil
+	}
+}
+
+func say(c net.Conn, text string) bool {
+	_, err := io.WriteString(c, text)
+	return err == nil
+}
+
+// Silence on a watch or a poll is a broken one, whether the answer's head, half of its body or nothing came: what it
+// missed is there before it counts as told. The list that then comes is indented.
+func TestSilenceBringsTheNewsInTime(t *testing.T) {
+	const none, news = `{"index":42,"snapshot":false,"endpoints":[]}`, "{\n  \"index\": 43,\n  \"snapshot\": false,\n  \"endpoints\": [\n" +
+		"    {\n      \"name\": \"s-1\",\n      \"status\": \"DRAINING\"\n    }\n  ]\n}\n"
+	full := nettest.Plain(200, "", news)
+	for name, part := range map[string]string{"nothing": "", "its head": full[:strings.Index(full, "{")], "half of its body": full[:len(full)-40]} {
+		for mode, set := range map[string]raventrestle.Settings{
+			"watch":  {AskForList: true, AskWithin: 10 * time.Second, Forwarders: 2, CallSlots: 12},
+			"poll":   {AskForList: true, AskWithin: 10 * time.Second, Forwarders: 300, CallSlots: 5},
+			"pushed": {AskWithin: 10 * time.Second, Forwarders: 300, CallSlots: 5},
+		} {
+			t.Run(fmt.Sprint(mode, ", ", name, " came"), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					updates, silent := make(chan Update, 16), make(chan time.Time, 1)
+					g := New("discovery", []byte(known), &set, &config.Names{}, nettest.Log, func(u Update) { updates <- u })
+					wait := time.Duration(0)
+					scripted(g, func(n int, query string, c net.Conn) bool {
+						switch n {
+						case 1:
+							return say(c, nettest.Plain(200, "", none))
+						case 2:
+							var ms, index int64
+							if _, err := fmt.Sscanf(query, "index=%d&wait=%d", &index, &ms); err != nil || index != 42 {
+								t.Errorf("asked with %q: %v", query, err)
+							}
+							wait = time.Duration(ms) * time.Millisecond
+							silent <- time.Now()
+							say(c, part)
+							io.Copy(io.Discard, c) // it stays open until the courier ends it
+							return false
+						}
+						return say(c, full)
+					})
+					ctx, stop := context.WithCancel(t.Context())
+					go g.Run(ctx)
+					g.Subscribe()
+					began := <-silent
+					for u := range updates {
+						if u.Index == 43 {
+							break
+						}
+						if u.How == raventrestle.ListFailed {
+							t.Error("the module had to ask")
+							break
+						}
+					}
+					told := max(asking.Told, wait+asking.ToldAfterWait)
+					if took := time.Since(began); took > told {
+						t.Errorf("a wait of %v fell silent: its news came after %v, told after %v", wait, took, told)
+					}
+					stop()
+					synctest.Wait()
+				})
+			})
+		}
+	}
+}
+
+// Where lists are pushed, what the agent has counts from a new process's first moment, also in an outage: it is asked
+// without being told to, and again until it answers.
+func TestPushedListIsAskedForAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		updates := make(chan Update, 64)
+		g := New("agent", []byte(known), &raventrestle.Settings{AskWithin: 10 * time.Second, Forwarders: 300, CallSlots: 5}, &config.Names{}, nettest.Log,
+			func(u Update) { updates <- u })
+		scripted(g, func(n int, _ string, c net.Conn) bool {
+			if n <= 3 {
+				return say(c, nettest.Plain(503, "", ""))
+			}
+			return say(c, nettest.Plain(200, "", `{"index":44,"snapshot":true,"endpoints":[]}`)) && n < 5
+		})
+		ctx, stop := context.WithCancel(t.Context())
+		began := time.Now()
+		go g.Run(ctx)
+		for u := range updates {
+			if u.Index == 44 {
+				break
+			}
+		}
+		if took := time.Since(began); took > time.Second { // the settings' grace for a drain
+			t.Errorf("the agent's list came after %v", took)
+		}
+		stop()
+		synctest.Wait()
+	})
+}
+
+// Hundreds of couriers poll, out of step, and one whose poll failed asks again when the module says so.
+func TestManyCouriersPoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const couriers = 300
+		set := &raventrestle.Settings{AskForList: true, AskWithin: 10 * time.Second, Forwarders: couriers, CallSlots: 5}
+		ctx, stop := context.WithCancel(t.Context())
+		asked := make(chan time.Time, 1<<16)
+		for range couriers {
+			g := New("discovery", []byte(known), set, &config.Names{}, nettest.Log, func(Update) {})
+			scripted(g, func(n int, query string, c net.Conn) bool {
+				if !strings.HasSuffix(query, "&wait=0") {
+					t.Errorf("held by %q", query)
+				}
+				asked <- time.Now()
+				return say(c, nettest.Plain(200, "", `{"index":41,"snapshot":false,"endpoints":[]}`))
+			})
+			go g.Run(ctx)
+			g.Subscribe()
+		}
+		began := time.Now()
+		time.Sleep(60 * time.Second)
+		stop()
+		synctest.Wait()
+		close(asked)
+		n, late := 0, map[int64]int{}
+		for at := range asked {
+			if n++; at.Sub(began) > 30*time.Second {
+				late[at.Sub(began).Milliseconds()/500]++
+			}
+		}
+		if low, high := couriers*12, couriers*16; n < low || n > high { // every 4 to 5 s, and at the start
+			t.Errorf("%d calls in a minute, want %d to %d", n, low, high)
+		}
+		for at, n := range late { // an even spread is 33 in half a second
+			if n > couriers/3 {
+				t.Errorf("%d calls in the half second %d: in step", n, at)
+			}
+		}
+	})
+}
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -1,12 +1,16 @@
 // Package upstream keeps the upstream group: discovery's list of the peers that messages may
-// go to. An actor asks for it and watches its changes once the courier has subscribed.
+// go to. An actor asks for it and its changes once the courier has subscribed, or from the start where lists are
+// pushed; internal/asking decides when and how.
 package upstream
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -14,6 +18,7 @@
 	jsoniter "github.com/json-iterator/go"
 
 	"raventrestle"
+	"raventrestle/internal/asking"
 	"raventrestle/internal/config"
 )
 
@@ -33,7 +38,8 @@
 // Group is the actor of the list.
 type Group struct {
 	url    string
-	names  atomic.Pointer[config.Names]
+	terms  atomic.Pointer[terms]
+	plan   asking.Plan
 	client *http.Client
 	log    *slog.Logger
 	tell   func(Update)
@@ -42,20 +48,22 @@
 	index  int64 // -1 where the whole list is wanted
 }
 
-const (
-	wait     = 10 * time.Second        // of one watch
-	patience = 1500 * time.Millisecond // for an answer, beyond the wait: what it held counts as told after 2 s
-	mostList = 4 << 20
-)
+// terms are what the settings say: how the list is read, and what asking for it goes by.
+type terms struct {
+	names  *config.Names
+	asking asking.Settings
+}
+
+const mostList = 4 << 20
 
 // New returns a group that starts from what the courier knew, which it tells at once. What can't be read
 // of that is set aside: the courier starts without, and asks for the whole list.
-func New(discovery string, known []byte, names *config.Names, log *slog.Logger, tell func(Update)) *Group {
+func New(discovery string, known []byte, set *raventrestle.Settings, names *config.Names, log *slog.Logger, tell func(Update)) *Group {
 	g := &Group{url: place(discovery), log: log, tell: tell,
 		asked: make(chan struct{}, 1), moved: make(chan string, 1),
-		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConns: 1,
-			IdleConnTimeout: time.Minute, ResponseHeaderTimeout: wait + patience}}}
-	g.Serve(names)
+		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConns: 1, IdleConnTimeout: time.Minute,
+			DialContext: (&net.Dialer{Timeout: asking.Connect}).DialContext}}}
+	g.Serve(set, names)
 	u, err := Update{}, error(nil)
 	if len(known) > 0 {
 		u, err = g.parse(known)
@@ -69,10 +77,12 @@
 	return g
 }
 
-// Serve reads lists by these kinds and zones from now on.
-func (g *Group) Serve(names *config.Names) { g.names.Store(names) }
+// Serve reads lists by these kinds and zones, and asks for them by these settings, from now on.
+func (g *Group) Serve(set *raventrestle.Settings, names *config.Names) {
+	g.terms.Store(&terms{names, asking.Settings{Pushed: !set.AskForList, Within: set.AskWithin, Couriers: set.Forwarders, Slots: set.CallSlots}})
+}
 
-// Subscribe starts a watch if none is on.
+// Subscribe asks for the list if no call is out.
 func (g *Group) Subscribe() {
 	select {
 	case g.asked <- struct{}{}:
@@ -93,30 +103,56 @@
 
 func place(discovery string) string { return "http://" + discovery + "/v1/servers" }
 
-// Run watches, from a Subscribe or Move until a call fails, which it tells; then it waits to be asked.
+// Run asks for the list, as the plan says: where it waits to be asked, a Subscribe or Move begins the next call.
 func (g *Group) Run(ctx context.Context) {
+	defer g.client.CloseIdleConnections()
+	next := g.next(asking.None)
 	for {
+		var due <-chan time.Time
+		if !next.Asked {
+			due = time.After(next.After)
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-g.asked:
+			next.After = 0
 		case discovery := <-g.moved:
 			g.turn(discovery)
+			next = g.next(asking.None)
+		case <-due:
+		}
+		r := g.call(ctx, next)
+		if ctx.Err() != nil {
+			return
 		}
-		for g.next(ctx) {
+		next = g.next(r)
+		if next.Asked && r != asking.None {
+			select { // what was asked meanwhile was for that call
+			case <-g.asked:
+			default:
+			}
+			g.tell(Update{How: raventrestle.ListFailed})
+		} else if r == asking.None { // moved: asked at once
+			next.Asked = false
 		}
 	}
 }
 
+func (g *Group) next(r asking.Result) asking.Call {
+	return g.plan.Next(g.terms.Load().asking, r, rand.Float64())
+}
+
 // turn points the group at another discovery, whose versions tell nothing of the old one's.
 func (g *Group) turn(discovery string) {
 	g.client.CloseIdleConnections()
 	g.url, g.index = place(discovery), -1
 }
 
-// next makes a call and tells what came of it; it says whether the watch goes on.
-func (g *Group) next(ctx context.Context) bool {
-	watch, stop := context.WithCancel(ctx)
+// call makes a call and tells the list that it brought. None stands for one that was cut short, since the group was
+// moved or has ended.
+func (g *Group) call(ctx context.Context, c asking.Call) asking.Result {
+	within, stop := context.WithTimeout(ctx, c.Limit)
 	defer stop()
 	type result struct {
 		Update
@@ -124,7 +160,7 @@
 	}
 	came := make(chan result, 1)
 	go func() {
-		u, err := g.watch(watch)
+		u, err := g.ask(within, c.Wait)
 		came <- result{u, err}
 	}()
 	var r result
@@ -134,33 +170,27 @@
 		stop()
 		<-came
 		g.turn(discovery)
-		return true
+		return asking.None
 	}
-	if ctx.Err() != nil {
-		return false
+	var late net.Error
+	switch {
+	case ctx.Err() != nil:
+		return asking.None
+	case r.error == nil:
+		g.index = r.Index
+		g.tell(r.Update)
+		return asking.Answered
+	case errors.As(r.error, &late) && late.Timeout(): // of the call, or of its connection
+		g.log.Warn("upstream: silence", "wait", c.Wait, "limit", c.Limit, "err", r.error)
+		g.client.CloseIdleConnections()
+		return asking.Silent
 	}
-	if r.error != nil {
-		g.log.Warn("upstream: watch ended", "err", r.error)
-		select { // what was asked meanwhile was for this watch
-		case <-g.asked:
-		default:
-		}
-		g.tell(Update{How: raventrestle.ListFailed})
-		return false
-	}
-	g.index = r.Index
-	g.tell(r.Update)
-	return true
+	g.log.Warn("upstream: call failed", "wait", c.Wait, "err", r.error)
+	return asking.Failed
 }
 
-// watch makes one call; a watch goes on as long as the next follows at once.
-func (g *Group) watch(ctx context.Context) (Update, error) {
-	limit := wait + patience
-	if g.index < 0 {
-		limit = patience
-	}
-	ctx, stop := context.WithTimeout(ctx, limit)
-	defer stop()
+// ask makes one call. A watch goes on as long as the next follows at once.
+func (g *Group) ask(ctx context.Context, wait time.Duration) (Update, error) {
 	url := g.url
 	if g.index >= 0 {
 		url = fmt.Sprintf("%s?index=%d&wait=%d", g.url, g.index, wait.Milliseconds())
@@ -210,7 +240,7 @@
 	if raw.Index == nil {
 		return Update{}, fmt.Errorf("a list without its index")
 	}
-	u, names := Update{How: raventrestle.ListChanges, Index: *raw.Index}, g.names.Load()
+	u, names := Update{How: raventrestle.ListChanges, Index: *raw.Index}, g.terms.Load().names
 	if raw.Snapshot {
 		u.How = raventrestle.ListWhole
 	}
--- a/internal/net/upstream/upstream_test.go
+++ b/internal/net/upstream/upstream_test.go
@@ -35,7 +35,8 @@
 	})
 	names := &config.Names{Kinds: map[string]int{"m1": 0, "m2": 1}, Zones: map[string]int{"a": 0, "b": 1}}
 	updates := make(chan Update, 16)
-	g := New(discovery.Addr(), []byte(known), names, nettest.Log, func(u Update) { updates <- u })
+	few := &raventrestle.Settings{AskForList: true, AskWithin: 10 * time.Second, Forwarders: 2, CallSlots: 12}
+	g := New(discovery.Addr(), []byte(known), few, names, nettest.Log, func(u Update) { updates <- u })
 	go g.Run(t.Context())
 	entry := func(name string, state raventrestle.Readiness) Entry {
 		return Entry{Entry: raventrestle.Entry{Target: raventrestle.TargetID(name), State: state, Kind: -1, Zone: -1}}
@@ -83,7 +84,7 @@
 	for _, text := range []string{`{"index":`, `[]`, `{"endpoints":[]}`, `{"index":41,"endpoints":[{"name":7}]}`, "null"} {
 		discovery := nettest.NewPeer(t, nettest.Answer(nettest.Plain(200, "", known)))
 		updates := make(chan Update, 16)
-		g := New(discovery.Addr(), []byte(text), &config.Names{}, nettest.Log, func(u Update) { updates <- u })
+		g := New(discovery.Addr(), []byte(text), &raventrestle.Settings{AskForList: true}, &config.Names{}, nettest.Log, func(u Update) { updates <- u })
 		go g.Run(t.Context())
 		g.Subscribe()
 		first, then := nettest.Wait(t, "update", updates), nettest.Wait(t, "update", updates)
