Give each request that came its answer after SIGTERM, and count closes without one

Need: after SIGTERM clients send on every connection that stays open, up to SIGKILL; a new connection that is closed with no answer counts as refused. Cause: serve.go called SetKeepAlivesEnabled(false), which closes what is between requests without a look at what has come on it, and at the end Shutdown left new connections to the kernel's reset.

--- a/cmd/raventrestle/serve.go
+++ b/cmd/raventrestle/serve.go
@@ -35,11 +35,12 @@
 )
 
 const (
-	lastWord     = 2500 * time.Millisecond // from SIGTERM to the end, at most
-	lastGuest    = 700 * time.Millisecond  // new client connections still come for so long
-	lastHanding  = 3 * time.Second         // the same where another process follows
-	lastPatience = 1200 * time.Millisecond // of it, for client connections that say nothing
-	ownWithin    = 500 * time.Millisecond  // for the lock on the folder: one that was killed may still be going
+	lastWord      = 2500 * time.Millisecond // from SIGTERM to the end, at most
+	lastGuest     = 700 * time.Millisecond  // new client connections still come for so long
+	lookAtClients = 25 * time.Millisecond
+	lastHanding   = 3 * time.Second         // the same where another process follows
+	lastPatience  = 1200 * time.Millisecond // of it, for client connections that say nothing
+	ownWithin     = 500 * time.Millisecond  // for the lock on the folder: one that was killed may still be going
 )
 
 // daemon is what a running courier consists of.
@@ -56,6 +57,7 @@
 	front   *front.Front
 	figures *figures.Book
 	handing atomic.Bool // to the process that follows
+	clients *gate.Gate
 }
 
 // serve runs the courier until SIGTERM. File names the operators' settings, "" for none.
@@ -177,6 +179,7 @@
 		}
 	}
 	clients := gate.New(listener, descriptors, front.Room)
+	d.clients = clients
 	server := &http.Server{Handler: d.front, ReadHeaderTimeout: 2 * time.Second, ReadTimeout: 2500 * time.Millisecond,
 		WriteTimeout: 15 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
 		ConnContext: gate.ConnContext, ConnState: clients.SetState,
@@ -206,14 +209,7 @@
 				d.handOver(began, clients)
 			} else {
 				d.tell(lifecycle.End{})
-				server.SetKeepAlivesEnabled(false) // closes the connections that are between requests
-				end := began.Add(lastWord)
-				quiet := d.courier.Close(end)
-				time.Sleep(lastGuest)
-				select {
-				case <-quiet:
-				case <-time.After(time.Until(end)):
-				}
+				d.end(began, clients)
 			}
 			closing, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
 			defer cancel()
@@ -238,6 +234,26 @@
 	}
 }
 
+// end waits until nothing is owed and no client's connection is left, or its time is up. From now on each answer
+// closes its connection. Those between requests go at once, but none with a request to be read; new ones, which still
+// come for a while, are given the time in which a client sends.
+func (d *daemon) end(began time.Time, clients *gate.Gate) {
+	quiet := d.courier.Close(began.Add(lastWord))
+	look := time.NewTicker(lookAtClients)
+	defer look.Stop()
+	for left := clients.Dismiss(front.Room.Busy); ; left = clients.Dismiss(front.Room.Busy) {
+		at := time.Since(began)
+		if at > lastWord || left == 0 && quiet == nil && at > lastGuest {
+			return
+		}
+		select {
+		case <-quiet:
+			quiet = nil
+		case <-look.C:
+		}
+	}
+}
+
 // handOver leaves the clients' socket and all that is held to the process that follows. Connections that are
 // still open are closed behind their next answer; those that stay silent for long, between requests.
 func (d *daemon) handOver(began time.Time, clients *gate.Gate) {
@@ -259,7 +275,7 @@
 				d.log.Warn("raventrestle: not all is handed over", "client connections", left, "owed", quiet != nil)
 				return
 			} else if at > lastPatience {
-				left = clients.Dismiss()
+				left = clients.Dismiss(0)
 			}
 		}
 	}
@@ -421,7 +437,7 @@
 	in, out, net := &d.front.Counts, &d.courier.Counts, &d.courier.Counts.Peers
 	d.log.Info("counters: client connections", "requests", in.Requests.Load(), "taken", in.Taken.Load(),
 		"refused", in.Refused.Load(), "bad_form", in.BadForm.Load(), "too_large", in.TooLarge.Load(),
-		"left", in.Left.Load())
+		"left", in.Left.Load(), "closed_unanswered", d.clients.Unanswered.Load())
 	d.log.Info("counters: messages", "taken", out.Taken.Load(), "restored", out.Restored.Load(), "full", out.Full.Load(),
 		"withdrawn", out.Withdrawn.Load(), "delivered", out.Delivered.Load(), "void", out.Void.Load(),
 		"deferred", out.Deferred.Load(), "undeliverable", out.Undeliverable.Load())
--- /dev/null
+++ b/cmd/raventrestle/term_test.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"raventrestle/internal/net/nettest"
+)
+
+// After SIGTERM clients send on every connection that stays open, and new ones still come for 0.4 s. Each request on a
+// new connection gets its answer; one that crosses the close of a connection between requests meets a close with nothing
+// on it, and gets its answer on a new one.
+func TestTerminateAnswersAllThatCame(t *testing.T) {
+	end := nettest.NewPeer(t, nettest.Answer(nettest.Plain(200, "", "")))
+	d := deploy(t, end)
+	d.start()
+	var bare, answered, refused, crossed atomic.Int64
+	ids := atomic.Int64{}
+	// once sends one request; fresh says that the connection is new.
+	once := func(c net.Conn, r *bufio.Reader, fresh bool) (goesOn bool, err error) {
+		id := fmt.Sprintf("t-%d", ids.Add(1))
+		c.SetDeadline(time.Now().Add(nettest.Patience))
+		if _, err := fmt.Fprintf(c, "POST /free HTTP/1.1\r\nHost: x\r\nX-Txn: %s\r\nX-Remaining: 10\r\nX-Consignee: dest=7\r\nContent-Length: 2\r\n\r\nhi", id); err != nil {
+			return false, err
+		}
+		res, err := http.ReadResponse(r, nil)
+		if err != nil {
+			if fresh {
+				bare.Add(1)
+				t.Errorf("%s on a new connection: %v", id, err)
+			} else {
+				crossed.Add(1)
+			}
+			return false, err
+		}
+		io.Copy(io.Discard, res.Body)
+		if answered.Add(1); res.StatusCode != http.StatusAccepted {
+			refused.Add(1)
+		}
+		return !res.Close, nil
+	}
+	var clients, warm sync.WaitGroup
+	warm.Add(40)
+	var until atomic.Int64 // new connections are opened so long
+	until.Store(time.Now().Add(time.Hour).UnixNano())
+	for range 40 {
+		clients.Go(func() {
+			warmed := sync.OnceFunc(warm.Done)
+			defer warmed()
+			for time.Now().UnixNano() < until.Load() {
+				c, err := net.Dial("tcp", d.addr)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				r := bufio.NewReader(c)
+				for fresh, goesOn := true, true; goesOn; fresh = false {
+					if goesOn, err = once(c, r, fresh); err != nil && fresh {
+						return
+					}
+					warmed()
+				}
+				c.Close()
+			}
+		})
+	}
+	warm.Wait()
+	began := time.Now()
+	until.Store(began.Add(400 * time.Millisecond).UnixNano())
+	if err := d.process.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	clients.Wait()
+	if err := nettest.Wait(t, "end", d.ended); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(began); took > 3*time.Second {
+		t.Errorf("the end took %v", took)
+	}
+	d.process = nil
+	if refused.Load() == 0 || answered.Load() < 80 {
+		t.Errorf("%d answered, %d of them refused: the story did not reach the end", answered.Load(), refused.Load())
+	}
+	t.Logf("%d answered, %d refused, %d crossed a close", answered.Load(), refused.Load(), crossed.Load())
+	if _, err := net.Dial("tcp", d.addr); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("after the end: %v", err)
+	}
+}
--- a/internal/net/gate/gate.go
+++ b/internal/net/gate/gate.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"raventrestle/internal/net/sock"
@@ -19,13 +20,15 @@
 type Gate struct {
 	net.Listener
 	Limits
-	most   int
-	mu     sync.Mutex
-	quiet  *list.List // connections between requests, the longest silent first
-	busy   *list.List // those that have begun a request, in that order
-	change chan struct{}
-	closed context.Context
-	close  context.CancelFunc
+	// Unanswered counts the connections that the gate closed with no request on them ever answered.
+	Unanswered atomic.Int64
+	most       int
+	mu         sync.Mutex
+	quiet      *list.List // connections between requests, the longest silent first
+	busy       *list.List // those that have begun a request, in that order
+	change     chan struct{}
+	closed     context.Context
+	close      context.CancelFunc
 }
 
 const fullPause = 10 * time.Millisecond // before another look for room
@@ -57,6 +60,7 @@
 	at     *list.Element
 	since  time.Time // in that list
 	read   bool      // the request has come whole
+	served bool      // an earlier request had its answer
 	closed bool
 }
 
@@ -110,13 +114,18 @@
 	return false
 }
 
-// Dismiss closes the connections that are between requests, and says how many are left.
-func (g *Gate) Dismiss() (left int) {
+// Dismiss closes the connections that are between requests, and says how many are left. One on which no request has
+// come yet is given so long from its beginning: closed before, it would count as a request without an answer. One that
+// has bytes to be read is left: its request gets its answer, and the connection goes behind that.
+func (g *Gate) Dismiss(fresh time.Duration) (left int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for e := g.quiet.Front(); e != nil; {
 		c := e.Value.(*Conn)
 		e = e.Next()
+		if !c.served && time.Since(c.since) < fresh {
+			continue
+		}
 		if _, quiet := sock.Look(c.TCPConn); quiet {
 			c.shut()
 		}
@@ -134,6 +143,7 @@
 	defer g.mu.Unlock()
 	switch {
 	case s == http.StateIdle:
+		c.served = true
 		c.move(g.quiet)
 	case s == http.StateActive && c.in == g.quiet: // its bytes came along with the request before
 		c.move(g.busy)
@@ -160,6 +170,9 @@
 }
 
 func (c *Conn) shut() {
+	if !c.served {
+		c.gate.Unanswered.Add(1)
+	}
 	c.move(nil)
 	c.TCPConn.Close()
 }
