Keep what was learned of channels over a kill, with its age

Need: a new life knew no limit, and what it restored left at once: 704 calls in the second of a restart where 250 are allowed. Off where a next process follows, which is handed them. Truncation and a flip at every byte of the file are errors; the newest is written, nobody waits for the disk.

--- a/cmd/raventrestle/serve.go
+++ b/cmd/raventrestle/serve.go
@@ -19,6 +19,7 @@
 	"github.com/gofrs/flock"
 
 	"raventrestle"
+	"raventrestle/internal/beliefs"
 	"raventrestle/internal/config"
 	"raventrestle/internal/deadletter"
 	"raventrestle/internal/figures"
@@ -135,6 +136,10 @@
 			return err
 		}
 	}
+	remembers := listener == nil && disk > 4*beliefs.Room // where a next process follows, it is handed them
+	if remembers {
+		disk -= beliefs.Room
+	}
 	var kept []journal.Kept
 	d.store, kept, err = journal.Open(life.Folder, journal.Options{Limit: disk, Shared: listener != nil, Tries: set.Undeliverable.Keep}, d.log)
 	if err != nil {
@@ -150,6 +155,11 @@
 		return err
 	}
 	d.courier.Tell, d.courier.Successors = d.tell, listener != nil
+	if remembers {
+		keeper := beliefs.Keep(life.Folder, d.log)
+		defer keeper.Close()
+		d.courier.Recall(d.before(life.Folder), keeper)
+	}
 	d.front = front.New(d.courier, d.conf.Names, d.figures, d.log)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
@@ -302,6 +312,23 @@
 		Settings: d.file}, err
 }
 
+// before is what the life before had learned, as far as it still counts; nil for nothing.
+func (d *daemon) before(folder string) *raventrestle.Beliefs {
+	saved, err := beliefs.Load(folder)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	} else if err != nil {
+		d.log.Warn("raventrestle: what the life before had learned is set aside", "folder", folder, "err", err)
+		return nil
+	}
+	now := time.Duration(time.Now().UnixNano())
+	b, ok := beliefs.Current(saved, now, d.conf.Settings.ColdFor)
+	if d.log.Info("raventrestle: what the life before had learned", "age", now-saved.At, "counts", ok); !ok {
+		return nil
+	}
+	return &b
+}
+
 // errOwned says that another courier has the folder.
 var errOwned = errors.New("the folder belongs to another courier")
 
--- a/internal/net/courier/courier.go
+++ b/internal/net/courier/courier.go
@@ -68,6 +68,7 @@
 	wake    time.Duration
 	closing bool
 	handover
+	recall
 	seen   []deadletter.Seen // of this step
 	again  int               // resends that the module has
 	shown  time.Time         // when the letters' keeper last heard of the load
@@ -210,6 +211,7 @@
 func (c *Courier) Run(ctx context.Context) {
 	go c.group.Run(ctx)
 	go c.notices.Run(ctx)
+	c.believeBefore(ctx)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	look := time.NewTicker(lookAgain)
@@ -329,6 +331,7 @@
 	c.act(c.decide(t, events), records)
 	c.show()
 	c.figure()
+	c.remember(t)
 	for _, to := range asked {
 		to <- c.status()
 	}
