Let the pace grow by what reports say is left, and shed what is the least waste

Change: where couriers are many, an answer with over three quarters left adds up to half to the pace; a message given up untried so early weighs three tenths of its worth more.

--- a/policy.go
+++ b/policy.go
@@ -479,10 +479,13 @@
 
 // heed follows what a report says is left for all: under half, and the pace falls to twice the even
 // part, since a limit that refused calls use up as well serves nobody while more than that is sent.
-// Twice, as the traffic is never even, and those with less of it leave their part to the others.
-func (p *Policy) heed(r *route, left float64) {
-	if left < 0.5 {
+// Twice, as the traffic is never even, and those with less of it leave their part to the others. Over
+// three quarters, and an answer adds up to half: all the paces together leave much of the limit unused.
+func (p *Policy) heed(r *route, o Outcome) {
+	if o.Report.Left < 0.5 {
 		r.rate = min(r.rate, 2*p.even(r))
+	} else if o.Status == OK && p.set.Forwarders > p.set.CallSlots {
+		r.rate *= max(1, 2*o.Report.Left-0.5)
 	}
 }
 
@@ -517,7 +520,7 @@
 	if o.Report.Limit > 0 {
 		r.told, p.told = true, true
 		p.limit(r, o.Report.Limit)
-		p.heed(r, o.Report.Left)
+		p.heed(r, o)
 	}
 	if (o.Status == OK || silent) && !p.stood { // else it was lost, not slow
 		r.times.add(o.Took)
@@ -607,9 +610,7 @@
 		} else if o.Report.Limit > 0 { // most is left: it weighs twice
 			t.d.shut++
 		}
-		if r.rate == 0 || r.brisk < r.rate { // a pace that was not used proves nothing
-			r.rate = r.brisk
-		}
+		r.rate = min(cmp.Or(r.rate, r.brisk), r.brisk) // a pace that was not used proves nothing
 		r.knee = 0.9 * r.rate
 		n := float64(p.set.Forwarders) // the more peers, the fewer of the refusals are met here
 		if r.rate = max((0.5+0.5/n)*r.rate, r.size/n/2); r.size == 0 {
@@ -832,6 +833,9 @@
 			now := p.left(m, p.now+mean)
 			m.stake = m.worth * (now - p.left(m, p.now+mean+wait) + now*min(1, float64(wait)/float64(p.longest)))
 			p.stakes = max(p.stakes, m.stake)
+			if m.waste = m.stake; !m.mayRun && p.now < m.end-m.class.Deadline*3/10 {
+				m.waste += 0.3 * m.worth // of one given up untried before seven tenths of its time
+			}
 		}
 	}
 }
@@ -850,13 +854,11 @@
 		var best *dest
 		least := math.Inf(1)
 		for _, d := range p.active {
-			if d.stuck {
-				continue
-			}
-			if d.next == nil || p.full(d, 1) {
+			if !d.stuck && (d.next == nil || p.full(d, 1)) {
 				d.next, d.on = p.head(d)
+				d.stuck = d.next == nil
 			}
-			if d.stuck = d.next == nil; d.stuck {
+			if d.stuck {
 				continue
 			}
 			later := min(p.stakes/max(d.next.stake, 1e-9), float64(len(p.msgs)))
@@ -1042,13 +1044,13 @@
 }
 
 // shed keeps the last eighth of the store free: the destination that holds the most
-// gives up what it would send last, so that none can fill the store for the others.
+// gives up what is the least waste, so that none can fill the store for the others.
 func (p *Policy) shed() {
 	for len(p.msgs) > p.set.MostHeld*7/8 {
 		worst := slices.MaxFunc(p.active, func(a, b *dest) int { return len(a.held) - len(b.held) })
 		var last *msg
 		for _, m := range worst.held {
-			if p.refusable(m) && (last == nil || !p.before(m, last)) {
+			if p.refusable(m) && (last == nil || m.waste <= last.waste) {
 				last = m
 			}
 		}
--- a/state.go
+++ b/state.go
@@ -98,6 +98,7 @@
 	aim, end time.Duration
 	worth    float64 // of its class, less beyond its tenant's share
 	stake    float64 // see weigh
+	waste    float64 // what is lost if it is given up now, see weigh
 	sends    int
 	mayRun   bool // an earlier attempt may have run
 	ranAt    time.Duration
