--- a/internal/fleet/lease/doc.go
+++ b/internal/fleet/lease/doc.go
@@ -68,5 +68,7 @@
 //   - One version has one content everywhere; versions count up by one. List.Since and Whole.Since name the oldest
 //     version that any member may still hold, as the authority knows it; 0 means the first. A life that has lost its
 //     state is told versions by the authority, not from a copy older than its earlier life held.
+//   - A new life is told the wholes before the lists, and every member holds every whole (one that doesn't holds back a
+//     larger size, never safety).
 //   - A Book is not safe for concurrent use.
 package lease
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -201,6 +201,7 @@
 	Whole
 	sizes    map[uint64]float64 // by generation, from the floor on
 	least    float64            // over all generations in the range
+	must     uint64             // nothing is used under an older generation
 	want     float64
 	peers    map[string]told
 	lent     []lent
@@ -348,6 +349,7 @@
 			delete(b.lists, v)
 		}
 	}
+	outside := b.share[b.cfg.Self] == 0
 	clear(b.share)
 	for _, m := range b.lists[b.list].Members {
 		share := 1.0
@@ -361,6 +363,17 @@
 		}
 		b.share[m.Name] = share
 	}
+	// Who is not on every list of the range is not reckoned with by all, so it uses nothing, borrowed or own; and what the
+	// others held when they began to reckon with it binds it.
+	if b.share[b.cfg.Self] == 0 {
+		clear(b.share)
+	} else if outside {
+		for _, w := range b.order {
+			for _, t := range w.peers {
+				w.must = max(w.must, t.generation)
+			}
+		}
+	}
 	inAny := func(name string) bool {
 		for _, l := range b.lists {
 			if l.has(name) {
@@ -435,6 +448,12 @@
 // resize works out the floor of generations and what a part is counted from.
 func (b *Book) resize(w *whole) {
 	floor := w.Generation
+	for v := b.floor; v <= b.list; v++ {
+		if _, ok := b.lists[v]; !ok { // who else must follow is not known
+			floor = w.Since
+			break
+		}
+	}
 	for name := range b.peers {
 		if name != b.cfg.Self && !b.gone[name] {
 			floor = min(floor, max(w.Since, w.peers[name].generation))
@@ -445,6 +464,9 @@
 	}
 	w.Since = max(w.Since, floor)
 	w.least = w.Size
+	if w.Generation < w.must {
+		w.least = 0
+	}
 	for g := floor; g <= w.Generation; g++ {
 		size, ok := w.sizes[g]
 		if !ok {
