--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -174,7 +174,6 @@
 	epoch    uint64
 	number   uint64
 	fraction float64
-	share    float64 // the lender's part as a fraction of the whole, over all lists in the range
 	asked    time.Duration
 	end      time.Duration
 	renewing bool
@@ -213,6 +212,8 @@
 	filled   time.Duration
 	used     [slots + 1]float64 // uses by slot of the window
 	slot     int64
+	slow     map[string]float64 // of a count: the parts until then, by member
+	until    time.Duration
 }
 
 // broken are rules that a test switches off, one at a time.
@@ -234,7 +235,8 @@
 	lists   map[uint64]List
 	since   uint64
 	gone    map[string]bool
-	share   map[string]float64
+	share   map[string]float64 // parts as fractions of a whole, over all lists in the range
+	grew    time.Duration      // when one of them last grew
 	peers   map[string]*peer
 	wholes  map[ID]*whole
 	order   []*whole
@@ -268,7 +270,7 @@
 }
 
 // Members takes a version of the agreed list. One older than the held one fills a gap.
-func (b *Book) Members(l List) error {
+func (b *Book) Members(now time.Duration, l List) error {
 	if l.Version == 0 || l.Since > l.Version {
 		return fmt.Errorf("lease: list version %d, since %d: give a version of at least 1 and a since of at most it", l.Version, l.Since)
 	}
@@ -300,7 +302,7 @@
 		p := b.peer(m.Name)
 		p.epoch = max(p.epoch, m.Epoch)
 	}
-	b.relist()
+	b.relist(now)
 	return nil
 }
 
@@ -314,7 +316,7 @@
 }
 
 // relist works out the floor of lists and every member's share.
-func (b *Book) relist() {
+func (b *Book) relist(now time.Duration) {
 	if b.list == 0 {
 		return
 	}
@@ -349,8 +351,8 @@
 			delete(b.lists, v)
 		}
 	}
-	outside := b.share[b.cfg.Self] == 0
-	clear(b.share)
+	outside, old := b.share[b.cfg.Self] == 0, b.share
+	b.share = make(map[string]float64, len(old))
 	for _, m := range b.lists[b.list].Members {
 		share := 1.0
 		for v := b.floor; v <= b.list; v++ {
@@ -374,6 +376,7 @@
 			}
 		}
 	}
+	b.slow(now, old)
 	inAny := func(name string) bool {
 		for _, l := range b.lists {
 			if l.has(name) {
@@ -395,13 +398,53 @@
 	}
 }
 
+// slow makes a count wait a window before it uses what has grown: those who had it may have used it just now.
+func (b *Book) slow(now time.Duration, old map[string]float64) {
+	if b.list == 1 { // nobody had anything before
+		return
+	}
+	grew := false
+	for name, s := range b.share {
+		grew = grew || s > old[name]
+	}
+	if grew {
+		b.grew = now
+	}
+	for _, w := range b.order {
+		if w.Kind != Count {
+			continue
+		}
+		was := old
+		if now < w.until {
+			was = w.slow
+		} else if !grew {
+			continue
+		}
+		w.slow = make(map[string]float64, len(b.share))
+		for name, s := range b.share {
+			w.slow[name] = min(s, was[name])
+		}
+		if grew {
+			w.until = now + b.drifted(w.Window)
+		}
+	}
+}
+
+// part is a member's part as a fraction of the whole.
+func (b *Book) part(now time.Duration, w *whole, name string) float64 {
+	if w.Kind == Count && now < w.until {
+		return w.slow[name]
+	}
+	return b.share[name]
+}
+
 func (l List) has(name string) bool {
 	_, ok := slices.BinarySearchFunc(l.Members, name, func(m Member, n string) int { return cmp.Compare(m.Name, n) })
 	return ok
 }
 
 // SetWhole takes a generation of a whole. One older than the held one fills a gap.
-func (b *Book) SetWhole(n Whole) error {
+func (b *Book) SetWhole(now time.Duration, n Whole) error {
 	switch {
 	case n.Generation == 0 || n.Since > n.Generation:
 		return fmt.Errorf("lease: %v: generation %d, since %d: give a generation of at least 1 and a since of at most it", n.ID, n.Generation, n.Since)
@@ -413,10 +456,13 @@
 	n.Since = max(n.Since, 1)
 	w := b.wholes[n.ID]
 	if w == nil {
-		w = &whole{Whole: n, sizes: map[uint64]float64{}, peers: map[string]told{}, filled: b.stepped, from: b.start}
+		w = &whole{Whole: n, sizes: map[uint64]float64{}, peers: map[string]told{}, filled: now, from: b.start}
 		if b.earlier && n.Kind == Count {
 			w.from += b.drifted(n.Window)
 		}
+		if n.Kind == Count && b.list > 1 {
+			w.until = b.grew + b.drifted(n.Window)
+		}
 		b.wholes[n.ID] = w
 		i, _ := slices.BinarySearchFunc(b.order, n.ID, func(w *whole, id ID) int {
 			return cmp.Or(cmp.Compare(w.ID.Subject, id.Subject), cmp.Compare(w.ID.What, id.What))
@@ -481,9 +527,6 @@
 			delete(w.sizes, g)
 		}
 	}
-	for i := range w.loans {
-		w.loans[i].share = b.share[w.loans[i].from]
-	}
 }
 
 // lentNow is the fraction of the own part that is out.
@@ -502,11 +545,11 @@
 	}
 	r := 0.0
 	if now >= b.free && now >= w.from {
-		r = max(0, 1-w.lentNow(now)) * b.share[b.cfg.Self]
+		r = max(0, 1-w.lentNow(now)) * b.part(now, w, b.cfg.Self)
 	}
 	for i := range w.loans {
 		if l := &w.loans[i]; now < l.end {
-			r += l.fraction * l.share
+			r += l.fraction * b.part(now, w, l.from)
 		}
 	}
 	return r * w.least
--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -94,13 +94,13 @@
 func (w *world) tell(n *node, gen, sinceGen, list, sinceList uint64) {
 	n.list, n.gen = list, gen
 	for g := sinceGen; g <= gen; g++ {
-		must(n.book.SetWhole(Whole{ID: rate, Size: w.sizes[g], Generation: g, Since: sinceGen}))
-		must(n.book.SetWhole(Whole{ID: count, Kind: Count, Window: 300 * ms, Size: w.sizes[g], Generation: g, Since: sinceGen}))
+		must(n.book.SetWhole(n.clock(w.now), Whole{ID: rate, Size: w.sizes[g], Generation: g, Since: sinceGen}))
+		must(n.book.SetWhole(n.clock(w.now), Whole{ID: count, Kind: Count, Window: 300 * ms, Size: w.sizes[g], Generation: g, Since: sinceGen}))
 	}
 	for v := sinceList; v <= list; v++ {
 		l := w.lists[v]
 		l.Since = sinceList
-		must(n.book.Members(l))
+		must(n.book.Members(n.clock(w.now), l))
 	}
 }
 
@@ -383,8 +383,8 @@
 func TestLostState(t *testing.T) {
 	cfg := settings("m00")
 	b, _ := New(cfg, 2, 0, true)
-	must(b.SetWhole(Whole{ID: rate, Size: 10, Generation: 3, Since: 3}))
-	must(b.Members(List{Version: 2, Since: 2, Members: []Member{{Name: "m00"}, {Name: "m01"}}}))
+	must(b.SetWhole(0, Whole{ID: rate, Size: 10, Generation: 3, Since: 3}))
+	must(b.Members(0, List{Version: 2, Since: 2, Members: []Member{{Name: "m00"}, {Name: "m01"}}}))
 	out := cfg.MaxLoan*6/5 + cfg.Fixed
 	got := []float64{b.Rights(out-1, rate), b.Rights(out, rate)}
 	if d := cmp.Diff([]float64{0, 5}, got); d != "" {
@@ -409,13 +409,13 @@
 	l, s := List{Version: 1}, &State{List: 1}
 	for i := range wholes {
 		id := ID{fmt.Sprintf("peer-%02d", i), "limit"}
-		must(b.SetWhole(Whole{ID: id, Size: 1000, Generation: 1}))
+		must(b.SetWhole(0, Whole{ID: id, Size: 1000, Generation: 1}))
 		s.Wholes = append(s.Wholes, Held{id, 1, 0.5})
 	}
 	for i := range members {
 		l.Members = append(l.Members, Member{Name: fmt.Sprintf("m%03d", i)})
 	}
-	must(b.Members(l))
+	must(b.Members(0, l))
 	var events []Event
 	for _, m := range l.Members[1:] {
 		events = append(events, Event{Message: &Message{From: m.Name, FromEpoch: 1, State: s}})
--- a/internal/fleet/lease/snapshot.go
+++ b/internal/fleet/lease/snapshot.go
@@ -61,7 +61,7 @@
 	}
 	b.earlier, b.free, b.since = true, now+s.Wait, s.Since
 	for _, l := range s.Lists {
-		if err := b.Members(l); err != nil {
+		if err := b.Members(now, l); err != nil {
 			return nil, err
 		}
 	}
@@ -69,7 +69,7 @@
 		for _, g := range slices.Sorted(maps.Keys(h.Sizes)) {
 			n := h.Whole
 			n.Generation, n.Size, n.Since = g, h.Sizes[g], min(n.Since, g)
-			if err := b.SetWhole(n); err != nil {
+			if err := b.SetWhole(now, n); err != nil {
 				return nil, err
 			}
 		}
--- a/internal/fleet/lease/step.go
+++ b/internal/fleet/lease/step.go
@@ -46,7 +46,7 @@
 		}
 	}
 	if relist {
-		b.relist()
+		b.relist(now)
 	}
 	for _, w := range b.order {
 		w.lent = slices.DeleteFunc(w.lent, func(l lent) bool { return now >= l.end })
@@ -99,7 +99,7 @@
 
 // idle is the fraction of the own part that may be lent: neither out, nor kept, nor wanted, nor used in this window.
 func (b *Book) idle(now time.Duration, w *whole) float64 {
-	part := b.share[b.cfg.Self] * w.least
+	part := b.part(now, w, b.cfg.Self) * w.least
 	if part <= 0 || now < b.free || now < w.from {
 		return 0
 	}
@@ -155,7 +155,7 @@
 
 // crowded tells that the own need no longer fits beside what is lent.
 func (b *Book) crowded(now time.Duration, w *whole) bool {
-	part := b.share[b.cfg.Self] * w.least
+	part := b.part(now, w, b.cfg.Self) * w.least
 	return w.want > 0 && w.want > part*(1-w.lentNow(now))
 }
 
@@ -193,8 +193,7 @@
 		w.askAfter = b.later(now, jitter)
 		return
 	}
-	w.loans = append(w.loans, loan{from: q.to, epoch: q.epoch, number: q.number, fraction: min(g.Fraction, q.fraction),
-		share: b.share[q.to], asked: q.asked, end: end})
+	w.loans = append(w.loans, loan{from: q.to, epoch: q.epoch, number: q.number, fraction: min(g.Fraction, q.fraction), asked: q.asked, end: end})
 }
 
 func (b *Book) later(now time.Duration, jitter float64) time.Duration {
@@ -221,7 +220,7 @@
 		}
 		i++
 	}
-	own := max(0, 1-w.lentNow(now)) * b.share[b.cfg.Self] * w.least
+	own := max(0, 1-w.lentNow(now)) * b.part(now, w, b.cfg.Self) * w.least
 	if now < b.free || now < w.from {
 		own = 0
 	}
@@ -231,11 +230,11 @@
 		spent = w.spent()
 	}
 	for _, l := range w.loans {
-		have += l.fraction * l.share * w.least
+		have += l.fraction * b.part(now, w, l.from) * w.least
 	}
 	for i := 0; i < len(w.loans); {
 		l := &w.loans[i]
-		worth := l.fraction * l.share * w.least
+		worth := l.fraction * b.part(now, w, l.from) * w.least
 		// With what is left the member has what it wants, and in a count what it used lately.
 		if have-worth >= max(w.want, spent) && w.want < have*0.9 {
 			have -= worth
@@ -255,7 +254,7 @@
 	for _, q := range w.open {
 		if q.loan == q.number {
 			asks++
-			have += q.fraction * b.share[q.to] * w.least
+			have += q.fraction * b.part(now, w, q.to) * w.least
 		}
 	}
 	for ; asks < b.cfg.Asks && now >= w.askAfter && w.want > have && w.least > 0; asks++ {
@@ -263,7 +262,7 @@
 		for name, t := range w.peers {
 			p := b.peers[name]
 			// The most idle; of equals the one that comes next after the own name, so members begin apart.
-			if p == nil || b.share[name] == 0 || p.epoch == 0 || t.idle < most || t.idle == most && !b.nearer(name, best) {
+			if p == nil || b.part(now, w, name) == 0 || p.epoch == 0 || t.idle < most || t.idle == most && !b.nearer(name, best) {
 				continue
 			}
 			best, most = name, t.idle
@@ -271,7 +270,7 @@
 		if best == "" {
 			break
 		}
-		part := b.share[best] * w.least
+		part := b.part(now, w, best) * w.least
 		f := min(most, (w.want-have)/part)
 		t := w.peers[best]
 		t.idle = max(0, t.idle-f)
