--- a/internal/fleet/lease/doc.go
+++ b/internal/fleet/lease/doc.go
@@ -5,7 +5,7 @@
 // The invariant: at any instant, over all members that live or are paused, in any cut, with any loss, doubling,
 // reordering and delay, any restart, lost state, and clocks that start anywhere and whose rates differ by at
 // most Config.Drift, the rights in use for a whole sum to no more than the size of the oldest generation that
-// some member still holds. TestSum looks for a counterexample; TestMutants breaks one rule at a time and shows
+// some member still holds that may use any of it. TestSum looks for a counterexample; TestMutants breaks one rule at a time and shows
 // that the same search finds each.
 //
 // # Rights are fractions of parts
@@ -21,6 +21,9 @@
 // above them, as a floor goes by acknowledgements and a member never goes back, and nobody's own is below them.
 // So each counts its fractions with a part of at most s(g)/n(v), and the sum is at most s(g).
 //
+// Who is missing on one list of its range is not reckoned with by all and uses nothing, borrowed or own; once it is on
+// all of them it uses nothing under a generation older than the others held when they began to reckon with it.
+//
 // Hence a smaller size or a longer list counts at once for who hears of it; a larger size or a shorter list only
 // when each member of every list in the range has said that it follows. A version between that was never told has
 // an unknown part and counts as 0: the host tells the versions in order, or fills the gap afterwards.
--- a/internal/fleet/lease/step.go
+++ b/internal/fleet/lease/step.go
@@ -268,6 +268,7 @@
 			best, most = name, t.idle
 		}
 		if best == "" {
+			w.askAfter = b.later(now, jitter)
 			break
 		}
 		part := b.part(now, w, best) * w.least
