--- a/internal/fleet/lease/doc.go
+++ b/internal/fleet/lease/doc.go
@@ -57,7 +57,8 @@
 // # Rates and counts
 //
 // A Rate is spent through a token bucket whose depth is the right held times Config.Burst (at least one call while
-// a right is held); a shrinking right takes tokens away. A Count is a number of uses in any Window, held over a
+// a right is held); a shrinking right takes tokens away. The calls of a moment may thus pass the rate by one depth of each
+// holder, and by the depth of what moved for each move; in the long run they do not. A Count is a number of uses in any Window, held over a
 // sliding window: what was used in the last one is neither lent nor given back, a lender waits a window more before
 // it uses what it had lent, and a new life waits one window as it does not know what the earlier one used. A part that grows
 // by another list grows a window later. So any window of true time holds at most as many uses as the largest size in it.
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -217,7 +217,7 @@
 }
 
 // broken are rules that a test switches off, one at a time.
-type broken struct{ fromReceipt, noMargin, twice, forgets, stale, alone bool }
+type broken struct{ fromReceipt, noMargin, twice, forgets, stale, alone, noWindow bool }
 
 // Book is one life's account of rights. Use New.
 type Book struct {
@@ -447,7 +447,8 @@
 func (b *Book) SetWhole(now time.Duration, n Whole) error {
 	switch {
 	case n.Generation == 0 || n.Since > n.Generation:
-		return fmt.Errorf("lease: %v: generation %d, since %d: give a generation of at least 1 and a since of at most it", n.ID, n.Generation, n.Since)
+		return fmt.Errorf("lease: %v: generation %d, since %d: give a generation of at least 1 and a since of at most it",
+			n.ID, n.Generation, n.Since)
 	case !(n.Size >= 0) || math.IsInf(n.Size, 0):
 		return fmt.Errorf("lease: %v: size %v: give a number of at least 0", n.ID, n.Size)
 	case n.Kind > Count || n.Kind == Count && n.Window <= 0:
--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -166,7 +166,8 @@
 			var parts []string
 			for _, name := range w.names {
 				if n := w.nodes[name]; n.book != nil {
-					parts = append(parts, fmt.Sprintf("%s %.3f (epoch %d list %d gen %d)", name, n.book.Rights(n.clock(w.now), id), n.epoch, n.list, n.gen))
+					parts = append(parts, fmt.Sprintf("%s %.3f (epoch %d list %d gen %d)",
+						name, n.book.Rights(n.clock(w.now), id), n.epoch, n.list, n.gen))
 				}
 			}
 			return fmt.Sprintf("at %v %v: %.4f in use of %.4f: %s", w.now, id.What, sum, w.sizes[oldest], strings.Join(parts, ", "))
@@ -230,7 +231,8 @@
 		w.cut[n.cfg.Self] = !w.cut[n.cfg.Self]
 	case 3:
 		clear(w.cut)
-		for _, n := range w.nodes {
+		for _, name := range w.names {
+			n := w.nodes[name]
 			n.paused = false
 			if n.book == nil {
 				w.life(n)
@@ -309,6 +311,7 @@
 	for name, mut := range map[string]broken{
 		"counts from receipt": {fromReceipt: true}, "lender without margin": {noMargin: true}, "grant counted twice": {twice: true},
 		"forgets that it may have lent": {forgets: true}, "not checked after a pause": {stale: true}, "waits for nobody": {alone: true},
+		"lender regains a count at once": {noWindow: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(200) {
--- a/internal/fleet/lease/ledger/ledger.go
+++ b/internal/fleet/lease/ledger/ledger.go
@@ -90,7 +90,8 @@
 		known := slices.Contains([]Kind{Life, Size, Use, Lent, Borrowed, Returned, Ended}, r.Kind)
 		of := r.Kind == Lent || r.Kind == Borrowed || point
 		if !known || !point && r.To < r.From || !(r.Right >= 0) || of && r.Loan == "" || r.Kind != Life && r.Whole == "" {
-			out = append(out, Violation{Malformed, r.Whole, r.From, "give a known kind, a whole, from <= to, a right of at least 0, and of loans its name",
+			out = append(out, Violation{Malformed, r.Whole, r.From,
+				"give a known kind, a whole, from <= to, a right of at least 0, and of loans its name",
 				[]Record{r}})
 			continue
 		}
--- a/internal/fleet/lease/step.go
+++ b/internal/fleet/lease/step.go
@@ -121,7 +121,7 @@
 		return send
 	}
 	end := now + b.margin(g.For)
-	if w.Kind == Count { // what the borrower used last still counts for a window
+	if w.Kind == Count && !b.broken.noWindow { // what the borrower used last still counts for a window
 		end += b.drifted(w.Window)
 	}
 	key := Key{m.From, m.FromEpoch, a.Loan}
@@ -193,7 +193,8 @@
 		w.askAfter = b.later(now, jitter)
 		return
 	}
-	w.loans = append(w.loans, loan{from: q.to, epoch: q.epoch, number: q.number, fraction: min(g.Fraction, q.fraction), asked: q.asked, end: end})
+	w.loans = append(w.loans, loan{from: q.to, epoch: q.epoch, number: q.number, fraction: min(g.Fraction, q.fraction),
+		asked: q.asked, end: end})
 }
 
 func (b *Book) later(now time.Duration, jitter float64) time.Duration {
