--- a/internal/emulator/link/fault.go
+++ b/internal/emulator/link/fault.go
@@ -2,7 +2,8 @@
 // and TCP on one port), courier and discovery, endpoint or platform (TCP). Each direction of each link has
 // a fault in force that may change while traffic flows. Everything stays on loopback addresses.
 //
-// The invariants: a cut direction passes no byte, and over TCP none of those is lost (TestCutHoldsBytes);
+// The invariants: a cut direction passes no byte but those of a write that the kernel is taking at the moment of
+// the cut, and over TCP none is lost (TestCutHoldsBytes);
 // what a direction does to its n-th packet follows from its seed, n and the fault in force alone, so that
 // neither a change of fault nor another link's traffic shifts it (TestChanceIsOfTheSequence); a closed relay
 // leaves neither goroutine nor descriptor (TestMain, TestMeshOf32).
--- a/internal/emulator/link/link_test.go
+++ b/internal/emulator/link/link_test.go
@@ -442,6 +442,26 @@
 	}
 }
 
+func TestBrokenPlayLeavesNoFault(t *testing.T) {
+	parties, _ := world(t, 2)
+	m := must[*Mesh](t)(NewMesh(parties, 1, slog.New(slog.DiscardHandler)))
+	defer m.Close()
+	h := hands{t.TempDir(), make(chan string, 20)}
+	over := errors.New("the run is over")
+	p := Plan{Links: []Event{{For: time.Hour, Pairs: []Pair{{"n0", "n1"}}, Fault: Fault{Cut: true}}},
+		Processes: []ProcessEvent{{For: time.Hour, How: Stop, Courier: "n0"}, {At: time.Minute, For: time.Hour, How: Stop, Courier: "n1"}}}
+	err := m.Play(t.Context(), p, func(_ context.Context, at time.Duration) error {
+		if at >= time.Minute {
+			return over
+		}
+		return nil
+	}, h)
+	f, _ := m.links[Pair{"n0", "n1"}].lines[1].get()
+	if !errors.Is(err, over) || f != (Fault{}) || len(h.done) != 2 || <-h.done != "pause n0" || <-h.done != "continue n0" {
+		t.Fatalf("%v, in force %+v", err, f)
+	}
+}
+
 func TestFolders(t *testing.T) {
 	dir := t.TempDir()
 	a, b := filepath.Join(dir, "a"), filepath.Join(dir, "b")
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -18,6 +18,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sync/errgroup"
+
+	"raventrestle/internal/emulator/link"
 )
 
 // ClassSpec is one class of message.
@@ -71,6 +73,7 @@
 	Settle      time.Duration // after the last message, at most, until Done says yes
 	Troubles    []Trouble
 	Restarts    []Restart
+	Faults      link.Record `json:",omitzero"` // of links and processes; a plan is drawn from it by Seed
 	Hot         []Hot
 	Only        []string // keys of the messages that are handed in, of those that are drawn; none for all
 	// FloorDelay is how long a call takes to another floor than its courier's, each way.
@@ -183,6 +186,9 @@
 
 // New builds a world. Close ends it.
 func New(s Spec) (w *World, err error) {
+	if len(s.Faults.Links)+len(s.Faults.Processes) > 0 { // a day without its faults would pass for one with them
+		return &World{Spec: s}, errors.New("emulator: field faults: this world has no relays yet; leave them out")
+	}
 	if s.ReadyWithin == 0 {
 		s.ReadyWithin = 20 * time.Second
 	}
--- a/internal/lab/history/history_test.go
+++ b/internal/lab/history/history_test.go
@@ -344,6 +344,11 @@
 	rs, s := right(1, 32, 1_000_000)
 	dir := b.TempDir()
 	parts := map[string][]Record{}
+	base := Now() + 3600e9 // after the begins that Create writes
+	for i := range rs {
+		r := &rs[i]
+		r.At, r.From, r.Until = r.At+base, r.From+base, r.Until+base
+	}
 	for _, r := range Merge(rs, nil).Records {
 		parts[r.Courier] = append(parts[r.Courier], r)
 	}
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -16,6 +16,8 @@
 // What is wrong with a scenario is told by file, line or field.
 func TestFaults(t *testing.T) {
 	for name, c := range map[string]struct{ text, want string }{
+		"faults nowhere":     {"about: \"x\"\nfaults: links: [{between: \"site:attic <-> others\", at_s: [1, 2], for_s: [1, 2], cut: true}]", "links.0.between"},
+		"loss over TCP":      {"about: \"x\"\nfaults: links: [{between: \"courier -> discovery\", at_s: [1, 2], for_s: [1, 2], loss: [0.1, 0.1]}]", "field loss"},
 		"no purpose":         {"couriers: 3", "field about"},
 		"unknown field":      {"about: \"x\"\ntrafic_s: 5", "f.cue:2:1: field trafic_s: no such field"},
 		"no such trouble":    {"about: \"x\"\ntroubles: [{mode: \"flood\", channels: 1, at_s: [1, 2], for_s: [1, 2]}]", "flood"},
--- a/internal/lab/scenario/schema.cue
+++ b/internal/lab/scenario/schema.cue
@@ -43,6 +43,11 @@
 	troubles: [...#Trouble]
 	// What happens to couriers.
 	restarts: [...#Restart]
+	// What happens on the links between couriers and to everybody else, and to couriers' processes and folders.
+	faults?: {
+		links: [...#LinkFault]
+		processes: [...#ProcessFault]
+	}
 
 	// A courier's machine and its share of the slots, over what its part of full load keeps busy.
 	slots_room: #Range | *[1.9, 2.4]
@@ -124,3 +129,41 @@
 	deputy: #Channels & {count: 5, headroom: [1.0, 2.2], tells_wait: 0.3}
 	agent: #Channels & {count: 5, headroom: [1.0, 2.1], limit: [1.0, 2.1], tells_wait: 0.4, wait_ms: [230, 940], connections: 24}
 }
+
+// A fault on every link that between names. Sides are "courier", "discovery", "endpoint", "platform",
+// "site:NAME", "name:NAME", "ROLE@SITE", "*", and on the right "others"; a NAME or SITE of "?" is drawn.
+#LinkFault: {
+	// "A <-> B", or one way only, "A -> B".
+	between: =~"->"
+	at_s:    #Range
+	for_s:   #Range
+	// It comes so many times, so long after its last end.
+	times: int & >=1 & <=1000 | *1
+	up_s:  #Range | *[0, 0]
+	// What it is; packets' chances show on links between couriers alone.
+	delay_ms:  #Range | *[0, 0]
+	jitter_ms: #Range | *[0, 0]
+	loss:      #Chance | *[0, 0]
+	double:    #Chance | *[0, 0]
+	reorder:   #Chance | *[0, 0]
+	bytes_s:   #Range | *[0, 0]
+	cut:       bool | *false
+	// A cut resets new connections, in place of silence.
+	refuse: bool | *false
+	// The sender's end of a connection is swallowed.
+	half_open: bool | *false
+	// All connections are reset when it begins.
+	reset: bool | *false
+}
+#Chance: [number & >=0 & <=1, number & >=0 & <=1]
+
+// A fault of so many couriers, drawn from a site or from all. All but stop and disk_full kill them and
+// start them again after for_s.
+#ProcessFault: {
+	how:      "stop" | "kill" | "empty" | "swap" | "old_snapshot" | "disk_full"
+	couriers: int & >=1
+	site:     string | *""
+	at_s:     #Range
+	for_s:    #Range
+	spread_s: #Range | *[0, 0]
+}
