--- a/internal/lab/history/file.go
+++ b/internal/lab/history/file.go
@@ -70,7 +70,8 @@
 	if _, err := f.Seek(whole, io.SeekStart); err != nil {
 		return nil, err
 	}
-	w = &Writer{file: f, out: bufio.NewWriterSize(f, 64<<10), size: whole, most: cmp.Or(most, defaultAtMost), in: make(chan Record, mailbox), done: make(chan struct{})}
+	w = &Writer{file: f, out: bufio.NewWriterSize(f, 64<<10), size: whole, most: cmp.Or(most, defaultAtMost),
+		in: make(chan Record, mailbox), done: make(chan struct{})}
 	if whole == 0 {
 		w.out.WriteString(header)
 		w.size = int64(len(header))
--- a/internal/lab/history/sweep.go
+++ b/internal/lab/history/sweep.go
@@ -109,7 +109,8 @@
 		}
 		for _, rest := range r.Rests {
 			if rest.Bound > 0 && rest.Age > rest.Bound {
-				f.add("stale", []Record{*r}, "%s decided on %s, %v old, past its hard bound, %v", r.Courier, rest.ID, time.Duration(rest.Age), time.Duration(rest.Bound))
+				f.add("stale", []Record{*r}, "%s decided on %s, %v old, past its hard bound, %v", r.Courier, rest.ID,
+					time.Duration(rest.Age), time.Duration(rest.Bound))
 				continue
 			}
 			from := taken[taking{me, rest.ID}]
@@ -166,7 +167,8 @@
 		return cmp.Or(cmp.Compare(a.id, b.id), cmp.Compare(a.site, b.site), cmp.Compare(a.window, b.window))
 	})
 	for _, k := range over {
-		f.add("allowance", quote(groups[k]), "record %s, site %s, window %d: %d were charged, and %d allowed", k.id, k.site, k.window, sums[k][0], sums[k][1])
+		f.add("allowance", quote(groups[k]), "record %s, site %s, window %d: %d were charged, and %d allowed", k.id, k.site, k.window,
+			sums[k][0], sums[k][1])
 	}
 	return f
 }
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -7,6 +7,7 @@
 import (
 	"container/heap"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -127,6 +128,9 @@
 
 // Play plays the day. A nil maker is the module as it stands.
 func Play(spec emulator.Spec, costs Costs, maker Maker) (*Run, error) {
+	if len(spec.Faults.Links)+len(spec.Faults.Processes) > 0 {
+		return nil, errors.New("virtual: field faults: this world has no links; leave them out")
+	}
 	if maker == nil {
 		maker = Module
 	}
