--- a/internal/settings/schema/schema.cue
+++ b/internal/settings/schema/schema.cue
@@ -2,6 +2,8 @@
 // a file need only say what differs. Fields that are not here are errors.
 package settings
 
+import "list"
+
 #Settings: {
 	// What the courier writes to standard error.
 	log: {
@@ -59,4 +61,35 @@
 			held_share:  number & >0 & <=0.5 | *0.1
 		}
 	}
+
+	// The couriers that share what they learn. Without this record nothing is shared and no port opened.
+	// All couriers of a fleet have the same max_datagram, gossip_interval_s and keys.
+	fleet?: {
+		// Own address, IP:port, for UDP and TCP; loopback or private.
+		bind: #Address
+		// Address that the others reach this courier at, where it is not bind; empty for bind.
+		advertise: *"" | #Address
+		// Couriers to join, IP:port (names are not looked up: a fleet comes together without a name service).
+		seeds: [...#Address] & list.MaxItems(64) | *[]
+		// Name of the site (zone) that this courier is in.
+		site: =~"^[A-Za-z0-9._-]{1,64}$"
+		// File of base64 keys, one a line, of 16, 24 or 32 bytes: the first encrypts, all decrypt. Empty for none.
+		key_file: *"" | =~"^/.+$"
+		// Couriers known at once, at most; further ones are refused.
+		max_members: int & >=2 & <=4096 | *512
+		// Facts held, and the sum of their sizes, at most.
+		max_facts: int & >=64 & <=1000000 | *8192
+		max_bytes: int & >=65536 & <=16777216 | *2097152
+		// Changes are passed on so often.
+		gossip_interval_s: number & >=0.02 & <=10 | *0.5
+		// One other courier is probed so often.
+		probe_interval_s: number & >=0.05 & <=30 | *1
+		// A seed that is not among the living is tried so often by the whole fleet: a member of n tries one on average
+		// every n times this. It is also the longest wait of a courier that is alone.
+		seeds_interval_s: number & >=0.1 & <=3600 | *15
+		// Largest UDP packet, in bytes. What is longer goes by TCP.
+		max_datagram: int & >=576 & <=8192 | *1400
+	}
 }
+
+#Address: =~"^(\\[[0-9a-fA-F:.]+\\]|[0-9.]+):[1-9][0-9]{0,4}$"
--- a/internal/settings/schema/schema.go
+++ b/internal/settings/schema/schema.go
@@ -7,6 +7,7 @@
 	_ "embed"
 	"errors"
 	"fmt"
+	"net/netip"
 
 	"cuelang.org/go/cue"
 
@@ -19,7 +20,7 @@
 var Text string
 
 func kind() cuefile.Kind {
-	return cuefile.Kind{Name: "settings", Schema: Text, Definition: "#Settings", Check: ordered}
+	return cuefile.Kind{Name: "settings", Schema: Text, Definition: "#Settings", Check: check}
 }
 
 // File is Compile of a file's text.
@@ -29,6 +30,42 @@
 // sentence that names the file, the line and the field of the first fault.
 func Compile(name string, text []byte) ([]byte, error) { return kind().Compile(name, text) }
 
+func check(name string, v cue.Value) error { return errors.Join(ordered(name, v), addresses(name, v)) }
+
+// addresses are ones that can be bound to or joined; facts between couriers stay on networks of the operators' own.
+func addresses(name string, v cue.Value) error {
+	fleet := v.LookupPath(cue.ParsePath("fleet"))
+	if !fleet.Exists() {
+		return nil
+	}
+	check := func(field string, v cue.Value) error {
+		text, err := v.String()
+		if err != nil || text == "" {
+			return err
+		}
+		addr, err := netip.ParseAddrPort(text)
+		if ip := addr.Addr().Unmap(); err != nil || !ip.IsLoopback() && !ip.IsPrivate() {
+			return fmt.Errorf("%s: field fleet.%s: %q is no loopback or private IP address with a port", name, field, text)
+		}
+		return nil
+	}
+	for _, field := range []string{"bind", "advertise"} {
+		if err := check(field, fleet.LookupPath(cue.ParsePath(field))); err != nil {
+			return err
+		}
+	}
+	seeds, err := fleet.LookupPath(cue.ParsePath("seeds")).List()
+	if err != nil {
+		return fmt.Errorf("%s: field fleet.seeds: %w", name, err)
+	}
+	for i := 0; seeds.Next(); i++ {
+		if err := check(fmt.Sprintf("seeds.%d", i), seeds.Value()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // ordered holds pairs of fields in their order.
 func ordered(name string, v cue.Value) error {
 	for _, pair := range [][2]string{
--- a/internal/settings/schema/schema_test.go
+++ b/internal/settings/schema/schema_test.go
@@ -11,6 +11,25 @@
 	"raventrestle/internal/settings"
 )
 
+const fleet = "fleet: {site: \"a\", "
+
+// A fleet's record needs its address and site alone.
+func TestFleetDefaults(t *testing.T) {
+	out, err := Compile("f.cue", []byte(fleet+"bind: \"127.0.0.1:7946\"}"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := settings.Decode(out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := &settings.Fleet{Bind: "127.0.0.1:7946", Seeds: []string{}, Site: "a", MaxMembers: 512, MaxFacts: 8192,
+		MaxBytes: 2 << 20, GossipInterval: 0.5, ProbeInterval: 1, SeedsInterval: 15, MaxDatagram: 1400}
+	if diff := cmp.Diff(want, got.Fleet); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
 // What operators get wrong is told by file, line and field, in one sentence.
 func TestFaults(t *testing.T) {
 	for name, c := range map[string]struct{ text, want string }{
@@ -23,6 +42,16 @@
 		"half a word":      {"undeliverable: {\n\tkeep: tr\n}", "f.cue:2:8: field undeliverable.keep"},
 		"relative socket":  {"admin: socket: \"run/x\"", "field admin.socket"},
 		"order":            {"undeliverable: resend: {first_rate: 9, max_rate: 3}", "first_rate is 9, above undeliverable.resend.max_rate"},
+
+		"fleet, no bind":       {"fleet: site: \"a\"", "field fleet.bind"},
+		"fleet, public bind":   {fleet + "bind: \"8.8.8.8:7946\"}", `f.cue: field fleet.bind: "8.8.8.8:7946" is no loopback or private`},
+		"fleet, any bind":      {fleet + "bind: \"0.0.0.0:7946\"}", "field fleet.bind"},
+		"fleet, named bind":    {fleet + "bind: \"localhost:7946\"}", "f.cue:1:20: field fleet.bind"},
+		"fleet, port":          {fleet + "bind: \"127.0.0.1:70000\"}", "field fleet.bind"},
+		"fleet, seed":          {fleet + "bind: \"127.0.0.1:1\", seeds: [\"127.0.0.1:2\", \"1.1.1.1:3\"]}", "field fleet.seeds.1"},
+		"fleet, too many":      {fleet + "bind: \"127.0.0.1:1\", seeds: [" + strings.Repeat("\"127.0.0.1:2\",", 65) + "]}", "field fleet.seeds"},
+		"fleet, range":         {fleet + "bind: \"127.0.0.1:1\", max_datagram: 100}", "field fleet.max_datagram"},
+		"fleet, unknown field": {fleet + "bind: \"127.0.0.1:1\", max_peers: 100}", "field fleet.max_peers: no such field"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			out, err := Compile("f.cue", []byte(c.text))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,6 +24,7 @@
 	Log           Log           `json:"log"`
 	Admin         Admin         `json:"admin"`
 	Undeliverable Undeliverable `json:"undeliverable"`
+	Fleet         *Fleet        `json:"fleet"` // nil: nothing is shared with other couriers
 }
 
 // Log is what the courier writes to standard error.
@@ -49,6 +50,22 @@
 	Resend     Resend  `json:"resend"`
 }
 
+// Fleet is about what couriers share with one another. Addresses are IP:port.
+type Fleet struct {
+	Bind           string   `json:"bind"`
+	Advertise      string   `json:"advertise"` // "" for Bind
+	Seeds          []string `json:"seeds"`
+	Site           string   `json:"site"`
+	KeyFile        string   `json:"key_file"` // "" for no encryption
+	MaxMembers     int      `json:"max_members"`
+	MaxFacts       int      `json:"max_facts"`
+	MaxBytes       int      `json:"max_bytes"`
+	GossipInterval Seconds  `json:"gossip_interval_s"`
+	ProbeInterval  Seconds  `json:"probe_interval_s"`
+	SeedsInterval  Seconds  `json:"seeds_interval_s"`
+	MaxDatagram    int      `json:"max_datagram"`
+}
+
 // Resend is about sending letters again. Rates are in calls a second for one destination.
 type Resend struct {
 	Automatic  bool    `json:"automatic"`
