members: one budget and its figures, shared with models of a fleet

Need: a fleet in virtual time has to send what the members package sends, without a copy of its figures.

--- a/internal/fleet/members/delegate.go
+++ b/internal/fleet/members/delegate.go
@@ -114,7 +114,7 @@
 // GetBroadcasts fills a packet, as far as the bucket goes. All pieces are one message: the sender's name stands once.
 func (d delegate) GetBroadcasts(overhead, limit int) [][]byte {
 	now, around := time.Now(), overhead+d.g.head()
-	room := min(limit, int(d.g.gossip.TokensAt(now)))
+	room := d.g.budget.Room(now, limit)
 	if room <= around+pieceOverhead || d.g.leaving.Load() {
 		return nil
 	}
@@ -131,14 +131,14 @@
 		out = piece(out, b)
 		d.g.Counters.PiecesOut.Add(1)
 	}
-	d.g.gossip.AllowN(now, min(overhead+len(out), room))
+	d.g.budget.Spent(now, min(overhead+len(out), room))
 	return [][]byte{out}
 }
 
 // LocalState is the whole table, if one is due.
 func (d delegate) LocalState(join bool) []byte {
 	now := time.Now()
-	if !join && d.g.whole.TokensAt(now) < 0 {
+	if !join && !d.g.budget.WholeDue(now) {
 		d.g.Counters.WholesDeferred.Add(1)
 		return nil
 	}
@@ -147,7 +147,7 @@
 		d.g.Counters.OversizedOut.Add(1)
 		return nil
 	}
-	d.g.whole.ReserveN(now, min(len(b), d.g.whole.Burst()))
+	d.g.budget.WholeSent(now, len(b))
 	d.g.Counters.WholesOut.Add(1)
 	return append(d.g.frame(kindWhole, len(b)), b...)
 }
--- a/internal/fleet/members/members.go
+++ b/internal/fleet/members/members.go
@@ -30,7 +30,6 @@
 package members
 
 import (
-	"cmp"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -45,7 +44,6 @@
 
 	"github.com/hashicorp/memberlist"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/time/rate"
 )
 
 // Config says who this courier is and how it talks. Zero bounds and times have the settings' defaults.
@@ -131,8 +129,7 @@
 	epoch    atomic.Uint64
 	leaving  atomic.Bool
 	view     *view
-	gossip   *rate.Limiter
-	whole    *rate.Limiter
+	budget   *Budget
 	list     atomic.Pointer[memberlist.Memberlist]
 	ready    chan struct{}
 	renew    chan struct{}
@@ -142,12 +139,7 @@
 
 // New checks the configuration. Nothing is opened before Run.
 func New(cfg Config, exchange Exchange, chance *rand.Rand, logger *slog.Logger) (*Group, error) {
-	cfg.MaxMembers = cmp.Or(cfg.MaxMembers, 512)
-	cfg.MaxBytes = cmp.Or(cfg.MaxBytes, 2<<20)
-	cfg.MaxDatagram = cmp.Or(cfg.MaxDatagram, 1400)
-	cfg.GossipInterval = cmp.Or(cfg.GossipInterval, 500*time.Millisecond)
-	cfg.ProbeInterval = cmp.Or(cfg.ProbeInterval, time.Second)
-	cfg.SeedsInterval = cmp.Or(cfg.SeedsInterval, 15*time.Second)
+	cfg = cfg.defaults()
 	if !cfg.Advertise.IsValid() {
 		cfg.Advertise = cfg.Bind
 	}
@@ -166,9 +158,7 @@
 		return nil, fmt.Errorf("members: MaxDatagram is %d: 576 to 8192", cfg.MaxDatagram)
 	}
 	g := &Group{cfg: cfg, exchange: exchange, chance: chance, log: logger, node: fmt.Sprintf("%s%s%08x", cfg.Name, tagMark, chance.Uint32()),
-		gossip: rate.NewLimiter(gossipRate, 8*cfg.MaxDatagram), whole: rate.NewLimiter(wholeRate, max(cfg.MaxBytes, 64<<10)),
-		ready: make(chan struct{}), renew: make(chan struct{}, 1)}
-	g.whole.AllowN(time.Now(), g.whole.Burst()-min(g.whole.Burst(), 64<<10)) // a new life has no credit for megabytes
+		budget: NewBudget(time.Now(), cfg), ready: make(chan struct{}), renew: make(chan struct{}, 1)}
 	g.epoch.Store(cfg.Epoch)
 	if len(cfg.Keys) > 0 {
 		var err error
@@ -294,10 +284,10 @@
 	c.Keyring = g.ring
 	c.EnableCompression = false // LZW costs 100 KB of garbage a packet, and its bombs are refused by the guard
 	c.TCPTimeout = tcpTime
-	c.GossipInterval, c.GossipNodes = g.cfg.GossipInterval, 4
+	c.GossipInterval, c.GossipNodes = g.cfg.GossipInterval, fanOut
 	c.RetransmitMult = 6 // at 4, of 32 couriers that start at once one misses another until the next exchange
 	c.ProbeInterval, c.ProbeTimeout = g.cfg.ProbeInterval, g.cfg.ProbeInterval/2
-	c.PushPullInterval = max(30*time.Second, 60*g.cfg.GossipInterval) * time.Duration(max(1, (g.cfg.MaxMembers+1023)/1024))
+	c.PushPullInterval = g.cfg.exchange()
 	c.GossipToTheDeadTime = 30 * time.Second
 	c.UDPBufferSize = g.cfg.MaxDatagram
 	c.HandoffQueueDepth = queued
