store: Drain does what is posted in the caller's goroutine

Need: a fleet in virtual time needs runs that are the same each time. Change: Drain in place of Run, orders before facts; the concurrent form is unchanged. Result: stores can be driven without goroutines.

--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -270,6 +270,25 @@
 	return g.Wait()
 }
 
+// Drain does what is posted, orders before facts, in the caller's goroutine and instead of Run: for a host without
+// goroutines, such as a fleet in virtual time, whose runs are then the same each time. It gives the number of jobs done.
+func (s *Store) Drain() int {
+	for n := 0; ; n++ {
+		var j job
+		select {
+		case j = <-s.orders:
+		default:
+			select {
+			case j = <-s.mail:
+			default:
+				return n
+			}
+		}
+		s.do(j)
+		s.done()
+	}
+}
+
 func (s *Store) do(j job) {
 	// Epochs first and in all shards, so that no fact of a dead epoch is read as live in the shards of other subjects.
 	// Our own is always among them: what a snapshot or a member still has of our former lives is dead.
--- a/internal/fleet/store/store_test.go
+++ b/internal/fleet/store/store_test.go
@@ -488,3 +488,34 @@
 		s.do(job{now: time.Duration(seq) * time.Microsecond, batch: batch})
 	}
 }
+
+// What Drain does is what Run's workers do, orders first.
+func TestDrain(t *testing.T) {
+	s := stopped(t, nil)
+	sub := facts.Subject{Dest: 1, Endpoint: "a"}
+	if err := s.Learn(0, sub, facts.Limit, facts.Value{Number: 3, For: sec}, 10*sec); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := s.Read(0, sub, facts.Limit); ok {
+		t.Error("read before it was done")
+	}
+	if n := s.Drain(); n != 1 {
+		t.Errorf("did %d jobs", n)
+	}
+	if e, ok := s.Read(sec, sub, facts.Limit); !ok || e.Number != 3 || e.Age != sec {
+		t.Errorf("read %+v, %t", e, ok)
+	}
+	if err := s.Learn(sec, sub, facts.Limit, facts.Value{Number: 4, For: sec}, 10*sec); err != nil {
+		t.Fatal(err)
+	}
+	s.Forget(sec, "a")
+	if n := s.Drain(); n != 2 || s.Stats().Gone != 1 {
+		t.Errorf("did %d jobs, %d refused: the order to forget goes before facts", n, s.Stats().Gone)
+	}
+	if err := s.Settle(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if n := s.Drain(); n != 0 {
+		t.Errorf("did %d jobs of none", n)
+	}
+}
