store: passes grow with the fleet

Need: with 8 passes 5 of 62 facts at 300 members and 10% loss were not at all others in 30 s. Change: Fleet(members) sets 5 + log2(members) passes, within Config.Passes, now 14.

--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -21,6 +21,7 @@
 	"errors"
 	"maps"
 	"math"
+	"math/bits"
 	"runtime"
 	"sync/atomic"
 	"time"
@@ -39,13 +40,13 @@
 	Workers int
 	Mailbox int // batches waiting for a worker
 	Queue   int // registers waiting to be passed on
-	Passes  int // times that each is passed on
+	Passes  int // times that each is passed on, at most: Fleet
 	Limits  facts.Limits
 }
 
 // DefaultConfig fits 300 couriers and 60 endpoints.
 func DefaultConfig(name string, epoch uint64) Config {
-	return Config{Name: name, Epoch: epoch, Shards: 8, Workers: 2, Mailbox: 256, Queue: 4096, Passes: 8, Limits: facts.DefaultLimits()}
+	return Config{Name: name, Epoch: epoch, Shards: 8, Workers: 2, Mailbox: 256, Queue: 4096, Passes: 14, Limits: facts.DefaultLimits()}
 }
 
 // Stats are counts since the start, but for Facts, Bytes, Waiting and Heard, which are of now.
@@ -78,6 +79,7 @@
 	cfg     Config
 	epoch   atomic.Uint64
 	seq     atomic.Uint64
+	passes  atomic.Int64
 	shards  []shard
 	mask    uint64
 	mail    chan job // facts
@@ -132,6 +134,7 @@
 	s := &Store{cfg: cfg, shards: make([]shard, n), mask: uint64(n - 1), mail: make(chan job, cfg.Mailbox),
 		orders: make(chan job, cfg.Mailbox), idle: make(chan struct{}, 1), queue: newGossip(cfg.Queue, cfg.Passes)}
 	s.epoch.Store(cfg.Epoch)
+	s.passes.Store(int64(cfg.Passes))
 	s.queueMu = mutex{rank: n, watch: watch}
 	lim := cfg.Limits
 	lim.Facts, lim.Bytes = math.MaxInt, math.MaxInt64 // the sum over all is what is bounded: trim
@@ -194,6 +197,14 @@
 	s.post(s.orders, job{now: now, raise: name, epoch: epoch})
 }
 
+// Fleet says how many members there are, this one included, and with it how often each register is passed on. Passed on
+// p times by each of n members at a loss of l, a fact misses a member with the chance e^(-p(1-l)), so that it misses any
+// of them in one of a hundred cases where p is ln(100n)/(1-l): 11.5 for 300 at 10%. 5 + log2(n) is 13.2 there, and 6 for
+// two, who lose a fact for good (until the next exchange) only if all copies are lost.
+func (s *Store) Fleet(members int) {
+	s.passes.Store(int64(min(s.cfg.Passes, 5+bits.Len(uint(max(members, 2)-1)))))
+}
+
 // Epoch of this life.
 func (s *Store) Epoch() uint64 { return s.epoch.Load() }
 
@@ -415,8 +426,8 @@
 	}
 }
 
-// Changes hands out facts to be passed on, at most so many bytes of them on the wire; each is handed out Passes times
-// altogether, news before repeats.
+// Changes hands out facts to be passed on, at most so many bytes of them on the wire; each is handed out as many
+// times as Fleet says, news before repeats.
 func (s *Store) Changes(now time.Duration, mostBytes int) []facts.Fact {
 	var out []facts.Fact
 	type passed struct {
@@ -426,7 +437,8 @@
 	}
 	var again []passed
 	size := 0
-	for line := 0; line < s.cfg.Passes; {
+	passes := int(s.passes.Load())
+	for line := 0; line < passes; {
 		s.queueMu.Lock()
 		w, ok := s.queue.pop(line)
 		number := s.queue.turn[w].number
@@ -450,7 +462,11 @@
 			break
 		}
 		out = append(out, f)
-		again = append(again, passed{w, line + 1, number})
+		next := line + 1
+		if next >= passes {
+			next = s.cfg.Passes // done with
+		}
+		again = append(again, passed{w, next, number})
 	}
 	s.queueMu.Lock()
 	defer s.queueMu.Unlock()
--- a/internal/fleet/store/store_test.go
+++ b/internal/fleet/store/store_test.go
@@ -519,3 +519,22 @@
 		t.Errorf("did %d jobs of none", n)
 	}
 }
+
+// A larger fleet passes each fact on more often, up to the configured bound.
+func TestFleetSetsPasses(t *testing.T) {
+	for _, c := range []struct{ members, most, want int }{{1, 14, 6}, {2, 14, 6}, {32, 14, 10}, {100, 14, 12}, {300, 14, 14}, {300, 9, 9}} {
+		s := stopped(t, func(cfg *Config) { cfg.Passes = c.most })
+		s.Fleet(c.members)
+		if err := s.Learn(0, facts.Subject{Endpoint: "a"}, facts.Cold, facts.Value{}, sec); err != nil {
+			t.Fatal(err)
+		}
+		s.Drain()
+		n := 0
+		for len(s.Changes(0, 1000)) > 0 {
+			n++
+		}
+		if n != c.want || s.Stats().Waiting != 0 {
+			t.Errorf("%d members, at most %d passes: passed on %d times, want %d; %d wait", c.members, c.most, n, c.want, s.Stats().Waiting)
+		}
+	}
+}
