store: passes by log2 rounded down, 13 for 300

Need: at 14 passes the byte budget is used up at 300 members and 5.3 facts a second, and news wait for repeats' bytes. Change: rounded down, as ln(100n)/(1-loss) needs no more than 11.5 there.

--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -199,10 +199,10 @@
 
 // Fleet says how many members there are, this one included, and with it how often each register is passed on. Passed on
 // p times by each of n members at a loss of l, a fact misses a member with the chance e^(-p(1-l)), so that it misses any
-// of them in one of a hundred cases where p is ln(100n)/(1-l): 11.5 for 300 at 10%. 5 + log2(n) is 13.2 there, and 6 for
-// two, who lose a fact for good (until the next exchange) only if all copies are lost.
+// of them in one of a hundred cases where p is ln(100n)/(1-l): 11.5 for 300 at 10%. 5 + log2(n), rounded down, is 13 there, and 6 for
+// two, who lose a fact for good (until the next exchange) only if all copies are lost. More than needed takes the members' bytes from what is news elsewhere.
 func (s *Store) Fleet(members int) {
-	s.passes.Store(int64(min(s.cfg.Passes, 5+bits.Len(uint(max(members, 2)-1)))))
+	s.passes.Store(int64(min(s.cfg.Passes, 4+bits.Len(uint(max(members, 2))))))
 }
 
 // Epoch of this life.
--- a/internal/lab/spread/spread_test.go
+++ b/internal/lab/spread/spread_test.go
@@ -105,6 +105,7 @@
 	}
 	for seed := range uint64(3) {
 		add("seed", func(c *Config) { c.Members, c.Loss, c.Seed = 300, 0.1, seed+2 })
+		add("seed", func(c *Config) { c.Members, c.Loss, c.Seed, c.Busy = 300, 0.1, seed+1, 1./15 })
 	}
 	rows := make([]string, len(lines))
 	t.Run("rows", func(t *testing.T) {
