Hang the fleet's host beside the courier's actor

Need: couriers of one fleet learn from one another what each was told. Off without a fleet record. Result: nothing changes where the settings name no fleet.

--- a/cmd/raventrestle/serve.go
+++ b/cmd/raventrestle/serve.go
@@ -23,6 +23,7 @@
 	"raventrestle/internal/config"
 	"raventrestle/internal/deadletter"
 	"raventrestle/internal/figures"
+	"raventrestle/internal/fleet"
 	"raventrestle/internal/journal"
 	"raventrestle/internal/lifecycle"
 	"raventrestle/internal/net/admin"
@@ -59,6 +60,7 @@
 	figures *figures.Book
 	handing atomic.Bool // to the process that follows
 	clients *gate.Gate
+	fleet   *fellows // nil where nothing is shared
 }
 
 // serve runs the courier until SIGTERM. File names the operators' settings, "" for none.
@@ -140,6 +142,11 @@
 	if remembers {
 		disk -= beliefs.Room
 	}
+	shared := int64(0) // of the folder, for what the couriers of a fleet share
+	if remembers && set.Fleet != nil {
+		shared = fleet.Room(disk)
+		disk -= shared
+	}
 	var kept []journal.Kept
 	d.store, kept, err = journal.Open(life.Folder, journal.Options{Limit: disk, Shared: listener != nil, Tries: set.Undeliverable.Keep}, d.log)
 	if err != nil {
@@ -167,6 +174,7 @@
 		d.courier.Keep(d.letters)
 		go d.letters.Run(ctx)
 	}
+	d.fleet = d.meet(ctx, set, life.Folder, shared)
 	go d.courier.Run(ctx)
 	d.tell(lifecycle.Done{Step: lifecycle.Notices})
 	if set.Admin.Socket != "" {
@@ -215,6 +223,7 @@
 				continue
 			}
 			began := time.Now()
+			d.fleet.part()
 			if inherited && life.Followed() {
 				d.handOver(began, clients)
 			} else {
@@ -236,6 +245,7 @@
 			if err := life.Release(); err != nil {
 				d.log.Warn("raventrestle: the life's folder", "err", err)
 			}
+			d.fleet.parted(began.Add(lastWord))
 			d.count()
 			d.tell(lifecycle.Gone{})
 			d.log.Info("raventrestle: done", "took", time.Since(began))
@@ -309,7 +319,7 @@
 func (d *daemon) Status(ctx context.Context) (admin.Status, error) {
 	s, err := d.courier.Status(ctx)
 	return admin.Status{Name: d.conf.Name, Listen: d.conf.Listen, PID: os.Getpid(), Report: d.life.Report(), Courier: s, JournalBytes: d.store.Size(),
-		Settings: d.file}, err
+		Settings: d.file, Fleet: d.fleet.status()}, err
 }
 
 // before is what the life before had learned, as far as it still counts; nil for nothing.
@@ -475,6 +485,9 @@
 	}
 	d.log.Info("counters: tries", tries...)
 	d.log.Info("counters: decisions", "steps", out.Steps.Load(), "late", out.LateSteps.Load(), "panics", out.Panics.Load())
+	if d.fleet != nil {
+		d.fleet.Count(d.log)
+	}
 	if d.letters == nil {
 		return
 	}
--- a/cmd/raventrestle/status.go
+++ b/cmd/raventrestle/status.go
@@ -83,6 +83,17 @@
 	fmt.Fprintf(t, "journal\t%.1f KB\n", float64(s.JournalBytes)/1024)
 	fmt.Fprintf(t, "list\tversion %d, last answer %s ago\n", c.Index, ago(c.Listed))
 	fmt.Fprintf(t, "settings\t%s\n", cmp.Or(s.Settings, "none"))
+	if f := s.Fleet; f != nil {
+		var up []string
+		for _, m := range f.Members {
+			up = append(up, fmt.Sprintf("%s (%s, life %d)", m.Name, m.Site, m.Epoch))
+		}
+		fmt.Fprintf(t, "fleet\t%d up: %s\n", len(up), strings.Join(up, ", "))
+		fmt.Fprintf(t, "facts\t%d in %.1f KB\n", f.Facts, float64(f.FactBytes)/1024)
+		if f.Superseded {
+			fmt.Fprintln(t, "trouble\tanother process of this name serves in the fleet: nothing is shared")
+		}
+	}
 	if err := t.Flush(); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/fleet/exchange.go
@@ -0,0 +1,84 @@
+package fleet
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+
+	"raventrestle/internal/fleet/facts"
+	"raventrestle/internal/fleet/store"
+)
+
+// exchange is the store as the members pass it on: a piece is a batch of facts, and so is a whole table.
+type exchange struct {
+	host  *Host
+	facts *store.Store
+	codec *facts.Codec
+}
+
+// around is what a batch takes beside its facts: array, version, and an array's length.
+const around = 16
+
+// Changes are in one piece: its head stands once.
+func (x *exchange) Changes(limit, overhead int) [][]byte {
+	if x.host.retired.Load() {
+		return nil
+	}
+	batch := x.facts.Changes(x.host.cfg.Clock(), limit-overhead-around)
+	if len(batch) == 0 {
+		return nil
+	}
+	b, err := x.codec.Encode(batch)
+	if err != nil {
+		x.host.fault("fleet_not_encoded", err)
+		return nil
+	}
+	return [][]byte{b}
+}
+
+func (x *exchange) Take(_ string, b []byte) error { return x.TakeWhole(b) }
+
+// Whole is all that is told on, as far as it has room: what has the least time left is left out.
+func (x *exchange) Whole() []byte {
+	var all []facts.Fact
+	if !x.host.retired.Load() {
+		all = x.facts.Whole(x.host.cfg.Clock())
+	}
+	room, size := int(x.host.limits.Bytes)-around, 0
+	for i := range all {
+		size += all[i].WireMost()
+	}
+	if size > room || len(all) > x.host.limits.Facts {
+		slices.SortFunc(all, func(a, b facts.Fact) int { return cmp.Compare(b.TTL-b.Age, a.TTL-a.Age) })
+		n := 0
+		for size = 0; n < min(len(all), x.host.limits.Facts) && size+all[n].WireMost() <= room; n++ {
+			size += all[n].WireMost()
+		}
+		x.host.Counters.Left.Add(uint64(len(all) - n))
+		all = all[:n]
+	}
+	b, err := x.codec.Encode(all)
+	if err != nil {
+		x.host.fault("fleet_not_encoded", err)
+	}
+	return b
+}
+
+// TakeWhole refuses what is no batch, whole; single facts that can't be true are refused and counted by the store.
+func (x *exchange) TakeWhole(b []byte) error {
+	now := x.host.cfg.Clock()
+	batch, err := x.codec.Decode(b)
+	switch c := &x.host.Counters; {
+	case err == nil:
+		if len(batch) > 0 {
+			x.facts.Take(now, batch)
+		}
+	case errors.Is(err, facts.ErrVersion):
+		c.OtherVersion.Add(1)
+	case errors.Is(err, facts.ErrSize):
+		c.TooLarge.Add(1)
+	default:
+		c.Garbled.Add(1)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/fleet/status.go
@@ -0,0 +1,68 @@
+package fleet
+
+import (
+	"log/slog"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"raventrestle/internal/fleet/members"
+	"raventrestle/internal/fleet/store"
+)
+
+// Status is what operators see of a courier's part in its fleet.
+type Status struct {
+	Epoch      uint64           `json:"epoch"`
+	Site       string           `json:"site"`
+	Superseded bool             `json:"superseded,omitempty"` // another process of this name serves
+	Members    []members.Member `json:"members"`              // that are up, this one included
+	Facts      int64            `json:"facts"`
+	FactBytes  int64            `json:"fact_bytes"`
+	Faults     uint64           `json:"faults,omitempty"`
+}
+
+// Status of now; it takes locks, so it is not for the actor. The epoch is 0 while the host is not up.
+func (h *Host) Status() Status {
+	s := Status{Site: h.cfg.Settings.Site, Superseded: h.retired.Load(), Members: []members.Member{}, Faults: h.Counters.Faults.Load()}
+	if known := h.facts.Load(); known != nil {
+		all := known.Stats()
+		s.Epoch, s.Facts, s.FactBytes = known.Epoch(), all.Facts, all.Bytes
+	}
+	if group := h.group.Load(); group != nil {
+		s.Members = group.Alive()
+	}
+	return s
+}
+
+// Collector shows the members' figures, nil while the host is not up. It is for the operators' own pages.
+func (h *Host) Collector() prometheus.Collector {
+	if group := h.group.Load(); group != nil {
+		return group.Collector()
+	}
+	return nil
+}
+
+// Count logs the counters.
+func (h *Host) Count(log *slog.Logger) {
+	c := &h.Counters
+	log.Info("counters: fleet", "faults", c.Faults.Load(), "saves", c.Saves.Load(), "save_fails", c.SaveFails.Load(), "left_out", c.Left.Load(),
+		"garbled", c.Garbled.Load(), "other_version", c.OtherVersion.Load(), "too_large", c.TooLarge.Load(), "repeats", c.Repeats.Load(),
+		"silenced", c.Silenced.Load(), "epochs", c.Epochs.Load())
+	if known := h.facts.Load(); known != nil {
+		var s store.Stats = known.Stats()
+		log.Info("counters: facts", "facts", s.Facts, "bytes", s.Bytes, "waiting", s.Waiting, "learned", s.Learned, "taken", s.Taken,
+			"changed", s.Changed, "older", s.Older, "known", s.Known, "absurd", s.Absurd, "gone", s.Gone, "origins", s.Origins,
+			"mail_dropped", s.MailDropped, "queue_dropped", s.QueueDropped, "shed", s.Shed, "swept", s.Swept, "passed", s.Passed)
+	}
+	if group := h.group.Load(); group != nil {
+		m := &group.Counters
+		fields := []any{"up", len(group.Alive()), "packet_bytes_in", m.PacketBytesIn.Load(), "packet_bytes_out", m.PacketBytesOut.Load(),
+			"stream_bytes_in", m.StreamBytesIn.Load(), "stream_bytes_out", m.StreamBytesOut.Load(), "joins_tried", m.JoinsTried.Load(),
+			"joins", m.Joins.Load(), "open_failed", m.OpenFailed.Load(), "superseded", m.Superseded.Load(), "outgrown", m.Outgrown.Load()}
+		for r := range m.Dropped {
+			if n := m.Dropped[r].Load(); n > 0 {
+				fields = append(fields, "dropped_"+members.Reason(r).String(), n)
+			}
+		}
+		log.Info("counters: members", fields...)
+	}
+}
--- a/internal/net/admin/admin.go
+++ b/internal/net/admin/admin.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"raventrestle/internal/deadletter"
+	"raventrestle/internal/fleet"
 	"raventrestle/internal/net/courier"
 	"raventrestle/internal/net/instance"
 )
@@ -88,6 +89,7 @@
 	Report       instance.Report `json:"life"`
 	Courier      courier.Status  `json:"courier"`
 	JournalBytes int64           `json:"journal_bytes"`
+	Fleet        *fleet.Status   `json:"fleet,omitempty"` // nil where nothing is shared
 }
 
 // life answers what a supervisor or front layer asks: /livez and /readyz with 200 or 503 and the reasons,
--- a/internal/net/courier/courier.go
+++ b/internal/net/courier/courier.go
@@ -69,6 +69,7 @@
 	closing bool
 	handover
 	recall
+	sharing
 	seen   []deadletter.Seen // of this step
 	again  int               // resends that the module has
 	shown  time.Time         // when the letters' keeper last heard of the load
@@ -235,6 +236,9 @@
 			return
 		case first = <-c.mail:
 		case <-timer.C:
+		case <-c.looks():
+			c.share()
+			continue
 		case <-look.C:
 			c.tryJournal()
 			c.figure()
@@ -485,6 +489,7 @@
 func (c *Courier) outcome(o raventrestle.Outcome) []journal.Record {
 	c.out--
 	c.Counts.ByStatus[o.Status].Add(1)
+	c.told(o)
 	var records []journal.Record
 	if o.Wait > 0 {
 		until := time.Now().Add(o.Wait)
