--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -179,6 +179,9 @@
 	m := h.member
 	m.Epoch, m.Superseded, m.Outgrown = epoch, h.superseded, h.outgrown
 	m.Events = func(e members.Event) {
+		if e.What == members.Joined || e.What == members.NewLife { // what its earlier lives told is dead
+			known.Raise(h.cfg.Clock(), e.Member.Name, e.Member.Epoch)
+		}
 		h.cfg.Log.Info("fleet_member", "what", e.What.String(), "name", e.Member.Name, "site", e.Member.Site, "epoch", e.Member.Epoch)
 	}
 	chance := rand.New(rand.NewPCG(h.cfg.Chance.Uint64(), h.cfg.Chance.Uint64()))
