--- a/cmd/raventrestle/fleet_test.go
+++ b/cmd/raventrestle/fleet_test.go
@@ -22,7 +22,20 @@
 	client           admin.Client
 }
 
-// fellow deploys a courier with a fleet record; it does not start it.
+// quick are the settings' times for a story; the defaults are for a day.
+const quick = "gossip_interval_s: 0.05, probe_interval_s: 0.2, seeds_interval_s: 0.2, "
+
+// apart is a free address that no client connection of a test is given.
+func apart(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.2:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// newFellow deploys a courier with a fleet record; it does not start it.
 func newFellow(t *testing.T, name, record string, peers ...*nettest.Peer) *fellow {
 	t.Helper()
 	if err := helper(); err != nil {
@@ -33,7 +46,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { os.RemoveAll(dir) })
-	f := &fellow{deployment: deploy(t, peers...), name: name, bind: free(t), file: filepath.Join(dir, "settings.cue")}
+	f := &fellow{deployment: deploy(t, peers...), name: name, bind: apart(t), file: filepath.Join(dir, "settings.cue")}
 	f.client.Path = filepath.Join(dir, "admin")
 	conf, err := os.ReadFile(f.config)
 	if err != nil {
@@ -48,7 +61,7 @@
 	f.t.Helper()
 	text := fmt.Appendf(nil, "admin: socket: %q\n", f.client.Path)
 	if record != "" {
-		text = fmt.Appendf(text, "fleet: {bind: %q, site: \"here\", gossip_interval_s: 0.05, probe_interval_s: 0.2, seeds_interval_s: 0.2, %s}\n", f.bind, record)
+		text = fmt.Appendf(text, "fleet: {bind: %q, site: \"here\", %s}\n", f.bind, record)
 	}
 	if err := os.WriteFile(f.file, text, 0o600); err != nil {
 		f.t.Fatal(err)
@@ -72,7 +85,7 @@
 			return s
 		}
 		if ctx.Err() != nil {
-			f.t.Fatalf("%s: not %s: %+v %v", f.name, what, last, err)
+			f.t.Fatalf("%s: not %s: %+v %+v %v", f.name, what, last.Courier, last.Fleet, err)
 		}
 		last = s
 	}
@@ -131,7 +144,7 @@
 		}
 	}
 	key := keyFile(t, "0123456789abcdef")
-	record := fmt.Sprintf("key_file: %q, seeds: [", key)
+	record := fmt.Sprintf(quick+"key_file: %q, seeds: [", key)
 	var fleet []*fellow
 	seeds := ""
 	for _, name := range []string{"a", "b", "c"} {
@@ -144,9 +157,9 @@
 		f.begin()
 	}
 	a, b, c := fleet[0], fleet[1], fleet[2]
-	wrong := newFellow(t, "d", fmt.Sprintf("key_file: %q, seeds: [%s]", keyFile(t, "fedcba9876543210"), seeds), end)
+	wrong := newFellow(t, "d", fmt.Sprintf(quick+"key_file: %q, seeds: [%s]", keyFile(t, "fedcba9876543210"), seeds), end)
 	wrong.begin()
-	alone := newFellow(t, "e", fmt.Sprintf("seeds: [%q]", free(t)), end)
+	alone := newFellow(t, "e", fmt.Sprintf(quick+"seeds: [%q]", free(t)), end)
 	alone.begin()
 	for _, f := range fleet {
 		f.up(3)
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -17,6 +17,8 @@
 	Members    []members.Member `json:"members"`              // that are up, this one included
 	Facts      int64            `json:"facts"`
 	FactBytes  int64            `json:"fact_bytes"`
+	BytesIn    uint64           `json:"bytes_in"` // of UDP and TCP, since the start
+	BytesOut   uint64           `json:"bytes_out"`
 	Faults     uint64           `json:"faults,omitempty"`
 }
 
@@ -28,7 +30,8 @@
 		s.Epoch, s.Facts, s.FactBytes = known.Epoch(), all.Facts, all.Bytes
 	}
 	if group := h.group.Load(); group != nil {
-		s.Members = group.Alive()
+		c := &group.Counters
+		s.Members, s.BytesIn, s.BytesOut = group.Alive(), c.PacketBytesIn.Load()+c.StreamBytesIn.Load(), c.PacketBytesOut.Load()+c.StreamBytesOut.Load()
 	}
 	return s
 }
