--- a/internal/fleet/members/figures.go
+++ b/internal/fleet/members/figures.go
@@ -5,8 +5,6 @@
 	"log/slog"
 	"strings"
 	"sync/atomic"
-
-	"github.com/prometheus/client_golang/prometheus"
 )
 
 // Reason is why something was dropped.
@@ -50,81 +48,6 @@
 	count.Add(1)
 }
 
-// figure is one series of the collector.
-type figure struct {
-	desc  *prometheus.Desc
-	label []string
-	value func(*Group) float64
-	kind  prometheus.ValueType
-}
-
-// Collector shows the group's figures. The host registers it.
-func (g *Group) Collector() prometheus.Collector {
-	const prefix = "raventrestle_fleet_"
-	var all collector
-	counter := func(name, help, label, value string, count *atomic.Uint64) {
-		f := figure{kind: prometheus.CounterValue, value: func(*Group) float64 { return float64(count.Load()) }}
-		var labels []string
-		if label != "" {
-			labels, f.label = []string{label}, []string{value}
-		}
-		f.desc = prometheus.NewDesc(prefix+name, help, labels, nil)
-		all.figures = append(all.figures, f)
-	}
-	all.g = g
-	c := &g.Counters
-	const in, out, way = "in", "out", "direction"
-	counter("packets_total", "UDP packets.", way, in, &c.PacketsIn)
-	counter("packets_total", "UDP packets.", way, out, &c.PacketsOut)
-	counter("packet_bytes_total", "Bytes in UDP packets.", way, in, &c.PacketBytesIn)
-	counter("packet_bytes_total", "Bytes in UDP packets.", way, out, &c.PacketBytesOut)
-	counter("streams_total", "TCP connections.", way, in, &c.StreamsIn)
-	counter("streams_total", "TCP connections.", way, out, &c.StreamsOut)
-	counter("stream_bytes_total", "Bytes in TCP connections.", way, in, &c.StreamBytesIn)
-	counter("stream_bytes_total", "Bytes in TCP connections.", way, out, &c.StreamBytesOut)
-	counter("pieces_total", "Messages of facts by gossip or to one member.", way, in, &c.PiecesIn)
-	counter("pieces_total", "Messages of facts by gossip or to one member.", way, out, &c.PiecesOut)
-	counter("tables_total", "Whole tables of facts.", way, in, &c.WholesIn)
-	counter("tables_total", "Whole tables of facts.", way, out, &c.WholesOut)
-	counter("tables_deferred_total", "Tables left out of an exchange for their rate.", "", "", &c.WholesDeferred)
-	counter("oversized_out_total", "Facts not sent, being above a bound.", "", "", &c.OversizedOut)
-	counter("joins_tried_total", "Seeds tried.", "", "", &c.JoinsTried)
-	counter("joins_total", "Seeds joined.", "", "", &c.Joins)
-	counter("open_failed_total", "Own address could not be opened.", "", "", &c.OpenFailed)
-	counter("conflicts_total", "Other lives of this courier's name heard of.", "", "", &c.Conflicts)
-	counter("superseded_total", "Another process of this name, with a larger epoch, answered.", "", "", &c.Superseded)
-	counter("outgrown_total", "Epochs of earlier lives heard, at or above the own one.", "", "", &c.Outgrown)
-	counter("renewals_total", "Larger epochs told to the others.", "", "", &c.Renewals)
-	counter("events_dropped_total", "Events that the host was too slow for.", "", "", &c.EventsDropped)
-	counter("log_lines_total", "Lines of the membership library, logged or not.", "", "", &c.LogLines)
-	for e := range c.Events {
-		counter("events_total", "Changes of the list of members.", "event", Happening(e).String(), &c.Events[e])
-	}
-	for r := range c.Dropped {
-		counter("dropped_total", "What came in and was not taken.", "reason", Reason(r).String(), &c.Dropped[r])
-	}
-	all.figures = append(all.figures, figure{desc: prometheus.NewDesc(prefix+"members", "Couriers that are up, this one included.", nil, nil),
-		kind: prometheus.GaugeValue, value: func(g *Group) float64 { return float64(len(g.Alive())) }})
-	return all
-}
-
-type collector struct {
-	g       *Group
-	figures []figure
-}
-
-func (c collector) Describe(to chan<- *prometheus.Desc) {
-	for _, f := range c.figures {
-		to <- f.desc
-	}
-}
-
-func (c collector) Collect(to chan<- prometheus.Metric) {
-	for _, f := range c.figures {
-		to <- prometheus.MustNewConstMetric(f.desc, f.kind, f.value(c.g), f.label...)
-	}
-}
-
 // lines takes memberlist's log. Its lines are the one place where it says that it dropped something.
 type lines struct {
 	counters *Counters
--- a/internal/fleet/members/members.go
+++ b/internal/fleet/members/members.go
@@ -136,7 +136,7 @@
 	list     atomic.Pointer[memberlist.Memberlist]
 	ready    chan struct{}
 	renew    chan struct{}
-	// Counters of this group; Collector shows them to Prometheus.
+	// Counters of this group; package figures shows them to Prometheus.
 	Counters Counters
 }
 
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -3,8 +3,6 @@
 import (
 	"log/slog"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"raventrestle/internal/fleet/members"
 	"raventrestle/internal/fleet/store"
 )
@@ -36,13 +34,8 @@
 	return s
 }
 
-// Collector shows the members' figures, nil while the host is not up. It is for the operators' own pages.
-func (h *Host) Collector() prometheus.Collector {
-	if group := h.group.Load(); group != nil {
-		return group.Collector()
-	}
-	return nil
-}
+// Group is the members' part, for their figures; nil while the host is not up.
+func (h *Host) Group() *members.Group { return h.group.Load() }
 
 // Count logs the counters.
 func (h *Host) Count(log *slog.Logger) {
