--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -182,6 +182,9 @@
 		if e.What == members.Joined || e.What == members.NewLife { // what its earlier lives told is dead
 			known.Raise(h.cfg.Clock(), e.Member.Name, e.Member.Epoch)
 		}
+		if g := h.group.Load(); g != nil { // how often a fact is passed on goes by how many there are
+			known.Fleet(len(g.Alive()))
+		}
 		h.cfg.Log.Info("fleet_member", "what", e.What.String(), "name", e.Member.Name, "site", e.Member.Site, "epoch", e.Member.Epoch)
 	}
 	chance := rand.New(rand.NewPCG(h.cfg.Chance.Uint64(), h.cfg.Chance.Uint64()))
