--- a/advise_test.go
+++ b/advise_test.go
@@ -22,9 +22,12 @@
 }
 
 func adviseSettings() Settings {
-	return Settings{Forwarders: 3, Tick: 5 * time.Millisecond, CallSlots: 6, MostHeld: 40, SendCap: 6, IdleClose: 10 * time.Second, ConnectWithin: time.Second,
-		Classes: []Class{{Name: "a", Aim: time.Second, Deadline: 10 * time.Second, Credit: 1}, {Name: "b", Aim: time.Second, Deadline: 8 * time.Second, Credit: 2, Effect: Unsafe}},
-		Kinds:   []Kind{{BundleMax: 1}, {BundleMax: 2, Apart: true}}, TipMultiple: 2.5, TipAfter: 1500 * time.Millisecond, ColdFor: 11 * time.Second, StartCapacity: 0.18}
+	return Settings{Forwarders: 3, Tick: 5 * time.Millisecond, CallSlots: 6, MostHeld: 40, SendCap: 6,
+		IdleClose: 10 * time.Second, ConnectWithin: time.Second,
+		Classes: []Class{{Name: "a", Aim: time.Second, Deadline: 10 * time.Second, Credit: 1},
+			{Name: "b", Aim: time.Second, Deadline: 8 * time.Second, Credit: 2, Effect: Unsafe}},
+		Kinds:       []Kind{{BundleMax: 1}, {BundleMax: 2, Apart: true}},
+		TipMultiple: 2.5, TipAfter: 1500 * time.Millisecond, ColdFor: 11 * time.Second, StartCapacity: 0.18}
 }
 
 func newWorld(seed uint64) *world {
@@ -53,7 +56,8 @@
 		events := []Event{Wake{}}
 		for range w.rng.IntN(3) {
 			w.n++
-			events = append(events, Arrival{ID: MessageID(strconv.Itoa(w.n)), Class: w.rng.IntN(2), Tenant: -1, Dest: DestID(1 + w.rng.IntN(2)), Budget: 8 * time.Second})
+			events = append(events, Arrival{ID: MessageID(strconv.Itoa(w.n)), Class: w.rng.IntN(2), Tenant: -1,
+				Dest: DestID(1 + w.rng.IntN(2)), Budget: 8 * time.Second})
 		}
 		for len(w.out) > 0 && w.rng.IntN(3) > 0 {
 			s := w.out[0]
@@ -118,7 +122,8 @@
 		w.p.Advise(w.now, told)
 		after := w.p.Beliefs()
 		route := func(x, y *RouteBeliefs) {
-			if x != nil && (y.Until < x.Until || x.Rate > 0 && y.Rate > x.Rate || x.Size > 0 && y.Size > x.Size || x.Told && y.Size != x.Size || y.NextAt < x.NextAt ||
+			if x != nil && (y.Until < x.Until || x.Rate > 0 && y.Rate > x.Rate || x.Size > 0 && y.Size > x.Size || x.Told && y.Size != x.Size ||
+				y.NextAt < x.NextAt ||
 				y.Fails < x.Fails || y.Told != x.Told || y.Shut != x.Shut) {
 				t.Fatalf("lifted: %+v, was %+v", *y, *x)
 			}
--- a/cmd/raventrestle/fleet_figures_test.go
+++ b/cmd/raventrestle/fleet_figures_test.go
@@ -53,7 +53,8 @@
 	})
 	var entries []string // one endpoint for each fact, in a channel of its own
 	for i := range facts {
-		entries = append(entries, fmt.Sprintf(`{"name":"s-%d","address":%q,"zone":"a","type":"k","group":%d,"status":"SERVING","weight":1,"since_ms":0}`, i, end.Addr(), 100+i))
+		entries = append(entries, fmt.Sprintf(`{"name":"s-%d","address":%q,"zone":"a","type":"k","group":%d,`+
+			`"status":"SERVING","weight":1,"since_ms":0}`, i, end.Addr(), 100+i))
 	}
 	var fleet []*fellow
 	var seeds []string
@@ -121,7 +122,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		for k, v := range map[string]string{"X-Txn": fmt.Sprint("m", i), "X-Consignee": fmt.Sprint("dest=", dest), "X-Remaining": "15", "Idempotency-Key": fmt.Sprint("k", i)} {
+		for k, v := range map[string]string{"X-Txn": fmt.Sprint("m", i),
+			"X-Consignee": fmt.Sprint("dest=", dest), "X-Remaining": "15", "Idempotency-Key": fmt.Sprint("k", i)} {
 			req.Header.Set(k, v)
 		}
 		res, err := http.DefaultClient.Do(req)
--- a/cmd/raventrestle/fleet_test.go
+++ b/cmd/raventrestle/fleet_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -211,4 +212,20 @@
 	handIn(f, "of-f")
 	called("of-f")
 	b.heeds(long / 2) // what it had heeded it keeps
+
+	began := time.Now()
+	if err := c.process.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := nettest.Wait(t, "end", c.ended); err != nil || time.Since(began) > 3*time.Second {
+		t.Errorf("the end took %v: %v", time.Since(began), err)
+	}
+	c.process = nil
+	b.up(3)
+	if _, err := os.Stat(filepath.Join(c.state, "facts.snapshot")); err != nil {
+		t.Error(err)
+	}
+	if out, complaint, code := command(t, nil, "status", "--socket", b.client.Path); code != 0 || !strings.Contains(out, "3 up: a (here, life ") {
+		t.Error(code, complaint, out)
+	}
 }
--- a/internal/net/courier/fleet.go
+++ b/internal/net/courier/fleet.go
@@ -65,8 +65,11 @@
 
 // told shares the wait and the limit that came with an outcome.
 func (c *Courier) told(o raventrestle.Outcome) {
+	if c.fleet == nil {
+		return
+	}
 	r := c.peers[o.Target]
-	if c.fleet == nil || r == nil {
+	if r == nil {
 		return
 	}
 	defer c.unharmed()
