Accept on an inherited socket without blocking, whatever other processes made of it

Whether a socket blocks is shared by all processes that hold it, and passing it to a next one clears O_NONBLOCK: accept then waits in the kernel, where Close waits for it (handOver, clients.Close), and it takes a connection that is the next process's. Lines at fault: socket.go, Inherited, which set it once. Change: it is set before each accept, and a close is bounded.

--- a/cmd/raventrestle/upgrade_test.go
+++ b/cmd/raventrestle/upgrade_test.go
@@ -271,7 +271,7 @@
 			select {
 			case <-old.ended:
 			case <-time.After(3700 * time.Millisecond):
-				t.Error("the old process outlives its time")
+				t.Errorf("the old process outlives its time; it wrote:\n%s", old.log)
 			}
 			time.Sleep(500 * time.Millisecond)
 			s.settle(next, true)
--- a/internal/net/upgrade/socket.go
+++ b/internal/net/upgrade/socket.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"strconv"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -38,10 +39,38 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s=%d: %w", Variable, fd, err)
 	}
-	if _, ok := l.(*net.TCPListener); !ok {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
 		return nil, errors.Join(fmt.Errorf("%s=%d: %w", Variable, fd, errNotListening), l.Close())
 	}
-	return l, nil
+	return &shared{tcp}, nil
+}
+
+// shared is a listener on a socket that other processes hold as well. Whether it blocks is the socket's own, not a
+// process's: whoever passes it to a next one may clear O_NONBLOCK for all of them. An Accept that finds nothing would then
+// wait in the kernel, out of the runtime's reach: it would take a connection that is the next process's, and Close would
+// wait for it.
+type shared struct{ *net.TCPListener }
+
+// closeWithin bounds a Close whose Accept is in the kernel all the same; that one ends with the process.
+const closeWithin = 100 * time.Millisecond
+
+func (l *shared) Accept() (net.Conn, error) {
+	if raw, err := l.SyscallConn(); err == nil { // its error is Accept's own
+		raw.Control(func(fd uintptr) { unix.SetNonblock(int(fd), true) })
+	}
+	return l.TCPListener.Accept()
+}
+
+func (l *shared) Close() error {
+	closed := make(chan error, 1)
+	go func() { closed <- l.TCPListener.Close() }()
+	select {
+	case err := <-closed:
+		return err
+	case <-time.After(closeWithin):
+		return nil
+	}
 }
 
 var errNotListening = errors.New("no listening TCP socket")
--- a/internal/net/upgrade/socket_test.go
+++ b/internal/net/upgrade/socket_test.go
@@ -8,6 +8,9 @@
 	"strconv"
 	"syscall"
 	"testing"
+	"time"
+
+	"raventrestle/internal/net/nettest"
 )
 
 // inherited is a copy of the file's descriptor, as a process that was started with it has one.
@@ -92,3 +95,53 @@
 		served.Close()
 	}
 }
+
+// Another process that holds the socket makes it block, as passing it on does: whoever accepts here still ends when it
+// closes, and takes no connection after that, which is the next process's.
+func TestInheritedEndsThoughOthersMakeItBlock(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	f, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	own, err := Inherited(env(inherited(t, f)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted := make(chan error, 2)
+	accept := func() {
+		c, err := own.Accept()
+		if err == nil {
+			c.Close()
+		}
+		accepted <- err
+	}
+	f.Fd() // the platform passes it on to a next process: the file's method makes the socket block
+	go accept()
+	first, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	if err := nettest.Wait(t, "connection", accepted); err != nil {
+		t.Fatal(err)
+	}
+	f.Fd()
+	began := make(chan struct{})
+	go func() { close(began); accept() }()
+	<-began
+	time.Sleep(50 * time.Millisecond) // it waits by now; if it does not, it meets the end all the same
+	closed := make(chan error, 1)
+	go func() { closed <- own.Close() }()
+	if err := nettest.Wait(t, "close", closed); err != nil {
+		t.Fatal(err)
+	}
+	if err := nettest.Wait(t, "end of accepting", accepted); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("accepting ended with %v", err)
+	}
+}
--- a/internal/net/upstream/silence_test.go
+++ b/internal/net/upstream/silence_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,7 +22,7 @@
 // scripted is a discovery over pipes in a test's own time; answer gets each call with its number, from 1, and says
 // whether the connection goes on.
 func scripted(g *Group, answer func(n int, query string, c net.Conn) bool) {
-	calls := 0
+	calls := atomic.Int64{}
 	g.client.Transport.(*http.Transport).DialContext = func(context.Context, string, string) (net.Conn, error) {
 		near, far := net.Pipe()
 		go func() {
@@ -31,8 +32,7 @@
 				if err != nil {
 					return
 				}
-				calls++
-				if !answer(calls, req.URL.RawQuery, far) {
+				if !answer(int(calls.Add(1)), req.URL.RawQuery, far) {
 					return
 				}
 			}
--- a/internal/net/upstream/upstream_test.go
+++ b/internal/net/upstream/upstream_test.go
@@ -52,7 +52,7 @@
 		{raventrestle.ListChanges, nil, 45},
 	}
 	for i, w := range want {
-		if i == 0 || w.How == raventrestle.ListFailed || i == 5 {
+		if i == 0 || i >= 4 { // at the start, and after each failure
 			g.Subscribe()
 		}
 		if diff := cmp.Diff(w, nettest.Wait(t, "update", updates)); diff != "" {
