History: a courier writes what it did where its settings name a file

The checkers of internal/lab/history had no real histories. The record format and the writer move to internal/history, which the daemon may import; the actor tells it lives, messages, tries, calls, waits, facts and what advice changed, each at one stated point, and nothing is taken or kept where the settings name no file.

--- a/cmd/raventrestle/fleet.go
+++ b/cmd/raventrestle/fleet.go
@@ -15,6 +15,7 @@
 	*fleet.Host
 	leave context.CancelFunc
 	done  chan struct{}
+	drawn chan uint64 // this life's epoch
 }
 
 // meet makes the courier part of its fleet. Of the folder's bytes it takes no more than the room.
@@ -22,17 +23,18 @@
 	if set.Fleet == nil {
 		return nil
 	}
-	began := time.Now()
+	began, drawn := time.Now(), make(chan uint64, 1)
 	host, err := fleet.New(fleet.Config{Settings: *set.Fleet, Name: d.conf.Name, Folder: folder, Room: room, Memory: d.conf.Settings.ColdFor,
 		Clock: func() time.Duration { return time.Since(began) }, Wall: time.Now,
-		Chance: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: d.log})
+		Chance: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: d.log,
+		Drawn: func(epoch uint64) { drawn <- epoch }})
 	if err != nil {
 		d.log.Error("fleet_not_up", "name", d.conf.Name, "error", err.Error())
 		return nil
 	}
 	d.courier.Share(host)
 	ctx, leave := context.WithCancel(ctx)
-	f := &fellows{host, leave, make(chan struct{})}
+	f := &fellows{host, leave, make(chan struct{}), drawn}
 	go func() {
 		defer close(f.done)
 		host.Run(ctx)
--- a/cmd/raventrestle/serve.go
+++ b/cmd/raventrestle/serve.go
@@ -175,6 +175,7 @@
 		go d.letters.Run(ctx)
 	}
 	d.fleet = d.meet(ctx, set, life.Folder, shared)
+	defer d.record(set, listener != nil)()
 	go d.courier.Run(ctx)
 	d.tell(lifecycle.Done{Step: lifecycle.Notices})
 	if set.Admin.Socket != "" {
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -41,6 +41,7 @@
 	Wall     func() time.Time
 	Chance   *rand.Rand // the host's alone
 	Log      *slog.Logger
+	Drawn    func(epoch uint64) // hears this life's epoch, before anything is told; nil for nobody
 }
 
 const (
@@ -139,6 +140,9 @@
 		loaded.Epoch = 0
 	}
 	epoch := h.draw(loaded.Epoch, heard)
+	if h.cfg.Drawn != nil {
+		h.cfg.Drawn(epoch)
+	}
 	if err := h.open(epoch); err != nil {
 		h.fault("fleet_not_up", err)
 		return
--- a/internal/lab/history/record.go
+++ b/internal/history/record.go
@@ -1,12 +1,12 @@
-// Package history has what couriers write of what they did, for the lab to check after a run, all
-// couriers' histories and the server-side ledger together.
+// Package history is what a courier writes of what it did: records, their file and its writer. It is off unless the
+// operators' settings name a file. What it means, all couriers' files together, is checked by internal/lab/history.
 //
 // Times are nanoseconds of CLOCK_MONOTONIC, one clock for all processes of a machine, which no one sets:
 // records of several processes compare. Histories of several machines don't, and not across a boot.
 //
-// The invariant: a history that the rules allow has no violation (TestRightHistoriesPass), and each rule broken
-// has one, by the name of its checker (TestMutants). What a killed life could not write any more, or a full
-// mailbox dropped, is counted and never taken for a thing that was not done (TestLostTailIsUnproven).
+// The invariant: a writer keeps nobody waiting and its file within the bound, and tells in it how many records are
+// missing (TestWriterIsBounded); a life that was killed leaves a file that is read up to its last whole record, and to
+// which the next life adds (TestFileAcrossLives). Both tests are in internal/lab/history, which has the reader.
 package history
 
 import (
--- a/internal/lab/history/history_test.go
+++ b/internal/lab/history/history_test.go
@@ -14,6 +14,8 @@
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
+
+	"raventrestle/internal/history"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -98,7 +100,7 @@
 			put(c, now, f)
 			f.Age = a - now - 1
 			put(d, a, f)
-			put(d, a+ms, Record{Kind: Decided, How: "send", Rests: []Rest{{id, a - now + ms, 200 * ms}}})
+			put(d, a+ms, Record{Kind: Decided, How: "send", Rests: []Rest{{ID: id, Age: a - now + ms, Bound: 200 * ms}}})
 		case 7:
 			if rnd.IntN(8) > 0 {
 				break
@@ -259,7 +261,7 @@
 func TestFileAcrossLives(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "history")
 	for epoch := range uint64(3) {
-		w, err := Create(path, "n0", epoch+1, 0)
+		w, err := history.Create(path, "n0", epoch+1, 0)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -289,14 +291,14 @@
 		t.Fatal(diff)
 	}
 	text, _ := os.ReadFile(path)
-	for _, at := range []int{0, len(header) + 3, len(header) + frame + 2} {
+	for _, at := range []int{0, len(history.Header) + 3, len(history.Header) + history.FrameBytes + 2} {
 		spoilt := slices.Clone(text)
 		spoilt[at] ^= 0x40
 		os.WriteFile(path, spoilt, 0o600)
 		if _, err := Read([]string{path}, nil); !errors.Is(err, ErrCorrupt) || !strings.Contains(err.Error(), path) {
 			t.Errorf("byte %d spoilt: %v", at, err)
 		}
-		if _, err := Create(path, "n0", 9, 0); !errors.Is(err, ErrCorrupt) {
+		if _, err := history.Create(path, "n0", 9, 0); !errors.Is(err, ErrCorrupt) {
 			t.Errorf("byte %d spoilt, a new life: %v", at, err)
 		}
 	}
@@ -304,7 +306,7 @@
 
 func TestWriterIsBounded(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "history")
-	w, err := Create(path, "n0", 1, 8<<10)
+	w, err := history.Create(path, "n0", 1, 8<<10)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -344,11 +346,6 @@
 	rs, s := right(1, 32, 1_000_000)
 	dir := b.TempDir()
 	parts := map[string][]Record{}
-	base := Now() + 3600e9 // after the begins that Create writes
-	for i := range rs {
-		r := &rs[i]
-		r.At, r.From, r.Until = r.At+base, r.From+base, r.Until+base
-	}
 	for _, r := range Merge(rs, nil).Records {
 		parts[r.Courier] = append(parts[r.Courier], r)
 	}
@@ -356,16 +353,14 @@
 	for name, part := range parts {
 		path := filepath.Join(dir, name)
 		paths = append(paths, path)
-		w, err := Create(path, name, part[0].Epoch, 0)
-		if err != nil {
-			b.Fatal(err)
-		}
-		for _, r := range part[1:] {
-			if err := w.put(r); err != nil { // beside its mailbox, which would drop at this pace
+		text := []byte(history.Header)
+		for _, r := range part {
+			var err error
+			if text, err = history.Append(text, r); err != nil { // beside the writer's mailbox, which would drop at this pace
 				b.Fatal(err)
 			}
 		}
-		if err := w.Close(); err != nil {
+		if err := os.WriteFile(path, text, 0o600); err != nil {
 			b.Fatal(err)
 		}
 	}
@@ -382,7 +377,7 @@
 }
 
 func BenchmarkWrite(b *testing.B) {
-	w, err := Create(filepath.Join(b.TempDir(), "history"), "n0", 1, 1<<30)
+	w, err := history.Create(filepath.Join(b.TempDir(), "history"), "n0", 1, 1<<30)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/net/courier/courier.go
+++ b/internal/net/courier/courier.go
@@ -70,6 +70,7 @@
 	handover
 	recall
 	sharing
+	diary
 	seen   []deadletter.Seen // of this step
 	again  int               // resends that the module has
 	shown  time.Time         // when the letters' keeper last heard of the load
@@ -200,8 +201,11 @@
 func (c *Courier) peer(ctx context.Context, e upstream.Entry) *peer.Peer {
 	p := peer.New(ctx, peer.Config{Name: string(e.Target), Addr: e.Addr, ConnectWithin: c.conf.Settings.ConnectWithin,
 		IdleClose: c.conf.Settings.IdleClose, Mailbox: 4*c.conf.Settings.CallSlots + 16, Log: c.log, Counts: &c.Counts.Peers,
-		Wrote: func(n int) { c.Figures.UpstreamRequests.Add(int64(n)) },
-		Tell:  func(e raventrestle.Event) { c.mail <- e }})
+		Wrote: func(n int) {
+			c.Figures.UpstreamRequests.Add(int64(n))
+			c.called(e.Target)
+		},
+		Tell: func(e raventrestle.Event) { c.mail <- e }})
 	if e.State == raventrestle.Draining {
 		p.Hold(peer.Never)
 	}
@@ -523,6 +527,7 @@
 		end.Add(1)
 		if m != nil {
 			c.counted(m.Message, o.Status == raventrestle.OK, false)
+			c.answered(id, o.Status)
 		}
 		delete(c.msgs, o.ID)
 		c.forget(id)
@@ -562,6 +567,7 @@
 	for id, r := range c.peers {
 		if id == target || r.entry.Dest == told.entry.Dest && !c.kind(r).Apart {
 			r.Hold(until)
+			c.waits(id, until)
 		}
 	}
 }
@@ -615,6 +621,7 @@
 				c.begin(m, begun)
 			}
 			records = append(records, journal.Begun(m.ID, begun))
+			c.tries(m.ID, a.Target)
 			size := len(m.ID) + len(m.Key) + len(m.Body) + frame
 			i := slices.IndexFunc(out, func(x *calls) bool {
 				return x.to == r.Peer && len(x.tries) < c.kind(r).BundleMax && x.size+size <= mostBody
@@ -687,7 +694,11 @@
 	if len(records) == 0 {
 		return
 	}
-	then := func(err error) { c.written(err, out, owed) }
+	answers := c.answers()
+	then := func(err error) {
+		c.ended(err, answers, owed)
+		c.written(err, out, owed)
+	}
 	if err := c.journal.Append(records, then); err != nil {
 		then(err)
 	}
@@ -801,6 +812,7 @@
 	c.mu.Lock()
 	c.known[m.ID] = true
 	c.mu.Unlock()
+	c.takenOn(m)
 	c.mail <- arrival{m, again, orphan}
 }
 
--- a/internal/net/courier/fleet.go
+++ b/internal/net/courier/fleet.go
@@ -142,9 +142,13 @@
 // this life told the module has heard before.
 func (c *Courier) hear(t time.Duration) {
 	var told []raventrestle.Advice
+	c.look()
 	read := func(s facts.Subject, k facts.Kind) (facts.Evidence, bool) {
 		e, ok := c.fleet.Read(s, k)
-		return e, ok && !e.Dead
+		if ok = ok && !e.Dead; ok {
+			c.takes(s, k, e)
+		}
+		return e, ok
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.peers)) {
 		r := c.peers[id]
@@ -169,5 +173,6 @@
 	}
 	if len(told) > 0 {
 		c.policy.Advise(t, told)
+		c.decided(told)
 	}
 }
--- a/internal/net/courier/letters.go
+++ b/internal/net/courier/letters.go
@@ -92,7 +92,10 @@
 		} else {
 			c.Counts.Undeliverable.Add(1)
 		}
-		then := func(err error) { c.written(err, nil, []notice.Item{it}) }
+		then := func(err error) {
+			c.ended(err, nil, []notice.Item{it})
+			c.written(err, nil, []notice.Item{it})
+		}
 		if err := c.journal.Append([]journal.Record{journal.Ended(it.ID, it.End)}, then); err != nil {
 			then(err)
 		}
@@ -166,6 +169,7 @@
 		if err != nil {
 			return
 		}
+		c.letterEnded(id, what)
 		c.over(id)
 		c.post(heardMsg{})
 	})
--- a/internal/settings/schema/schema.cue
+++ b/internal/settings/schema/schema.cue
@@ -90,6 +90,14 @@
 		// Largest UDP packet, in bytes. What is longer goes by TCP.
 		max_datagram: int & >=576 & <=8192 | *1400
 	}
+
+	// What the courier does, written for a check after a run. Without this record nothing is written. Next start.
+	history?: {
+		// Path of the file, made with mode 0600. The courier's lives follow one another in it; no other courier writes there.
+		file: =~"^/.+$"
+		// The file grows no larger. What comes then is counted and not written.
+		max_bytes: int & >=65536 & <=1099511627776 | *268435456
+	}
 }
 
 #Address: =~"^(\\[[0-9a-fA-F:.]+\\]|[0-9.]+):[1-9][0-9]{0,4}$"
--- a/internal/settings/schema/schema_test.go
+++ b/internal/settings/schema/schema_test.go
@@ -30,6 +30,21 @@
 	}
 }
 
+// A history needs its file alone.
+func TestHistoryDefaults(t *testing.T) {
+	out, err := Compile("f.cue", []byte("history: file: \"/run/history\""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := settings.Decode(out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(&settings.History{File: "/run/history", MaxBytes: 256 << 20}, got.History); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
 // What operators get wrong is told by file, line and field, in one sentence.
 func TestFaults(t *testing.T) {
 	for name, c := range map[string]struct{ text, want string }{
@@ -52,6 +67,10 @@
 		"fleet, too many":      {fleet + "bind: \"127.0.0.1:1\", seeds: [" + strings.Repeat("\"127.0.0.1:2\",", 65) + "]}", "field fleet.seeds"},
 		"fleet, range":         {fleet + "bind: \"127.0.0.1:1\", max_datagram: 100}", "field fleet.max_datagram"},
 		"fleet, unknown field": {fleet + "bind: \"127.0.0.1:1\", max_peers: 100}", "field fleet.max_peers: no such field"},
+
+		"history, no file":       {"history: max_bytes: 65536", "field history.file"},
+		"history, relative file": {"history: file: \"run/history\"", "field history.file"},
+		"history, range":         {"history: {file: \"/h\", max_bytes: 100}", "field history.max_bytes"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			out, err := Compile("f.cue", []byte(c.text))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,7 +24,8 @@
 	Log           Log           `json:"log"`
 	Admin         Admin         `json:"admin"`
 	Undeliverable Undeliverable `json:"undeliverable"`
-	Fleet         *Fleet        `json:"fleet"` // nil: nothing is shared with other couriers
+	Fleet         *Fleet        `json:"fleet"`   // nil: nothing is shared with other couriers
+	History       *History      `json:"history"` // nil: none is written
 }
 
 // Log is what the courier writes to standard error.
@@ -66,6 +67,12 @@
 	MaxDatagram    int      `json:"max_datagram"`
 }
 
+// History is where the courier writes what it does, for a check after a run.
+type History struct {
+	File     string `json:"file"`
+	MaxBytes int64  `json:"max_bytes"`
+}
+
 // Resend is about sending letters again. Rates are in calls a second for one destination.
 type Resend struct {
 	Automatic  bool    `json:"automatic"`
