--- a/internal/lab/history/check.go
+++ b/internal/lab/history/check.go
@@ -150,12 +150,17 @@
 }
 
 // oneEnd: a message ends once, over all lives and couriers; nothing is tried after it was delivered or is void,
-// and a dead letter goes through once, after its message was undeliverable.
+// and a dead letter goes through once, after its message was undeliverable. One that was deferred begins anew when its
+// client brings it again.
 func oneEnd(h *History, b Bounds) (f Findings) {
-	groups := group(h, byID, TryBegun, MessageEnded)
+	groups := group(h, byID, TakenOn, TryBegun, MessageEnded)
 	for _, id := range ordered(groups) {
 		res := sequential(groups[id], b, "", func(end string, r *Record) (bool, string) {
 			switch {
+			case r.Kind == TakenOn && end == Deferred:
+				return true, ""
+			case r.Kind == TakenOn:
+				return true, end
 			case r.Kind == TryBegun: // of a dead letter, if it has ended; the client brings a deferred one itself
 				return end == "" || end == Undeliverable, end
 			case r.How == LetterDelivered:
--- a/internal/lab/history/history_test.go
+++ b/internal/lab/history/history_test.go
@@ -387,3 +387,17 @@
 	b.ReportMetric(float64(w.Dropped())/float64(b.N), "dropped/op")
 	w.Close()
 }
+
+func TestDeferredComesAgain(t *testing.T) {
+	all := []Record{{Kind: Begun, At: 1}, {Kind: TakenOn, At: 2, ID: "m"}, {Kind: MessageEnded, At: 3, ID: "m", How: Deferred},
+		{Kind: TakenOn, At: 4, ID: "m"}, {Kind: TryBegun, At: 5, ID: "m"}, {Kind: MessageEnded, At: 6, ID: "m", How: Delivered}}
+	for i := range all {
+		all[i].Courier, all[i].Epoch = "n0", 1
+	}
+	if f := Check(Merge(all, nil), Usual()); len(f.Violations) > 0 {
+		t.Error(f.Violations)
+	}
+	if f := Check(Merge(slices.Delete(slices.Clone(all), 3, 4), nil), Usual()); len(f.Violations) != 1 || f.Violations[0].Checker != "one_end" {
+		t.Errorf("tried though nobody brought it again: %v", f.Violations)
+	}
+}
