--- a/cmd/raventrestle/history_test.go
+++ b/cmd/raventrestle/history_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -25,8 +26,12 @@
 	told    []check.Told
 }
 
-func (s *serverSide) Effects() []check.Effect { return s.effects }
-func (s *serverSide) Told() []check.Told      { return s.told }
+func (s *serverSide) Effects() []check.Effect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.effects)
+}
+func (s *serverSide) Told() []check.Told { return s.told }
 
 func (s *serverSide) effect(id string, most int) {
 	s.mu.Lock()
@@ -88,6 +93,10 @@
 		if err := os.WriteFile(f.file, fmt.Appendf(text, "history: file: %q\n", files[i]), 0o600); err != nil {
 			t.Fatal(err)
 		}
+		if text, err = os.ReadFile(f.config); err != nil {
+			t.Fatal(err)
+		}
+		f.write(strings.Replace(string(text), `"rules":{`, `"rules":{"cold_us":11000000,`, 1)) // what limits and outages count for
 		f.begin()
 	}
 	a, b, c := fleet[0], fleet[1], fleet[2]
