Play faults of links, processes and folders in the emulator's world

Need: scenarios could name faults of links, processes and folders, and no world played them.

Change: with faults or a fleet, couriers are told relays' addresses for discovery, endpoints and one another. The fleet's TCP dials leave from the courier's own address.

--- a/cmd/ravenlab/main.go
+++ b/cmd/ravenlab/main.go
@@ -113,7 +113,7 @@
 	var o lab.Options
 	var seed uint64
 	var seeds, side int
-	var out string
+	var out, fleet string
 	var alone bool
 	c := &cobra.Command{Use: "run NAME", Short: "Play a scenario, or undeliverable or cold-return; exit 1 if a rule is broken", Args: cobra.ExactArgs(1),
 		ValidArgs: append(lab.Names(), "undeliverable", "cold-return"), RunE: func(c *cobra.Command, args []string) error {
@@ -125,6 +125,10 @@
 			case "cold-return":
 				return coldReturn(c, out, o)
 			default:
+				if fleet != "" && fleet != "off" {
+					return fmt.Errorf("--fleet %q: set off, or leave it out for what the scenario says", fleet)
+				}
+				o.NoFleet = fleet == "off"
 				return days(c, args[0], o.Seeds, side, out, alone, o)
 			}
 			plays, err := lab.Undeliverable(c.Context(), o)
@@ -145,6 +149,7 @@
 	f.IntVar(&seeds, "seeds", 1, "how many seeds, from the first on, side by side")
 	f.IntVar(&side, "side-by-side", 1, "days of a scenario played at once; each needs about a core")
 	f.StringVar(&out, "out", "", "folder for the table (table.md) and all figures (plays.json)")
+	f.StringVar(&fleet, "fleet", "", "off: the scenario's couriers share nothing, on the same day otherwise")
 	f.BoolVar(&alone, "virtual", false, "against the decision module alone, in virtual time")
 	f.BoolVar(&o.Short, "short", false, "a run of some seconds")
 	courier(c, &o)
--- a/internal/emulator/channel.go
+++ b/internal/emulator/channel.go
@@ -57,6 +57,7 @@
 	channel     *Channel
 	listeners   []net.Listener
 	model       *model.Endpoint
+	via         []string                        // in place of the listeners' addresses, where relays are before them
 	delay       func(courier int) time.Duration // of what the courier sends it, one way
 
 	mu    sync.Mutex
@@ -102,7 +103,12 @@
 }
 
 // Addr is where the courier reaches the endpoint.
-func (e *Endpoint) Addr(courier int) string { return e.listeners[courier].Addr().String() }
+func (e *Endpoint) Addr(courier int) string {
+	if e.via != nil {
+		return e.via[courier]
+	}
+	return e.listeners[courier].Addr().String()
+}
 
 // Set changes what is the matter with all endpoints of the channel.
 func (c *Channel) Set(m Mode, at time.Time) {
--- a/internal/emulator/courier.go
+++ b/internal/emulator/courier.go
@@ -7,10 +7,10 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -38,23 +38,23 @@
 	Starts  int
 }
 
+// ownIP is a loopback address of a courier's own: while it is down, no connection of another process can be given its
+// port. Discovery's real port, which no other world has, makes it so.
+func ownIP(n int, discovery string) (string, error) {
+	a, err := netip.ParseAddrPort(discovery)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("127.%d.%d.%d", a.Port()>>8, a.Port()&255, n%250+2), nil
+}
+
 // NewCourier makes the folder and the configuration of a courier, and picks its address.
-func NewCourier(n int, dir, program string, args, env []string, platform any, discovery string, known json.RawMessage, memoryMB, diskMB float64, l *Ledger) (*Courier, error) {
+func NewCourier(n int, dir, program string, args, env []string, platform any, ip, discovery string, known json.RawMessage, memoryMB, diskMB float64, l *Ledger) (*Courier, error) {
 	c := &Courier{N: n, Folder: filepath.Join(dir, fmt.Sprint("n", n)), Program: program, Args: args, ledger: l, onLife: func(bool) {}}
 	if err := os.MkdirAll(filepath.Join(c.Folder, "state"), 0o700); err != nil {
 		return nil, err
 	}
-	// A loopback address of its own: while the courier is down, no connection of another process can
-	// be given its port. Discovery's port, which no other world has, makes it so.
-	_, port, err := net.SplitHostPort(discovery)
-	if err != nil {
-		return nil, err
-	}
-	p, err := strconv.Atoi(port)
-	if err != nil {
-		return nil, err
-	}
-	socket, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", p>>8, p&255, n%250+2))
+	socket, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, err
 	}
@@ -130,6 +130,26 @@
 	return c.process.Process.Pid
 }
 
+// Pause holds the process by SIGSTOP, and Continue lets it go on; there may be none. Whoever looks after couriers sees
+// one that answers nothing, as if it were dead.
+func (c *Courier) Pause() error { return c.signal(syscall.SIGSTOP, false) }
+
+// Continue is Pause's end.
+func (c *Courier) Continue() error { return c.signal(syscall.SIGCONT, true) }
+
+func (c *Courier) signal(s syscall.Signal, up bool) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.process == nil {
+		return nil
+	}
+	c.onLife(up)
+	if err := c.process.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("courier n%d: %v: %w", c.N, s, err)
+	}
+	return nil
+}
+
 // Kill ends the process at once; it says whether there was one.
 func (c *Courier) Kill() bool {
 	c.mu.Lock()
--- a/internal/emulator/discovery.go
+++ b/internal/emulator/discovery.go
@@ -76,6 +76,16 @@
 	return d, nil
 }
 
+// relayed tells couriers these addresses of its own from now on, and the endpoints' as they are now.
+func (d *Discovery) relayed(addrs []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.addrs = addrs
+	for n := range addrs {
+		d.held[n] = d.whole(n)
+	}
+}
+
 // Close ends the listeners and connections.
 func (d *Discovery) Close() (err error) {
 	for _, s := range d.servers {
@@ -145,6 +155,7 @@
 }
 
 func (d *Discovery) list(w http.ResponseWriter, r *http.Request, courier int) {
+	d.ledger.Listed()
 	index, err := strconv.ParseInt(r.URL.Query().Get("index"), 10, 64)
 	d.mu.Lock()
 	if d.out {
--- a/internal/emulator/ledger.go
+++ b/internal/emulator/ledger.go
@@ -50,7 +50,8 @@
 	over      time.Time // delivered, or the platform was told
 	status    string    // that the platform was told first
 	toldAt    time.Time
-	open      map[int]bool // calls with it that are out, by number; true for a resend's
+	open      map[int]out // calls with it that are out, by number
+	forgotten time.Time   // its courier's folder was lost then
 }
 
 // Violation is a broken rule, with all that is known of the message.
@@ -72,6 +73,7 @@
 	ids        map[string]*handIn
 	lives      map[int][]life
 	violations []Violation
+	excuses    Excuses
 	guests     int // the courier whose messages others may hand in, -1 for none
 	Calls      int // on the receiving side, messages counted one by one
 	Refused    int
@@ -85,6 +87,7 @@
 	HandIns, Taken, TurnedAway, Unanswered int // by clients
 	Delivered, Undeliverable, Deferred     int // first ends
 	Calls, CallsRefused, Effects, Resends  int // on the receiving side
+	Lists                                  int // asked of discovery: whole ones and watches
 }
 
 // Counts reads the figures so far.
@@ -99,6 +102,24 @@
 // life is the time of one courier's process.
 type life struct{ ready, end time.Time }
 
+type out struct {
+	resend bool
+	floor  string
+	at     time.Time
+}
+
+// Excuses say what a courier can't be blamed for, in a world whose links and folders have faults.
+type Excuses struct {
+	// Mute is until when the courier can't be expected to have told an end that was due then: its process was stopped,
+	// or word from it did not reach the platform. Zero for no excuse.
+	Mute func(courier int, due time.Time) time.Time
+	// Unheard says that between the two times the platform's word that it has an end may not have come to the courier,
+	// which then tells it again.
+	Unheard func(courier int, from, to time.Time) bool
+	// Unseen says that between the two times the end of a call may not have come to the floor.
+	Unseen func(courier int, floor string, from, to time.Time) bool
+}
+
 // NewLedger returns an empty one.
 func NewLedger(start time.Time) *Ledger {
 	return &Ledger{start: start, messages: map[string]*Message{}, ids: map[string]*handIn{}, lives: map[int][]life{}, guests: -1,
@@ -181,7 +202,10 @@
 	if h.courier != courier {
 		l.broken("own messages", m, "sent by n%d, which does not have it", courier)
 	}
-	for earlier := range h.open {
+	for earlier, o := range h.open {
+		if l.excuses.Unseen != nil && l.excuses.Unseen(courier, o.floor, o.at, at) {
+			continue
+		}
 		// Its connection may have ended already, and word of that be on its way to the ledger.
 		l.Later(wordOfEnd, func() {
 			l.mu.Lock()
@@ -192,9 +216,9 @@
 		})
 	}
 	if h.open == nil {
-		h.open = map[int]bool{}
+		h.open = map[int]out{}
 	}
-	h.open[call] = resend
+	h.open[call] = out{resend, floor, at}
 	if h.withdrawn {
 		return call, 410, resend
 	}
@@ -209,7 +233,7 @@
 	if h == nil {
 		return
 	}
-	resend := h.open[call]
+	resend := h.open[call].resend
 	delete(h.open, call)
 	l.note(h.msg, at, "that call ends with %d", code)
 	if code == 429 || code == 503 {
@@ -273,7 +297,7 @@
 		h.status, h.toldAt = status, at
 	case h.status != status:
 		l.broken("one final answer", m, "told %s after %s", status, h.status)
-	case !l.restarted(courier, h.toldAt, at):
+	case !l.restarted(courier, h.toldAt, at) && (l.excuses.Unheard == nil || !l.excuses.Unheard(courier, h.toldAt, at)):
 		l.broken("one final answer", m, "told %s twice in one life", status)
 	}
 	if first = h.over.IsZero(); first {
@@ -325,6 +349,31 @@
 	l.lives[courier] = append(l.lives[courier], life{ready: at})
 }
 
+// Excuse has the ledger ask for excuses from now on.
+func (l *Ledger) Excuse(e Excuses) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.excuses = e
+}
+
+// Forgot says that the courier's folder was lost, and with it what it had taken on.
+func (l *Ledger) Forgot(courier int, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, h := range l.ids {
+		if h.courier == courier && h.over.IsZero() {
+			h.forgotten = at
+		}
+	}
+}
+
+// Listed says that a courier asked discovery.
+func (l *Ledger) Listed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts.Lists++
+}
+
 // Ended says that the process of the courier is gone, or was told to go.
 func (l *Ledger) Ended(courier int, at time.Time) {
 	l.mu.Lock()
@@ -357,7 +406,13 @@
 				continue
 			}
 			due := l.excused(h.courier, m.Until.Add(grace))
+			if l.excuses.Mute != nil {
+				if back := l.excuses.Mute(h.courier, due); back.After(due) {
+					due = l.excused(h.courier, back)
+				}
+			}
 			switch {
+			case h.over.IsZero() && h.taken.Before(h.forgotten):
 			case h.over.IsZero() && now.After(due):
 				l.broken("one final answer", m, "%s has none, and it was due at %.3f", h.id, due.Sub(l.start).Seconds())
 			case h.over.After(due):
--- a/internal/emulator/link/fault.go
+++ b/internal/emulator/link/fault.go
@@ -125,6 +125,11 @@
 	Refused, Swallowed, Ran int64 // TCP: refused by a cut, ends swallowed, connections reset
 }
 
+func (c Counts) plus(d Counts) Counts {
+	return Counts{c.Passed + d.Passed, c.Bytes + d.Bytes, c.Dropped + d.Dropped, c.Doubled + d.Doubled, c.Reordered + d.Reordered,
+		c.Overflowed + d.Overflowed, c.Connections + d.Connections, c.Refused + d.Refused, c.Swallowed + d.Swallowed, c.Ran + d.Ran}
+}
+
 // line is one direction of a link, of one protocol.
 type line struct {
 	mu      sync.Mutex
--- a/internal/emulator/link/mesh.go
+++ b/internal/emulator/link/mesh.go
@@ -35,7 +35,7 @@
 
 	mu      sync.Mutex
 	links   map[Pair]*directed
-	relays  map[Pair]*pairRelay
+	relays  map[route]*pairRelay
 	unknown int
 	closed  bool
 }
@@ -54,6 +54,12 @@
 	streams *streams
 }
 
+// route is a pair and the real address that its relay leads to.
+type route struct {
+	Pair
+	target string
+}
+
 type pairRelay struct {
 	addr    string
 	streams *streams
@@ -62,7 +68,7 @@
 // NewMesh opens the faces of all couriers.
 func NewMesh(parties []Party, seed uint64, log *slog.Logger) (m *Mesh, err error) {
 	m = &Mesh{log: log, seed: seed, parties: map[string]Party{}, byPort: map[netip.AddrPort]string{}, byIP: map[netip.Addr]string{},
-		faces: map[string]*face{}, links: map[Pair]*directed{}, relays: map[Pair]*pairRelay{}}
+		faces: map[string]*face{}, links: map[Pair]*directed{}, relays: map[route]*pairRelay{}}
 	for _, p := range parties {
 		a, err := loopback(p.Addr)
 		if err != nil {
@@ -164,7 +170,26 @@
 	if f := m.faces[to]; f != nil && m.parties[from].Role == Courier {
 		return f.addr.String(), nil
 	}
-	if r := m.relays[pair]; r != nil {
+	return m.relay(pair, m.parties[to].Addr)
+}
+
+// Via is where from reaches one of the addresses of to, which stands for several: all that are at its site.
+func (m *Mesh) Via(from, to, target string) (string, error) {
+	if _, err := loopback(target); err != nil {
+		return "", err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	pair := Pair{from, to}
+	if m.closed || m.links[pair] == nil || m.faces[to] != nil {
+		return "", fmt.Errorf("link: no relay from %q to %q: the mesh is closed, there is no such link, or it is a courier's, which has one face", from, to)
+	}
+	return m.relay(pair, target)
+}
+
+func (m *Mesh) relay(pair Pair, target string) (string, error) {
+	key := route{pair, target}
+	if r := m.relays[key]; r != nil {
 		return r.addr, nil
 	}
 	at, tcp, _, err := listen("127.0.0.1:0", []Proto{TCP})
@@ -172,7 +197,8 @@
 		return "", err
 	}
 	w := m.way(pair)
-	m.relays[pair] = &pairRelay{at.String(), newStreams(tcp, func(net.Addr) (way, bool) { return w, true }, func() {})}
+	w.target = target
+	m.relays[key] = &pairRelay{at.String(), newStreams(tcp, func(net.Addr) (way, bool) { return w, true }, func() {})}
 	return at.String(), nil
 }
 
@@ -235,6 +261,18 @@
 	return c
 }
 
+// Total is the sum of all directions and protocols.
+func (m *Mesh) Total() (all Counts) {
+	for _, d := range m.links {
+		for _, l := range d.lines {
+			if l != nil {
+				l.count(func(n *Counts) { all = all.plus(*n) })
+			}
+		}
+	}
+	return all
+}
+
 // Close ends every relay and waits for all goroutines.
 func (m *Mesh) Close() error {
 	m.mu.Lock()
--- a/internal/emulator/link/plan.go
+++ b/internal/emulator/link/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -113,6 +114,18 @@
 	Processes []ProcessEvent
 }
 
+// Begin is when the first fault begins; ok false if there is none.
+func (p Plan) Begin() (first time.Duration, ok bool) {
+	first = math.MaxInt64
+	for _, e := range p.Links {
+		first = min(first, e.At)
+	}
+	for _, e := range p.Processes {
+		first = min(first, e.At)
+	}
+	return first, len(p.Links)+len(p.Processes) > 0
+}
+
 // End is when the last fault is over.
 func (p Plan) End() (end time.Duration) {
 	for _, e := range p.Links {
--- a/internal/fleet/members/guard.go
+++ b/internal/fleet/members/guard.go
@@ -200,7 +200,9 @@
 		return nil, errAway
 	}
 	t.c.StreamsOut.Add(1)
-	conn, err := t.NetTransport.DialAddressTimeout(a, timeout)
+	// From the courier's own address, as its packets leave: others, and firewalls, tell couriers by it.
+	own := net.Dialer{Timeout: timeout, LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(t.cfg.Bind.Addr(), 0))}
+	conn, err := own.Dial("tcp", a.Addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/members/members_test.go
+++ b/internal/fleet/members/members_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -471,3 +472,33 @@
 }
 
 var _ memberlist.NodeAwareTransport = (*guard)(nil)
+
+// TCP connections leave from the address that the courier is bound to, as its packets do.
+func TestDialsFromBind(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	cfg := config("a", 1).defaults()
+	cfg.Bind = netip.MustParseAddrPort("127.9.8.7:0")
+	g, err := newGuard(cfg, false, &Counters{}, log.New(io.Discard, "", 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer g.wait()
+	defer g.Shutdown()
+	out, err := g.DialTimeout(l.Addr().String(), patience)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer out.Close()
+	in, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer in.Close()
+	if ip := in.RemoteAddr().(*net.TCPAddr).IP.String(); ip != "127.9.8.7" {
+		t.Errorf("the dial left from %s", ip)
+	}
+}
--- a/internal/lab/play.go
+++ b/internal/lab/play.go
@@ -35,6 +35,8 @@
 	switch {
 	case errors.Is(err, os.ErrNotExist):
 		return nil, nil
+	case err == nil && !d.Virtual && d.Fleet != (j.Scenario.Fleet && !j.NoFleet):
+		return nil, fmt.Errorf("%s is of a run with fleet %v, this one has it %v: give it a folder of its own", file, d.Fleet, !d.Fleet)
 	case err == nil && d.Virtual != j.Virtual:
 		return nil, fmt.Errorf("%s is of a run with virtual time %v, this one has it %v: give it a folder of its own", file, d.Virtual, j.Virtual)
 	}
--- a/internal/lab/scenario/schema.cue
+++ b/internal/lab/scenario/schema.cue
@@ -49,6 +49,9 @@
 		processes: [...#ProcessFault]
 	}
 
+	// Whether couriers are told of one another and share what they learn.
+	fleet: bool | *false
+
 	// A courier's machine and its share of the slots, over what its part of full load keeps busy.
 	slots_room: #Range | *[1.9, 2.4]
 	held_s:     #Range | *[6.6, 12]
--- a/internal/lab/undeliverable.go
+++ b/internal/lab/undeliverable.go
@@ -30,6 +30,7 @@
 	Program string // the courier
 	Dir     string // folders of the couriers; kept if Keep
 	Keep    bool
+	NoFleet bool // a scenario's couriers are told nothing of one another
 	Short   bool // a few seconds, for tests
 	Log     *slog.Logger
 }
--- a/internal/lab/verdict/verdict_test.go
+++ b/internal/lab/verdict/verdict_test.go
@@ -72,3 +72,44 @@
 		}
 	})
 }
+
+func TestRecover(t *testing.T) {
+	for name, c := range map[string]struct {
+		lost map[int]bool // seconds whose messages are not delivered
+		want Recovery
+	}{
+		"no harm":              {nil, Recovery{1, 0}},
+		"three bad seconds":    {map[int]bool{10: true, 11: true, 12: true}, Recovery{1, 3 * time.Second}},
+		"well, then bad again": {map[int]bool{10: true, 18: true}, Recovery{1, 9 * time.Second}},
+		"bad to the end":       {map[int]bool{28: true}, Recovery{1, -1}},
+		"half before as after": {map[int]bool{1: true, 3: true, 5: true, 7: true, 9: true, 12: true, 17: true}, Recovery{0.5, 0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var all []Message
+			for s := range 30 {
+				m := Message{Born: time.Duration(s)*time.Second + time.Millisecond, Took: time.Second, Worth: 1, Aim: 2 * time.Second, Deadline: 4 * time.Second}
+				if c.lost[s] {
+					m.Took = -1
+				}
+				all = append(all, m)
+			}
+			if got := Recover(all, 10*time.Second, 30*time.Second); got != c.want {
+				t.Fatalf("got %+v, want %+v", got, c.want)
+			}
+		})
+	}
+	if got := Recover(nil, 10*time.Second, 12*time.Second); got.After != -1 {
+		t.Errorf("a run with no whole window after the fault: %+v", got)
+	}
+}
+
+func TestPeak(t *testing.T) {
+	for _, c := range []struct {
+		readings     []int
+		most, second int
+	}{{nil, 0, 0}, {[]int{0, 0}, 0, 0}, {[]int{4, 5, 11, 12}, 6, 2}, {[]int{7, 8}, 7, 0}, {[]int{1, 3, 5}, 2, 1}} {
+		if most, second := Peak(c.readings); most != c.most || second != c.second {
+			t.Errorf("%v: %d in second %d, want %d in %d", c.readings, most, second, c.most, c.second)
+		}
+	}
+}
