--- a/internal/emulator/courier.go
+++ b/internal/emulator/courier.go
@@ -48,8 +48,9 @@
 	return fmt.Sprintf("127.%d.%d.%d", a.Port()>>8, a.Port()&255, n%250+2), nil
 }
 
-// NewCourier makes the folder and the configuration of a courier, and picks its address.
-func NewCourier(n int, dir, program string, args, env []string, platform any, ip, discovery string, known json.RawMessage, memoryMB, diskMB float64, l *Ledger) (*Courier, error) {
+// NewCourier makes the folder and the configuration of a courier, and picks its address, a port of the IP.
+func NewCourier(n int, dir, program string, args, env []string, platform any, ip, discovery string,
+	known json.RawMessage, memoryMB, diskMB float64, l *Ledger) (*Courier, error) {
 	c := &Courier{N: n, Folder: filepath.Join(dir, fmt.Sprint("n", n)), Program: program, Args: args, ledger: l, onLife: func(bool) {}}
 	if err := os.MkdirAll(filepath.Join(c.Folder, "state"), 0o700); err != nil {
 		return nil, err
--- a/internal/emulator/faults.go
+++ b/internal/emulator/faults.go
@@ -200,14 +200,19 @@
 func (p processes) Pause(c string) error    { return p.of(c).Pause() }
 func (p processes) Continue(c string) error { return p.of(c).Continue() }
 
-// Kill forgets with the folder, in the ledger too, what its courier had taken on.
+// Kill has the ledger know what becomes of what the courier had taken on: it is forgotten with a lost folder, and goes to
+// the other courier with a swapped one, once both are dead.
 func (p processes) Kill(name string) error {
 	c, at := p.of(name), time.Since(p.w.start)
 	c.Kill()
-	if slices.ContainsFunc(p.w.Faulted.Processes, func(e link.ProcessEvent) bool {
-		return (e.Courier == name || e.Other == name) && e.At <= at && at < e.At+e.For && (e.How == link.Empty || e.How == link.Old || e.How == link.Swap)
-	}) {
-		p.w.Ledger.Forgot(c.N, time.Now())
+	for _, e := range p.w.Faulted.Processes {
+		switch {
+		case at < e.At || at >= e.At+e.For:
+		case e.Courier == name && (e.How == link.Empty || e.How == link.Old):
+			p.w.Ledger.Forgot(c.N, time.Now())
+		case e.Other == name && e.How == link.Swap:
+			p.w.Ledger.Swapped(p.of(e.Courier).N, c.N, time.Now())
+		}
 	}
 	return nil
 }
--- a/internal/emulator/ledger.go
+++ b/internal/emulator/ledger.go
@@ -367,6 +367,24 @@
 	}
 }
 
+// Swapped says that the two couriers' folders were exchanged, and with them what each has yet to bring to its end, and
+// what has come to one without its knowing.
+func (l *Ledger) Swapped(a, b int, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, h := range l.ids {
+		switch {
+		case h.courier != a && h.courier != b:
+			continue
+		case h.courier == a:
+			h.courier = b
+		default:
+			h.courier = a
+		}
+		l.note(h.msg, at, "%s is in n%d's hands now", h.id, h.courier)
+	}
+}
+
 // Listed says that a courier asked discovery.
 func (l *Ledger) Listed() {
 	l.mu.Lock()
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -253,7 +253,8 @@
 			}
 			args = append([]string{"run", "--settings", file}, args...)
 		}
-		c, err := NewCourier(n, s.Dir, s.Program, args, s.Env, s.Platform(n), places[n].ip, w.Discovery.Addr(n), w.Discovery.Whole(n), s.MemoryMB, s.DiskMB, w.Ledger)
+		c, err := NewCourier(n, s.Dir, s.Program, args, s.Env, s.Platform(n), places[n].ip, w.Discovery.Addr(n), w.Discovery.Whole(n),
+			s.MemoryMB, s.DiskMB, w.Ledger)
 		if err != nil {
 			return w, err
 		}
