--- a/internal/emulator/ledger.go
+++ b/internal/emulator/ledger.go
@@ -1,6 +1,9 @@
 // Package emulator is this project's own model of the systems that couriers serve: discovery,
 // channels, clients and the courier processes themselves, on loopback addresses. Its ledger counts
 // what takes effect on the receiving side, apart from what couriers say, and checks the rules by it.
+//
+// Where links, processes or folders have faults, the rules excuse what follows from the plan drawn ahead, and nothing
+// else (TestExcuses, TestForgotten, TestSwapped); effects beyond what a class allows are never excused.
 package emulator
 
 import (
