--- a/internal/asking/asking.go
+++ b/internal/asking/asking.go
@@ -5,8 +5,6 @@
 //   - TestSilenceIsAskedAgainInTime: whatever discovery has to tell counts as told [Told] after a call fell silent, or
 //     [ToldAfterWait] after the wait of a call that may wait. A call that brought nothing by then was followed by another
 //     one that had time for its answer, at once and not after a pause.
-//   - TestManyHoldNothing: n couriers that work together hold discovery for no longer than one of them would, and ask so
-//     often that each has a second call before Settings.Within is over.
 //   - TestPushedIsAskedFromTheStart: where lists are pushed, a call is always out or about to be, from the first moment.
 package asking
 
@@ -32,10 +30,8 @@
 
 // Settings are the platform's figures that matter here.
 type Settings struct {
-	Pushed   bool          // lists are pushed: what the agent has counts as told whether or not a call is out
-	Within   time.Duration // with no watch and no call for so long, what was listed that long back counts as told
-	Couriers int           // that share discovery, this one included
-	Slots    int           // calls that one courier may have out at once
+	Pushed bool // lists are pushed: what the agent has counts as told whether or not a call is out
+	Known  bool // a list is known, whose changes can be watched; without, the whole list is polled
 }
 
 // Result is what came of the call before.
@@ -62,10 +58,6 @@
 	silent, failed int // in a row
 }
 
-// many says that the couriers would fill discovery by watches that each holds for good. It is the same measure by which
-// the module tells a fleet that fills endpoints' connections: more couriers than one of them may have calls out.
-func (s *Settings) many() bool { return !s.Pushed && s.Couriers > s.Slots }
-
 // Next is the call that follows the result. Chance is drawn evenly from 0 to 1.
 func (p *Plan) Next(s Settings, r Result, chance float64) Call {
 	switch r {
@@ -73,10 +65,6 @@
 		*p = Plan{}
 	case Answered:
 		*p = Plan{}
-		if s.many() {
-			// Twice within the time that the list holds, and not all at one time.
-			return s.poll(time.Duration((0.4 + 0.1*chance) * float64(s.Within)))
-		}
 	case Silent:
 		if p.silent++; p.silent == 1 {
 			return s.poll(0) // its news may be due now: a call that can't wait brings them soonest
@@ -99,9 +87,9 @@
 
 func (s *Settings) poll(after time.Duration) Call { return Call{After: after, Limit: turn} }
 
-// watch is a poll where many would hold discovery by it.
+// watch is a poll where there is nothing yet whose changes could be watched.
 func (s *Settings) watch(after time.Duration) Call {
-	if s.many() {
+	if !s.Known {
 		return s.poll(after)
 	}
 	return Call{After: after, Wait: watch, Limit: watch + beyond}
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -48,10 +48,10 @@
 	index  int64 // -1 where the whole list is wanted
 }
 
-// terms are what the settings say: how the list is read, and what asking for it goes by.
+// terms are what the settings say: how the list is read, and whether it is pushed.
 type terms struct {
 	names  *config.Names
-	asking asking.Settings
+	pushed bool
 }
 
 const mostList = 4 << 20
@@ -79,7 +79,7 @@
 
 // Serve reads lists by these kinds and zones, and asks for them by these settings, from now on.
 func (g *Group) Serve(set *raventrestle.Settings, names *config.Names) {
-	g.terms.Store(&terms{names, asking.Settings{Pushed: !set.AskForList, Within: set.AskWithin, Couriers: set.Forwarders, Slots: set.CallSlots}})
+	g.terms.Store(&terms{names, !set.AskForList})
 }
 
 // Subscribe asks for the list if no call is out.
@@ -140,7 +140,7 @@
 }
 
 func (g *Group) next(r asking.Result) asking.Call {
-	return g.plan.Next(g.terms.Load().asking, r, rand.Float64())
+	return g.plan.Next(asking.Settings{Pushed: g.terms.Load().pushed, Known: g.index >= 0}, r, rand.Float64())
 }
 
 // turn points the group at another discovery, whose versions tell nothing of the old one's.
