--- a/internal/net/upgrade/socket_test.go
+++ b/internal/net/upgrade/socket_test.go
@@ -23,6 +23,22 @@
 	return strconv.Itoa(fd)
 }
 
+// platform holds a clients' socket, and the file that it passes on.
+func platform(t *testing.T) (net.Listener, *os.File) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	f, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { f.Close() })
+	return l, f
+}
+
 func env(text string) func(string) string { return func(string) string { return text } }
 
 // What is no listening TCP socket is a plain error in one line; without the variable there is none to serve.
@@ -62,16 +78,7 @@
 
 // Closing it here closes nothing for the platform or another process.
 func TestInheritedStaysOpenForOthers(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	f, err := l.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
+	l, f := platform(t)
 	for range 2 { // one process after the other
 		own, err := Inherited(env(inherited(t, f)))
 		if err != nil {
@@ -99,16 +106,7 @@
 // Another process that holds the socket makes it block, as passing it on does: whoever accepts here still ends when it
 // closes, and takes no connection after that, which is the next process's.
 func TestInheritedEndsThoughOthersMakeItBlock(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	f, err := l.(*net.TCPListener).File()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer f.Close()
+	l, f := platform(t)
 	own, err := Inherited(env(inherited(t, f)))
 	if err != nil {
 		t.Fatal(err)
