Put the message with the most time left first in a call of several

In 41 calls a mate had ended before the answer came. Peer.Call wrote tries in the order in which they left, the module's, so that the shortest could stand first.

Change: Peer.Call orders by time left. Tests: TestTheMostTimeLeftLeadsItsCall, over a connection, answer forced after the end, seen to fail without the change. TestBulk gave each message a time of its own by accident of the clock and now gives one; TestBulkTimeout now holds both remaining messages to the call's end instead of one.

--- a/internal/net/peer/peer.go
+++ b/internal/net/peer/peer.go
@@ -127,8 +127,14 @@
 	return p
 }
 
-// Call makes one call of the tries. It reports whether the mailbox took it.
-func (p *Peer) Call(tries []Try) bool { return p.post(callMsg{tries}) }
+// Call makes one call of the tries. It reports whether the mailbox took it. The message with the most time left stands
+// first in the call: a call goes on while some of its messages run out of time, and the platform was seen to count none
+// of the others as delivered where the first one had.
+func (p *Peer) Call(tries []Try) bool {
+	tries = slices.Clone(tries)
+	slices.SortStableFunc(tries, func(a, b Try) int { return b.Until.Compare(a.Until) })
+	return p.post(callMsg{tries})
+}
 
 // Cancel closes the connection of the call with the message; its mates end with it.
 func (p *Peer) Cancel(id string) bool { return p.post(cancelMsg{id}) }
--- a/internal/net/peer/peer_test.go
+++ b/internal/net/peer/peer_test.go
@@ -231,9 +231,9 @@
 		t.Run(name, func(t *testing.T) {
 			script := nettest.NewPeer(t, func(conn net.Conn, _ nettest.Call) bool { io.WriteString(conn, c.answer); return false })
 			p, out := start(t, script.Addr())
-			sent := make([]Try, len(tries))
+			sent, until := make([]Try, len(tries)), time.Now().Add(time.Hour)
 			for i, x := range tries {
-				x.Wait, x.Until = nettest.Patience, time.Now().Add(time.Hour)
+				x.Wait, x.Until = nettest.Patience, until
 				sent[i] = x
 			}
 			p.Call(sent)
@@ -272,12 +272,42 @@
 	if o := nettest.Wait(t, "outcome", out); o.ID != "late" || o.Status != raventrestle.TimedOut || len(end.Ends) > 0 {
 		t.Fatalf("%+v with %d connections ended", o, len(end.Ends))
 	}
-	if o := nettest.Wait(t, "outcome", out); o.ID != "mate" || o.Took < time.Second {
-		t.Fatalf("%+v", o)
+	for _, id := range []raventrestle.MessageID{"longest", "mate"} {
+		if o := nettest.Wait(t, "outcome", out); o.ID != id || o.Took < time.Second {
+			t.Fatalf("%+v", o)
+		}
 	}
 	nettest.Wait(t, "end of the call", end.Ends)
 }
 
+// The one that runs out of time while its call goes on is never the first of it: nine brink days lost the others of 11
+// such calls, whose answers told them done, and none of the 27 calls in which only a later one had run out.
+func TestTheMostTimeLeftLeadsItsCall(t *testing.T) {
+	over := make(chan struct{})
+	end := nettest.NewPeer(t, func(c net.Conn, _ nettest.Call) bool {
+		<-over
+		_, err := io.WriteString(c, nettest.Plain(200, "", "late done\r\nmate done\r\nlast done\r\n"))
+		return err == nil
+	})
+	p, out := start(t, end.Addr())
+	late, mate, last := try("late", nettest.Patience), try("mate", nettest.Patience), try("last", nettest.Patience)
+	late.Until, last.Until = time.Now().Add(20*time.Millisecond), mate.Until.Add(time.Second)
+	p.Call([]Try{late, mate, last})
+	if o := nettest.Wait(t, "outcome", out); o.ID != "late" || o.Status != raventrestle.TimedOut {
+		t.Fatalf("%+v", o)
+	}
+	close(over)
+	for range 2 {
+		if o := nettest.Wait(t, "outcome", out); o.Status != raventrestle.OK || !o.Closed {
+			t.Fatalf("%+v", o)
+		}
+	}
+	const want = "last keylast 9\r\nbody last\r\nmate keymate 9\r\nbody mate\r\nlate keylate 9\r\nbody late\r\n"
+	if call := nettest.Wait(t, "call", end.Calls); call.Body != want {
+		t.Fatalf("%q", call.Body)
+	}
+}
+
 // The time of one of several messages is up while the call's connection is still coming up: it has had
 // its final answer by then, so the call is not written, and its mate never ran (BROKEN: lost, 'sent on
 // after its final answer', on the mass split day).
