Read and close client connections under one lock

Cause, by reading: gate.Conn.Read took bytes off the socket and then waited for the gate's lock; Dismiss (after SIGTERM) and room held that lock, saw by a peek that nothing was unread, and closed. A request whose bytes had just been taken was dropped with net.ErrClosed: read, and never answered. Second: net/http reads one byte ahead while a handler runs; if it was the next request's, the connection went to the list of those between requests, and the peek saw nothing unread either.

Change: the read is made in the poller's callback, under the gate's lock, so that a connection is closed with nothing read off it since its last answer or its request is answered. Bytes read ahead keep a connection among the busy ones.

Tests: TestNothingIsReadWhileTheGateCloses (the lock held, a request unread, a reader started) and a case of TestDismissLeavesWhatIsOwedAnAnswer; both seen to fail with the code before ("'O' of the request is read", "closed true").

--- a/internal/net/gate/gate.go
+++ b/internal/net/gate/gate.go
@@ -5,10 +5,12 @@
 import (
 	"container/list"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"raventrestle/internal/net/sock"
@@ -60,6 +62,7 @@
 	at     *list.Element
 	since  time.Time // in that list
 	read   bool      // the request has come whole
+	ahead  bool      // and some of the next one after it
 	served bool      // an earlier request had its answer
 	closed bool
 }
@@ -90,10 +93,18 @@
 
 // room says whether another connection may be let in, and closes one for it if need be.
 func (g *Gate) room() bool {
+	c, ok := g.makeRoom()
+	if c != nil {
+		c.TCPConn.Close()
+	}
+	return ok
+}
+
+func (g *Gate) makeRoom() (gone *Conn, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.quiet.Len()+g.busy.Len() < g.most {
-		return true
+		return nil, true
 	}
 	for e := g.quiet.Front(); e != nil; e = e.Next() {
 		c := e.Value.(*Conn)
@@ -102,22 +113,30 @@
 		}
 		if _, quiet := sock.Look(c.TCPConn); quiet {
 			c.shut()
-			return true
+			return c, true
 		}
 	}
 	for e := g.busy.Front(); e != nil; e = e.Next() {
 		if c := e.Value.(*Conn); !c.read && time.Since(c.since) > g.Busy {
 			c.shut()
-			return true
+			return c, true
 		}
 	}
-	return false
+	return nil, false
 }
 
 // Dismiss closes the connections that are between requests, and says how many are left. One on which no request has
 // come yet is given so long from its beginning: closed before, it would count as a request without an answer. One that
 // has bytes to be read is left: its request gets its answer, and the connection goes behind that.
 func (g *Gate) Dismiss(fresh time.Duration) (left int) {
+	gone, left := g.dismiss(fresh)
+	for _, c := range gone {
+		c.TCPConn.Close()
+	}
+	return left
+}
+
+func (g *Gate) dismiss(fresh time.Duration) (gone []*Conn, left int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for e := g.quiet.Front(); e != nil; {
@@ -128,9 +147,10 @@
 		}
 		if _, quiet := sock.Look(c.TCPConn); quiet {
 			c.shut()
+			gone = append(gone, c)
 		}
 	}
-	return g.quiet.Len() + g.busy.Len()
+	return gone, g.quiet.Len() + g.busy.Len()
 }
 
 // SetState hears from the server when a connection is between requests again, or is not.
@@ -144,6 +164,10 @@
 	switch {
 	case s == http.StateIdle:
 		c.served = true
+		if c.ahead {
+			c.move(g.busy)
+			return
+		}
 		c.move(g.quiet)
 	case s == http.StateActive && c.in == g.quiet: // its bytes came along with the request before
 		c.move(g.busy)
@@ -158,7 +182,7 @@
 	if c.in != nil {
 		c.in.Remove(c.at)
 	}
-	if c.in, c.since, c.read = to, time.Now(), false; to != nil {
+	if c.in, c.since, c.read, c.ahead = to, time.Now(), false, false; to != nil {
 		c.at = to.PushBack(c)
 		return
 	}
@@ -169,27 +193,59 @@
 	}
 }
 
+// shut ends the connection for its reader, under the gate's lock. Its socket is closed without the lock: closing waits for
+// a reader, and that one for the lock.
 func (c *Conn) shut() {
 	if !c.served {
 		c.gate.Unanswered.Add(1)
 	}
 	c.move(nil)
-	c.TCPConn.Close()
 }
 
-// Read gives what has come, unless the connection was closed meanwhile: what is read then has
-// not been, and its client sends it once more.
-func (c *Conn) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
+// Read takes what has come off the socket under the gate's lock, as the gate looks and closes under it: a connection
+// is closed with nothing read off it since its last answer, or its request is answered.
+func (c *Conn) Read(b []byte) (n int, err error) {
+	if len(b) == 0 {
+		return 0, nil
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	if failed := raw.Read(func(fd uintptr) (done bool) {
+		n, err = c.take(int(fd), b)
+		return err != syscall.EAGAIN
+	}); failed != nil { // of waiting: closed, or its deadline
+		return 0, failed
+	}
+	switch {
+	case err != nil:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: err}
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// take is one read that does not wait.
+func (c *Conn) take(fd int, b []byte) (n int, err error) {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
 	if c.closed {
 		return 0, net.ErrClosed
 	}
-	if n > 0 && c.in == c.gate.quiet {
+	for err = error(syscall.EINTR); err == syscall.EINTR; {
+		n, err = syscall.Read(fd, b)
+	}
+	switch {
+	case err != nil:
+		return 0, err
+	case n > 0 && c.in == c.gate.quiet:
 		c.move(c.gate.busy)
+	case n > 0 && c.read: // the server looks for the client's end while the request before is answered
+		c.ahead = true
 	}
-	return n, err
+	return n, nil
 }
 
 // Whole marks that the request has come whole: from now on it gets its answer.
@@ -201,8 +257,8 @@
 
 func (c *Conn) Close() error {
 	c.gate.mu.Lock()
-	defer c.gate.mu.Unlock()
 	c.move(nil)
+	c.gate.mu.Unlock()
 	return c.TCPConn.Close()
 }
 
--- a/internal/net/gate/gate_test.go
+++ b/internal/net/gate/gate_test.go
@@ -1,9 +1,12 @@
 package gate
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
+	"syscall"
 	"testing"
 	"time"
 
@@ -16,6 +19,7 @@
 func TestDismissLeavesWhatIsOwedAnAnswer(t *testing.T) {
 	for name, c := range map[string]struct {
 		served, sent bool
+		ahead        bool // the next request's first byte was read before the answer was out
 		fresh        time.Duration
 		closed       bool
 		unanswered   int64
@@ -26,6 +30,7 @@
 		"new, a request to be read":            {sent: true},
 		"new, and has said nothing so long":    {closed: true, unanswered: 1},
 		"between requests, no time for guests": {served: true, closed: true},
+		"the next request is begun":            {served: true, ahead: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -43,6 +48,15 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			if c.ahead {
+				fmt.Fprint(client, "AB") // the end of one request, and the next one's beginning
+				for range 2 {
+					if _, err := conn.Read(make([]byte, 1)); err != nil {
+						t.Fatal(err)
+					}
+					conn.(*Conn).Whole()
+				}
+			}
 			if c.served { // as the server tells of an answer
 				g.SetState(conn, http.StateIdle)
 			}
@@ -66,3 +80,61 @@
 		})
 	}
 }
+
+// Nothing is taken off a socket while the gate looks at its connections: what was read between the look and the close
+// would be a request that came and has no answer.
+func TestNothingIsReadWhileTheGateCloses(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := New(l, 8, Limits{})
+	defer g.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	conn, err := g.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.SetState(conn, http.StateIdle)
+	fmt.Fprint(client, "POST /free HTTP/1.1\r\nHost: x\r\n\r\n")
+	quiet := func() bool { _, quiet := sock.Look(conn.(*Conn).TCPConn); return quiet }
+	for deadline := time.Now().Add(nettest.Patience); quiet(); runtime.Gosched() {
+		if time.Now().After(deadline) {
+			t.Fatal("the request does not come")
+		}
+	}
+	g.mu.Lock() // as Dismiss has it
+	read := make(chan int)
+	go func() {
+		n, _ := conn.Read(make([]byte, 1))
+		read <- n
+	}()
+	for until := time.Now().Add(50 * time.Millisecond); time.Now().Before(until); runtime.Gosched() {
+		if b, err := peek(conn.(*Conn).TCPConn); err != nil || b != 'P' {
+			t.Errorf("%q of the request is read: %v", b, err)
+			break
+		}
+	}
+	g.mu.Unlock()
+	if n := nettest.Wait(t, "read", read); n != 1 {
+		t.Errorf("%d bytes", n)
+	}
+	if left := g.Dismiss(0); left != 1 {
+		t.Error("closed with a request begun")
+	}
+}
+
+// peek is the byte that is read next.
+func peek(c *net.TCPConn) (byte, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var b [1]byte
+	failed := raw.Control(func(fd uintptr) { _, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) })
+	return b[0], errors.Join(failed, err)
+}
