Let the gate alone close client connections at the end of a shutdown

One stays in that state while the head of its next request comes in, so that a request with half a head read off it was closed without an answer, 2.5 s after SIGTERM; two owners closed the same connections by different rules.

Change: gate.End closes the listener and goes on with Dismiss, which leaves what has begun a request, until nothing is left or the 200 ms are over. Shutdown is not called any more. Test: TestEndLeavesHalfAHead, over a connection, half a head read before the end begins; with server.Shutdown in End's place it fails each time (reset, unexpected EOF).

--- a/cmd/raventrestle/serve.go
+++ b/cmd/raventrestle/serve.go
@@ -233,7 +233,7 @@
 			}
 			closing, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
 			defer cancel()
-			if err := server.Shutdown(closing); err != nil {
+			if err := clients.End(closing); err != nil && !errors.Is(err, net.ErrClosed) { // closed where another follows
 				d.log.Warn("raventrestle: client connections", "err", err)
 			}
 			stop()
--- a/internal/net/gate/gate.go
+++ b/internal/net/gate/gate.go
@@ -5,6 +5,7 @@
 import (
 	"container/list"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -153,6 +154,22 @@
 	return gone, g.quiet.Len() + g.busy.Len()
 }
 
+// End lets in no more and closes what is between requests until nothing is left, or the context's error says that its time
+// is up; new ones have the time of a request that has not come whole. It stands in place of the server's Shutdown, which closes as idle what has half a head of a request read off it.
+func (g *Gate) End(ctx context.Context) error {
+	err := g.Close()
+	look := time.NewTicker(fullPause)
+	defer look.Stop()
+	for g.Dismiss(g.Busy) > 0 {
+		select {
+		case <-ctx.Done():
+			return errors.Join(err, ctx.Err())
+		case <-look.C:
+		}
+	}
+	return err
+}
+
 // SetState hears from the server when a connection is between requests again, or is not.
 func (g *Gate) SetState(conn net.Conn, s http.ConnState) {
 	c, ok := conn.(*Conn)
--- a/internal/net/gate/gate_test.go
+++ b/internal/net/gate/gate_test.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -138,3 +140,63 @@
 	failed := raw.Control(func(fd uintptr) { _, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) })
 	return b[0], errors.Join(failed, err)
 }
+
+// A request whose head has come by half on a connection that was between requests is answered while the gate ends.
+func TestEndLeavesHalfAHead(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := New(l, 8, Limits{})
+	requests := 0
+	server := &http.Server{ConnState: g.SetState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if requests++; requests > 1 {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})}
+	defer server.Close()
+	go server.Serve(g)
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	client.SetDeadline(time.Now().Add(nettest.Patience))
+	answers := bufio.NewReader(client)
+	answer := func() int {
+		t.Helper()
+		res, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return res.StatusCode
+	}
+	fmt.Fprint(client, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	if code := answer(); code != http.StatusOK {
+		t.Fatal(code)
+	}
+	fmt.Fprint(client, "GET / HTTP/1.1\r\nHo")
+	for deadline := time.Now().Add(nettest.Patience); ; runtime.Gosched() { // it is read
+		g.mu.Lock()
+		n := g.busy.Len()
+		g.mu.Unlock()
+		if n == 1 {
+			break
+		} else if time.Now().After(deadline) {
+			t.Fatal("half a head is not read")
+		}
+	}
+	closing, stop := context.WithTimeout(t.Context(), nettest.Patience)
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- g.End(closing) }()
+	<-g.closed.Done()
+	fmt.Fprint(client, "st: x\r\n\r\n")
+	if code := answer(); code != http.StatusServiceUnavailable {
+		t.Fatal(code)
+	}
+	if err := nettest.Wait(t, "end", ended); err != nil {
+		t.Fatal(err)
+	}
+}
