Make the gate's tested connection in one place

Need: two tests set up the same listener, gate and connection line for line. Result: the package's tests pass four times with the race detector.

--- a/internal/net/gate/gate_test.go
+++ b/internal/net/gate/gate_test.go
@@ -35,21 +35,7 @@
 		"the next request is begun":            {served: true, ahead: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			g := New(l, 8, Limits{})
-			defer g.Close()
-			client, err := net.Dial("tcp", l.Addr().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer client.Close()
-			conn, err := g.Accept()
-			if err != nil {
-				t.Fatal(err)
-			}
+			g, client, conn := accepted(t)
 			if c.ahead {
 				fmt.Fprint(client, "AB") // the end of one request, and the next one's beginning
 				for range 2 {
@@ -86,21 +72,7 @@
 // Nothing is taken off a socket while the gate looks at its connections: what was read between the look and the close
 // would be a request that came and has no answer.
 func TestNothingIsReadWhileTheGateCloses(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	g := New(l, 8, Limits{})
-	defer g.Close()
-	client, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer client.Close()
-	conn, err := g.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
+	g, client, conn := accepted(t)
 	g.SetState(conn, http.StateIdle)
 	fmt.Fprint(client, "POST /free HTTP/1.1\r\nHost: x\r\n\r\n")
 	quiet := func() bool { _, quiet := sock.Look(conn.(*Conn).TCPConn); return quiet }
@@ -130,6 +102,25 @@
 	}
 }
 
+// accepted is a gate with one connection through it, and the client's end of that.
+func accepted(t *testing.T) (g *Gate, client, conn net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g = New(l, 8, Limits{})
+	t.Cleanup(func() { g.Close() })
+	if client, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close() })
+	if conn, err = g.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	return g, client, conn
+}
+
 // peek is the byte that is read next.
 func peek(c *net.TCPConn) (byte, error) {
 	raw, err := c.SyscallConn()
