--- /dev/null
+++ b/internal/protocol/messages.go
@@ -0,0 +1,128 @@
+// Package protocol holds the messages that routers and control instances send each other, as cbor on
+// the transport's frames. A field that a receiver does not know is ignored.
+package protocol
+
+import "time"
+
+// EndpointState is what an endpoint says of itself, or what the registry concludes.
+type EndpointState uint8
+
+// The states of an endpoint.
+const (
+	Ready    EndpointState = iota
+	Draining               // takes no new request
+	Silent                 // its heartbeats stopped; its calls may still succeed
+	Gone                   // left or given up: only in updates
+)
+
+// Endpoint is one incarnation of a model or application server.
+type Endpoint struct {
+	ID         string        `cbor:"1,keyasint"`
+	Service    string        `cbor:"2,keyasint"`
+	Address    string        `cbor:"3,keyasint"` // host:port
+	Zone       string        `cbor:"4,keyasint"`
+	Generation string        `cbor:"5,keyasint,omitempty"` // of its software
+	Slots      int           `cbor:"6,keyasint"`
+	State      EndpointState `cbor:"7,keyasint"`
+	Sequence   uint64        `cbor:"8,keyasint"`           // rises with each heartbeat; the later one wins
+	ColdFor    time.Duration `cbor:"9,keyasint,omitempty"` // how much longer it stays slow after its start
+	Models     []HeldModel   `cbor:"10,keyasint,omitempty"`
+	Loading    []Load        `cbor:"11,keyasint,omitempty"` // orders under way, as the placer knows them
+}
+
+// HeldModel is a model in an endpoint's memory, with its adapters.
+type HeldModel struct {
+	Name       string   `cbor:"1,keyasint" json:"name"`
+	Generation int64    `cbor:"2,keyasint" json:"generation"`
+	Adapters   []string `cbor:"3,keyasint,omitempty" json:"adapters"`
+}
+
+// Load is a load or an unload that an endpoint was ordered to carry out.
+type Load struct {
+	Model   string        `cbor:"1,keyasint"`
+	Adapter string        `cbor:"2,keyasint,omitempty"`
+	Unload  bool          `cbor:"3,keyasint,omitempty"`
+	Within  time.Duration `cbor:"4,keyasint"` // expected time until it is done, when this was sent
+}
+
+// Member is a control instance.
+type Member struct {
+	Identity string `cbor:"1,keyasint"`
+	Address  string `cbor:"2,keyasint"` // of its transport, host:port
+	Control  string `cbor:"3,keyasint"` // of its public interface, host:port
+	Zone     string `cbor:"4,keyasint"`
+}
+
+// Subscribe opens a router's connection to a control instance, and asks for everything newer than it has.
+type Subscribe struct {
+	Node        string `cbor:"1,keyasint"`
+	Zone        string `cbor:"2,keyasint"`
+	Incarnation uint64 `cbor:"3,keyasint"` // random, one for each start of the process
+	Generation  int64  `cbor:"4,keyasint"` // of the newest configuration it has; 0: none
+	Ready       bool   `cbor:"5,keyasint"`
+}
+
+// Update brings a router up to date. Sequence rises by one with each update of a connection; a gap means
+// that the router must connect anew.
+type Update struct {
+	Sequence   uint64       `cbor:"1,keyasint"`
+	Generation int64        `cbor:"2,keyasint"`           // of Document; only committed versions are sent
+	Document   []byte       `cbor:"3,keyasint,omitempty"` // the whole configuration as JSON, when it is newer
+	Full       bool         `cbor:"4,keyasint,omitempty"` // Endpoints is the whole table
+	Endpoints  []Endpoint   `cbor:"5,keyasint,omitempty"` // added, changed, or Gone
+	Members    []Member     `cbor:"6,keyasint,omitempty"` // all control instances known
+	Routers    int          `cbor:"7,keyasint,omitempty"` // how many routers share limits; 0: unchanged
+	Quotas     []QuotaGrant `cbor:"8,keyasint,omitempty"`
+	Confirmed  bool         `cbor:"9,keyasint,omitempty"` // a majority confirmed that Generation is the newest
+}
+
+// Confirm answers an Update: it is in force.
+type Confirm struct {
+	Sequence uint64 `cbor:"1,keyasint"`
+}
+
+// Beacon is sent when there is nothing else to send, so that silence means a broken connection.
+type Beacon struct {
+	Sequence   uint64 `cbor:"1,keyasint"` // of the last update
+	Generation int64  `cbor:"2,keyasint"` // newest committed configuration
+}
+
+// QuotaGrant is a router's part of a tenant's rate, in the tenant's unit.
+type QuotaGrant struct {
+	Tenant   string        `cbor:"1,keyasint"`
+	RatePerS float64       `cbor:"2,keyasint"`
+	Burst    float64       `cbor:"3,keyasint"`
+	For      time.Duration `cbor:"4,keyasint"` // the grant ends so long after it arrived
+}
+
+// Report is a router's account of its demand since its last report.
+type Report struct {
+	Node        string         `cbor:"1,keyasint"`
+	Incarnation uint64         `cbor:"2,keyasint"`
+	Sequence    uint64         `cbor:"3,keyasint"`
+	Over        time.Duration  `cbor:"4,keyasint"` // the time it covers
+	Models      []ModelDemand  `cbor:"5,keyasint,omitempty"`
+	Tenants     []TenantDemand `cbor:"6,keyasint,omitempty"`
+	Unreachable []string       `cbor:"7,keyasint,omitempty"` // IDs of endpoints whose calls fail
+	Reached     []string       `cbor:"8,keyasint,omitempty"` // IDs of endpoints marked Silent whose calls succeed
+}
+
+// ModelDemand counts requests for one model and adapter.
+type ModelDemand struct {
+	Service  string `cbor:"1,keyasint"`
+	Model    string `cbor:"2,keyasint"`
+	Adapter  string `cbor:"3,keyasint,omitempty"`
+	Asked    int    `cbor:"4,keyasint"`           // requests that came
+	Unserved int    `cbor:"5,keyasint,omitempty"` // of those, refused or given up because no endpoint held it
+	Waiting  int    `cbor:"6,keyasint,omitempty"` // held now
+	Running  int    `cbor:"7,keyasint,omitempty"` // out at endpoints now
+	Tokens   int64  `cbor:"8,keyasint,omitempty"` // prompt tokens and most tokens put out, of Asked
+	Worth    int64  `cbor:"9,keyasint,omitempty"` // sum over Asked of 10 less the request's priority, at least 1
+}
+
+// TenantDemand counts what one tenant asked for, in its unit.
+type TenantDemand struct {
+	Tenant  string  `cbor:"1,keyasint"`
+	Asked   float64 `cbor:"2,keyasint"`
+	Granted float64 `cbor:"3,keyasint"`
+}
