Decide in the router which request goes where and when: first working form

Routers need one pure decider for quota, choice, admission, second sends and demand. Package dispatch does so behind Step; admission is asfq with each endpoint as a flow.

--- /dev/null
+++ b/internal/router/dispatch/decider.go
@@ -0,0 +1,360 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"raventrestle/asfq"
+	"raventrestle/internal/protocol"
+)
+
+// Decider decides for one router. It is not safe for concurrent use.
+//
+// Invariants, checked after each step by the world in world_test.go: no Send to an endpoint that is draining
+// or gone; a request that is not repeatable is never sent again once it may have run; it may have run on
+// MaxEndpoints endpoints at most; the retry budget and the quotas hold in every window; every request has
+// one end; the eligible head with the lowest start tag plus delta leaves first.
+type Decider struct {
+	options Options
+	seed    uint64
+	draw    *rand.Rand
+	base    time.Time
+	started bool
+	now     time.Duration // since base; never falls
+	out     []Output
+	wake    time.Duration // when a decision may change, 0: none
+
+	routers   int
+	services  map[string]*service
+	endpoints map[string]*endpoint
+	tenants   map[string]*tenant
+	requests  map[RequestID]*request
+	schedule  asfq.Scheduler[*endpoint]
+	timers    timers
+	homeless  []*group // with requests that have no endpoint
+	demand    demand
+	errors    Errors
+	suspects  []*endpoint // silent or failing, to be reported
+	gone      []*endpoint // scratch
+}
+
+// stage is where a request stands.
+type stage uint8
+
+const (
+	waiting stage = iota // held in the flow of an endpoint, or homeless
+	sent                 // out
+	ended
+)
+
+// request is a client's request with its history.
+type request struct {
+	Request
+	arrived, objective, deadline time.Duration
+	rank                         int // for the endpoint's order, 0 first
+	group                        *group
+	target                       *target
+	links                        []uint64 // see chain
+	stage                        stage
+	withdrawn                    bool
+
+	at        *endpoint // whose flow holds it, or where it is out; nil: homeless
+	chosenAt  int       // group.changes when it was chosen
+	holdUntil time.Duration
+	timer     time.Duration // when it is looked at next
+	late      bool          // goes as one that will be late, behind all others
+
+	sentAt     time.Duration
+	expected   float64 // ms to the first byte, as predicted
+	slowAtSend float64
+	readAtSend float64 // thousands of tokens ahead of its first byte
+	plain      bool    // its time tells of reading alone, not of waiting for a place
+	toRead     int     // tokens
+	answering  bool    // an endpoint began to answer
+	heard      bool    // in this call
+	trial      bool
+	abandoned  bool
+
+	tried      []*endpoint
+	runs       int // endpoints on which it may have run
+	settled    int // how often it was put off at the end of its patience
+	rejections int // arrivals that surely did not run
+	arrivals   int
+	mayHaveRun bool
+	charged    float64
+	spentAt    int64
+	spentNow   bool
+}
+
+// New returns the decider of one router.
+func New(options Options) *Decider {
+	options = options.withDefaults()
+	d := &Decider{
+		options:   options,
+		seed:      options.Seed,
+		draw:      rand.New(rand.NewPCG(options.Seed, hashSeed)),
+		routers:   options.Routers,
+		services:  map[string]*service{},
+		endpoints: map[string]*endpoint{},
+		tenants:   map[string]*tenant{},
+		requests:  map[RequestID]*request{},
+	}
+	d.schedule.Slots = options.Slots
+	d.schedule.Period = options.MonitorPeriod
+	d.schedule.Tolerance = monitorTolerance
+	return d
+}
+
+// Step takes what happened until now and returns what is to be done, in order. The returned slice is used
+// again by the next Step.
+func (d *Decider) Step(now time.Time, inputs []Input) []Output {
+	if !d.started {
+		d.started = true
+		d.base = now.Add(-time.Second)
+	}
+	d.now = max(d.now, now.Sub(d.base))
+	d.out = d.out[:0]
+	d.wake = 0
+	for _, input := range inputs {
+		d.take(input)
+	}
+	d.schedule.Tick(d.now)
+	d.fire()
+	d.dispatch()
+	d.report()
+	return d.out
+}
+
+// NextWake is when Step is to be called if nothing happens before, zero: at the next input.
+func (d *Decider) NextWake() time.Time {
+	at := d.wake
+	if next, ok := d.timers.next(); ok && (at == 0 || next < at) {
+		at = next
+	}
+	if at == 0 {
+		return time.Time{}
+	}
+	return d.base.Add(at)
+}
+
+func (d *Decider) wakeBy(at time.Duration) {
+	at = max(at, d.now+time.Millisecond)
+	if d.wake == 0 || at < d.wake {
+		d.wake = at
+	}
+}
+
+func (d *Decider) take(input Input) {
+	switch input := input.(type) {
+	case Arrived:
+		d.arrived(&input.Request)
+	case Withdrawn:
+		d.withdraw(input.ID)
+	case FirstByte:
+		d.firstByte(input)
+	case Progress:
+		d.progress(input)
+	case Finished:
+		d.finished(input)
+	case ViewChanged:
+		d.view(input)
+	}
+}
+
+// arrived takes in a new request.
+func (d *Decider) arrived(asked *Request) {
+	if d.requests[asked.ID] != nil {
+		return
+	}
+	r := &request{Request: *asked}
+	r.arrived = d.now
+	if !asked.Arrived.IsZero() {
+		r.arrived = min(asked.Arrived.Sub(d.base), d.now)
+	}
+	r.objective = asked.Objective.Sub(d.base)
+	r.deadline = asked.Deadline.Sub(d.base)
+	r.rank = rank(asked)
+	r.group = d.serviceNamed(asked.Service).groupNamed(asked.Model)
+	if wait, ok := d.charge(r); !ok {
+		d.out = append(d.out, Refuse{ID: r.ID, Reason: OverQuota, RetryAfter: wait})
+		return
+	}
+	d.requests[r.ID] = r
+	d.countRequest(r.group.service)
+	d.countDemand(r)
+	r.holdUntil = r.patience()
+	d.place(r)
+	d.timers.add(r.holdUntil, r)
+}
+
+// withdraw forgets a held request. One that is out goes on until Finished.
+func (d *Decider) withdraw(id RequestID) {
+	r := d.requests[id]
+	if r == nil {
+		return
+	}
+	r.withdrawn = true
+	if r.stage == waiting {
+		d.lift(r)
+		d.forget(r)
+	}
+}
+
+// forget drops a request that has ended.
+func (d *Decider) forget(r *request) {
+	r.stage = ended
+	d.refund(r)
+	delete(d.requests, r.ID)
+}
+
+// refuse ends a held request.
+func (d *Decider) refuse(r *request, reason Reason, after time.Duration) {
+	d.lift(r)
+	if reason == NoEndpoint || reason == NoTime {
+		d.countUnserved(r)
+	}
+	d.out = append(d.out, Refuse{ID: r.ID, Reason: reason, RetryAfter: after})
+	d.forget(r)
+}
+
+func (d *Decider) firstByte(input FirstByte) {
+	r := d.requests[input.ID]
+	if r == nil || r.stage != sent || r.at.id != input.Endpoint || r.heard {
+		return
+	}
+	e := r.at
+	r.heard = true
+	r.answering = true
+	e.unanswered = without(e.unanswered, r)
+	e.tokens -= r.toRead
+	d.heard(e, input.Load)
+	d.answered(r, e)
+	d.good(e, r)
+	e.changed()
+}
+
+func (d *Decider) progress(input Progress) {
+	r := d.requests[input.ID]
+	if r != nil && r.stage == sent && r.at.id == input.Endpoint {
+		r.at.evidence.heardAt = d.now
+	}
+}
+
+// finished takes in the end of a call.
+func (d *Decider) finished(input Finished) {
+	r := d.requests[input.ID]
+	if r == nil || r.stage != sent || r.at.id != input.Endpoint {
+		return
+	}
+	e := r.at
+	d.hangUp(r)
+	d.heard(e, input.Load)
+	d.judge(r, e, input)
+	e.changed()
+	if e.state == protocol.Gone && len(e.calls) == 0 {
+		delete(d.endpoints, e.id)
+	}
+	if !input.More || r.withdrawn {
+		d.forget(r)
+		return
+	}
+	d.again(r)
+}
+
+// hangUp frees the slot of a call.
+func (d *Decider) hangUp(r *request) {
+	e := r.at
+	e.calls = without(e.calls, r)
+	if !r.heard {
+		e.unanswered = without(e.unanswered, r)
+		e.tokens -= r.toRead
+	}
+	if r.trial {
+		e.evidence.trials--
+		r.trial = false
+	}
+	e.service.out--
+	e.usedAt = d.now
+	d.schedule.Ended(e, (d.now - r.sentAt).Seconds(), d.now)
+	r.target.running--
+	d.changed()
+	r.at = nil
+	r.stage = waiting
+}
+
+// judge draws from the end of a call what it says of the request and of the endpoint.
+func (d *Decider) judge(r *request, e *endpoint, input Finished) {
+	r.tried = append(r.tried, e)
+	switch input.Result {
+	case Succeeded:
+		r.ran()
+		d.ended(r)
+		if !r.heard {
+			d.answered(r, e)
+		}
+		d.good(e, r)
+	case Failed:
+		r.ran()
+		d.failed(e, r, failureWeight)
+	case Lost:
+		r.ran()
+		d.failed(e, r, lossWeight)
+	case GivenUp:
+		r.ran()
+		d.gaveUp(e, r)
+	case NotSent:
+		r.arrivals--
+		d.unspend(r)
+		r.rejections++
+		d.failed(e, r, deadWeight)
+	case Refused:
+		r.rejections++
+		d.turnedAway(e, r, input.Load)
+	case WrongTarget:
+		r.rejections++
+		d.misdirected(e, r)
+	}
+}
+
+// ran: from now on it may have run on one endpoint more.
+func (r *request) ran() {
+	r.runs++
+	r.mayHaveRun = true
+}
+
+// again finds another endpoint for a request whose call ended without an answer, if that is allowed.
+func (d *Decider) again(r *request) {
+	switch {
+	case r.mayHaveRun && !r.Repeatable, r.runs >= max(r.MaxEndpoints, 1):
+		d.refuse(r, Exhausted, 0)
+	case r.rejections > mostRejections:
+		d.refuse(r, Exhausted, d.retryAfter(r, 0))
+	case !d.mayGoAgain(r):
+		d.refuse(r, BudgetSpent, d.retryAfter(r, 0))
+	case d.now >= r.deadline:
+		d.refuse(r, NoTime, 0)
+	default:
+		r.late = false
+		r.holdUntil = d.patienceAgain(r)
+		d.place(r)
+		d.timers.add(r.holdUntil, r)
+	}
+}
+
+func (r *request) hasTried(e *endpoint) bool { return slices.Contains(r.tried, e) }
+
+// fire looks at the requests whose time has come.
+func (d *Decider) fire() {
+	for {
+		r, ok := d.timers.due(d.now)
+		if !ok {
+			return
+		}
+		if r.stage == waiting {
+			d.settle(r)
+		} else if r.stage == sent {
+			d.watch(r)
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/dispatch/estimate.go
@@ -0,0 +1,231 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// Estimates of the time to the first byte, learned from this router's own timing: a straight line over the
+// tokens to be read before it, for each model; how much slower one endpoint is than its peers; and the load
+// that others put on it. Times are in ms, tokens in thousands.
+const (
+	lineMemory      = 0.98 // weight of what was seen before, at each new answer
+	priorWeight     = 0.3  // of the assumed line, in answers
+	priorFirst      = 15.0 // ms until an endpoint at rest answers
+	priorPerToken   = 50.0 // ms to read a thousand tokens
+	priorDuration   = 20.0 // ms of a whole call
+	outlier         = 4.0  // an answer that took longer than so many times the expected counts as that
+	durationMemory  = 0.05 // weight of a new call in the mean duration
+	promptMemory    = 0.05
+	slowMemory      = 0.2 // weight of a new answer in an endpoint's slowness
+	slowFades       = 8 * time.Second
+	leastRatio      = 0.1
+	mostRatio       = 50.0
+	mostSlow        = 3.0 // natural logarithm of the slowness, at most
+	toldFades       = 1500 * time.Millisecond
+	roomForMemory   = 0.95 // of an endpoint's memory, that running requests may take
+	errorBuckets    = 64
+	errorBucketSize = 0.125 // in powers of two
+)
+
+// line is a straight line fitted to what was seen, with a fading memory.
+type line struct{ n, x, y, xx, xy float64 }
+
+func (l *line) add(x, y float64) {
+	l.n = l.n*lineMemory + 1
+	l.x = l.x*lineMemory + x
+	l.y = l.y*lineMemory + y
+	l.xx = l.xx*lineMemory + x*x
+	l.xy = l.xy*lineMemory + x*y
+}
+
+// fit returns the line's start and slope, given what is assumed of it.
+func (l *line) fit(start, slope float64) (a, b float64) {
+	far := 2.0
+	n := l.n + 2*priorWeight
+	x := l.x + priorWeight*far
+	y := l.y + priorWeight*(start+start+slope*far)
+	xx := l.xx + priorWeight*far*far
+	xy := l.xy + priorWeight*far*(start+slope*far)
+	b = (n*xy - x*y) / (n*xx - x*x)
+	b = min(max(b, slope/8), slope*16)
+	a = max((y-b*x)/n, 0.2)
+	return a, b
+}
+
+// slowness is how much slower an endpoint is than expected, as a logarithm that fades.
+type slowness struct {
+	value float64
+	at    time.Duration
+}
+
+func (s *slowness) now(now time.Duration) float64 {
+	if s.value == 0 {
+		return 0
+	}
+	return s.value * math.Exp(-float64(now-s.at)/float64(slowFades))
+}
+
+func (s *slowness) add(now time.Duration, ratio float64) {
+	value := s.now(now)
+	value += (math.Log(ratio) - value) * slowMemory
+	s.value = min(max(value, -1), mostSlow)
+	s.at = now
+}
+
+// perThousand is the time to read a thousand tokens, in ms.
+func (g *group) perThousand() float64 {
+	start, slope := g.service.line.fit(priorFirst, priorPerToken)
+	_, b := g.line.fit(start, slope)
+	return b
+}
+
+// first returns the time to the first byte of an endpoint at rest with so many thousand tokens to read.
+func (g *group) first(thousands float64) float64 {
+	start, slope := g.service.line.fit(priorFirst, priorPerToken)
+	a, b := g.line.fit(start, slope)
+	return a + b*thousands
+}
+
+// othersLoad estimates the calls of other routers at the endpoint, running and waiting: what it told, fading
+// towards what is to be expected of others that do as this router does.
+func (d *Decider) othersLoad(e *endpoint) (running, waiting float64) {
+	others := float64(d.routers - 1)
+	expected := 0.0
+	if s := e.service; s.endpoints > 0 {
+		expected = float64(s.out) / float64(s.endpoints) * others
+	}
+	if !e.told.ever {
+		return expected, 0
+	}
+	fresh := math.Exp(-float64(d.now-e.told.at) / float64(toldFades))
+	running = fresh*float64(e.told.running) + (1-fresh)*expected
+	waiting = fresh * float64(e.told.waiting)
+	return running, waiting
+}
+
+// load is how many places of the endpoint are taken and how many requests wait there, as far as can be told.
+func (d *Decider) load(e *endpoint) (taken, waiting float64) {
+	running, others := d.othersLoad(e)
+	return running + float64(len(e.calls)-len(e.unanswered)), others + float64(len(e.unanswered))
+}
+
+// capacity is how many requests the endpoint runs at once: its places, or fewer where its memory is the limit.
+func (e *endpoint) capacity(mean float64) float64 {
+	places := float64(e.places())
+	engine := e.service.engine()
+	if engine == nil || engine.KVTokens <= 0 || mean <= 0 {
+		return places
+	}
+	return min(places, max(1, roomForMemory*float64(engine.KVTokens)/mean))
+}
+
+// predict estimates the time from sending to the first byte, in ms, and how much of it is the request's own.
+func (d *Decider) predict(h *holding, r *request) (ms float64, kept int) {
+	e, g := h.at, h.group
+	kept = min(h.kept.length(r.chain(), r.Parts, d.now), r.PromptTokens)
+	running, othersWaiting := d.othersLoad(e)
+	ahead := float64(e.tokens) + othersWaiting*g.prompt
+	thousands := (float64(r.PromptTokens-kept) + ahead) / 1000
+	ms = g.first(thousands)
+	taken := running + othersWaiting + float64(len(e.calls))
+	capacity := e.capacity(g.kvTokens)
+	if over := taken + 1 - capacity; over > 0 {
+		ms += over / capacity * g.service.meanDuration()
+	}
+	ms *= math.Exp(e.slow.now(d.now))
+	if d.now < e.coldUntil {
+		ms *= 1.5
+	}
+	return ms, kept
+}
+
+func (s *service) meanDuration() float64 {
+	if s.duration == 0 {
+		return priorDuration
+	}
+	return s.duration
+}
+
+// note writes down what was predicted for a call, to be held against what is seen.
+func (d *Decider) note(e *endpoint, h *holding, r *request, ms float64, kept int) {
+	g := h.group
+	r.expected = ms
+	r.toRead = r.PromptTokens - kept
+	r.readAtSend = float64(r.toRead+e.tokens) / 1000
+	r.slowAtSend = math.Exp(e.slow.now(d.now))
+	taken, waiting := d.load(e)
+	r.plain = !r.late && taken+waiting+1 <= e.capacity(g.kvTokens)
+	e.tokens += r.toRead
+	g.prompt += (float64(r.toRead) - g.prompt) * promptMemory
+	g.kvTokens += (float64(r.PromptTokens) + float64(r.OutputTokens)/2 - g.kvTokens) * promptMemory
+}
+
+// answered learns from a first byte.
+func (d *Decider) answered(r *request, e *endpoint) {
+	seen := milliseconds(d.now - r.sentAt)
+	d.errors.add(r.expected, seen)
+	if !r.plain {
+		return
+	}
+	e.slow.add(d.now, min(max(seen/max(r.expected, 0.1)*r.slowAtSend, leastRatio), mostRatio))
+	seen = min(seen, outlier*max(r.expected, 1)) / r.slowAtSend
+	r.group.line.add(r.readAtSend, seen)
+	r.group.service.line.add(r.readAtSend, seen)
+}
+
+// ended learns from a call that succeeded.
+func (d *Decider) ended(r *request) {
+	s := r.group.service
+	took := milliseconds(d.now - r.sentAt)
+	if s.duration == 0 {
+		s.duration = took
+	}
+	s.duration += (took - s.duration) * durationMemory
+}
+
+func milliseconds(t time.Duration) float64 { return float64(t) / float64(time.Millisecond) }
+
+// Errors tells how good the predictions of the time to the first byte were: the seen part of the predicted.
+type Errors struct {
+	Count            int
+	MedianRatio      float64
+	Percentile95     float64
+	MeanAbsoluteMS   float64
+	MeanPredictedMS  float64
+	buckets          [errorBuckets]int
+	sumAbs, sumTotal float64
+}
+
+func (x *Errors) add(predicted, seen float64) {
+	x.Count++
+	x.sumAbs += math.Abs(predicted - seen)
+	x.sumTotal += predicted
+	at := int(math.Log2(max(seen, 0.01)/max(predicted, 0.01))/errorBucketSize) + errorBuckets/2
+	x.buckets[min(max(at, 0), errorBuckets-1)]++
+}
+
+// Errors returns how good the predictions were since the start.
+func (d *Decider) Errors() Errors {
+	x := d.errors
+	if x.Count == 0 {
+		return x
+	}
+	x.MeanAbsoluteMS = x.sumAbs / float64(x.Count)
+	x.MeanPredictedMS = x.sumTotal / float64(x.Count)
+	x.MedianRatio = x.quantile(0.5)
+	x.Percentile95 = x.quantile(0.95)
+	return x
+}
+
+func (x *Errors) quantile(part float64) float64 {
+	want := part * float64(x.Count)
+	sum := 0
+	for i, n := range x.buckets {
+		sum += n
+		if float64(sum) >= want {
+			return math.Exp2(float64(i-errorBuckets/2) * errorBucketSize)
+		}
+	}
+	return math.Inf(1)
+}
--- /dev/null
+++ b/internal/router/dispatch/evidence.go
@@ -0,0 +1,214 @@
+package dispatch
+
+import (
+	"time"
+
+	"raventrestle/internal/protocol"
+)
+
+// Evidence of an endpoint's health, from this router's own calls alone. An endpoint that fails is left for a
+// while, then tried by single requests, then by twice as many after each success.
+const (
+	failureWeight = 1 // it answered, with a failure of its own
+	lossWeight    = 2 // reset or garbled, or silent
+	deadWeight    = 3 // no connection could be made
+	tripWeight    = 3 // failures in a row that weigh so much: left for a while
+
+	firstBackoff  = 250 * time.Millisecond
+	mostBackoff   = 4 * time.Second
+	firstPause    = 40 * time.Millisecond // after it turned a request away
+	mostPause     = 640 * time.Millisecond
+	firstDistrust = 300 * time.Millisecond // of a table that says a model is there that isn't
+	mostDistrust  = 5 * time.Second
+	trialsOver    = 16 // calls at once, from which on an endpoint counts as well again
+	silentTimes   = 4  // without a sign for so many times the expected: it is dark
+	leastSilence  = 150 * time.Millisecond
+	lately        = 2 * time.Second // a success within it vouches for a silent endpoint
+)
+
+// evidence is what calls told of an endpoint.
+type evidence struct {
+	weight  int // of failures in a row
+	backoff time.Duration
+	pause   time.Duration // after refusals
+	until   time.Duration // no call before
+	tripped time.Duration // when it was left
+	most    int           // calls at once while it recovers, 0: no bound
+	trials  int           // of those, out
+	goodAt  time.Duration
+	badAt   time.Duration
+	heardAt time.Duration // last sign of life
+	ever    bool          // goodAt counts
+}
+
+// good: it answered.
+func (d *Decider) good(e *endpoint, r *request) {
+	x := &e.evidence
+	x.heardAt = d.now
+	if r.sentAt < x.tripped {
+		return
+	}
+	x.ever = true
+	x.goodAt = d.now
+	x.weight = 0
+	x.backoff = 0
+	x.pause = 0
+	if x.most > 0 {
+		x.most *= 2
+	}
+	if x.most >= trialsOver {
+		x.most = 0
+	}
+}
+
+// failed: a call to it failed. Calls that were out when it was left tell nothing new.
+func (d *Decider) failed(e *endpoint, r *request, weight int) {
+	x := &e.evidence
+	if weight == failureWeight {
+		x.heardAt = d.now
+	}
+	if r.sentAt < x.tripped {
+		return
+	}
+	x.badAt = d.now
+	x.weight += weight
+	if x.most > 0 || x.weight >= tripWeight {
+		d.trip(e)
+	}
+}
+
+// trip leaves an endpoint for a while.
+func (d *Decider) trip(e *endpoint) {
+	x := &e.evidence
+	x.backoff = min(max(2*x.backoff, firstBackoff), mostBackoff)
+	x.until = d.now + d.about(x.backoff)
+	x.tripped = d.now
+	x.most = 1
+	x.trials = 0
+	for _, r := range e.calls {
+		r.trial = false
+	}
+	d.moveOn(e)
+	d.mark(e)
+	d.urgent()
+}
+
+// about draws a time near the given one, so that routers don't come back in step.
+func (d *Decider) about(t time.Duration) time.Duration {
+	return time.Duration(float64(t) * (0.75 + d.draw.Float64()/2))
+}
+
+// turnedAway: it surely did not run the request. Where it told that it has places free, an order concerning
+// the model is the cause; else it is full.
+func (d *Decider) turnedAway(e *endpoint, r *request, load *ToldLoad) {
+	x := &e.evidence
+	x.heardAt = d.now
+	h := e.holding(r.Model)
+	if h != nil && load != nil && r.Model != "" && load.Running+load.Waiting < load.Slots {
+		h.pause = min(max(2*h.pause, firstPause), mostPause)
+		h.until = d.now + d.about(h.pause)
+		return
+	}
+	x.pause = min(max(2*x.pause, firstPause), mostPause)
+	x.until = max(x.until, d.now+d.about(x.pause))
+}
+
+// misdirected: the model is not there, or another incarnation has the address.
+func (d *Decider) misdirected(e *endpoint, r *request) {
+	e.evidence.heardAt = d.now
+	h := e.holding(r.Model)
+	if h == nil {
+		return
+	}
+	if h.wrong == nil {
+		h.wrong = map[string]wrong{}
+	}
+	before := h.wrong[r.Adapter]
+	h.distrust = min(max(2*h.distrust, firstDistrust), mostDistrust)
+	h.wrong[r.Adapter] = wrong{sequence: max(e.sequence, before.sequence), until: d.now + h.distrust}
+	if r.Model == "" {
+		d.trip(e)
+	}
+}
+
+// gaveUp: this side ended the call. If nothing at all came of it for long, the endpoint is to blame.
+func (d *Decider) gaveUp(e *endpoint, r *request) {
+	if r.heard || e.evidence.heardAt > r.sentAt || d.now < r.sentAt+r.silence() {
+		return
+	}
+	d.failed(e, r, deadWeight)
+}
+
+// silence is how long the call may bring nothing before its endpoint counts as dark.
+func (r *request) silence() time.Duration {
+	return max(leastSilence, time.Duration(silentTimes*r.expected*float64(time.Millisecond)))
+}
+
+// dark says whether the endpoint seems not to answer at all: nothing came of it since the oldest
+// unanswered call was sent.
+func (d *Decider) dark(e *endpoint) bool {
+	if len(e.unanswered) == 0 {
+		return false
+	}
+	oldest := e.unanswered[0]
+	return e.evidence.heardAt <= oldest.sentAt && d.now >= oldest.sentAt+oldest.silence()
+}
+
+// watch looks at a call that is out and unanswered after its silence.
+func (d *Decider) watch(r *request) {
+	e := r.at
+	if r.heard || r.abandoned {
+		return
+	}
+	if e.evidence.heardAt > r.sentAt {
+		d.timers.add(max(e.evidence.heardAt, r.sentAt)+r.silence()+time.Millisecond, r)
+		if e.evidence.heardAt+r.silence() > d.now {
+			return
+		}
+	}
+	if r.sentAt >= e.evidence.tripped && d.dark(e) {
+		d.failed(e, r, deadWeight)
+		e.Trouble = true
+	}
+	d.abandon(r)
+}
+
+// abandon ends a call to a dark endpoint where the request may go on elsewhere.
+func (d *Decider) abandon(r *request) {
+	e := r.at
+	if e.evidence.heardAt > r.sentAt || !r.Repeatable || r.answering || r.withdrawn {
+		return
+	}
+	if r.runs+1 >= max(r.MaxEndpoints, 1) || !d.mayGoAgain(r) {
+		return
+	}
+	h, class := d.choose(r)
+	if h == nil || h.at == e || class != goesNow {
+		return
+	}
+	r.abandoned = true
+	d.out = append(d.out, Abandon{ID: r.ID, Endpoint: e.id})
+}
+
+// usable says whether the endpoint may take a call now, and if not, when it may be looked at again.
+func (d *Decider) usable(e *endpoint) (from time.Duration, ok bool) {
+	x := &e.evidence
+	if x.until > d.now {
+		return x.until, false
+	}
+	if x.most > 0 && x.trials >= x.most {
+		return 0, false
+	}
+	if x.most == 0 && d.dark(e) {
+		return 0, false
+	}
+	return 0, true
+}
+
+// doubtful: its heartbeats stopped, and no call of this router vouches for it.
+func (d *Decider) doubtful(e *endpoint) bool {
+	if e.state != protocol.Silent {
+		return false
+	}
+	return !e.evidence.ever || d.now-e.evidence.goodAt > lately
+}
--- /dev/null
+++ b/internal/router/dispatch/script_test.go
@@ -0,0 +1,150 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"raventrestle/internal/configuration"
+	"raventrestle/internal/protocol"
+)
+
+// script plays inputs by hand against a decider, with times in ms since the start.
+type script struct {
+	t    *testing.T
+	d    *Decider
+	zero time.Time
+	at   int
+	id   RequestID
+}
+
+// testConfiguration has a service of models and one without.
+func testConfiguration() *configuration.Configuration {
+	return &configuration.Configuration{
+		Generation: 1,
+		Services: []configuration.Service{
+			{Name: "lm", MaxConnections: 360, Engine: &configuration.Engine{Slots: 64, KVTokens: 130000, Stride: 2,
+				Models: []configuration.Model{{Name: "m", LoadTimeS: 4, Adapters: 3}, {Name: "rare", LoadTimeS: 5}},
+				WeightsMB: 100, AdapterSlots: 8}},
+			{Name: "app", MaxConnections: 108},
+		},
+		Tenants: []configuration.Tenant{{Name: "t", Unit: configuration.TokenCount, RatePerS: 9000, Burst: 9000}},
+	}
+}
+
+func modelEndpoint(id string, sequence uint64, models ...string) protocol.Endpoint {
+	e := protocol.Endpoint{ID: id, Service: "lm", Address: id + ":1", Zone: "z", Slots: 64, Sequence: sequence}
+	for _, m := range models {
+		e.Models = append(e.Models, protocol.HeldModel{Name: m, Generation: 1})
+	}
+	return e
+}
+
+func plainEndpoint(id string, slots int) protocol.Endpoint {
+	return protocol.Endpoint{ID: id, Service: "app", Address: id + ":1", Zone: "z", Slots: slots, Sequence: 1}
+}
+
+func newScript(t *testing.T, endpoints ...protocol.Endpoint) *script {
+	s := &script{t: t, zero: time.Now(), d: New(Options{Seed: 1, Zone: "z", Routers: 9, BudgetRatio: 0.2, BudgetSlack: 56,
+		QuotaOver: 0.1, QuotaSlack: 11000})}
+	s.step(0, ViewChanged{Configuration: testConfiguration(), Full: true, Endpoints: endpoints, Routers: 9})
+	return s
+}
+
+// step goes on to a time and plays inputs.
+func (s *script) step(at int, inputs ...Input) []Output {
+	s.at = at
+	return append([]Output(nil), s.d.Step(s.time(at), inputs)...)
+}
+
+func (s *script) time(at int) time.Time { return s.zero.Add(time.Duration(at) * time.Millisecond) }
+
+// request makes one for the model, or for the service without models.
+func (s *script) request(model string) Request {
+	s.id++
+	r := Request{ID: s.id, Service: "lm", Model: model, PromptTokens: 1000, OutputTokens: 100, Repeatable: true,
+		Streaming: true, Tenant: "free", MaxEndpoints: 2, Arrived: s.time(s.at), Objective: s.time(s.at + 500),
+		Deadline: s.time(s.at + 15000)}
+	if model == "" {
+		r.Service, r.Repeatable, r.Streaming, r.MaxEndpoints = "app", false, false, 1
+		r.Objective, r.Deadline = s.time(s.at+100), s.time(s.at+600)
+	}
+	return r
+}
+
+func sends(out []Output) (list []Send) {
+	for _, o := range out {
+		if o, ok := o.(Send); ok {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+func refusals(out []Output) (list []Refuse) {
+	for _, o := range out {
+		if o, ok := o.(Refuse); ok {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+func reports(out []Output) (list []protocol.Report) {
+	for _, o := range out {
+		if o, ok := o.(Report); ok {
+			list = append(list, o.Report)
+		}
+	}
+	return list
+}
+
+func (s *script) oneSend(out []Output) Send {
+	s.t.Helper()
+	list := sends(out)
+	if len(list) != 1 {
+		s.t.Fatalf("sent %v, want one; all: %v", list, out)
+	}
+	return list[0]
+}
+
+func (s *script) oneRefusal(out []Output) Refuse {
+	s.t.Helper()
+	list := refusals(out)
+	if len(list) != 1 {
+		s.t.Fatalf("refused %v, want one; all: %v", list, out)
+	}
+	return list[0]
+}
+
+func TestFreshRouterServesAtOnce(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"), plainEndpoint("p", 6))
+	if send := s.oneSend(s.step(1, Arrived{s.request("m")})); send.Endpoint != "a" || send.MaxConnections != 32 {
+		t.Errorf("sent %+v", send)
+	}
+	if send := s.oneSend(s.step(2, Arrived{s.request("")})); send.Endpoint != "p" {
+		t.Errorf("sent %+v", send)
+	}
+	out := s.step(40, FirstByte{ID: 1, Endpoint: "a"}, Finished{ID: 2, Endpoint: "p"})
+	if len(sends(out))+len(refusals(out)) > 0 {
+		t.Errorf("got %v", out)
+	}
+	s.step(1000, Finished{ID: 1, Endpoint: "a"})
+	if len(s.d.requests) > 0 || s.d.schedule.Busy != 0 {
+		t.Errorf("%d requests left, %d slots in use", len(s.d.requests), s.d.schedule.Busy)
+	}
+}
+
+func TestIdleHasNoWake(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"))
+	s.step(1, Arrived{s.request("m")})
+	s.step(100, FirstByte{ID: 1, Endpoint: "a"})
+	s.step(200, Finished{ID: 1, Endpoint: "a"})
+	for range 10 {
+		at := s.d.NextWake()
+		if at.IsZero() {
+			return
+		}
+		s.step(int(at.Sub(s.zero)/time.Millisecond) + 1)
+	}
+	t.Error("it wakes again and again")
+}
--- /dev/null
+++ b/internal/router/dispatch/settle.go
@@ -0,0 +1,161 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"raventrestle/internal/protocol"
+)
+
+// mostSettled is how often a request is put off at the end of its patience.
+const mostSettled = 2
+
+// settle decides on a request that was held as long as it may be: elsewhere, late, or not at all. What is
+// refused for the first time usually comes back when it is told to, and then counts by its new try; what
+// comes back, or was out already, rather goes late than not at all.
+func (d *Decider) settle(r *request) {
+	h, how := d.choose(r)
+	switch {
+	case how == goesNowhere:
+		d.settleHomeless(r)
+	case r.settled >= mostSettled || d.schedule.Busy >= d.schedule.Slots:
+		d.refuse(r, NoTime, d.retryOver(r, h))
+	case how == goesNow:
+		d.putOff(r, h)
+	case how == goesLate && d.worthLate(h, r):
+		r.late = true
+		d.putOff(r, h)
+	default:
+		d.refuse(r, NoTime, d.retryOver(r, h))
+	}
+}
+
+// putOff moves the request to where it goes now: it leaves in this step if its turn comes.
+func (d *Decider) putOff(r *request, h *holding) {
+	d.lift(r)
+	d.holdAt(r, h.at)
+	r.settled++
+	r.holdUntil = d.now + leastHeld
+	d.timers.add(r.holdUntil, r)
+}
+
+// worthLate says whether a request that can't be in time is to be sent all the same.
+func (d *Decider) worthLate(h *holding, r *request) bool {
+	ms, _ := d.predict(h, r)
+	answer := d.now + time.Duration(ms*float64(time.Millisecond))
+	if answer > r.lastUse() {
+		return false
+	}
+	return r.Again || r.arrivals > 0 || !r.mayComeBack(d.now)
+}
+
+// lastUse is until when an answer may begin: clients give up a stream after a silence.
+func (r *request) lastUse() time.Duration {
+	span := r.objective - r.arrived
+	end := r.arrived + max(leastSilenceSeen, silenceTimes*span)
+	end = min(end, r.deadline)
+	return r.arrived + time.Duration(patienceShare*float64(end-r.arrived))
+}
+
+// mayComeBack: a third of the time left is enough for another try in time.
+func (r *request) mayComeBack(now time.Duration) bool {
+	return r.deadline-now > 2*(r.objective-r.arrived)
+}
+
+// settleHomeless decides on a request whose model no endpoint holds.
+func (d *Decider) settleHomeless(r *request) {
+	at, known := r.group.expectedAt(r.Adapter, d.now)
+	limit := r.objective
+	if r.Again || r.arrivals > 0 {
+		limit = r.lastUse()
+	}
+	if known && at < limit {
+		r.holdUntil = max(min(at+lookAgain, limit), d.now+leastHeld)
+		d.timers.add(r.holdUntil, r)
+		return
+	}
+	if !known {
+		at = d.now + d.usualLoad(r)
+	}
+	d.refuse(r, NoEndpoint, d.retryAfter(r, at-d.now))
+}
+
+// usualLoad is how long it takes until a model that nobody holds can be had.
+func (d *Decider) usualLoad(r *request) time.Duration {
+	if r.Adapter != "" && len(r.group.holders) > 0 {
+		return usualAdapterLoad
+	}
+	if r.group.loadTime > 0 {
+		return r.group.loadTime + orderTime
+	}
+	return usualLoad
+}
+
+// retryOver is when to come back to a model whose endpoints have no time: the longer that lasts, the later.
+func (d *Decider) retryOver(r *request, h *holding) time.Duration {
+	g := r.group
+	if d.now-g.overAt > time.Second {
+		g.overFrom = d.now
+	}
+	g.overAt = d.now
+	wait := (d.now - g.overFrom) / 2
+	if h != nil {
+		ms, _ := d.predict(h, r)
+		wait = max(wait, time.Duration(ms*float64(time.Millisecond))-(r.objective-r.arrived)/2)
+		wait = max(wait, h.at.evidence.until-d.now)
+	}
+	return d.retryAfter(r, wait)
+}
+
+// retryAfter makes a wait one that is told: a little spread, and nothing where coming back is useless.
+func (d *Decider) retryAfter(r *request, wait time.Duration) time.Duration {
+	left := r.deadline - d.now
+	if left < retryShare*leastRetryAfter {
+		return 0
+	}
+	wait = max(wait, leastRetryAfter)
+	wait += time.Duration(float64(wait) * d.draw.Float64() / 4)
+	return min(wait, left/retryShare)
+}
+
+// arrival is a load of a model or an adapter that is on its way.
+type arrival struct {
+	at      *endpoint
+	adapter string
+	ready   time.Duration
+}
+
+// expect notes what the endpoint is loading.
+func (d *Decider) expect(e *endpoint) {
+	for _, g := range e.awaited {
+		g.expected = slices.DeleteFunc(g.expected, func(a arrival) bool { return a.at == e })
+		g.changes++
+	}
+	e.awaited = e.awaited[:0]
+	if e.state == protocol.Draining || e.state == protocol.Gone {
+		return
+	}
+	for _, l := range e.loading {
+		if l.Unload {
+			continue
+		}
+		g := e.service.groupNamed(l.Model)
+		g.expected = append(g.expected, arrival{at: e, adapter: l.Adapter, ready: e.loadingAt + l.Within})
+		g.changes++
+		e.awaited = append(e.awaited, g)
+	}
+}
+
+// expectedAt is when a load that is on its way will be done that the adapter needs.
+func (g *group) expectedAt(adapter string, now time.Duration) (at time.Duration, known bool) {
+	for _, a := range g.expected {
+		if a.adapter != adapter {
+			continue
+		}
+		ready := max(a.ready, now+lookAgain)
+		if !known || ready < at {
+			at, known = ready, true
+		}
+	}
+	return at, known
+}
--- /dev/null
+++ b/internal/router/dispatch/timers.go
@@ -0,0 +1,76 @@
+package dispatch
+
+import "time"
+
+// timers is a heap of the times at which requests are to be looked at. Entries of requests that have
+// ended, or that were put off since, are dropped when they come up.
+type timers []timer
+
+type timer struct {
+	at time.Duration
+	of *request
+}
+
+// add: the request is to be looked at again then.
+func (t *timers) add(at time.Duration, r *request) {
+	r.timer = at
+	*t = append(*t, timer{at, r})
+	list := *t
+	for i := len(list) - 1; i > 0; {
+		parent := (i - 1) / 2
+		if list[parent].at <= list[i].at {
+			return
+		}
+		list[parent], list[i] = list[i], list[parent]
+		i = parent
+	}
+}
+
+func (t *timers) pop() {
+	list := *t
+	last := len(list) - 1
+	list[0] = list[last]
+	list[last] = timer{}
+	list = list[:last]
+	*t = list
+	for i := 0; ; {
+		child := 2*i + 1
+		if child >= last {
+			return
+		}
+		if child+1 < last && list[child+1].at < list[child].at {
+			child++
+		}
+		if list[i].at <= list[child].at {
+			return
+		}
+		list[i], list[child] = list[child], list[i]
+		i = child
+	}
+}
+
+// stale says whether an entry no longer counts.
+func (t timer) stale() bool { return t.of.stage == ended || t.of.timer != t.at }
+
+// next is the earliest time at which something is due.
+func (t *timers) next() (time.Duration, bool) {
+	for len(*t) > 0 && (*t)[0].stale() {
+		t.pop()
+	}
+	if len(*t) == 0 {
+		return 0, false
+	}
+	return (*t)[0].at, true
+}
+
+// due returns a request whose time has come.
+func (t *timers) due(now time.Duration) (*request, bool) {
+	at, ok := t.next()
+	if !ok || at > now {
+		return nil, false
+	}
+	r := (*t)[0].of
+	t.pop()
+	r.timer = 0
+	return r, true
+}
--- a/internal/router/dispatch/types.go
+++ b/internal/router/dispatch/types.go
@@ -39,7 +39,8 @@
 	Objective      time.Time // when the first event or the answer is due for the full worth
 	Deadline       time.Time // when the client gives up, or the route's timeout if that is earlier
 	Arrived        time.Time
-	MaxEndpoints   int // most endpoints it may be sent to
+	MaxEndpoints   int  // most endpoints it may be sent to
+	Again          bool // seems to be a client's further try: its deadline is well below the route's time
 }
 
 // Input is something that happened: one of the types below.
@@ -55,6 +56,7 @@
 type FirstByte struct {
 	ID       RequestID
 	Endpoint string
+	Load     *ToldLoad // from X-Instance-Load of the answer's head, nil without
 }
 
 // Progress: an event of a stream arrived; sent at most a few times a second for each request.
@@ -139,9 +141,17 @@
 	RetryAfter time.Duration
 }
 
+// Abandon: end this call now, its endpoint is silent and the request goes on elsewhere. The host answers
+// with Finished{Lost, More}. Only requests that may run twice, before their first byte, are abandoned.
+type Abandon struct {
+	ID       RequestID
+	Endpoint string
+}
+
 // Report: demand since the last report, to be sent to the control plane.
 type Report struct{ Report protocol.Report }
 
-func (Send) output()   {}
-func (Refuse) output() {}
-func (Report) output() {}
+func (Send) output()    {}
+func (Refuse) output()  {}
+func (Abandon) output() {}
+func (Report) output()  {}
--- /dev/null
+++ b/internal/router/dispatch/view.go
@@ -0,0 +1,375 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"raventrestle/asfq"
+	"raventrestle/internal/configuration"
+	"raventrestle/internal/protocol"
+)
+
+// connectionShare is the part of an endpoint's connections that all routers together open: shares of
+// traffic aren't even, and an endpoint resets what goes beyond.
+const connectionShare = 0.8
+
+// service is one service with what this router learned of it.
+type service struct {
+	name      string
+	config    *configuration.Service // nil until the configuration names it
+	endpoints int                    // that may take requests
+	out       int                    // this router's calls
+	groups    map[string]*group      // by model; "" for a service without models
+	budget    budget
+	duration  float64 // mean of a call, ms
+	line      line    // of times to the first byte, over all its groups
+}
+
+// group is the endpoints that hold one model, or all endpoints of a service without models.
+type group struct {
+	service  *service
+	model    string
+	loadTime time.Duration // as configured
+	holders  []*holding
+	targets  map[string]*target // by adapter
+	line     line               // of times to the first byte
+	prompt   float64            // mean tokens to be read of a prompt
+	kvTokens float64            // mean tokens that a request takes of an endpoint's memory
+	expected []arrival          // loads on their way
+	overAt   time.Duration      // when it was last refused for want of time
+	overFrom time.Duration      // since when again and again
+	changes  int                // rises when a place may have become free
+	homeless []*request         // held without an endpoint, in order of arrival
+}
+
+// holding is one model in one endpoint.
+type holding struct {
+	group    *group
+	at       *endpoint
+	adapters []string
+	wrong    map[string]wrong // by adapter: told not to be there
+	kept     prefixes
+	distrust time.Duration
+	pause    time.Duration // after refusals that concern the model alone
+	until    time.Duration // no call before
+}
+
+// wrong notes an answer 421: it counts more than the table, until that has newer news.
+type wrong struct {
+	sequence uint64
+	until    time.Duration
+}
+
+// endpoint is one incarnation of a server.
+type endpoint struct {
+	id, address string
+	hash        uint64
+	service     *service
+	state       protocol.EndpointState
+	sequence    uint64
+	slots       int
+	near        bool // in this router's zone
+	listed      bool
+	holdings    []*holding
+	loading     []protocol.Load
+	loadingAt   time.Duration // when loading was told
+	awaited     []*group      // whose models it loads
+	suspected   bool          // in Decider.suspects
+	coldUntil   time.Duration
+
+	asfq.Flow
+	held       []*request // its turns are these, the order is that of pick
+	sends      int        // turns taken, for the share of the patient ones
+	calls      []*request // out
+	unanswered []*request // of calls, those without a first byte, in order of sending
+	tokens     int        // to be read of those
+	opened     int        // connections that seem to be open
+	usedAt     time.Duration
+	evidence   evidence
+	told       told
+	slow       slowness
+}
+
+// told is the newest load that the endpoint told of.
+type told struct {
+	running, waiting int // of others than this router
+	at               time.Duration
+	ever             bool
+}
+
+// view takes over what the control plane sent.
+func (d *Decider) view(change ViewChanged) {
+	if change.Routers > 0 {
+		d.routers = change.Routers
+	}
+	if change.Configuration != nil {
+		d.configure(change.Configuration)
+	}
+	for i := range change.Quotas {
+		d.grant(change.Quotas[i])
+	}
+	if change.Full {
+		d.dropUnlisted(change.Endpoints)
+	}
+	for i := range change.Endpoints {
+		d.update(&change.Endpoints[i])
+	}
+}
+
+// configure takes over a configuration.
+func (d *Decider) configure(config *configuration.Configuration) {
+	d.configureTenants(config.Tenants)
+	named := make(map[string]bool, len(config.Services))
+	for i := range config.Services {
+		set := &config.Services[i]
+		named[set.Name] = true
+		s := d.serviceNamed(set.Name)
+		s.config = set
+		if set.Engine == nil {
+			continue
+		}
+		for j := range set.Engine.Models {
+			model := &set.Engine.Models[j]
+			s.groupNamed(model.Name).loadTime = seconds(model.LoadTimeS)
+		}
+	}
+	for name, s := range d.services {
+		if !named[name] {
+			s.config = nil
+		}
+	}
+}
+
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+
+func (d *Decider) serviceNamed(name string) *service {
+	s := d.services[name]
+	if s == nil {
+		s = &service{name: name, groups: map[string]*group{}}
+		d.services[name] = s
+	}
+	return s
+}
+
+func (s *service) groupNamed(model string) *group {
+	g := s.groups[model]
+	if g == nil {
+		g = &group{service: s, model: model, targets: map[string]*target{}}
+		s.groups[model] = g
+	}
+	return g
+}
+
+// engine says whether the service's endpoints hold models.
+func (s *service) engine() *configuration.Engine {
+	if s.config == nil {
+		return nil
+	}
+	return s.config.Engine
+}
+
+// dropUnlisted: what is not in the whole table is gone.
+func (d *Decider) dropUnlisted(table []protocol.Endpoint) {
+	listed := make(map[string]bool, len(table))
+	for i := range table {
+		listed[table[i].ID] = true
+	}
+	for id, e := range d.endpoints {
+		if !listed[id] {
+			d.gone = append(d.gone, e)
+		}
+	}
+	slices.SortFunc(d.gone, func(a, b *endpoint) int { return compareStrings(a.id, b.id) })
+	for _, e := range d.gone {
+		d.leave(e)
+	}
+	d.gone = d.gone[:0]
+}
+
+func compareStrings(a, b string) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
+
+// update takes over one endpoint's newest state. Older news than what is known is dropped. An endpoint
+// that was draining stays so unless newer news say otherwise.
+func (d *Decider) update(news *protocol.Endpoint) {
+	e := d.endpoints[news.ID]
+	if news.State == protocol.Gone {
+		if e != nil && news.Sequence >= e.sequence {
+			d.leave(e)
+		}
+		return
+	}
+	if e != nil && news.Sequence < e.sequence {
+		return
+	}
+	if e != nil && e.state == protocol.Draining && news.Sequence == e.sequence {
+		return
+	}
+	if e == nil {
+		e = &endpoint{id: news.ID, service: d.serviceNamed(news.Service)}
+		e.hash = stringHash(news.ID)
+		d.endpoints[news.ID] = e
+	}
+	if !e.listed {
+		e.listed = true
+		e.service.endpoints++
+	}
+	newer := news.Sequence > e.sequence
+	e.address = news.Address
+	e.state = news.State
+	e.sequence = news.Sequence
+	e.slots = news.Slots
+	e.near = news.Zone == d.options.Zone
+	e.loading = news.Loading
+	e.loadingAt = d.now
+	e.coldUntil = d.now + news.ColdFor
+	d.hold(e, news.Models, newer)
+	d.expect(e)
+	d.moveOn(e)
+	d.mark(e)
+	e.changed()
+}
+
+// leave takes an endpoint out of the table. Its calls that are out keep their record until they end.
+func (d *Decider) leave(e *endpoint) {
+	if e.listed {
+		e.listed = false
+		e.service.endpoints--
+	}
+	e.state = protocol.Gone
+	e.loading = nil
+	for len(e.holdings) > 0 {
+		d.release(e, e.holdings[len(e.holdings)-1])
+	}
+	d.expect(e)
+	d.moveOn(e)
+	if len(e.calls) == 0 {
+		delete(d.endpoints, e.id)
+	}
+}
+
+// hold makes the endpoint's holdings those that were told.
+func (d *Decider) hold(e *endpoint, models []protocol.HeldModel, newer bool) {
+	if e.service.engine() == nil && len(models) == 0 {
+		d.holdOne(e, "", nil, newer)
+		return
+	}
+	for i := len(e.holdings) - 1; i >= 0; i-- {
+		h := e.holdings[i]
+		kept := slices.ContainsFunc(models, func(m protocol.HeldModel) bool { return m.Name == h.group.model })
+		if !kept {
+			d.release(e, h)
+		}
+	}
+	for i := range models {
+		d.holdOne(e, models[i].Name, models[i].Adapters, newer)
+	}
+}
+
+func (d *Decider) holdOne(e *endpoint, model string, adapters []string, newer bool) {
+	h := e.holding(model)
+	if h == nil {
+		g := e.service.groupNamed(model)
+		h = &holding{group: g, at: e}
+		e.holdings = append(e.holdings, h)
+		g.holders = append(g.holders, h)
+	}
+	h.adapters = adapters
+	if newer {
+		d.believe(h)
+	}
+}
+
+// believe: newer news of the table count again, after what was told to the contrary.
+func (d *Decider) believe(h *holding) {
+	for adapter, w := range h.wrong {
+		if h.at.sequence > w.sequence && d.now >= w.until {
+			delete(h.wrong, adapter)
+		}
+	}
+}
+
+// release takes a holding away: the endpoint no longer has the model, nor what it kept of its prompts.
+func (d *Decider) release(e *endpoint, h *holding) {
+	e.holdings = without(e.holdings, h)
+	h.group.holders = without(h.group.holders, h)
+	h.group.changes++
+}
+
+// without returns the list less its member x.
+func without[T comparable](list []T, x T) []T {
+	i := slices.Index(list, x)
+	if i < 0 {
+		return list
+	}
+	return slices.Delete(list, i, i+1)
+}
+
+// holding returns what the endpoint holds of a model, nil if nothing.
+func (e *endpoint) holding(model string) *holding {
+	for _, h := range e.holdings {
+		if h.group.model == model {
+			return h
+		}
+	}
+	return nil
+}
+
+// has says whether the holding serves the adapter, as far as is known.
+func (h *holding) has(adapter string) bool {
+	if len(h.wrong) > 0 {
+		if _, told := h.wrong[adapter]; told {
+			return false
+		}
+		if _, told := h.wrong[""]; told {
+			return false
+		}
+	}
+	return adapter == "" || slices.Contains(h.adapters, adapter)
+}
+
+// changed: a place may have become free for all that the endpoint holds.
+func (e *endpoint) changed() {
+	for _, h := range e.holdings {
+		h.group.changes++
+	}
+}
+
+// places is how many requests the endpoint works on at once.
+func (e *endpoint) places() int {
+	if e.slots > 0 {
+		return e.slots
+	}
+	if engine := e.service.engine(); engine != nil && engine.Slots > 0 {
+		return engine.Slots
+	}
+	return 1
+}
+
+// connections is how many connections this router may have open to the endpoint.
+func (d *Decider) connections(s *service) int {
+	if s.config == nil || s.config.MaxConnections <= 0 {
+		return math.MaxInt32
+	}
+	return max(1, int(float64(s.config.MaxConnections)/float64(d.routers)*connectionShare))
+}
+
+// heard takes over what an endpoint said of its load. This router's own calls are taken off.
+func (d *Decider) heard(e *endpoint, load *ToldLoad) {
+	if load == nil {
+		return
+	}
+	if load.Slots > 0 {
+		e.slots = load.Slots
+	}
+	own := len(e.calls) - len(e.unanswered)
+	e.told = told{running: max(load.Running-own, 0), waiting: max(load.Waiting-len(e.unanswered), 0), at: d.now, ever: true}
+}
