Play the dispatcher in a world of engines, and mend the watch over silent calls

A call to a quiet endpoint was looked at again and again within one step, which then never ended. The time of the next look now lies ahead.

--- /dev/null
+++ b/internal/router/dispatch/day_test.go
@@ -0,0 +1,143 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"raventrestle/internal/protocol"
+)
+
+// usualKinds are some kinds of request before six engines and three plain servers.
+func (w *world) usual(x float64) {
+	for i := range 6 {
+		models := []string{"m"}
+		if i < 2 {
+			models = append(models, "rare")
+		}
+		w.addEngine(models...)
+	}
+	for range 3 {
+		w.addPlain(6)
+	}
+	w.kinds = []*kind{
+		{name: "brief", model: "m", perSecond: 13 * x, objective: 500 * time.Millisecond, within: 15 * time.Second,
+			prompt: 1460, output: 172, repeatable: true, tries: 1, tenant: "", rank: 1},
+		{name: "reply", model: "m", adapter: "a1", perSecond: 8 * x, objective: 400 * time.Millisecond, within: 10 * time.Second,
+			prompt: 650, output: 70, repeatable: true, tries: 1, rank: 2},
+		{name: "rewrite", model: "rare", perSecond: 1.2 * x, objective: 8 * time.Second, within: 30 * time.Second,
+			prompt: 1460, output: 172, tries: 1, rank: 0},
+		{name: "push", perSecond: 11 * x, objective: 100 * time.Millisecond, within: 600 * time.Millisecond, tries: 1, rank: 2},
+	}
+	w.start()
+}
+
+func (w *world) tally(t *testing.T) {
+	for _, k := range w.kinds {
+		t.Logf("%-8s asked %5d in time %5d late %4d missed %4d refusals %4d", k.name, k.asked, k.inTime, k.served, k.missed, k.refused)
+	}
+	t.Logf("refused with half free: %d", w.fullFree)
+	for i, d := range w.routers {
+		x := d.Errors()
+		t.Logf("router %d: predictions %d, median ratio %.2f, 95th %.2f, off by %.1f of %.1f ms", i, x.Count, x.MedianRatio,
+			x.Percentile95, x.MeanAbsoluteMS, x.MeanPredictedMS)
+	}
+}
+
+func (w *world) wantServed(t *testing.T, share float64) {
+	t.Helper()
+	for _, k := range w.kinds {
+		if got := float64(k.inTime) / float64(max(k.asked, 1)); got < share {
+			t.Errorf("%s: %.3f in time, want %.3f", k.name, got, share)
+		}
+	}
+}
+
+func TestQuietDay(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.usual(1)
+	w.play(20 * time.Second)
+	w.finish()
+	w.tally(t)
+	w.wantServed(t, 0.99)
+}
+
+func TestBurstDay(t *testing.T) {
+	w := newWorld(t, 2, 3)
+	w.usual(1)
+	w.at(6*time.Second, func(w *world) {
+		for _, k := range w.kinds {
+			k.perSecond *= 6
+		}
+	})
+	w.at(11*time.Second, func(w *world) {
+		for _, k := range w.kinds {
+			k.perSecond /= 6
+		}
+	})
+	w.play(20 * time.Second)
+	w.finish()
+	w.tally(t)
+}
+
+func TestCrashDay(t *testing.T) {
+	w := newWorld(t, 3, 3)
+	w.usual(1)
+	w.at(5*time.Second, func(w *world) { w.crash(w.servers[0]) })
+	w.at(5*time.Second, func(w *world) { w.servers[3].mood = isDark })
+	w.at(7*time.Second, func(w *world) { w.crash(w.servers[6]) })
+	w.at(9*time.Second, func(w *world) {
+		w.servers[0].mood, w.servers[3].mood, w.servers[6].mood = well, well, well
+	})
+	w.play(20 * time.Second)
+	w.finish()
+	w.tally(t)
+}
+
+// crash cuts all calls of an endpoint.
+func (w *world) crash(s *server) {
+	s.mood = crashed
+	for _, j := range append(append([]*job(nil), s.running...), s.queue...) {
+		if c := j.call.client; c.call == j.call {
+			w.lose(c)
+		}
+	}
+	s.running, s.queue = nil, nil
+	s.cached = map[uint64]bool{}
+}
+
+func TestGreyDay(t *testing.T) {
+	w := newWorld(t, 4, 3)
+	w.usual(1)
+	w.at(5*time.Second, func(w *world) {
+		w.servers[3].slow = 10
+		w.servers[7].slow = 8
+		w.servers[4].garble = 0.05
+	})
+	w.play(20 * time.Second)
+	w.finish()
+	w.tally(t)
+}
+
+func TestDrainAndShiftDay(t *testing.T) {
+	w := newWorld(t, 5, 3)
+	w.usual(2)
+	for i := range 4 {
+		at := time.Duration(4+2*i) * time.Second
+		w.at(at, func(w *world) {
+			w.servers[i].row.State = protocol.Draining
+			w.tell(w.servers[i])
+			fresh := w.addEngine("m", "rare")
+			w.tell(fresh)
+		})
+		w.at(at+3*time.Second, func(w *world) {
+			w.servers[i].row.State = protocol.Gone
+			w.tell(w.servers[i])
+			w.servers[i].gone = true
+			w.crash(w.servers[i])
+		})
+	}
+	w.play(20 * time.Second)
+	w.finish()
+	w.tally(t)
+	w.wantServed(t, 0.9)
+}
--- a/internal/router/dispatch/evidence.go
+++ b/internal/router/dispatch/evidence.go
@@ -133,7 +133,7 @@
 
 // gaveUp: this side ended the call. If nothing at all came of it for long, the endpoint is to blame.
 func (d *Decider) gaveUp(e *endpoint, r *request) {
-	if r.heard || e.evidence.heardAt > r.sentAt || d.now < r.sentAt+r.silence() {
+	if r.heard || d.now < e.quietFrom(r) {
 		return
 	}
 	d.failed(e, r, deadWeight)
@@ -144,14 +144,15 @@
 	return max(leastSilence, time.Duration(silentTimes*r.expected*float64(time.Millisecond)))
 }
 
-// dark says whether the endpoint seems not to answer at all: nothing came of it since the oldest
-// unanswered call was sent.
+// quietFrom is the time from which on the endpoint counts as dark if nothing more comes of it, judged by
+// this call.
+func (e *endpoint) quietFrom(r *request) time.Duration {
+	return max(e.evidence.heardAt, r.sentAt) + r.silence()
+}
+
+// dark says whether the endpoint seems not to answer at all, judged by the oldest unanswered call.
 func (d *Decider) dark(e *endpoint) bool {
-	if len(e.unanswered) == 0 {
-		return false
-	}
-	oldest := e.unanswered[0]
-	return e.evidence.heardAt <= oldest.sentAt && d.now >= oldest.sentAt+oldest.silence()
+	return len(e.unanswered) > 0 && d.now >= e.quietFrom(e.unanswered[0])
 }
 
 // watch looks at a call that is out and unanswered after its silence.
@@ -160,23 +161,21 @@
 	if r.heard || r.abandoned {
 		return
 	}
-	if e.evidence.heardAt > r.sentAt {
-		d.timers.add(max(e.evidence.heardAt, r.sentAt)+r.silence()+time.Millisecond, r)
-		if e.evidence.heardAt+r.silence() > d.now {
-			return
-		}
-	}
-	if r.sentAt >= e.evidence.tripped && d.dark(e) {
-		d.failed(e, r, deadWeight)
-		e.Trouble = true
+	if from := e.quietFrom(r); from > d.now {
+		d.timers.add(from, r)
+		return
 	}
+	d.failed(e, r, deadWeight)
 	d.abandon(r)
+	if !r.abandoned {
+		d.timers.add(d.now+r.silence(), r)
+	}
 }
 
 // abandon ends a call to a dark endpoint where the request may go on elsewhere.
 func (d *Decider) abandon(r *request) {
 	e := r.at
-	if e.evidence.heardAt > r.sentAt || !r.Repeatable || r.answering || r.withdrawn {
+	if !r.Repeatable || r.answering || r.withdrawn {
 		return
 	}
 	if r.runs+1 >= max(r.MaxEndpoints, 1) || !d.mayGoAgain(r) {
--- a/internal/router/dispatch/script_test.go
+++ b/internal/router/dispatch/script_test.go
@@ -23,7 +23,7 @@
 		Generation: 1,
 		Services: []configuration.Service{
 			{Name: "lm", MaxConnections: 360, Engine: &configuration.Engine{Slots: 64, KVTokens: 130000, Stride: 2,
-				Models: []configuration.Model{{Name: "m", LoadTimeS: 4, Adapters: 3}, {Name: "rare", LoadTimeS: 5}},
+				Models:    []configuration.Model{{Name: "m", LoadTimeS: 4, Adapters: 3}, {Name: "rare", LoadTimeS: 5}},
 				WeightsMB: 100, AdapterSlots: 8}},
 			{Name: "app", MaxConnections: 108},
 		},
--- /dev/null
+++ b/internal/router/dispatch/world_test.go
@@ -0,0 +1,362 @@
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"raventrestle/internal/configuration"
+	"raventrestle/internal/protocol"
+)
+
+// client is one try of a client, with the rules that it keeps account of.
+type client struct {
+	request  Request
+	router   int
+	ends     int
+	runs     map[string]bool // endpoints on which it may have run
+	arrivals int
+	call     *worldCall
+	kind     *kind
+	served   bool
+	inTime   bool
+	refused  bool
+}
+
+type worldCall struct {
+	client *client
+	server *server
+	links  []worldLink
+	begun  bool
+	lost   time.Duration // when the host gives it up as lost, 0: not
+}
+
+type worldLink struct {
+	key    uint64
+	tokens float64
+}
+
+// kind is a kind of request.
+type kind struct {
+	name              string
+	model, adapter    string
+	perSecond         float64
+	objective, within time.Duration
+	prompt, output    int
+	repeatable        bool
+	tries             int
+	tenant            string
+	rank              int
+
+	asked, inTime, served, refused, missed int
+}
+
+// world is some routers before the same endpoints.
+type world struct {
+	t       testing.TB
+	rng     *rand.Rand
+	zero    time.Time
+	now     time.Duration
+	routers []*Decider
+	inputs  [][]Input
+	clients []map[RequestID]*client
+	servers []*server
+	kinds   []*kind
+	config  *configuration.Configuration
+	nextID  RequestID
+	later   []returning // clients that come back
+
+	further  map[string][]time.Duration // arrivals beyond the first, by service
+	asks     map[string][]time.Duration
+	spent    map[string][]spending // by tenant
+	lag      time.Duration         // of views
+	tells    []telling
+	events   []worldEvent
+	quarrels int
+	fullFree int // refusals while half of the places were free
+}
+
+type returning struct {
+	at     time.Duration
+	client *client
+}
+
+type spending struct {
+	at     time.Duration
+	charge float64
+}
+
+type telling struct {
+	at   time.Duration
+	view ViewChanged
+}
+
+type worldEvent struct {
+	at time.Duration
+	do func(*world)
+}
+
+func newWorld(t testing.TB, seed uint64, routers int) *world {
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), zero: time.Now(), config: testConfiguration(),
+		further: map[string][]time.Duration{}, asks: map[string][]time.Duration{}, spent: map[string][]spending{},
+		lag: 5 * time.Millisecond}
+	for i := range routers {
+		w.routers = append(w.routers, New(Options{Node: fmt.Sprint("r", i), Seed: seed + uint64(i), Zone: "z", Routers: routers,
+			BudgetRatio: 0.2, BudgetSlack: 56, QuotaOver: 0.1, QuotaSlack: 11000}))
+		w.clients = append(w.clients, map[RequestID]*client{})
+	}
+	w.inputs = make([][]Input, routers)
+	return w
+}
+
+func (w *world) addEngine(models ...string) *server {
+	row := modelEndpoint(fmt.Sprint("e", len(w.servers)), 1, models...)
+	for i := range row.Models {
+		row.Models[i].Adapters = []string{"a1", "a2"}
+	}
+	return w.add(&server{row: row, engine: true, most: 192})
+}
+
+func (w *world) addPlain(slots int) *server {
+	return w.add(&server{row: plainEndpoint(fmt.Sprint("p", len(w.servers)), slots), most: 4 * slots})
+}
+
+func (w *world) add(s *server) *server {
+	s.slow, s.cached = 1, map[uint64]bool{}
+	w.servers = append(w.servers, s)
+	return s
+}
+
+// tell sends the routers news of an endpoint.
+func (w *world) tell(s *server) {
+	s.row.Sequence++
+	w.tells = append(w.tells, telling{w.now + w.lag, ViewChanged{Endpoints: []protocol.Endpoint{s.row}}})
+}
+
+func (w *world) start() {
+	var rows []protocol.Endpoint
+	for _, s := range w.servers {
+		rows = append(rows, s.row)
+	}
+	for i := range w.routers {
+		w.inputs[i] = append(w.inputs[i], ViewChanged{Configuration: w.config, Full: true, Endpoints: rows,
+			Routers: len(w.routers)})
+	}
+}
+
+func (w *world) at(at time.Duration, do func(*world)) {
+	w.events = append(w.events, worldEvent{at, do})
+}
+
+// play goes on until then.
+func (w *world) play(until time.Duration) {
+	for ; w.now < until; w.now += worldTick {
+		w.happen()
+		w.arrive()
+		w.serve()
+		w.hosts()
+		for i := range w.routers {
+			w.step(i)
+		}
+	}
+}
+
+// finish lets everything end.
+func (w *world) finish() {
+	for _, k := range w.kinds {
+		k.perSecond = 0
+	}
+	w.play(w.now + 40*time.Second)
+	for i, list := range w.clients {
+		for _, c := range list {
+			if c.ends != 1 {
+				w.t.Errorf("router %d: request %d has %d ends", i, c.request.ID, c.ends)
+			}
+		}
+		if d := w.routers[i]; len(d.requests) > 0 || d.schedule.Busy != 0 || len(d.homeless) > 0 {
+			w.t.Errorf("router %d: %d requests, %d slots in use, %d homeless", i, len(d.requests), d.schedule.Busy, len(d.homeless))
+		}
+	}
+	w.checkWindows()
+}
+
+func (w *world) happen() {
+	for i := 0; i < len(w.events); i++ {
+		if w.events[i].at <= w.now {
+			do := w.events[i].do
+			w.events = slices.Delete(w.events, i, i+1)
+			i--
+			do(w)
+		}
+	}
+	for len(w.tells) > 0 && w.tells[0].at <= w.now {
+		view := w.tells[0].view
+		w.tells = w.tells[1:]
+		for i := range w.routers {
+			w.inputs[i] = append(w.inputs[i], view)
+		}
+		for _, row := range view.Endpoints {
+			w.told(row)
+		}
+	}
+}
+
+func (w *world) told(row protocol.Endpoint) {
+	for _, s := range w.servers {
+		if s.row.ID == row.ID && row.State == protocol.Draining {
+			s.drainAt = w.now
+		}
+	}
+}
+
+func (w *world) arrive() {
+	for _, k := range w.kinds {
+		for n := w.poisson(k.perSecond * worldTick.Seconds()); n > 0; n-- {
+			w.ask(k, k.tries, nil)
+		}
+	}
+	w.later = slices.DeleteFunc(w.later, func(l returning) bool {
+		if l.at > w.now {
+			return false
+		}
+		w.ask(l.client.kind, 0, l.client)
+		return true
+	})
+}
+
+func (w *world) poisson(mean float64) int {
+	n, p := 0, math.Exp(-mean)
+	for u := w.rng.Float64(); u > p; n++ {
+		u *= w.rng.Float64()
+	}
+	return n
+}
+
+// ask sends a request to a router; after an earlier try of it, what that had is what is asked again.
+func (w *world) ask(k *kind, tries int, before *client) {
+	w.nextID++
+	c := &client{kind: k, router: w.rng.IntN(len(w.routers)), runs: map[string]bool{}}
+	spread := math.Exp(w.rng.NormFloat64()*0.7 - 0.245)
+	prompt := max(int(float64(k.prompt)*spread), 0)
+	r := Request{ID: w.nextID, Service: "lm", Model: k.model, Adapter: k.adapter, PromptTokens: prompt,
+		OutputTokens: int(float64(k.output) * (0.2 + 1.6*w.rng.Float64())), Tenant: k.tenant, RoutePriority: k.rank,
+		Repeatable: k.repeatable, MaxEndpoints: 2, Arrived: w.clock(), Objective: w.clock().Add(k.objective),
+		Deadline: w.clock().Add(k.within)}
+	if k.model == "" {
+		r.Service, r.PromptTokens, r.MaxEndpoints = "app", 0, 1
+	} else {
+		r.OutputTokens = max(r.OutputTokens, 1)
+		r.Parts = []Part{{Hash: uint64(1 + w.rng.IntN(3)), Tokens: min(210, prompt/4)},
+			{Hash: uint64(10 + w.rng.IntN(100)), Tokens: min(140, prompt/4)}}
+	}
+	r.Charge = float64(r.PromptTokens + r.OutputTokens)
+	if k.model == "" {
+		r.Charge = 200
+	}
+	if before != nil {
+		deadline := before.request.Deadline
+		r.Again, r.Deadline = true, deadline
+		r.PromptTokens, r.OutputTokens, r.Parts = before.request.PromptTokens, before.request.OutputTokens, before.request.Parts
+		r.Charge = before.request.Charge
+	} else {
+		k.asked++
+	}
+	if tries == 0 {
+		c.refused = true // does not come back
+	}
+	c.request = r
+	w.clients[c.router][r.ID] = c
+	w.asks[r.Service] = append(w.asks[r.Service], w.now)
+	w.inputs[c.router] = append(w.inputs[c.router], Arrived{r})
+}
+
+func (w *world) clock() time.Time { return w.zero.Add(w.now) }
+
+// serve lets the endpoints work.
+func (w *world) serve() {
+	for _, s := range w.servers {
+		begun, ended := s.tick()
+		for _, j := range begun {
+			w.begin(j)
+		}
+		for _, j := range ended {
+			w.end(j)
+		}
+	}
+}
+
+func (w *world) begin(j *job) {
+	c := j.call.client
+	if c.call != j.call {
+		return
+	}
+	j.call.begun = true
+	c.inTime = !w.clock().After(c.request.Objective)
+	w.tellRouter(c, FirstByte{ID: c.request.ID, Endpoint: j.call.server.row.ID, Load: j.call.server.load()})
+}
+
+func (w *world) end(j *job) {
+	c := j.call.client
+	if c.call != j.call {
+		return
+	}
+	w.finishCall(c, Succeeded, false)
+	c.served = true
+	w.close(c)
+}
+
+func (w *world) tellRouter(c *client, input Input) {
+	w.inputs[c.router] = append(w.inputs[c.router], input)
+}
+
+func (w *world) finishCall(c *client, result Result, more bool) {
+	call := c.call
+	c.call = nil
+	w.tellRouter(c, Finished{ID: c.request.ID, Endpoint: call.server.row.ID, Result: result, More: more,
+		Load: call.server.load()})
+}
+
+// close counts the end of a request.
+func (w *world) close(c *client) {
+	c.ends++
+	switch {
+	case c.served && c.inTime:
+		c.kind.inTime++
+	case c.served:
+		c.kind.served++
+	default:
+		c.kind.missed++
+	}
+}
+
+// hosts ends calls whose time is over, and those that hang at crashed endpoints.
+func (w *world) hosts() {
+	for _, list := range w.clients {
+		for _, c := range list {
+			if c.call == nil {
+				continue
+			}
+			if c.call.lost > 0 && w.now >= c.call.lost {
+				w.lose(c)
+				continue
+			}
+			if w.clock().After(c.request.Deadline) {
+				c.call.server.drop(c.call)
+				w.finishCall(c, GivenUp, false)
+				w.close(c)
+			}
+		}
+	}
+}
+
+// lose breaks a call off after it was written.
+func (w *world) lose(c *client) {
+	more := c.request.Repeatable
+	w.finishCall(c, Lost, more)
+	if !more {
+		w.close(c)
+	}
+}
--- /dev/null
+++ b/internal/router/dispatch/worldrules_test.go
@@ -0,0 +1,184 @@
+package dispatch
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"raventrestle/internal/protocol"
+)
+
+// What the world's routers do is carried out here, and held against the rules.
+
+// step steps one router, if something happened or its time has come.
+func (w *world) step(i int) {
+	d := w.routers[i]
+	wake := d.NextWake()
+	if len(w.inputs[i]) == 0 && (wake.IsZero() || wake.After(w.clock())) {
+		return
+	}
+	inputs := w.inputs[i]
+	w.inputs[i] = nil
+	for _, o := range d.Step(w.clock(), inputs) {
+		w.carryOut(i, o)
+	}
+	w.checkOrder(d)
+}
+
+func (w *world) carryOut(i int, o Output) {
+	switch o := o.(type) {
+	case Send:
+		w.send(w.clients[i][o.ID], o)
+	case Refuse:
+		w.refuse(w.clients[i][o.ID], o)
+	case Abandon:
+		c := w.clients[i][o.ID]
+		if !c.request.Repeatable || c.call == nil || c.call.begun {
+			w.t.Fatalf("abandoned %+v", c.request)
+		}
+		c.call.server.drop(c.call)
+		w.finishCall(c, Lost, true)
+	}
+}
+
+func (w *world) serverOf(id string) *server {
+	at := slices.IndexFunc(w.servers, func(s *server) bool { return s.row.ID == id })
+	if at < 0 {
+		w.t.Fatalf("no endpoint %s", id)
+	}
+	return w.servers[at]
+}
+
+func (w *world) send(c *client, o Send) {
+	s := w.serverOf(o.Endpoint)
+	if s.drainAt > 0 && s.drainAt < w.now {
+		w.t.Fatalf("sent to %s after it was told to drain", o.Endpoint)
+	}
+	if c.ends > 0 || c.call != nil {
+		w.t.Fatalf("request %d sent after its end, or twice", o.ID)
+	}
+	if len(c.runs) > 0 && !c.request.Repeatable {
+		w.t.Fatalf("request %d sent again after it may have run", o.ID)
+	}
+	if len(c.runs) >= c.request.MaxEndpoints {
+		w.t.Fatalf("request %d sent to more than %d endpoints", o.ID, c.request.MaxEndpoints)
+	}
+	c.call = &worldCall{client: c, server: s}
+	key := uint64(0)
+	for _, p := range c.request.Parts {
+		key = key*1000 + p.Hash
+		c.call.links = append(c.call.links, worldLink{key, float64(p.Tokens)})
+	}
+	w.deliver(c, s, o.Priority)
+}
+
+// deliver lets the call arrive at its endpoint.
+func (w *world) deliver(c *client, s *server, priority int) {
+	if s.mood == crashed || s.gone {
+		w.finishCall(c, NotSent, true)
+		return
+	}
+	if c.arrivals++; c.arrivals > 1 {
+		w.further[c.request.Service] = append(w.further[c.request.Service], w.now)
+	}
+	switch {
+	case s.mood == isDark:
+		c.runs[s.row.ID] = true
+		c.call.lost = w.now + 3*time.Second
+	case !s.holds(c.request.Model, c.request.Adapter):
+		w.finishCall(c, WrongTarget, true)
+	case !s.accept(c.call, priority, w.now, w.rng):
+		w.finishCall(c, Refused, true)
+	default:
+		c.runs[s.row.ID] = true
+		if c.arrivals == 1 {
+			w.spent[c.request.Tenant] = append(w.spent[c.request.Tenant], spending{w.now, c.request.Charge})
+		}
+		if w.rng.Float64() < s.garble {
+			c.call.lost = w.now + 10*time.Millisecond
+		}
+	}
+}
+
+func (w *world) refuse(c *client, o Refuse) {
+	if c.ends > 0 || c.call != nil {
+		w.t.Fatalf("request %d refused after its end, or while it is out", o.ID)
+	}
+	if o.Reason == NoTime && len(c.runs) == 0 && w.halfFree(&c.request) {
+		w.fullFree++
+	}
+	c.kind.refused++
+	if len(c.runs) == 0 && !c.refused && o.RetryAfter > 0 {
+		c.ends++
+		left := c.request.Deadline.Sub(w.clock())
+		w.later = append(w.later, returning{w.now + min(o.RetryAfter, left/3), c})
+		return
+	}
+	w.close(c)
+}
+
+// halfFree: under half of the places of the endpoints that hold what it needs are taken, and none waits.
+func (w *world) halfFree(r *Request) bool {
+	taken, places := 0, 0
+	for _, s := range w.servers {
+		if s.engine != (r.Model != "") || !s.holds(r.Model, r.Adapter) || s.mood != well || s.row.State != protocol.Ready {
+			continue
+		}
+		if len(s.queue) > 0 {
+			return false
+		}
+		taken += len(s.running)
+		places += s.row.Slots
+	}
+	return places > 0 && 2*taken < places
+}
+
+// checkOrder: after a step no head that may leave is left while slots are free.
+func (w *world) checkOrder(d *Decider) {
+	if e, found := d.schedule.Next(d.offer); found {
+		w.t.Fatalf("%s holds a request that may leave", e.id)
+	}
+	if d.schedule.Busy > d.schedule.Slots {
+		w.t.Fatalf("%d slots of %d in use", d.schedule.Busy, d.schedule.Slots)
+	}
+}
+
+// checkWindows holds what went over all routers against the budget and the quotas, in every window.
+func (w *world) checkWindows() {
+	for service, list := range w.further {
+		asks := w.asks[service]
+		for i, from := range list {
+			n := sort.Search(len(list), func(j int) bool { return list[j] > from+DefaultBudgetWindow }) - i
+			most := 0.2*float64(w.most(asks, from)) + 56
+			if float64(n) > most {
+				w.t.Fatalf("%s: %d further arrivals from %v on, %v allowed", service, n, from, most)
+			}
+		}
+	}
+	for _, t := range w.config.Tenants {
+		list := w.spent[t.Name]
+		most := (t.RatePerS*DefaultQuotaWindow.Seconds()+t.Burst)*1.1 + 11000
+		sum := 0.0
+		for i, j := 0, 0; i < len(list); i++ {
+			sum += list[i].charge
+			for list[j].at < list[i].at-DefaultQuotaWindow {
+				sum -= list[j].charge
+				j++
+			}
+			if sum > most {
+				w.t.Fatalf("tenant %s spent %v of %v until %v", t.Name, sum, most, list[i].at)
+			}
+		}
+	}
+}
+
+// most is how many requests the window from then on holds, the one before, or the one half a window before.
+func (w *world) most(asks []time.Duration, from time.Duration) int {
+	most := 0
+	for _, back := range []time.Duration{0, DefaultBudgetWindow / 2, DefaultBudgetWindow} {
+		low := sort.Search(len(asks), func(i int) bool { return asks[i] >= from-back })
+		high := sort.Search(len(asks), func(i int) bool { return asks[i] > from-back+DefaultBudgetWindow })
+		most = max(most, high-low)
+	}
+	return most
+}
