Test each decision of the dispatcher, and keep what left from coming back by late news

Late news with an older sequence brought back an endpoint that had left, also one that was draining. Endpoints that left are remembered; draining is final.

--- a/internal/router/dispatch/decider.go
+++ b/internal/router/dispatch/decider.go
@@ -36,6 +36,7 @@
 	demand    demand
 	errors    Errors
 	suspects  []*endpoint // silent or failing, to be reported
+	graves    graves
 	gone      []*endpoint // scratch
 }
 
--- /dev/null
+++ b/internal/router/dispatch/decisions_test.go
@@ -0,0 +1,243 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"raventrestle/internal/protocol"
+)
+
+func TestOverQuotaIsRefusedAtOnceAndTold(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"))
+	// Floor of nine routers: 500 a second, bucket 1000, debt (0.1*81000+11000)/18 = 1061.
+	for i := range 4 {
+		r := s.request("m")
+		r.Tenant, r.Charge = "t", 1000
+		out := s.step(1+i, Arrived{r})
+		if i < 2 {
+			s.step(1+i, Finished{ID: s.oneSend(out).ID, Endpoint: "a"})
+			continue
+		}
+		refusal := s.oneRefusal(out)
+		if refusal.Reason != OverQuota || refusal.RetryAfter < 1500*time.Millisecond || refusal.RetryAfter > 2*time.Second {
+			t.Errorf("refused with %+v", refusal)
+		}
+	}
+	r := s.request("m")
+	r.Tenant, r.Charge = "t", 1000
+	s.oneSend(s.step(2100, Arrived{r}))
+}
+
+func TestGrantReplacesTheFloorAndEnds(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"))
+	grant := protocol.QuotaGrant{Tenant: "t", RatePerS: 6000, Burst: 6000, For: time.Second}
+	s.step(1, ViewChanged{Quotas: []protocol.QuotaGrant{grant}})
+	tenant := s.d.tenants["t"]
+	if rate := s.d.quotaRate(tenant); rate != 6000 {
+		t.Errorf("rate is %v", rate)
+	}
+	s.step(1002)
+	if rate := s.d.quotaRate(tenant); rate != 500 {
+		t.Errorf("rate is %v after the grant's end", rate)
+	}
+	s.d.refill(tenant)
+	if tenant.level > 1000 {
+		t.Errorf("level is %v after the grant's end", tenant.level)
+	}
+}
+
+func TestWhatSurelyDidNotRunIsGivenBack(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"))
+	r := s.request("m")
+	r.Tenant, r.Charge, r.MaxEndpoints = "t", 1000, 1
+	s.step(1, Arrived{r})
+	before := s.d.tenants["t"].level
+	s.step(2, Finished{ID: r.ID, Endpoint: "a", Result: Refused})
+	if after := s.d.tenants["t"].level; after < before+900 {
+		t.Errorf("level is %v, was %v", after, before)
+	}
+	lost := s.request("m")
+	lost.Tenant, lost.Charge, lost.Repeatable = "t", 500, false
+	s.step(200, Arrived{lost})
+	before = s.d.tenants["t"].level
+	s.step(201, Finished{ID: lost.ID, Endpoint: "a", Result: Lost})
+	if after := s.d.tenants["t"].level; after > before+10 {
+		t.Errorf("level is %v, was %v: given back what may have run", after, before)
+	}
+}
+
+func TestDrainingEndpointSendsItsHeldElsewhere(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"), modelEndpoint("b", 1, "rare"))
+	s.d.schedule.Slots = 1
+	s.step(1, Arrived{s.request("m")})
+	s.step(2, Arrived{s.request("m")}) // held: no slot
+	drains := modelEndpoint("a", 2, "m")
+	drains.State = protocol.Draining
+	s.step(3, ViewChanged{Endpoints: []protocol.Endpoint{drains, modelEndpoint("b", 2, "rare", "m")}})
+	out := s.step(4, Finished{ID: 1, Endpoint: "a"})
+	if send := s.oneSend(out); send.Endpoint != "b" || send.ID != 2 {
+		t.Errorf("sent %+v", send)
+	}
+	late := modelEndpoint("a", 9, "m")
+	s.step(5, ViewChanged{Endpoints: []protocol.Endpoint{late}})
+	s.step(6, Finished{ID: 2, Endpoint: "b"}, ViewChanged{Endpoints: []protocol.Endpoint{{ID: "b", Service: "lm",
+		State: protocol.Gone, Sequence: 3}}})
+	if out := s.step(7, Arrived{s.request("m")}); len(sends(out)) > 0 {
+		t.Errorf("sent %v to what drains", sends(out))
+	}
+}
+
+func TestLateNewsDoNotBringBackTheGone(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 5, "m"))
+	s.step(1, ViewChanged{Endpoints: []protocol.Endpoint{{ID: "a", Service: "lm", State: protocol.Gone, Sequence: 6}}})
+	s.step(2, ViewChanged{Endpoints: []protocol.Endpoint{modelEndpoint("a", 5, "m")}})
+	if out := s.step(3, Arrived{s.request("m")}); len(sends(out)) > 0 {
+		t.Errorf("sent %v to what is gone", sends(out))
+	}
+}
+
+func TestWrongTargetCountsMoreThanTheTable(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"), modelEndpoint("b", 1, "m"))
+	first := s.oneSend(s.step(1, Arrived{s.request("m")}))
+	second := s.oneSend(s.step(2, Finished{ID: 1, Endpoint: first.Endpoint, Result: WrongTarget, More: true}))
+	if second.Endpoint == first.Endpoint {
+		t.Fatalf("sent to %s again", first.Endpoint)
+	}
+	for i := range 20 {
+		send := s.oneSend(s.step(10+i, Arrived{s.request("m")}))
+		if send.Endpoint == first.Endpoint {
+			t.Fatalf("sent to %s, which said that the model isn't there", first.Endpoint)
+		}
+		s.step(10+i, Finished{ID: send.ID, Endpoint: send.Endpoint})
+	}
+	s.step(400, ViewChanged{Endpoints: []protocol.Endpoint{modelEndpoint(first.Endpoint, 2, "m")}})
+	s.step(401, ViewChanged{Endpoints: []protocol.Endpoint{{ID: second.Endpoint, Service: "lm", State: protocol.Gone, Sequence: 9}}})
+	if send := s.oneSend(s.step(402, Arrived{s.request("m")})); send.Endpoint != first.Endpoint {
+		t.Errorf("sent %+v", send)
+	}
+}
+
+func TestNotRepeatableIsNeverSentAgainAfterItMayHaveRun(t *testing.T) {
+	for _, result := range []Result{Failed, Lost} {
+		s := newScript(t, plainEndpoint("p", 6), plainEndpoint("q", 6))
+		send := s.oneSend(s.step(1, Arrived{s.request("")}))
+		refusal := s.oneRefusal(s.step(2, Finished{ID: 1, Endpoint: send.Endpoint, Result: result, More: true}))
+		if refusal.Reason != Exhausted || refusal.RetryAfter != 0 {
+			t.Errorf("refused with %+v", refusal)
+		}
+	}
+}
+
+func TestSurelyNotRunGoesElsewhereTwice(t *testing.T) {
+	s := newScript(t, plainEndpoint("p", 6), plainEndpoint("q", 6), plainEndpoint("r", 6), plainEndpoint("u", 6))
+	send := s.oneSend(s.step(1, Arrived{s.request("")}))
+	for i := range 2 {
+		send = s.oneSend(s.step(2+i, Finished{ID: 1, Endpoint: send.Endpoint, Result: Refused, More: true}))
+	}
+	s.oneRefusal(s.step(5, Finished{ID: 1, Endpoint: send.Endpoint, Result: Refused, More: true}))
+}
+
+func TestEndpointsAreBounded(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"), modelEndpoint("b", 1, "m"), modelEndpoint("c", 1, "m"))
+	send := s.oneSend(s.step(1, Arrived{s.request("m")}))
+	send = s.oneSend(s.step(2, Finished{ID: 1, Endpoint: send.Endpoint, Result: Lost, More: true}))
+	if refusal := s.oneRefusal(s.step(3, Finished{ID: 1, Endpoint: send.Endpoint, Result: Lost, More: true})); refusal.Reason != Exhausted {
+		t.Errorf("refused with %+v", refusal)
+	}
+}
+
+func TestBudgetBoundsFurtherArrivals(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"), modelEndpoint("b", 1, "m"))
+	again, spent := 0, 0
+	for i := range 60 {
+		send := s.oneSend(s.step(10*i, Arrived{s.request("m")}))
+		out := s.step(10*i+1, Finished{ID: send.ID, Endpoint: send.Endpoint, Result: Failed, More: true})
+		for _, o := range sends(out) {
+			again++
+			s.step(10*i+2, Finished{ID: o.ID, Endpoint: o.Endpoint})
+		}
+		for _, o := range refusals(out) {
+			if o.Reason == BudgetSpent {
+				spent++
+			}
+		}
+		s.step(10*i+3, ViewChanged{Endpoints: nil})
+		s.d.endpoints["a"].evidence, s.d.endpoints["b"].evidence = evidence{}, evidence{}
+	}
+	if most := (0.2*60 + 56.0/9) * budgetShare; float64(again) > most || float64(again) < most/2 || spent == 0 {
+		t.Errorf("%d sent again, at most %v; %d refused for it", again, most, spent)
+	}
+}
+
+func TestNothingHoldsTheModel(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"))
+	out := s.step(1, Arrived{s.request("rare")})
+	list := reports(out)
+	if len(list) != 1 || list[0].Models[0].Model != "rare" || list[0].Models[0].Waiting != 1 {
+		t.Fatalf("reported %+v", list)
+	}
+	at := int(s.d.NextWake().Sub(s.zero) / time.Millisecond)
+	if at > 125 {
+		t.Fatalf("wakes at %d ms", at)
+	}
+	refusal := s.oneRefusal(s.step(at + 1))
+	if refusal.Reason != NoEndpoint || refusal.RetryAfter < 4*time.Second || refusal.RetryAfter > 5*time.Second {
+		t.Errorf("refused with %+v", refusal)
+	}
+}
+
+func TestHeldForALoadThatFits(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"))
+	s.step(1, Arrived{s.request("rare")})
+	loads := modelEndpoint("a", 1, "m")
+	loads.Loading = []protocol.Load{{Model: "rare", Within: 250 * time.Millisecond}}
+	s.step(20, ViewChanged{Endpoints: []protocol.Endpoint{loads}})
+	if out := s.step(130); len(refusals(out)) > 0 {
+		t.Fatalf("refused %v though the load fits", refusals(out))
+	}
+	if send := s.oneSend(s.step(280, ViewChanged{Endpoints: []protocol.Endpoint{modelEndpoint("a", 2, "m", "rare")}})); send.ID != 1 {
+		t.Errorf("sent %+v", send)
+	}
+}
+
+func TestRefusedForALoadThatDoesNotFit(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"))
+	s.step(1, Arrived{s.request("rare")})
+	loads := modelEndpoint("a", 1, "m")
+	loads.Loading = []protocol.Load{{Model: "rare", Within: 2 * time.Second}}
+	s.step(20, ViewChanged{Endpoints: []protocol.Endpoint{loads}})
+	refusal := s.oneRefusal(s.step(124))
+	if refusal.RetryAfter < 1800*time.Millisecond || refusal.RetryAfter > 2600*time.Millisecond {
+		t.Errorf("refused with %+v", refusal)
+	}
+}
+
+func TestDarkEndpointIsLeft(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"), modelEndpoint("b", 1, "m"))
+	first := s.oneSend(s.step(1, Arrived{s.request("m")}))
+	other := "a"
+	if first.Endpoint == "a" {
+		other = "b"
+	}
+	at := 1
+	for !hasAbandon(s.step(at)) {
+		if at += 5; at > 600 {
+			t.Fatal("it waits on")
+		}
+	}
+	if send := s.oneSend(s.step(at+1, Finished{ID: 1, Endpoint: first.Endpoint, Result: Lost, More: true})); send.Endpoint != other {
+		t.Errorf("sent %+v", send)
+	}
+	if send := s.oneSend(s.step(at+2, Arrived{s.request("m")})); send.Endpoint != other {
+		t.Errorf("sent %+v", send)
+	}
+}
+
+func hasAbandon(out []Output) bool {
+	for _, o := range out {
+		if _, ok := o.(Abandon); ok {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/router/dispatch/engine_test.go
+++ b/internal/router/dispatch/engine_test.go
@@ -33,18 +33,17 @@
 }
 
 type server struct {
-	row      protocol.Endpoint
-	engine   bool
-	mood     mood
-	slow     float64 // 1: as usual
-	garble   float64 // chance that a call is reset
-	running  []*job
-	queue    []*job
-	most     int // queue
-	restarts int
-	cached   map[uint64]bool
-	drainAt  time.Duration // when draining was told to the routers, 0: not
-	gone     bool
+	row     protocol.Endpoint
+	engine  bool
+	mood    mood
+	slow    float64 // 1: as usual
+	garble  float64 // chance that a call is reset
+	running []*job
+	queue   []*job
+	most    int // queue
+	cached  map[uint64]bool
+	drainAt time.Duration // when draining was told to the routers, 0: not
+	gone    bool
 }
 
 func (s *server) holds(model, adapter string) bool {
--- a/internal/router/dispatch/view.go
+++ b/internal/router/dispatch/view.go
@@ -76,6 +76,7 @@
 	loadingAt   time.Duration // when loading was told
 	awaited     []*group      // whose models it loads
 	suspected   bool          // in Decider.suspects
+	drained     bool          // was draining when it left
 	coldUntil   time.Duration
 
 	asfq.Flow
@@ -183,6 +184,7 @@
 	slices.SortFunc(d.gone, func(a, b *endpoint) int { return compareStrings(a.id, b.id) })
 	for _, e := range d.gone {
 		d.leave(e)
+		d.graves.bury(e, false)
 	}
 	d.gone = d.gone[:0]
 }
@@ -197,25 +199,27 @@
 	return 0
 }
 
-// update takes over one endpoint's newest state. Older news than what is known is dropped. An endpoint
-// that was draining stays so unless newer news say otherwise.
+// update takes over one endpoint's newest state. Older news than what is known is dropped. An incarnation
+// that drains never takes requests again, whatever is told of it later.
 func (d *Decider) update(news *protocol.Endpoint) {
 	e := d.endpoints[news.ID]
 	if news.State == protocol.Gone {
 		if e != nil && news.Sequence >= e.sequence {
+			e.sequence = news.Sequence
 			d.leave(e)
+			d.graves.bury(e, true)
 		}
 		return
 	}
-	if e != nil && news.Sequence < e.sequence {
-		return
-	}
-	if e != nil && e.state == protocol.Draining && news.Sequence == e.sequence {
+	if e != nil && news.Sequence < e.sequence || e == nil && d.graves.outdated(news) {
 		return
 	}
 	if e == nil {
 		e = &endpoint{id: news.ID, service: d.serviceNamed(news.Service)}
 		e.hash = stringHash(news.ID)
+		if d.graves.drained(news.ID) {
+			e.state = protocol.Draining
+		}
 		d.endpoints[news.ID] = e
 	}
 	if !e.listed {
@@ -224,7 +228,9 @@
 	}
 	newer := news.Sequence > e.sequence
 	e.address = news.Address
-	e.state = news.State
+	if e.state != protocol.Draining {
+		e.state = news.State
+	}
 	e.sequence = news.Sequence
 	e.slots = news.Slots
 	e.near = news.Zone == d.options.Zone
@@ -244,6 +250,7 @@
 		e.listed = false
 		e.service.endpoints--
 	}
+	e.drained = e.state == protocol.Draining
 	e.state = protocol.Gone
 	e.loading = nil
 	for len(e.holdings) > 0 {
--- a/internal/router/dispatch/world_test.go
+++ b/internal/router/dispatch/world_test.go
@@ -24,6 +24,7 @@
 	served   bool
 	inTime   bool
 	refused  bool
+	left     bool
 }
 
 type worldCall struct {
@@ -75,7 +76,6 @@
 	lag      time.Duration         // of views
 	tells    []telling
 	events   []worldEvent
-	quarrels int
 	fullFree int // refusals while half of the places were free
 }
 
--- a/internal/router/dispatch/worldrules_test.go
+++ b/internal/router/dispatch/worldrules_test.go
@@ -30,6 +30,9 @@
 	case Send:
 		w.send(w.clients[i][o.ID], o)
 	case Refuse:
+		if w.clients[i][o.ID].left {
+			w.t.Fatalf("request %d refused after its client left", o.ID)
+		}
 		w.refuse(w.clients[i][o.ID], o)
 	case Abandon:
 		c := w.clients[i][o.ID]
