Tell those refused under overload to come back when calls will have ended

A refused request came back into the same burst and then only could go late. The wait told now is some durations of a call and grows with the lack.

--- a/internal/router/dispatch/admission.go
+++ b/internal/router/dispatch/admission.go
@@ -22,9 +22,9 @@
 	leastSilenceSeen = 2 * time.Second // clients give up a stream after a silence of so long at least
 	silenceTimes     = 4               // or of so many times its objective
 	patienceShare    = 0.8
-	mostRank         = 8
-	lateRank         = 9 // Priority header of those that will be late
-	ranksPerTenant   = 3
+	usualRank        = 5 // Priority header: endpoints go by it strictly, which would starve the less urgent
+	lateRank         = 9 // of those that will be late
+	ranksPerTenant   = 10
 	retryShare       = 3 // clients honour Retry-After up to this part of what is left
 	leastRetryAfter  = 50 * time.Millisecond
 	usualLoad        = 3 * time.Second // of a model, where nothing is configured
@@ -32,9 +32,9 @@
 	orderTime        = 500 * time.Millisecond // until an order for a model is on its way
 )
 
-// rank is the request's place in an endpoint's order: its tenant's priority before its route's.
+// rank is the request's place in a flow's order: its tenant's priority before its route's.
 func rank(r *Request) int {
-	return min(max(r.TenantPriority*ranksPerTenant+min(r.RoutePriority, ranksPerTenant-1), 0), mostRank)
+	return max(r.TenantPriority, 0)*ranksPerTenant + min(max(r.RoutePriority, 0), ranksPerTenant-1)
 }
 
 // patience is until when a new request is held.
@@ -257,7 +257,7 @@
 	if r.late {
 		return lateRank
 	}
-	return r.rank
+	return usualRank
 }
 
 // relocate moves requests that may not leave where they are held, but could elsewhere.
--- a/internal/router/dispatch/day_test.go
+++ b/internal/router/dispatch/day_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -33,7 +34,8 @@
 
 func (w *world) tally(t *testing.T) {
 	for _, k := range w.kinds {
-		t.Logf("%-8s asked %5d in time %5d late %4d missed %4d refusals %4d", k.name, k.asked, k.inTime, k.served, k.missed, k.refused)
+		t.Logf("%-8s asked %5d in time %5d again %4d late %4d missed %4d refusals %4d twice %3d worth %.3f", k.name, k.asked,
+			k.inTime, k.again, k.served, k.missed, k.refused, k.twice, k.worth())
 	}
 	t.Logf("refused with half free: %d", w.fullFree)
 	for i, d := range w.routers {
@@ -141,3 +143,52 @@
 	w.tally(t)
 	w.wantServed(t, 0.9)
 }
+
+// worth is what the kind's requests earned, of what they were worth.
+func (k *kind) worth() float64 {
+	return (float64(k.inTime) + 0.65*float64(k.again) + 0.3*float64(k.served) - 0.3*float64(k.twice)) / float64(max(k.asked, 1))
+}
+
+// TestOverload tells how bursts of several sizes go.
+func TestOverload(t *testing.T) {
+	for _, x := range []float64{3, 5, 8, 12} {
+		var sum kind
+		worth, free := 0.0, 0
+		for seed := range uint64(*overloadSeeds) {
+			w := overload(t, seed+20, x)
+			free += w.fullFree
+			for _, k := range w.kinds[:3] {
+				sum.asked += k.asked
+				sum.inTime += k.inTime
+				sum.again += k.again
+				sum.served += k.served
+				sum.missed += k.missed
+				sum.twice += k.twice
+				worth += k.worth() * float64(k.asked)
+			}
+		}
+		n := float64(sum.asked)
+		t.Logf("x %2.0f: worth %.3f; in time %.3f again %.3f late %.3f missed %.3f twice %.3f; refused with half free %d", x, worth/n,
+			float64(sum.inTime)/n, float64(sum.again)/n, float64(sum.served)/n, float64(sum.missed)/n, float64(sum.twice)/n, free)
+	}
+}
+
+var overloadSeeds = flag.Int("overload-seeds", 1, "plays of each burst")
+
+func overload(t *testing.T, seed uint64, x float64) *world {
+	w := newWorld(t, seed, 9)
+	w.usual(1)
+	w.at(4*time.Second, func(w *world) {
+		for _, k := range w.kinds {
+			k.perSecond *= x
+		}
+	})
+	w.at(9*time.Second, func(w *world) {
+		for _, k := range w.kinds {
+			k.perSecond /= x
+		}
+	})
+	w.play(16 * time.Second)
+	w.finish()
+	return w
+}
--- a/internal/router/dispatch/decider.go
+++ b/internal/router/dispatch/decider.go
@@ -53,7 +53,7 @@
 type request struct {
 	Request
 	arrived, objective, deadline time.Duration
-	rank                         int // for the endpoint's order, 0 first
+	rank                         int // in a flow's order, 0 first
 	group                        *group
 	target                       *target
 	links                        []uint64 // see chain
--- a/internal/router/dispatch/demand.go
+++ b/internal/router/dispatch/demand.go
@@ -64,7 +64,7 @@
 	r.target = t
 	t.entry.Asked++
 	t.entry.Tokens += int64(r.PromptTokens + r.OutputTokens)
-	t.entry.Worth += int64(max(mostWorth-r.rank, leastWorth))
+	t.entry.Worth += int64(max(mostWorth-r.RoutePriority-r.TenantPriority, leastWorth))
 	d.list(t)
 }
 
--- a/internal/router/dispatch/engine_test.go
+++ b/internal/router/dispatch/engine_test.go
@@ -28,6 +28,7 @@
 	priority int
 	at       time.Duration
 	read     float64 // tokens of the prompt still to be read
+	size     float64 // tokens in memory
 	put      float64 // tokens still to be put out, or ms of work
 	begun    bool    // first byte sent
 }
@@ -65,6 +66,7 @@
 	}
 	r := &c.client.request
 	j := &job{call: c, priority: priority, at: now, read: float64(r.PromptTokens), put: float64(r.OutputTokens)}
+	j.size = j.read + j.put
 	if !s.engine {
 		j.read, j.put = 0, 15*(0.6+rng.Float64()*0.8)
 	}
@@ -88,36 +90,52 @@
 	if s.mood == isDark {
 		return nil, nil
 	}
-	for len(s.queue) > 0 && len(s.running) < s.row.Slots {
-		s.running = append(s.running, s.queue[0])
-		s.queue = s.queue[1:]
-	}
 	ms := float64(worldTick) / float64(time.Millisecond) / s.slow
 	if !s.engine {
 		return s.work(ms)
 	}
-	reading := 19.2 * ms
+	begun, read := s.prefill(ms)
 	stepMS := 10.5 + 0.0073*float64(len(s.running))
-	if slices.ContainsFunc(s.running, func(j *job) bool { return j.read > 0 }) {
-		stepMS *= 2.5
+	stepMS *= 1 + 2*read
+	for _, j := range s.running {
+		j.put -= ms / stepMS
 	}
+	return begun, s.reap()
+}
+
+// prefill reads prompts, the most urgent first, while there are places and memory. It returns what part of
+// the tick it took.
+func (s *server) prefill(ms float64) (begun []*job, part float64) {
+	whole := 19.2 * ms
+	left := whole
+	memory := 130000.0
 	for _, j := range s.running {
-		switch {
-		case j.read > 0:
-			part := min(j.read, reading)
-			j.read -= part
-			reading -= part
-		case !j.begun:
-			j.begun = true
-			begun = append(begun, j)
-		default:
-			j.put -= ms / stepMS
+		memory -= j.size
+	}
+	for len(s.queue) > 0 && len(s.running) < s.row.Slots && left > 0 {
+		j := s.queue[0]
+		if memory -= j.size; memory < 0 {
+			break
 		}
+		read := min(j.read, left)
+		j.read -= read
+		left -= read
+		if j.read > 0 {
+			break
+		}
+		j.begun = true
+		begun = append(begun, j)
+		s.running = append(s.running, j)
+		s.queue = s.queue[1:]
 	}
-	return begun, s.reap()
+	return begun, (whole - left) / whole
 }
 
 func (s *server) work(ms float64) (begun, ended []*job) {
+	for len(s.queue) > 0 && len(s.running) < s.row.Slots {
+		s.running = append(s.running, s.queue[0])
+		s.queue = s.queue[1:]
+	}
 	for _, j := range s.running {
 		if j.put -= ms; j.put <= 0 {
 			j.begun = true
@@ -145,11 +163,5 @@
 }
 
 func (s *server) load() *ToldLoad {
-	began := 0
-	for _, j := range s.running {
-		if j.begun || !s.engine {
-			began++
-		}
-	}
-	return &ToldLoad{Running: began, Waiting: len(s.queue) + len(s.running) - began, Slots: s.row.Slots}
+	return &ToldLoad{Running: len(s.running), Waiting: len(s.queue), Slots: s.row.Slots}
 }
--- a/internal/router/dispatch/estimate.go
+++ b/internal/router/dispatch/estimate.go
@@ -23,6 +23,7 @@
 	mostRatio       = 50.0
 	mostSlow        = 3.0 // natural logarithm of the slowness, at most
 	toldFades       = 1500 * time.Millisecond
+	driftTrust      = 1.0  // of this router's change since the load was told, that others had too
 	roomForMemory   = 0.95 // of an endpoint's memory, that running requests may take
 	errorBuckets    = 64
 	errorBucketSize = 0.125 // in powers of two
@@ -99,7 +100,8 @@
 		return expected, 0
 	}
 	fresh := math.Exp(-float64(d.now-e.told.at) / float64(toldFades))
-	running = fresh*float64(e.told.running) + (1-fresh)*expected
+	drift := float64(len(e.calls)-e.told.own) * others * driftTrust
+	running = fresh*max(float64(e.told.running)+drift, 0) + (1-fresh)*expected
 	waiting = fresh * float64(e.told.waiting)
 	return running, waiting
 }
--- a/internal/router/dispatch/settle.go
+++ b/internal/router/dispatch/settle.go
@@ -7,8 +7,11 @@
 	"raventrestle/internal/protocol"
 )
 
-// mostSettled is how often a request is put off at the end of its patience.
-const mostSettled = 2
+const (
+	mostSettled = 2   // times that a request is put off at the end of its patience
+	overCalls   = 4   // mean durations of a call, until places can be hoped for again
+	overLeast   = 0.8 // of that time is told at least, the rest is drawn
+)
 
 // settle decides on a request that was held as long as it may be: elsewhere, late, or not at all. What is
 // refused for the first time usually comes back when it is told to, and then counts by its new try; what
@@ -98,7 +101,7 @@
 		g.overFrom = d.now
 	}
 	g.overAt = d.now
-	wait := (d.now - g.overFrom) / 2
+	wait := d.overWait(r, g)
 	if h != nil {
 		ms, _ := d.predict(h, r)
 		wait = max(wait, time.Duration(ms*float64(time.Millisecond))-(r.objective-r.arrived)/2)
@@ -159,3 +162,12 @@
 	}
 	return at, known
 }
+
+// overWait is when places can be hoped for again: not before several calls' time, since those that are out
+// hold their places so long, and the later the longer the lack has lasted.
+func (d *Decider) overWait(r *request, g *group) time.Duration {
+	calls := time.Duration(overCalls * g.service.meanDuration() * float64(time.Millisecond))
+	wait := calls + 2*(d.now-g.overFrom)
+	wait = min(wait, (r.deadline-d.now)/retryShare)
+	return time.Duration(float64(wait) * (overLeast + (1-overLeast)*d.draw.Float64()))
+}
--- /dev/null
+++ b/internal/router/dispatch/size_test.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"raventrestle/internal/configuration"
+	"raventrestle/internal/protocol"
+)
+
+// large is a router at the size to design for: 2,900 endpoints, 1,100 models, 830 routers.
+func large() (*Decider, time.Time, []string) {
+	const endpoints, models = 2900, 1100
+	config := &configuration.Configuration{Generation: 1, Services: []configuration.Service{{Name: "lm", MaxConnections: 370,
+		Engine: &configuration.Engine{Slots: 64, KVTokens: 130000}}}}
+	names := make([]string, models)
+	for i := range names {
+		names[i] = fmt.Sprint("m", i)
+		config.Services[0].Engine.Models = append(config.Services[0].Engine.Models, configuration.Model{Name: names[i], LoadTimeS: 5})
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	var table []protocol.Endpoint
+	for i := range endpoints {
+		first := min(rng.IntN(models), rng.IntN(models), rng.IntN(models))
+		table = append(table, modelEndpoint(fmt.Sprint("e", i), 1, names[first], names[i%models]))
+	}
+	d := New(Options{Seed: 1, Zone: "z", Routers: 830, BudgetRatio: 0.2, BudgetSlack: 56})
+	now := time.Now()
+	d.Step(now, []Input{ViewChanged{Configuration: config, Full: true, Endpoints: table, Routers: 830}})
+	return d, now, names
+}
+
+func BenchmarkRequestAtSize(b *testing.B) {
+	d, now, names := large()
+	rng := rand.New(rand.NewPCG(1, 2))
+	b.ReportAllocs()
+	type call struct {
+		id RequestID
+		at string
+	}
+	var out []call
+	b.ResetTimer()
+	for i := range b.N {
+		now = now.Add(50 * time.Millisecond)
+		model := names[min(rng.IntN(len(names)), rng.IntN(len(names)), rng.IntN(len(names)))]
+		r := Request{ID: RequestID(i + 1), Service: "lm", Model: model, PromptTokens: 1000, OutputTokens: 100, Repeatable: true,
+			MaxEndpoints: 2, Objective: now.Add(500 * time.Millisecond), Deadline: now.Add(15 * time.Second),
+			Parts: []Part{{Hash: uint64(rng.IntN(3)), Tokens: 200}, {Hash: uint64(rng.IntN(100)), Tokens: 100}}}
+		for _, o := range d.Step(now, []Input{Arrived{r}}) {
+			if o, ok := o.(Send); ok {
+				out = append(out, call{o.ID, o.Endpoint})
+			}
+		}
+		if len(out) > 50 {
+			d.Step(now, []Input{FirstByte{ID: out[40].id, Endpoint: out[40].at}})
+			d.Step(now, []Input{Finished{ID: out[0].id, Endpoint: out[0].at}})
+			out = out[1:]
+		}
+	}
+}
+
+func BenchmarkTableAtSize(b *testing.B) {
+	d, now, names := large()
+	b.ReportAllocs()
+	for i := range b.N {
+		now = now.Add(time.Millisecond)
+		row := modelEndpoint(fmt.Sprint("e", i%2900), uint64(i+2), names[i%len(names)], names[(i+1)%len(names)])
+		d.Step(now, []Input{ViewChanged{Endpoints: []protocol.Endpoint{row}}})
+	}
+}
--- a/internal/router/dispatch/world_test.go
+++ b/internal/router/dispatch/world_test.go
@@ -52,7 +52,7 @@
 	tenant            string
 	rank              int
 
-	asked, inTime, served, refused, missed int
+	asked, inTime, served, refused, missed, again, twice int
 }
 
 // world is some routers before the same endpoints.
@@ -323,6 +323,8 @@
 func (w *world) close(c *client) {
 	c.ends++
 	switch {
+	case c.served && c.inTime && c.request.Again:
+		c.kind.again++
 	case c.served && c.inTime:
 		c.kind.inTime++
 	case c.served:
--- a/internal/router/dispatch/worldrules_test.go
+++ b/internal/router/dispatch/worldrules_test.go
@@ -111,6 +111,9 @@
 		w.fullFree++
 	}
 	c.kind.refused++
+	if c.request.Again {
+		c.kind.twice++
+	}
 	if len(c.runs) == 0 && !c.refused && o.RetryAfter > 0 {
 		c.ends++
 		left := c.request.Deadline.Sub(w.clock())
