Let broken streams go on wherever they can, and take no endpoint for full unheard

A stream that broke off waited like a new request; it now leaves at once. Where no load was told, others are taken to use 0.4 of an endpoint's places at most, whatever the number of routers.

--- a/internal/router/dispatch/admission.go
+++ b/internal/router/dispatch/admission.go
@@ -12,9 +12,9 @@
 // start tag plus delta leaves while slots are free. Guards only say which heads are eligible. What can't go
 // now is held for a quarter of its objective at most, then sent as a late one or refused.
 const (
-	monitorTolerance = 2.0  // calls
-	heldShare        = 0.22 // of the objective, that a request is held: a quarter, less the way back
-	againShare       = 0.25 // of the time left to the objective, for one that is sent again
+	monitorTolerance = 2.0                     // calls
+	heldShare        = 0.22                    // of the objective, that a request is held: a quarter, less the way back
+	brokenHeld       = 1500 * time.Millisecond // that a stream which broke off waits for an endpoint
 	leastHeld        = 5 * time.Millisecond
 	mostRejections   = 2 // endpoints that may turn a request away and be followed by another
 	patientTurn      = 4 // each so many turns of a flow goes to the request that waits longest
@@ -39,14 +39,19 @@
 
 // patience is until when a new request is held.
 func (r *request) patience() time.Duration {
-	span := r.objective - r.arrived
-	return max(r.arrived+time.Duration(heldShare*float64(span)), r.arrived+leastHeld)
+	held := time.Duration(heldShare * float64(r.objective-r.arrived))
+	held = min(held, (r.deadline-r.arrived)/2)
+	return r.arrived + max(held, leastHeld)
 }
 
-// patienceAgain is until when a request is held that was out before.
+// patienceAgain is until when a request is held that was out before: a stream that broke off as long as its
+// client bears it, what can't be in time any more not at all.
 func (d *Decider) patienceAgain(r *request) time.Duration {
-	left := max(r.objective, d.now+r.objective-r.arrived) - d.now
-	return d.now + max(time.Duration(againShare*float64(left)), leastHeld)
+	if r.answering {
+		return min(d.now+brokenHeld, r.deadline)
+	}
+	left := min(r.objective, r.deadline) - d.now
+	return d.now + max(time.Duration(heldShare*float64(left)), 0)
 }
 
 // place puts the request into the flow of the best endpoint, or among the homeless.
@@ -218,7 +223,7 @@
 		return true
 	}
 	ms, _ := d.predict(h, r)
-	return ms <= objectiveShare*milliseconds(r.objective-d.now)
+	return d.inTime(r, ms)
 }
 
 // send lets a request go.
--- a/internal/router/dispatch/choice.go
+++ b/internal/router/dispatch/choice.go
@@ -17,8 +17,9 @@
 	farPrice       = 1.0   // ms, of an endpoint in another zone
 	newPrice       = 3.0   // ms, of a connection that must be made
 	doubtPrice     = 400.0 // ms, of an endpoint whose heartbeats stopped
+	trialPrice     = 100.0 // ms, of an endpoint that just failed, for what can't be sent again
 	tiePrice       = 0.5   // ms, between endpoints that are alike
-	objectiveShare = 0.9   // of the time left until the objective, that the expected time may fill
+	objectiveShare = 0.8   // of the time left until the objective, that the expected time may fill
 	idleConnection = 8 * time.Second
 )
 
@@ -117,6 +118,9 @@
 	if d.doubtful(e) {
 		cost += doubtPrice
 	}
+	if e.evidence.most > 0 && !r.Repeatable {
+		cost += trialPrice
+	}
 	cost += tiePrice * float64(mix(e.hash^d.seed)>>11) / (1 << 53)
 	return ms, cost
 }
@@ -138,12 +142,18 @@
 	if len(e.calls) >= d.connections(e.service) || d.schedule.Full(e) {
 		return goesNot
 	}
-	if ms <= objectiveShare*milliseconds(r.objective-d.now) || d.plenty(e) {
+	if d.inTime(r, ms) || d.plenty(e) {
 		return goesNow
 	}
 	return goesLate
 }
 
+// inTime says whether a request that gets its first byte after so many ms is to be sent. A stream that
+// broke off goes on wherever it can.
+func (d *Decider) inTime(r *request, ms float64) bool {
+	return r.answering || ms <= objectiveShare*milliseconds(r.objective-d.now)
+}
+
 // plenty: under half of its places are taken and nothing waits there. Then nothing is held or refused.
 func (d *Decider) plenty(e *endpoint) bool {
 	taken, waiting := d.load(e)
--- a/internal/router/dispatch/estimate.go
+++ b/internal/router/dispatch/estimate.go
@@ -23,7 +23,7 @@
 	mostRatio       = 50.0
 	mostSlow        = 3.0 // natural logarithm of the slowness, at most
 	toldFades       = 1500 * time.Millisecond
-	driftTrust      = 1.0  // of this router's change since the load was told, that others had too
+	mostGuessed     = 0.4  // of the places of an endpoint that has told nothing, that others are taken to use
 	roomForMemory   = 0.95 // of an endpoint's memory, that running requests may take
 	errorBuckets    = 64
 	errorBucketSize = 0.125 // in powers of two
@@ -95,13 +95,13 @@
 	expected := 0.0
 	if s := e.service; s.endpoints > 0 {
 		expected = float64(s.out) / float64(s.endpoints) * others
+		expected = min(expected, mostGuessed*float64(e.places()))
 	}
 	if !e.told.ever {
 		return expected, 0
 	}
 	fresh := math.Exp(-float64(d.now-e.told.at) / float64(toldFades))
-	drift := float64(len(e.calls)-e.told.own) * others * driftTrust
-	running = fresh*max(float64(e.told.running)+drift, 0) + (1-fresh)*expected
+	running = fresh*float64(e.told.running) + (1-fresh)*expected
 	waiting = fresh * float64(e.told.waiting)
 	return running, waiting
 }
--- a/internal/router/dispatch/evidence.go
+++ b/internal/router/dispatch/evidence.go
@@ -50,6 +50,7 @@
 	}
 	x.ever = true
 	x.goodAt = d.now
+	e.Trouble = false
 	x.weight = 0
 	x.backoff = 0
 	x.pause = 0
@@ -84,6 +85,7 @@
 	x.until = d.now + d.about(x.backoff)
 	x.tripped = d.now
 	x.most = 1
+	e.Trouble = true
 	x.trials = 0
 	for _, r := range e.calls {
 		r.trial = false
@@ -165,6 +167,7 @@
 		d.timers.add(from, r)
 		return
 	}
+	e.Trouble = true
 	d.failed(e, r, deadWeight)
 	d.abandon(r)
 	if !r.abandoned {
--- /dev/null
+++ b/internal/router/dispatch/sizes_test.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"testing"
+)
+
+// TestLargeRequestsAreServedToo: under a burst far beyond what the endpoints bear, the largest tenth of a
+// kind is served at least 0.7 times as often as the whole kind.
+func TestLargeRequestsAreServedToo(t *testing.T) {
+	for seed := range uint64(2) {
+		w := overload(t, 40+seed, 12)
+		for _, k := range w.kinds[:2] {
+			var all []*client
+			for _, list := range w.clients {
+				for _, c := range list {
+					if c.kind == k && !c.cameBack {
+						all = append(all, c)
+					}
+				}
+			}
+			slices.SortFunc(all, func(a, b *client) int { return cmp.Compare(a.size(), b.size()) })
+			whole, tenth := servedShare(all), servedShare(all[len(all)*9/10:])
+			t.Logf("%s: %.3f of %d served, of the largest tenth %.3f", k.name, whole, len(all), tenth)
+			if tenth < 0.7*whole {
+				t.Errorf("%s: the largest tenth is served %.3f, all %.3f", k.name, tenth, whole)
+			}
+		}
+	}
+}
+
+func (c *client) size() int { return c.request.PromptTokens + 10*c.request.OutputTokens }
+
+func servedShare(list []*client) float64 {
+	n := 0
+	for _, c := range list {
+		if c.served {
+			n++
+		}
+	}
+	return float64(n) / float64(max(len(list), 1))
+}
--- a/internal/router/dispatch/view.go
+++ b/internal/router/dispatch/view.go
@@ -95,7 +95,6 @@
 // told is the newest load that the endpoint told of.
 type told struct {
 	running, waiting int // of others than this router
-	own              int // this router's calls then
 	at               time.Duration
 	ever             bool
 }
@@ -379,6 +378,5 @@
 		e.slots = load.Slots
 	}
 	own := len(e.calls) - len(e.unanswered)
-	e.told = told{running: max(load.Running-own, 0), waiting: max(load.Waiting-len(e.unanswered), 0),
-		own: len(e.calls), at: d.now, ever: true}
+	e.told = told{running: max(load.Running-own, 0), waiting: max(load.Waiting-len(e.unanswered), 0), at: d.now, ever: true}
 }
--- a/internal/router/dispatch/world_test.go
+++ b/internal/router/dispatch/world_test.go
@@ -25,6 +25,7 @@
 	inTime   bool
 	refused  bool
 	left     bool
+	cameBack bool // another try followed, and counts instead
 }
 
 type worldCall struct {
@@ -76,7 +77,9 @@
 	lag      time.Duration         // of views
 	tells    []telling
 	events   []worldEvent
-	fullFree int // refusals while half of the places were free
+	live     []*worldCall
+	loading  map[string]bool // nil: no placer
+	fullFree int             // refusals while half of the places were free
 }
 
 type returning struct {
@@ -155,6 +158,9 @@
 func (w *world) play(until time.Duration) {
 	for ; w.now < until; w.now += worldTick {
 		w.happen()
+		if w.resting() {
+			continue
+		}
 		w.arrive()
 		w.serve()
 		w.hosts()
@@ -164,6 +170,24 @@
 	}
 }
 
+// resting: nothing happens until a router wakes.
+func (w *world) resting() bool {
+	if len(w.live)+len(w.later) > 0 {
+		return false
+	}
+	for _, k := range w.kinds {
+		if k.perSecond > 0 {
+			return false
+		}
+	}
+	for i, d := range w.routers {
+		if wake := d.NextWake(); len(w.inputs[i]) > 0 || !wake.IsZero() && !wake.After(w.clock()) {
+			return false
+		}
+	}
+	return true
+}
+
 // finish lets everything end.
 func (w *world) finish() {
 	for _, k := range w.kinds {
@@ -336,20 +360,21 @@
 
 // hosts ends calls whose time is over, and those that hang at crashed endpoints.
 func (w *world) hosts() {
-	for _, list := range w.clients {
-		for _, c := range list {
-			if c.call == nil {
-				continue
-			}
-			if c.call.lost > 0 && w.now >= c.call.lost {
-				w.lose(c)
-				continue
-			}
-			if w.clock().After(c.request.Deadline) {
-				c.call.server.drop(c.call)
-				w.finishCall(c, GivenUp, false)
-				w.close(c)
-			}
+	live := w.live
+	w.live = w.live[:0:0]
+	for _, call := range live {
+		c := call.client
+		switch {
+		case c.call != call:
+			continue
+		case call.lost > 0 && w.now >= call.lost:
+			w.lose(c)
+		case w.clock().After(c.request.Deadline):
+			call.server.drop(call)
+			w.finishCall(c, GivenUp, false)
+			w.close(c)
+		default:
+			w.live = append(w.live, call)
 		}
 	}
 }
--- a/internal/router/dispatch/worldrules_test.go
+++ b/internal/router/dispatch/worldrules_test.go
@@ -34,6 +34,10 @@
 			w.t.Fatalf("request %d refused after its client left", o.ID)
 		}
 		w.refuse(w.clients[i][o.ID], o)
+	case Report:
+		if w.loading != nil {
+			w.place(o.Report)
+		}
 	case Abandon:
 		c := w.clients[i][o.ID]
 		if !c.request.Repeatable || c.call == nil || c.call.begun {
@@ -67,6 +71,7 @@
 		w.t.Fatalf("request %d sent to more than %d endpoints", o.ID, c.request.MaxEndpoints)
 	}
 	c.call = &worldCall{client: c, server: s}
+	w.live = append(w.live, c.call)
 	key := uint64(0)
 	for _, p := range c.request.Parts {
 		key = key*1000 + p.Hash
@@ -116,6 +121,7 @@
 	}
 	if len(c.runs) == 0 && !c.refused && o.RetryAfter > 0 {
 		c.ends++
+		c.cameBack = true
 		left := c.request.Deadline.Sub(w.clock())
 		w.later = append(w.later, returning{w.now + min(o.RetryAfter, left/3), c})
 		return
