Come back soon when a router's own link was cut, and agree on kept prefixes

A router that had reached nobody left all endpoints for up to 4 s each. Where nothing else is left, a failed endpoint is tried before its time, and the first answer after nearly all had failed tries the others at once: answers within half a second of the link's return.

--- a/internal/router/dispatch/choice.go
+++ b/internal/router/dispatch/choice.go
@@ -11,8 +11,10 @@
 // time to the first byte count together, in ms. The shared ring breaks ties, so that routers agree on where
 // a session's parts are kept without telling each other.
 const (
-	ringTrust      = 0.8   // chance that the ring's endpoint keeps the shared parts, though not sent by us
-	rereadPrice    = 1.0   // of tokens read again that some endpoint keeps, in times of their reading
+	ringTrust      = 0.9 // chance that the ring's endpoint keeps the shared parts, though not sent by us
+	easyShare      = 0.4 // of the time left until the objective, below which time costs less
+	easyPrice      = 0.4
+	rereadPrice    = 3.0   // of tokens read again that some endpoint keeps, in times of their reading
 	loadPrice      = 30.0  // ms, of the last place of an endpoint
 	farPrice       = 1.0   // ms, of an endpoint in another zone
 	newPrice       = 3.0   // ms, of a connection that must be made
@@ -37,17 +39,23 @@
 func (d *Decider) choose(r *request) (best *holding, how class) {
 	how = goesNowhere
 	least := math.Inf(1)
-	ring := d.ringTop(r)
+	parts, shared := r.sharedParts()
+	ring := d.ringTop(r, parts)
 	for _, h := range r.group.holders {
 		if !d.eligible(h, r) {
 			continue
 		}
-		ms, cost := d.cost(h, r, h == ring)
+		ms, cost := d.cost(h, r, shared, h == ring)
 		c := d.classify(h, r, ms)
 		if c < how || c == how && cost < least {
 			best, how, least = h, c, cost
 		}
 	}
+	if how == goesNot {
+		if h := d.lastResort(r); h != nil {
+			return h, goesNow
+		}
+	}
 	return best, how
 }
 
@@ -74,13 +82,32 @@
 	return false
 }
 
+// timePrice weighs the time to the first byte: what is far within the objective matters little.
+func timePrice(ms, left float64) float64 {
+	easy := max(left*easyShare, 0)
+	return easyPrice*min(ms, easy) + max(ms-easy, 0)
+}
+
+// sharedParts is how many of the request's parts others may share, and their tokens. Where the parts are
+// the whole prompt, the last one is the request's own.
+func (r *request) sharedParts() (count, tokens int) {
+	for i := range r.Parts {
+		tokens += r.Parts[i].Tokens
+	}
+	count = len(r.Parts)
+	if count > 1 && tokens >= r.PromptTokens {
+		count--
+		tokens -= r.Parts[count].Tokens
+	}
+	return count, tokens
+}
+
 // ringTop is the holder that the ring gives the request's shared parts.
-func (d *Decider) ringTop(r *request) *holding {
-	links := r.chain()
-	if len(links) == 0 {
+func (d *Decider) ringTop(r *request, shared int) *holding {
+	if shared == 0 {
 		return nil
 	}
-	key := links[len(links)-1]
+	key := r.chain()[shared-1]
 	var top *holding
 	most := uint64(0)
 	for _, h := range r.group.holders {
@@ -94,11 +121,11 @@
 }
 
 // cost weighs a holder: the expected time to the first byte, and what else speaks against it.
-func (d *Decider) cost(h *holding, r *request, ring bool) (ms, cost float64) {
+func (d *Decider) cost(h *holding, r *request, shared int, ring bool) (ms, cost float64) {
 	e := h.at
 	ms, kept := d.predict(h, r)
-	cost = ms
-	if shared := r.sharedTokens(); shared > 0 {
+	cost = timePrice(ms, milliseconds(r.objective-d.now))
+	if shared > 0 {
 		likely := float64(kept)
 		if ring {
 			likely = max(likely, ringTrust*float64(shared))
@@ -125,14 +152,6 @@
 	return ms, cost
 }
 
-func (r *request) sharedTokens() int {
-	sum := 0
-	for i := range r.Parts {
-		sum += r.Parts[i].Tokens
-	}
-	return sum
-}
-
 // classify says how the request would fare at the holder now.
 func (d *Decider) classify(h *holding, r *request, ms float64) class {
 	e := h.at
--- a/internal/router/dispatch/day_test.go
+++ b/internal/router/dispatch/day_test.go
@@ -37,7 +37,11 @@
 		t.Logf("%-8s asked %5d in time %5d again %4d late %4d missed %4d refusals %4d twice %3d worth %.3f", k.name, k.asked,
 			k.inTime, k.again, k.served, k.missed, k.refused, k.twice, k.worth())
 	}
-	t.Logf("refused with half free: %d", w.fullFree)
+	saved, shared := 0.0, 0.0
+	for _, s := range w.servers {
+		saved, shared = saved+s.saved, shared+s.shared
+	}
+	t.Logf("refused with half free: %d; %.3f of the shared tokens were kept", w.fullFree, saved/shared)
 	for i, d := range w.routers {
 		x := d.Errors()
 		t.Logf("router %d: predictions %d, median ratio %.2f, 95th %.2f, off by %.1f of %.1f ms", i, x.Count, x.MedianRatio,
@@ -95,6 +99,32 @@
 	w.tally(t)
 }
 
+// TestCutRouterServesSoonAfter: a router that reached nobody for a while serves within half a second of the
+// link's return.
+func TestCutRouterServesSoonAfter(t *testing.T) {
+	w := newWorld(t, 6, 2)
+	w.usual(1)
+	w.at(3*time.Second, func(w *world) { w.cut[0] = true })
+	w.at(8*time.Second, func(w *world) { w.cut[0] = false })
+	w.play(8500 * time.Millisecond)
+	before := w.begun(0)
+	w.play(9 * time.Second)
+	if now := w.begun(0); now < before+4 {
+		t.Errorf("%d answered in half a second, half a second after the link came back", now-before)
+	}
+}
+
+// begun counts a router's requests that were answered at least in part.
+func (w *world) begun(router int) int {
+	n := 0
+	for _, c := range w.clients[router] {
+		if c.began {
+			n++
+		}
+	}
+	return n
+}
+
 // crash cuts all calls of an endpoint.
 func (w *world) crash(s *server) {
 	s.mood = crashed
--- a/internal/router/dispatch/engine_test.go
+++ b/internal/router/dispatch/engine_test.go
@@ -43,6 +43,8 @@
 	queue   []*job
 	most    int // queue
 	cached  map[uint64]bool
+	saved   float64       // tokens that were kept
+	shared  float64       // tokens that could have been
 	drainAt time.Duration // when draining was told to the routers, 0: not
 	gone    bool
 }
@@ -75,8 +77,10 @@
 			break
 		}
 		j.read -= link.tokens
+		s.saved += link.tokens
 	}
 	for _, link := range c.links {
+		s.shared += link.tokens
 		s.cached[link.key] = true
 	}
 	j.read = max(j.read, 0)
--- a/internal/router/dispatch/estimate.go
+++ b/internal/router/dispatch/estimate.go
@@ -17,7 +17,8 @@
 	outlier         = 4.0  // an answer that took longer than so many times the expected counts as that
 	durationMemory  = 0.05 // weight of a new call in the mean duration
 	promptMemory    = 0.05
-	slowMemory      = 0.2 // weight of a new answer in an endpoint's slowness
+	slowMemory      = 0.2  // weight of a new answer in an endpoint's slowness
+	slowChance      = 0.25 // of the logarithm, that may be chance
 	slowFades       = 8 * time.Second
 	leastRatio      = 0.1
 	mostRatio       = 50.0
@@ -67,6 +68,15 @@
 	return s.value * math.Exp(-float64(now-s.at)/float64(slowFades))
 }
 
+// factor is how many times slower the endpoint is than its peers; what may be chance is left out.
+func (s *slowness) factor(now time.Duration) float64 {
+	value := s.now(now)
+	if value > 0 {
+		return math.Exp(max(value-slowChance, 0))
+	}
+	return math.Exp(min(value+slowChance, 0))
+}
+
 func (s *slowness) add(now time.Duration, ratio float64) {
 	value := s.now(now)
 	value += (math.Log(ratio) - value) * slowMemory
@@ -135,7 +145,7 @@
 	if over := taken + 1 - capacity; over > 0 {
 		ms += over / capacity * g.service.meanDuration()
 	}
-	ms *= math.Exp(e.slow.now(d.now))
+	ms *= e.slow.factor(d.now)
 	if d.now < e.coldUntil {
 		ms *= 1.5
 	}
@@ -155,7 +165,7 @@
 	r.expected = ms
 	r.toRead = r.PromptTokens - kept
 	r.readAtSend = float64(r.toRead+e.tokens) / 1000
-	r.slowAtSend = math.Exp(e.slow.now(d.now))
+	r.slowAtSend = e.slow.factor(d.now)
 	taken, waiting := d.load(e)
 	r.plain = !r.late && taken+waiting+1 <= e.capacity(g.kvTokens)
 	e.tokens += r.toRead
--- a/internal/router/dispatch/evidence.go
+++ b/internal/router/dispatch/evidence.go
@@ -15,8 +15,10 @@
 	tripWeight    = 3 // failures in a row that weigh so much: left for a while
 
 	firstBackoff  = 250 * time.Millisecond
-	mostBackoff   = 4 * time.Second
-	firstPause    = 40 * time.Millisecond // after it turned a request away
+	mostBackoff   = 2 * time.Second
+	patientGap    = 700 * time.Millisecond // between last resorts, for what can't be sent again
+	allDownShare  = 0.8                    // of a service's endpoints
+	firstPause    = 40 * time.Millisecond  // after it turned a request away
 	mostPause     = 640 * time.Millisecond
 	firstDistrust = 300 * time.Millisecond // of a table that says a model is there that isn't
 	mostDistrust  = 5 * time.Second
@@ -48,6 +50,9 @@
 	if r.sentAt < x.tripped {
 		return
 	}
+	if x.most > 0 && e.service.allDown() {
+		d.retryAll(e.service)
+	}
 	x.ever = true
 	x.goodAt = d.now
 	e.Trouble = false
@@ -59,9 +64,51 @@
 	}
 	if x.most >= trialsOver {
 		x.most = 0
+		e.service.down--
+	}
+}
+
+// allDown says whether nearly all endpoints of the service are held for failed: then this router's own link
+// may be to blame.
+func (s *service) allDown() bool { return float64(s.down) >= allDownShare*float64(s.endpoints) }
+
+// retryAll: an endpoint answers again after nearly all had failed, so the others are tried soon.
+func (d *Decider) retryAll(s *service) {
+	for _, e := range d.endpoints {
+		if x := &e.evidence; e.service == s && x.until > d.now {
+			x.until = d.now
+			x.backoff = 0
+		}
 	}
 }
 
+// lastResort lets a request try an endpoint that failed before its time, where nothing else is left.
+func (d *Decider) lastResort(r *request) *holding {
+	g := r.group
+	gap := firstBackoff
+	if !r.Repeatable {
+		gap = patientGap
+	}
+	if g.resortAt > 0 && d.now-g.resortAt < gap {
+		return nil
+	}
+	var best *holding
+	for _, h := range g.holders {
+		x := &h.at.evidence
+		if !d.eligible(h, r) || x.most == 0 || x.trials > 0 || h.until > d.now {
+			continue
+		}
+		if best == nil || x.until < best.at.evidence.until {
+			best = h
+		}
+	}
+	if best != nil {
+		g.resortAt = d.now
+		best.at.evidence.until = d.now
+	}
+	return best
+}
+
 // failed: a call to it failed. Calls that were out when it was left tell nothing new.
 func (d *Decider) failed(e *endpoint, r *request, weight int) {
 	x := &e.evidence
@@ -81,15 +128,25 @@
 // trip leaves an endpoint for a while.
 func (d *Decider) trip(e *endpoint) {
 	x := &e.evidence
+	if !e.listed {
+		return
+	}
 	x.backoff = min(max(2*x.backoff, firstBackoff), mostBackoff)
 	x.until = d.now + d.about(x.backoff)
 	x.tripped = d.now
+	if x.most == 0 {
+		e.service.down++
+	}
 	x.most = 1
 	e.Trouble = true
 	x.trials = 0
 	for _, r := range e.calls {
 		r.trial = false
 	}
+	for _, r := range e.unanswered { // presumed lost: nothing waits for them
+		e.tokens -= r.toRead
+		r.toRead = 0
+	}
 	d.moveOn(e)
 	d.mark(e)
 	d.urgent()
@@ -141,9 +198,12 @@
 	d.failed(e, r, deadWeight)
 }
 
-// silence is how long the call may bring nothing before its endpoint counts as dark.
+// silence is how long the call may bring nothing before its endpoint counts as dark: some times what was
+// expected, but not much longer than the request's objective.
 func (r *request) silence() time.Duration {
-	return max(leastSilence, time.Duration(silentTimes*r.expected*float64(time.Millisecond)))
+	expected := time.Duration(r.expected * float64(time.Millisecond))
+	most := max(r.objective-r.arrived, 2*expected)
+	return max(leastSilence, min(silentTimes*expected, most))
 }
 
 // quietFrom is the time from which on the endpoint counts as dark if nothing more comes of it, judged by
--- a/internal/router/dispatch/random_test.go
+++ b/internal/router/dispatch/random_test.go
@@ -119,6 +119,11 @@
 			}
 		}
 	},
+	func(w *world, s *server, until time.Duration) { // a router is cut off
+		i := w.rng.IntN(len(w.routers))
+		w.cut[i] = true
+		w.at(until, func(*world) { w.cut[i] = false })
+	},
 	func(w *world, s *server, until time.Duration) { // the whole table anew
 		var rows []protocol.Endpoint
 		for _, s := range w.servers {
--- a/internal/router/dispatch/view.go
+++ b/internal/router/dispatch/view.go
@@ -18,7 +18,8 @@
 type service struct {
 	name      string
 	config    *configuration.Service // nil until the configuration names it
-	endpoints int                    // that may take requests
+	endpoints int                    // in the table
+	down      int                    // of those, that failed and are on trial
 	out       int                    // this router's calls
 	groups    map[string]*group      // by model; "" for a service without models
 	budget    budget
@@ -39,6 +40,7 @@
 	expected []arrival          // loads on their way
 	overAt   time.Duration      // when it was last refused for want of time
 	overFrom time.Duration      // since when again and again
+	resortAt time.Duration      // when a failed one was tried for want of others
 	changes  int                // rises when a place may have become free
 	homeless []*request         // held without an endpoint, in order of arrival
 }
@@ -249,6 +251,10 @@
 	if e.listed {
 		e.listed = false
 		e.service.endpoints--
+		if e.evidence.most > 0 {
+			e.service.down--
+			e.evidence = evidence{}
+		}
 	}
 	e.drained = e.state == protocol.Draining
 	e.state = protocol.Gone
--- a/internal/router/dispatch/world_test.go
+++ b/internal/router/dispatch/world_test.go
@@ -25,6 +25,7 @@
 	inTime   bool
 	refused  bool
 	left     bool
+	began    bool
 	cameBack bool // another try followed, and counts instead
 }
 
@@ -78,6 +79,7 @@
 	tells    []telling
 	events   []worldEvent
 	live     []*worldCall
+	cut      []bool          // routers whose calls reach nobody
 	loading  map[string]bool // nil: no placer
 	fullFree int             // refusals while half of the places were free
 }
@@ -112,6 +114,7 @@
 		w.clients = append(w.clients, map[RequestID]*client{})
 	}
 	w.inputs = make([][]Input, routers)
+	w.cut = make([]bool, routers)
 	return w
 }
 
@@ -318,6 +321,7 @@
 		return
 	}
 	j.call.begun = true
+	c.began = true
 	c.inTime = !w.clock().After(c.request.Objective)
 	w.tellRouter(c, FirstByte{ID: c.request.ID, Endpoint: j.call.server.row.ID, Load: j.call.server.load()})
 }
--- a/internal/router/dispatch/worldrules_test.go
+++ b/internal/router/dispatch/worldrules_test.go
@@ -82,6 +82,12 @@
 
 // deliver lets the call arrive at its endpoint.
 func (w *world) deliver(c *client, s *server, priority int) {
+	if w.cut[c.router] {
+		c.runs[s.row.ID] = true
+		c.arrivals++
+		c.call.lost = w.now + 3*time.Second
+		return
+	}
 	if s.mood == crashed || s.gone {
 		w.finishCall(c, NotSent, true)
 		return
