Carry typed messages between processes over TCP

Routers and control instances need one way to send each other messages. internal/transport frames cbor bodies with a length and a kind; queues are bounded by bytes and frames, sending never blocks, a peer that is gone or does not read ends the connection.

--- /dev/null
+++ b/internal/transport/frames.go
@@ -0,0 +1,72 @@
+package transport
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"slices"
+)
+
+const (
+	readBufferBytes = 4 << 10
+	retainBytes     = 16 << 10 // a larger buffer is given up after its use
+	growBytes       = 64 << 10 // a body is taken in by pieces, not by the length that the peer claims
+)
+
+// frameReader takes frames from a stream.
+type frameReader struct {
+	source *bufio.Reader
+	body   []byte
+}
+
+func newFrameReader(source io.Reader) *frameReader {
+	return &frameReader{source: bufio.NewReaderSize(source, readBufferBytes)}
+}
+
+// next returns the next frame. The body is valid until release. The error is io.EOF alone only where
+// the stream ends between two frames.
+func (f *frameReader) next() (kind byte, body []byte, err error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(f.source, header[:]); err != nil {
+		if err == io.EOF {
+			return 0, nil, io.EOF
+		}
+		return 0, nil, fmt.Errorf("read frame header: %w", err)
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size < kindBytes {
+		return 0, nil, fmt.Errorf("read frame header: %w", ErrFrameTooSmall)
+	}
+	if size > MaxFrameBytes {
+		return 0, nil, fmt.Errorf("read frame header of %d bytes: %w", size, ErrFrameTooLarge)
+	}
+	if err := f.fill(int(size) - kindBytes); err != nil {
+		return 0, nil, fmt.Errorf("read frame body of %d bytes: %w", size, err)
+	}
+	return header[lengthBytes], f.body, nil
+}
+
+func (f *frameReader) fill(size int) error {
+	f.body = f.body[:0]
+	for len(f.body) < size {
+		start := len(f.body)
+		step := min(size-start, max(start, growBytes))
+		f.body = slices.Grow(f.body, step)[:start+step]
+		_, err := io.ReadFull(f.source, f.body[start:])
+		if err == io.EOF {
+			return io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// release ends the use of the last body.
+func (f *frameReader) release() {
+	if cap(f.body) > retainBytes {
+		f.body = nil
+	}
+}
--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,348 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+const patience = 10 * time.Second // of a test for something that takes milliseconds
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type note struct {
+	Text string `cbor:"1,keyasint"`
+	Body []byte `cbor:"2,keyasint,omitempty"`
+}
+
+type other struct{ A int }
+
+func newTestCodec() *Codec {
+	codec := NewCodec()
+	codec.Register(1, note{})
+	codec.Register(2, &other{})
+	return codec
+}
+
+type arrival struct {
+	connection *Connection
+	message    any
+	err        error // of Closed
+}
+
+// recorder hands on what a connection's handler hears.
+type recorder struct {
+	arrivals chan arrival
+	hold     chan struct{} // Message waits for it, where it is set
+}
+
+func newRecorder() *recorder { return &recorder{arrivals: make(chan arrival, 100_000)} }
+
+func (r *recorder) Message(c *Connection, message any) {
+	r.arrivals <- arrival{connection: c, message: message}
+	if r.hold != nil {
+		<-r.hold
+	}
+}
+
+func (r *recorder) Closed(c *Connection, err error) {
+	r.arrivals <- arrival{connection: c, err: err}
+}
+
+func (r *recorder) next(t *testing.T) arrival {
+	t.Helper()
+	select {
+	case a := <-r.arrivals:
+		return a
+	case <-time.After(patience):
+		t.Fatal("nothing arrived")
+		return arrival{}
+	}
+}
+
+func (r *recorder) wantText(t *testing.T, text string) *Connection {
+	t.Helper()
+	a := r.next(t)
+	message, ok := a.message.(*note)
+	if !ok || message.Text != text {
+		t.Fatalf("got %+v, want a note %q", a, text)
+	}
+	return a.connection
+}
+
+func listen(t *testing.T, handler Handler) *Server {
+	t.Helper()
+	server, err := Listen("127.0.0.1:0", newTestCodec(), handler)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { stop(t, server) })
+	return server
+}
+
+func stop(t *testing.T, server *Server) {
+	t.Helper()
+	if err := server.Close(); err != nil {
+		t.Error(err)
+	}
+	server.Wait()
+}
+
+func dial(t *testing.T, address string, handler Handler, changes ...Option) *Connection {
+	t.Helper()
+	c, err := Dial(t.Context(), address, newTestCodec(), handler, changes...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		c.Close()
+		<-c.Done()
+	})
+	return c
+}
+
+func send(t *testing.T, c *Connection, message any) {
+	t.Helper()
+	if err := c.Send(message); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestMessagesGoBothWays(t *testing.T) {
+	atServer, atClient := newRecorder(), newRecorder()
+	server := listen(t, atServer)
+	client := dial(t, server.Address(), atClient)
+	if client.Remote() != server.Address() {
+		t.Errorf("remote is %s, not %s", client.Remote(), server.Address())
+	}
+	send(t, client, note{Text: "value"})
+	accepted := atServer.wantText(t, "value")
+	send(t, client, &note{Text: "pointer", Body: bytes.Repeat([]byte{7}, 5<<20)})
+	atServer.wantText(t, "pointer")
+	frame, err := newTestCodec().Encode(note{Text: "encoded before"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := accepted.SendFrame(frame); err != nil {
+		t.Fatal(err)
+	}
+	atClient.wantText(t, "encoded before")
+	send(t, accepted, note{Text: "not \xff UTF-8"})
+	atClient.wantText(t, "not \xff UTF-8")
+	client.Close()
+	if a := atClient.next(t); !errors.Is(a.err, ErrClosed) {
+		t.Errorf("own close is told as %v", a.err)
+	}
+	a := atServer.next(t)
+	if !errors.Is(a.err, io.EOF) || !strings.Contains(a.err.Error(), accepted.Remote()) {
+		t.Errorf("the peer's close is told as %v", a.err)
+	}
+	if err := client.Send(note{}); !errors.Is(err, ErrClosed) {
+		t.Errorf("send after close: %v", err)
+	}
+}
+
+func TestOrderIsKept(t *testing.T) {
+	const messages = 20_000
+	atServer := newRecorder()
+	server := listen(t, atServer)
+	client := dial(t, server.Address(), newRecorder())
+	for i := range messages {
+		send(t, client, other{A: i})
+	}
+	for i := range messages {
+		if got := atServer.next(t).message.(*other).A; got != i {
+			t.Fatalf("message %d came in place of %d", got, i)
+		}
+	}
+}
+
+func TestQueueIsBounded(t *testing.T) {
+	slow := newRecorder()
+	slow.hold = make(chan struct{})
+	server := listen(t, slow)
+	t.Cleanup(func() { close(slow.hold) })
+	for name, bound := range map[string]Option{
+		"bytes":  WithQueue(1<<20, 1<<20),
+		"frames": WithQueue(1<<30, 8),
+	} {
+		client := dial(t, server.Address(), newRecorder(), bound)
+		message := note{Body: make([]byte, 256<<10)}
+		var err error
+		for range 10_000 { // the kernel takes some of them
+			if err = client.Send(message); err != nil {
+				break
+			}
+		}
+		if !errors.Is(err, ErrQueueFull) {
+			t.Errorf("%s: a peer that does not read gave %v", name, err)
+		}
+		client.Close()
+	}
+}
+
+func TestPeerThatDoesNotReadEndsTheWrite(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	atClient := newRecorder()
+	client := dial(t, listener.Addr().String(), atClient, WithTimeouts(time.Second, 50*time.Millisecond))
+	send(t, client, note{Body: make([]byte, MaxFrameBytes-100)})
+	send(t, client, note{Body: make([]byte, MaxFrameBytes-100)})
+	err = atClient.next(t).err
+	if err == nil || !strings.Contains(err.Error(), "write to "+client.Remote()) {
+		t.Errorf("the end is told as %v", err)
+	}
+}
+
+func TestUnknownAndTooLargeMessagesAreRefused(t *testing.T) {
+	atServer := newRecorder()
+	server := listen(t, atServer)
+	client := dial(t, server.Address(), newRecorder())
+	if err := client.Send(struct{ B int }{}); !errors.Is(err, ErrUnknownType) {
+		t.Errorf("unknown type: %v", err)
+	}
+	if err := client.Send(nil); !errors.Is(err, ErrUnknownType) {
+		t.Errorf("nil: %v", err)
+	}
+	if err := client.Send(note{Body: make([]byte, MaxFrameBytes)}); !errors.Is(err, ErrFrameTooLarge) {
+		t.Errorf("too large: %v", err)
+	}
+	send(t, client, note{Text: "still works"})
+	atServer.wantText(t, "still works")
+}
+
+func TestMalformedBytesEndTheConnection(t *testing.T) {
+	frame := func(kind byte, body string) []byte {
+		header := binary.BigEndian.AppendUint32(nil, uint32(len(body)+1))
+		return append(append(header, kind), body...)
+	}
+	for name, test := range map[string]struct {
+		sent []byte
+		want error
+	}{
+		"too large":     {[]byte{0xff, 0xff, 0xff, 0xff, 1}, ErrFrameTooLarge},
+		"no kind":       {[]byte{0, 0, 0, 0, 1}, ErrFrameTooSmall},
+		"unknown kind":  {frame(77, "\xa0"), ErrUnknownKind},
+		"half a header": {[]byte{0, 0}, io.ErrUnexpectedEOF},
+		"half a body":   {frame(1, "\xa0\xa0\xa0")[:6], io.ErrUnexpectedEOF},
+		"no body":       {frame(1, "")[:5], io.EOF},
+		"trailing":      {frame(1, "\xa0\xa0"), nil},
+		"not cbor":      {frame(1, "\xff\xff"), nil},
+		"wrong type":    {frame(1, "\xa1\x01\x05"), nil},
+		"huge array":    {frame(1, "\xa1\x02\x9b\x00\x00\x00\x00\xff\xff\xff\xff"), nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			atServer := newRecorder()
+			server := listen(t, atServer)
+			client, err := net.Dial("tcp", server.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer client.Close()
+			if _, err := client.Write(test.sent); err != nil {
+				t.Fatal(err)
+			}
+			_ = client.(*net.TCPConn).CloseWrite()
+			a := atServer.next(t)
+			if a.err == nil || !strings.Contains(a.err.Error(), client.LocalAddr().String()) {
+				t.Fatalf("the end is told as %v", a.err)
+			}
+			if test.want != nil && !errors.Is(a.err, test.want) {
+				t.Errorf("the end is told as %v, want %v", a.err, test.want)
+			}
+		})
+	}
+}
+
+func TestServerCloseEndsItsConnections(t *testing.T) {
+	atServer, atClient := newRecorder(), newRecorder()
+	server := listen(t, atServer)
+	client := dial(t, server.Address(), atClient)
+	send(t, client, note{Text: "in"})
+	atServer.wantText(t, "in")
+	stop(t, server)
+	if a := atServer.next(t); !errors.Is(a.err, ErrClosed) {
+		t.Errorf("the server's end is told as %v", a.err)
+	}
+	if a := atClient.next(t); a.err == nil {
+		t.Errorf("the client got %+v", a)
+	}
+}
+
+func TestDialFails(t *testing.T) {
+	server := listen(t, newRecorder())
+	stop(t, server)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	_, err := Dial(ctx, server.Address(), newTestCodec(), newRecorder())
+	if err == nil || !strings.Contains(err.Error(), "dial "+server.Address()) {
+		t.Errorf("dial gave %v", err)
+	}
+	if _, err := Listen("256.0.0.1:0", newTestCodec(), newRecorder()); err == nil {
+		t.Error("listened at an address that is none")
+	}
+}
+
+func TestLargeBuffersAreGivenUp(t *testing.T) {
+	codec := newTestCodec()
+	frame, err := codec.Encode(note{Body: make([]byte, 1<<20)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	reader := newFrameReader(bytes.NewReader(frame))
+	if _, _, err := reader.next(); err != nil {
+		t.Fatal(err)
+	}
+	reader.release()
+	if cap(reader.body) > retainBytes {
+		t.Errorf("%d bytes kept", cap(reader.body))
+	}
+}
+
+func FuzzFrames(f *testing.F) {
+	codec := newTestCodec()
+	for _, message := range []any{note{Text: "text", Body: []byte("body")}, other{A: 3}} {
+		frame, err := codec.Encode(message)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add([]byte(frame))
+		f.Add([]byte(append(frame, frame...)))
+		f.Add([]byte(frame[:len(frame)-1]))
+	}
+	f.Add([]byte{0, 0x7f, 0xff, 0xff, 1, 0xa0})
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		reader := newFrameReader(bytes.NewReader(stream))
+		for {
+			kind, body, err := reader.next()
+			if err != nil {
+				break
+			}
+			if len(body)+headerBytes > len(stream) {
+				t.Fatalf("a body of %d bytes from %d", len(body), len(stream))
+			}
+			message, err := codec.Decode(kind, body)
+			reader.release()
+			if err != nil {
+				break
+			}
+			if _, err := codec.Encode(message); err != nil {
+				t.Fatalf("%+v can't be sent on: %v", message, err)
+			}
+		}
+		if cap(reader.body) > 2*len(stream)+2*growBytes {
+			t.Fatalf("%d bytes kept for a stream of %d", cap(reader.body), len(stream))
+		}
+	})
+}
