--- /dev/null
+++ b/internal/router/stream/relay.go
@@ -0,0 +1,204 @@
+package stream
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+)
+
+// progressInterval is how often the client of a relay is told of progress, at most.
+const progressInterval = 500 * time.Millisecond
+
+// ErrGap says that a second run did not go on where the first had broken off.
+var ErrGap = errors.New("events are missing")
+
+// Source is an endpoint's answer. Its Read gives io.EOF only where the answer ended as its framing says.
+type Source interface {
+	io.Reader
+	SetReadDeadline(time.Time) error
+}
+
+// Client takes what is passed on.
+type Client interface {
+	Begin()              // the first event has come: the head may go out
+	Write([]byte) error  // whole events
+	Flush() error        // sends what was written
+	Progress(events int) // so many came since the last call
+}
+
+// ClientError is a client's connection that failed.
+type ClientError struct{ Err error }
+
+func (e *ClientError) Error() string { return fmt.Sprintf("pass events on: %v", e.Err) }
+
+func (e *ClientError) Unwrap() error { return e.Err }
+
+// Pace bounds how long a source may be silent.
+type Pace struct {
+	FirstBy  time.Time     // the first event must come by then
+	Silence  time.Duration // longest pause afterwards, 0 for none but Deadline
+	Deadline time.Time     // of all
+}
+
+// Relay passes one answer on, over one or several runs.
+type Relay struct {
+	client   Client
+	splitter Splitter
+	sequence *Sequence
+	begun    bool
+	events   int // since the last Progress
+	toldAt   time.Time
+}
+
+// NewRelay returns the relay of one answer.
+func NewRelay(client Client, stride int) *Relay {
+	return &Relay{client: client, sequence: NewSequence(stride)}
+}
+
+// Begun says whether an event has been passed on.
+func (r *Relay) Begun() bool { return r.begun }
+
+// LastID is the id of the last event that was passed on, empty for none.
+func (r *Relay) LastID() string { return r.sequence.LastID() }
+
+// Run passes on what comes of one run. Nil means that the answer is complete. After any error but a ClientError and
+// ErrGap another run may go on.
+func (r *Relay) Run(source Source, pace Pace) error {
+	r.splitter.Reset()
+	r.sequence.Resume()
+	watch := watch{source: source, pace: pace}
+	if err := watch.begin(); err != nil {
+		return err
+	}
+	for {
+		failed := r.splitter.Fill(source)
+		passed, err := r.passWhole()
+		if err != nil {
+			return err
+		}
+		if failed == io.EOF {
+			return r.passRest()
+		}
+		if passed > 0 {
+			now := time.Now()
+			if err := r.flush(passed, now); err != nil {
+				return err
+			}
+			if err := watch.heard(now); err != nil {
+				return err
+			}
+		}
+		if failed != nil {
+			return failed
+		}
+	}
+}
+
+// passWhole writes all whole events that were read, those that follow each other in one piece.
+func (r *Relay) passWhole() (passed int, err error) {
+	var piece []byte
+	for {
+		event, ok := r.splitter.Next()
+		if !ok {
+			return passed, r.write(piece)
+		}
+		switch r.sequence.Judge(event.ID) {
+		case Pass:
+			passed++
+			piece = join(piece, event.Bytes)
+			continue
+		case Gap:
+			err = ErrGap
+		}
+		if failed := r.write(piece); failed != nil || err != nil {
+			return passed, errors.Join(failed, err)
+		}
+		piece = nil
+	}
+}
+
+// join extends a piece by the event that lies right behind it in the same buffer.
+func join(piece, event []byte) []byte {
+	if piece == nil {
+		return event
+	}
+	return piece[:len(piece)+len(event)]
+}
+
+func (r *Relay) passRest() error {
+	event, ok := r.splitter.Rest()
+	if !ok {
+		return nil
+	}
+	switch r.sequence.Judge(event.ID) {
+	case Pass:
+		return r.write(event.Bytes)
+	case Gap:
+		return ErrGap
+	}
+	return nil
+}
+
+func (r *Relay) write(piece []byte) error {
+	if len(piece) == 0 {
+		return nil
+	}
+	if !r.begun {
+		r.begun = true
+		r.toldAt = time.Now()
+		r.client.Begin()
+	}
+	if err := r.client.Write(piece); err != nil {
+		return &ClientError{Err: err}
+	}
+	return nil
+}
+
+func (r *Relay) flush(passed int, now time.Time) error {
+	if err := r.client.Flush(); err != nil {
+		return &ClientError{Err: err}
+	}
+	r.events += passed
+	if now.Sub(r.toldAt) >= progressInterval {
+		r.client.Progress(r.events)
+		r.events = 0
+		r.toldAt = now
+	}
+	return nil
+}
+
+// watch moves a source's read deadline, seldom: a pause is noticed between Silence and a quarter more.
+type watch struct {
+	source  Source
+	pace    Pace
+	renewAt time.Time
+}
+
+func (w *watch) begin() error {
+	return w.source.SetReadDeadline(earlier(w.pace.FirstBy, w.pace.Deadline))
+}
+
+func (w *watch) heard(now time.Time) error {
+	if now.Before(w.renewAt) {
+		return nil
+	}
+	if w.pace.Silence == 0 {
+		w.renewAt = w.pace.Deadline
+		return w.source.SetReadDeadline(w.pace.Deadline)
+	}
+	w.renewAt = now.Add(w.pace.Silence / 4)
+	until := now.Add(w.pace.Silence + w.pace.Silence/4)
+	return w.source.SetReadDeadline(earlier(until, w.pace.Deadline))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// TimedOut says whether a run ended since its source was silent for too long.
+func TimedOut(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
