--- /dev/null
+++ b/cmd/raventrestle-router/main.go
@@ -0,0 +1,76 @@
+// Command raventrestle-router is the data plane: it takes the clients' requests and brings them to endpoints.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"github.com/phuslu/log"
+
+	"raventrestle/internal/nodeconfig"
+	"raventrestle/internal/router/node"
+)
+
+func main() {
+	commander := subcommands.NewCommander(flag.CommandLine, "raventrestle-router")
+	commander.Register(commander.HelpCommand(), "")
+	commander.Register(&run{}, "")
+	commander.Register(&version{}, "")
+	flag.Parse()
+	os.Exit(int(commander.Execute(context.Background())))
+}
+
+// run serves until SIGTERM.
+type run struct{}
+
+func (*run) Name() string             { return "run" }
+func (*run) Synopsis() string         { return "take the clients' requests until SIGTERM" }
+func (*run) SetFlags(f *flag.FlagSet) {}
+func (*run) Usage() string {
+	return "run\n\tThe settings file is named by " + nodeconfig.EnvironmentVariable + ". SIGHUP reads its seeds again.\n"
+}
+
+func (*run) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	settings, err := nodeconfig.FromEnvironment()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "raventrestle-router:", err)
+		return subcommands.ExitUsageError
+	}
+	settings.Limits.ApplyRuntimeLimits()
+	logger := &log.Logger{Level: log.ParseLevel(settings.LogLevel), Writer: &log.IOWriter{Writer: os.Stderr}}
+	n, err := node.New(settings, nodeconfig.FromEnvironment, logger)
+	if err == nil {
+		err = n.Run(signals)
+	}
+	if err != nil {
+		logger.Error().Err(err).Msg("router.failed")
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// version tells what was built.
+type version struct{}
+
+func (*version) Name() string             { return "version" }
+func (*version) Synopsis() string         { return "print what this program was built from" }
+func (*version) Usage() string            { return "version\n" }
+func (*version) SetFlags(f *flag.FlagSet) {}
+
+func (*version) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		fmt.Println("raventrestle-router (unknown build)")
+		return subcommands.ExitSuccess
+	}
+	fmt.Println("raventrestle-router", info.Main.Version, info.GoVersion)
+	return subcommands.ExitSuccess
+}
--- a/internal/router/call/errors.go
+++ b/internal/router/call/errors.go
@@ -18,6 +18,7 @@
 
 // Causes of errors.
 var (
+	ErrAbandoned = errors.New("dispatcher has abandoned the call")
 	ErrNoTime    = errors.New("no time is left")
 	ErrForeign   = errors.New("answer belongs to another request")
 	ErrEncoded   = errors.New("answer has a content encoding")
--- a/internal/router/dispatcher/actor.go
+++ b/internal/router/dispatcher/actor.go
@@ -248,7 +248,7 @@
 	}
 	a.idle.Done(e.Send.Endpoint, e.Connection, e.Rest, e.Send.MaxConnections, now)
 	if e.Answered {
-		a.inputs = append(a.inputs, dispatch.FirstByte{ID: id, Endpoint: e.Send.Endpoint})
+		a.inputs = append(a.inputs, dispatch.FirstByte{ID: id, Endpoint: e.Send.Endpoint, Load: e.Load})
 	}
 	a.inputs = append(a.inputs, dispatch.Finished{
 		ID:       id,
@@ -285,6 +285,10 @@
 		a.send(o, now)
 	case dispatch.Refuse:
 		a.refuse(o)
+	case dispatch.Abandon:
+		if p := a.waiting[o.ID]; p != nil && p.send != nil {
+			p.ticket.abandon()
+		}
 	case dispatch.Report:
 		a.report(o.Report)
 	}
--- a/internal/router/dispatcher/ticket.go
+++ b/internal/router/dispatcher/ticket.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"raventrestle/internal/router/dispatch"
 	"raventrestle/internal/router/pool"
 )
 
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
 // Verdict is what dispatch decided about a waiting request: Send or Refuse is set.
 type Verdict struct {
 	Send       *dispatch.Send
@@ -20,6 +24,9 @@
 	id       dispatch.RequestID
 	actor    *Actor
 	verdicts chan Verdict
+
+	calling   atomic.Pointer[pool.Connection]
+	abandoned atomic.Bool
 }
 
 // Wait returns the next verdict. It is false once the context is done: then the request is withdrawn, and the ticket
@@ -34,9 +41,25 @@
 	}
 }
 
+// Calling names the connection of the call at hand, so that the dispatcher can abandon the call. It is false where
+// that has happened already. The connection's deadline must have been set before.
+func (t *Ticket) Calling(c *pool.Connection) bool {
+	t.calling.Store(c)
+	return !t.abandoned.Load()
+}
+
+// abandon makes reads of the call at hand fail. It is called from the actor's goroutine, which hands a connection to
+// its next call only after the end of this one: no later call is hit.
+func (t *Ticket) abandon() {
+	t.abandoned.Store(true)
+	if c := t.calling.Load(); c != nil {
+		_ = c.Conn.SetReadDeadline(longAgo) // fails where the call has just ended
+	}
+}
+
 // FirstByte tells that the endpoint began to answer.
-func (t *Ticket) FirstByte(endpoint string) {
-	t.actor.post(command{kind: tell, input: dispatch.FirstByte{ID: t.id, Endpoint: endpoint}})
+func (t *Ticket) FirstByte(endpoint string, load *dispatch.ToldLoad) {
+	t.actor.post(command{kind: tell, input: dispatch.FirstByte{ID: t.id, Endpoint: endpoint, Load: load}})
 }
 
 // Progress tells of events that came since the last call.
@@ -57,5 +80,7 @@
 
 // Finish ends the call that the last verdict asked for.
 func (t *Ticket) Finish(e Ending) {
+	t.calling.Store(nil)
+	t.abandoned.Store(false)
 	t.actor.post(command{kind: finish, id: t.id, ending: &e})
 }
--- a/internal/router/ingress/answer.go
+++ b/internal/router/ingress/answer.go
@@ -178,7 +178,7 @@
 
 // passLarge passes on an answer that is larger than what is held back, as it comes.
 func (x *exchange) passLarge(l *lease, answer *call.Answer, begun []byte) bool {
-	x.ticket.FirstByte(x.out.Endpoint)
+	x.ticket.FirstByte(x.out.Endpoint, answer.Load())
 	x.boundWrites()
 	length := ""
 	if answer.ContentLength >= 0 {
@@ -225,23 +225,18 @@
 // passStream passes on events as they come.
 func (x *exchange) passStream(l *lease, answer *call.Answer) bool {
 	if x.relay == nil {
-		x.relay = stream.NewRelay(&eventClient{x: x, flusher: http.NewResponseController(x.w)}, x.stride())
+		x.events = &eventClient{x: x, flusher: http.NewResponseController(x.w)}
+		x.relay = stream.NewRelay(x.events, x.stride())
 	}
-	if !x.headSent {
-		x.head = answer
-	}
-	now := time.Now()
-	err := x.relay.Run(&source{Answer: answer, lease: l}, stream.Pace{
-		FirstBy:  x.firstEventDue(now),
-		Silence:  x.silence(),
-		Deadline: x.deadline,
-	})
+	x.events.answer = answer
+	pace := stream.Pace{Silence: x.silence(), Deadline: x.deadline}
+	err := x.relay.Run(&source{Answer: answer, lease: l}, pace)
 	if err != nil {
 		l.end()
 		return x.streamBroke(err)
 	}
 	if !x.headSent {
-		x.writeHead(x.head, "") // a stream without events
+		x.writeHead(answer, "") // a stream without events
 	}
 	x.finish(l.ending(answer, dispatch.Succeeded))
 	return true
@@ -281,13 +276,16 @@
 type eventClient struct {
 	x       *exchange
 	flusher *http.ResponseController
+	answer  *call.Answer // of the run at hand
 }
 
 func (c *eventClient) Begin() {
 	x := c.x
-	x.ticket.FirstByte(x.out.Endpoint)
-	x.boundWrites()
-	x.writeHead(x.head, "")
+	x.ticket.FirstByte(x.out.Endpoint, c.answer.Load())
+	if !x.headSent {
+		x.boundWrites()
+		x.writeHead(c.answer, "")
+	}
 }
 
 func (c *eventClient) Write(events []byte) error {
--- a/internal/router/ingress/check.go
+++ b/internal/router/ingress/check.go
@@ -33,6 +33,7 @@
 	body      []byte
 	deadline  time.Time
 	arrived   time.Time
+	again     bool // its client seems to have tried before
 }
 
 // check reads a request whole and checks it. Ok is false where it is refused.
@@ -158,8 +159,8 @@
 // look finds the request's route, tenant and service, and reads its headers. The status is 0 where all is well.
 func (a *admitted) look(view *View, r *http.Request) (status int) {
 	path, _, _ := strings.Cut(a.target, "?")
-	a.route = view.Index.Route(r.Host, path)
-	if a.route == nil {
+	var known bool
+	if a.route, known = view.Index.Route(r.Host, path); !known {
 		return http.StatusNotFound
 	}
 	if status := a.lookKey(view, r); status != 0 {
@@ -176,8 +177,8 @@
 	}
 	timeout := time.Duration(a.route.TimeoutMS) * time.Millisecond
 	a.deadline = a.arrived.Add(min(within, timeout))
-	a.service = view.Index.Service(serviceFor(a.route, a.requestID))
-	if a.service == nil { // a valid configuration names none such
+	a.again = view.again(a.route, min(within, timeout))
+	if a.service, known = view.Index.Service(serviceFor(a.route, a.requestID)); !known { // a valid configuration names none such
 		return http.StatusServiceUnavailable
 	}
 	return 0
@@ -185,10 +186,11 @@
 
 func (a *admitted) lookKey(view *View, r *http.Request) (status int) {
 	keys := r.Header[call.KeyHeader]
+	known := false
 	if len(keys) == 1 {
-		a.tenant = view.Index.Tenant(keys[0])
+		a.tenant, known = view.Index.Tenant(keys[0])
 	}
-	if view.Tenants && !a.route.Public && a.tenant == nil {
+	if view.Tenants && !a.route.Public && !known {
 		return http.StatusUnauthorized
 	}
 	return 0
@@ -290,6 +292,7 @@
 		Arrived:       a.arrived,
 		MaxEndpoints:  a.route.MaxRetries,
 		Charge:        1,
+		Again:         a.again,
 	}
 	var counted bool
 	q.PromptTokens, q.OutputTokens, counted = usage(r.Header.Get("X-Token-Usage"))
--- a/internal/router/ingress/exchange.go
+++ b/internal/router/ingress/exchange.go
@@ -16,7 +16,6 @@
 const (
 	leastSilence      = 1500 * time.Millisecond // of an endpoint, before a resumable stream is taken up elsewhere
 	silenceGapFactor  = 3                       // of the route's gap aim
-	silenceAimFactor  = 3                       // of the route's objective, before the first event
 	refusedDrainBytes = 4 << 10                 // of a refusal's body, so that its connection may be used again
 )
 
@@ -33,7 +32,7 @@
 	mayHaveRun bool
 	kept       *whole        // an endpoint's own failure, for want of anything better
 	relay      *stream.Relay // of a stream that has begun
-	head       *call.Answer  // the first answer of that stream
+	events     *eventClient  // of the relay
 	headSent   bool
 }
 
@@ -151,9 +150,12 @@
 // ask sends the request and reads the head of the answer.
 func (x *exchange) ask(c *pool.Connection) (*call.Answer, error) {
 	now := time.Now()
-	if err := c.SetDeadline(x.headDue(now)); err != nil {
+	if err := c.SetDeadline(x.deadline); err != nil {
 		return nil, &call.Error{Step: call.Writing, Peer: c.Endpoint, Err: err}
 	}
+	if !x.ticket.Calling(c) {
+		return nil, &call.Error{Step: call.Writing, Peer: c.Endpoint, Err: call.ErrAbandoned}
+	}
 	try := call.Try{Endpoint: x.out.Endpoint, Priority: x.out.Priority, Deadline: x.deadline}
 	if x.relay != nil {
 		try.LastEvent = x.relay.LastID()
@@ -164,23 +166,6 @@
 	return x.message.Receive(c)
 }
 
-// headDue is when the endpoint must have begun to answer.
-func (x *exchange) headDue(now time.Time) time.Time {
-	if first := x.firstEventDue(now); !first.IsZero() && first.Before(x.deadline) {
-		return first
-	}
-	return x.deadline
-}
-
-// firstEventDue is when a stream that may go on elsewhere must have sent its first event, zero for no such time.
-func (x *exchange) firstEventDue(now time.Time) time.Time {
-	if !x.resumable() {
-		return time.Time{}
-	}
-	aim := time.Duration(x.route.TargetLatencyMS) * time.Millisecond
-	return now.Add(max(x.silence(), silenceAimFactor*aim))
-}
-
 // silence is how long an endpoint of such a stream may pause between events, 0 for others.
 func (x *exchange) silence() time.Duration {
 	if !x.resumable() {
--- a/internal/router/ingress/world_test.go
+++ b/internal/router/ingress/world_test.go
@@ -36,7 +36,7 @@
 	tenants  map[string]*configuration.Tenant
 }
 
-func (x *index) Route(host, path string) *configuration.Route {
+func (x *index) Route(host, path string) (*configuration.Route, bool) {
 	var best *configuration.Route
 	for i := range x.routes {
 		route := &x.routes[i]
@@ -45,12 +45,18 @@
 			best = route
 		}
 	}
-	return best
+	return best, best != nil
 }
 
-func (x *index) Tenant(key string) *configuration.Tenant { return x.tenants[key] }
+func (x *index) Tenant(key string) (*configuration.Tenant, bool) {
+	tenant, known := x.tenants[key]
+	return tenant, known
+}
 
-func (x *index) Service(name string) *configuration.Service { return x.services[name] }
+func (x *index) Service(name string) (*configuration.Service, bool) {
+	service, known := x.services[name]
+	return service, known
+}
 
 // testView has a route of each kind.
 func testView() *View {
@@ -89,6 +95,7 @@
 	endpoints []string // addresses; an endpoint's id is e0, e1 and so on
 	hold      bool
 	refusal   *dispatch.Refuse // of whatever arrives
+	abandon   *dispatch.Abandon
 	requests  map[dispatch.RequestID]*dispatch.Request
 	sent      map[dispatch.RequestID]int
 	finished  []dispatch.Finished
@@ -123,6 +130,10 @@
 			}
 		}
 	}
+	if d.abandon != nil {
+		outputs = append(outputs, *d.abandon)
+		d.abandon = nil
+	}
 	select {
 	case d.changed <- struct{}{}:
 	default:
@@ -187,9 +198,18 @@
 	holder  *Holder
 	handler *Handler
 	server  *Server
+	actor   *dispatcher.Actor
 	address string
 }
 
+// rouse makes the double take a step.
+func (w *world) rouse() {
+	w.t.Helper()
+	if err := w.actor.Apply(context.Background(), dispatch.ViewChanged{}); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
 func newWorld(t *testing.T, endpoints ...*endpoint) *world {
 	t.Helper()
 	w := &world{t: t, double: newDouble(), holder: &Holder{}}
@@ -202,6 +222,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
 	go actor.Run(ctx)
+	w.actor = actor
 	w.handler = NewHandler(w.holder, actor, dialer)
 	server, err := Listen("127.0.0.1:0", 100, w.handler, io.Discard)
 	if err != nil {
--- /dev/null
+++ b/internal/router/node/node.go
@@ -0,0 +1,202 @@
+// Package node puts a router together: the clients' side, the dispatcher, the subscription to the control plane, the
+// probe's answer, and the order in which all this ends.
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	golog "log"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"raventrestle/internal/nodeconfig"
+	"raventrestle/internal/router/dispatch"
+	"raventrestle/internal/router/dispatcher"
+	"raventrestle/internal/router/ingress"
+	"raventrestle/internal/router/pool"
+	"raventrestle/internal/router/readiness"
+	"raventrestle/internal/router/subscription"
+)
+
+const (
+	servesOn     = 2300 * time.Millisecond // after SIGTERM: the platform's probe, once a second, has failed twice
+	servesOnPart = 4                       // of the time until SIGKILL, at most one part in so many
+	endMargin    = 600 * time.Millisecond  // before SIGKILL
+
+	reservedDescriptors = 200 // by the platform
+	otherDescriptors    = 64  // listeners, control plane, probes, the runtime
+	leastConnections    = 16
+)
+
+// Node is one router process.
+type Node struct {
+	settings *nodeconfig.Settings
+	load     func() (*nodeconfig.Settings, error)
+	log      *log.Logger
+
+	actor        *dispatcher.Actor
+	handler      *ingress.Handler
+	server       *ingress.Server
+	probe        *readiness.Server
+	subscription *subscription.Subscription
+	ending       atomic.Bool
+}
+
+// New opens the addresses of a router. Load reads the settings again.
+func New(settings *nodeconfig.Settings, load func() (*nodeconfig.Settings, error), logger *log.Logger) (*Node, error) {
+	n := &Node{settings: settings, load: load, log: logger}
+	seed := rand.Uint64()
+	dialer := pool.NewDialer()
+	n.actor = dispatcher.New(dispatch.New(options(settings, seed)), pool.NewIdle(dialer), n.report)
+	view := &ingress.Holder{}
+	n.handler = ingress.NewHandler(view, n.actor, dialer)
+	force := &force{actor: n.actor, view: view, node: n}
+	own, _ := netip.ParseAddr(settings.IP) // checked with the settings; it only orders the seeds
+	course := subscription.NewCourse(settings.Zone, own, rand.New(rand.NewPCG(seed, 0)))
+	identity := subscription.Identity{Node: settings.NodeName, Zone: settings.Zone, Incarnation: seed}
+	n.subscription = subscription.New(identity, course, force, n)
+	return n, n.listen()
+}
+
+func options(s *nodeconfig.Settings, seed uint64) dispatch.Options {
+	return dispatch.Options{
+		Node:         s.NodeName,
+		Incarnation:  seed,
+		Zone:         s.Zone,
+		Seed:         seed,
+		Slots:        min(dispatch.DefaultSlots, connections(s)),
+		BudgetRatio:  s.Bounds.RetryBudgetRatio,
+		BudgetWindow: s.Bounds.BudgetWindow,
+		BudgetSlack:  s.Bounds.BudgetSlack,
+		QuotaWindow:  s.Bounds.QuotaWindow,
+		QuotaOver:    s.Bounds.QuotaOver,
+		QuotaSlack:   s.Bounds.QuotaSlack,
+	}
+}
+
+// connections is how many clients may be connected: each may have a call out, which needs a connection as well.
+func connections(s *nodeconfig.Settings) int {
+	return max(leastConnections, (s.Limits.MaxFDs-reservedDescriptors-otherDescriptors)/2)
+}
+
+func (n *Node) listen() error {
+	errors := &httpErrors{log: n.log}
+	server, err := ingress.Listen(n.settings.ListenFront, connections(n.settings), n.handler, errors)
+	if err != nil {
+		return fmt.Errorf("listen for clients at %s: %w", n.settings.ListenFront, err)
+	}
+	n.server = server
+	n.probe, err = readiness.Listen(n.settings.ListenReadiness, n.ready, golog.New(errors, "", 0))
+	return err
+}
+
+func (n *Node) ready() bool { return n.subscription.Ready() && !n.ending.Load() }
+
+// Run serves until a signal ends it. SIGTERM and SIGINT end it, SIGHUP reads the settings again.
+func (n *Node) Run(signals <-chan os.Signal) error {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	failed := make(chan error, 2)
+	go n.actor.Run(ctx)
+	go n.subscription.Run(ctx)
+	go func() { failed <- n.server.Run() }()
+	go func() { failed <- n.probe.Run() }()
+	n.log.Info().Str("node", n.settings.NodeName).Str("front", n.server.Address().String()).Msg("router.started")
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return n.end(signals)
+			}
+			n.reload()
+		case err := <-failed:
+			return err
+		}
+	}
+}
+
+// end lets the platform notice that no more clients should come, then finishes what is under way.
+func (n *Node) end(signals <-chan os.Signal) error {
+	began := time.Now()
+	grace := n.settings.Bounds.Grace
+	n.ending.Store(true)
+	n.log.Info().Msg("router.ending")
+	n.pause(min(servesOn, grace/servesOnPart*(servesOnPart-1)), signals)
+	n.handler.Drain()
+	ctx, stop := context.WithDeadline(context.Background(), began.Add(max(0, grace-endMargin)))
+	defer stop()
+	if err := n.server.End(ctx); err != nil {
+		n.log.Warn().Err(err).Msg("router.ended_with_requests_open")
+		return nil
+	}
+	n.log.Info().Dur("after", time.Since(began)).Msg("router.ended")
+	return nil
+}
+
+// pause waits; a SIGHUP meanwhile is obeyed.
+func (n *Node) pause(d time.Duration, signals <-chan os.Signal) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+			return
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				n.reload()
+			}
+		}
+	}
+}
+
+// reload takes the seeds of the settings file. All else in it stays as it was at the start.
+func (n *Node) reload() {
+	settings, err := n.load()
+	if err != nil {
+		n.log.Error().Err(err).Msg("settings.rejected")
+		return
+	}
+	n.subscription.SetSeeds(transports(settings))
+	n.log.Info().Strs("seeds", settings.Seeds).Msg("settings.reloaded")
+}
+
+// seeds reads the settings file for its seeds; those of the start stand in where it can't be read.
+func (n *Node) seeds() []string {
+	settings, err := n.load()
+	if err != nil {
+		settings = n.settings
+	}
+	return transports(settings)
+}
+
+// transports are the internal addresses of the seeds: control instances listen on the first ephemeral port.
+func transports(s *nodeconfig.Settings) []string {
+	var list []string
+	for _, seed := range s.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			continue
+		}
+		list = append(list, net.JoinHostPort(host, strconv.Itoa(s.EphemeralFirst)))
+	}
+	return list
+}
+
+// httpErrors takes the lines that http.Server writes about single connections.
+type httpErrors struct{ log *log.Logger }
+
+var _ io.Writer = (*httpErrors)(nil)
+
+func (e *httpErrors) Write(line []byte) (int, error) {
+	e.log.Warn().Bytes("line", line).Msg("http.error")
+	return len(line), nil
+}
--- /dev/null
+++ b/internal/router/readiness/readiness.go
@@ -0,0 +1,72 @@
+// Package readiness answers the platform's probe.
+package readiness
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Path is where the probe asks.
+const Path = "/-/readyz"
+
+const (
+	headerTimeout = 2 * time.Second
+	idleTimeout   = 10 * time.Second
+	mostHeader    = 4 << 10
+)
+
+// Server answers the probe.
+type Server struct {
+	listener net.Listener
+	server   http.Server
+}
+
+// Listen opens the probe's address. Ready is asked at each probe.
+func Listen(address string, ready func() bool, errorLog *log.Logger) (*Server, error) {
+	config := net.ListenConfig{KeepAlive: -1}
+	listener, err := config.Listen(context.Background(), "tcp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("readiness: listen at %s: %w", address, err)
+	}
+	s := &Server{listener: listener}
+	s.server = http.Server{
+		Handler:           handler(ready),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    mostHeader,
+		ErrorLog:          errorLog,
+	}
+	return s, nil
+}
+
+// Address is where the server listens.
+func (s *Server) Address() net.Addr { return s.listener.Addr() }
+
+// Run answers until Close.
+func (s *Server) Run() error {
+	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("readiness: %w", err)
+	}
+	return nil
+}
+
+// Close ends the server.
+func (s *Server) Close() error { return s.server.Close() }
+
+func handler(ready func() bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path != Path:
+			w.WriteHeader(http.StatusNotFound)
+		case ready():
+			w.WriteHeader(http.StatusOK)
+		default:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}
+}
--- a/internal/router/stream/relay.go
+++ b/internal/router/stream/relay.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
 	"time"
 )
 
@@ -22,7 +21,7 @@
 
 // Client takes what is passed on.
 type Client interface {
-	Begin()              // the first event has come: the head may go out
+	Begin()              // the first event of a run has come; before the first of all, the head goes out
 	Write([]byte) error  // whole events
 	Flush() error        // sends what was written
 	Progress(events int) // so many came since the last call
@@ -37,8 +36,7 @@
 
 // Pace bounds how long a source may be silent.
 type Pace struct {
-	FirstBy  time.Time     // the first event must come by then
-	Silence  time.Duration // longest pause afterwards, 0 for none but Deadline
+	Silence  time.Duration // longest pause after the first event, 0 for none but Deadline
 	Deadline time.Time     // of all
 }
 
@@ -47,8 +45,8 @@
 	client   Client
 	splitter Splitter
 	sequence *Sequence
-	begun    bool
-	events   int // since the last Progress
+	heard    bool // the run at hand has begun
+	events   int  // since the last Progress
 	toldAt   time.Time
 }
 
@@ -57,21 +55,16 @@
 	return &Relay{client: client, sequence: NewSequence(stride)}
 }
 
-// Begun says whether an event has been passed on.
-func (r *Relay) Begun() bool { return r.begun }
-
 // LastID is the id of the last event that was passed on, empty for none.
 func (r *Relay) LastID() string { return r.sequence.LastID() }
 
 // Run passes on what comes of one run. Nil means that the answer is complete. After any error but a ClientError and
 // ErrGap another run may go on.
 func (r *Relay) Run(source Source, pace Pace) error {
+	r.heard = false
 	r.splitter.Reset()
 	r.sequence.Resume()
 	watch := watch{source: source, pace: pace}
-	if err := watch.begin(); err != nil {
-		return err
-	}
 	for {
 		failed := r.splitter.Fill(source)
 		passed, err := r.passWhole()
@@ -145,8 +138,8 @@
 	if len(piece) == 0 {
 		return nil
 	}
-	if !r.begun {
-		r.begun = true
+	if !r.heard {
+		r.heard = true
 		r.toldAt = time.Now()
 		r.client.Begin()
 	}
@@ -169,36 +162,22 @@
 	return nil
 }
 
-// watch moves a source's read deadline, seldom: a pause is noticed between Silence and a quarter more.
+// watch moves a source's read deadline, seldom: a pause is noticed between Silence and a quarter more. Before the first
+// event the deadline is as the caller set it.
 type watch struct {
 	source  Source
 	pace    Pace
 	renewAt time.Time
 }
 
-func (w *watch) begin() error {
-	return w.source.SetReadDeadline(earlier(w.pace.FirstBy, w.pace.Deadline))
-}
-
 func (w *watch) heard(now time.Time) error {
-	if now.Before(w.renewAt) {
+	if w.pace.Silence == 0 || now.Before(w.renewAt) {
 		return nil
 	}
-	if w.pace.Silence == 0 {
-		w.renewAt = w.pace.Deadline
-		return w.source.SetReadDeadline(w.pace.Deadline)
-	}
 	w.renewAt = now.Add(w.pace.Silence / 4)
 	until := now.Add(w.pace.Silence + w.pace.Silence/4)
-	return w.source.SetReadDeadline(earlier(until, w.pace.Deadline))
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.IsZero() || b.Before(a) {
-		return b
+	if until.After(w.pace.Deadline) {
+		until = w.pace.Deadline
 	}
-	return a
+	return w.source.SetReadDeadline(until)
 }
-
-// TimedOut says whether a run ended since its source was silent for too long.
-func TimedOut(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- a/internal/router/subscription/subscription.go
+++ b/internal/router/subscription/subscription.go
@@ -42,6 +42,8 @@
 	Prepare(document []byte) (*configuration.Configuration, error)
 	// Apply returns once the change is in force.
 	Apply(ctx context.Context, view dispatch.ViewChanged) error
+	// Seeds reads anew which instances to ask where no other is known.
+	Seeds() []string
 }
 
 // Log takes the events that an operator should see.
@@ -70,7 +72,6 @@
 	reports  chan protocol.Report
 	ready    atomic.Bool
 
-	table      *table
 	generation int64
 	whole      bool // a whole table of endpoints was taken
 	confirmed  bool // the newest configuration at some moment of this life was taken
@@ -78,8 +79,9 @@
 	nearer     time.Duration // before the next instance is left for one of the own zone
 }
 
-// New returns a subscription that will try the seeds, addresses of transports, first.
+// New returns a subscription.
 func New(identity Identity, course *Course, force Force, log Log) *Subscription {
+	course.SetSeeds(force.Seeds())
 	return &Subscription{
 		identity: identity,
 		codec:    protocol.NewCodec(),
@@ -88,7 +90,6 @@
 		course:   course,
 		seeds:    make(chan []string, 1),
 		reports:  make(chan protocol.Report, queuedReports),
-		table:    newTable(),
 		nearer:   leastNearer,
 	}
 }
@@ -127,6 +128,9 @@
 func (s *Subscription) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		address, pause := s.course.Next()
+		if pause > 0 { // all were tried: the settings may have changed without a word
+			s.course.SetSeeds(s.force.Seeds())
+		}
 		if !s.wait(ctx, pause) || address == "" {
 			continue
 		}
@@ -139,38 +143,21 @@
 
 // wait pauses. It is false where the pause was cut short by news.
 func (s *Subscription) wait(ctx context.Context, pause time.Duration) bool {
-	var expiry <-chan time.Time
-	if next := s.table.nextExpiry(); !next.IsZero() {
-		expiry = time.After(max(0, time.Until(next)))
-	}
 	if pause <= 0 {
 		return true
 	}
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
-	for {
-		select {
-		case <-timer.C:
-			return true
-		case <-ctx.Done():
-			return false
-		case <-expiry:
-			expiry = nil
-			s.expire(ctx)
-		case seeds := <-s.seeds:
-			s.course.SetSeeds(seeds)
-			s.course.Anew("")
-			return false
-		}
-	}
-}
-
-func (s *Subscription) expire(ctx context.Context) {
-	gone := s.table.expire(time.Now())
-	if len(gone) == 0 {
-		return
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	case seeds := <-s.seeds:
+		s.course.SetSeeds(seeds)
+		s.course.Anew("")
+		return false
 	}
-	_ = s.force.Apply(ctx, dispatch.ViewChanged{Endpoints: gone}) // fails only when the process ends
 }
 
 // inbox takes what a connection brings. The connection's goroutine waits where the subscription is behind.
@@ -243,12 +230,7 @@
 func (s *Subscription) listen(ctx context.Context, f *following) error {
 	silence := time.NewTimer(mostSilence)
 	defer silence.Stop()
-	expiry := time.NewTimer(time.Hour)
-	defer expiry.Stop()
 	for {
-		if next := s.table.nextExpiry(); !next.IsZero() {
-			expiry.Reset(max(0, time.Until(next)))
-		}
 		select {
 		case message := <-f.inbox.messages:
 			if err := s.take(ctx, f, message); err != nil {
@@ -263,8 +245,6 @@
 				continue
 			}
 			return ErrSilent
-		case <-expiry.C:
-			s.expire(ctx)
 		case report := <-s.reports:
 			s.send(f, report)
 		case seeds := <-s.seeds:
@@ -343,7 +323,7 @@
 
 // view is what an update changes.
 func (s *Subscription) view(u *protocol.Update) (dispatch.ViewChanged, error) {
-	view := dispatch.ViewChanged{Quotas: u.Quotas, Routers: u.Routers}
+	view := dispatch.ViewChanged{Full: u.Full, Endpoints: u.Endpoints, Quotas: u.Quotas, Routers: u.Routers}
 	if u.Generation > s.generation && len(u.Document) > 0 {
 		read, err := s.force.Prepare(u.Document)
 		if err != nil {
@@ -351,7 +331,6 @@
 		}
 		view.Configuration = read
 	}
-	view.Endpoints, view.Full = s.table.take(u, time.Now())
 	return view, nil
 }
 
