--- /dev/null
+++ b/internal/control/placer/gate.go
@@ -0,0 +1,189 @@
+package placer
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"raventrestle/internal/configuration"
+)
+
+// Reasons why the last gate holds an order back.
+var (
+	errBusy    = errors.New("an order may be under way")
+	errUnsure  = errors.New("what the endpoint holds is not surely known")
+	errRoom    = errors.New("beyond weights_mb")
+	errPlaces  = errors.New("beyond adapter_slots")
+	errAbsent  = errors.New("not there")
+	errCeiling = errors.New("beyond the ceiling of loads")
+)
+
+// admissible is the last look at an order before it leaves: LIMIT, CEILING, one order at a time. It relies on
+// nothing that the planning concluded.
+func (p *Placer) admissible(now time.Time, f *fleet, e *endpoint, order Order) error {
+	if e.pending != nil || now.Before(e.pauseUntil) {
+		return errBusy
+	}
+	if p.options.Looks && !e.known {
+		return errUnsure
+	}
+	if order.Unload {
+		return f.mayUnload(e, order)
+	}
+	if order.Adapter != "" {
+		return f.mayLoadAdapter(e, order)
+	}
+	model, exists := f.models[order.Model]
+	if !exists || e.find(order.Model) != nil {
+		return fmt.Errorf("load %s: %w", order.Model, errAbsent)
+	}
+	if f.room(e) < model.WeightsMB {
+		return errRoom
+	}
+	if !e.held[order.Model] && !p.ledger.allows(now) {
+		return errCeiling
+	}
+	return nil
+}
+
+func (f *fleet) mayUnload(e *endpoint, order Order) error {
+	found := e.find(order.Model)
+	if found == nil || (order.Adapter != "" && !found.has(order.Adapter)) {
+		return errAbsent
+	}
+	return nil
+}
+
+func (f *fleet) mayLoadAdapter(e *endpoint, order Order) error {
+	model, exists := f.models[order.Model]
+	if !exists || e.find(order.Model) == nil {
+		return errAbsent
+	}
+	if f.room(e) < model.AdapterMB {
+		return errRoom
+	}
+	if f.places(e) < 1 {
+		return errPlaces
+	}
+	return nil
+}
+
+// room is what is surely free of weights_mb: everything counts that may be there or may be arriving.
+func (f *fleet) room(e *endpoint) float64 {
+	room := f.engine.WeightsMB
+	for i := range e.copies {
+		room -= f.weight(&e.copies[i])
+	}
+	if e.pending != nil && !e.pending.order.Unload {
+		room -= f.ordered(e.pending.order)
+	}
+	if !e.known && !e.settled {
+		room -= f.heaviest()
+	}
+	return room
+}
+
+// weight is what a copy takes with its adapters. A model that the configuration does not know may take everything.
+func (f *fleet) weight(c *copyOf) float64 {
+	model, exists := f.models[c.model]
+	if !exists {
+		return f.engine.WeightsMB
+	}
+	return model.WeightsMB + float64(len(c.adapters))*model.AdapterMB
+}
+
+func (f *fleet) ordered(order Order) float64 {
+	model := f.models[order.Model]
+	if order.Adapter != "" {
+		return model.AdapterMB
+	}
+	return model.WeightsMB
+}
+
+// heaviest is the most that an earlier holder's order may be bringing.
+func (f *fleet) heaviest() float64 {
+	most := 0.0
+	for _, model := range f.models {
+		most = max(most, model.WeightsMB)
+	}
+	return most
+}
+
+// places is how many adapters more the endpoint surely takes.
+func (f *fleet) places(e *endpoint) int {
+	free := f.engine.AdapterSlots
+	for i := range e.copies {
+		free -= len(e.copies[i].adapters)
+	}
+	if e.pending != nil && !e.pending.order.Unload && e.pending.order.Adapter != "" {
+		free--
+	}
+	if !e.known && !e.settled {
+		free--
+	}
+	return free
+}
+
+// reserve is the room that a model's adapters may take beside its weights.
+func (f *fleet) reserve(model configuration.Model) float64 {
+	return float64(min(model.Adapters, f.engine.AdapterSlots)) * model.AdapterMB
+}
+
+// issue sends an order through the gate; false if it was held back.
+func (p *Placer) issue(now time.Time, f *fleet, e *endpoint, order Order, out *Output) bool {
+	if err := p.admissible(now, f, e, order); err != nil {
+		p.counters.Dropped++
+		return false
+	}
+	p.nextOrder++
+	order.ID = p.nextOrder
+	order.Endpoint, order.Address = e.ID, e.Address
+	if p.options.Looks {
+		revision := e.revision
+		order.Revision = &revision
+	}
+	e.pending = &pending{order: order, issued: now, expected: now.Add(p.expected(f, e, order))}
+	p.awaited[order.ID] = e
+	p.count(f, e, order)
+	out.Orders = append(out.Orders, order)
+	return true
+}
+
+func (p *Placer) count(f *fleet, e *endpoint, order Order) {
+	switch {
+	case order.Adapter != "":
+		p.counters.Adapters++
+	case order.Unload:
+		p.counters.Unloads++
+	default:
+		p.counters.Loads++
+		if e.held[order.Model] {
+			p.counters.WarmLoads++
+			return
+		}
+		p.ledger.ordered(order.ID)
+	}
+}
+
+// expected is how long an order should take.
+func (p *Placer) expected(f *fleet, e *endpoint, order Order) time.Duration {
+	switch {
+	case order.Adapter != "":
+		return adapterTime
+	case order.Unload:
+		return firstLook
+	default:
+		return p.loadTime(f, e, order.Model)
+	}
+}
+
+// warmShare is how long a load from the endpoint's own disk lasts, against one from the store.
+const warmShare = 0.23
+
+func (p *Placer) loadTime(f *fleet, e *endpoint, model string) time.Duration {
+	seconds := f.models[model].LoadTimeS
+	if p.likelyWarm(f, e, model) {
+		seconds *= warmShare
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
--- /dev/null
+++ b/internal/control/placer/plan.go
@@ -0,0 +1,365 @@
+package placer
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+// What a copy is worth. All is in requests of usual worth; a rate counts over the horizon.
+const (
+	horizon        = 10.0 // seconds for which the present demand is believed to last
+	missLoss       = 0.4  // what a request loses that finds no copy and waits for one
+	redundancy     = 0.05 // share of a model's demand at stake while a single endpoint serves it
+	adapterLoss    = 0.3  // what a request loses that finds no place with its adapter
+	adapterMove    = 0.15 // bringing an adapter in use elsewhere, besides the order
+	cacheLoss      = 0.2  // prompts kept by a copy in use
+	runLoss        = 0.2  // an unload waits for runs
+	hysteresis     = 0.4  // a change must bring so much more than it costs
+	delayLoss      = 0.03 // each second until the copy serves
+	fitBonus       = 0.05 // for filling the room whole
+	zoneBonus      = 0.1  // for the first copy in a zone
+	waitGrowth     = 0.5  // each second of waiting makes a request weigh so much more
+	mostUnmet      = 5.0  // refused requests that count as coming back
+	residence      = 4 * time.Second
+	mostVictims    = 8 // copies on an endpoint that are tried in all combinations
+	plansPerStep   = 8
+	concurrentPart = 0.85 // of loads_per_s × window: loads under way at the same moment
+)
+
+// decide carries on with what is under way and begins what is worth it.
+func (p *Placer) decide(now time.Time, f *fleet, recovering bool, out *Output) {
+	b := p.survey(now, f)
+	p.learn(now, f, b, now.Sub(f.decided))
+	f.decided = now
+	for _, e := range f.order {
+		if e.plan != nil {
+			p.proceed(now, f, b, e, out)
+		}
+	}
+	onlyUrgent := recovering || now.Sub(p.start) < carefulTime || p.demand.age(now) < carefulTime
+	for range plansPerStep {
+		if !p.best(now, f, b, onlyUrgent, out) {
+			break
+		}
+	}
+	p.adapters(now, f, b, onlyUrgent, out)
+}
+
+// choice is a change that may be made: the target comes to the endpoint, the victims leave.
+type choice struct {
+	load    *load
+	at      *endpoint
+	victims []string
+	gain    float64
+	loss    float64
+	score   float64
+}
+
+// best makes the most valuable change; false if none is worth it.
+func (p *Placer) best(now time.Time, f *fleet, b *book, onlyUrgent bool, out *Output) bool {
+	if f.loadsUnderWay() >= f.mostLoads(p.options.CeilingWindow) {
+		return false
+	}
+	var chosen *choice
+	for _, l := range b.loads {
+		if !p.candidate(l, onlyUrgent) {
+			continue
+		}
+		if found := p.bestFor(now, f, b, l); found != nil && (chosen == nil || found.score > chosen.score) {
+			chosen = found
+		}
+	}
+	if chosen == nil {
+		return false
+	}
+	p.adopt(now, f, b, chosen, out)
+	return true
+}
+
+// candidate tells whether one copy more of the model may be worth its load at all.
+func (p *Placer) candidate(l *load, onlyUrgent bool) bool {
+	if l.demand == nil {
+		return false
+	}
+	if len(l.sites) == 0 {
+		return l.demand.wanted() || !onlyUrgent
+	}
+	if onlyUrgent {
+		return false
+	}
+	most := l.rate*l.demand.worth*(1-worthAt(l.level)) + p.redundant(l) + l.adapterGain
+	return most*horizon > p.options.LoadPrice
+}
+
+func (f *fleet) loadsUnderWay() int {
+	count := 0
+	for _, e := range f.order {
+		if e.target() != "" {
+			count++
+		}
+	}
+	return count
+}
+
+func (f *fleet) mostLoads(window time.Duration) int {
+	return max(2, int(f.engine.LoadsPerS*window.Seconds()*concurrentPart))
+}
+
+func (p *Placer) bestFor(now time.Time, f *fleet, b *book, l *load) *choice {
+	var chosen *choice
+	for _, e := range f.order {
+		if !p.takes(now, e, l.model) {
+			continue
+		}
+		c := &choice{load: l, at: e}
+		if !p.victims(now, f, b, c) {
+			continue
+		}
+		c.gain = p.gain(now, f, l, e)
+		price := p.options.LoadPrice + p.options.OrderPrice*float64(1+len(c.victims))
+		c.score = c.gain - c.loss - price - hysteresis
+		c.score -= delayLoss * p.loadTime(f, e, l.model).Seconds() * (1 + p.pressing(l))
+		c.score += p.fit(f, e, l, c.victims)
+		if c.score > 0 && (chosen == nil || c.score > chosen.score) {
+			chosen = c
+		}
+	}
+	return chosen
+}
+
+// takes tells whether a new plan may begin at the endpoint.
+func (p *Placer) takes(now time.Time, e *endpoint, model string) bool {
+	if !e.live() || e.plan != nil || e.pending != nil || now.Before(e.pauseUntil) || e.find(model) != nil {
+		return false
+	}
+	if p.options.Looks && !e.known {
+		return false
+	}
+	return e.held[model] || p.ledger.allows(now)
+}
+
+// pressing is how much somebody waits for the model's first copy.
+func (p *Placer) pressing(l *load) float64 {
+	if len(l.sites) > 0 {
+		return 0
+	}
+	return math.Min(mostUnmet, l.demand.unmet+float64(l.demand.waiting))
+}
+
+// gain is what one more copy at the endpoint brings.
+func (p *Placer) gain(now time.Time, f *fleet, l *load, e *endpoint) float64 {
+	d := l.demand
+	after := worthAt(l.levelWith(e))
+	if len(l.sites) == 0 {
+		waited := 1.0
+		if !d.waitingSince.IsZero() {
+			waited += waitGrowth * now.Sub(d.waitingSince).Seconds()
+		}
+		now := p.pressing(l) * d.worth * waited
+		return now + horizon*math.Max(l.rate, l.steady)*(missLoss*d.worth+p.options.LoadPrice)*after
+	}
+	rate := l.rate * d.worth * (after - worthAt(l.level))
+	sum := horizon * (rate + p.redundant(l) + l.adapterGain)
+	if !l.inZone(e.Zone) {
+		sum += zoneBonus
+	}
+	return sum
+}
+
+// redundant is what a second copy is worth a second.
+func (p *Placer) redundant(l *load) float64 {
+	if len(l.sites) != 1 {
+		return 0
+	}
+	return redundancy * l.rate * l.demand.worth
+}
+
+func (l *load) inZone(zone string) bool {
+	return slices.ContainsFunc(l.sites, func(s site) bool { return s.at.Zone == zone })
+}
+
+// fit prefers the endpoint whose room is filled best.
+func (p *Placer) fit(f *fleet, e *endpoint, l *load, victims []string) float64 {
+	left := f.room(e) - f.models[l.model].WeightsMB
+	for _, victim := range victims {
+		left += f.weight(e.find(victim))
+	}
+	return fitBonus * (1 - left/f.engine.WeightsMB)
+}
+
+// victim is a copy that may make way.
+type victim struct {
+	model string
+	size  float64
+	loss  float64
+}
+
+// victims finds the copies whose loss is least and that make enough room; false if there are none.
+func (p *Placer) victims(now time.Time, f *fleet, b *book, c *choice) bool {
+	model := f.models[c.load.model]
+	need := model.WeightsMB + f.reserve(model) - f.room(c.at)
+	if need <= 0 {
+		return true
+	}
+	var possible []victim
+	for i := range c.at.copies {
+		if v, ok := p.yields(now, f, b, c.at, &c.at.copies[i]); ok {
+			possible = append(possible, v)
+		}
+	}
+	if len(possible) > mostVictims {
+		slices.SortFunc(possible, func(x, y victim) int { return cmp.Compare(x.loss/x.size, y.loss/y.size) })
+		possible = possible[:mostVictims]
+	}
+	found := false
+	for set := 1; set < 1<<len(possible); set++ {
+		size, loss := 0.0, 0.0
+		for i, v := range possible {
+			if set&(1<<i) != 0 {
+				size += v.size
+				loss += v.loss
+			}
+		}
+		if size < need || (found && loss >= c.loss) {
+			continue
+		}
+		found = true
+		c.loss = loss
+		c.victims = c.victims[:0]
+		for i, v := range possible {
+			if set&(1<<i) != 0 {
+				c.victims = append(c.victims, v.model)
+			}
+		}
+	}
+	return found
+}
+
+// yields tells what is lost when the copy makes way, and whether it may.
+func (p *Placer) yields(now time.Time, f *fleet, b *book, e *endpoint, held *copyOf) (victim, bool) {
+	v := victim{model: held.model, size: f.weight(held)}
+	l := b.by[held.model]
+	if l == nil { // not in the configuration any more
+		return v, true
+	}
+	last := f.present(held.model, e) == 0
+	if now.Sub(held.since) < residence && (last || l.demand == nil) {
+		return v, false
+	}
+	if last && l.demand != nil && l.demand.recent(now) {
+		return v, false
+	}
+	v.loss = p.loss(now, l, e, held, last)
+	return v, true
+}
+
+// present counts the endpoints other than this that serve the model now.
+func (f *fleet) present(model string, but *endpoint) int {
+	count := 0
+	for _, e := range f.order {
+		if e != but && e.live() && e.find(model) != nil && !e.leaving(model) {
+			count++
+		}
+	}
+	return count
+}
+
+// loss is what the copy's leaving costs.
+func (p *Placer) loss(now time.Time, l *load, e *endpoint, held *copyOf, last bool) float64 {
+	if last {
+		worth := 1.0
+		if l.demand != nil {
+			worth = l.demand.worth
+		}
+		return horizon * math.Max(l.rate, l.steady) * (missLoss*worth + p.options.LoadPrice)
+	}
+	d := l.demand
+	if d == nil {
+		return 0
+	}
+	rate := l.rate * d.worth * (worthAt(l.level) - worthAt(l.levelWithout(e)))
+	if len(l.sites) == 2 {
+		rate += redundancy * l.rate * d.worth
+	}
+	sum := horizon * rate
+	if float64(d.running) > 0.5*float64(len(l.sites)) {
+		sum += runLoss + cacheLoss
+	}
+	for _, name := range held.adapters {
+		if a := d.adapters[name]; a != nil && now.Sub(a.askedAt).Seconds() < horizon {
+			sum += adapterMove + p.options.OrderPrice
+		}
+	}
+	return sum
+}
+
+// adopt makes the choice the endpoint's plan and takes it into the book.
+func (p *Placer) adopt(now time.Time, f *fleet, b *book, c *choice, out *Output) {
+	c.at.plan = &plan{
+		target: c.load.model, victims: slices.Clone(c.victims), decided: now, touched: now, score: c.score,
+		reason: p.reason(c),
+	}
+	for _, victim := range c.victims {
+		if l := b.by[victim]; l != nil {
+			l.leave(c.at)
+		}
+	}
+	c.load.sites = append(c.load.sites, site{at: c.at})
+	b.level()
+	p.proceed(now, f, b, c.at, out)
+}
+
+func (l *load) leave(e *endpoint) {
+	l.sites = slices.DeleteFunc(l.sites, func(s site) bool {
+		if s.at == e {
+			e.used -= s.share
+		}
+		return s.at == e
+	})
+}
+
+func (p *Placer) reason(c *choice) string {
+	l := c.load
+	d := l.demand
+	if len(l.sites) == 0 {
+		return fmt.Sprintf("first copy: %d waiting, %.1f refused, %.2f asked/s; gain %.2f, loss %.2f",
+			d.waiting, d.unmet, math.Max(l.rate, l.steady), c.gain, c.loss)
+	}
+	return fmt.Sprintf("copy %d: %.1f asked/s expected, endpoints %.0f%% in use; gain %.2f, loss %.2f",
+		len(l.sites)+1, l.rate, 100*l.level, c.gain, c.loss)
+}
+
+// proceed sends the next order of an endpoint's plan.
+func (p *Placer) proceed(now time.Time, f *fleet, b *book, e *endpoint, out *Output) {
+	if e.pending != nil || now.Before(e.pauseUntil) || (p.options.Looks && !e.known) {
+		return
+	}
+	current := e.plan
+	current.victims = slices.DeleteFunc(current.victims, func(v string) bool { return e.find(v) == nil })
+	if e.find(current.target) != nil {
+		e.plan = nil
+		return
+	}
+	if f.room(e) >= f.models[current.target].WeightsMB {
+		if !e.held[current.target] && !p.ledger.allows(now) {
+			return
+		}
+		e.plan = nil
+		p.issue(now, f, e, Order{Model: current.target, Reason: current.reason}, out)
+		return
+	}
+	if len(current.victims) == 0 {
+		e.plan = nil
+		return
+	}
+	victim := current.victims[0]
+	if d := p.demand.models[f.name][victim]; d != nil && d.recent(now) && f.present(victim, e) == 0 {
+		e.plan = nil
+		return
+	}
+	current.touched = now
+	p.issue(now, f, e, Order{Model: victim, Unload: true, Reason: "room for " + current.target + ": " + current.reason}, out)
+}
--- a/internal/control/placer/types.go
+++ b/internal/control/placer/types.go
@@ -16,7 +16,17 @@
 	Endpoints     []protocol.Endpoint          // the whole table as the registry has it, every step
 	Reports       []protocol.Report            // of routers, each once
 	Results       []Result
-	Recovering    bool // the core or the links are in trouble, or were a moment ago
+	Looks         []Look // answers to Output.Looks
+	Recovering    bool   // the core or the links are in trouble, or were a moment ago
+}
+
+// Look is an endpoint's answer to GET /-/report, or that none came.
+type Look struct {
+	Endpoint string
+	Failed   bool   // no answer, or not this endpoint's
+	Busy     bool   // an order is under way
+	Revision uint64 // seq: orders taken since its start
+	Models   []protocol.HeldModel
 }
 
 // Order is one call of POST /-/order.
@@ -27,7 +37,8 @@
 	Model    string
 	Adapter  string
 	Unload   bool
-	Reason   string // for people: why this order
+	Revision *uint64 // to be sent as if_revision when not nil: the endpoint then takes it only if it knows as many orders
+	Reason   string  // for people: why this order
 }
 
 // Outcome is what became of an order.
@@ -51,5 +62,6 @@
 // Output is what the host carries out.
 type Output struct {
 	Orders []Order
+	Looks  []string  // IDs of endpoints whose GET /-/report is to be asked; Input.Looks answers each once
 	WakeAt time.Time // when the next step may decide something, zero: at the next input
 }
