--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -92,7 +92,8 @@
 	Tenant   string        `cbor:"1,keyasint"`
 	RatePerS float64       `cbor:"2,keyasint"`
 	Burst    float64       `cbor:"3,keyasint"`
-	For      time.Duration `cbor:"4,keyasint"` // the grant ends so long after it arrived
+	For      time.Duration `cbor:"4,keyasint"`           // the grant ends so long after it arrived
+	Credit   float64       `cbor:"5,keyasint,omitempty"` // added to the bucket at once, for requests that wait for it
 }
 
 // Report is a router's account of its demand since its last report.
@@ -125,4 +126,5 @@
 	Tenant  string  `cbor:"1,keyasint"`
 	Asked   float64 `cbor:"2,keyasint"`
 	Granted float64 `cbor:"3,keyasint"`
+	Lacking float64 `cbor:"4,keyasint,omitempty"` // what held requests lack now, to be lent as Credit
 }
