--- a/internal/router/ingress/answer.go
+++ b/internal/router/ingress/answer.go
@@ -250,6 +250,7 @@
 		x.finish(dispatcher.Ending{Result: dispatch.GivenUp})
 		abort()
 	case errors.Is(err, stream.ErrGap):
+		x.handler.losses.Lost(x.out.Endpoint, err)
 		x.finish(dispatcher.Ending{Result: dispatch.Lost})
 		abort()
 	}
--- a/internal/router/ingress/check.go
+++ b/internal/router/ingress/check.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"raventrestle/internal/configuration"
@@ -19,6 +20,7 @@
 const (
 	notReadyPause  = 500 * time.Millisecond // told to clients before the first configuration
 	stepBodyBytes  = 32 << 10               // memory for a body is taken as it comes, not as it is announced
+	noRoomPause    = 250 * time.Millisecond // told to clients whose bodies find no memory
 	bodyTimeFactor = 4                      // of the header timeout, for a body
 	leastBodyTime  = 10 * time.Second
 )
@@ -52,13 +54,14 @@
 	if !ok {
 		return nil, refusal{status: http.StatusBadRequest, close: true}, false
 	}
-	body, no, ok := readBody(w, r, view.Limits, arrived)
+	body, no, ok := h.readBody(w, r, view.Limits, arrived)
 	if !ok {
 		return nil, no, false
 	}
 	view = h.view.Load() // the body may have taken its time
 	a = &admitted{target: target, body: body, arrived: arrived}
 	if status := a.look(view, r); status != 0 {
+		h.bodies.release(body)
 		return nil, refusal{status: status}, false
 	}
 	return a, refusal{}, true
@@ -109,9 +112,9 @@
 }
 
 // readBody reads the body whole, by its length or by its chunks.
-func readBody(w http.ResponseWriter, r *http.Request, limits configuration.Limits, arrived time.Time) (
-	body []byte, no refusal, ok bool,
-) {
+func (h *Handler) readBody(
+	w http.ResponseWriter, r *http.Request, limits configuration.Limits, arrived time.Time,
+) (body []byte, no refusal, ok bool) {
 	if r.ContentLength == 0 {
 		return nil, refusal{}, true
 	}
@@ -122,7 +125,7 @@
 	if err := controller.SetReadDeadline(arrived.Add(bodyTime(limits))); err != nil {
 		return nil, refusal{status: http.StatusInternalServerError, close: true}, false
 	}
-	body, err := readAll(r.Body, r.ContentLength, limits.MaxBodyBytes)
+	body, err := readAll(r.Body, r.ContentLength, limits.MaxBodyBytes, &h.bodies)
 	switch {
 	case err == nil:
 		if err := controller.SetReadDeadline(time.Time{}); err != nil {
@@ -131,6 +134,8 @@
 		return body, refusal{}, true
 	case errors.Is(err, errTooLarge):
 		return nil, refusal{status: http.StatusRequestEntityTooLarge, close: true}, false
+	case errors.Is(err, errNoRoom):
+		return nil, refusal{status: http.StatusServiceUnavailable, retryAfter: noRoomPause, close: true}, false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, refusal{status: http.StatusRequestTimeout, close: true}, false
 	}
@@ -141,19 +146,56 @@
 	return max(leastBodyTime, bodyTimeFactor*time.Duration(limits.HeaderTimeoutMS)*time.Millisecond)
 }
 
-var errTooLarge = errors.New("body is too large")
+var (
+	errTooLarge = errors.New("body is too large")
+	errNoRoom   = errors.New("bodies take all memory that they may")
+)
+
+// room is the memory that large bodies may take, all together.
+type room struct {
+	most  int64
+	taken atomic.Int64
+}
+
+func (r *room) take(bytes int) bool {
+	if r.taken.Add(int64(bytes)) <= r.most {
+		return true
+	}
+	r.give(bytes)
+	return false
+}
+
+func (r *room) give(bytes int) { r.taken.Add(-int64(bytes)) }
+
+// release gives back what readAll took for a body.
+func (r *room) release(body []byte) {
+	if largeBody(cap(body)) {
+		r.give(cap(body))
+	}
+}
 
-// readAll reads a body of a stated length, or of any up to most where it is negative.
-func readAll(source io.Reader, length, most int64) ([]byte, error) {
+// largeBody says whether a body of that size counts against the room.
+func largeBody(bytes int) bool { return bytes > stepBodyBytes }
+
+// readAll reads a body of a stated length, or of any up to most where it is negative. A large one takes its memory from
+// the room; whoever uses it gives that back.
+func readAll(source io.Reader, length, most int64, memory *room) (body []byte, err error) {
 	if length < 0 {
 		length = most + 1
 	}
-	body := make([]byte, 0, min(length, stepBodyBytes))
+	body = make([]byte, 0, min(length, stepBodyBytes))
+	defer func() {
+		if err != nil {
+			memory.release(body)
+		}
+	}()
 	for int64(len(body)) < length {
 		if len(body) == cap(body) {
-			grown := make([]byte, len(body), min(length, int64(2*cap(body))))
-			copy(grown, body)
-			body = grown
+			grown := int(min(length, int64(2*cap(body))))
+			if !growInto(memory, cap(body), grown) {
+				return body, errNoRoom
+			}
+			body = append(make([]byte, 0, grown), body...)
 		}
 		n, err := source.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -161,15 +203,26 @@
 			break
 		}
 		if err != nil {
-			return nil, err
+			return body, err
 		}
 	}
 	if int64(len(body)) > most {
-		return nil, errTooLarge
+		return body, errTooLarge
 	}
 	return body, nil
 }
 
+// growInto takes the memory by which a body grows.
+func growInto(memory *room, from, to int) bool {
+	if !largeBody(to) {
+		return true
+	}
+	if !largeBody(from) {
+		from = 0
+	}
+	return memory.take(to - from)
+}
+
 // look finds the request's route, tenant and service, and reads its headers. The status is 0 where all is well.
 func (a *admitted) look(view *View, r *http.Request) (status int) {
 	path, _, _ := strings.Cut(a.target, "?")
@@ -217,9 +270,12 @@
 		return math.MaxInt64, true
 	}
 	milliseconds, err := strconv.ParseFloat(strings.TrimSpace(stated), 64)
-	if err != nil || !(milliseconds >= 0) || milliseconds > math.MaxInt32 {
+	if err != nil || !(milliseconds >= 0) {
 		return 0, false
 	}
+	if milliseconds > math.MaxInt32 {
+		return math.MaxInt64, true
+	}
 	return time.Duration(milliseconds * float64(time.Millisecond)), true
 }
 
--- /dev/null
+++ b/internal/router/ingress/end_test.go
@@ -0,0 +1,113 @@
+package ingress
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+)
+
+// At the end, connections between requests are closed; a request that is read, or half read, has its answer first.
+func TestEnd(t *testing.T) {
+	inWork, goOn := make(chan struct{}), make(chan struct{})
+	e := newEndpoint(t, func(c net.Conn, r *received) bool {
+		if r.URL.Path == "/once/slow" {
+			close(inWork)
+			<-goOn
+		}
+		return echo(c, r)
+	})
+	w := newWorld(t, e)
+	idle, slow, half, halfBody := w.client(), w.client(), w.client(), w.client()
+	for _, c := range []*client{idle, half, halfBody} {
+		c.send(request("POST", "/once/x", "r1", "b"))
+		c.receive()
+	}
+	text := request("POST", "/once/x", "r2", "body")
+	half.send(text[:20])
+	halfBody.send(text[:len(text)-1])
+	slow.send(request("POST", "/once/slow", "r3", "b"))
+	<-inWork
+	w.handler.Drain()
+	ended := make(chan error, 1)
+	ctx, stop := context.WithTimeout(context.Background(), patience)
+	defer stop()
+	go func() { ended <- w.server.End(ctx) }()
+	idle.ended()
+	half.send(text[20:])
+	halfBody.send(text[len(text)-1:])
+	for name, c := range map[string]*client{"half": half, "half a body": halfBody} {
+		if got := c.receive(); got.text != "done body" || !got.Close {
+			t.Errorf("%s: %v %q", name, got.Response, got.text)
+		}
+		c.ended()
+	}
+	select {
+	case err := <-ended:
+		t.Fatalf("ended with a request in work: %v", err)
+	default:
+	}
+	close(goOn)
+	if got := slow.receive(); got.text != "done b" || !got.Close {
+		t.Errorf("%v %q", got.Response, got.text)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// The end does not wait for longer than it may.
+func TestEndInTime(t *testing.T) {
+	w := newWorld(t)
+	w.double.hold = true
+	c := w.client()
+	c.send(request("POST", "/once/x", "r1", "b"))
+	w.double.until(t, "the request", func() bool { return len(w.double.requests) == 1 })
+	ctx, stop := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer stop()
+	if err := w.server.End(ctx); !errors.Is(err, context.DeadlineExceeded) {
+		t.Error(err)
+	}
+}
+
+// Large bodies share a bounded memory, and give it back.
+func TestRoomForBodies(t *testing.T) {
+	memory := &room{most: 100 << 10}
+	text := strings.Repeat("x", 80<<10)
+	first, err := readAll(strings.NewReader(text), int64(len(text)), 1<<20, memory)
+	if err != nil || string(first) != text {
+		t.Fatal(err)
+	}
+	if _, err := readAll(strings.NewReader(text), -1, 1<<20, memory); !errors.Is(err, errNoRoom) {
+		t.Errorf("a second body: %v", err)
+	}
+	if small, err := readAll(strings.NewReader("small"), 5, 1<<20, memory); err != nil || string(small) != "small" {
+		t.Errorf("a small body: %q %v", small, err)
+	}
+	if _, err := readAll(io.MultiReader(strings.NewReader(text[:70<<10]), broken{}), -1, 1<<20, memory); err == nil {
+		t.Error("a broken body was read")
+	}
+	memory.release(first)
+	if taken := memory.taken.Load(); taken != 0 {
+		t.Errorf("%d bytes are not given back", taken)
+	}
+	e := newEndpoint(t, echo)
+	w := newWorld(t, e)
+	for i := range 3 {
+		w.ask(request("POST", fmt.Sprintf("/%s/x", []string{"once", "nowhere", "again"}[i]), "r", text))
+	}
+	for deadline := time.Now().Add(patience); w.handler.bodies.taken.Load() != 0; runtime.Gosched() {
+		if time.Now().After(deadline) {
+			t.Fatalf("%d bytes are not given back", w.handler.bodies.taken.Load())
+		}
+	}
+}
+
+type broken struct{}
+
+func (broken) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
--- a/internal/router/ingress/exchange.go
+++ b/internal/router/ingress/exchange.go
@@ -188,6 +188,9 @@
 	case !ran:
 		x.finish(dispatcher.Ending{Result: dispatch.NotSent, More: true})
 		return false
+	}
+	x.handler.losses.Lost(x.out.Endpoint, err)
+	switch {
 	case x.repeatable() && (x.resumable() || !x.headSent):
 		x.finish(dispatcher.Ending{Result: dispatch.Lost, More: true})
 		return false
--- a/internal/router/ingress/handler.go
+++ b/internal/router/ingress/handler.go
@@ -16,13 +16,36 @@
 	dispatcher *dispatcher.Actor
 	dialer     *pool.Dialer
 	draining   atomic.Bool
+	bodies     room
+	losses     Losses
 
 	leastSilence time.Duration // of an endpoint, before a resumable stream is taken up elsewhere
 }
 
+// Losses hears of calls that were sent and brought no whole answer. It must not block.
+type Losses interface {
+	Lost(endpoint string, err error)
+}
+
+// Options are what a handler works with.
+type Options struct {
+	View       *Holder
+	Dispatcher *dispatcher.Actor
+	Dialer     *pool.Dialer
+	Losses     Losses
+	BodyBytes  int64 // memory that large bodies may take, all together
+}
+
 // NewHandler returns a handler that works by the view in force.
-func NewHandler(view *Holder, actor *dispatcher.Actor, dialer *pool.Dialer) *Handler {
-	return &Handler{view: view, dispatcher: actor, dialer: dialer, leastSilence: leastSilence}
+func NewHandler(o Options) *Handler {
+	return &Handler{
+		view:         o.View,
+		dispatcher:   o.Dispatcher,
+		dialer:       o.Dialer,
+		losses:       o.Losses,
+		bodies:       room{most: o.BodyBytes},
+		leastSilence: leastSilence,
+	}
 }
 
 // Drain makes each answer the last one of its connection.
@@ -39,6 +62,7 @@
 		refuse(w, no)
 		return
 	}
+	defer h.bodies.release(a.body)
 	if c := connectionOf(r); c != nil {
 		c.Whole()
 		if len(r.TransferEncoding) > 0 && c.unseen() {
--- a/internal/router/ingress/server.go
+++ b/internal/router/ingress/server.go
@@ -27,8 +27,9 @@
 	startHeaderTime   = 3 * time.Second
 	startIdleTime     = 15 * time.Second
 	acceptPause       = 10 * time.Millisecond
-	busyHeaderFactor  = 2 // of the header timeout: a request that has not come whole by then makes room for another
-	mostPendingOpened = 0 // connections wait in the kernel, not between the gate and a server
+	busyBeforeRoom    = 3 * time.Second // a request that has not come whole by then makes room for another
+	headerMargin      = time.Second     // a connection may come some time before its first request
+	mostPendingOpened = 0               // connections wait in the kernel, not between the gate and a server
 )
 
 // Server serves the clients of one address.
@@ -54,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	limits := gate.Limits{Quiet: quietBeforeRoom, Busy: busyHeaderFactor * startHeaderTime}
+	limits := gate.Limits{Quiet: quietBeforeRoom, Busy: busyBeforeRoom}
 	return &Server{
 		handler:  handler,
 		gate:     gate.New(listener, most, limits),
@@ -123,7 +124,7 @@
 	server := &http.Server{
 		Handler:                      s.handler,
 		DisableGeneralOptionsHandler: true,
-		ReadHeaderTimeout:            time.Duration(limits.HeaderTimeoutMS) * time.Millisecond,
+		ReadHeaderTimeout:            time.Duration(limits.HeaderTimeoutMS)*time.Millisecond + headerMargin,
 		IdleTimeout:                  time.Duration(limits.IdleTimeoutMS)*time.Millisecond + idleMargin,
 		MaxHeaderBytes:               int(limits.MaxHeaderBytes),
 		ConnContext:                  withConnection,
--- a/internal/router/ingress/world_test.go
+++ b/internal/router/ingress/world_test.go
@@ -218,12 +218,14 @@
 	}
 	w.holder.Store(testView())
 	dialer := pool.NewDialer()
-	actor := dispatcher.New(w.double, pool.NewIdle(dialer), func(protocol.Report) {})
+	actor := dispatcher.New(w.double, pool.NewIdle(dialer, 100), func(protocol.Report) {})
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
 	go actor.Run(ctx)
 	w.actor = actor
-	w.handler = NewHandler(w.holder, actor, dialer)
+	w.handler = NewHandler(Options{
+		View: w.holder, Dispatcher: actor, Dialer: dialer, Losses: noLosses{}, BodyBytes: 4 << 20,
+	})
 	server, err := Listen("127.0.0.1:0", 100, w.handler, io.Discard)
 	if err != nil {
 		t.Fatal(err)
@@ -235,6 +237,10 @@
 	return w
 }
 
+type noLosses struct{}
+
+func (noLosses) Lost(string, error) {}
+
 // client is a raw connection of a client.
 type client struct {
 	net.Conn
--- a/internal/router/node/cost_test.go
+++ b/internal/router/node/cost_test.go
@@ -70,7 +70,8 @@
 	b.Helper()
 	e := model(b, script)
 	ctl := newControl(b, protocol.Update{
-		Sequence: 1, Generation: 1, Document: document(1), Full: true, Confirmed: true, Endpoints: []protocol.Endpoint{e},
+		Sequence: 1, Generation: 1, Document: document(1), Full: true, Confirmed: true, Routers: 1,
+		Endpoints: []protocol.Endpoint{e},
 	})
 	go func() { // the beacons of a control instance
 		for range time.Tick(250 * time.Millisecond) {
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	golog "log"
 	"math/rand/v2"
 	"net"
@@ -35,6 +34,7 @@
 	reservedDescriptors = 200 // by the platform
 	otherDescriptors    = 64  // listeners, control plane, probes, the runtime
 	leastConnections    = 16
+	bodyPart            = 4 // of the memory, one part in so many for large bodies
 )
 
 // Node is one router process.
@@ -57,9 +57,17 @@
 	n := &Node{settings: settings, load: load, log: logger, servesOn: servesOn}
 	seed := rand.Uint64()
 	dialer := pool.NewDialer()
-	n.actor = dispatcher.New(dispatch.New(options(settings, seed)), pool.NewIdle(dialer), n.report)
+	decider := options(settings, seed)
+	idle := pool.NewIdle(dialer, connections(settings)-decider.Slots)
+	n.actor = dispatcher.New(dispatch.New(decider), idle, n.report)
 	view := &ingress.Holder{}
-	n.handler = ingress.NewHandler(view, n.actor, dialer)
+	n.handler = ingress.NewHandler(ingress.Options{
+		View:       view,
+		Dispatcher: n.actor,
+		Dialer:     dialer,
+		Losses:     &losses{log: logger},
+		BodyBytes:  int64(settings.Limits.MemoryMB) << 20 / bodyPart,
+	})
 	force := &force{actor: n.actor, view: view, node: n}
 	own, _ := netip.ParseAddr(settings.IP) // checked with the settings; it only orders the seeds
 	course := subscription.NewCourse(settings.Zone, own, rand.New(rand.NewPCG(seed, 0)))
@@ -74,7 +82,7 @@
 		Incarnation:  seed,
 		Zone:         s.Zone,
 		Seed:         seed,
-		Slots:        min(dispatch.DefaultSlots, connections(s)),
+		Slots:        min(dispatch.DefaultSlots, connections(s)*3/4),
 		BudgetRatio:  s.Bounds.RetryBudgetRatio,
 		BudgetWindow: s.Bounds.BudgetWindow,
 		BudgetSlack:  s.Bounds.BudgetSlack,
@@ -191,13 +199,3 @@
 	}
 	return list
 }
-
-// httpErrors takes the lines that http.Server writes about single connections.
-type httpErrors struct{ log *log.Logger }
-
-var _ io.Writer = (*httpErrors)(nil)
-
-func (e *httpErrors) Write(line []byte) (int, error) {
-	e.log.Warn().Bytes("line", line).Msg("http.error")
-	return len(line), nil
-}
--- a/internal/router/node/node_test.go
+++ b/internal/router/node/node_test.go
@@ -125,7 +125,7 @@
 	t.Helper()
 	settings := &nodeconfig.Settings{
 		NodeName: "edge-1", Zone: "z1", IP: "127.0.0.1", ListenFront: "127.0.0.1:0", ListenReadiness: "127.0.0.1:0",
-		Limits: nodeconfig.Limits{MaxFDs: 1000},
+		Limits: nodeconfig.Limits{MaxFDs: 1000, MemoryMB: 284},
 		Bounds: nodeconfig.Bounds{Grace: 3 * time.Second, RetryBudgetRatio: 0.2, BudgetSlack: 50},
 	}
 	load := func() (*nodeconfig.Settings, error) { return settings, nil }
@@ -271,7 +271,8 @@
 func TestReports(t *testing.T) {
 	e := model(t, answers)
 	ctl := newControl(t, protocol.Update{
-		Sequence: 1, Generation: 1, Document: document(1), Full: true, Confirmed: true, Endpoints: []protocol.Endpoint{e},
+		Sequence: 1, Generation: 1, Document: document(1), Full: true, Confirmed: true, Routers: 1,
+		Endpoints: []protocol.Endpoint{e},
 	})
 	r := newRouter(t, ctl)
 	<-ctl.confirmed
--- a/internal/router/pool/connection.go
+++ b/internal/router/pool/connection.go
@@ -19,9 +19,9 @@
 const (
 	dialTimeout       = 400 * time.Millisecond
 	unansweredBytes   = 3 * time.Second // written and not acknowledged by the endpoint's machine for so long: it is gone
-	keepAliveIdle     = 2 * time.Second
+	keepAliveIdle     = 4 * time.Second
 	keepAliveInterval = time.Second
-	keepAliveCount    = 2
+	keepAliveCount    = 3
 	readerBytes       = 4 << 10
 	mostHeadBytes     = 64 << 10 // of one answer
 )
--- a/internal/router/pool/idle.go
+++ b/internal/router/pool/idle.go
@@ -34,6 +34,7 @@
 	dialer    *Dialer
 	endpoints map[string]*endpoint
 	resting   int
+	most      int
 	sweepAt   time.Time // zero while nothing rests
 }
 
@@ -42,9 +43,9 @@
 	out     int
 }
 
-// NewIdle returns an empty table.
-func NewIdle(dialer *Dialer) *Idle {
-	return &Idle{dialer: dialer, endpoints: map[string]*endpoint{}}
+// NewIdle returns an empty table, in which most connections rest at a time.
+func NewIdle(dialer *Dialer, most int) *Idle {
+	return &Idle{dialer: dialer, endpoints: map[string]*endpoint{}, most: most}
 }
 
 // Take counts a call to the endpoint and hands out the connection used last, nil where none rests.
@@ -83,7 +84,7 @@
 }
 
 func (t *Idle) keep(e *endpoint, c *Connection, rest time.Duration, most int, now time.Time) {
-	if rest <= 0 || e.out+len(e.resting) >= most {
+	if rest <= 0 || e.out+len(e.resting) >= most || t.resting >= t.most {
 		t.dialer.Release(c)
 		return
 	}
--- a/internal/router/pool/idle_test.go
+++ b/internal/router/pool/idle_test.go
@@ -41,7 +41,7 @@
 	}
 	t.Cleanup(func() { listener.Close() })
 	dialer := NewDialer()
-	return &world{t: t, listener: listener, dialer: dialer, Idle: NewIdle(dialer)}
+	return &world{t: t, listener: listener, dialer: dialer, Idle: NewIdle(dialer, 100)}
 }
 
 // rest lets a new connection to the endpoint rest.
--- a/internal/router/stream/relay.go
+++ b/internal/router/stream/relay.go
@@ -162,7 +162,7 @@
 	return nil
 }
 
-// watch moves a source's read deadline, seldom: a pause is noticed between Silence and a quarter more. Before the first
+// watch moves a source's read deadline, seldom: a pause is noticed between Silence and an eighth more. Before the first
 // event the deadline is as the caller set it.
 type watch struct {
 	source  Source
@@ -174,8 +174,8 @@
 	if w.pace.Silence == 0 || now.Before(w.renewAt) {
 		return nil
 	}
-	w.renewAt = now.Add(w.pace.Silence / 4)
-	until := now.Add(w.pace.Silence + w.pace.Silence/4)
+	w.renewAt = now.Add(w.pace.Silence / 8)
+	until := now.Add(w.pace.Silence + w.pace.Silence/8)
 	if until.After(w.pace.Deadline) {
 		until = w.pace.Deadline
 	}
