Replicate the operator's configuration in a deterministic machine

A change must be taken once, answered again when it is sent again, and never beside another on the same version.

--- /dev/null
+++ b/internal/control/state/result.go
@@ -0,0 +1,87 @@
+package state
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"raventrestle/internal/configuration"
+)
+
+// Result is what became of a change: Accepted, VersionMismatch or Rejected.
+type Result interface{ isResult() }
+
+// Accepted says that the change was taken, now or before.
+type Accepted struct {
+	Generation int64 `cbor:"1,keyasint"` // that it made
+}
+
+// VersionMismatch says that the change builds on another version than the current one.
+type VersionMismatch struct {
+	Current int64 `cbor:"1,keyasint"`
+}
+
+// Rejected says that the change is invalid.
+type Rejected struct {
+	Faults []configuration.Fault `cbor:"1,keyasint"`
+}
+
+func (Accepted) isResult()        {}
+func (VersionMismatch) isResult() {}
+func (Rejected) isResult()        {}
+
+// mostFaults bounds the faults in a result, and so its size.
+const mostFaults = 50
+
+// resultMessage has one of its members.
+type resultMessage struct {
+	Accepted *Accepted        `cbor:"1,keyasint,omitempty"`
+	Mismatch *VersionMismatch `cbor:"2,keyasint,omitempty"`
+	Rejected *Rejected        `cbor:"3,keyasint,omitempty"`
+}
+
+func encodeResult(result Result) []byte {
+	var message resultMessage
+	switch known := result.(type) {
+	case Accepted:
+		message.Accepted = &known
+	case VersionMismatch:
+		message.Mismatch = &known
+	case Rejected:
+		message.Rejected = &known
+	}
+	encoded, err := cbor.Marshal(message)
+	if err != nil {
+		panic(fmt.Sprintf("state: encode %T: %v", result, err)) // numbers and strings can always be encoded
+	}
+	return encoded
+}
+
+var errNoResult = errors.New("no result in it")
+
+// DecodeResult reads what Machine.Apply returned.
+func DecodeResult(encoded []byte) (Result, error) {
+	var message resultMessage
+	if err := cbor.Unmarshal(encoded, &message); err != nil {
+		return nil, fmt.Errorf("state: decode result: %w", err)
+	}
+	switch {
+	case message.Accepted != nil:
+		return *message.Accepted, nil
+	case message.Mismatch != nil:
+		return *message.Mismatch, nil
+	case message.Rejected != nil:
+		return *message.Rejected, nil
+	}
+	return nil, fmt.Errorf("state: decode result: %w", errNoResult)
+}
+
+// rejected makes a result of an error: the faults of an invalid configuration, or the error itself.
+func rejected(err error) Rejected {
+	var invalid *configuration.Invalid
+	if errors.As(err, &invalid) {
+		return Rejected{Faults: invalid.Faults[:min(len(invalid.Faults), mostFaults)]}
+	}
+	return Rejected{Faults: []configuration.Fault{{Item: "change", Reason: err.Error()}}}
+}
