--- /dev/null
+++ b/internal/control/distribution/hub.go
@@ -0,0 +1,313 @@
+// Package distribution decides what each subscribed router is sent and when. It is pure: the host passes in
+// subscriptions, confirmations, news and the time, and carries out what comes back.
+//
+// Invariants, each with its test in hub_test.go:
+//   - A router gets committed configurations only, and never an older one after a newer one.
+//   - Confirmed is set only after a barrier that began after the router's subscription.
+//   - A connection is never without a byte for longer than the beacon's time while the host runs.
+package distribution
+
+import (
+	"slices"
+	"time"
+
+	"raventrestle/internal/protocol"
+)
+
+// Times that the hub counts in.
+const (
+	// BeaconEvery is how often a router hears from its instance at least.
+	BeaconEvery = 250 * time.Millisecond
+
+	gatherFor      = 4 * time.Millisecond // ordinary changes wait so long for others
+	beaconSlack    = 60 * time.Millisecond
+	confirmWithin  = 3 * time.Second // a router that is slower is sent away
+	retryFirst     = 2 * time.Second // an isolated instance takes a router at its second try within this time
+	isolatedFor    = 5 * time.Second // and sends it away again after this
+	forgetAttempts = 30 * time.Second
+)
+
+// ConnectionID names a router's connection within the process; numbers are not used again.
+type ConnectionID uint64
+
+// Hub has the subscriptions of one instance. It is not safe for concurrent use.
+type Hub struct {
+	subscribers map[ConnectionID]*subscriber
+	attempts    map[string]time.Time // newest try of each router that was sent away
+	isolated    bool
+
+	generation int64
+	document   []byte
+	members    []protocol.Member
+	routers    int
+	whole      bool
+
+	changed  map[string]protocol.Endpoint // not sent yet
+	revision uint64                       // of the table, with changed
+	flushAt  time.Time
+	beaconAt time.Time
+
+	arrivals  uint64 // subscriptions so far
+	confirmed uint64 // a barrier has returned that began after this many
+
+	out Output
+}
+
+// New returns a hub without routers.
+func New() *Hub {
+	return &Hub{
+		subscribers: make(map[ConnectionID]*subscriber),
+		attempts:    make(map[string]time.Time),
+		changed:     make(map[string]protocol.Endpoint),
+	}
+}
+
+// Input is something that happened: one of the types below.
+type Input interface{ input() }
+
+// Subscribed: a router asked for updates on its connection.
+type Subscribed struct {
+	Connection ConnectionID
+	Router     protocol.Subscribe
+}
+
+// Confirmed: a router has an update in force.
+type Confirmed struct {
+	Connection ConnectionID
+	Sequence   uint64
+}
+
+// Closed: the connection ended.
+type Closed struct{ Connection ConnectionID }
+
+// Configuration: a version is committed.
+type Configuration struct {
+	Generation int64
+	Document   []byte // as JSON; must not be changed any more
+}
+
+// BarrierPassed: a barrier has returned that began when Barrier was this number.
+type BarrierPassed struct{ Barrier uint64 }
+
+// Members: all control instances that are known.
+type Members struct{ Members []protocol.Member }
+
+// Isolation: whether this instance reaches no majority of the others.
+type Isolation struct{ Isolated bool }
+
+// Granted: quota grants for one router.
+type Granted struct{ Router protocol.RouterGrants }
+
+// Endpoints: the registry's news.
+type Endpoints struct {
+	Changed  []protocol.Endpoint
+	Revision uint64
+	Urgent   bool
+	Routers  int
+	Whole    bool
+}
+
+func (Subscribed) input()    {}
+func (Confirmed) input()     {}
+func (Closed) input()        {}
+func (Configuration) input() {}
+func (BarrierPassed) input() {}
+func (Members) input()       {}
+func (Isolation) input()     {}
+func (Granted) input()       {}
+func (Endpoints) input()     {}
+
+// Send is a message for a router: *protocol.Update or *protocol.Beacon.
+type Send struct {
+	Connection ConnectionID
+	Message    any
+}
+
+// Output is what the host carries out.
+type Output struct {
+	Send    []Send
+	Close   []Closing
+	Floor   uint64    // every subscribed router has confirmed the table up to this revision
+	Barrier uint64    // begin a barrier now and return the number with BarrierPassed; 0: none is needed
+	Routers bool      // the set of routers changed: see Connected
+	WakeAt  time.Time // Step again then at the latest; zero: at the next input
+}
+
+// Closing is a connection to be closed, and why.
+type Closing struct {
+	Connection ConnectionID
+	Node       string
+	Reason     string
+}
+
+// Table gives the whole table of endpoints; the hub asks for it where a router needs it.
+type Table func() []protocol.Endpoint
+
+// Step takes in what happened.
+func (h *Hub) Step(now time.Time, table Table, inputs ...Input) Output {
+	h.out = Output{}
+	for _, in := range inputs {
+		h.take(now, table, in)
+	}
+	if !h.flushAt.IsZero() && !now.Before(h.flushAt) {
+		h.flush(now)
+	}
+	if len(h.subscribers) > 0 && !now.Before(h.beaconAt) {
+		h.beacons(now)
+	}
+	h.out.Floor = h.floor()
+	h.out.Barrier = h.barrier()
+	h.out.WakeAt = h.wakeAt()
+	return h.out
+}
+
+func (h *Hub) take(now time.Time, table Table, in Input) {
+	switch in := in.(type) {
+	case Subscribed:
+		h.subscribe(now, table, in)
+	case Confirmed:
+		if s := h.subscribers[in.Connection]; s != nil {
+			s.confirm(in.Sequence)
+		}
+	case Closed:
+		h.forget(in.Connection)
+	case Configuration:
+		h.configure(now, in)
+	case BarrierPassed:
+		h.barrierPassed(now, in.Barrier)
+	case Members:
+		h.setMembers(now, in.Members)
+	case Isolation:
+		h.isolate(in.Isolated)
+	case Granted:
+		h.grant(now, in.Router)
+	case Endpoints:
+		h.takeEndpoints(now, table, in)
+	}
+}
+
+// configure takes in a committed version; an older one is none of the routers' business.
+func (h *Hub) configure(now time.Time, in Configuration) {
+	if in.Generation <= h.generation {
+		return
+	}
+	h.generation, h.document = in.Generation, in.Document
+	h.flushWithin(now, 0)
+}
+
+func (h *Hub) setMembers(now time.Time, members []protocol.Member) {
+	if slices.Equal(h.members, members) {
+		return
+	}
+	h.members = members
+	for _, s := range h.subscribers {
+		s.needsMembers = true
+	}
+	h.flushWithin(now, gatherFor)
+}
+
+func (h *Hub) takeEndpoints(now time.Time, table Table, in Endpoints) {
+	h.revision = in.Revision
+	if len(h.subscribers) == 0 {
+		h.routers, h.whole = in.Routers, in.Whole
+		return // whoever subscribes gets the whole table
+	}
+	for _, endpoint := range in.Changed {
+		h.changed[endpoint.ID] = endpoint
+	}
+	switch {
+	case len(in.Changed) > 0 && in.Urgent:
+		h.flushWithin(now, 0)
+	case len(in.Changed) > 0:
+		h.flushWithin(now, gatherFor)
+	}
+	if in.Routers != h.routers {
+		h.routers = in.Routers
+		h.tellRouters(now)
+	}
+	if in.Whole && !h.whole {
+		h.becomeWhole(now, table)
+	}
+}
+
+// isolate notes whether this instance reaches a majority. Routers that it took in without one may stay once
+// it does.
+func (h *Hub) isolate(isolated bool) {
+	h.isolated = isolated
+	for _, s := range h.subscribers {
+		s.isolated = s.isolated && isolated
+	}
+}
+
+func (h *Hub) tellRouters(now time.Time) {
+	for _, s := range h.subscribers {
+		s.needsRouters = true
+	}
+	h.flushWithin(now, gatherFor)
+}
+
+// becomeWhole has routers that got a part of the table replace theirs.
+func (h *Hub) becomeWhole(now time.Time, table Table) {
+	h.whole = true
+	clear(h.changed)
+	for _, s := range h.subscribers {
+		update := h.update(now, s)
+		update.Full, update.Endpoints = true, table()
+		h.send(now, s, update)
+	}
+}
+
+// barrier says whether a router waits for a barrier that has not passed yet.
+func (h *Hub) barrier() uint64 {
+	if h.confirmed >= h.arrivals {
+		return 0
+	}
+	for _, s := range h.subscribers {
+		if !s.told && s.arrival > h.confirmed {
+			return h.arrivals
+		}
+	}
+	return 0
+}
+
+// barrierPassed confirms the routers that had subscribed when the barrier began.
+func (h *Hub) barrierPassed(now time.Time, number uint64) {
+	h.confirmed = max(h.confirmed, number)
+	for _, s := range h.subscribers {
+		if s.told || s.arrival > h.confirmed {
+			continue
+		}
+		s.told = true
+		update := h.update(now, s)
+		update.Confirmed = true
+		h.send(now, s, update)
+	}
+}
+
+func (h *Hub) grant(now time.Time, router protocol.RouterGrants) {
+	for _, s := range h.subscribers {
+		if s.router.Node != router.Node || s.router.Incarnation != router.Incarnation {
+			continue
+		}
+		update := h.update(now, s)
+		update.Quotas = router.Grants
+		h.send(now, s, update)
+	}
+}
+
+func (h *Hub) flushWithin(now time.Time, wait time.Duration) {
+	at := now.Add(wait)
+	if h.flushAt.IsZero() || at.Before(h.flushAt) {
+		h.flushAt = at
+	}
+}
+
+func (h *Hub) wakeAt() time.Time {
+	if len(h.subscribers) == 0 {
+		return time.Time{}
+	}
+	if !h.flushAt.IsZero() && h.flushAt.Before(h.beaconAt) {
+		return h.flushAt
+	}
+	return h.beaconAt
+}
--- /dev/null
+++ b/internal/control/distribution/subscriber.go
@@ -0,0 +1,198 @@
+package distribution
+
+import (
+	"time"
+
+	"raventrestle/internal/protocol"
+)
+
+// subscriber is one router's connection.
+type subscriber struct {
+	connection   ConnectionID
+	router       protocol.Subscribe
+	arrival      uint64 // number of its subscription
+	since        time.Time
+	sequence     uint64
+	generation   int64 // newest configuration it has, or was sent
+	told         bool  // Confirmed was sent
+	needsMembers bool
+	needsRouters bool
+	lastSent     time.Time
+	waiting      []mark // sent and not confirmed yet, in order
+	confirmed    uint64 // revision of the table that is in force there
+	isolated     bool   // it came while this instance was isolated
+}
+
+// mark remembers what an update carried.
+type mark struct {
+	sequence uint64
+	revision uint64
+	sent     time.Time
+}
+
+func (s *subscriber) confirm(sequence uint64) {
+	for len(s.waiting) > 0 && s.waiting[0].sequence <= sequence {
+		s.confirmed = s.waiting[0].revision
+		s.waiting = s.waiting[1:]
+	}
+}
+
+// subscribe takes a router in and sends it everything that it lacks.
+func (h *Hub) subscribe(now time.Time, table Table, in Subscribed) {
+	if h.isolated && h.sendAway(now, in) {
+		return
+	}
+	h.replaceEarlier(in)
+	h.arrivals++
+	s := &subscriber{
+		connection: in.Connection,
+		router:     in.Router,
+		arrival:    h.arrivals,
+		since:      now,
+		generation: in.Router.Generation,
+		isolated:   h.isolated,
+	}
+	if len(h.subscribers) == 0 {
+		h.beaconAt = now.Add(BeaconEvery)
+		h.flushAt = time.Time{} // nobody was there to be told
+		clear(h.changed)
+	}
+	h.subscribers[in.Connection] = s
+	h.out.Routers = true
+	update := h.update(now, s)
+	update.Full, update.Endpoints = h.whole, table()
+	update.Members = h.members
+	update.Routers = h.routers
+	h.send(now, s, update)
+}
+
+// sendAway refuses a router that may find a better instance: it is taken at its second try.
+func (h *Hub) sendAway(now time.Time, in Subscribed) bool {
+	for node, last := range h.attempts {
+		if now.Sub(last) > forgetAttempts {
+			delete(h.attempts, node)
+		}
+	}
+	last, tried := h.attempts[in.Router.Node]
+	h.attempts[in.Router.Node] = now
+	if tried && now.Sub(last) <= retryFirst {
+		return false
+	}
+	h.close(in.Connection, in.Router.Node, "isolated")
+	return true
+}
+
+// replaceEarlier ends an earlier connection of the same router, which it has given up.
+func (h *Hub) replaceEarlier(in Subscribed) {
+	for id, s := range h.subscribers {
+		if s.router.Node == in.Router.Node || id == in.Connection {
+			h.forget(id)
+			if id != in.Connection {
+				h.close(id, s.router.Node, "replaced")
+			}
+		}
+	}
+}
+
+func (h *Hub) forget(id ConnectionID) {
+	if _, known := h.subscribers[id]; known {
+		delete(h.subscribers, id)
+		h.out.Routers = true
+	}
+}
+
+func (h *Hub) close(id ConnectionID, node, reason string) {
+	h.out.Close = append(h.out.Close, Closing{Connection: id, Node: node, Reason: reason})
+}
+
+// update begins an update with the configuration, where the router's is older.
+func (h *Hub) update(now time.Time, s *subscriber) *protocol.Update {
+	update := &protocol.Update{Generation: h.generation}
+	if h.generation > s.generation {
+		update.Document = h.document
+	}
+	if s.needsMembers {
+		update.Members = h.members
+	}
+	if s.needsRouters {
+		update.Routers = h.routers
+	}
+	s.needsMembers, s.needsRouters = false, false
+	return update
+}
+
+func (h *Hub) send(now time.Time, s *subscriber, update *protocol.Update) {
+	s.sequence++
+	update.Sequence = s.sequence
+	s.generation = max(s.generation, update.Generation)
+	s.lastSent = now
+	revision := h.revision
+	if len(h.changed) > 0 && !update.Full {
+		revision = h.sentRevision(s)
+	}
+	s.waiting = append(s.waiting, mark{sequence: s.sequence, revision: revision, sent: now})
+	h.out.Send = append(h.out.Send, Send{Connection: s.connection, Message: update})
+}
+
+// sentRevision is the newest revision that the router was sent as a whole: changes still wait here.
+func (h *Hub) sentRevision(s *subscriber) uint64 {
+	if last := len(s.waiting) - 1; last >= 0 {
+		return s.waiting[last].revision
+	}
+	return s.confirmed
+}
+
+// flush sends what has gathered.
+func (h *Hub) flush(now time.Time) {
+	h.flushAt = time.Time{}
+	endpoints := make([]protocol.Endpoint, 0, len(h.changed))
+	for _, endpoint := range h.changed {
+		endpoints = append(endpoints, endpoint)
+	}
+	clear(h.changed)
+	for _, s := range h.subscribers {
+		if len(endpoints) == 0 && s.generation >= h.generation && !s.needsMembers && !s.needsRouters {
+			continue
+		}
+		update := h.update(now, s)
+		update.Endpoints = endpoints
+		h.send(now, s, update)
+	}
+}
+
+// beacons speaks to the routers that nothing was sent to, and sends the slow ones away.
+func (h *Hub) beacons(now time.Time) {
+	h.beaconAt = now.Add(BeaconEvery)
+	for id, s := range h.subscribers {
+		switch {
+		case len(s.waiting) > 0 && now.Sub(s.waiting[0].sent) > confirmWithin:
+			h.forget(id)
+			h.close(id, s.router.Node, "slow")
+		case s.isolated && now.Sub(s.since) > isolatedFor, h.isolated && !s.isolated:
+			h.forget(id)
+			h.close(id, s.router.Node, "isolated")
+		case now.Sub(s.lastSent) >= BeaconEvery-beaconSlack:
+			s.lastSent = now
+			h.out.Send = append(h.out.Send, Send{Connection: id,
+				Message: &protocol.Beacon{Sequence: s.sequence, Generation: h.generation}})
+		}
+	}
+}
+
+// floor is the revision that every router has in force.
+func (h *Hub) floor() uint64 {
+	lowest := ^uint64(0)
+	for _, s := range h.subscribers {
+		lowest = min(lowest, s.confirmed)
+	}
+	return lowest
+}
+
+// Connected returns the names of the routers.
+func (h *Hub) Connected() []string {
+	nodes := make([]string, 0, len(h.subscribers))
+	for _, s := range h.subscribers {
+		nodes = append(nodes, s.router.Node)
+	}
+	return nodes
+}
--- /dev/null
+++ b/internal/control/host/commands.go
@@ -0,0 +1,220 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"raventrestle/internal/control/distribution"
+	"raventrestle/internal/control/registry"
+	"raventrestle/internal/protocol"
+	"raventrestle/internal/transport"
+)
+
+// Errors of calls to the host.
+var (
+	ErrStopped  = errors.New("instance stops")
+	ErrIsolated = errors.New("instance reaches no majority of the others")
+)
+
+// The commands of the queue.
+type (
+	arrived struct {
+		connection *transport.Connection
+		message    any
+	}
+	ended        struct{ connection *transport.Connection }
+	replicaMoved struct{}
+	barrierEnded struct {
+		number uint64
+		passed bool
+	}
+	heartbeat struct {
+		endpoint protocol.Endpoint
+		answer   chan registry.Acknowledge
+	}
+	leave struct {
+		id     string
+		answer chan registry.Acknowledge
+	}
+	ownLoading struct{ table protocol.LoadingTable }
+	ownGrants  struct{ routers []protocol.RouterGrants }
+	lookup     struct{ answer chan View }
+)
+
+// Message takes what arrives on a connection; the host is a transport.Handler.
+func (h *Host) Message(c *transport.Connection, message any) {
+	if body, isReplica := message.(*protocol.ReplicaMessage); isReplica {
+		h.parts.Replica.Deliver(body.From, body.Body)
+		return
+	}
+	h.post(context.Background(), arrived{connection: c, message: message})
+}
+
+// Closed notes a connection's end.
+func (h *Host) Closed(c *transport.Connection, _ error) {
+	h.post(context.Background(), ended{connection: c})
+}
+
+// Heartbeat takes in an endpoint's call and returns once it may be answered.
+func (h *Host) Heartbeat(ctx context.Context, endpoint protocol.Endpoint) error {
+	answer := make(chan registry.Acknowledge, 1)
+	return h.wait(ctx, heartbeat{endpoint: endpoint, answer: answer}, answer)
+}
+
+// Leave takes in an endpoint's end and returns once it may be answered.
+func (h *Host) Leave(ctx context.Context, id string) error {
+	answer := make(chan registry.Acknowledge, 1)
+	return h.wait(ctx, leave{id: id, answer: answer}, answer)
+}
+
+func (h *Host) wait(ctx context.Context, command any, answer chan registry.Acknowledge) error {
+	if !h.post(ctx, command) {
+		return ErrStopped
+	}
+	select {
+	case result := <-answer:
+		if result.Refused {
+			return ErrIsolated
+		}
+		return nil
+	case <-h.ended:
+		return ErrStopped
+	case <-ctx.Done():
+		return fmt.Errorf("wait for acknowledgement: %w", ctx.Err())
+	}
+}
+
+// ShowLoading tells routers and instances which orders are under way.
+func (h *Host) ShowLoading(table protocol.LoadingTable) {
+	h.post(context.Background(), ownLoading{table: table})
+}
+
+// Grant passes quota grants on to routers connected here.
+func (h *Host) Grant(routers []protocol.RouterGrants) {
+	h.post(context.Background(), ownGrants{routers: routers})
+}
+
+// View is the soft state for people and for the placer.
+type View struct {
+	Endpoints []protocol.Endpoint
+	Routers   []string // connected here
+	Members   []protocol.Member
+	Isolated  bool
+}
+
+// View returns the newest soft state.
+func (h *Host) View(ctx context.Context) (View, error) {
+	answer := make(chan View, 1)
+	if !h.post(ctx, lookup{answer: answer}) {
+		return View{}, ErrStopped
+	}
+	select {
+	case view := <-answer:
+		return view, nil
+	case <-h.ended:
+		return View{}, ErrStopped
+	case <-ctx.Done():
+		return View{}, fmt.Errorf("wait for the table: %w", ctx.Err())
+	}
+}
+
+func (h *Host) take(command any) {
+	switch command := command.(type) {
+	case arrived:
+		h.arrived(command)
+	case ended:
+		h.forgetConnection(command.connection)
+	case replicaMoved:
+		h.readConfiguration()
+	case barrierEnded:
+		h.endBarrier(command)
+	case heartbeat:
+		h.news.Registry = append(h.news.Registry,
+			registry.Heartbeat{Ticket: h.ticket(command.answer), Endpoint: command.endpoint})
+	case leave:
+		h.news.Registry = append(h.news.Registry, registry.Leave{Ticket: h.ticket(command.answer), ID: command.id})
+	case ownLoading:
+		h.news.Registry = append(h.news.Registry, registry.OwnLoading{Table: command.table})
+	case ownGrants:
+		h.granted(command.routers)
+	case lookup:
+		command.answer <- h.view()
+	}
+}
+
+func (h *Host) ticket(answer chan registry.Acknowledge) uint64 {
+	h.nextTicket++
+	h.tickets[h.nextTicket] = answer
+	return h.nextTicket
+}
+
+func (h *Host) arrived(in arrived) {
+	switch message := in.message.(type) {
+	case *protocol.Subscribe:
+		h.subscribed(in.connection, message)
+	case *protocol.Confirm:
+		if id, known := h.connections[in.connection]; known {
+			h.news.Hub = append(h.news.Hub, distribution.Confirmed{Connection: id, Sequence: message.Sequence})
+		}
+	case *protocol.Report:
+		h.reported(message)
+	case *protocol.ReportBatch:
+		h.parts.Roles.Reports(message.Origin.Address, message.Reports)
+	case *protocol.GrantBatch:
+		h.granted(message.Routers)
+	default:
+		h.news.Registry = append(h.news.Registry, registry.Message{Content: in.message})
+	}
+}
+
+func (h *Host) subscribed(connection *transport.Connection, router *protocol.Subscribe) {
+	h.forgetConnection(connection)
+	h.nextID++
+	h.connections[connection] = h.nextID
+	h.byID[h.nextID] = connection
+	h.readConfiguration()
+	h.news.Hub = append(h.news.Hub, distribution.Subscribed{Connection: h.nextID, Router: *router})
+	h.parts.Events.RouterSubscribed(router.Node, router.Zone, router.Generation)
+}
+
+func (h *Host) forgetConnection(connection *transport.Connection) {
+	id, known := h.connections[connection]
+	if !known {
+		return
+	}
+	delete(h.connections, connection)
+	delete(h.byID, id)
+	h.news.Hub = append(h.news.Hub, distribution.Closed{Connection: id})
+}
+
+func (h *Host) reported(report *protocol.Report) {
+	if len(report.Unreachable)+len(report.Reached) > 0 {
+		h.news.Registry = append(h.news.Registry,
+			registry.RouterReport{Unreachable: report.Unreachable, Reached: report.Reached})
+	}
+	h.reports = append(h.reports, *report)
+}
+
+func (h *Host) granted(routers []protocol.RouterGrants) {
+	for _, router := range routers {
+		h.news.Hub = append(h.news.Hub, distribution.Granted{Router: router})
+	}
+}
+
+func (h *Host) readConfiguration() {
+	generation, document := h.parts.Configurations.Newest()
+	if generation > h.status.generation {
+		h.status.generation = generation
+		h.news.Hub = append(h.news.Hub, distribution.Configuration{Generation: generation, Document: document})
+	}
+}
+
+func (h *Host) endBarrier(in barrierEnded) {
+	h.barrier = false
+	if !in.passed {
+		return // the next step asks for another where it is still needed
+	}
+	h.readConfiguration()
+	h.news.Hub = append(h.news.Hub, distribution.BarrierPassed{Barrier: in.number})
+}
--- /dev/null
+++ b/internal/control/host/host.go
@@ -0,0 +1,269 @@
+package host
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"raventrestle/coordination/replica"
+	"raventrestle/internal/control/distribution"
+	"raventrestle/internal/control/registry"
+	"raventrestle/internal/protocol"
+	"raventrestle/internal/transport"
+)
+
+const (
+	queueCommands  = 1024
+	batchCommands  = 256
+	statusEvery    = 100 * time.Millisecond // the replica's status is read no more often
+	reportsEvery   = 200 * time.Millisecond // routers' reports go on together
+	isolatedAfter  = time.Second            // without a majority
+	barrierWithin  = 1500 * time.Millisecond
+	barrierPause   = 200 * time.Millisecond // after one that failed
+	maximumReports = 4096                   // kept while no holder of the placer's role is known
+)
+
+// Configurations gives the committed configuration.
+type Configurations interface {
+	// Newest returns the newest committed version, or 0 and nil. The document must not be changed.
+	Newest() (generation int64, document []byte)
+}
+
+// Mesh sends messages to other instances. It never blocks; messages may be lost.
+type Mesh interface {
+	Send(address string, message any)
+}
+
+// Roles takes what concerns the singleton roles.
+type Roles interface {
+	// Reports takes routers' reports. It is called on the holder only, and does not block.
+	Reports(from string, reports []protocol.Report)
+}
+
+// Events are told to people, one line each.
+type Events interface {
+	RouterSubscribed(node, zone string, generation int64)
+	RouterClosed(node, reason string)
+	Isolated(isolated bool, live, voters int)
+}
+
+// Settings are fixed at the start of the process.
+type Settings struct {
+	Origin    protocol.Origin
+	Heartbeat time.Duration // between an endpoint's heartbeats
+}
+
+// Parts are what the host works with.
+type Parts struct {
+	Replica        replica.Interface
+	Configurations Configurations
+	Mesh           Mesh
+	Roles          Roles
+	Events         Events
+}
+
+// Host owns the soft state.
+type Host struct {
+	settings Settings
+	parts    Parts
+	queue    chan any
+	ended    chan struct{} // closed when Run returns
+	tasks    sync.WaitGroup
+
+	// Owned by Run.
+	desk        *Desk
+	news        News
+	connections map[*transport.Connection]distribution.ConnectionID
+	byID        map[distribution.ConnectionID]*transport.Connection
+	nextID      distribution.ConnectionID
+	tickets     map[uint64]chan registry.Acknowledge
+	nextTicket  uint64
+	barrier     bool // one is under way
+	status      statusView
+	reports     []protocol.Report
+	reportsSent time.Time
+}
+
+// New makes a host; Run starts it.
+func New(settings Settings, parts Parts) *Host {
+	return &Host{
+		settings:    settings,
+		parts:       parts,
+		queue:       make(chan any, queueCommands),
+		ended:       make(chan struct{}),
+		desk:        NewDesk(registry.Settings{Origin: settings.Origin, Heartbeat: settings.Heartbeat}, time.Now()),
+		connections: make(map[*transport.Connection]distribution.ConnectionID),
+		byID:        make(map[distribution.ConnectionID]*transport.Connection),
+		tickets:     make(map[uint64]chan registry.Acknowledge),
+	}
+}
+
+// Run works through the queue until the context ends.
+func (h *Host) Run(ctx context.Context) {
+	defer h.tasks.Wait()
+	defer close(h.ended)
+	h.tasks.Add(1)
+	go h.watchReplica(ctx)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case command := <-h.queue:
+			h.take(command)
+			h.takeWaiting()
+		case <-timer.C:
+		}
+		now := time.Now()
+		h.readStatus(now)
+		h.carryOut(ctx, now, h.step(now))
+		h.forwardReports(now)
+		timer.Reset(time.Until(h.wakeAt(now)))
+	}
+}
+
+// takeWaiting empties the queue as far as one step should go.
+func (h *Host) takeWaiting() {
+	for range batchCommands {
+		select {
+		case command := <-h.queue:
+			h.take(command)
+		default:
+			return
+		}
+	}
+}
+
+func (h *Host) step(now time.Time) Orders {
+	news := h.news
+	h.news = News{}
+	return h.desk.Step(now, news)
+}
+
+// watchReplica wakes the owner when the replicated state moved.
+func (h *Host) watchReplica(ctx context.Context) {
+	defer h.tasks.Done()
+	for {
+		changed := h.parts.Replica.Changed()
+		if !h.post(ctx, replicaMoved{}) {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// post queues a command. It waits while the queue is full, and says whether it was taken.
+func (h *Host) post(ctx context.Context, command any) bool {
+	select {
+	case h.queue <- command:
+		return true
+	case <-h.ended:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// carryOut sends first and acknowledges last.
+func (h *Host) carryOut(ctx context.Context, now time.Time, orders Orders) {
+	h.status.wakeAt = orders.WakeAt
+	for _, message := range orders.Routers {
+		h.sendRouter(message)
+	}
+	for _, message := range orders.Peers {
+		h.parts.Mesh.Send(message.To, message.Message)
+	}
+	for _, closing := range orders.Close {
+		h.closeRouter(closing)
+	}
+	for _, answer := range orders.Acknowledge {
+		if waiting, known := h.tickets[answer.Ticket]; known {
+			waiting <- answer
+			delete(h.tickets, answer.Ticket)
+		}
+	}
+	if orders.Barrier != 0 && !h.barrier {
+		h.barrier = true
+		h.tasks.Add(1)
+		go h.runBarrier(ctx, orders.Barrier)
+	}
+}
+
+func (h *Host) sendRouter(message distribution.Send) {
+	connection := h.byID[message.Connection]
+	if connection == nil {
+		return
+	}
+	if err := connection.Send(message.Message); err != nil {
+		connection.Close() // it reads too slowly, or is gone: it subscribes anew
+	}
+}
+
+func (h *Host) closeRouter(closing distribution.Closing) {
+	connection := h.byID[closing.Connection]
+	if connection == nil {
+		return
+	}
+	delete(h.byID, closing.Connection)
+	delete(h.connections, connection)
+	h.parts.Events.RouterClosed(closing.Node, closing.Reason)
+	connection.Close()
+}
+
+// runBarrier asks the chain for its newest state on behalf of all routers that subscribed before.
+func (h *Host) runBarrier(ctx context.Context, number uint64) {
+	defer h.tasks.Done()
+	asked, cancel := context.WithTimeout(ctx, barrierWithin)
+	defer cancel()
+	_, err := h.parts.Replica.Barrier(asked)
+	if err != nil {
+		pause(ctx, barrierPause)
+	}
+	h.post(ctx, barrierEnded{number: number, passed: err == nil})
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// forwardReports sends the routers' reports to the holder of the placer's role.
+func (h *Host) forwardReports(now time.Time) {
+	if len(h.reports) == 0 || now.Sub(h.reportsSent) < reportsEvery {
+		return
+	}
+	holder := h.status.holder
+	if holder == "" {
+		h.reports = h.reports[max(0, len(h.reports)-maximumReports):]
+		return
+	}
+	reports := h.reports
+	h.reports, h.reportsSent = nil, now
+	if holder == h.settings.Origin.Address {
+		h.parts.Roles.Reports(holder, reports)
+		return
+	}
+	h.parts.Mesh.Send(holder, &protocol.ReportBatch{Origin: h.settings.Origin, Reports: reports})
+}
+
+func (h *Host) wakeAt(now time.Time) time.Time {
+	wake := h.status.wakeAt
+	if len(h.reports) > 0 {
+		if due := h.reportsSent.Add(reportsEvery); due.Before(wake) {
+			wake = due
+		}
+	}
+	if wake.Before(now) {
+		return now
+	}
+	return wake
+}
--- /dev/null
+++ b/internal/control/host/status.go
@@ -0,0 +1,129 @@
+package host
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"raventrestle/coordination/replica"
+	"raventrestle/internal/control/distribution"
+	"raventrestle/internal/control/registry"
+	"raventrestle/internal/protocol"
+)
+
+// statusView is what the host last drew from the replica's status.
+type statusView struct {
+	read       time.Time
+	holder     string // transport address of the placer's holder, or of who comes next to it
+	peers      []string
+	members    []protocol.Member
+	generation int64
+	isolated   bool
+	told       bool      // the desk knows the three above
+	apart      time.Time // since when there is no majority; zero: there is one
+	begun      bool      // there was a majority once
+	wakeAt     time.Time
+}
+
+// readStatus tells the desk who can be reached.
+func (h *Host) readStatus(now time.Time) {
+	if now.Sub(h.status.read) < statusEvery {
+		return
+	}
+	h.status.read = now
+	status := h.parts.Replica.Status()
+	h.status.holder = holderOf(status)
+	h.readPeers(now, status)
+	h.readMembers(status)
+}
+
+func holderOf(status replica.Status) string {
+	if len(status.View.Chain) == 0 {
+		return ""
+	}
+	return status.View.Chain[0].Address
+}
+
+func (h *Host) readPeers(now time.Time, status replica.Status) {
+	peers := make([]string, 0, len(status.Live))
+	for _, member := range status.Live {
+		if member.Address != h.settings.Origin.Address {
+			peers = append(peers, member.Address)
+		}
+	}
+	slices.Sort(peers)
+	peers = slices.Compact(peers)
+	isolated := h.isolated(now, status)
+	turned := isolated != h.status.isolated
+	if h.status.told && !turned && slices.Equal(peers, h.status.peers) {
+		return
+	}
+	if !h.status.told || turned {
+		h.news.Hub = append(h.news.Hub, distribution.Isolation{Isolated: isolated})
+	}
+	if h.status.told && turned {
+		h.parts.Events.Isolated(isolated, len(status.Live), len(status.View.Voters))
+	}
+	h.status.told = true
+	h.status.peers, h.status.isolated = peers, isolated
+	h.news.Registry = append(h.news.Registry, registry.Peers{Reachable: peers, Isolated: isolated})
+}
+
+// isolated says whether this instance has reached no majority of the voters for some time, or never has.
+func (h *Host) isolated(now time.Time, status replica.Status) bool {
+	if majority(status) {
+		h.status.apart = time.Time{}
+		h.status.begun = true
+		return false
+	}
+	if h.status.apart.IsZero() {
+		h.status.apart = now
+	}
+	return !h.status.begun || now.Sub(h.status.apart) > isolatedAfter
+}
+
+func majority(status replica.Status) bool {
+	live := make(map[string]bool, len(status.Live))
+	for _, member := range status.Live {
+		live[member.Identity] = true
+	}
+	live[status.Self.Identity] = true
+	reached := 0
+	for _, voter := range status.View.Voters {
+		if live[voter.Identity] {
+			reached++
+		}
+	}
+	return 2*reached > len(status.View.Voters)
+}
+
+// readMembers gathers all instances that are known, for the routers.
+func (h *Host) readMembers(status replica.Status) {
+	known := make(map[string]replica.Member)
+	for _, members := range [][]replica.Member{status.View.Voters, status.View.Chain, status.Live, {status.Self}} {
+		for _, member := range members {
+			known[member.Identity] = member
+		}
+	}
+	members := make([]protocol.Member, 0, len(known))
+	for _, member := range known {
+		members = append(members, protocol.Member{
+			Identity: member.Identity, Address: member.Address, Control: member.Tag, Zone: member.Zone,
+		})
+	}
+	slices.SortFunc(members, func(a, b protocol.Member) int { return cmp.Compare(a.Identity, b.Identity) })
+	if slices.Equal(members, h.status.members) {
+		return
+	}
+	h.status.members = members
+	h.news.Hub = append(h.news.Hub, distribution.Members{Members: members})
+}
+
+func (h *Host) view() View {
+	return View{
+		Endpoints: h.desk.Endpoints(time.Now()),
+		Routers:   h.desk.Routers(),
+		Members:   h.status.members,
+		Isolated:  h.status.isolated,
+	}
+}
--- /dev/null
+++ b/internal/control/registry/beats.go
@@ -0,0 +1,90 @@
+package registry
+
+import (
+	"time"
+
+	"raventrestle/internal/protocol"
+)
+
+// heartbeat takes in what an endpoint said here.
+func (r *Registry) heartbeat(now time.Time, in Heartbeat) {
+	told := in.Endpoint
+	e := r.entries[told.ID]
+	if e == nil {
+		e = r.insert(told.ID)
+		e.goneSince = now
+	}
+	if e.left {
+		r.acknowledge(in.Ticket, true) // a late one, or one that got lost on its way: it may end
+		return
+	}
+	if !r.late(e, told) {
+		r.heardHere[e.hash] = struct{}{}
+		if r.replace(now, e, told, now) {
+			r.change(e, told.State != protocol.Ready)
+			r.tellPeers(now, e, urgency(told.State))
+		}
+	}
+	if e.endpoint.State == protocol.Draining && !e.settled && !r.isolated {
+		r.await(now, in.Ticket, e)
+		return
+	}
+	r.acknowledge(in.Ticket, true)
+}
+
+// late says that something newer of the endpoint is known. The same sequence again is a repeated call.
+func (r *Registry) late(e *entry, told protocol.Endpoint) bool {
+	return e.content != 0 && told.Sequence < e.endpoint.Sequence
+}
+
+func urgency(state protocol.EndpointState) time.Duration {
+	if state == protocol.Ready {
+		return ordinaryChange
+	}
+	return urgentChange
+}
+
+// leave takes in an endpoint's end.
+func (r *Registry) leave(now time.Time, in Leave) {
+	e := r.entries[in.ID]
+	if e == nil {
+		e = r.insert(in.ID)
+	}
+	if !e.left {
+		r.markLeft(now, e)
+		r.tellPeers(now, e, urgentChange)
+	}
+	if e.settled || r.isolated {
+		r.acknowledge(in.Ticket, true)
+		return
+	}
+	r.await(now, in.Ticket, e)
+}
+
+// markLeft is final: the endpoint's ID never comes back.
+func (r *Registry) markLeft(now time.Time, e *entry) {
+	e.left, e.settled = true, false
+	e.heard = now
+	r.giveUp(now, e)
+}
+
+// routerReport weighs what a router's calls say of endpoints whose heartbeats stopped.
+func (r *Registry) routerReport(now time.Time, in RouterReport) {
+	for _, id := range in.Reached {
+		if e := r.entries[id]; e != nil && !e.gone {
+			e.reached = now
+		}
+	}
+	for _, id := range in.Unreachable {
+		e := r.entries[id]
+		if e == nil || e.gone || !e.silent || now.Sub(e.reached) < reachedLately {
+			continue
+		}
+		r.giveUp(now, e)
+	}
+}
+
+func (r *Registry) acknowledge(ticket uint64, settled bool) {
+	r.out.Acknowledge = append(r.out.Acknowledge, Acknowledge{Ticket: ticket, Settled: settled && !r.isolated,
+		Refused: r.isolated})
+}
--- /dev/null
+++ b/internal/control/registry/registry.go
@@ -0,0 +1,281 @@
+// Package registry decides what one control instance believes of the endpoints. It is pure: the host passes
+// in heartbeats, messages of the other instances and the time, and carries out what comes back.
+//
+// Invariants, each with its test in registry_test.go:
+//   - The record with the highest sequence of an endpoint wins; one that left never comes back.
+//   - A draining or leaving endpoint is acknowledged as settled only when every connected router, here and at
+//     the reachable instances, has confirmed it.
+//   - An endpoint is silent only when no reachable instance has heard it within the allowed time.
+package registry
+
+import (
+	"time"
+
+	"raventrestle/internal/protocol"
+)
+
+// Times that the registry counts in.
+const (
+	// SettleWithin bounds the wait of a draining endpoint for its acknowledgement: it asks another instance
+	// after a second.
+	SettleWithin = 600 * time.Millisecond
+
+	tickEvery        = time.Second
+	silenceMargin    = 400 * time.Millisecond
+	silentBeats      = 3                // heartbeats that may be missing
+	dropAfter        = 15 * time.Second // of silence
+	reachedFor       = 15 * time.Second // a router's successful call keeps a silent endpoint so long
+	reachedLately    = 2 * time.Second  // and outweighs another router's failed call so long
+	goneFor          = time.Minute      // a given up endpoint is remembered, with its sequence
+	leftFor          = 10 * time.Minute // one that left
+	stallAfter       = 1500 * time.Millisecond
+	routerLinger     = 10 * time.Second // a router that vanished still counts
+	unreachedLinger  = time.Minute      // and those of an instance that is out of reach
+	coldTolerance    = 500 * time.Millisecond
+	urgentChange     = time.Duration(0)
+	ordinaryChange   = 5 * time.Millisecond // other instances get ordinary changes together
+	maximumHints     = 8192                 // kept for one instance; beyond, a full exchange
+	exchangeInterval = 2 * time.Second      // between full exchanges with one instance
+)
+
+// Settings are fixed at the start of the process.
+type Settings struct {
+	Origin    protocol.Origin // of this instance
+	Heartbeat time.Duration   // between an endpoint's heartbeats
+}
+
+// Registry is the table of one instance. It is not safe for concurrent use.
+type Registry struct {
+	settings Settings
+	started  time.Time
+	lastTick time.Time
+	nextTick time.Time
+	lastStep time.Time
+
+	entries   map[string]*entry
+	byHash    map[uint32]*entry
+	byAddress map[string]*entry // newest of each address
+	heardHere map[uint32]struct{}
+	loading   loadingTable
+	peers     map[string]*peer
+	pending   map[uint64]*pending // by ticket
+	owed      []owed
+	routers   routerCount
+	whole     bool
+	isolated  bool
+	floor     uint64 // every connected router has confirmed this revision
+	revision  uint64
+	changed   map[string]struct{}
+	urgent    bool
+	flushAt   time.Time // for deltas to other instances; zero: none are due
+
+	out Output
+}
+
+// New returns an empty registry.
+func New(settings Settings, now time.Time) *Registry {
+	return &Registry{
+		settings:  settings,
+		started:   now,
+		lastTick:  now,
+		nextTick:  now.Add(tickEvery),
+		lastStep:  now,
+		entries:   make(map[string]*entry),
+		byHash:    make(map[uint32]*entry),
+		byAddress: make(map[string]*entry),
+		heardHere: make(map[uint32]struct{}),
+		peers:     make(map[string]*peer),
+		pending:   make(map[uint64]*pending),
+		routers:   newRouterCount(),
+		changed:   make(map[string]struct{}),
+		floor:     NoRouters,
+	}
+}
+
+// NoRouters is the floor where no router is connected.
+const NoRouters = ^uint64(0)
+
+// Input is something that happened: one of the types below.
+type Input interface{ input() }
+
+// Heartbeat: an endpoint called here. The ticket names the call in Acknowledge.
+type Heartbeat struct {
+	Ticket   uint64
+	Endpoint protocol.Endpoint
+}
+
+// Leave: an endpoint said here that it ends.
+type Leave struct {
+	Ticket uint64
+	ID     string
+}
+
+// Message: another instance sent a registry message, as a pointer.
+type Message struct{ Content any }
+
+// Peers: the other instances that can be reached now, by the addresses of their transports.
+type Peers struct {
+	Reachable []string
+	// Isolated: this instance reaches no majority. It notes what endpoints say, but does not acknowledge it,
+	// so that they ask where it takes effect.
+	Isolated bool
+}
+
+// Routers: the routers connected here, by NameHash, sorted.
+type Routers struct{ Connected []uint32 }
+
+// RoutersConfirmed: every connected router has confirmed all changes up to the revision, or NoRouters.
+type RoutersConfirmed struct{ Revision uint64 }
+
+// RouterReport: what a router's own calls say of endpoints.
+type RouterReport struct{ Unreachable, Reached []string }
+
+// OwnLoading: the placer of this instance has a new table of orders under way.
+type OwnLoading struct{ Table protocol.LoadingTable }
+
+func (Heartbeat) input()        {}
+func (Leave) input()            {}
+func (Message) input()          {}
+func (Peers) input()            {}
+func (Routers) input()          {}
+func (RoutersConfirmed) input() {}
+func (RouterReport) input()     {}
+func (OwnLoading) input()       {}
+
+// Acknowledge answers a heartbeat or leave.
+type Acknowledge struct {
+	Ticket  uint64
+	Settled bool // in force at every connected router; false: the time was up
+	Refused bool // this instance reaches no majority: the endpoint is to ask another
+}
+
+// Send is a message for another instance.
+type Send struct {
+	To      string
+	Message any
+}
+
+// Output is what the host carries out.
+type Output struct {
+	Acknowledge []Acknowledge
+	Send        []Send
+	Changed     []protocol.Endpoint // for the routers: added, changed, or Gone
+	Urgent      bool                // Changed must not wait for others
+	Revision    uint64              // of Changed; routers' confirmations come back with it
+	RouterCount int                 // routers of all instances; 0 while unknown
+	Whole       bool                // the table lacks nothing that the others know
+	WakeAt      time.Time           // Step again then at the latest
+	Relaxed     bool                // WakeAt may be late by a quarter of a second: nobody waits for it
+}
+
+// Step takes in what happened.
+func (r *Registry) Step(now time.Time, inputs ...Input) Output {
+	r.out = Output{}
+	r.forgiveStall(now)
+	for _, in := range inputs {
+		r.take(now, in)
+	}
+	if !now.Before(r.nextTick) {
+		r.tick(now)
+	}
+	r.collectChanges(now)
+	r.settle(now)
+	r.payOwed(now)
+	if !r.flushAt.IsZero() && !now.Before(r.flushAt) {
+		r.flush(now)
+	}
+	r.out.Revision = r.revision
+	r.out.Whole = r.whole
+	r.out.RouterCount = r.routerCount()
+	r.out.WakeAt = r.wakeAt()
+	r.out.Relaxed = r.out.WakeAt.Equal(r.nextTick)
+	r.lastStep = now
+	return r.out
+}
+
+func (r *Registry) take(now time.Time, in Input) {
+	switch in := in.(type) {
+	case Heartbeat:
+		r.heartbeat(now, in)
+	case Leave:
+		r.leave(now, in)
+	case Message:
+		r.message(now, in.Content)
+	case Peers:
+		r.setPeers(now, in)
+	case Routers:
+		r.routers.own = in.Connected
+		for _, p := range r.peers {
+			p.routersTold = false
+		}
+		r.routers.refresh(now, r.peers)
+	case RoutersConfirmed:
+		r.floor = in.Revision
+	case RouterReport:
+		r.routerReport(now, in)
+	case OwnLoading:
+		r.ownLoading(now, in.Table)
+	}
+}
+
+// forgiveStall keeps a process that did not run for a while from taking its own silence for the endpoints'.
+func (r *Registry) forgiveStall(now time.Time) {
+	late := now.Sub(r.nextTick)
+	if late < stallAfter {
+		return
+	}
+	for _, e := range r.entries {
+		e.heard = e.heard.Add(late)
+	}
+}
+
+// collectChanges gives what changed in this step a revision.
+func (r *Registry) collectChanges(now time.Time) {
+	if len(r.changed) == 0 {
+		return
+	}
+	r.revision++
+	for id := range r.changed {
+		e := r.entries[id]
+		e.revision = r.revision
+		r.out.Changed = append(r.out.Changed, r.view(now, e))
+	}
+	r.out.Urgent = r.urgent
+	r.urgent = false
+	clear(r.changed)
+}
+
+// Endpoints returns the whole table as routers see it. Those given up are not in it.
+func (r *Registry) Endpoints(now time.Time) []protocol.Endpoint {
+	table := make([]protocol.Endpoint, 0, len(r.entries))
+	for _, e := range r.entries {
+		if !e.gone {
+			table = append(table, r.view(now, e))
+		}
+	}
+	return table
+}
+
+// Revision returns the newest revision of the table.
+func (r *Registry) Revision() uint64 { return r.revision }
+
+func (r *Registry) wakeAt() time.Time {
+	wake := r.nextTick
+	if !r.flushAt.IsZero() && r.flushAt.Before(wake) {
+		wake = r.flushAt
+	}
+	for _, p := range r.pending {
+		if p.until.Before(wake) {
+			wake = p.until
+		}
+	}
+	return wake
+}
+
+// flushWithin has the changes sent to the other instances soon.
+func (r *Registry) flushWithin(now time.Time, wait time.Duration) {
+	at := now.Add(wait)
+	if r.flushAt.IsZero() || at.Before(r.flushAt) {
+		r.flushAt = at
+	}
+}
