--- /dev/null
+++ b/internal/control/roles/sender.go
@@ -0,0 +1,139 @@
+package roles
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"raventrestle/internal/control/placer"
+	"raventrestle/internal/protocol"
+)
+
+const (
+	orderWithin   = 900 * time.Millisecond
+	answerBytes   = 64 << 10
+	leaseReserve  = 20 * time.Millisecond // an order is not begun so shortly before the lease ends
+	operationLoad = "model_load"
+	operationDrop = "model_unload"
+)
+
+// ErrLeaseOver means that an order was held back: another instance may hold the role by now.
+var ErrLeaseOver = errors.New("lease is over")
+
+// Permit says whether orders of an epoch may leave at this moment.
+type Permit func(epoch uint64) bool
+
+// Sender carries orders to endpoints, each on a connection of its own that is reset when it fails, so that
+// no order arrives after a later one.
+type Sender struct {
+	holder string
+	permit Permit
+}
+
+// NewSender makes a sender; holder is this instance's node name.
+func NewSender(holder string, permit Permit) *Sender { return &Sender{holder: holder, permit: permit} }
+
+// orderBody is the body of POST /-/order.
+type orderBody struct {
+	Operation string  `json:"operation"`
+	Model     string  `json:"model"`
+	Adapter   string  `json:"adapter,omitempty"`
+	Revision  *uint64 `json:"if_revision,omitempty"`
+	Holder    string  `json:"holder"`
+	Fence     uint64  `json:"fence_token"`
+}
+
+// Order sends one order and says what became of it.
+func (s *Sender) Order(ctx context.Context, epoch uint64, order placer.Order) (placer.Outcome, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderWithin)
+	defer cancel()
+	body := orderBody{
+		Operation: operationLoad,
+		Model:     order.Model,
+		Adapter:   order.Adapter,
+		Holder:    s.holder,
+		Fence:     epoch,
+	}
+	if order.Unload {
+		body.Operation = operationDrop
+	}
+	client := s.client(epoch)
+	request, err := sling.New().Base("http://"+order.Address).Post("/-/order").
+		Set("X-Expected-Instance", order.Endpoint).BodyJSON(body).Request()
+	if err != nil {
+		return placer.Invalid, fmt.Errorf("order to %s: build: %w", order.Endpoint, err)
+	}
+	answer, err := client.Do(request.WithContext(ctx))
+	if err != nil {
+		return placer.Unknown, fmt.Errorf("order to %s: %w", order.Endpoint, err)
+	}
+	defer discard(answer.Body)
+	return outcomeOf(answer), nil
+}
+
+func outcomeOf(answer *http.Response) placer.Outcome {
+	switch {
+	case answer.StatusCode == http.StatusAccepted:
+		return placer.Accepted
+	case answer.StatusCode == http.StatusOK:
+		return placer.Holds
+	case answer.StatusCode == http.StatusConflict, answer.Header.Get("X-Not-Executed") != "" &&
+		answer.StatusCode >= http.StatusInternalServerError:
+		return placer.Busy
+	case answer.StatusCode >= http.StatusBadRequest && answer.StatusCode < http.StatusInternalServerError:
+		return placer.Invalid
+	}
+	return placer.Unknown
+}
+
+// client makes a client for one order. The lease is looked at before each write.
+func (s *Sender) client(epoch uint64) *http.Client {
+	dialer := net.Dialer{KeepAlive: -1}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if tcp, isTCP := connection.(*net.TCPConn); isTCP {
+			_ = tcp.SetLinger(0) // where it fails, an order that timed out may only arrive late
+		}
+		return &guarded{Conn: connection, permit: func() bool { return s.permit(epoch) }}, nil
+	}
+	return &http.Client{
+		Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse // an order goes to its endpoint only
+		},
+	}
+}
+
+// guarded refuses to write once the lease is over.
+type guarded struct {
+	net.Conn
+	permit func() bool
+}
+
+func (g *guarded) Write(bytes []byte) (int, error) {
+	if !g.permit() {
+		return 0, ErrLeaseOver
+	}
+	return g.Conn.Write(bytes)
+}
+
+func discard(body io.ReadCloser) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, answerBytes)) // its status said all
+	_ = body.Close()
+}
+
+// reportBody is the answer to GET /-/report, as far as the placer needs it.
+type reportBody struct {
+	Models   []protocol.HeldModel `json:"models"`
+	Busy     bool                 `json:"busy"`
+	Revision uint64               `json:"seq"`
+}
