--- a/internal/control/roles/sender.go
+++ b/internal/control/roles/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -57,6 +58,7 @@
 		Operation: operationLoad,
 		Model:     order.Model,
 		Adapter:   order.Adapter,
+		Revision:  order.Revision,
 		Holder:    s.holder,
 		Fence:     epoch,
 	}
@@ -92,6 +94,30 @@
 	return placer.Unknown
 }
 
+// Look asks an endpoint for its own report.
+func (s *Sender) Look(ctx context.Context, epoch uint64, id, address string) (placer.Look, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderWithin)
+	defer cancel()
+	failed := placer.Look{Endpoint: id, Failed: true}
+	request, err := sling.New().Base("http://"+address).Get("/-/report").Set("X-Expected-Instance", id).Request()
+	if err != nil {
+		return failed, fmt.Errorf("report of %s: build: %w", id, err)
+	}
+	answer, err := s.client(epoch).Do(request.WithContext(ctx))
+	if err != nil {
+		return failed, fmt.Errorf("report of %s: %w", id, err)
+	}
+	defer discard(answer.Body)
+	if answer.StatusCode != http.StatusOK {
+		return failed, fmt.Errorf("report of %s: status %d", id, answer.StatusCode)
+	}
+	var told reportBody
+	if err := json.NewDecoder(io.LimitReader(answer.Body, answerBytes)).Decode(&told); err != nil {
+		return failed, fmt.Errorf("report of %s: %w", id, err)
+	}
+	return placer.Look{Endpoint: id, Busy: told.Busy, Revision: told.Revision, Models: told.Models}, nil
+}
+
 // client makes a client for one order. The lease is looked at before each write.
 func (s *Sender) client(epoch uint64) *http.Client {
 	dialer := net.Dialer{KeepAlive: -1}
