--- a/internal/control/distribution/hub.go
+++ b/internal/control/distribution/hub.go
@@ -33,6 +33,7 @@
 // Hub has the subscriptions of one instance. It is not safe for concurrent use.
 type Hub struct {
 	subscribers map[ConnectionID]*subscriber
+	order       []*subscriber        // by connection: what is sent must not depend on the order of a map
 	attempts    map[string]time.Time // newest try of each router that was sent away
 	isolated    bool
 
@@ -140,8 +141,9 @@
 	Reason     string
 }
 
-// Table gives the whole table of endpoints; the hub asks for it where a router needs it.
-type Table func() []protocol.Endpoint
+// Table gives the whole table of endpoints; the hub asks for it where a router needs it. With the gone ones
+// it may be merged into a router's own table, without them it may replace that.
+type Table func(withGone bool) []protocol.Endpoint
 
 // Step takes in what happened.
 func (h *Hub) Step(now time.Time, table Table, inputs ...Input) Output {
@@ -200,7 +202,7 @@
 		return
 	}
 	h.members = members
-	for _, s := range h.subscribers {
+	for _, s := range h.order {
 		s.needsMembers = true
 	}
 	h.flushWithin(now, gatherFor)
@@ -234,13 +236,13 @@
 // it does.
 func (h *Hub) isolate(isolated bool) {
 	h.isolated = isolated
-	for _, s := range h.subscribers {
+	for _, s := range h.order {
 		s.isolated = s.isolated && isolated
 	}
 }
 
 func (h *Hub) tellRouters(now time.Time) {
-	for _, s := range h.subscribers {
+	for _, s := range h.order {
 		s.needsRouters = true
 	}
 	h.flushWithin(now, gatherFor)
@@ -250,9 +252,9 @@
 func (h *Hub) becomeWhole(now time.Time, table Table) {
 	h.whole = true
 	clear(h.changed)
-	for _, s := range h.subscribers {
+	for _, s := range h.order {
 		update := h.update(now, s)
-		update.Full, update.Endpoints = true, table()
+		update.Full, update.Endpoints = true, table(false)
 		h.send(now, s, update)
 	}
 }
@@ -262,7 +264,7 @@
 	if h.confirmed >= h.arrivals {
 		return 0
 	}
-	for _, s := range h.subscribers {
+	for _, s := range h.order {
 		if !s.told && s.arrival > h.confirmed {
 			return h.arrivals
 		}
@@ -273,7 +275,7 @@
 // barrierPassed confirms the routers that had subscribed when the barrier began.
 func (h *Hub) barrierPassed(now time.Time, number uint64) {
 	h.confirmed = max(h.confirmed, number)
-	for _, s := range h.subscribers {
+	for _, s := range h.order {
 		if s.told || s.arrival > h.confirmed {
 			continue
 		}
@@ -285,7 +287,7 @@
 }
 
 func (h *Hub) grant(now time.Time, router protocol.RouterGrants) {
-	for _, s := range h.subscribers {
+	for _, s := range h.order {
 		if s.router.Node != router.Node || s.router.Incarnation != router.Incarnation {
 			continue
 		}
--- a/internal/control/distribution/subscriber.go
+++ b/internal/control/distribution/subscriber.go
@@ -1,6 +1,9 @@
 package distribution
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"raventrestle/internal/protocol"
@@ -58,9 +61,11 @@
 		clear(h.changed)
 	}
 	h.subscribers[in.Connection] = s
+	h.order = append(h.order, s)
+	slices.SortFunc(h.order, func(a, b *subscriber) int { return cmp.Compare(a.connection, b.connection) })
 	h.out.Routers = true
 	update := h.update(now, s)
-	update.Full, update.Endpoints = h.whole, table()
+	update.Full, update.Endpoints = h.whole, table(!h.whole)
 	update.Members = h.members
 	update.Routers = h.routers
 	h.send(now, s, update)
@@ -84,21 +89,25 @@
 
 // replaceEarlier ends an earlier connection of the same router, which it has given up.
 func (h *Hub) replaceEarlier(in Subscribed) {
-	for id, s := range h.subscribers {
-		if s.router.Node == in.Router.Node || id == in.Connection {
-			h.forget(id)
-			if id != in.Connection {
-				h.close(id, s.router.Node, "replaced")
-			}
+	for _, s := range h.order {
+		id := s.connection
+		if s.router.Node != in.Router.Node && id != in.Connection {
+			continue
+		}
+		h.forget(id)
+		if id != in.Connection {
+			h.close(id, s.router.Node, "replaced")
 		}
 	}
 }
 
 func (h *Hub) forget(id ConnectionID) {
-	if _, known := h.subscribers[id]; known {
-		delete(h.subscribers, id)
-		h.out.Routers = true
+	if _, known := h.subscribers[id]; !known {
+		return
 	}
+	delete(h.subscribers, id)
+	h.order = slices.DeleteFunc(slices.Clone(h.order), func(s *subscriber) bool { return s.connection == id })
+	h.out.Routers = true
 }
 
 func (h *Hub) close(id ConnectionID, node, reason string) {
@@ -146,11 +155,11 @@
 func (h *Hub) flush(now time.Time) {
 	h.flushAt = time.Time{}
 	endpoints := make([]protocol.Endpoint, 0, len(h.changed))
-	for _, endpoint := range h.changed {
-		endpoints = append(endpoints, endpoint)
+	for _, id := range slices.Sorted(maps.Keys(h.changed)) {
+		endpoints = append(endpoints, h.changed[id])
 	}
 	clear(h.changed)
-	for _, s := range h.subscribers {
+	for _, s := range h.order {
 		if len(endpoints) == 0 && s.generation >= h.generation && !s.needsMembers && !s.needsRouters {
 			continue
 		}
@@ -163,7 +172,8 @@
 // beacons speaks to the routers that nothing was sent to, and sends the slow ones away.
 func (h *Hub) beacons(now time.Time) {
 	h.beaconAt = now.Add(BeaconEvery)
-	for id, s := range h.subscribers {
+	for _, s := range h.order {
+		id := s.connection
 		switch {
 		case len(s.waiting) > 0 && now.Sub(s.waiting[0].sent) > confirmWithin:
 			h.forget(id)
@@ -182,7 +192,7 @@
 // floor is the revision that every router has in force.
 func (h *Hub) floor() uint64 {
 	lowest := ^uint64(0)
-	for _, s := range h.subscribers {
+	for _, s := range h.order {
 		lowest = min(lowest, s.confirmed)
 	}
 	return lowest
@@ -191,7 +201,7 @@
 // Connected returns the names of the routers.
 func (h *Hub) Connected() []string {
 	nodes := make([]string, 0, len(h.subscribers))
-	for _, s := range h.subscribers {
+	for _, s := range h.order {
 		nodes = append(nodes, s.router.Node)
 	}
 	return nodes
--- a/internal/control/host/desk.go
+++ b/internal/control/host/desk.go
@@ -41,7 +41,12 @@
 
 // Step takes in what happened.
 func (d *Desk) Step(now time.Time, news News) Orders {
-	table := func() []protocol.Endpoint { return d.registry.Endpoints(now) }
+	table := func(withGone bool) []protocol.Endpoint {
+		if withGone {
+			return d.registry.EndpointsAndGone(now)
+		}
+		return d.registry.Endpoints(now)
+	}
 	first := d.hub.Step(now, table, news.Hub...)
 	inputs := news.Registry
 	if first.Routers {
--- a/internal/control/registry/beats.go
+++ b/internal/control/registry/beats.go
@@ -12,20 +12,16 @@
 	e := r.entries[told.ID]
 	if e == nil {
 		e = r.insert(told.ID)
-		e.goneSince = now
 	}
-	if e.left {
-		r.acknowledge(in.Ticket, true) // a late one, or one that got lost on its way: it may end
-		return
-	}
-	if !r.late(e, told) {
+	if !e.left && !r.late(e, told) {
 		r.heardHere[e.hash] = struct{}{}
 		if r.replace(now, e, told, now) {
 			r.change(e, told.State != protocol.Ready)
 			r.tellPeers(now, e, urgency(told.State))
 		}
 	}
-	if e.endpoint.State == protocol.Draining && !e.settled && !r.isolated {
+	leaves := e.left || e.endpoint.State == protocol.Draining
+	if told.State == protocol.Draining && leaves && !e.settled {
 		r.await(now, in.Ticket, e)
 		return
 	}
@@ -54,7 +50,7 @@
 		r.markLeft(now, e)
 		r.tellPeers(now, e, urgentChange)
 	}
-	if e.settled || r.isolated {
+	if e.settled {
 		r.acknowledge(in.Ticket, true)
 		return
 	}
@@ -85,6 +81,6 @@
 }
 
 func (r *Registry) acknowledge(ticket uint64, settled bool) {
-	r.out.Acknowledge = append(r.out.Acknowledge, Acknowledge{Ticket: ticket, Settled: settled && !r.isolated,
-		Refused: r.isolated})
+	r.out.Acknowledge = append(r.out.Acknowledge,
+		Acknowledge{Ticket: ticket, Settled: settled && !r.isolated, Refused: r.isolated})
 }
--- a/internal/control/registry/exchange.go
+++ b/internal/control/registry/exchange.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"raventrestle/internal/protocol"
@@ -93,7 +95,7 @@
 	if !e.left && e.endpoint.State != protocol.Draining {
 		return
 	}
-	for _, p := range r.peers {
+	for _, p := range r.order {
 		if p != from && p.reachable {
 			p.hint(e.endpoint.ID)
 			r.flushWithin(now, urgentChange)
@@ -117,7 +119,8 @@
 // sendSummary opens or answers a full exchange.
 func (r *Registry) sendSummary(now time.Time, p *peer, answer bool) {
 	summary := &protocol.RegistrySummary{Origin: r.settings.Origin, Answer: answer}
-	for id, e := range r.entries {
+	for _, id := range slices.Sorted(maps.Keys(r.entries)) {
+		e := r.entries[id]
 		if e.gone && !e.left {
 			continue
 		}
@@ -138,7 +141,8 @@
 	for _, version := range summary.Versions {
 		known[version.ID] = version
 	}
-	for id, e := range r.entries {
+	for _, id := range slices.Sorted(maps.Keys(r.entries)) {
+		e := r.entries[id]
 		version, present := known[id]
 		if r.lacks(now, e, version, present) {
 			delta.Records = append(delta.Records, r.record(now, e))
@@ -168,12 +172,9 @@
 // sendDigests tells the other instances who is alive, and compares the tables.
 func (r *Registry) sendDigests(now time.Time) {
 	table := r.tableHash()
-	alive := make([]uint32, 0, len(r.heardHere))
-	for hash := range r.heardHere {
-		alive = append(alive, hash)
-	}
+	alive := slices.Sorted(maps.Keys(r.heardHere))
 	clear(r.heardHere)
-	for _, p := range r.peers {
+	for _, p := range r.order {
 		if !p.reachable {
 			continue
 		}
--- a/internal/control/registry/loading.go
+++ b/internal/control/registry/loading.go
@@ -49,9 +49,9 @@
 	if !r.takeLoading(now, &table) {
 		return
 	}
-	for address, p := range r.peers {
+	for _, p := range r.order {
 		if p.reachable {
-			r.send(address, &table)
+			r.send(p.address, &table)
 		}
 	}
 }
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -1,6 +1,9 @@
 package registry
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"raventrestle/internal/protocol"
@@ -8,7 +11,7 @@
 
 const (
 	unconfirmedFor = 2500 * time.Millisecond // a delta without confirmation is sent again
-	forgetPeer     = 10 * time.Minute        // out of reach
+	peerForgotten  = 10 * time.Minute        // out of reach
 	digestAtLeast  = 5 * time.Second         // a digest without news is sent so often
 	mismatches     = 2                       // digests in a row that differ before a full exchange
 )
@@ -56,10 +59,17 @@
 			outstanding: make(map[uint64]shipment),
 		}
 		r.peers[address] = p
+		r.order = append(r.order, p)
+		slices.SortFunc(r.order, func(a, b *peer) int { return cmp.Compare(a.address, b.address) })
 	}
 	return p
 }
 
+func (r *Registry) forgetPeer(gone *peer) {
+	delete(r.peers, gone.address)
+	r.order = slices.DeleteFunc(slices.Clone(r.order), func(p *peer) bool { return p == gone })
+}
+
 // setPeers takes in who can be reached. Contact made anew begins with a full exchange.
 func (r *Registry) setPeers(now time.Time, in Peers) {
 	r.isolated = in.Isolated
@@ -73,13 +83,13 @@
 			r.found(now, p)
 		}
 	}
-	for address, p := range r.peers {
+	for _, p := range r.order {
 		switch {
-		case reachable[address]:
+		case reachable[p.address]:
 		case p.reachable:
 			r.lost(now, p)
-		case now.Sub(p.lostSince) > forgetPeer:
-			delete(r.peers, address)
+		case now.Sub(p.lostSince) > peerForgotten:
+			r.forgetPeer(p)
 		}
 	}
 }
@@ -124,7 +134,7 @@
 
 // tellPeers has all other instances told of a record, now or once they can be reached.
 func (r *Registry) tellPeers(now time.Time, e *entry, wait time.Duration) {
-	for _, p := range r.peers {
+	for _, p := range r.order {
 		p.hint(e.endpoint.ID)
 	}
 	r.flushWithin(now, wait)
@@ -167,7 +177,7 @@
 // flush sends what is due to the instances that can be reached.
 func (r *Registry) flush(now time.Time) {
 	r.flushAt = time.Time{}
-	for _, p := range r.peers {
+	for _, p := range r.order {
 		r.sendConfirm(p)
 		if !p.reachable {
 			continue
@@ -198,7 +208,7 @@
 		p.dirty[id] = struct{}{}
 	}
 	ids := make([]string, 0, len(p.dirty))
-	for id := range p.dirty {
+	for _, id := range slices.Sorted(maps.Keys(p.dirty)) {
 		e := r.entries[id]
 		if e == nil || e.gone && !e.left {
 			continue // given up here: the others judge for themselves
@@ -222,7 +232,7 @@
 
 // resendUnconfirmed turns deltas that got lost into hints again.
 func (r *Registry) resendUnconfirmed(now time.Time) {
-	for _, p := range r.peers {
+	for _, p := range r.order {
 		for sequence, sent := range p.outstanding {
 			if now.Sub(sent.sent) > unconfirmedFor {
 				r.hintAgain(p, sequence)
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -9,6 +9,9 @@
 package registry
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"raventrestle/internal/protocol"
@@ -21,6 +24,7 @@
 	SettleWithin = 600 * time.Millisecond
 
 	tickEvery        = time.Second
+	settleRetry      = 250 * time.Millisecond // a settling record that is not confirmed is sent once more
 	silenceMargin    = 400 * time.Millisecond
 	silentBeats      = 3                // heartbeats that may be missing
 	dropAfter        = 15 * time.Second // of silence
@@ -28,6 +32,7 @@
 	reachedLately    = 2 * time.Second  // and outweighs another router's failed call so long
 	goneFor          = time.Minute      // a given up endpoint is remembered, with its sequence
 	leftFor          = 10 * time.Minute // one that left
+	unfitFor         = time.Second      // after the start, to hear from all other instances
 	stallAfter       = 1500 * time.Millisecond
 	routerLinger     = 10 * time.Second // a router that vanished still counts
 	unreachedLinger  = time.Minute      // and those of an instance that is out of reach
@@ -58,6 +63,7 @@
 	heardHere map[uint32]struct{}
 	loading   loadingTable
 	peers     map[string]*peer
+	order     []*peer             // by address: what is decided must not depend on the order of a map
 	pending   map[uint64]*pending // by ticket
 	owed      []owed
 	routers   routerCount
@@ -205,7 +211,7 @@
 		r.setPeers(now, in)
 	case Routers:
 		r.routers.own = in.Connected
-		for _, p := range r.peers {
+		for _, p := range r.order {
 			p.routersTold = false
 		}
 		r.routers.refresh(now, r.peers)
@@ -235,7 +241,7 @@
 		return
 	}
 	r.revision++
-	for id := range r.changed {
+	for _, id := range slices.Sorted(maps.Keys(r.changed)) {
 		e := r.entries[id]
 		e.revision = r.revision
 		r.out.Changed = append(r.out.Changed, r.view(now, e))
@@ -245,14 +251,24 @@
 	clear(r.changed)
 }
 
-// Endpoints returns the whole table as routers see it. Those given up are not in it.
+// Endpoints returns the whole table as routers see it, by ID. Those given up are not in it.
 func (r *Registry) Endpoints(now time.Time) []protocol.Endpoint {
+	return r.views(now, func(e *entry) bool { return !e.gone })
+}
+
+// EndpointsAndGone returns the same with those that are gone and not forgotten yet.
+func (r *Registry) EndpointsAndGone(now time.Time) []protocol.Endpoint {
+	return r.views(now, func(*entry) bool { return true })
+}
+
+func (r *Registry) views(now time.Time, shown func(e *entry) bool) []protocol.Endpoint {
 	table := make([]protocol.Endpoint, 0, len(r.entries))
 	for _, e := range r.entries {
-		if !e.gone {
+		if shown(e) {
 			table = append(table, r.view(now, e))
 		}
 	}
+	slices.SortFunc(table, func(a, b protocol.Endpoint) int { return cmp.Compare(a.ID, b.ID) })
 	return table
 }
 
@@ -265,8 +281,8 @@
 		wake = r.flushAt
 	}
 	for _, p := range r.pending {
-		if p.until.Before(wake) {
-			wake = p.until
+		if p.retryAt.Before(wake) {
+			wake = p.retryAt
 		}
 	}
 	return wake
--- /dev/null
+++ b/internal/control/replicatest/double.go
@@ -0,0 +1,132 @@
+// Package replicatest has a stand-in for a replica: one process, one member, no disk. It is for tests only.
+package replicatest
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"raventrestle/coordination/replica"
+)
+
+// ErrRefused is what a refusing double answers.
+var ErrRefused = errors.New("the double refuses")
+
+// Double is a replica that commits at once, in memory.
+type Double struct {
+	mutex   sync.Mutex
+	machine replica.Machine
+	index   uint64
+	status  replica.Status
+	changed chan struct{}
+	refuse  bool
+	stall   bool
+	stopped bool
+	barrier int // barriers that passed
+}
+
+// New makes a double around a machine, which may be nil where nothing is proposed.
+func New(machine replica.Machine, status replica.Status) *Double {
+	return &Double{machine: machine, status: status, changed: make(chan struct{})}
+}
+
+// Propose applies the command.
+func (d *Double) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	d.mutex.Lock()
+	if d.stall {
+		d.mutex.Unlock()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	defer d.mutex.Unlock()
+	if d.refuse {
+		return nil, ErrRefused
+	}
+	d.index++
+	result := d.machine.Apply(d.index, command)
+	d.status.Committed = d.index
+	d.signal()
+	return result, nil
+}
+
+// Barrier passes at once, unless the double refuses or stalls.
+func (d *Double) Barrier(ctx context.Context) (uint64, error) {
+	d.mutex.Lock()
+	if d.stall {
+		d.mutex.Unlock()
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	defer d.mutex.Unlock()
+	if d.refuse {
+		return 0, ErrRefused
+	}
+	d.barrier++
+	return d.index, nil
+}
+
+// Status returns what SetStatus set.
+func (d *Double) Status() replica.Status {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.status
+}
+
+// SetStatus sets the status and tells of the change.
+func (d *Double) SetStatus(status replica.Status) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.status = status
+	d.signal()
+}
+
+// Refuse has proposals and barriers fail, or not any more.
+func (d *Double) Refuse(refuse bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.refuse = refuse
+}
+
+// Stall has proposals and barriers wait for the end of their context, or not any more.
+func (d *Double) Stall(stall bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.stall = stall
+}
+
+// Barriers returns how many barriers passed.
+func (d *Double) Barriers() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.barrier
+}
+
+// Changed is closed at the next change.
+func (d *Double) Changed() <-chan struct{} {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.changed
+}
+
+func (d *Double) signal() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Deliver ignores the message.
+func (d *Double) Deliver(string, []byte) {}
+
+// Stop notes the end.
+func (d *Double) Stop(context.Context) error {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.stopped = true
+	return nil
+}
+
+// Stopped says whether Stop was called.
+func (d *Double) Stopped() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.stopped
+}
