--- /dev/null
+++ b/internal/control/changes/changes.go
@@ -0,0 +1,81 @@
+// Package changes joins the replicated state with those who change and read the configuration.
+package changes
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"raventrestle/coordination/replica"
+	"raventrestle/internal/configuration"
+	"raventrestle/internal/control/api"
+	"raventrestle/internal/control/state"
+)
+
+// Configurations changes and reads the configuration by the replica.
+type Configurations struct {
+	replica replica.Interface
+	machine *state.Machine
+}
+
+// New joins a replica and the machine that it applies commands to.
+func New(group replica.Interface, machine *state.Machine) *Configurations {
+	return &Configurations{replica: group, machine: machine}
+}
+
+// Change has a change decided by the chain. After an error it may be decided either way, now or later.
+func (c *Configurations) Change(
+	ctx context.Context, method string, base int64, body []byte,
+) (api.ChangeResult, error) {
+	command, err := state.NewCommand(method, base, body)
+	if err != nil {
+		return api.ChangeResult{}, fmt.Errorf("change of version %d: %w", base, err)
+	}
+	encoded, err := c.replica.Propose(ctx, command)
+	if err != nil {
+		return api.ChangeResult{}, fmt.Errorf("change of version %d: %w", base, err)
+	}
+	result, err := state.DecodeResult(encoded)
+	if err != nil {
+		return api.ChangeResult{}, fmt.Errorf("change of version %d: %w", base, err)
+	}
+	return resultOf(result), nil
+}
+
+func resultOf(result state.Result) api.ChangeResult {
+	switch result := result.(type) {
+	case state.Accepted:
+		return api.ChangeResult{Kind: api.Accepted, Generation: result.Generation}
+	case state.VersionMismatch:
+		return api.ChangeResult{Kind: api.VersionMismatch, Generation: result.Current}
+	case state.Rejected:
+		return api.ChangeResult{Kind: api.Rejected, Reason: reasonOf(result.Faults)}
+	}
+	return api.ChangeResult{Kind: api.Rejected, Reason: "refused"}
+}
+
+// reasonOf names all items in fault.
+func reasonOf(faults []configuration.Fault) string {
+	reasons := make([]string, len(faults))
+	for i, fault := range faults {
+		reasons[i] = fault.String()
+	}
+	return strings.Join(reasons, "; ")
+}
+
+// Read returns the newest version. Everything acknowledged before the call is in it.
+func (c *Configurations) Read(ctx context.Context) (int64, []byte, error) {
+	if _, err := c.replica.Barrier(ctx); err != nil {
+		return 0, nil, fmt.Errorf("read of the configuration: %w", err)
+	}
+	generation, document := c.machine.Current()
+	return generation, document, nil
+}
+
+// Newest returns the newest version that is committed here, without asking the others.
+func (c *Configurations) Newest() (int64, []byte) { return c.machine.Current() }
+
+// Current returns the same, read; nil before the first.
+func (c *Configurations) Current() *configuration.Configuration {
+	return c.machine.View().Configuration
+}
