--- /dev/null
+++ b/internal/control/distribution/hub_test.go
@@ -0,0 +1,264 @@
+package distribution
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"raventrestle/internal/protocol"
+)
+
+var begin = time.Unix(1000, 0)
+
+func noTable(bool) []protocol.Endpoint { return nil }
+
+func oneEndpoint(bool) []protocol.Endpoint {
+	return []protocol.Endpoint{{ID: "e0", Service: "s", Address: "a:1"}}
+}
+
+func subscribed(connection ConnectionID, node string, generation int64) Subscribed {
+	return Subscribed{Connection: connection, Router: protocol.Subscribe{Node: node, Generation: generation}}
+}
+
+func updatesTo(out Output, connection ConnectionID) []*protocol.Update {
+	var updates []*protocol.Update
+	for _, message := range out.Send {
+		if update, isUpdate := message.Message.(*protocol.Update); isUpdate && message.Connection == connection {
+			updates = append(updates, update)
+		}
+	}
+	return updates
+}
+
+func beaconsTo(out Output, connection ConnectionID) int {
+	count := 0
+	for _, message := range out.Send {
+		if _, isBeacon := message.Message.(*protocol.Beacon); isBeacon && message.Connection == connection {
+			count++
+		}
+	}
+	return count
+}
+
+func TestSubscriptionGetsEverythingAndIsConfirmedByALaterBarrier(t *testing.T) {
+	h := New()
+	h.Step(begin, noTable, Configuration{Generation: 5, Document: []byte("five")},
+		Endpoints{Revision: 3, Routers: 2, Whole: true}, Members{Members: []protocol.Member{{Identity: "m"}}})
+	out := h.Step(begin, oneEndpoint, subscribed(1, "r1", 4))
+	first := updatesTo(out, 1)
+	if len(first) != 1 {
+		t.Fatalf("%d updates", len(first))
+	}
+	got := first[0]
+	if got.Sequence != 1 || got.Generation != 5 || string(got.Document) != "five" || !got.Full || got.Confirmed ||
+		len(got.Endpoints) != 1 || len(got.Members) != 1 || got.Routers != 2 {
+		t.Errorf("first update: %+v", got)
+	}
+	if out.Barrier != 1 {
+		t.Fatalf("barrier %d", out.Barrier)
+	}
+	second := h.Step(begin.Add(time.Millisecond), oneEndpoint, subscribed(2, "r2", 5))
+	if document := updatesTo(second, 2)[0].Document; document != nil {
+		t.Errorf("a router that has version 5 got it again: %s", document)
+	}
+	out = h.Step(begin.Add(2*time.Millisecond), oneEndpoint, BarrierPassed{Barrier: 1})
+	if updates := updatesTo(out, 1); len(updates) != 1 || !updates[0].Confirmed || updates[0].Document != nil {
+		t.Errorf("after its barrier: %+v", updates)
+	}
+	if updates := updatesTo(out, 2); len(updates) != 0 {
+		t.Errorf("confirmed by a barrier that began before it came: %+v", updates)
+	}
+	if out.Barrier != 2 {
+		t.Errorf("barrier %d, want one for the second router", out.Barrier)
+	}
+}
+
+func TestConfirmedCarriesTheNewestVersion(t *testing.T) {
+	h := New()
+	h.Step(begin, noTable, subscribed(1, "r1", 0))
+	out := h.Step(begin, noTable, Configuration{Generation: 7, Document: []byte("seven")}, BarrierPassed{Barrier: 1})
+	for _, update := range updatesTo(out, 1) {
+		if update.Confirmed && (update.Generation != 7 || string(update.Document) != "seven") {
+			t.Errorf("confirmed %+v", update)
+		}
+	}
+}
+
+func TestBeaconsOnlyInSilence(t *testing.T) {
+	h := New()
+	now := begin
+	out := h.Step(now, noTable, subscribed(1, "r1", 0), Confirmed{Connection: 1, Sequence: 1})
+	heard := now
+	for now.Before(begin.Add(3 * time.Second)) {
+		if out.WakeAt.IsZero() {
+			t.Fatal("no wake while a router is there")
+		}
+		now = out.WakeAt
+		out = h.Step(now, noTable)
+		if beaconsTo(out, 1)+len(updatesTo(out, 1)) > 0 {
+			heard = now
+		}
+		if silence := now.Sub(heard); silence > 2*BeaconEvery {
+			t.Fatalf("silent for %v", silence)
+		}
+	}
+	changed := Endpoints{Changed: oneEndpoint(false), Revision: 1}
+	h.Step(now.Add(BeaconEvery-10*time.Millisecond), noTable, changed)
+	out = h.Step(now.Add(BeaconEvery), noTable)
+	if beaconsTo(out, 1) != 0 {
+		t.Error("a beacon beside an update")
+	}
+	out = h.Step(now.Add(BeaconEvery), noTable, Closed{Connection: 1})
+	if !out.WakeAt.IsZero() {
+		t.Error("awake without a router")
+	}
+}
+
+func TestOrdinaryChangesGatherAndUrgentOnesDoNot(t *testing.T) {
+	h := New()
+	h.Step(begin, noTable, subscribed(1, "r1", 0))
+	one := Endpoints{Changed: []protocol.Endpoint{{ID: "e1"}}, Revision: 1}
+	two := Endpoints{Changed: []protocol.Endpoint{{ID: "e2"}}, Revision: 2}
+	out := h.Step(begin, noTable, one)
+	if len(updatesTo(out, 1)) != 0 {
+		t.Fatal("sent at once")
+	}
+	h.Step(begin.Add(time.Millisecond), noTable, two)
+	out = h.Step(out.WakeAt, noTable)
+	if updates := updatesTo(out, 1); len(updates) != 1 || len(updates[0].Endpoints) != 2 {
+		t.Fatalf("gathered: %+v", updates)
+	}
+	urgent := Endpoints{Changed: []protocol.Endpoint{{ID: "e1", State: protocol.Draining}}, Revision: 3, Urgent: true}
+	out = h.Step(begin.Add(10*time.Millisecond), noTable, urgent)
+	if len(updatesTo(out, 1)) != 1 {
+		t.Fatal("an urgent change waits")
+	}
+	out = h.Step(begin.Add(11*time.Millisecond), noTable, Confirmed{Connection: 1, Sequence: 2})
+	if out.Floor != 2 {
+		t.Errorf("floor %d before the urgent change is confirmed", out.Floor)
+	}
+	out = h.Step(begin.Add(11*time.Millisecond), noTable, Confirmed{Connection: 1, Sequence: 3})
+	if out.Floor != 3 {
+		t.Errorf("floor %d after it", out.Floor)
+	}
+}
+
+func TestSlowRouterIsSentAway(t *testing.T) {
+	h := New()
+	out := h.Step(begin, noTable, subscribed(1, "r1", 0))
+	for now := begin; now.Before(begin.Add(4 * time.Second)); now = out.WakeAt {
+		if out = h.Step(now, noTable); len(out.Close) > 0 {
+			if out.Close[0].Reason != "slow" {
+				t.Errorf("closed as %s", out.Close[0].Reason)
+			}
+			if out.Floor != ^uint64(0) {
+				t.Errorf("it still holds the floor at %d", out.Floor)
+			}
+			return
+		}
+	}
+	t.Error("it stayed")
+}
+
+func TestIsolatedInstanceIsTheLastResort(t *testing.T) {
+	h := New()
+	h.Step(begin, noTable, subscribed(1, "r1", 0), Isolation{Isolated: true})
+	out := h.Step(begin.Add(BeaconEvery), noTable)
+	if len(out.Close) != 1 {
+		t.Fatal("the router that was there before stays")
+	}
+	at := begin.Add(300 * time.Millisecond)
+	if out = h.Step(at, noTable, subscribed(2, "r1", 0)); len(out.Close) != 1 || len(out.Send) != 0 {
+		t.Fatal("taken at its first try")
+	}
+	out = h.Step(at.Add(time.Second), noTable, subscribed(3, "r1", 0))
+	if len(out.Close) != 0 || len(updatesTo(out, 3)) != 1 {
+		t.Fatal("not taken at its second try")
+	}
+	out = h.Step(at.Add(7*time.Second), noTable)
+	if len(out.Close) != 1 {
+		t.Error("it is not asked to look for a better one")
+	}
+}
+
+func TestReplacedConnection(t *testing.T) {
+	h := New()
+	h.Step(begin, noTable, subscribed(1, "r1", 0))
+	out := h.Step(begin, noTable, subscribed(2, "r1", 0))
+	if len(out.Close) != 1 || out.Close[0].Connection != 1 || len(h.Connected()) != 1 {
+		t.Errorf("close %+v, connected %v", out.Close, h.Connected())
+	}
+}
+
+// TestVersionsOnlyRise plays random news and checks each router's sequence and versions.
+func TestVersionsOnlyRise(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := New()
+		now := begin
+		next := ConnectionID(0)
+		committed := int64(0)
+		type seen struct {
+			sequence   uint64
+			generation int64
+			barrier    uint64
+		}
+		routers := make(map[ConnectionID]*seen)
+		arrivals, running := uint64(0), uint64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "wait")) * time.Millisecond)
+			var in Input
+			switch rapid.SampledFrom([]string{"subscribe", "version", "old", "change", "barrier", "pass", "confirm",
+				"none"}).Draw(t, "kind") {
+			case "subscribe":
+				next++
+				arrivals++
+				generation := rapid.Int64Range(0, committed).Draw(t, "has")
+				routers[next] = &seen{generation: generation, barrier: arrivals}
+				in = subscribed(next, fmt.Sprintf("r%d", rapid.IntRange(0, 3).Draw(t, "node")), generation)
+			case "version":
+				committed++
+				in = Configuration{Generation: committed, Document: fmt.Appendf(nil, "%d", committed)}
+			case "old":
+				in = Configuration{Generation: committed - 1, Document: []byte("old")}
+			case "change":
+				in = Endpoints{Changed: oneEndpoint(false), Revision: h.revision + 1, Whole: true}
+			case "barrier":
+				running = arrivals
+			case "pass":
+				in = BarrierPassed{Barrier: running}
+			case "confirm":
+				if next > 0 {
+					in = Confirmed{Connection: next, Sequence: routers[next].sequence}
+				}
+			}
+			var inputs []Input
+			if in != nil {
+				inputs = append(inputs, in)
+			}
+			out := h.Step(now, noTable, inputs...)
+			for _, message := range out.Send {
+				update, isUpdate := message.Message.(*protocol.Update)
+				if !isUpdate {
+					continue
+				}
+				router := routers[message.Connection]
+				router.sequence++
+				if update.Sequence != router.sequence {
+					t.Fatalf("sequence %d, want %d", update.Sequence, router.sequence)
+				}
+				if update.Document != nil && update.Generation <= router.generation {
+					t.Fatalf("version %d after %d", update.Generation, router.generation)
+				}
+				if update.Generation > router.generation && string(update.Document) != fmt.Sprint(update.Generation) {
+					t.Fatalf("version %d with document %q", update.Generation, update.Document)
+				}
+				router.generation = max(router.generation, update.Generation)
+				if update.Confirmed && (router.barrier > running || router.generation < committed) {
+					t.Fatalf("confirmed too early: %+v", update)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/roles/tenure_test.go
@@ -0,0 +1,101 @@
+package roles
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"raventrestle/coordination/replica"
+)
+
+const lease = 3 * time.Second
+
+var begin = time.Unix(1000, 0)
+
+func leading(epoch uint64, since, previous, until time.Time) replica.Status {
+	return replica.Status{
+		View: replica.View{Epoch: epoch}, Leader: true,
+		LeaderSince: since, PreviousMayAct: previous, LeaseUntil: until,
+	}
+}
+
+func TestFirstHolderActsAtOnce(t *testing.T) {
+	turn := NewTenure(lease, begin).Step(begin, leading(foundingEpoch, begin, time.Time{}, begin.Add(time.Second)))
+	if !turn.Acts || turn.Quiet != 0 {
+		t.Errorf("%+v", turn)
+	}
+}
+
+func TestNextHolderWaitsForTheFormerLeaseAndOneMore(t *testing.T) {
+	tenure := NewTenure(lease, begin)
+	previous := begin.Add(700 * time.Millisecond)
+	for wait := time.Duration(0); wait < 5*time.Second; wait += 100 * time.Millisecond {
+		now := begin.Add(wait)
+		turn := tenure.Step(now, leading(2, begin, previous, now.Add(time.Second)))
+		if want := !now.Before(previous.Add(lease)); turn.Acts != want {
+			t.Fatalf("after %v: acts %v", wait, turn.Acts)
+		}
+		if turn.Acts && turn.Quiet < lease {
+			t.Errorf("after %v: quiet %v", wait, turn.Quiet)
+		}
+	}
+}
+
+func TestHolderGoesOnInTheNextEpoch(t *testing.T) {
+	tenure := NewTenure(lease, begin)
+	tenure.Step(begin, leading(foundingEpoch, begin, time.Time{}, begin.Add(time.Second)))
+	later := begin.Add(500 * time.Millisecond)
+	if turn := tenure.Step(later, leading(2, later, begin.Add(time.Second), later.Add(time.Second))); !turn.Acts {
+		t.Error("it waits for itself")
+	}
+	skipped := later.Add(time.Second)
+	if turn := tenure.Step(skipped, leading(4, skipped, skipped, skipped.Add(time.Second))); turn.Acts {
+		t.Error("another may have held the epoch between")
+	}
+}
+
+func TestNobodyActsWithoutALease(t *testing.T) {
+	tenure := NewTenure(lease, begin)
+	status := leading(foundingEpoch, begin, time.Time{}, begin)
+	if turn := tenure.Step(begin, status); turn.Acts || turn.Leads {
+		t.Errorf("lease over: %+v", turn)
+	}
+	status.LeaseUntil, status.Leader = begin.Add(time.Second), false
+	if turn := tenure.Step(begin, status); turn.Acts || turn.Leads {
+		t.Errorf("not the leader: %+v", turn)
+	}
+}
+
+// TestHoldersNeverTakeTurnsWithinALease plays successions of leaders, each with a lease of its own, and checks the
+// pause between the acts of two different ones.
+func TestHoldersNeverTakeTurnsWithinALease(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tenures := []*Tenure{NewTenure(lease, begin), NewTenure(lease, begin), NewTenure(lease, begin)}
+		now, previous := begin, time.Time{}
+		lastActor, lastActed := -1, time.Time{}
+		epoch := uint64(0)
+		for range rapid.IntRange(1, 12).Draw(t, "terms") {
+			epoch += uint64(rapid.IntRange(1, 2).Draw(t, "epochs"))
+			if epoch == 2 && lastActor < 0 {
+				epoch = 3 // an epoch that nobody led
+			}
+			leader := rapid.IntRange(0, 2).Draw(t, "leader")
+			since := now
+			end := now.Add(time.Duration(rapid.IntRange(0, 9000).Draw(t, "term")) * time.Millisecond)
+			until := now
+			for now.Before(end) {
+				until = now.Add(800 * time.Millisecond)
+				turn := tenures[leader].Step(now, leading(epoch, since, previous, until))
+				if turn.Acts {
+					if lastActor >= 0 && lastActor != leader && now.Sub(lastActed) < lease {
+						t.Fatalf("%d acts %v after %d", leader, now.Sub(lastActed), lastActor)
+					}
+					lastActor, lastActed = leader, now
+				}
+				now = now.Add(50 * time.Millisecond)
+			}
+			previous = until
+		}
+	})
+}
