--- /dev/null
+++ b/coordination/chain/feed.go
@@ -0,0 +1,284 @@
+package chain
+
+import (
+	"time"
+)
+
+// batchBytes bounds the commands in one Append, as far as one entry allows.
+const batchBytes = 1 << 20
+
+// feed is the node's own asking for what it lacks.
+type feed struct {
+	number  uint64        // of the newest Fetch
+	askedAt time.Duration // it was sent; 0 when none is out
+	lagging time.Duration // since when the head is known to have more
+}
+
+// runFeed asks the upstream member when something is lacking.
+func (n *Node) runFeed(now time.Duration) {
+	if n.view.Epoch == 0 || n.isHead() || n.wedged() || !n.mayTake() {
+		return
+	}
+	if !n.lacking(now) {
+		return
+	}
+	if n.feed.askedAt > 0 && now-n.feed.askedAt < n.timing.Retry {
+		return
+	}
+	n.fetch(now)
+}
+
+// mayTake tells whether the node can take entries in: a member of the chain only with a disk that writes.
+func (n *Node) mayTake() bool { return !n.refusing || !n.inChain() }
+
+// lacking tells whether entries are missing that should have come by now.
+func (n *Node) lacking(now time.Duration) bool {
+	if !n.matched || (n.inChain() && !n.whole()) {
+		return true
+	}
+	target := n.watch.headCommitted
+	if n.inChain() {
+		target = n.watch.headLast
+	}
+	if target <= n.log.last() {
+		n.feed.lagging = 0
+		return n.feed.askedAt > 0 && n.feed.askedAt+n.timing.Retry <= now
+	}
+	if n.feed.lagging == 0 {
+		n.feed.lagging = now
+	}
+	return !n.inChain() || now-n.feed.lagging > n.timing.Ping
+}
+
+func (n *Node) fetch(now time.Duration) {
+	n.feed.number++
+	n.feed.askedAt = now
+	n.send(n.best(n.upstream()), Message{Fetch: &Fetch{
+		Number:    n.feed.number,
+		Committed: n.committed,
+		Ends:      n.log.ends(n.committed),
+	}})
+}
+
+// onFetch answers a member downstream, now or once the own log is whole.
+func (n *Node) onFetch(now time.Duration, address, from string, f Fetch) {
+	p := n.find(from)
+	if p == nil || n.wedged() || !n.feeds(from) {
+		return
+	}
+	if !n.whole() {
+		p.asked, p.askedAs = &f, address
+		return
+	}
+	p.asked = nil
+	n.answer(p, f)
+}
+
+// feeds tells whether the node is upstream of the identity. A member whose disk refuses passes nothing down the
+// chain: it may not hold what it has read.
+func (n *Node) feeds(identity string) bool {
+	if n.view.Place(identity) >= 0 {
+		return !n.refusing && n.successor().Identity == identity
+	}
+	return n.isHead()
+}
+
+// answer sends what follows the newest entry that both logs hold, or the snapshot and what follows it.
+func (n *Node) answer(p *peer, f Fetch) {
+	common := n.log.common(f.Committed, f.Ends)
+	snapshot := common < n.log.base
+	if snapshot {
+		common = n.snapshot.Index
+	}
+	p.next = common + 1
+	n.push(p, f.Number, snapshot)
+}
+
+// limit is the newest entry that the peer is sent: a standby gets only what is committed.
+func (n *Node) limit(p *peer) uint64 {
+	if n.view.Place(p.member.Identity) >= 0 {
+		return n.log.last()
+	}
+	return n.committed
+}
+
+// push sends the peer the next entries.
+func (n *Node) push(p *peer, answer uint64, snapshot bool) {
+	a := Append{Answer: answer, Previous: p.next - 1, Committed: n.committed, Start: n.start}
+	bytes := 0
+	if n.limit(p) >= p.next && p.next > n.log.base {
+		for _, entry := range n.log.after(p.next - 1)[:n.limit(p)-p.next+1] {
+			if bytes > 0 && bytes+len(entry.Command) > batchBytes {
+				a.More = true
+				break
+			}
+			bytes += len(entry.Command)
+			a.Entries = append(a.Entries, entry)
+		}
+	}
+	p.next += uint64(len(a.Entries))
+	p.waiting = a.More
+	n.send(p.member, Message{Append: &a})
+	n.out.Messages[len(n.out.Messages)-1].AttachSnapshot = snapshot
+}
+
+// pushAll sends new entries to everybody downstream that has asked and keeps up.
+func (n *Node) pushAll() {
+	if !n.whole() || n.wedged() {
+		return
+	}
+	for _, p := range n.peers {
+		if p.next > 0 && !p.waiting && n.feeds(p.member.Identity) && n.limit(p) >= p.next {
+			n.push(p, 0, false)
+		}
+	}
+}
+
+// onAppend takes entries in, in order. A log is changed only after the upstream member has told how far the
+// two agree.
+func (n *Node) onAppend(now time.Duration, from string, a Append) {
+	if n.isHead() || n.wedged() || !n.mayTake() || from != n.upstream().Identity {
+		if !n.config.Mutation.NoEpochCheck || n.isHead() || !n.mayTake() {
+			return
+		}
+	}
+	asked := a.Answer != 0 && a.Answer == n.feed.number
+	switch {
+	case asked:
+		n.feed.askedAt = 0
+		if !n.adopt(a) {
+			return
+		}
+	case a.Answer != 0 || !n.matched:
+		return
+	case a.Previous > n.log.last():
+		if n.feed.askedAt == 0 {
+			n.fetch(now)
+		}
+		return
+	}
+	n.take(a)
+	n.becomeWhole(a)
+	n.learnCommitted(a.Committed)
+	if a.More && asked {
+		n.fetch(now)
+	}
+	n.pushAll()
+}
+
+// adopt makes the log a beginning of the upstream member's, once in an epoch: what that one does not hold was
+// never committed. From then on the log only grows.
+func (n *Node) adopt(a Append) bool {
+	if len(a.Snapshot) > 0 && !n.install(a) {
+		return false
+	}
+	if n.matched {
+		return true
+	}
+	if a.Previous > n.log.last() || a.Previous < n.log.base {
+		return false
+	}
+	if a.Previous < n.log.last() {
+		n.log.cut(a.Previous)
+		if !n.refusing {
+			n.persist(record{Cut: &a.Previous})
+		}
+	}
+	n.matched = true
+	return true
+}
+
+// take appends the entries that follow the log.
+func (n *Node) take(a Append) {
+	for i := range a.Entries {
+		entry := a.Entries[i]
+		if entry.Index != n.log.last()+1 {
+			continue
+		}
+		n.log.append(entry)
+		if !n.refusing {
+			n.persist(record{Entry: &entry})
+		}
+	}
+}
+
+// becomeWhole notes that the log has reached the beginning of the epoch.
+func (n *Node) becomeWhole(a Append) {
+	n.start = max(n.start, a.Start)
+	if !n.inChain() || n.whole() || !n.matched || n.log.last() < a.Start {
+		return
+	}
+	n.active = n.view.Epoch
+	n.persist(record{Active: n.active})
+	n.answerWaiting()
+}
+
+// answerWaiting answers those who asked before the own log was whole.
+func (n *Node) answerWaiting() {
+	for _, p := range n.peers {
+		if p.asked != nil && n.feeds(p.member.Identity) {
+			asked := *p.asked
+			p.asked = nil
+			n.answer(p, asked)
+		}
+	}
+}
+
+// install replaces log and machine by a snapshot, where that reaches further than the log.
+func (n *Node) install(a Append) bool {
+	snapshot, err := DecodeSnapshot(a.Snapshot)
+	if err != nil || snapshot.Point.Index != a.Previous || n.refusing {
+		return false
+	}
+	if snapshot.Point.Index <= n.committed || (n.matched && snapshot.Point.Index <= n.log.last()) {
+		return n.matched
+	}
+	n.replaced = &appliedState{applied: n.applied, recent: n.recent}
+	n.log = entries{base: snapshot.Point.Index, baseEpoch: snapshot.Point.Epoch}
+	n.snapshot = snapshot.Point
+	n.committed = snapshot.Point.Index
+	n.applied = snapshot.Point.Index
+	n.recent = newRecent(snapshot.Recent)
+	n.unsaved = false
+	state := n.State()
+	n.out.Install = &Install{Snapshot: a.Snapshot, Records: state.Records()}
+	n.out.Records = nil // the whole state takes their place
+	n.requests.lostBehind(n.life, n.recent)
+	return true
+}
+
+// onCommit learns how far the tail has committed. It is true of the own log as far as that was checked.
+func (n *Node) onCommit(index uint64) {
+	n.learnCommitted(index)
+}
+
+func (n *Node) learnCommitted(index uint64) {
+	if !n.matched {
+		return
+	}
+	index = min(index, n.log.last())
+	if index > n.committed {
+		n.committed, n.unsaved = index, true
+		n.afterCommit()
+	}
+	n.commitHere()
+}
+
+// commitHere commits at the tail: every member of the chain has synced what the tail is about to sync.
+func (n *Node) commitHere() {
+	if !n.isTail() || !n.whole() || n.wedged() || !n.mayCommit() || n.refusing || n.committed >= n.log.last() {
+		return
+	}
+	n.committed, n.unsaved = n.log.last(), true
+	for _, member := range n.view.Chain {
+		n.send(n.best(member), Message{Commit: &Commit{Index: n.committed}})
+	}
+	n.afterCommit()
+}
+
+// afterCommit passes what is newly committed to the standbys.
+func (n *Node) afterCommit() {
+	if n.isHead() {
+		n.pushAll()
+	}
+}
--- /dev/null
+++ b/coordination/chain/node.go
@@ -0,0 +1,299 @@
+package chain
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"raventrestle/coordination/view"
+)
+
+// Node is the pure state machine of one member: chain, view and the watch over the other members. Its owner
+// calls one method at a time, carries out the Output, and then calls Persisted or Refused.
+type Node struct {
+	config Config
+	timing Timing
+	random *rand.Rand
+	life   uint64 // of this start; also the proposer of its commands
+
+	durable   // as the steps have made it
+	kept      durable
+	refusing  bool // the disk refuses writes: take nothing that must be synced
+	unsaved   bool // Committed or Known differ from the disk's; saved with the next records
+	applied   uint64
+	recent    recent
+	replaced  *appliedState // by a snapshot that is not on disk yet
+	leaving   bool
+	lastStep  time.Duration
+	startedAt time.Duration
+
+	matched bool   // the log is a beginning of the upstream member's, checked in this epoch
+	start   uint64 // a log that matches up to here is whole in this epoch
+
+	peers        []*peer // in the order in which they became known
+	tableVersion uint64
+	table        table
+	watch        watch
+	change       change
+	feed         feed
+	requests     requests
+
+	out Output
+}
+
+// durable is the part of the state that is on disk once the records are synced.
+type durable struct {
+	self      view.Member
+	view      view.View
+	acceptor  view.Acceptor
+	active    uint64
+	committed uint64
+	snapshot  SnapshotPoint
+	log       entries
+	known     []view.Member
+}
+
+// appliedState is what a snapshot from a peer replaces.
+type appliedState struct {
+	applied uint64
+	recent  recent
+}
+
+// New returns a node that continues from the state on disk.
+func New(now time.Duration, state State, config Config) *Node {
+	if config.Timing == (Timing{}) {
+		config.Timing = DefaultTiming()
+	}
+	random := rand.New(rand.NewPCG(config.Random, 0x9e3779b97f4a7c15))
+	n := &Node{config: config, timing: config.Timing, random: random, life: random.Uint64() | 1}
+	n.durable = durable{
+		self:      state.Self,
+		view:      state.View,
+		acceptor:  state.Acceptor,
+		active:    state.Active,
+		committed: state.Committed,
+		snapshot:  state.Snapshot,
+		log:       entries{base: state.Base, baseEpoch: state.BaseEpoch, list: state.Entries},
+		known:     state.Known,
+	}
+	n.kept = n.durable
+	n.applied = state.Snapshot.Index
+	n.recent = newRecent(state.Recent)
+	n.startedAt, n.lastStep = now, now
+	n.tableVersion = random.Uint64() >> 1
+	if state.View.Epoch > 1 {
+		n.watch.previousMayAct = now + n.timing.Lease + leaseMargin
+	}
+	n.requests.next = random.Uint64() >> 1
+	n.begin(now)
+	return n
+}
+
+// State returns the durable state as it stands on disk, with the entries that a checkpoint must keep. Recent
+// is left out.
+func (n *Node) State() State {
+	d := n.durable
+	return State{
+		Self: d.self, View: d.view, Acceptor: d.acceptor, Active: d.active, Committed: d.committed,
+		Base: d.log.base, BaseEpoch: d.log.baseEpoch, Entries: d.log.list, Snapshot: d.snapshot, Known: d.known,
+	}
+}
+
+// Tick lets timers act. The owner calls it at the time that Wake told.
+func (n *Node) Tick(now time.Duration) Output {
+	n.enterStep(now)
+	return n.finish(now)
+}
+
+// Receive takes in a message that came from the address.
+func (n *Node) Receive(now time.Duration, address string, message Message) Output {
+	n.enterStep(now)
+	n.receive(now, address, message)
+	return n.finish(now)
+}
+
+// enterStep notices that the process stood still: then nothing that it knew of the others is fresh, and it
+// must not act on a lease.
+func (n *Node) enterStep(now time.Duration) {
+	late := now - max(n.lastStep, n.watch.wake)
+	if n.lastStep > 0 && late > n.timing.Thaw {
+		n.forgetLiveness(now)
+	}
+	n.lastStep = now
+}
+
+// finish runs what follows from any change and hands out the output.
+func (n *Node) finish(now time.Duration) Output {
+	n.watch.wake = now + idleWake
+	n.runWatch(now)
+	n.runChange(now)
+	n.runFeed(now)
+	n.runRequests(now)
+	n.watch.wake = max(n.watch.wake, now+wakeGrain)
+	out := n.out
+	n.out = Output{}
+	return out
+}
+
+// idleWake is the longest time between two steps; wakeGrain the shortest that a timer asks for.
+const (
+	idleWake  = 250 * time.Millisecond
+	wakeGrain = 2 * time.Millisecond
+)
+
+// wakeBy sees that the next step comes by then.
+func (n *Node) wakeBy(at time.Duration) { n.watch.wake = min(n.watch.wake, at) }
+
+// Wake returns when Tick is due, on the same clock as now.
+func (n *Node) Wake() time.Duration { return n.watch.wake }
+
+// Persisted tells that everything that the outputs so far asked for is on disk.
+func (n *Node) Persisted() { n.kept, n.replaced = n.durable, nil }
+
+// Refused tells that the disk did not take the records of the last outputs. The node falls back to what is on
+// disk and takes nothing more that must be synced until Restored.
+func (n *Node) Refused(now time.Duration) {
+	n.durable = n.kept
+	if n.replaced != nil {
+		n.applied, n.recent, n.replaced = n.replaced.applied, n.replaced.recent, nil
+	}
+	n.refusing = true
+	n.begin(now)
+}
+
+// Refusing tells whether the disk refuses writes.
+func (n *Node) Refusing() bool { return n.refusing }
+
+// Restored tells that the disk takes writes again and Checkpointed was called for all of the state.
+func (n *Node) Restored(now time.Duration) {
+	n.refusing = false
+	n.begin(now)
+}
+
+// Checkpoint returns the state to write beside a snapshot of the applied state. It keeps the newest entries, up
+// to keepBytes of commands, for members that lack little.
+func (n *Node) Checkpoint(keepBytes int) State {
+	base, bytes := n.applied, 0
+	for base > n.log.base {
+		bytes += len(n.log.list[base-n.log.base-1].Command)
+		if bytes > keepBytes {
+			break
+		}
+		base--
+	}
+	state := n.State()
+	trimmed := n.log
+	trimmed.trim(base)
+	state.Base, state.BaseEpoch, state.Entries = trimmed.base, trimmed.baseEpoch, trimmed.list
+	state.Snapshot, _ = n.Applied()
+	return state
+}
+
+// Checkpointed tells that the state that Checkpoint returned is on disk, with the snapshot beside it.
+func (n *Node) Checkpointed(state State) {
+	n.log = entries{base: state.Base, baseEpoch: state.BaseEpoch, list: state.Entries}
+	n.snapshot = state.Snapshot
+	n.unsaved = false
+	n.kept = n.durable
+}
+
+// Applied returns how far the node has handed out entries, and the identities to put into a snapshot there.
+func (n *Node) Applied() (SnapshotPoint, []CommandID) {
+	epoch, _ := n.log.epochAt(n.applied)
+	return SnapshotPoint{Index: n.applied, Epoch: epoch}, n.recent.order
+}
+
+// TakeCommitted returns the entries to apply now, in order. Call it after Persisted.
+func (n *Node) TakeCommitted() []Applied {
+	if n.committed <= n.applied {
+		return nil
+	}
+	var list []Applied
+	for _, entry := range n.log.after(n.applied)[:n.committed-n.applied] {
+		repeated := n.recent.has(entry.ID)
+		if !repeated {
+			n.recent.add(entry.ID)
+		}
+		n.requests.appliedCommand(entry.ID, n.life)
+		list = append(list, Applied{Entry: entry, Repeated: repeated})
+	}
+	n.applied = n.committed
+	return list
+}
+
+// persist adds a record to the output.
+func (n *Node) persist(r record) {
+	if n.unsaved && !n.refusing {
+		n.unsaved = false
+		r.Committed, r.Known = n.committed, n.known
+	}
+	n.out.Records = append(n.out.Records, encode(r))
+}
+
+// send queues a message to a known member.
+func (n *Node) send(to view.Member, message Message) {
+	if to.Identity == n.self.Identity || to.Address == "" {
+		return
+	}
+	message.To = to.Identity
+	n.sendTo(to.Address, message)
+}
+
+// sendTo queues a message to an address.
+func (n *Node) sendTo(address string, message Message) {
+	message.From, message.Epoch = n.self.Identity, n.view.Epoch
+	n.out.Messages = append(n.out.Messages, Envelope{Address: address, Message: message})
+}
+
+// wedged tells whether the node has promised to decide a later epoch: it takes part in its own no more.
+func (n *Node) wedged() bool { return n.acceptor.Epoch > n.view.Epoch && !n.acceptor.Promised.Zero() }
+
+// isHead tells whether the node is the head of its view.
+func (n *Node) isHead() bool {
+	return n.view.Epoch > 0 && n.view.Head().Identity == n.self.Identity
+}
+
+// isTail tells whether the node is the tail of its view.
+func (n *Node) isTail() bool {
+	return n.view.Epoch > 0 && n.view.Tail().Identity == n.self.Identity
+}
+
+// inChain tells whether the node is a member of the chain of its view.
+func (n *Node) inChain() bool { return n.view.Place(n.self.Identity) >= 0 }
+
+// whole tells whether the node's log was made whole in its epoch.
+func (n *Node) whole() bool { return n.view.Epoch > 0 && n.active == n.view.Epoch && n.inChain() }
+
+// mayCommit tells whether the chain is long enough to commit.
+func (n *Node) mayCommit() bool {
+	minimum := n.view.CommitMinimum(n.config.Faults)
+	if n.config.Mutation.AckAtFaults {
+		minimum--
+	}
+	return len(n.view.Chain) >= minimum
+}
+
+// upstream is the member from which this one takes entries: its predecessor in the chain, else the head.
+func (n *Node) upstream() view.Member {
+	if place := n.view.Place(n.self.Identity); place > 0 {
+		return n.view.Chain[place-1]
+	}
+	return n.view.Head()
+}
+
+// successor is the next member down the chain; the zero Member at the tail and outside the chain.
+func (n *Node) successor() view.Member {
+	place := n.view.Place(n.self.Identity)
+	if place < 0 || place+1 >= len(n.view.Chain) {
+		return view.Member{}
+	}
+	return n.view.Chain[place+1]
+}
+
+// HoldsIndex tells whether an entry with the index is on this member's disk, in its log or behind its snapshot.
+func (n *Node) HoldsIndex(index uint64) bool { return index <= n.kept.log.last() }
+
+// Epoch returns the epoch of the node's view, as it stands on disk.
+func (n *Node) Epoch() uint64 { return n.kept.view.Epoch }
+
+// Self returns the node's own member.
+func (n *Node) Self() view.Member { return n.self }
--- /dev/null
+++ b/coordination/chain/receive.go
@@ -0,0 +1,169 @@
+package chain
+
+import (
+	"time"
+
+	"raventrestle/coordination/view"
+)
+
+// receive sorts a message by its epoch, then hands its body on.
+func (n *Node) receive(now time.Duration, address string, m Message) {
+	if m.From == n.self.Identity || (m.To != "" && m.To != n.self.Identity) {
+		return
+	}
+	switch {
+	case m.Hello != nil:
+		n.onHello(now, address, m)
+	case m.Ask != nil:
+		n.tellView(now, m.From, address)
+	case m.Decided != nil:
+		n.onDecided(now, *m.Decided)
+	case m.Prepare != nil:
+		n.onPrepare(now, address, m.From, *m.Prepare)
+	case m.BarrierReply != nil:
+		n.requests.barrierPassed(m.BarrierReply.Number, m.BarrierReply.Index)
+	default:
+		if n.sameEpoch(now, address, m) {
+			n.receiveInEpoch(now, address, m)
+		}
+	}
+}
+
+// sameEpoch refuses messages of other epochs and sees that the one behind learns of the later one.
+func (n *Node) sameEpoch(now time.Duration, address string, m Message) bool {
+	switch {
+	case m.Epoch < n.view.Epoch:
+		n.tellView(now, m.From, address)
+		return n.config.Mutation.NoEpochCheck && m.Epoch > 0
+	case m.Epoch > n.view.Epoch:
+		n.askView(now, m.From, address)
+		return false
+	}
+	return n.view.Epoch > 0
+}
+
+func (n *Node) receiveInEpoch(now time.Duration, address string, m Message) {
+	switch {
+	case m.Ping != nil:
+		n.onPing(now, address, m.From, *m.Ping)
+	case m.Pong != nil:
+		n.onPong(now, m.From, *m.Pong)
+	case m.Fetch != nil:
+		n.onFetch(now, address, m.From, *m.Fetch)
+	case m.Append != nil:
+		n.onAppend(now, m.From, *m.Append)
+	case m.Commit != nil:
+		n.onCommit(m.Commit.Index)
+	case m.Forward != nil:
+		n.onForward(*m.Forward)
+	case m.Barrier != nil:
+		n.onBarrier(*m.Barrier)
+	case m.Poll != nil:
+		n.onPoll(now, address, m.From, *m.Poll)
+	case m.PollReply != nil:
+		n.onPollReply(now, m.From, *m.PollReply)
+	case m.Promise != nil:
+		n.onPromise(now, *m.Promise)
+	case m.Accept != nil:
+		n.onAccept(now, address, m.From, *m.Accept)
+	case m.Accepted != nil:
+		n.onAccepted(now, m.From, *m.Accepted)
+	}
+}
+
+// tellEvery limits how often one member is told or asked for a view.
+const tellEvery = 50 * time.Millisecond
+
+// tellView sends the view to a member that is behind.
+func (n *Node) tellView(now time.Duration, identity, address string) {
+	if n.view.Epoch == 0 || !n.mayTell(now, identity) {
+		return
+	}
+	n.sendTo(address, Message{To: identity, Decided: &Decided{View: n.filled(n.view)}})
+}
+
+// askView asks a member that has shown a later epoch for its view.
+func (n *Node) askView(now time.Duration, identity, address string) {
+	if n.mayTell(now, identity) {
+		n.sendTo(address, Message{To: identity, Ask: &Ask{}})
+	}
+}
+
+func (n *Node) mayTell(now time.Duration, identity string) bool {
+	p := n.find(identity)
+	if p == nil {
+		return true
+	}
+	if p.toldAt > 0 && now-p.toldAt < tellEvery {
+		return false
+	}
+	p.toldAt = now
+	return true
+}
+
+// onHello takes in a member and shows it the way to the head.
+func (n *Node) onHello(now time.Duration, address string, m Message) {
+	p := n.learn(now, m.Hello.Member)
+	if p == nil || m.From != m.Hello.Member.Identity {
+		return
+	}
+	p.helloAt = now
+	switch {
+	case m.Epoch < n.view.Epoch:
+		n.tellView(now, m.From, address)
+	case m.Epoch > n.view.Epoch:
+		n.askView(now, m.From, address)
+	case n.isHead():
+		n.ping(now, p)
+	}
+}
+
+// onDecided enters a view that is later than the node's own.
+func (n *Node) onDecided(now time.Duration, d Decided) {
+	if d.View.Epoch <= n.view.Epoch || len(d.View.Chain) == 0 {
+		return
+	}
+	n.enter(now, d.View, d.Clean)
+}
+
+// enter begins a view. What was promised towards it is done with.
+func (n *Node) enter(now time.Duration, v view.View, clean bool) {
+	n.view = v
+	n.learnView(now, v)
+	r := record{View: &v}
+	if n.isHead() {
+		n.active = v.Epoch
+		r.Active = v.Epoch
+	}
+	if !n.refusing {
+		n.known, n.unsaved = n.members(), true
+		n.persist(r)
+	}
+	if !clean {
+		n.watch.previousMayAct = now + n.timing.Lease + leaseMargin
+	}
+	n.begin(now)
+}
+
+// begin resets all that is volatile in an epoch: after a start, a change of view or a refused write.
+func (n *Node) begin(now time.Duration) {
+	n.matched = n.whole()
+	n.start = n.log.last()
+	n.feed = feed{}
+	n.change = change{}
+	for _, p := range n.peers {
+		p.next, p.waiting, p.asked = 0, false, nil
+		p.confirmed, p.pong, p.answered = 0, Pong{}, false
+		p.progressAt = now
+		if now-p.heardAt < n.timing.Suspect || n.isHead() {
+			p.heardAt = now
+		}
+	}
+	n.learnView(now, n.view)
+	for _, member := range n.known {
+		n.learn(now, member)
+	}
+	n.beginWatch(now)
+	n.requests.resend()
+	n.commitHere()
+}
--- /dev/null
+++ b/coordination/chain/record.go
@@ -0,0 +1,112 @@
+package chain
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"raventrestle/coordination/view"
+)
+
+// ErrRecord marks a record on disk that makes no sense at its place.
+var ErrRecord = errors.New("chain: bad record")
+
+// record is one change of the durable state. A set field replaces what was there before.
+type record struct {
+	Self      *view.Member   `cbor:"1,keyasint,omitempty"`
+	View      *view.View     `cbor:"2,keyasint,omitempty"`
+	Acceptor  *view.Acceptor `cbor:"3,keyasint,omitempty"`
+	Active    uint64         `cbor:"4,keyasint,omitempty"`
+	Entry     *Entry         `cbor:"5,keyasint,omitempty"` // replaces all from its index on
+	Cut       *uint64        `cbor:"6,keyasint,omitempty"` // removes what follows the index
+	Committed uint64         `cbor:"7,keyasint,omitempty"`
+	Known     []view.Member  `cbor:"8,keyasint,omitempty"`
+	Base      *base          `cbor:"9,keyasint,omitempty"` // begins a whole state
+}
+
+// base begins the records of a whole state.
+type base struct {
+	Index    uint64        `cbor:"1,keyasint"`
+	Epoch    uint64        `cbor:"2,keyasint"`
+	Snapshot SnapshotPoint `cbor:"3,keyasint"`
+}
+
+func encode(r record) []byte {
+	body, err := cbor.Marshal(r)
+	if err != nil {
+		panic(fmt.Sprintf("chain: a record can't be encoded: %v", err)) // only plain fields: a fault of the program
+	}
+	return body
+}
+
+// Load rebuilds the state from its records, oldest first. Recent is not part of the records: the snapshot
+// holds it.
+func Load(records [][]byte) (State, error) {
+	var state State
+	log := entries{}
+	for i, body := range records {
+		var r record
+		if err := cbor.Unmarshal(body, &r); err != nil {
+			return State{}, fmt.Errorf("%w %d: %w", ErrRecord, i, err)
+		}
+		if err := state.apply(&log, r); err != nil {
+			return State{}, fmt.Errorf("%w %d: %w", ErrRecord, i, err)
+		}
+	}
+	state.Base, state.BaseEpoch, state.Entries = log.base, log.baseEpoch, log.list
+	state.Committed = min(max(state.Committed, state.Snapshot.Index), log.last())
+	return state, nil
+}
+
+func (s *State) apply(log *entries, r record) error {
+	if r.Base != nil {
+		*s, *log = State{Snapshot: r.Base.Snapshot}, entries{base: r.Base.Index, baseEpoch: r.Base.Epoch}
+	}
+	if r.Self != nil {
+		s.Self = *r.Self
+	}
+	if r.View != nil {
+		s.View = *r.View
+	}
+	if r.Acceptor != nil {
+		s.Acceptor = *r.Acceptor
+	}
+	s.Active = max(s.Active, r.Active)
+	s.Committed = max(s.Committed, r.Committed)
+	if r.Known != nil {
+		s.Known = r.Known
+	}
+	if r.Cut != nil {
+		if *r.Cut < log.base {
+			return fmt.Errorf("cut after %d lies before the log's base %d", *r.Cut, log.base)
+		}
+		log.cut(*r.Cut)
+	}
+	if r.Entry == nil {
+		return nil
+	}
+	if r.Entry.Index <= log.base || r.Entry.Index > log.last()+1 {
+		return fmt.Errorf("entry %d does not follow %d", r.Entry.Index, log.last())
+	}
+	log.cut(r.Entry.Index - 1)
+	log.append(*r.Entry)
+	return nil
+}
+
+// Records returns the whole state as records, for a checkpoint.
+func (s *State) Records() [][]byte {
+	records := [][]byte{encode(record{
+		Base:      &base{Index: s.Base, Epoch: s.BaseEpoch, Snapshot: s.Snapshot},
+		Self:      &s.Self,
+		View:      &s.View,
+		Acceptor:  &s.Acceptor,
+		Active:    s.Active,
+		Committed: s.Committed,
+		Known:     s.Known,
+	})}
+	for i := range s.Entries {
+		records = append(records, encode(record{Entry: &s.Entries[i]}))
+	}
+	return records
+}
--- /dev/null
+++ b/coordination/chain/watch.go
@@ -0,0 +1,320 @@
+package chain
+
+import (
+	"slices"
+	"time"
+
+	"raventrestle/coordination/view"
+)
+
+// leaseMargin covers the difference in speed of two steady clocks over a lease.
+const leaseMargin = 50 * time.Millisecond
+
+// helloEvery is the time between two calls for the head; farPing between pings to a silent outsider.
+const (
+	helloEvery = 250 * time.Millisecond
+	farPing    = 600 * time.Millisecond
+)
+
+// watch is the watch over the head, or as the head over the others.
+type watch struct {
+	wake           time.Duration
+	headHeard      time.Duration // newest ping, or the start of a grace
+	echo           time.Duration // newest own answer that the head has confirmed, on its clock
+	echoAt         time.Duration // it changed
+	yielding       bool          // the head asks to be replaced
+	headCommitted  uint64
+	headLast       uint64
+	helloAt        time.Duration
+	previousMayAct time.Duration
+	leaderSince    time.Duration
+	live           []string // as last counted by the head
+}
+
+// table is the head's list of the members, as last told.
+type table struct {
+	version uint64
+	members []view.Member
+	live    []bool
+}
+
+// beginWatch gives the head of the epoch time to be heard.
+func (n *Node) beginWatch(now time.Duration) {
+	grace := now
+	if now-n.startedAt < n.timing.Grace {
+		grace = max(now, n.startedAt+n.timing.Grace-n.timing.Suspect)
+	}
+	n.watch.headHeard, n.watch.echo, n.watch.echoAt = grace, 0, grace
+	n.watch.yielding = false
+	n.watch.headCommitted, n.watch.headLast = 0, 0
+	n.watch.leaderSince = 0
+	n.watch.live = nil
+	for _, p := range n.peers {
+		p.pingedAt = 0
+		if n.isHead() && grace > p.heardAt {
+			p.heardAt = grace
+		}
+	}
+}
+
+// forgetLiveness gives everybody time to be heard after the process stood still, and drops the lease.
+func (n *Node) forgetLiveness(now time.Duration) {
+	n.watch.headHeard, n.watch.echoAt = now, now
+	n.watch.leaderSince = 0
+	n.change.troubleSince = 0
+	for _, p := range n.peers {
+		p.heardAt, p.progressAt, p.pingedAt, p.confirmed, p.steadySince = now, now, 0, 0, 0
+	}
+}
+
+// headSuspected tells whether the head is taken for dead, or does not hear this node.
+func (n *Node) headSuspected(now time.Duration) bool {
+	return n.headSilent(now, n.timing.Suspect)
+}
+
+func (n *Node) headSilent(now, patience time.Duration) bool {
+	return n.watch.yielding || now-n.watch.headHeard > patience || now-n.watch.echoAt > patience+2*n.timing.Ping
+}
+
+// live tells whether the head has heard the peer lately.
+func (n *Node) live(now time.Duration, p *peer) bool { return now-p.heardAt <= n.timing.Suspect }
+
+// runWatch sends what is due: pings by the head, calls for the head by the others.
+func (n *Node) runWatch(now time.Duration) {
+	if n.view.Epoch > 0 && n.isHead() {
+		n.countLive(now)
+		n.runPings(now)
+		n.countLease(now)
+		if n.majorityLive(now) {
+			return
+		}
+	} else if n.view.Epoch > 0 && now-n.watch.headHeard <= n.timing.Suspect && n.watch.helloAt > 0 {
+		n.wakeBy(n.watch.headHeard + n.timing.Suspect)
+		return
+	}
+	n.runHello(now)
+}
+
+func (n *Node) runHello(now time.Duration) {
+	due := n.watch.helloAt + helloEvery
+	if n.watch.helloAt > 0 && now < due {
+		n.wakeBy(due)
+		return
+	}
+	n.watch.helloAt = now
+	n.forgetPeers(now)
+	n.wakeBy(now + helloEvery)
+	sent := []string{n.self.Address}
+	for _, p := range n.peers {
+		if !slices.Contains(sent, p.member.Address) {
+			sent = append(sent, p.member.Address)
+			n.sendTo(p.member.Address, Message{Hello: &Hello{Member: n.self}})
+		}
+	}
+	for _, seed := range n.config.Seeds {
+		if !slices.Contains(sent, seed) {
+			sent = append(sent, seed)
+			n.sendTo(seed, Message{Hello: &Hello{Member: n.self}})
+		}
+	}
+}
+
+func (n *Node) runPings(now time.Duration) {
+	for _, p := range n.peers {
+		every := n.timing.Ping
+		if !concerned(n.view, p.member.Identity) && !n.live(now, p) {
+			every = farPing
+		}
+		due := p.pingedAt + every
+		if p.pingedAt == 0 || now >= due {
+			n.ping(now, p)
+			due = now + every
+		}
+		n.wakeBy(due)
+		n.wakeBy(p.heardAt + n.timing.Suspect + time.Millisecond)
+	}
+}
+
+func (n *Node) ping(now time.Duration, p *peer) {
+	p.pingedAt = now
+	ping := Ping{
+		Life: n.life, Sent: now, Echo: p.echoed, Committed: n.committed, Last: n.log.last(),
+		Yield: n.refusing, Version: n.tableVersion,
+	}
+	if p.tableHeld != n.tableVersion {
+		ping.Members = n.members()
+		ping.Live = []bool{true}
+		for _, other := range n.peers {
+			ping.Live = append(ping.Live, n.live(now, other))
+		}
+	}
+	n.send(p.member, Message{Ping: &ping})
+}
+
+// countLive notes a change among the live members, so that the others are told.
+func (n *Node) countLive(now time.Duration) {
+	live := make([]string, 0, len(n.peers))
+	for _, p := range n.peers {
+		if n.live(now, p) {
+			live = append(live, p.member.Identity)
+			continue
+		}
+		p.steadySince, p.answered = 0, false
+	}
+	if !slices.Equal(live, n.watch.live) {
+		n.watch.live = live
+		n.tableVersion++
+	}
+}
+
+// majorityLive tells whether the head hears enough voters to decide a view.
+func (n *Node) majorityLive(now time.Duration) bool {
+	count := 0
+	for _, voter := range n.view.Voters {
+		if voter.Identity == n.self.Identity {
+			count++
+			continue
+		}
+		if p := n.find(voter.Identity); p != nil && n.live(now, p) {
+			count++
+		}
+	}
+	return count >= n.view.Majority()
+}
+
+// onPing takes in the head's word and answers it.
+func (n *Node) onPing(now time.Duration, address, from string, ping Ping) {
+	if from != n.view.Head().Identity {
+		return
+	}
+	n.watch.headHeard = now
+	n.watch.yielding = ping.Yield
+	n.watch.headCommitted, n.watch.headLast = ping.Committed, ping.Last
+	if ping.Echo != n.watch.echo {
+		n.watch.echo, n.watch.echoAt = ping.Echo, now
+	}
+	if len(ping.Members) > 0 {
+		n.takeTable(now, ping)
+	}
+	n.learnCommitted(ping.Committed)
+	pong := Pong{
+		Life: ping.Life, Sent: ping.Sent, Committed: n.committed, Last: n.log.last(), Active: n.active,
+		Matched: n.matched, Refusing: n.refusing, Leaving: n.leaving, Version: n.table.version,
+	}
+	if n.wedged() {
+		pong.Promised = n.acceptor.Epoch
+	}
+	n.sendTo(address, Message{To: from, Pong: &pong})
+}
+
+func (n *Node) takeTable(now time.Duration, ping Ping) {
+	n.table = table{version: ping.Version, members: ping.Members, live: ping.Live}
+	before := len(n.peers)
+	for _, member := range ping.Members {
+		n.learn(now, member)
+	}
+	if len(n.peers) != before {
+		n.known, n.unsaved = n.members(), true
+	}
+}
+
+// onPong takes in an answer. It renews the lease when the voter has promised no later epoch.
+func (n *Node) onPong(now time.Duration, from string, pong Pong) {
+	p := n.find(from)
+	if p == nil || !n.isHead() || pong.Life != n.life || pong.Sent > now {
+		return
+	}
+	if pong.Last != p.pong.Last || pong.Active != p.pong.Active || !p.answered {
+		p.progressAt = now
+	}
+	p.heardAt, p.answered = max(p.heardAt, now), true
+	if p.steadySince == 0 {
+		p.steadySince = now
+	}
+	p.pong, p.tableHeld = pong, pong.Version
+	p.echoed = max(p.echoed, pong.Sent)
+	if pong.Promised <= n.view.Epoch {
+		p.confirmed = max(p.confirmed, pong.Sent)
+	}
+	if from == n.view.Tail().Identity && pong.Active == n.view.Epoch {
+		n.learnCommitted(pong.Committed)
+	}
+}
+
+// leaseUntil is the end of the lease that a majority of the voters has confirmed.
+func (n *Node) leaseUntil(now time.Duration) time.Duration {
+	if !n.isHead() || !n.whole() || n.wedged() || n.refusing {
+		return 0
+	}
+	var confirmed []time.Duration
+	for _, voter := range n.view.Voters {
+		if voter.Identity == n.self.Identity {
+			confirmed = append(confirmed, now)
+			continue
+		}
+		if p := n.find(voter.Identity); p != nil && p.confirmed > 0 {
+			confirmed = append(confirmed, p.confirmed)
+		}
+	}
+	if len(confirmed) < n.view.Majority() {
+		return 0
+	}
+	slices.Sort(confirmed)
+	return confirmed[len(confirmed)-n.view.Majority()] + n.timing.Lease
+}
+
+// countLease notes the beginning and the end of the own tenure.
+func (n *Node) countLease(now time.Duration) {
+	until := n.leaseUntil(now)
+	if until <= now || now < n.watch.previousMayAct {
+		n.watch.leaderSince = 0
+		if n.watch.previousMayAct > now {
+			n.wakeBy(n.watch.previousMayAct)
+		}
+		return
+	}
+	n.wakeBy(until)
+	if n.watch.leaderSince == 0 {
+		n.watch.leaderSince = now
+	}
+}
+
+// Status returns what the node knows of itself.
+func (n *Node) Status(now time.Duration) Status {
+	status := Status{
+		Self: n.self, View: n.filled(n.view), Committed: n.committed, PreviousMayAct: n.watch.previousMayAct,
+		Live: n.liveMembers(now),
+	}
+	if n.Leads(now) {
+		status.Leader = true
+		status.LeaseUntil = n.leaseUntil(now)
+		status.LeaderSince = n.watch.leaderSince
+	}
+	return status
+}
+
+// Leads tells whether the node may act as leader now.
+func (n *Node) Leads(now time.Duration) bool {
+	return n.isHead() && n.watch.leaderSince > 0 && n.leaseUntil(now) > now
+}
+
+func (n *Node) liveMembers(now time.Duration) []view.Member {
+	live := []view.Member{n.self}
+	if n.isHead() {
+		for _, p := range n.peers {
+			if p.answered && n.live(now, p) {
+				live = append(live, p.member)
+			}
+		}
+		return live
+	}
+	if n.view.Epoch == 0 || now-n.watch.headHeard > n.timing.Suspect {
+		return live
+	}
+	for i, member := range n.table.members {
+		if i < len(n.table.live) && n.table.live[i] && member.Identity != n.self.Identity {
+			live = append(live, member)
+		}
+	}
+	return live
+}
--- /dev/null
+++ b/coordination/chain/wish.go
@@ -0,0 +1,239 @@
+package chain
+
+import (
+	"slices"
+	"time"
+
+	"raventrestle/coordination/view"
+)
+
+// nearEnough is how many entries a standby may lack to be taken into the chain.
+const nearEnough = 16
+
+// flapMemory is how long a member's silences count against its admission; flapLimit bounds what they cost.
+const (
+	flapMemory = 30 * time.Second
+	flapLimit  = 4
+)
+
+// wanted tells whether the head wants another view than its own.
+func (n *Node) wanted(now time.Duration) bool {
+	remaining := 0
+	out := false
+	for _, member := range n.view.Chain {
+		if n.wantedOut(now, member.Identity) {
+			out = true
+		} else {
+			remaining++
+		}
+	}
+	if out && remaining >= n.view.CommitMinimum(n.config.Faults) {
+		return true
+	}
+	if n.leaving && n.heirLive(now) {
+		return true
+	}
+	for _, p := range n.peers {
+		if n.live(now, p) && p.answered && p.pong.Promised > n.view.Epoch {
+			return true
+		}
+	}
+	return n.wantedIn(now)
+}
+
+// wantedOut tells whether a member of the chain should leave it, and counts its silences.
+func (n *Node) wantedOut(now time.Duration, identity string) bool {
+	if identity == n.self.Identity {
+		return n.leaving
+	}
+	p := n.find(identity)
+	if p == nil {
+		return true
+	}
+	if n.live(now, p) {
+		return p.answered && (p.pong.Refusing || p.pong.Leaving || n.stuck(now, p))
+	}
+	n.flap(now, p)
+	return true
+}
+
+// flap counts a silence once.
+func (n *Node) flap(now time.Duration, p *peer) {
+	if p.flappedAt >= p.heardAt && p.flappedAt > 0 {
+		return
+	}
+	if now-p.flappedAt > flapMemory {
+		p.flaps = 0
+	}
+	p.flappedAt = now
+	p.flaps = min(p.flaps+1, flapLimit)
+}
+
+// stuck tells whether a member of the chain makes no progress although its predecessor is ahead.
+func (n *Node) stuck(now time.Duration, p *peer) bool {
+	place := n.view.Place(p.member.Identity)
+	if place <= 0 {
+		return false
+	}
+	last, active := n.log.last(), n.active
+	if place > 1 {
+		before := n.find(n.view.Chain[place-1].Identity)
+		if before == nil || !before.answered {
+			return false
+		}
+		last, active = before.pong.Last, before.pong.Active
+	}
+	behind := p.pong.Last < last || (p.pong.Active < n.view.Epoch && active == n.view.Epoch)
+	if !behind {
+		p.progressAt = now
+		return false
+	}
+	if now-p.progressAt < n.timing.Stuck {
+		n.wakeBy(p.progressAt + n.timing.Stuck)
+		return false
+	}
+	if p.flappedAt < p.progressAt {
+		n.flapStuck(now, p)
+	}
+	return true
+}
+
+func (n *Node) flapStuck(now time.Duration, p *peer) {
+	if now-p.flappedAt > flapMemory {
+		p.flaps = 1
+	}
+	p.flappedAt = now
+	p.flaps = min(p.flaps+1, flapLimit)
+}
+
+// heirLive tells whether another member of the chain can become head.
+func (n *Node) heirLive(now time.Duration) bool {
+	return slices.ContainsFunc(n.view.Chain, func(member view.Member) bool {
+		p := n.find(member.Identity)
+		return p != nil && n.live(now, p) && p.answered && p.pong.Active == n.view.Epoch && !p.pong.Leaving
+	})
+}
+
+// admissible tells whether a member outside the chain has answered steadily and holds what is committed.
+func (n *Node) admissible(now time.Duration, p *peer) bool {
+	if !p.answered || !n.live(now, p) || p.pong.Refusing || p.pong.Leaving || !p.pong.Matched {
+		return false
+	}
+	if p.pong.Last+nearEnough < n.committed || p.steadySince == 0 {
+		return false
+	}
+	settle := n.timing.Settle
+	if p.flaps > 1 && now-p.flappedAt < flapMemory {
+		settle <<= p.flaps - 1
+	}
+	if now-p.steadySince < settle {
+		n.wakeBy(p.steadySince + settle)
+		return false
+	}
+	return true
+}
+
+// wantedIn tells whether a voter can come back into the chain, or a standby take a vote.
+func (n *Node) wantedIn(now time.Duration) bool {
+	for _, voter := range n.view.Voters {
+		p := n.find(voter.Identity)
+		if p != nil && n.view.Place(voter.Identity) < 0 && n.admissible(now, p) {
+			return true
+		}
+	}
+	if len(n.standbys(now)) == 0 || n.holdersLive(now) < n.view.CommitMinimum(n.config.Faults) {
+		return len(n.standbys(now)) > 0 && len(n.view.Voters) < n.view.CommitMinimum(n.config.Faults)
+	}
+	return len(n.view.Voters) < view.TargetVoters(n.config.Faults) || len(n.gone(now)) > 0
+}
+
+// holdersLive counts the members whose logs are whole in this epoch.
+func (n *Node) holdersLive(now time.Duration) int {
+	count := 0
+	for _, member := range n.view.Chain {
+		p := n.find(member.Identity)
+		if member.Identity == n.self.Identity || p != nil && n.live(now, p) && p.pong.Active == n.view.Epoch {
+			count++
+		}
+	}
+	return count
+}
+
+// standbys lists the admissible members without a vote, those of zones without a live voter first.
+func (n *Node) standbys(now time.Duration) []view.Member {
+	var zones []string
+	for _, voter := range n.view.Voters {
+		p := n.find(voter.Identity)
+		if voter.Identity == n.self.Identity || p != nil && n.live(now, p) {
+			zones = append(zones, n.best(voter).Zone)
+		}
+	}
+	var first, second []view.Member
+	for _, p := range n.peers {
+		switch {
+		case n.view.Votes(p.member.Identity) || !n.admissible(now, p):
+		case slices.Contains(zones, p.member.Zone):
+			second = append(second, p.member)
+		default:
+			first = append(first, p.member)
+		}
+	}
+	return append(first, second...)
+}
+
+// gone lists the voters that were silent for long, or whose address another identity now answers at.
+func (n *Node) gone(now time.Duration) []string {
+	var gone []string
+	for _, voter := range n.view.Voters {
+		p := n.find(voter.Identity)
+		if p == nil || n.live(now, p) {
+			continue
+		}
+		replaced := slices.ContainsFunc(n.peers, func(other *peer) bool {
+			return other != p && other.member.Address == p.member.Address && other.answered && n.live(now, other)
+		})
+		if replaced || now-p.heardAt > n.timing.Gone {
+			gone = append(gone, voter.Identity)
+			continue
+		}
+		n.wakeBy(p.heardAt + n.timing.Gone + time.Millisecond)
+	}
+	return gone
+}
+
+// wish is what the next view should be, from what this node knows. Others than the head know only who promises.
+func (n *Node) wish(now time.Duration) view.Wish {
+	wish := view.Wish{Faults: n.config.Faults}
+	if !n.isHead() {
+		return wish
+	}
+	for _, member := range n.view.Chain {
+		if n.wantedOut(now, member.Identity) {
+			wish.Out = append(wish.Out, member.Identity)
+		}
+	}
+	for _, voter := range n.view.Voters {
+		p := n.find(voter.Identity)
+		if n.view.Place(voter.Identity) < 0 && p != nil && !n.admissible(now, p) {
+			wish.Out = append(wish.Out, voter.Identity)
+		}
+	}
+	wish.Gone = n.gone(now)
+	wish.Standbys = n.standbys(now)
+	return wish
+}
+
+// Leave has the node give up the head and leave the chain, where others can go on.
+func (n *Node) Leave(now time.Duration) Output {
+	n.enterStep(now)
+	n.leaving = true
+	return n.finish(now)
+}
+
+// Left tells whether nothing more is gained by waiting after Leave.
+func (n *Node) Left() bool {
+	if n.view.Epoch == 0 || !n.inChain() {
+		return true
+	}
+	return !n.isHead() && len(n.view.Chain)-1 < n.view.CommitMinimum(n.config.Faults)
+}
--- /dev/null
+++ b/coordination/internal/mutation/mutation.go
@@ -0,0 +1,12 @@
+// Package mutation names faults that the tests plant into the state machines to see that their checks find
+// them. Nothing outside the tests sets one.
+package mutation
+
+// Set holds the planted faults; the zero value plants none.
+type Set struct {
+	NoSync        bool // the log is written but never synced
+	NoEpochCheck  bool // entries of an epoch that is over are still taken
+	VoteAfterWipe bool // a member that lost its disk comes back under its old identity
+	AckAtFaults   bool // a chain one member too short commits
+	AnyHead       bool // the head of a new view is chosen without regard to its log
+}
--- /dev/null
+++ b/coordination/replica/replica.go
@@ -0,0 +1,217 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"raventrestle/coordination/chain"
+	"raventrestle/coordination/engine"
+)
+
+// Replica is a running member. One goroutine owns the engine and works through the queue.
+type Replica struct {
+	options Options
+	base    time.Time // of the clock that the engine sees
+	queue   queue
+	published
+	engine *engine.Engine
+
+	waiters   map[uint64]*waiter // by token, owned by the loop
+	nextToken atomic.Uint64
+	leaving   bool
+	left      chan struct{} // closed when nothing is gained by waiting after Leave
+	quit      chan struct{}
+	done      chan struct{} // closed when the loop has ended
+	stopping  atomic.Bool
+}
+
+var _ Interface = (*Replica)(nil)
+
+// clockStart keeps the engine's times above zero, which it takes for never.
+const clockStart = time.Second
+
+// Open recovers or begins the member on its disk and starts it.
+func Open(options Options) (*Replica, error) {
+	if err := options.complete(); err != nil {
+		return nil, err
+	}
+	r := &Replica{
+		options: options,
+		base:    options.Clock(),
+		queue:   newQueue(),
+		waiters: map[uint64]*waiter{},
+		left:    make(chan struct{}),
+		quit:    make(chan struct{}),
+		done:    make(chan struct{}),
+	}
+	opened, err := engine.Open(r.now(), engine.Options{
+		Self: options.Self, Seeds: options.Seeds, Bootstrap: options.Bootstrap, Faults: options.Faults,
+		FS: options.FS, Machine: options.Machine, Random: options.Random, Timing: options.Timing,
+		CompactBytes: options.CompactBytes,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("replica: %w", err)
+	}
+	r.engine = opened
+	r.changed.Store(newSignal())
+	r.publish(r.now())
+	go r.run()
+	return r, nil
+}
+
+// now is the time on the engine's clock.
+func (r *Replica) now() time.Duration { return r.options.Clock().Sub(r.base) + clockStart }
+
+// instant turns a time of the engine's clock into one of the steady clock.
+func (r *Replica) instant(at time.Duration) time.Time {
+	if at == 0 {
+		return time.Time{}
+	}
+	return r.base.Add(at - clockStart)
+}
+
+// run is the loop of the owner.
+func (r *Replica) run() {
+	defer close(r.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		r.step(r.queue.take())
+		timer.Reset(max(0, r.engine.Wake()-r.now()))
+		select {
+		case <-r.quit:
+			r.end()
+			return
+		case <-r.queue.ready:
+		case <-timer.C:
+		}
+	}
+}
+
+// step has the engine take all that is queued and carries out what follows.
+func (r *Replica) step(items []item) {
+	inputs := make([]engine.Input, 0, len(items))
+	for _, it := range items {
+		if input, ok := r.input(it); ok {
+			inputs = append(inputs, input)
+		}
+	}
+	now := r.now()
+	effects := r.engine.Step(now, inputs)
+	if effects.DiskError != nil {
+		r.options.Log("disk_refused", "error", effects.DiskError.Error())
+	}
+	for _, envelope := range effects.Messages {
+		r.send(envelope)
+	}
+	r.publish(now)
+	r.answer(effects)
+	if r.leaving && r.engine.Left() {
+		r.leaving = false
+		close(r.left)
+	}
+}
+
+// input turns a queued item into the engine's. A call that was given up before this moment was never begun.
+func (r *Replica) input(it item) (engine.Input, bool) {
+	switch {
+	case it.message != nil:
+		var message chain.Message
+		if err := cbor.Unmarshal(it.message, &message); err != nil {
+			r.options.Log("bad_message", "peer", it.address, "error", err.Error())
+			return engine.Input{}, false
+		}
+		return engine.Input{Message: &message, Address: it.address}, true
+	case it.waiter != nil:
+		if !it.waiter.begin() {
+			return engine.Input{}, false
+		}
+		r.waiters[it.token] = it.waiter
+		return engine.Input{Token: it.token, Command: it.command, Barrier: it.command == nil}, true
+	case it.leave:
+		r.leaving = true
+		return engine.Input{Leave: true}, true
+	}
+	return engine.Input{Token: it.token, Withdraw: true}, true
+}
+
+func (r *Replica) send(envelope chain.Envelope) {
+	body, err := cbor.Marshal(envelope.Message)
+	if err != nil {
+		r.options.Log("message_lost", "peer", envelope.Address, "error", err.Error())
+		return
+	}
+	r.options.Transport.Send(envelope.Address, body)
+}
+
+// answer ends the calls that are decided.
+func (r *Replica) answer(effects engine.Effects) {
+	for _, result := range effects.Results {
+		if w := r.waiters[result.Token]; w != nil {
+			delete(r.waiters, result.Token)
+			w.end(outcome{value: result.Value, index: result.Index, err: result.Err})
+		}
+	}
+	for _, withdrawn := range effects.Withdrawn {
+		if w := r.waiters[withdrawn.Token]; w != nil {
+			delete(r.waiters, withdrawn.Token)
+			w.end(outcome{err: fateOf(withdrawn.Sent)})
+		}
+	}
+}
+
+func fateOf(sent bool) error {
+	if sent {
+		return ErrUnclear
+	}
+	return ErrUnavailable
+}
+
+// end closes what is open when the loop ends.
+func (r *Replica) end() {
+	tokens := make([]uint64, 0, len(r.waiters))
+	for token := range r.waiters {
+		tokens = append(tokens, token)
+	}
+	slices.Sort(tokens)
+	for _, token := range tokens {
+		r.waiters[token].end(outcome{err: fmt.Errorf("%w: %w", ErrUnclear, ErrStopped)})
+	}
+	r.engine.Close()
+}
+
+// Deliver implements Interface.
+func (r *Replica) Deliver(fromAddress string, message []byte) {
+	r.queue.put(item{address: fromAddress, message: message})
+}
+
+// Stop implements Interface.
+func (r *Replica) Stop(ctx context.Context) error {
+	if !r.stopping.CompareAndSwap(false, true) {
+		<-r.done
+		return nil
+	}
+	r.queue.put(item{leave: true})
+	var err error
+	select {
+	case <-r.left:
+	case <-ctx.Done():
+		err = &Error{Step: "leave", Peer: r.headAddress(), Err: ctx.Err()}
+	}
+	close(r.quit)
+	<-r.done
+	return err
+}
+
+// Kill ends the replica at once, as the end of its process would.
+func (r *Replica) Kill() {
+	if r.stopping.CompareAndSwap(false, true) {
+		close(r.quit)
+	}
+	<-r.done
+}
--- a/coordination/replica/types.go
+++ b/coordination/replica/types.go
@@ -1,11 +1,10 @@
-// Package replica runs a replicated state machine on the members of a chain: it owns the pure state
-// machines of chain and view, the log on disk and the queue of commands, and carries their messages
-// over a transport that the embedder gives it.
 package replica
 
 import (
 	"context"
 	"time"
+
+	"raventrestle/coordination/view"
 )
 
 // Machine is the replicated state. Apply must be deterministic: the same commands in the same order give
@@ -17,19 +16,10 @@
 }
 
 // Member is one participant. Identity is made at its first start on an empty disk and dies with the disk.
-type Member struct {
-	Identity string `cbor:"1,keyasint"`
-	Address  string `cbor:"2,keyasint"` // of its transport, host:port
-	Zone     string `cbor:"3,keyasint"`
-	Tag      string `cbor:"4,keyasint"` // opaque to the library: the embedder's own address or label
-}
+type Member = view.Member
 
 // View is one agreed membership. Chain is in order from head to tail.
-type View struct {
-	Epoch  uint64   `cbor:"1,keyasint"`
-	Chain  []Member `cbor:"2,keyasint"`
-	Voters []Member `cbor:"3,keyasint"`
-}
+type View = view.View
 
 // Status is what a member knows of itself and the group, for hosts and for people.
 type Status struct {
--- /dev/null
+++ b/coordination/simnet/history.go
@@ -0,0 +1,102 @@
+package simnet
+
+import (
+	"time"
+
+	"raventrestle/coordination/internal/mutation"
+)
+
+// Times of a history.
+const (
+	settling   = 3 * time.Second  // at the start
+	troubled   = 20 * time.Second // with faults and clients
+	recovering = 3 * time.Second  // after all has healed, until a command must be committed
+	catchUp    = 4 * time.Second  // between losses of disks
+)
+
+// Play plays the history of a seed and returns the world and what was broken first.
+func Play(seed uint64, planted mutation.Set, trace func(string)) (*World, error) {
+	setup := Setup{Seed: seed, Machines: 3, Seeds: 3, Faults: 1, Mutation: planted, Trace: trace}
+	switch seed % 4 {
+	case 1:
+		setup.Machines = 4
+	case 2:
+		setup.Machines = 5
+	case 3:
+		setup.Machines, setup.Faults = 6, 2
+	}
+	if seed%5 == 0 {
+		setup.Loss = 0.01
+	}
+	w := NewWorld(setup)
+	if err := w.Run(settling); err != nil {
+		return w, err
+	}
+	w.clients(w.now+troubled, 5*time.Millisecond, 200*time.Millisecond)
+	w.faults(w.now + troubled)
+	if err := w.Run(troubled); err != nil {
+		return w, err
+	}
+	return w, w.Finish()
+}
+
+// Finish heals everything and checks that the group goes on and that nothing is lost.
+func (w *World) Finish() error {
+	w.heal()
+	if err := w.Run(recovering); err != nil {
+		return err
+	}
+	w.after(0, func() { w.propose(w.anyUp(), "last") })
+	if err := w.Run(500 * time.Millisecond); err != nil {
+		return err
+	}
+	if w.ledger.ackedAt < w.now-500*time.Millisecond {
+		w.fail("nothing is committed %v after all has healed", recovering)
+		return w.failure
+	}
+	for _, m := range w.machines {
+		w.readBack(m)
+	}
+	return w.Run(time.Second)
+}
+
+// readBack checks that the machine comes to hold all that was ever acknowledged.
+func (w *World) readBack(m *machine) {
+	if m.removed {
+		return
+	}
+	answered := false
+	w.barrier(m, func() { answered = true })
+	w.after(900*time.Millisecond, func() {
+		if !answered {
+			w.fail("%s does not answer a barrier", m.address)
+			return
+		}
+		for command, index := range w.ledger.acked {
+			if m.state.index[command] != index {
+				w.fail("%q, acknowledged at %d, is at %d on %s", command, index, m.state.index[command], m.address)
+			}
+		}
+	})
+}
+
+func (w *World) anyUp() *machine {
+	for {
+		m := w.machines[w.random.IntN(len(w.machines))]
+		if m.engine != nil {
+			return m
+		}
+	}
+}
+
+// heal ends all troubles.
+func (w *World) heal() {
+	w.tracef("all heals")
+	w.joinAll()
+	w.Loss = 0
+	for _, m := range w.machines {
+		m.disk.CutAt, m.disk.Refuse, m.disk.Failing, m.stall = 0, false, 0, 0
+		m.thaw()
+		m.start(false)
+	}
+}
--- /dev/null
+++ b/coordination/simnet/machine.go
@@ -0,0 +1,245 @@
+package simnet
+
+import (
+	"fmt"
+	"time"
+
+	"raventrestle/coordination/chain"
+	"raventrestle/coordination/engine"
+	"raventrestle/coordination/view"
+	"raventrestle/coordination/wal/modeldisk"
+)
+
+// machine is one host with a disk. Its process is up while engine is set.
+type machine struct {
+	world   *World
+	address string
+	zone    string
+	disk    *modeldisk.Disk
+	engine  *engine.Engine
+	state   *machineState
+	life    int
+	offset  time.Duration // of the clock of this life
+	inbox   []engine.Input
+	planned bool          // a step is due
+	wakeAt  time.Duration // of the step that is due, world time
+	busy    time.Duration // until then the process is held by its disk
+	frozen  bool
+	stall   time.Duration // what each sync takes longer
+	removed bool
+	former  []*chain.Node // of lives whose disk is gone or not yet read again
+	last    *chain.Node   // of the newest life
+	calls   map[uint64]func(engine.Result)
+	token   uint64
+	downAt  time.Duration
+}
+
+func (w *World) addMachine(number int, _ bool) *machine {
+	m := &machine{
+		world:   w,
+		address: fmt.Sprintf("10.%d.0.%d:7500", number%3, number),
+		zone:    fmt.Sprintf("zone-%d", number%3),
+		disk:    modeldisk.New(),
+	}
+	w.machines = append(w.machines, m)
+	return m
+}
+
+// seeds are the addresses of the first machines.
+func (w *World) seeds() []string {
+	var seeds []string
+	for _, m := range w.machines[:w.Seeds] {
+		seeds = append(seeds, m.address)
+	}
+	return seeds
+}
+
+// start starts the process on the disk as it is.
+func (m *machine) start(bootstrap bool) {
+	if m.engine != nil || m.removed || m.world.failure != nil {
+		return
+	}
+	w := m.world
+	m.life++
+	m.offset = w.between(0, time.Hour)
+	m.inbox, m.planned, m.frozen, m.busy = nil, false, false, 0
+	m.calls = map[uint64]func(engine.Result){}
+	m.disk.NoSync = w.Mutation.NoSync
+	m.state = newMachineState(m)
+	defer m.powerCut()
+	opened, err := engine.Open(m.local(), engine.Options{
+		Self: view.Member{Address: m.address, Zone: m.zone, Tag: m.address}, Seeds: w.seeds(),
+		Bootstrap: bootstrap, Faults: w.Faults, FS: m.disk, Machine: m.state, Random: w.random.Uint64(),
+		CompactBytes: 3000, SegmentBytes: 2000, Mutation: w.Mutation,
+	})
+	if err != nil {
+		w.fail("%s does not start: %v", m.address, err)
+		return
+	}
+	m.engine = opened
+	if m.last != nil {
+		m.former = append(m.former, m.last)
+	}
+	m.last = opened.Node()
+	w.tracef("%s starts as %s, epoch %d", m.address, m.last.Self().Identity, m.last.Epoch())
+	w.ledger.started(w, m)
+	m.plan(0)
+}
+
+// local is the time on the machine's clock.
+func (m *machine) local() time.Duration { return m.world.now + m.offset }
+
+// plan sees that a step comes after the delay at the latest.
+func (m *machine) plan(delay time.Duration) {
+	at := max(m.world.now+delay, m.busy)
+	if m.planned && m.wakeAt <= at {
+		return
+	}
+	m.planned, m.wakeAt = true, at
+	life := m.life
+	m.world.after(at-m.world.now, func() {
+		if m.life == life && m.planned && m.wakeAt == at && m.engine != nil && !m.frozen {
+			m.step()
+		}
+	})
+}
+
+// put queues an input.
+func (m *machine) put(input engine.Input) {
+	if m.engine == nil {
+		return
+	}
+	m.inbox = append(m.inbox, input)
+	m.plan(0)
+}
+
+// step lets the process work through its inbox. What it sends leaves once its disk is done.
+func (m *machine) step() {
+	w := m.world
+	w.steps++
+	m.planned = false
+	inputs, syncs := m.inbox, m.disk.Syncs
+	m.inbox = nil
+	if m.powerFails(inputs) {
+		return
+	}
+	e := m.engine
+	effects := e.Step(m.local(), inputs)
+	took := time.Duration(m.disk.Syncs-syncs) * (w.Sync + m.stall)
+	m.busy = w.now + took
+	life := m.life
+	w.after(took, func() {
+		if m.life != life || m.engine == nil {
+			return
+		}
+		m.carryOut(effects)
+	})
+	if m.engine != nil {
+		m.plan(max(took, e.Wake()-m.local()))
+	}
+	w.check()
+}
+
+// powerFails plays the step of a machine whose power is set to fail in its midst.
+func (m *machine) powerFails(inputs []engine.Input) (failed bool) {
+	if m.disk.CutAt == 0 {
+		return false
+	}
+	steps := m.disk.Steps
+	defer func() {
+		if m.engine == nil {
+			failed = true
+		}
+	}()
+	defer m.powerCut()
+	m.engine.Step(m.local(), inputs)
+	m.world.tracef("%s: power held through steps %d to %d", m.address, steps, m.disk.Steps)
+	m.disk.CutAt = 0
+	m.losePower() // at the latest before anything is sent
+	return true
+}
+
+// powerCut turns the disk's panic into the loss of power.
+func (m *machine) powerCut() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if _, ok := cause.(modeldisk.PowerCut); !ok {
+		panic(cause)
+	}
+	m.losePower()
+}
+
+func (m *machine) carryOut(effects engine.Effects) {
+	for _, envelope := range effects.Messages {
+		m.world.send(m, envelope)
+	}
+	for _, result := range effects.Results {
+		if done := m.calls[result.Token]; done != nil {
+			delete(m.calls, result.Token)
+			done(result)
+		}
+	}
+	if effects.DiskError != nil {
+		m.world.tracef("%s: %v", m.address, effects.DiskError)
+	}
+}
+
+// call begins a call of a client.
+func (m *machine) call(input engine.Input, done func(engine.Result)) {
+	if m.engine == nil {
+		return
+	}
+	m.token++
+	input.Token = m.token
+	m.calls[m.token] = done
+	m.put(input)
+}
+
+// kill ends the process; the files stand.
+func (m *machine) kill() {
+	if m.engine == nil {
+		return
+	}
+	m.world.tracef("%s is killed", m.address)
+	m.down()
+	m.disk = m.disk.Kill()
+}
+
+// losePower ends the process; the disk keeps what was synced and some of the rest.
+func (m *machine) losePower() {
+	m.world.tracef("%s loses power", m.address)
+	m.down()
+	m.disk = m.disk.Lose(m.world.random)
+}
+
+// wipe ends the process and empties the disk.
+func (m *machine) wipe() {
+	m.world.tracef("%s loses its disk", m.address)
+	m.down()
+	m.disk = modeldisk.New()
+}
+
+func (m *machine) down() {
+	m.engine, m.inbox, m.planned = nil, nil, false
+	m.life++
+	m.downAt = m.world.now
+}
+
+// freeze stops the process until thaw.
+func (m *machine) freeze() {
+	if m.engine != nil && !m.frozen {
+		m.world.tracef("%s freezes", m.address)
+		m.frozen = true
+	}
+}
+
+func (m *machine) thaw() {
+	if m.engine == nil || !m.frozen {
+		return
+	}
+	m.world.tracef("%s thaws", m.address)
+	m.frozen, m.planned = false, false
+	m.plan(0)
+}
--- /dev/null
+++ b/coordination/simnet/world.go
@@ -0,0 +1,118 @@
+package simnet
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"raventrestle/coordination/internal/mutation"
+)
+
+// Setup describes a world.
+type Setup struct {
+	Seed     uint64
+	Machines int // that exist from the start; the first Seeds of them found the group
+	Seeds    int
+	Faults   int
+	Mutation mutation.Set
+	Loss     float64       // share of the messages that are lost on healthy links
+	Delay    time.Duration // one way, at least
+	Sync     time.Duration // of a disk
+	Trace    func(line string)
+}
+
+// World is one simulated history.
+type World struct {
+	Setup
+	random   *rand.Rand
+	now      time.Duration
+	events   events
+	sequence uint64
+	machines []*machine
+	links    links
+	ledger   ledger
+	steps    int
+	failure  error
+}
+
+// NewWorld starts all machines of the setup within 0.3 s of each other.
+func NewWorld(setup Setup) *World {
+	if setup.Delay == 0 {
+		setup.Delay = 500 * time.Microsecond
+	}
+	if setup.Sync == 0 {
+		setup.Sync = 5 * time.Millisecond
+	}
+	w := &World{Setup: setup, random: rand.New(rand.NewPCG(setup.Seed, 77)), now: time.Second}
+	w.links = links{cut: map[pair]bool{}}
+	w.ledger = newLedger()
+	for i := range setup.Machines {
+		w.addMachine(i, true)
+	}
+	for _, m := range w.machines {
+		w.after(w.between(0, 300*time.Millisecond), func() { m.start(true) })
+	}
+	return w
+}
+
+func (w *World) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.random.Int64N(int64(high-low)+1))
+}
+
+// tracef tells a step of the history.
+func (w *World) tracef(format string, values ...any) {
+	if w.Trace != nil {
+		w.Trace(fmt.Sprintf("%9.3f  ", w.now.Seconds()) + fmt.Sprintf(format, values...))
+	}
+}
+
+// fail notes the first broken rule.
+func (w *World) fail(format string, values ...any) {
+	if w.failure == nil {
+		w.failure = fmt.Errorf("seed %d at %.3f s: %s", w.Seed, w.now.Seconds(), fmt.Sprintf(format, values...))
+		w.tracef("FAILED %v", w.failure)
+	}
+}
+
+type event struct {
+	at       time.Duration
+	sequence uint64
+	run      func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].sequence < e[j].sequence
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+func (w *World) after(delay time.Duration, run func()) {
+	w.sequence++
+	heap.Push(&w.events, event{at: w.now + delay, sequence: w.sequence, run: run})
+}
+
+// Run plays for that long or until a rule is broken.
+func (w *World) Run(length time.Duration) error {
+	end := w.now + length
+	for len(w.events) > 0 && w.events[0].at <= end && w.failure == nil {
+		next := heap.Pop(&w.events).(event)
+		w.now = next.at
+		next.run()
+	}
+	w.now = max(w.now, end)
+	return w.failure
+}
--- /dev/null
+++ b/coordination/view/plan.go
@@ -0,0 +1,154 @@
+package view
+
+import "slices"
+
+// Wish is what a proposer would like the next view to be. Plan grants of it what is safe.
+type Wish struct {
+	Faults   int
+	Out      []string // identities that should leave the chain
+	Gone     []string // voters that should give up their vote to a standby
+	Standbys []Member // live members outside the voters whose logs are near the head's, best first
+	NotHead  []string // identities that should not be the head where another can
+}
+
+// Plan makes the next view out of the reports of a majority of the voters. The head is one of those whose log
+// was made whole in the newest epoch among the reports: everything that was ever committed is in its log,
+// because each chain that committed meets every majority of the voters.
+func Plan(current View, reports []Report, wish Wish) View {
+	holders := holdersOf(reports)
+	next := View{Epoch: current.Epoch + 1}
+	next.Voters = planVoters(current, reports, holders, wish)
+	head := planHead(current, holders, wish)
+	next.Chain = planChain(current, next.Voters, reports, head, wish)
+	return next
+}
+
+// holdersOf returns the reports of those that hold all that was committed.
+func holdersOf(reports []Report) []Report {
+	newest := uint64(0)
+	for _, report := range reports {
+		newest = max(newest, report.Active)
+	}
+	var holders []Report
+	for _, report := range reports {
+		if report.Active == newest {
+			holders = append(holders, report)
+		}
+	}
+	return holders
+}
+
+// planHead prefers members that stay, then the longest log (so that what is under way is kept), then the
+// order of the chain.
+func planHead(current View, holders []Report, wish Wish) Report {
+	best := holders[0]
+	for _, report := range holders[1:] {
+		if betterHead(current, report, best, wish) {
+			best = report
+		}
+	}
+	return best
+}
+
+func betterHead(current View, a, b Report, wish Wish) bool {
+	aAvoided, bAvoided := avoided(a, wish), avoided(b, wish)
+	switch {
+	case aAvoided != bAvoided:
+		return bAvoided
+	case a.LastEpoch != b.LastEpoch:
+		return a.LastEpoch > b.LastEpoch
+	case a.Last != b.Last:
+		return a.Last > b.Last
+	}
+	return rank(current, a.Member.Identity) < rank(current, b.Member.Identity)
+}
+
+func avoided(report Report, wish Wish) bool {
+	identity := report.Member.Identity
+	return report.Leaving || slices.Contains(wish.NotHead, identity) || slices.Contains(wish.Out, identity)
+}
+
+// rank is the place in the chain, then in the voters.
+func rank(v View, identity string) int {
+	if at := v.Place(identity); at >= 0 {
+		return at
+	}
+	return len(v.Chain) + place(v.Voters, identity)
+}
+
+// planVoters gives the places of the gone to standbys, and free places to standbys, as long as enough voters
+// hold all that was committed. A majority of the new voters must meet the holders, also after the loss of as
+// many disks as must be borne.
+func planVoters(current View, reports, holders []Report, wish Wish) []Member {
+	voters := slices.Clone(current.Voters)
+	standbys := slices.Clone(wish.Standbys)
+	take := func() Member {
+		standby := standbys[0]
+		standbys = standbys[1:]
+		return standby
+	}
+	for i, voter := range voters {
+		promised := slices.ContainsFunc(reports, func(r Report) bool { return r.Member.Identity == voter.Identity })
+		if !promised && slices.Contains(wish.Gone, voter.Identity) && len(standbys) > 0 {
+			voters[i] = take()
+		}
+	}
+	for len(voters) < TargetVoters(wish.Faults) && len(standbys) > 0 {
+		voters = append(voters, take())
+	}
+	if enoughHolders(current, voters, holders, wish.Faults) {
+		return voters
+	}
+	return current.Voters
+}
+
+func enoughHolders(current View, voters []Member, holders []Report, faults int) bool {
+	kept := 0
+	for _, holder := range holders {
+		if place(voters, holder.Member.Identity) >= 0 {
+			kept++
+		}
+	}
+	if kept >= CommitMinimum(len(voters), faults) {
+		return true
+	}
+	if len(current.Voters) >= current.CommitMinimum(faults) {
+		return false
+	}
+	// So few voters have never committed anything. They may only grow.
+	for _, voter := range current.Voters {
+		if place(voters, voter.Identity) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// planChain puts the head first, then the former chain in its order, then the other voters.
+func planChain(current View, voters []Member, reports []Report, head Report, wish Wish) []Member {
+	chain := []Member{head.Member}
+	add := func(member Member) {
+		if place(chain, member.Identity) < 0 && place(voters, member.Identity) >= 0 {
+			chain = append(chain, member)
+		}
+	}
+	inOrder := slices.Clone(reports)
+	slices.SortStableFunc(inOrder, func(a, b Report) int {
+		return rank(current, a.Member.Identity) - rank(current, b.Member.Identity)
+	})
+	for _, report := range inOrder {
+		if !report.Leaving && !slices.Contains(wish.Out, report.Member.Identity) {
+			add(report.Member)
+		}
+	}
+	for _, standby := range wish.Standbys {
+		add(standby)
+	}
+	minimum := CommitMinimum(len(voters), wish.Faults)
+	for _, report := range inOrder { // those that should go stay while they are needed
+		if len(chain) < minimum {
+			add(report.Member)
+		}
+	}
+	return chain
+}
--- /dev/null
+++ b/coordination/view/types.go
@@ -0,0 +1,85 @@
+// Package view decides who replicates the state. A view is one agreed membership: the chain, in order from
+// head to tail, and the voters, who decide the view that comes next. Each epoch is decided by single-decree
+// Paxos among the voters of the view before it.
+//
+// The package holds pure values and state machines: no clock, disk, network, goroutine or lock.
+package view
+
+// Member is one participant. Its identity is made at the first start on an empty disk and dies with the disk.
+type Member struct {
+	Identity string `cbor:"1,keyasint"`
+	Address  string `cbor:"2,keyasint"` // of its transport, host:port
+	Zone     string `cbor:"3,keyasint"`
+	Tag      string `cbor:"4,keyasint"` // opaque to the library: the embedder's own address or label
+}
+
+// View is one agreed membership. Chain is in order from head to tail.
+type View struct {
+	Epoch  uint64   `cbor:"1,keyasint"`
+	Chain  []Member `cbor:"2,keyasint"`
+	Voters []Member `cbor:"3,keyasint"`
+}
+
+// Ballot numbers one attempt to decide a view. Later rounds win; the identity breaks ties.
+type Ballot struct {
+	Round    uint64 `cbor:"1,keyasint"`
+	Identity string `cbor:"2,keyasint"`
+}
+
+// Before tells whether the ballot is lower than the other one.
+func (b Ballot) Before(other Ballot) bool {
+	if b.Round != other.Round {
+		return b.Round < other.Round
+	}
+	return b.Identity < other.Identity
+}
+
+// Zero tells whether no ballot was made yet.
+func (b Ballot) Zero() bool { return b.Round == 0 }
+
+// Head returns the member at which commands enter; the zero Member when there is no view yet.
+func (v View) Head() Member {
+	if len(v.Chain) == 0 {
+		return Member{}
+	}
+	return v.Chain[0]
+}
+
+// Tail returns the member that commits; the zero Member when there is no view yet.
+func (v View) Tail() Member {
+	if len(v.Chain) == 0 {
+		return Member{}
+	}
+	return v.Chain[len(v.Chain)-1]
+}
+
+// Place returns the position of the identity in the chain, or -1.
+func (v View) Place(identity string) int { return place(v.Chain, identity) }
+
+// Votes tells whether the identity is a voter of the view.
+func (v View) Votes(identity string) bool { return place(v.Voters, identity) >= 0 }
+
+// Majority is the number of voters that decides the next view.
+func (v View) Majority() int { return len(v.Voters)/2 + 1 }
+
+// CommitMinimum is the shortest chain that may commit: every majority of the voters then meets it, and the
+// loss of as many disks as must be borne leaves a copy.
+func (v View) CommitMinimum(faults int) int { return CommitMinimum(len(v.Voters), faults) }
+
+// CommitMinimum is the shortest chain that may commit among that many voters.
+func CommitMinimum(voters, faults int) int {
+	meetsMajority := voters - (voters/2 + 1) + 1
+	return max(faults+1, meetsMajority)
+}
+
+// TargetVoters is how many voters a group that bears that many lost disks works towards.
+func TargetVoters(faults int) int { return max(2*faults+1, 3) }
+
+func place(members []Member, identity string) int {
+	for i, member := range members {
+		if member.Identity == identity {
+			return i
+		}
+	}
+	return -1
+}
