--- a/internal/router/call/message.go
+++ b/internal/router/call/message.go
@@ -3,7 +3,6 @@
 package call
 
 import (
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -160,11 +159,15 @@
 	return m.lastEvent
 }
 
-func (m *Message) send(c *pool.Connection, head []byte, joined bool) (int64, error) {
+// send writes the request, a large body behind the head. It returns how many bytes the connection took.
+func (m *Message) send(c *pool.Connection, head []byte, joined bool) (int, error) {
 	if joined {
-		n, err := c.Conn.Write(append(head, m.Body...))
-		return int64(n), err
+		return c.Conn.Write(append(head, m.Body...))
 	}
-	buffers := net.Buffers{head, m.Body}
-	return buffers.WriteTo(c.Conn)
+	n, err := c.Conn.Write(head)
+	if err != nil {
+		return n, err
+	}
+	more, err := c.Conn.Write(m.Body)
+	return n + more, err
 }
--- a/internal/router/subscription/subscription.go
+++ b/internal/router/subscription/subscription.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	dialTimeout    = 500 * time.Millisecond
+	dialTimeout    = 350 * time.Millisecond
 	mostSilence    = 750 * time.Millisecond // of an instance that is followed: it sends beacons every 250 ms
 	applyTimeout   = 5 * time.Second
 	mostBehind     = time.Second     // between the announcement of a configuration and the configuration
