--- /dev/null
+++ b/cmd/raventrestle-control/events.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"raventrestle/internal/control/placer"
+)
+
+// events writes one line for each thing that people may want to know, under fixed names. Nothing is written on
+// the ordinary path.
+type events struct{ logger *log.Logger }
+
+func newEvents(level string) *events {
+	return &events{logger: &log.Logger{
+		Level:      log.ParseLevel(level),
+		TimeFormat: time.RFC3339Nano,
+		Writer:     &log.IOWriter{Writer: os.Stderr},
+	}}
+}
+
+func (e *events) setLevel(level string) { e.logger.SetLevel(log.ParseLevel(level)) }
+
+func (e *events) started(node, address, control string, bootstrap bool) {
+	e.logger.Info().Str("event", "started").Str("node", node).Str("address", address).Str("control", control).
+		Bool("bootstrap", bootstrap).Msg("")
+}
+
+func (e *events) stopping(signal string) {
+	e.logger.Info().Str("event", "stopping").Str("signal", signal).Msg("")
+}
+
+func (e *events) stopped(err error) {
+	e.logger.Info().Str("event", "stopped").Err(err).Msg("")
+}
+
+func (e *events) reloaded(err error) {
+	if err != nil {
+		e.logger.Warn().Str("event", "settings_refused").Err(err).Msg("")
+		return
+	}
+	e.logger.Info().Str("event", "settings_read").Msg("")
+}
+
+// RouterSubscribed implements host.Events.
+func (e *events) RouterSubscribed(node, zone string, generation int64) {
+	e.logger.Info().Str("event", "router_subscribed").Str("router", node).Str("zone", zone).
+		Int64("generation", generation).Msg("")
+}
+
+// RouterClosed implements host.Events.
+func (e *events) RouterClosed(node, reason string) {
+	e.logger.Info().Str("event", "router_closed").Str("router", node).Str("reason", reason).Msg("")
+}
+
+// Isolated implements host.Events.
+func (e *events) Isolated(isolated bool, live, voters int) {
+	e.logger.Warn().Str("event", "isolated").Bool("isolated", isolated).Int("live", live).Int("voters", voters).
+		Msg("")
+}
+
+// RoleBegan implements roles.Events.
+func (e *events) RoleBegan(epoch uint64, late time.Duration) {
+	e.logger.Info().Str("event", "role_began").Uint64("epoch", epoch).Dur("late", late).Msg("")
+}
+
+// RoleEnded implements roles.Events.
+func (e *events) RoleEnded(epoch uint64) {
+	e.logger.Info().Str("event", "role_ended").Uint64("epoch", epoch).Msg("")
+}
+
+// Order implements roles.Events.
+func (e *events) Order(epoch uint64, order placer.Order, outcome placer.Outcome, err error) {
+	e.logger.Info().Str("event", "order").Uint64("epoch", epoch).Str("endpoint", order.Endpoint).
+		Str("model", order.Model).Str("adapter", order.Adapter).Bool("unload", order.Unload).
+		Str("reason", order.Reason).Str("outcome", outcomeName(outcome)).Err(err).Msg("")
+}
+
+func outcomeName(outcome placer.Outcome) string {
+	switch outcome {
+	case placer.Accepted:
+		return "accepted"
+	case placer.Holds:
+		return "holds"
+	case placer.Busy:
+		return "busy"
+	case placer.Invalid:
+		return "invalid"
+	}
+	return "unknown"
+}
+
+// replica writes an event of the replica: a name, then keys and values.
+func (e *events) replica(event string, pairs ...any) {
+	entry := e.logger.Info().Str("event", "replica_"+event)
+	for i := 0; i+1 < len(pairs); i += 2 {
+		entry = entry.Str(fmt.Sprint(pairs[i]), fmt.Sprint(pairs[i+1]))
+	}
+	entry.Msg("")
+}
--- /dev/null
+++ b/cmd/raventrestle-control/instance.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"raventrestle/coordination/replica"
+	"raventrestle/internal/control/api"
+	"raventrestle/internal/control/changes"
+	"raventrestle/internal/control/host"
+	"raventrestle/internal/control/placer"
+	"raventrestle/internal/control/roles"
+	"raventrestle/internal/control/state"
+	"raventrestle/internal/nodeconfig"
+	"raventrestle/internal/protocol"
+	"raventrestle/internal/transport"
+)
+
+const (
+	handOverWithin = 2 * time.Second
+	answerWithin   = 700 * time.Millisecond // calls under way at the end
+)
+
+// instance is a running control instance.
+type instance struct {
+	replica replica.Interface
+	holder  *roles.Holder
+	mesh    *transport.Mesh
+	peers   *transport.Server
+	http    *http.Server
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup
+	failed  chan error
+}
+
+// gate hands what arrives to the host, once there is one.
+type gate struct{ host atomic.Pointer[host.Host] }
+
+func (g *gate) Message(c *transport.Connection, message any) {
+	if h := g.host.Load(); h != nil {
+		h.Message(c, message)
+	}
+}
+
+func (g *gate) Closed(c *transport.Connection, err error) {
+	if h := g.host.Load(); h != nil {
+		h.Closed(c, err)
+	}
+}
+
+// replicaTransport carries the replica's messages on the mesh.
+type replicaTransport struct {
+	mesh *transport.Mesh
+	self string
+}
+
+func (t replicaTransport) Send(address string, message []byte) {
+	t.mesh.Send(address, &protocol.ReplicaMessage{From: t.self, Body: message})
+}
+
+// start brings an instance up. Nothing here waits for another machine.
+func start(ctx context.Context, settings *nodeconfig.Settings, events *events) (*instance, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	codec := protocol.NewCodec()
+	protocol.RegisterPeerMessages(codec)
+	self := address(settings.IP, settings.EphemeralFirst)
+	incarnation, err := drawIncarnation()
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	origin := protocol.Origin{Address: self, Incarnation: incarnation}
+	entrance := &gate{}
+	i := &instance{cancel: cancel, failed: make(chan error, 1), mesh: transport.NewMesh(codec, self, entrance)}
+	machine := state.New()
+	group, err := openReplica(settings, self, replicaTransport{mesh: i.mesh, self: self}, machine, events)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	i.replica = group
+	configurations := changes.New(group, machine)
+	newPlacer := func(quiet time.Duration) roles.Placer { return makePlacer(settings, quiet) }
+	reports := &lateReports{}
+	table := host.New(host.Settings{Origin: origin, Heartbeat: settings.Heartbeat}, host.Parts{
+		Replica: group, Configurations: configurations, Mesh: i.mesh, Roles: reports, Events: events,
+	})
+	i.holder = roles.New(roles.Settings{Origin: origin, Node: settings.NodeName, Lease: settings.Bounds.Lease},
+		roles.Parts{Replica: group, Endpoints: table, Configurations: configurations, Mesh: i.mesh,
+			NewPlacer: newPlacer, Events: events})
+	reports.holder = i.holder
+	entrance.host.Store(table)
+	i.peers, err = transport.Listen(self, codec, entrance)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	public, err := net.Listen("tcp", settings.ListenControl)
+	if err != nil {
+		cancel()
+		return nil, fmt.Errorf("listen for endpoints and the operator: %w", err)
+	}
+	i.http = api.New(table, configurations, statusView(group, machine)).Server()
+	i.spawn(func() { table.Run(ctx) })
+	i.spawn(func() { i.holder.Run(ctx) })
+	i.spawn(func() { i.serve(public) })
+	events.started(settings.NodeName, self, settings.ListenControl, settings.Bootstrap)
+	return i, nil
+}
+
+// lateReports breaks the circle between the host and the holder.
+type lateReports struct{ holder *roles.Holder }
+
+func (l *lateReports) Reports(from string, reports []protocol.Report) {
+	l.holder.Reports(from, reports)
+}
+
+func (i *instance) spawn(task func()) {
+	i.tasks.Add(1)
+	go func() {
+		defer i.tasks.Done()
+		task()
+	}()
+}
+
+func (i *instance) serve(public net.Listener) {
+	if err := i.http.Serve(public); !errors.Is(err, http.ErrServerClosed) {
+		i.failed <- fmt.Errorf("serve endpoints and the operator: %w", err)
+	}
+}
+
+// stop hands the roles over, answers what is under way and ends.
+func (i *instance) stop(ctx context.Context) error {
+	i.holder.Stop()
+	handOver, cancel := context.WithTimeout(ctx, handOverWithin)
+	defer cancel()
+	stopped := i.replica.Stop(handOver)
+	answer, cancelAnswer := context.WithTimeout(ctx, answerWithin)
+	defer cancelAnswer()
+	if err := i.http.Shutdown(answer); err != nil {
+		_ = i.http.Close() // callers that were not answered in time ask another instance
+	}
+	i.cancel()
+	i.tasks.Wait()
+	i.mesh.Close()
+	if err := i.peers.Close(); err != nil && stopped == nil {
+		stopped = err
+	}
+	return stopped
+}
+
+func openReplica(
+	settings *nodeconfig.Settings, self string, carrier replica.Transport, machine replica.Machine, events *events,
+) (replica.Interface, error) {
+	seeds, err := seedAddresses(settings)
+	if err != nil {
+		return nil, err
+	}
+	return replica.Open(replica.Options{
+		Self:      replica.Member{Address: self, Zone: settings.Zone, Tag: settings.ListenControl},
+		Seeds:     seeds,
+		Bootstrap: settings.Bootstrap,
+		Faults:    settings.FaultToleranceMachines,
+		Folder:    settings.DataDir,
+		Transport: carrier,
+		Machine:   machine,
+		Log:       events.replica,
+	})
+}
+
+// seedAddresses turns the control addresses of the seeds into those of their transports.
+func seedAddresses(settings *nodeconfig.Settings) ([]string, error) {
+	seeds := make([]string, 0, len(settings.Seeds))
+	for _, seed := range settings.Seeds {
+		ip, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			return nil, fmt.Errorf("seed %q: %w", seed, err)
+		}
+		seeds = append(seeds, address(ip, settings.EphemeralFirst))
+	}
+	return seeds, nil
+}
+
+func address(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
+
+func drawIncarnation() (uint64, error) {
+	var bytes [8]byte
+	if _, err := rand.Read(bytes[:]); err != nil {
+		return 0, fmt.Errorf("draw an incarnation: %w", err)
+	}
+	return binary.LittleEndian.Uint64(bytes[:]), nil
+}
+
+func makePlacer(settings *nodeconfig.Settings, quiet time.Duration) *placer.Placer {
+	return placer.New(placer.Options{
+		CeilingWindow: settings.Bounds.CeilingWindow,
+		CeilingOver:   settings.Bounds.CeilingOver,
+		QuietBefore:   quiet,
+		Looks:         true,
+	})
+}
--- /dev/null
+++ b/cmd/raventrestle-control/run.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"raventrestle/internal/nodeconfig"
+)
+
+// memoryPart of the machine's limit is left to the garbage collector before it works harder.
+const memoryPart = 0.7
+
+// runCommand is the instance itself.
+type runCommand struct{}
+
+func (*runCommand) Name() string             { return "run" }
+func (*runCommand) Synopsis() string         { return "run a control instance" }
+func (*runCommand) SetFlags(_ *flag.FlagSet) {}
+
+func (*runCommand) Usage() string {
+	return "run\n  Runs a control instance with the settings file that " + nodeconfig.EnvironmentVariable + " names.\n"
+}
+
+func (*runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "raventrestle-control:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func run(ctx context.Context) error {
+	settings, err := nodeconfig.FromEnvironment()
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	limitRuntime(settings.Limits)
+	events := newEvents(settings.LogLevel)
+	instance, err := start(ctx, settings, events)
+	if err != nil {
+		return err
+	}
+	for {
+		select {
+		case received := <-signals:
+			if received == syscall.SIGHUP {
+				reload(events)
+				continue
+			}
+			events.stopping(received.String())
+			err := instance.stop(ctx)
+			events.stopped(err)
+			return err
+		case err := <-instance.failed:
+			return err
+		}
+	}
+}
+
+func limitRuntime(limits nodeconfig.Limits) {
+	runtime.GOMAXPROCS(limits.Cores)
+	debug.SetMemoryLimit(int64(float64(limits.MemoryMB) * memoryPart * (1 << 20)))
+}
+
+// reload takes in what of the settings may change while the instance runs.
+func reload(events *events) {
+	settings, err := nodeconfig.FromEnvironment()
+	if err == nil {
+		events.setLevel(settings.LogLevel)
+	}
+	events.reloaded(err)
+}
