Make a router ready by the first configuration after an empty confirmation

Change: a confirmation of the newest, none included, counts; the configuration may follow. Test seen to fail without it.

--- a/internal/router/subscription/subscription.go
+++ b/internal/router/subscription/subscription.go
@@ -75,7 +75,7 @@
 
 	generation int64
 	whole      bool // a whole table of endpoints was taken
-	confirmed  bool // the newest configuration at some moment of this life was taken
+	confirmed  bool // the newest configuration at some moment of this life, none maybe, was taken
 	reported   uint64
 	alone      bool          // no instance is followed, and that was told
 	nearer     time.Duration // before the next instance is left for one of the own zone
@@ -366,8 +366,8 @@
 		s.log.ConfigurationInForce(s.generation)
 	}
 	s.whole = s.whole || u.Full
-	s.confirmed = s.confirmed || u.Confirmed && u.Generation == s.generation && s.generation > 0
-	if s.whole && s.confirmed && !s.ready.Load() {
+	s.confirmed = s.confirmed || u.Confirmed && u.Generation == s.generation
+	if s.whole && s.confirmed && s.generation > 0 && !s.ready.Load() {
 		s.ready.Store(true)
 		s.log.Ready()
 	}
--- a/internal/router/subscription/subscription_test.go
+++ b/internal/router/subscription/subscription_test.go
@@ -231,6 +231,24 @@
 	}
 }
 
+// The system's first start: the confirmation comes while there is no configuration yet. What comes later on
+// the same connection is committed, and newer.
+func TestReadyByTheFirstConfiguration(t *testing.T) {
+	i := newInstance(t)
+	w := start(t, i)
+	c, _ := next[*protocol.Subscribe](i)
+	c.Send(protocol.Update{Sequence: 1, Full: true, Confirmed: true})
+	next[*protocol.Confirm](i)
+	if w.Ready() {
+		t.Error("ready without a configuration")
+	}
+	c.Send(protocol.Update{Sequence: 2, Generation: 4, Document: []byte("four")})
+	next[*protocol.Confirm](i)
+	if !w.Ready() {
+		t.Error("not ready")
+	}
+}
+
 func TestSeedsChange(t *testing.T) {
 	i := newInstance(t)
 	w := start(t)
