--- a/cmd/raventrestle/life_test.go
+++ b/cmd/raventrestle/life_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -49,7 +50,10 @@
 	}
 	probe := func(path string) int {
 		t.Helper()
-		client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, Dial: func(string, string) (net.Conn, error) { return net.Dial("unix", socket) }}}
+		dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, "unix", socket)
+		}
+		client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial}}
 		res, err := client.Get("http://courier" + path)
 		if err != nil {
 			t.Fatal(err)
--- a/cmd/raventrestle/main_test.go
+++ b/cmd/raventrestle/main_test.go
@@ -116,7 +116,10 @@
 	}
 	p, ended := d.process, make(chan error, 1)
 	d.ended = ended
-	go func() { ended <- p.Wait() }()
+	go func() {
+		ended <- p.Wait()
+		close(ended) // the clean-up may wait for an end that the test has heard of already
+	}()
 	for began := time.Now(); ; time.Sleep(5 * time.Millisecond) { // until it is ready
 		if res, err := http.Get("http://" + d.addr + "/healthz"); err == nil {
 			res.Body.Close()
--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -17,16 +17,15 @@
 var rate, count = ID{"peer-1", "limit"}, ID{"peer-1", "cold"}
 
 type node struct {
-	cfg           Config
-	book          *Book
-	epoch         uint64
-	speed         float64
-	offset        time.Duration
-	paused        bool
-	snap          *Snapshot
-	inbox         []Event
-	list, gen     uint64 // held by the newest life, or to be by the next one
-	got, gotCount float64
+	cfg       Config
+	book      *Book
+	epoch     uint64
+	speed     float64
+	offset    time.Duration
+	paused    bool
+	snap      *Snapshot
+	inbox     []Event
+	list, gen uint64 // held by the newest life, or to be by the next one
 }
 
 func (n *node) clock(t time.Duration) time.Duration {
--- a/internal/fleet/store/store_test.go
+++ b/internal/fleet/store/store_test.go
@@ -111,17 +111,17 @@
 	var wrong []string
 	o := newOrder(func(s string) { wrong = append(wrong, s) })
 	a, b := mutex{rank: 0, watch: o}, mutex{rank: 1, watch: o}
-	a.Lock()
-	b.Lock()
-	b.Unlock()
-	a.Unlock()
+	lockBoth := func(first, second *mutex) {
+		first.Lock()
+		defer first.Unlock()
+		second.Lock()
+		defer second.Unlock()
+	}
+	lockBoth(&a, &b)
 	if len(wrong) != 0 {
 		t.Fatal(wrong)
 	}
-	b.Lock()
-	a.Lock()
-	a.Unlock()
-	b.Unlock()
+	lockBoth(&b, &a)
 	if len(wrong) != 1 {
 		t.Fatalf("a wrong order was not seen: %v", wrong)
 	}
--- a/internal/nodeconfig/reader.go
+++ b/internal/nodeconfig/reader.go
@@ -120,12 +120,6 @@
 	return found
 }
 
-func (r *reader) address(key string) string {
-	value := r.need(key)
-	r.checkAddress(key, value)
-	return value
-}
-
 func (r *reader) optionalAddress(key string) string {
 	value := r.text(key, "")
 	r.checkAddress(key, value)
