--- a/internal/router/dispatch/choice.go
+++ b/internal/router/dispatch/choice.go
@@ -157,7 +157,7 @@
 	}
 	most := math.MaxInt32
 	if engine := h.group.service.engine(); engine != nil && engine.KVTokens > 0 {
-		most = int(engine.KVTokens) / max(len(h.at.holdings), 1)
+		most = int(engine.KVTokens) / max(len(h.at.holdings)-1, 1) // all but the one for requests without a model
 	}
 	h.kept.add(r.chain(), r.Parts, d.now, most)
 }
--- a/internal/router/dispatch/decisions_test.go
+++ b/internal/router/dispatch/decisions_test.go
@@ -186,6 +186,17 @@
 	}
 }
 
+// A request that names no model is one for any endpoint of the service, whatever that holds.
+func TestWithoutAModelAnyEndpointWillDo(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"), modelEndpoint("b", 1))
+	first := s.request("")
+	first.Service = "lm"
+	s.oneSend(s.step(1, Arrived{first}))
+	second := s.request("")
+	second.Service = "lm"
+	s.oneSend(s.step(2, ViewChanged{Endpoints: []protocol.Endpoint{modelEndpoint("a", 2, "rare")}}, Arrived{second}))
+}
+
 func TestHeldForALoadThatFits(t *testing.T) {
 	s := newScript(t, modelEndpoint("a", 1, "m"))
 	s.step(1, Arrived{s.request("rare")})
--- a/internal/router/dispatch/view.go
+++ b/internal/router/dispatch/view.go
@@ -265,13 +265,10 @@
 
 // hold makes the endpoint's holdings those that were told.
 func (d *Decider) hold(e *endpoint, models []protocol.HeldModel, newer bool) {
-	if e.service.engine() == nil && len(models) == 0 {
-		d.holdOne(e, "", nil, newer)
-		return
-	}
+	d.holdOne(e, "", nil, newer) // requests that name no model go to any endpoint
 	for i := len(e.holdings) - 1; i >= 0; i-- {
 		h := e.holdings[i]
-		kept := slices.ContainsFunc(models, func(m protocol.HeldModel) bool { return m.Name == h.group.model })
+		kept := h.group.model == "" || slices.ContainsFunc(models, func(m protocol.HeldModel) bool { return m.Name == h.group.model })
 		if !kept {
 			d.release(e, h)
 		}
