--- a/internal/control/distribution/hub.go
+++ b/internal/control/distribution/hub.go
@@ -21,9 +21,9 @@
 
 	gatherFor      = 4 * time.Millisecond // ordinary changes wait so long for others
 	beaconSlack    = 60 * time.Millisecond
-	confirmWithin  = 3 * time.Second // a router that is slower is sent away
-	retryFirst     = 2 * time.Second // an isolated instance takes a router at its second try within this time
-	isolatedFor    = 5 * time.Second // and sends it away again after this
+	confirmWithin  = 3 * time.Second  // a router that is slower is sent away
+	retryFirst     = 10 * time.Second // an isolated instance takes a router at its second try within this time
+	isolatedFor    = 5 * time.Second  // and sends it away again after this
 	forgetAttempts = 30 * time.Second
 )
 
--- a/internal/control/host/commands.go
+++ b/internal/control/host/commands.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"raventrestle/internal/control/distribution"
 	"raventrestle/internal/control/registry"
@@ -126,6 +127,7 @@
 	case ended:
 		h.forgetConnection(command.connection)
 	case replicaMoved:
+		h.status.read = time.Time{} // it may be about who is there
 		h.readConfiguration()
 	case barrierEnded:
 		h.endBarrier(command)
--- a/internal/control/registry/loading.go
+++ b/internal/control/registry/loading.go
@@ -45,21 +45,47 @@
 
 // ownLoading takes in the table of this instance's placer and tells the others.
 func (r *Registry) ownLoading(now time.Time, table protocol.LoadingTable) {
-	table.Origin = r.settings.Origin
 	if !r.takeLoading(now, &table) {
 		return
 	}
+	r.ownLoads = &table
+	r.tellLoading(now)
+}
+
+func (r *Registry) tellLoading(now time.Time) {
+	r.loadsTold = now
 	for _, p := range r.order {
 		if p.reachable {
-			r.send(p.address, &table)
+			r.sendLoading(now, p)
 		}
 	}
 }
 
+// repeatLoading tells the table again while there is something in it: a message may have been lost.
+func (r *Registry) repeatLoading(now time.Time) {
+	if r.ownLoads != nil && len(r.ownLoads.Loading) > 0 && now.Sub(r.loadsTold) >= loadingEvery {
+		r.tellLoading(now)
+	}
+}
+
+// sendLoading sends the table with the times that are left.
+func (r *Registry) sendLoading(now time.Time, p *peer) {
+	if r.ownLoads == nil {
+		return
+	}
+	table := &protocol.LoadingTable{Origin: r.settings.Origin, Epoch: r.ownLoads.Epoch, Sequence: r.ownLoads.Sequence}
+	for _, endpoint := range r.ownLoads.Loading {
+		table.Loading = append(table.Loading,
+			protocol.EndpointLoading{Endpoint: endpoint.Endpoint, Loads: r.loading.of(endpoint.Endpoint, now)})
+	}
+	r.send(p.address, table)
+}
+
 func (r *Registry) takeLoading(now time.Time, table *protocol.LoadingTable) bool {
 	if !r.loading.newer(table) {
 		return false
 	}
+	r.ownLoads = nil
 	before := r.loading.loads
 	r.loading = loadingTable{epoch: table.Epoch, sequence: table.Sequence, loads: make(map[string][]timedLoad)}
 	for _, endpoint := range table.Loading {
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -101,6 +101,7 @@
 		p.settle[waiting.id] = struct{}{}
 	}
 	r.sendSummary(now, p, false)
+	r.sendLoading(now, p)
 	if len(p.dirty)+len(p.settle) > 0 {
 		r.flushWithin(now, urgentChange)
 	}
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -23,6 +23,8 @@
 	// after a second.
 	SettleWithin = 600 * time.Millisecond
 
+	wholeBeats       = 2               // every living endpoint has called somewhere by then
+	loadingEvery     = 5 * time.Second // the orders under way are told again
 	tickEvery        = time.Second
 	settleRetry      = 250 * time.Millisecond // a settling record that is not confirmed is sent once more
 	silenceMargin    = 400 * time.Millisecond
@@ -62,6 +64,8 @@
 	byAddress map[string]*entry // newest of each address
 	heardHere map[uint32]struct{}
 	loading   loadingTable
+	ownLoads  *protocol.LoadingTable // of this instance's placer; nil: another's is in force
+	loadsTold time.Time              // to all instances
 	peers     map[string]*peer
 	order     []*peer             // by address: what is decided must not depend on the order of a map
 	pending   map[uint64]*pending // by ticket
--- a/internal/control/registry/silence.go
+++ b/internal/control/registry/silence.go
@@ -6,11 +6,12 @@
 func (r *Registry) tick(now time.Time) {
 	r.nextTick = now.Add(tickEvery)
 	r.lastTick = now
-	if !r.whole && now.Sub(r.started) > r.silentAfter() {
+	if !r.whole && now.Sub(r.started) > wholeBeats*r.settings.Heartbeat+silenceMargin {
 		r.whole = true // every endpoint that lives has called an instance by now
 	}
 	r.judgeSilence(now)
 	r.forgetLoading(now)
+	r.repeatLoading(now)
 	r.routers.refresh(now, r.peers)
 	r.resendUnconfirmed(now)
 	r.sendDigests(now)
