--- a/cmd/raventrestle-control/instance.go
+++ b/cmd/raventrestle-control/instance.go
@@ -18,6 +18,7 @@
 	"raventrestle/internal/control/changes"
 	"raventrestle/internal/control/host"
 	"raventrestle/internal/control/placer"
+	"raventrestle/internal/control/quota"
 	"raventrestle/internal/control/roles"
 	"raventrestle/internal/control/state"
 	"raventrestle/internal/nodeconfig"
@@ -90,13 +91,14 @@
 	i.replica = group
 	configurations := changes.New(group, machine)
 	newPlacer := func(quiet time.Duration) roles.Placer { return makePlacer(settings, quiet) }
+	newAllocator := func(quiet time.Duration) roles.Allocator { return makeAllocator(settings, quiet) }
 	reports := &lateReports{}
 	table := host.New(host.Settings{Origin: origin, Heartbeat: settings.Heartbeat}, host.Parts{
 		Replica: group, Configurations: configurations, Mesh: i.mesh, Roles: reports, Events: events,
 	})
 	i.holder = roles.New(roles.Settings{Origin: origin, Node: settings.NodeName, Lease: settings.Bounds.Lease},
 		roles.Parts{Replica: group, Endpoints: table, Configurations: configurations, Mesh: i.mesh,
-			NewPlacer: newPlacer, Events: events})
+			NewPlacer: newPlacer, NewAllocator: newAllocator, Events: events})
 	reports.holder = i.holder
 	entrance.host.Store(table)
 	i.peers, err = transport.Listen(self, codec, entrance)
@@ -120,9 +122,7 @@
 // lateReports breaks the circle between the host and the holder.
 type lateReports struct{ holder *roles.Holder }
 
-func (l *lateReports) Reports(from string, reports []protocol.Report) {
-	l.holder.Reports(from, reports)
-}
+func (l *lateReports) Reports(batch *protocol.ReportBatch) { l.holder.Reports(batch) }
 
 func (i *instance) spawn(task func()) {
 	i.tasks.Add(1)
@@ -208,3 +208,13 @@
 		Looks:         true,
 	})
 }
+
+func makeAllocator(settings *nodeconfig.Settings, quiet time.Duration) *quota.Allocator {
+	return quota.New(quota.Options{
+		Window:      settings.Bounds.QuotaWindow,
+		Over:        settings.Bounds.QuotaOver,
+		Slack:       settings.Bounds.QuotaSlack,
+		QuietBefore: quiet,
+		Confirms:    true,
+	})
+}
--- a/internal/control/distribution/hub.go
+++ b/internal/control/distribution/hub.go
@@ -128,10 +128,11 @@
 type Output struct {
 	Send    []Send
 	Close   []Closing
-	Floor   uint64    // every subscribed router has confirmed the table up to this revision
-	Barrier uint64    // begin a barrier now and return the number with BarrierPassed; 0: none is needed
-	Routers bool      // the set of routers changed: see Connected
-	WakeAt  time.Time // Step again then at the latest; zero: at the next input
+	Floor   uint64                    // every subscribed router has confirmed the table up to this revision
+	Barrier uint64                    // begin a barrier now and return the number with BarrierPassed; 0: none is needed
+	Routers bool                      // the set of routers changed: see Connected
+	Granted []protocol.GrantConfirmed // that routers confirmed
+	WakeAt  time.Time                 // Step again then at the latest; zero: at the next input
 }
 
 // Closing is a connection to be closed, and why.
@@ -169,7 +170,7 @@
 		h.subscribe(now, table, in)
 	case Confirmed:
 		if s := h.subscribers[in.Connection]; s != nil {
-			s.confirm(in.Sequence)
+			h.confirm(s, in.Sequence)
 		}
 	case Closed:
 		h.forget(in.Connection)
@@ -294,6 +295,7 @@
 		update := h.update(now, s)
 		update.Quotas = router.Grants
 		h.send(now, s, update)
+		s.waiting[len(s.waiting)-1].grants = &router
 	}
 }
 
--- a/internal/control/distribution/subscriber.go
+++ b/internal/control/distribution/subscriber.go
@@ -31,12 +31,24 @@
 	sequence uint64
 	revision uint64
 	sent     time.Time
+	grants   *protocol.RouterGrants // nil: none
 }
 
-func (s *subscriber) confirm(sequence uint64) {
+// confirm takes in that an update is in force, and with it all before.
+func (h *Hub) confirm(s *subscriber, sequence uint64) {
 	for len(s.waiting) > 0 && s.waiting[0].sequence <= sequence {
-		s.confirmed = s.waiting[0].revision
+		done := s.waiting[0]
 		s.waiting = s.waiting[1:]
+		s.confirmed = done.revision
+		if done.grants == nil {
+			continue
+		}
+		h.out.Granted = append(h.out.Granted, protocol.GrantConfirmed{
+			Node:        s.router.Node,
+			Incarnation: s.router.Incarnation,
+			Epoch:       done.grants.Epoch,
+			Batch:       done.grants.Batch,
+		})
 	}
 }
 
--- a/internal/control/host/commands.go
+++ b/internal/control/host/commands.go
@@ -39,8 +39,10 @@
 		answer chan registry.Acknowledge
 	}
 	ownLoading struct{ table protocol.LoadingTable }
-	ownGrants  struct{ routers []protocol.RouterGrants }
-	lookup     struct{ answer chan View }
+	ownGrants  struct {
+		batches map[string][]protocol.RouterGrants
+	}
+	lookup struct{ answer chan View }
 )
 
 // Message takes what arrives on a connection; the host is a transport.Handler.
@@ -91,17 +93,18 @@
 	h.post(context.Background(), ownLoading{table: table})
 }
 
-// Grant passes quota grants on to routers connected here.
-func (h *Host) Grant(routers []protocol.RouterGrants) {
-	h.post(context.Background(), ownGrants{routers: routers})
+// Grant sends quota grants to the instances that have the routers, by address.
+func (h *Host) Grant(batches map[string][]protocol.RouterGrants) {
+	h.post(context.Background(), ownGrants{batches: batches})
 }
 
 // View is the soft state for people and for the placer.
 type View struct {
-	Endpoints []protocol.Endpoint
-	Routers   []string // connected here
-	Members   []protocol.Member
-	Isolated  bool
+	Endpoints   []protocol.Endpoint
+	Routers     []string // connected here
+	RouterCount int      // of all instances; 0 while unknown
+	Members     []protocol.Member
+	Isolated    bool
 }
 
 // View returns the newest soft state.
@@ -139,7 +142,7 @@
 	case ownLoading:
 		h.news.Registry = append(h.news.Registry, registry.OwnLoading{Table: command.table})
 	case ownGrants:
-		h.granted(command.routers)
+		h.spreadGrants(command.batches)
 	case lookup:
 		command.answer <- h.view()
 	}
@@ -152,6 +155,10 @@
 }
 
 func (h *Host) arrived(in arrived) {
+	var heldUp time.Duration
+	if fromPeer, isPeer := in.message.(protocol.FromPeer); isPeer {
+		heldUp = h.delays.heldUp(time.Since(h.started), fromPeer.Sender())
+	}
 	switch message := in.message.(type) {
 	case *protocol.Subscribe:
 		h.subscribed(in.connection, message)
@@ -162,9 +169,11 @@
 	case *protocol.Report:
 		h.reported(message)
 	case *protocol.ReportBatch:
-		h.parts.Roles.Reports(message.Origin.Address, message.Reports)
+		h.parts.Roles.Reports(message)
 	case *protocol.GrantBatch:
-		h.granted(message.Routers)
+		if heldUp <= staleGrant {
+			h.grantHere(message.Routers)
+		}
 	default:
 		h.news.Registry = append(h.news.Registry, registry.Message{Content: in.message})
 	}
@@ -198,7 +207,18 @@
 	h.reports = append(h.reports, *report)
 }
 
-func (h *Host) granted(routers []protocol.RouterGrants) {
+func (h *Host) spreadGrants(batches map[string][]protocol.RouterGrants) {
+	now := time.Now()
+	for address, routers := range batches {
+		if address == h.settings.Origin.Address {
+			h.grantHere(routers)
+			continue
+		}
+		h.sendPeer(now, address, &protocol.GrantBatch{Origin: h.settings.Origin, Routers: routers})
+	}
+}
+
+func (h *Host) grantHere(routers []protocol.RouterGrants) {
 	for _, router := range routers {
 		h.news.Hub = append(h.news.Hub, distribution.Granted{Router: router})
 	}
--- a/internal/control/host/desk.go
+++ b/internal/control/host/desk.go
@@ -35,7 +35,8 @@
 	Peers       []registry.Send
 	Close       []distribution.Closing
 	Acknowledge []registry.Acknowledge
-	Barrier     uint64 // begin a barrier now; 0: none is needed
+	Granted     []protocol.GrantConfirmed // for the holder of the quota allocator's role
+	Barrier     uint64                    // begin a barrier now; 0: none is needed
 	WakeAt      time.Time
 }
 
@@ -57,6 +58,7 @@
 	orders := Orders{
 		Routers:     first.Send,
 		Close:       first.Close,
+		Granted:     first.Granted,
 		Peers:       changes.Send,
 		Acknowledge: changes.Acknowledge,
 		Barrier:     first.Barrier,
@@ -111,5 +113,8 @@
 // Endpoints returns the whole table.
 func (d *Desk) Endpoints(now time.Time) []protocol.Endpoint { return d.registry.Endpoints(now) }
 
+// RouterCount returns how many routers all instances have, 0 while unknown.
+func (d *Desk) RouterCount() int { return d.told.Routers }
+
 // Routers returns the names of the routers connected here.
 func (d *Desk) Routers() []string { return d.hub.Connected() }
--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -17,6 +17,7 @@
 	batchCommands  = 256
 	statusEvery    = 100 * time.Millisecond // the replica's status is read no more often
 	reportsEvery   = 200 * time.Millisecond // routers' reports go on together
+	staleGrant     = 300 * time.Millisecond // one that was held up longer may be somebody else's by now
 	isolatedAfter  = time.Second            // without a majority
 	barrierWithin  = 1500 * time.Millisecond
 	barrierPause   = 200 * time.Millisecond // after one that failed
@@ -36,8 +37,8 @@
 
 // Roles takes what concerns the singleton roles.
 type Roles interface {
-	// Reports takes routers' reports. It is called on the holder only, and does not block.
-	Reports(from string, reports []protocol.Report)
+	// Reports takes what an instance's routers reported and confirmed. It does not block.
+	Reports(batch *protocol.ReportBatch)
 }
 
 // Events are told to people, one line each.
@@ -80,18 +81,24 @@
 	nextTicket  uint64
 	barrier     bool // one is under way
 	status      statusView
+	started     time.Time
+	delays      delays
 	reports     []protocol.Report
+	granted     []protocol.GrantConfirmed
 	reportsSent time.Time
 }
 
 // New makes a host; Run starts it.
 func New(settings Settings, parts Parts) *Host {
+	now := time.Now()
 	return &Host{
 		settings:    settings,
 		parts:       parts,
 		queue:       make(chan any, queueCommands),
 		ended:       make(chan struct{}),
-		desk:        NewDesk(registry.Settings{Origin: settings.Origin, Heartbeat: settings.Heartbeat}, time.Now()),
+		desk:        NewDesk(registry.Settings{Origin: settings.Origin, Heartbeat: settings.Heartbeat}, now),
+		started:     now,
+		delays:      newDelays(),
 		connections: make(map[*transport.Connection]distribution.ConnectionID),
 		byID:        make(map[distribution.ConnectionID]*transport.Connection),
 		tickets:     make(map[uint64]chan registry.Acknowledge),
@@ -176,11 +183,12 @@
 		h.sendRouter(message)
 	}
 	for _, message := range orders.Peers {
-		h.parts.Mesh.Send(message.To, message.Message)
+		h.sendPeer(now, message.To, message.Message)
 	}
 	for _, closing := range orders.Close {
 		h.closeRouter(closing)
 	}
+	h.granted = append(h.granted, orders.Granted...)
 	for _, answer := range orders.Acknowledge {
 		if waiting, known := h.tickets[answer.Ticket]; known {
 			waiting <- answer
@@ -194,6 +202,15 @@
 	}
 }
 
+// sendPeer sends with a stamp of this process's clock.
+func (h *Host) sendPeer(now time.Time, to string, message any) {
+	if stamped, isStamped := message.(protocol.FromPeer); isStamped {
+		*stamped.Sender() = h.settings.Origin
+		stamped.Sender().At = now.Sub(h.started)
+	}
+	h.parts.Mesh.Send(to, message)
+}
+
 func (h *Host) sendRouter(message distribution.Send) {
 	connection := h.byID[message.Connection]
 	if connection == nil {
@@ -236,28 +253,30 @@
 	}
 }
 
-// forwardReports sends the routers' reports to the holder of the placer's role.
+// forwardReports sends what the routers reported and confirmed to the holder of the roles.
 func (h *Host) forwardReports(now time.Time) {
-	if len(h.reports) == 0 || now.Sub(h.reportsSent) < reportsEvery {
+	if len(h.reports)+len(h.granted) == 0 || now.Sub(h.reportsSent) < reportsEvery {
 		return
 	}
+	h.reportsSent = now
 	holder := h.status.holder
 	if holder == "" {
 		h.reports = h.reports[max(0, len(h.reports)-maximumReports):]
+		h.granted = nil
 		return
 	}
-	reports := h.reports
-	h.reports, h.reportsSent = nil, now
+	batch := &protocol.ReportBatch{Origin: h.settings.Origin, Reports: h.reports, Confirmed: h.granted}
+	h.reports, h.granted = nil, nil
 	if holder == h.settings.Origin.Address {
-		h.parts.Roles.Reports(holder, reports)
+		h.parts.Roles.Reports(batch)
 		return
 	}
-	h.parts.Mesh.Send(holder, &protocol.ReportBatch{Origin: h.settings.Origin, Reports: reports})
+	h.sendPeer(now, holder, batch)
 }
 
 func (h *Host) wakeAt(now time.Time) time.Time {
 	wake := h.status.wakeAt
-	if len(h.reports) > 0 {
+	if len(h.reports)+len(h.granted) > 0 {
 		if due := h.reportsSent.Add(reportsEvery); due.Before(wake) {
 			wake = due
 		}
--- a/internal/control/host/host_test.go
+++ b/internal/control/host/host_test.go
@@ -35,8 +35,8 @@
 	s.generation, s.document = generation, []byte(document)
 }
 
-func (s *standIn) Reports(_ string, reports []protocol.Report) {
-	for _, report := range reports {
+func (s *standIn) Reports(batch *protocol.ReportBatch) {
+	for _, report := range batch.Reports {
 		s.reports <- report
 	}
 }
@@ -319,10 +319,10 @@
 	nodes := startNodes(t, 1)
 	one := subscribe(t, nodes[0], protocol.Subscribe{Node: "r1", Incarnation: 3}, false)
 	one.await("first", func(u *protocol.Update) bool { return u.Sequence == 1 })
-	nodes[0].host.Grant([]protocol.RouterGrants{
+	nodes[0].host.Grant(map[string][]protocol.RouterGrants{nodes[0].address: {
 		{Node: "r1", Incarnation: 2, Grants: []protocol.QuotaGrant{{Tenant: "old"}}},
 		{Node: "r1", Incarnation: 3, Grants: []protocol.QuotaGrant{{Tenant: "t", RatePerS: 5}}},
-	})
+	}})
 	update := one.await("grant", func(u *protocol.Update) bool { return len(u.Quotas) > 0 })
 	if update.Quotas[0].Tenant != "t" {
 		t.Errorf("%+v", update.Quotas)
--- a/internal/control/host/status.go
+++ b/internal/control/host/status.go
@@ -121,9 +121,10 @@
 
 func (h *Host) view() View {
 	return View{
-		Endpoints: h.desk.Endpoints(time.Now()),
-		Routers:   h.desk.Routers(),
-		Members:   h.status.members,
-		Isolated:  h.status.isolated,
+		Endpoints:   h.desk.Endpoints(time.Now()),
+		Routers:     h.desk.Routers(),
+		RouterCount: h.desk.RouterCount(),
+		Members:     h.status.members,
+		Isolated:    h.status.isolated,
 	}
 }
--- a/internal/control/host/world_test.go
+++ b/internal/control/host/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"raventrestle/internal/control/distribution"
@@ -153,9 +154,8 @@
 		w.beat()
 		w.subscribe()
 		for n, i := range w.instances {
-			if reach := w.reachable(n); fmt.Sprint(reach) != fmt.Sprint(i.reach) && w.random.IntN(40) == 0 {
-				i.reach = reach // noticed a while after it happened
-				w.tellReach(n)
+			if w.random.IntN(40) == 0 { // a cut is noticed a while after it happened
+				w.notice(n)
 			}
 			if !w.now.Before(i.wakeAt) {
 				w.step(n, News{})
@@ -164,6 +164,14 @@
 	}
 }
 
+func (w *world) notice(n int) {
+	i := w.instances[n]
+	if reach := w.reachable(n); !slices.Equal(reach, i.reach) {
+		i.reach = reach
+		w.tellReach(n)
+	}
+}
+
 func (w *world) tellReach(n int) {
 	i := w.instances[n]
 	isolated := 2*(len(i.reach)+1) <= len(w.instances)
--- a/internal/control/roles/holder.go
+++ b/internal/control/roles/holder.go
@@ -9,6 +9,7 @@
 	"raventrestle/internal/configuration"
 	"raventrestle/internal/control/host"
 	"raventrestle/internal/control/placer"
+	"raventrestle/internal/control/quota"
 	"raventrestle/internal/protocol"
 )
 
@@ -16,7 +17,7 @@
 	shortestPause  = 50 * time.Millisecond // between two steps
 	watchEvery     = 500 * time.Millisecond
 	troubleLasts   = 4 * time.Second // after a change of view or of who is live
-	maximumReports = 4096            // kept until the next step
+	maximumBatches = 1024            // of reports, kept until the next step
 	viewWithin     = time.Second
 )
 
@@ -25,11 +26,16 @@
 	Step(now time.Time, in placer.Input) placer.Output
 }
 
+// Allocator divides tenants' limits; *quota.Allocator is one.
+type Allocator interface {
+	Step(now time.Time, in quota.Input) quota.Output
+}
+
 // Endpoints is the soft state that the roles work on; *host.Host is one.
 type Endpoints interface {
 	View(ctx context.Context) (host.View, error)
 	ShowLoading(table protocol.LoadingTable)
-	Grant(routers []protocol.RouterGrants)
+	Grant(batches map[string][]protocol.RouterGrants)
 }
 
 // Configurations gives the newest committed configuration, nil before the first.
@@ -51,6 +57,7 @@
 	Configurations Configurations
 	Mesh           host.Mesh
 	NewPlacer      func(quiet time.Duration) Placer // nobody has sent an order for so long
+	NewAllocator   func(quiet time.Duration) Allocator
 	Events         Events
 }
 
@@ -79,9 +86,12 @@
 	turn          Turn
 	ended         uint64 // epoch in which this instance last ceased to act
 	placer        Placer
+	allocator     Allocator
+	roster        *roster
 	loadings      *loadings
-	configuration *configuration.Configuration
-	orders        map[uint64]placer.Order // without a result
+	configuration *configuration.Configuration // that the placer has
+	divided       *configuration.Configuration // that the allocator has
+	orders        map[uint64]placer.Order      // without a result
 	trouble       trouble
 	nextStep      time.Time // not before then
 	wakeAt        time.Time // when the placer wants its next step
@@ -89,16 +99,11 @@
 
 // inbox gathers what arrives between two steps.
 type inbox struct {
-	reports []arrivedReport
+	batches []*protocol.ReportBatch
 	results []placer.Result
 	looks   []placer.Look
 }
 
-type arrivedReport struct {
-	from   string // the instance that the router is connected to
-	report protocol.Report
-}
-
 // New makes a holder; Run starts it.
 func New(settings Settings, parts Parts) *Holder {
 	h := &Holder{
@@ -133,13 +138,11 @@
 	h.nudge()
 }
 
-// Reports takes routers' reports that arrived at an instance. It does not block.
-func (h *Holder) Reports(from string, reports []protocol.Report) {
+// Reports takes what an instance's routers reported. It does not block.
+func (h *Holder) Reports(batch *protocol.ReportBatch) {
 	h.mutex.Lock()
-	for _, report := range reports {
-		if len(h.inbox.reports) < maximumReports {
-			h.inbox.reports = append(h.inbox.reports, arrivedReport{from: from, report: report})
-		}
+	if len(h.inbox.batches) < maximumBatches {
+		h.inbox.batches = append(h.inbox.batches, batch)
 	}
 	h.mutex.Unlock()
 	h.nudge()
@@ -186,7 +189,7 @@
 		h.turn = Turn{}
 	}
 	if !h.turn.Leads {
-		h.inbox.reports = nil
+		h.inbox.batches = nil
 	}
 	h.mutex.Unlock()
 	switch {
@@ -205,9 +208,11 @@
 		return
 	}
 	h.placer = h.parts.NewPlacer(h.turn.Quiet)
+	h.allocator = h.parts.NewAllocator(h.turn.Quiet)
+	h.roster = newRoster()
 	h.loadings = newLoadings()
 	h.loadings.changed = true // the others forget what an earlier holder showed
-	h.configuration = nil
+	h.configuration, h.divided = nil, nil
 	clear(h.orders)
 	h.mutex.Lock()
 	h.term++
@@ -220,33 +225,91 @@
 	h.parts.Events.RoleEnded(before.Epoch)
 }
 
-// step has the placer decide and begins what it orders.
+// step has the placer and the allocator decide, and begins what they order.
 func (h *Holder) step(ctx context.Context, now time.Time) {
+	h.nextStep = now.Add(shortestPause)
 	view, err := h.view(ctx)
 	if err != nil {
-		h.nextStep = now.Add(shortestPause)
 		return // the instance stops, or is behind: later
 	}
-	in := placer.Input{Endpoints: view.Endpoints, Recovering: h.trouble.lasts(now)}
-	if newest := h.parts.Configurations.Current(); newest != nil && newest != h.configuration {
-		h.configuration = newest
-		in.Configuration = newest
-		h.loadings.configure(newest)
-	}
 	arrived := h.takeInbox()
-	for _, report := range arrived.reports {
-		in.Reports = append(in.Reports, report.report)
-	}
-	in.Results, in.Looks = arrived.results, arrived.looks
+	reports := h.reportsOf(now, arrived.batches)
+	changed := h.newConfiguration()
 	h.note(now, arrived.results)
 	h.loadings.observe(now, view.Endpoints)
-	out := h.placer.Step(now, in)
+	out := h.placer.Step(now, placer.Input{
+		Configuration: changed,
+		Endpoints:     view.Endpoints,
+		Reports:       reports,
+		Results:       arrived.results,
+		Looks:         arrived.looks,
+		Recovering:    h.trouble.lasts(now),
+	})
 	h.carryOut(ctx, out, view.Endpoints)
 	if table, changed := h.loadings.table(now, h.turn.Epoch); changed {
 		h.parts.Endpoints.ShowLoading(table)
 	}
-	h.nextStep = now.Add(shortestPause)
 	h.wakeAt = out.WakeAt
+	h.divide(now, quota.Input{
+		Routers:   h.roster.routers(now),
+		Floors:    h.roster.count(now, view.RouterCount),
+		Reports:   reports,
+		Confirmed: h.confirmedOf(arrived.batches),
+	})
+}
+
+// newConfiguration returns the newest version if it is new here.
+func (h *Holder) newConfiguration() *configuration.Configuration {
+	newest := h.parts.Configurations.Current()
+	if newest == nil || newest == h.configuration {
+		return nil
+	}
+	h.configuration = newest
+	h.loadings.configure(newest)
+	return newest
+}
+
+func (h *Holder) reportsOf(now time.Time, batches []*protocol.ReportBatch) []protocol.Report {
+	var reports []protocol.Report
+	for _, batch := range batches {
+		for i := range batch.Reports {
+			h.roster.see(now, batch.Origin.Address, &batch.Reports[i])
+		}
+		reports = append(reports, batch.Reports...)
+	}
+	return reports
+}
+
+// confirmedOf returns the confirmations of grants of this epoch; numbers of others mean nothing here.
+func (h *Holder) confirmedOf(batches []*protocol.ReportBatch) []quota.Confirmation {
+	var confirmed []quota.Confirmation
+	for _, batch := range batches {
+		for _, told := range batch.Confirmed {
+			if told.Epoch == h.turn.Epoch {
+				router := quota.Router{Node: told.Node, Incarnation: told.Incarnation}
+				confirmed = append(confirmed, quota.Confirmation{Router: router, Batch: told.Batch})
+			}
+		}
+	}
+	return confirmed
+}
+
+// divide has the tenants' limits divided. While the number of routers is unknown, all keep to their floors.
+func (h *Holder) divide(now time.Time, in quota.Input) {
+	if in.Floors == 0 {
+		return
+	}
+	if h.configuration != h.divided {
+		h.divided = h.configuration
+		in.Configuration = h.configuration
+	}
+	out := h.allocator.Step(now, in)
+	if len(out.Grants) > 0 {
+		h.parts.Endpoints.Grant(h.roster.batches(out.Grants, h.turn.Epoch))
+	}
+	if len(in.Routers) > 0 && out.WakeAt.Before(h.wakeAt) {
+		h.wakeAt = out.WakeAt
+	}
 }
 
 func (h *Holder) view(ctx context.Context) (host.View, error) {
--- a/internal/protocol/peers.go
+++ b/internal/protocol/peers.go
@@ -34,6 +34,8 @@
 type Origin struct {
 	Address     string `cbor:"1,keyasint"` // of its transport, where answers go
 	Incarnation uint64 `cbor:"2,keyasint"` // random, one for each start of the process
+	// At is when the message left, since the process started: it tells messages that were held up.
+	At time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Record is what one control instance knows of one endpoint.
@@ -101,8 +103,17 @@
 
 // ReportBatch carries routers' reports to the instance that holds the placer's role.
 type ReportBatch struct {
-	Origin  Origin   `cbor:"1,keyasint"`
-	Reports []Report `cbor:"2,keyasint"`
+	Origin    Origin           `cbor:"1,keyasint"`
+	Reports   []Report         `cbor:"2,keyasint,omitempty"`
+	Confirmed []GrantConfirmed `cbor:"3,keyasint,omitempty"`
+}
+
+// GrantConfirmed tells that a router has a batch of grants in force.
+type GrantConfirmed struct {
+	Node        string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	Epoch       uint64 `cbor:"3,keyasint"` // of the grants
+	Batch       uint64 `cbor:"4,keyasint"`
 }
 
 // RouterGrants are the quota grants of one router.
@@ -110,11 +121,39 @@
 	Node        string       `cbor:"1,keyasint"`
 	Incarnation uint64       `cbor:"2,keyasint"`
 	Grants      []QuotaGrant `cbor:"3,keyasint"`
+	Epoch       uint64       `cbor:"4,keyasint"` // of the holder that granted
+	Batch       uint64       `cbor:"5,keyasint"` // names them in GrantConfirmed
 }
 
 // GrantBatch carries quota grants from the holder of the role to an instance that has the routers.
 type GrantBatch struct {
 	Origin  Origin         `cbor:"1,keyasint"`
-	Epoch   uint64         `cbor:"2,keyasint"`
 	Routers []RouterGrants `cbor:"3,keyasint"`
 }
+
+// FromPeer is a message between control instances.
+type FromPeer interface {
+	// Sender returns who sent it, for reading and for stamping.
+	Sender() *Origin
+}
+
+// Sender implements FromPeer.
+func (m *RegistryDelta) Sender() *Origin { return &m.Origin }
+
+// Sender implements FromPeer.
+func (m *RegistryConfirm) Sender() *Origin { return &m.Origin }
+
+// Sender implements FromPeer.
+func (m *RegistrySummary) Sender() *Origin { return &m.Origin }
+
+// Sender implements FromPeer.
+func (m *RegistryDigest) Sender() *Origin { return &m.Origin }
+
+// Sender implements FromPeer.
+func (m *LoadingTable) Sender() *Origin { return &m.Origin }
+
+// Sender implements FromPeer.
+func (m *ReportBatch) Sender() *Origin { return &m.Origin }
+
+// Sender implements FromPeer.
+func (m *GrantBatch) Sender() *Origin { return &m.Origin }
