--- a/internal/router/dispatch/decider.go
+++ b/internal/router/dispatch/decider.go
@@ -84,6 +84,7 @@
 	arrivals   int
 	mayHaveRun bool
 	charged    float64
+	unpaid     bool // held until its tenant's quota allows it
 	spentAt    int64
 	spentNow   bool
 }
@@ -177,11 +178,18 @@
 	r.deadline = asked.Deadline.Sub(d.base)
 	r.rank = rank(asked)
 	r.group = d.serviceNamed(asked.Service).groupNamed(asked.Model)
-	if wait, ok := d.charge(r); !ok {
-		d.out = append(d.out, Refuse{ID: r.ID, Reason: OverQuota, RetryAfter: wait})
-		return
-	}
+	wait, paid := d.charge(r)
 	d.requests[r.ID] = r
+	switch {
+	case paid:
+		d.admit(r)
+	case !d.holdUnpaid(r):
+		d.refuse(r, OverQuota, wait)
+	}
+}
+
+// admit lets in a request that is paid for.
+func (d *Decider) admit(r *request) {
 	d.countRequest(r.group.service)
 	d.countDemand(r)
 	r.holdUntil = r.patience()
@@ -205,6 +213,9 @@
 // forget drops a request that has ended.
 func (d *Decider) forget(r *request) {
 	r.stage = ended
+	if r.unpaid {
+		d.dropUnpaid(r)
+	}
 	d.refund(r)
 	delete(d.requests, r.ID)
 }
--- a/internal/router/dispatch/demand.go
+++ b/internal/router/dispatch/demand.go
@@ -13,6 +13,7 @@
 // report if it was asked for, has requests held or out, or had at the last report.
 const (
 	betweenUrgent = 50 * time.Millisecond // reports
+	betweenLacks  = 10 * time.Millisecond // reports of requests that wait for quota
 	lackAgain     = time.Second           // between reports at once of the same lack
 	mostWorth     = 10
 	leastWorth    = 1
@@ -31,6 +32,7 @@
 	active   []*target
 	dirty    bool
 	asked    bool // the next report is to go at once
+	unpaid   bool // requests wait for it
 	lastAt   time.Duration
 	sequence uint64
 }
@@ -44,6 +46,12 @@
 	d.demand.asked = true
 }
 
+// lackQuota: requests wait for quota.
+func (d *Decider) lackQuota() {
+	d.demand.dirty = true
+	d.demand.unpaid = true
+}
+
 // lacking: nobody holds what the request needs. It is told at once where that is new.
 func (d *Decider) lacking(t *target) {
 	if t.urgentAt == 0 || d.now-t.urgentAt >= lackAgain {
@@ -92,6 +100,9 @@
 	if x.asked {
 		due = x.lastAt + betweenUrgent
 	}
+	if x.unpaid {
+		due = x.lastAt + betweenLacks
+	}
 	if d.now < due {
 		d.wakeBy(due)
 		return
@@ -99,6 +110,7 @@
 	d.out = append(d.out, Report{d.summary()})
 	x.dirty = false
 	x.asked = false
+	x.unpaid = false
 	x.lastAt = d.now
 }
 
@@ -126,10 +138,11 @@
 func (d *Decider) tenantDemand() []protocol.TenantDemand {
 	var list []protocol.TenantDemand
 	for _, t := range d.tenants {
-		if t.asked == 0 && t.given == 0 {
+		lack := d.lack(t)
+		if t.asked == 0 && t.given == 0 && lack == 0 {
 			continue
 		}
-		list = append(list, protocol.TenantDemand{Tenant: t.name, Asked: t.asked, Granted: t.given})
+		list = append(list, protocol.TenantDemand{Tenant: t.name, Asked: t.asked, Granted: t.given, Lacking: lack})
 		t.asked, t.given = 0, 0
 	}
 	slices.SortFunc(list, func(a, b protocol.TenantDemand) int { return cmp.Compare(a.Tenant, b.Tenant) })
--- a/internal/router/dispatch/settle.go
+++ b/internal/router/dispatch/settle.go
@@ -17,6 +17,10 @@
 // refused for the first time usually comes back when it is told to, and then counts by its new try; what
 // comes back, or was out already, rather goes late than not at all.
 func (d *Decider) settle(r *request) {
+	if r.unpaid {
+		d.refuseUnpaid(r)
+		return
+	}
 	h, how := d.choose(r)
 	switch {
 	case how == goesNowhere:
--- a/internal/router/dispatch/view.go
+++ b/internal/router/dispatch/view.go
@@ -117,6 +117,11 @@
 	for i := range change.Endpoints {
 		d.update(&change.Endpoints[i])
 	}
+	for i := range change.Quotas {
+		if t := d.tenants[change.Quotas[i].Tenant]; t != nil {
+			d.payHeld(t)
+		}
+	}
 }
 
 // configure takes over a configuration.
