--- /dev/null
+++ b/cmd/raventrestle-control/commands_test.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestDifferences(t *testing.T) {
+	before := `{"generation":5,"routes":[{"name":"a","x":1},{"name":"b"}],"limits":{"m":1}}`
+	after := `{"generation":7,"routes":[{"name":"a","x":2},{"name":"c"}],"limits":{"m":1}}`
+	got, err := differences([]byte(before), []byte(after))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []difference{{"-", "routes b"}, {"~", "generation"}, {"~", "routes a"}, {"+", "routes c"}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+	if _, err := differences([]byte(before), []byte("{")); err == nil {
+		t.Error("half a configuration was read")
+	}
+}
+
+func TestTablesForPeople(t *testing.T) {
+	cases := []struct {
+		print    func(w io.Writer, text []byte) error
+		text     string
+		contains []string
+	}{
+		{printMembers, `{"epoch":4,"members":[{"control":"10.0.0.1:1","place":1,"live":true},{"control":"10.0.0.2:1"}]}`,
+			[]string{"epoch 4", "head\t10.0.0.1:1", "-\t10.0.0.2:1"}},
+		{printEndpoints, `{"endpoints":[{"id":"i-1","state":"ready","models":[{"name":"m","adapters":["a1"]}],` +
+			`"loading":[{"model":"n"},{"model":"m","adapter":"a2","unload":true}]}]}`,
+			[]string{"i-1", "m m/a1 +n -m/a2"}},
+		{printModels, `{"models":[{"backend":"b","model":"m","endpoints":[{"id":"i-1"},{"id":"i-2"}]}]}`,
+			[]string{"b\tm\ti-1 i-2"}},
+	}
+	for _, c := range cases {
+		var out bytes.Buffer
+		if err := c.print(&out, []byte(c.text)); err != nil {
+			t.Fatal(err)
+		}
+		for _, part := range c.contains {
+			if !strings.Contains(out.String(), part) {
+				t.Errorf("%q is missing in %s", part, out.String())
+			}
+		}
+	}
+}
+
+// TestConfigChangeBuildsOnTheNewest has put ask for the version that it builds on.
+func TestConfigChangeBuildsOnTheNewest(t *testing.T) {
+	var ifMatch, body string
+	instance := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/-/members" {
+			_, _ = w.Write([]byte(`{"generation":7}`))
+			return
+		}
+		ifMatch = r.Header.Get("If-Match")
+		text, _ := io.ReadAll(r.Body)
+		body = string(text)
+		_, _ = w.Write([]byte(`{"generation":9}`))
+	}))
+	defer instance.Close()
+	file := filepath.Join(t.TempDir(), "new.json")
+	if err := os.WriteFile(file, []byte(`{"generation":9}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	command := &configCommand{onto: -1}
+	command.control, command.output = instance.Listener.Addr().String(), &out
+	if err := command.change(t.Context(), http.MethodPatch, file); err != nil {
+		t.Fatal(err)
+	}
+	if ifMatch != "7" || body != `{"generation":9}` || !strings.Contains(out.String(), "version 9 is in force") {
+		t.Errorf("If-Match %q, body %q, output %q", ifMatch, body, out.String())
+	}
+}
+
+func TestRefusalNamesItsReason(t *testing.T) {
+	instance := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		_, _ = w.Write([]byte(`{"error":"version 9 is in force"}`))
+	}))
+	defer instance.Close()
+	c := &client{control: instance.Listener.Addr().String()}
+	_, err := c.call(t.Context(), http.MethodPut, configPath, 7, []byte("{}"))
+	if err == nil || !strings.Contains(err.Error(), "version 9 is in force") {
+		t.Errorf("%v", err)
+	}
+}
--- /dev/null
+++ b/cmd/raventrestle-control/config.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"raventrestle/internal/configuration"
+	"raventrestle/internal/control/api"
+	"raventrestle/internal/nodeconfig"
+)
+
+const configPath = "/-/config"
+
+// checkCommand reads a configuration, or the settings file, and says what is wrong with it.
+type checkCommand struct{ settings bool }
+
+func (*checkCommand) Name() string     { return "check" }
+func (*checkCommand) Synopsis() string { return "check a configuration without sending it" }
+func (*checkCommand) Usage() string {
+	return "check FILE\n  Checks a whole configuration.\ncheck -settings [FILE]\n  Checks a settings file.\n"
+}
+
+func (c *checkCommand) SetFlags(flags *flag.FlagSet) {
+	flags.BoolVar(&c.settings, "settings", false, "FILE is a settings file")
+}
+
+func (c *checkCommand) Execute(_ context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.settings {
+		return status(checkSettings(flags.Arg(0)))
+	}
+	return status(checkConfiguration(flags.Arg(0)))
+}
+
+func checkSettings(path string) error {
+	if path == "" {
+		_, err := nodeconfig.FromEnvironment()
+		return err
+	}
+	_, err := nodeconfig.Load(path)
+	return err
+}
+
+func checkConfiguration(path string) error {
+	body, err := readFile(path)
+	if err != nil {
+		return err
+	}
+	document, err := configuration.ParseDocument(body)
+	if err != nil {
+		return err
+	}
+	return configuration.Check(document.Configuration(), nil)
+}
+
+// readFile reads a named file, or standard input for "-".
+func readFile(path string) ([]byte, error) {
+	switch path {
+	case "":
+		return nil, errors.New("name a FILE, or - for standard input")
+	case "-":
+		return io.ReadAll(os.Stdin)
+	}
+	return os.ReadFile(path)
+}
+
+// configCommand reads and changes the configuration.
+type configCommand struct {
+	client
+	onto int64
+}
+
+func (*configCommand) Name() string     { return "config" }
+func (*configCommand) Synopsis() string { return "read and change the configuration" }
+
+func (*configCommand) Usage() string {
+	return `config [flags] get            prints the newest version
+config [flags] put FILE       replaces the configuration by FILE
+config [flags] patch FILE     changes the items that FILE names
+config [flags] diff FILE      says which items FILE would add, change and remove
+config [flags] history        lists the versions that were taken
+  A FILE of - is standard input.
+`
+}
+
+func (c *configCommand) SetFlags(flags *flag.FlagSet) {
+	c.flags(flags)
+	flags.Int64Var(&c.onto, "onto", -1, "the `version` that a change builds on; left out, the newest one")
+}
+
+func (c *configCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	switch flags.Arg(0) {
+	case "get":
+		return status(c.get(ctx))
+	case "put":
+		return status(c.change(ctx, http.MethodPut, flags.Arg(1)))
+	case "patch":
+		return status(c.change(ctx, http.MethodPatch, flags.Arg(1)))
+	case "diff":
+		return status(c.diff(ctx, flags.Arg(1)))
+	case "history":
+		return status(c.history(ctx))
+	}
+	fmt.Fprint(os.Stderr, c.Usage())
+	return subcommands.ExitUsageError
+}
+
+func (c *configCommand) get(ctx context.Context) error {
+	text, err := c.call(ctx, http.MethodGet, configPath, -1, nil)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(c.out(), string(text))
+	return err
+}
+
+func (c *configCommand) change(ctx context.Context, method, path string) error {
+	body, err := readFile(path)
+	if err != nil {
+		return err
+	}
+	onto := c.onto
+	if onto < 0 {
+		if onto, err = c.newest(ctx); err != nil {
+			return err
+		}
+	}
+	text, err := c.call(ctx, method, configPath, onto, body)
+	if err != nil {
+		return err
+	}
+	return c.show(text, func(w io.Writer) error {
+		var taken struct {
+			Generation int64 `json:"generation"`
+		}
+		if err := json.Unmarshal(text, &taken); err != nil {
+			return fmt.Errorf("answer can't be read: %w", err)
+		}
+		_, err := fmt.Fprintf(w, "version %d is in force, on top of %d\n", taken.Generation, onto)
+		return err
+	})
+}
+
+// newest asks for the newest version; 0 before the first.
+func (c *configCommand) newest(ctx context.Context) (int64, error) {
+	text, err := c.call(ctx, http.MethodGet, "/-/members", -1, nil)
+	if err != nil {
+		return 0, err
+	}
+	var group groupView
+	if err := json.Unmarshal(text, &group); err != nil {
+		return 0, fmt.Errorf("answer can't be read: %w", err)
+	}
+	return group.Generation, nil
+}
+
+func (c *configCommand) history(ctx context.Context) error {
+	text, err := c.call(ctx, http.MethodGet, "/-/history", -1, nil)
+	if err != nil {
+		return err
+	}
+	return c.show(text, func(w io.Writer) error {
+		var told struct {
+			Versions []api.VersionView `json:"versions"`
+		}
+		if err := json.Unmarshal(text, &told); err != nil {
+			return fmt.Errorf("answer can't be read: %w", err)
+		}
+		fmt.Fprintln(w, "GENERATION\tINDEX\tBY\tBYTES")
+		for _, version := range told.Versions {
+			fmt.Fprintf(w, "%d\t%d\t%s\t%d\n", version.Generation, version.Index, version.Method, version.Bytes)
+		}
+		return nil
+	})
+}
+
+func (c *configCommand) diff(ctx context.Context, path string) error {
+	body, err := readFile(path)
+	if err != nil {
+		return err
+	}
+	text, err := c.call(ctx, http.MethodGet, configPath, -1, nil)
+	if err != nil {
+		return err
+	}
+	changes, err := differences(text, body)
+	if err != nil {
+		return err
+	}
+	if c.asJSON {
+		text, err := json.Marshal(map[string]any{"changes": changes})
+		if err != nil {
+			return fmt.Errorf("diff: %w", err)
+		}
+		_, err = fmt.Fprintln(c.out(), string(text))
+		return err
+	}
+	for _, change := range changes {
+		fmt.Fprintln(c.out(), change.Sign, change.Item)
+	}
+	return nil
+}
--- a/cmd/raventrestle-control/main.go
+++ b/cmd/raventrestle-control/main.go
@@ -18,6 +18,11 @@
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(&runCommand{}, "")
 	commander.Register(&versionCommand{}, "")
+	commander.Register(&checkCommand{}, "")
+	commander.Register(&configCommand{}, "")
+	for _, table := range tableCommands() {
+		commander.Register(table, "")
+	}
 	flag.Parse()
 	os.Exit(int(commander.Execute(context.Background())))
 }
--- a/internal/control/api/server.go
+++ b/internal/control/api/server.go
@@ -56,6 +56,8 @@
 	Change(ctx context.Context, method string, base int64, body []byte) (ChangeResult, error)
 	// Read returns the newest version, 0 and nil before the first. An error means that it can't be known now.
 	Read(ctx context.Context) (generation int64, document []byte, err error)
+	// History returns the versions that were taken, oldest first, as far as they are known here.
+	History() []VersionView
 }
 
 // Status gives people a view of the group; the value is shown as JSON.
@@ -99,6 +101,7 @@
 	calls.HandleFunc("PUT /-/config", a.changeConfig)
 	calls.HandleFunc("PATCH /-/config", a.changeConfig)
 	calls.HandleFunc("GET /-/config", a.getConfig)
+	calls.HandleFunc("GET /-/history", a.getHistory)
 	calls.HandleFunc("GET /-/members", a.getMembers)
 	calls.HandleFunc("GET /-/endpoints", a.getEndpoints)
 	calls.HandleFunc("GET /-/models", a.getModels)
--- a/internal/control/api/views.go
+++ b/internal/control/api/views.go
@@ -46,6 +46,22 @@
 	Adapters   []string `json:"adapters"`
 }
 
+// VersionView is one version of the configuration.
+type VersionView struct {
+	Generation int64  `json:"generation"`
+	Index      uint64 `json:"index"` // of the command that made it
+	Method     string `json:"method"`
+	Bytes      int    `json:"bytes"` // of the whole configuration
+}
+
+func (a *API) getHistory(w http.ResponseWriter, _ *http.Request) {
+	versions := a.configurations.History()
+	if versions == nil {
+		versions = []VersionView{}
+	}
+	answer(w, http.StatusOK, map[string]any{"versions": versions})
+}
+
 func stateName(state protocol.EndpointState) string {
 	switch state {
 	case protocol.Ready:
--- a/internal/control/changes/changes.go
+++ b/internal/control/changes/changes.go
@@ -79,3 +79,14 @@
 func (c *Configurations) Current() *configuration.Configuration {
 	return c.machine.View().Configuration
 }
+
+// History returns the versions that were taken, oldest first.
+func (c *Configurations) History() []api.VersionView {
+	history := c.machine.History()
+	views := make([]api.VersionView, len(history))
+	for i, version := range history {
+		views[i] = api.VersionView{Generation: version.Generation, Index: version.Index, Method: version.Method,
+			Bytes: version.Bytes}
+	}
+	return views
+}
