Pass on at once what requests that wait for quota lack

Cause: reports went on every 200 ms and the holder stepped every 50 ms, longer than a request waits for credit. Change: 4 ms for both while something lacks.

--- a/internal/control/host/commands.go
+++ b/internal/control/host/commands.go
@@ -204,6 +204,7 @@
 		h.news.Registry = append(h.news.Registry,
 			registry.RouterReport{Unreachable: report.Unreachable, Reached: report.Reached})
 	}
+	h.lacking = h.lacking || report.Lacks()
 	h.reports = append(h.reports, *report)
 }
 
--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -17,6 +17,7 @@
 	batchCommands  = 256
 	statusEvery    = 100 * time.Millisecond // the replica's status is read no more often
 	reportsEvery   = 200 * time.Millisecond // routers' reports go on together
+	lacksEvery     = 4 * time.Millisecond   // the same, while requests wait for quota
 	staleGrant     = 300 * time.Millisecond // one that was held up longer may be somebody else's by now
 	isolatedAfter  = time.Second            // without a majority
 	barrierWithin  = 1500 * time.Millisecond
@@ -86,6 +87,7 @@
 	reports     []protocol.Report
 	granted     []protocol.GrantConfirmed
 	reportsSent time.Time
+	lacking     bool // a report says that requests wait for quota
 }
 
 // New makes a host; Run starts it.
@@ -255,10 +257,11 @@
 
 // forwardReports sends what the routers reported and confirmed to the holder of the roles.
 func (h *Host) forwardReports(now time.Time) {
-	if len(h.reports)+len(h.granted) == 0 || now.Sub(h.reportsSent) < reportsEvery {
+	if len(h.reports)+len(h.granted) == 0 || now.Before(h.reportsDue()) {
 		return
 	}
 	h.reportsSent = now
+	h.lacking = false
 	holder := h.status.holder
 	if holder == "" {
 		h.reports = h.reports[max(0, len(h.reports)-maximumReports):]
@@ -274,10 +277,18 @@
 	h.sendPeer(now, holder, batch)
 }
 
+// reportsDue is when what was reported goes on.
+func (h *Host) reportsDue() time.Time {
+	if h.lacking {
+		return h.reportsSent.Add(lacksEvery)
+	}
+	return h.reportsSent.Add(reportsEvery)
+}
+
 func (h *Host) wakeAt(now time.Time) time.Time {
 	wake := h.status.wakeAt
 	if len(h.reports)+len(h.granted) > 0 {
-		if due := h.reportsSent.Add(reportsEvery); due.Before(wake) {
+		if due := h.reportsDue(); due.Before(wake) {
 			wake = due
 		}
 	}
--- a/internal/control/roles/holder.go
+++ b/internal/control/roles/holder.go
@@ -15,6 +15,7 @@
 
 const (
 	shortestPause  = 50 * time.Millisecond // between two steps
+	lackingPause   = 4 * time.Millisecond  // the same, while requests wait for quota
 	watchEvery     = 500 * time.Millisecond
 	troubleLasts   = 4 * time.Second // after a change of view or of who is live
 	maximumBatches = 1024            // of reports, kept until the next step
@@ -94,6 +95,7 @@
 	orders        map[uint64]placer.Order      // without a result
 	trouble       trouble
 	nextStep      time.Time // not before then
+	stepped       time.Time // the last one
 	wakeAt        time.Time // when the placer wants its next step
 }
 
@@ -164,7 +166,7 @@
 		changed := h.parts.Replica.Changed() // before the look, so that no change is missed
 		now := time.Now()
 		h.look(now)
-		if h.turn.Acts && !now.Before(h.nextStep) {
+		if h.turn.Acts && !now.Before(h.stepFrom()) {
 			h.step(ctx, now)
 		}
 		timer.Reset(h.pause(now))
@@ -178,6 +180,18 @@
 	}
 }
 
+// stepFrom is when the next step may be made: soon if requests wait for quota.
+func (h *Holder) stepFrom() time.Time {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for _, batch := range h.inbox.batches {
+		if batch.Lacks() {
+			return h.stepped.Add(lackingPause)
+		}
+	}
+	return h.nextStep
+}
+
 // look draws from the replica's status what this instance may do.
 func (h *Holder) look(now time.Time) {
 	status := h.parts.Replica.Status()
@@ -227,6 +241,7 @@
 
 // step has the placer and the allocator decide, and begins what they order.
 func (h *Holder) step(ctx context.Context, now time.Time) {
+	h.stepped = now
 	h.nextStep = now.Add(shortestPause)
 	view, err := h.view(ctx)
 	if err != nil {
@@ -392,5 +407,5 @@
 	if due := h.wakeAt; !due.IsZero() {
 		pause = min(pause, due.Sub(now))
 	}
-	return max(pause, h.nextStep.Sub(now), 0)
+	return max(pause, h.stepFrom().Sub(now), 0)
 }
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -128,3 +128,13 @@
 	Granted float64 `cbor:"3,keyasint"`
 	Lacking float64 `cbor:"4,keyasint,omitempty"` // what held requests lack now, to be lent as Credit
 }
+
+// Lacks says that requests wait at the router for a tenant's quota.
+func (r *Report) Lacks() bool {
+	for i := range r.Tenants {
+		if r.Tenants[i].Lacking > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/protocol/peers.go
+++ b/internal/protocol/peers.go
@@ -157,3 +157,13 @@
 
 // Sender implements FromPeer.
 func (m *GrantBatch) Sender() *Origin { return &m.Origin }
+
+// Lacks says that requests wait for quota at one of the routers.
+func (b *ReportBatch) Lacks() bool {
+	for i := range b.Reports {
+		if b.Reports[i].Lacks() {
+			return true
+		}
+	}
+	return false
+}
