Refuse what is held, and answer what is out, before a router's process ends

Change: 1.5 s before SIGKILL held requests and new ones get 503 with Retry-After; 0.6 s before it calls are cut, and clients that have seen nothing get 502.

--- a/internal/router/dispatcher/actor_test.go
+++ b/internal/router/dispatcher/actor_test.go
@@ -84,18 +84,18 @@
 	a, _, dialer := start(t, sendAll)
 	ctx := context.Background()
 	first := a.Arrive(dispatch.Request{})
-	v, _ := first.Wait(ctx)
+	v, _ := first.Wait(ctx, nil)
 	if v.Connection != nil {
 		t.Fatal("a connection from nowhere")
 	}
 	c := connect(t, dialer)
 	first.Finish(Ending{Send: v.Send, Result: dispatch.Succeeded, Connection: c, Rest: time.Minute})
 	second := a.Arrive(dispatch.Request{})
-	if v, _ = second.Wait(ctx); v.Connection != c || !c.Reused {
+	if v, _ = second.Wait(ctx, nil); v.Connection != c || !c.Reused {
 		t.Error("the connection that rested was not handed out")
 	}
 	third := a.Arrive(dispatch.Request{})
-	if v, _ = third.Wait(ctx); v.Connection != nil {
+	if v, _ = third.Wait(ctx, nil); v.Connection != nil {
 		t.Error("one connection for two calls")
 	}
 }
@@ -104,7 +104,7 @@
 func TestVerdictThatNobodyReads(t *testing.T) {
 	a, s, dialer := start(t, sendAll)
 	first := a.Arrive(dispatch.Request{})
-	v, _ := first.Wait(context.Background())
+	v, _ := first.Wait(context.Background(), nil)
 	c := connect(t, dialer)
 	first.Finish(Ending{Send: v.Send, Result: dispatch.Succeeded, Connection: c, Rest: time.Minute})
 	second := a.Arrive(dispatch.Request{})
@@ -119,7 +119,7 @@
 		t.Errorf("%v", got)
 	}
 	third := a.Arrive(dispatch.Request{})
-	if v, _ = third.Wait(context.Background()); v.Connection != c {
+	if v, _ = third.Wait(context.Background(), nil); v.Connection != c {
 		t.Error("the connection is lost")
 	}
 }
@@ -142,7 +142,7 @@
 	s.inputs(t, 1)
 	ctx, leave := context.WithCancel(context.Background())
 	leave()
-	if _, ok := ticket.Wait(ctx); ok {
+	if _, ok := ticket.Wait(ctx, nil); ok {
 		t.Fatal("a verdict for nobody")
 	}
 	got := s.inputs(t, 2)
@@ -163,7 +163,7 @@
 		}
 		return outputs
 	})
-	v, ok := a.Arrive(dispatch.Request{}).Wait(context.Background())
+	v, ok := a.Arrive(dispatch.Request{}).Wait(context.Background(), nil)
 	if !ok || v.Refuse == nil || v.Refuse.Reason != dispatch.NoTime {
 		t.Errorf("%+v", v)
 	}
@@ -173,7 +173,7 @@
 func TestApply(t *testing.T) {
 	a, s, dialer := start(t, sendAll)
 	ticket := a.Arrive(dispatch.Request{})
-	v, _ := ticket.Wait(context.Background())
+	v, _ := ticket.Wait(context.Background(), nil)
 	c := connect(t, dialer)
 	ticket.Finish(Ending{Send: v.Send, Connection: c, Rest: time.Minute})
 	gone := dispatch.ViewChanged{Endpoints: []protocol.Endpoint{{ID: "e", State: protocol.Gone}}}
@@ -184,7 +184,7 @@
 	if _, ok := got[2].(dispatch.ViewChanged); !ok {
 		t.Errorf("%v", got)
 	}
-	if v, _ = a.Arrive(dispatch.Request{}).Wait(context.Background()); v.Connection != nil {
+	if v, _ = a.Arrive(dispatch.Request{}).Wait(context.Background(), nil); v.Connection != nil {
 		t.Error("a connection to an endpoint that was gone")
 	}
 }
--- a/internal/router/dispatcher/ticket.go
+++ b/internal/router/dispatcher/ticket.go
@@ -29,16 +29,17 @@
 	abandoned atomic.Bool
 }
 
-// Wait returns the next verdict. It is false once the context is done: then the request is withdrawn, and the ticket
-// is of no more use.
-func (t *Ticket) Wait(ctx context.Context) (Verdict, bool) {
+// Wait returns the next verdict. It is false once the context is done, or the channel is closed: then the request is
+// withdrawn, and the ticket is of no more use.
+func (t *Ticket) Wait(ctx context.Context, ending <-chan struct{}) (Verdict, bool) {
 	select {
 	case v := <-t.verdicts:
 		return v, true
 	case <-ctx.Done():
-		t.actor.post(command{kind: withdraw, id: t.id})
-		return Verdict{}, false
+	case <-ending:
 	}
+	t.actor.post(command{kind: withdraw, id: t.id})
+	return Verdict{}, false
 }
 
 // Calling names the connection of the call at hand, so that the dispatcher can abandon the call. It is false where
--- a/internal/router/ingress/check.go
+++ b/internal/router/ingress/check.go
@@ -34,6 +34,9 @@
 	if view == nil {
 		return nil, refusal{status: http.StatusServiceUnavailable, retryAfter: notReadyPause}, false
 	}
+	if h.refusesAll() {
+		return nil, refusal{status: http.StatusServiceUnavailable, retryAfter: elsewherePause, close: true}, false
+	}
 	if no, bad := malformed(r); bad {
 		return nil, no, false
 	}
--- a/internal/router/ingress/end_test.go
+++ b/internal/router/ingress/end_test.go
@@ -7,9 +7,12 @@
 	"io"
 	"net"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
+
+	"raventrestle/internal/router/dispatch"
 )
 
 // At the end, connections between requests are closed; a request that is read, or half read, has its answer first.
@@ -61,18 +64,60 @@
 	}
 }
 
-// The end does not wait for longer than it may.
+// The end does not wait for longer than it may: what is held is refused with a promise, what is out is answered without
+// one, a stream that has begun breaks off.
 func TestEndInTime(t *testing.T) {
-	w := newWorld(t)
+	reached := make(chan struct{}, 2)
+	e := newEndpoint(t, nil)
+	watching(e, func(c net.Conn, r *received) {
+		if strings.HasPrefix(r.URL.Path, "/resumable/") {
+			streamHead(c, r, "s")
+			chunk(c, event(1))
+		}
+	}, reached)
+	w := newWorld(t, e)
+	out, flow, held := w.client(), w.client(), w.client()
+	out.send(request("POST", "/again/x", "r1", "b"))
+	flow.send(request("POST", "/resumable/x", "r2", "b"))
+	<-reached
+	<-reached
+	w.double.until(t, "the first event", func() bool {
+		return slices.ContainsFunc(w.double.seen, func(i dispatch.Input) bool {
+			_, ok := i.(dispatch.FirstByte)
+			return ok
+		})
+	})
+	w.double.mutex.Lock()
 	w.double.hold = true
-	c := w.client()
-	c.send(request("POST", "/once/x", "r1", "b"))
-	w.double.until(t, "the request", func() bool { return len(w.double.requests) == 1 })
-	ctx, stop := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	w.double.mutex.Unlock()
+	held.send(request("POST", "/once/x", "r3", "b"))
+	w.double.until(t, "the held request", func() bool { return len(w.double.requests) == 3 })
+	w.handler.Drain()
+	w.handler.RefuseHeld()
+	if got := held.receive(); got.StatusCode != 503 || got.Header.Get("Retry-After") == "" || !got.Close {
+		t.Errorf("held: %v", got.Response)
+	}
+	if got := w.ask(request("POST", "/once/x", "r4", "b")); got.StatusCode != 503 || got.Header.Get("Retry-After") == "" {
+		t.Errorf("new: %v", got.Response)
+	}
+	ctx, stop := context.WithTimeout(context.Background(), 20*time.Millisecond)
 	defer stop()
 	if err := w.server.End(ctx); !errors.Is(err, context.DeadlineExceeded) {
 		t.Error(err)
 	}
+	w.handler.CutCalls()
+	if got := out.receive(); got.StatusCode != 502 || !got.Close {
+		t.Errorf("out: %v", got.Response)
+	}
+	if got := flow.receive(); got.text != event(1) || got.err == nil {
+		t.Errorf("stream: %q %v", got.text, got.err)
+	}
+	if err := w.server.End(context.Background()); err != nil {
+		t.Error(err)
+	}
+	if have := w.double.results(t, 2); have[0] != dispatch.GivenUp || have[1] != dispatch.GivenUp {
+		t.Errorf("results %v", have)
+	}
 }
 
 // Large bodies share a bounded memory, and give it back.
--- a/internal/router/ingress/exchange.go
+++ b/internal/router/ingress/exchange.go
@@ -16,6 +16,7 @@
 const (
 	leastSilence      = 1500 * time.Millisecond // of an endpoint, before a resumable stream is taken up elsewhere
 	silenceGapFactor  = 3                       // of the route's gap aim
+	elsewherePause    = 50 * time.Millisecond   // told to clients while this process ends: others take them
 	refusedDrainBytes = 4 << 10                 // of a refusal's body, so that its connection may be used again
 )
 
@@ -40,10 +41,11 @@
 func (x *exchange) run() {
 	defer x.settle()
 	for {
-		verdict, ok := x.ticket.Wait(x.r.Context())
+		verdict, ok := x.ticket.Wait(x.r.Context(), x.handler.refusing)
 		switch {
 		case !ok:
-			abort()
+			x.leave()
+			return
 		case verdict.Refuse != nil:
 			x.refused(verdict.Refuse)
 			return
@@ -54,6 +56,23 @@
 	}
 }
 
+// leave ends an exchange that goes no further: its client is gone, or this process ends.
+func (x *exchange) leave() {
+	if x.ended() {
+		x.end()
+		return
+	}
+	abort()
+}
+
+// ended says whether this process, and not the client, has ended the exchange.
+func (x *exchange) ended() bool {
+	if x.handler.base.Err() != nil {
+		return true
+	}
+	return x.handler.refusesAll() && x.r.Context().Err() == nil
+}
+
 // abort ends the client's connection without the rest of an answer.
 func abort() { panic(http.ErrAbortHandler) }
 
@@ -81,9 +100,9 @@
 	case x.mayHaveRun:
 		x.failed()
 	case why.Reason == dispatch.OverQuota:
-		refuse(x.w, refusal{status: http.StatusTooManyRequests, retryAfter: why.RetryAfter})
+		x.handler.refuse(x.w, refusal{status: http.StatusTooManyRequests, retryAfter: why.RetryAfter})
 	default:
-		refuse(x.w, refusal{status: http.StatusServiceUnavailable, retryAfter: why.RetryAfter})
+		x.handler.refuse(x.w, refusal{status: http.StatusServiceUnavailable, retryAfter: why.RetryAfter})
 	}
 }
 
@@ -93,7 +112,7 @@
 	if x.late() {
 		status = http.StatusGatewayTimeout
 	}
-	refuse(x.w, refusal{status: status})
+	x.handler.refuse(x.w, refusal{status: status})
 }
 
 func (x *exchange) late() bool { return !time.Now().Before(x.deadline) }
@@ -181,7 +200,8 @@
 	switch {
 	case x.r.Context().Err() != nil:
 		x.finish(dispatcher.Ending{Result: dispatch.GivenUp})
-		abort()
+		x.leave()
+		return true
 	case x.late() || errors.Is(err, call.ErrNoTime):
 		x.finish(dispatcher.Ending{Result: dispatch.GivenUp})
 		return x.end()
@@ -209,11 +229,21 @@
 	case x.mayHaveRun:
 		x.failed()
 	default:
-		refuse(x.w, refusal{status: http.StatusServiceUnavailable})
+		x.notRun()
 	}
 	return true
 }
 
+// notRun answers a request that surely has not run and will not.
+func (x *exchange) notRun() {
+	no := refusal{status: http.StatusServiceUnavailable}
+	if x.ended() {
+		no.retryAfter = elsewherePause
+		no.close = true
+	}
+	x.handler.refuse(x.w, no)
+}
+
 // turnedAway ends a call that the endpoint did not run.
 func (x *exchange) turnedAway(l *lease, answer *call.Answer) bool {
 	result := dispatch.Refused
--- a/internal/router/ingress/handler.go
+++ b/internal/router/ingress/handler.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,9 @@
 	dispatcher *dispatcher.Actor
 	dialer     *pool.Dialer
 	draining   atomic.Bool
+	refusing   chan struct{}   // closed: what is held is refused
+	base       context.Context // of all requests; done: calls are cut
+	cut        context.CancelFunc
 	bodies     room
 	losses     Losses
 
@@ -38,7 +42,11 @@
 
 // NewHandler returns a handler that works by the view in force.
 func NewHandler(o Options) *Handler {
+	base, cut := context.WithCancel(context.Background())
 	return &Handler{
+		refusing:     make(chan struct{}),
+		base:         base,
+		cut:          cut,
 		view:         o.View,
 		dispatcher:   o.Dispatcher,
 		dialer:       o.Dialer,
@@ -51,6 +59,21 @@
 // Drain makes each answer the last one of its connection.
 func (h *Handler) Drain() { h.draining.Store(true) }
 
+// RefuseHeld refuses all requests that wait for an endpoint, and those that come, with a promise. It is called once.
+func (h *Handler) RefuseHeld() { close(h.refusing) }
+
+func (h *Handler) refusesAll() bool {
+	select {
+	case <-h.refusing:
+		return true
+	default:
+		return false
+	}
+}
+
+// CutCalls ends the calls that are out. Clients that have seen nothing of an answer are told so.
+func (h *Handler) CutCalls() { h.cut() }
+
 // ServeHTTP answers one request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
@@ -59,7 +82,7 @@
 	}
 	a, no, ok := h.check(w, r, arrived)
 	if !ok {
-		refuse(w, no)
+		h.refuse(w, no)
 		return
 	}
 	defer h.bodies.release(a.body)
--- a/internal/router/ingress/refusal.go
+++ b/internal/router/ingress/refusal.go
@@ -14,16 +14,16 @@
 }
 
 // refuse writes it.
-func refuse(w http.ResponseWriter, what refusal) {
-	h := w.Header()
-	h["Content-Type"] = nil // none is guessed
-	h["Date"] = nil
-	h["Content-Length"] = []string{"0"}
+func (h *Handler) refuse(w http.ResponseWriter, what refusal) {
+	header := w.Header()
+	header["Content-Type"] = nil // none is guessed
+	header["Date"] = nil
+	header["Content-Length"] = []string{"0"}
 	if what.retryAfter > 0 {
-		h["Retry-After"] = []string{formatSeconds(what.retryAfter)}
+		header["Retry-After"] = []string{formatSeconds(what.retryAfter)}
 	}
-	if what.close {
-		h["Connection"] = []string{"close"}
+	if what.close || h.draining.Load() {
+		header["Connection"] = []string{"close"}
 	}
 	w.WriteHeader(what.status)
 }
--- a/internal/router/ingress/server.go
+++ b/internal/router/ingress/server.go
@@ -127,6 +127,7 @@
 		ReadHeaderTimeout:            time.Duration(limits.HeaderTimeoutMS)*time.Millisecond + headerMargin,
 		IdleTimeout:                  time.Duration(limits.IdleTimeoutMS)*time.Millisecond + idleMargin,
 		MaxHeaderBytes:               int(limits.MaxHeaderBytes),
+		BaseContext:                  func(net.Listener) context.Context { return s.handler.base },
 		ConnContext:                  withConnection,
 		ConnState:                    s.setState,
 		ErrorLog:                     s.errorLog,
@@ -156,7 +157,11 @@
 // End accepts no more connections, closes those between requests and waits for the others until the context ends.
 func (s *Server) End(ctx context.Context) error {
 	s.closed.Store(true)
-	return s.gate.End(ctx)
+	err := s.gate.End(ctx)
+	if ctx.Err() == nil && errors.Is(err, net.ErrClosed) { // an earlier End has closed the listener
+		return nil
+	}
+	return err
 }
 
 // feed is a listener whose connections another one has accepted.
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -29,7 +29,9 @@
 const (
 	servesOn     = 2300 * time.Millisecond // after SIGTERM: the platform's probe, once a second, has failed twice
 	servesOnPart = 4                       // of the time until SIGKILL, at most one part in so many
-	endMargin    = 600 * time.Millisecond  // before SIGKILL
+	refuseMargin = 1500 * time.Millisecond // before SIGKILL: what is still held is refused
+	endMargin    = 600 * time.Millisecond  // before SIGKILL: calls that are still out are cut
+	cutTime      = 200 * time.Millisecond  // for the last answers after that
 
 	reservedDescriptors = 200 // by the platform
 	otherDescriptors    = 64  // listeners, control plane, probes, the runtime
@@ -141,16 +143,24 @@
 	n.log.Info().Msg("router.ending")
 	n.pause(min(n.servesOn, grace/servesOnPart*(servesOnPart-1)), signals)
 	n.handler.Drain()
-	ctx, stop := context.WithDeadline(context.Background(), began.Add(max(0, grace-endMargin)))
-	defer stop()
-	if err := n.server.End(ctx); err != nil {
-		n.log.Warn().Err(err).Msg("router.ended_with_requests_open")
-		return nil
+	refusing := time.AfterFunc(time.Until(began.Add(grace-refuseMargin)), n.handler.RefuseHeld)
+	defer refusing.Stop()
+	err := n.endBy(began.Add(grace - endMargin))
+	if err != nil {
+		n.handler.CutCalls()
+		err = n.endBy(began.Add(grace - endMargin + cutTime))
 	}
-	n.log.Info().Dur("after", time.Since(began)).Msg("router.ended")
+	n.log.Info().Dur("after", time.Since(began)).Bool("open", err != nil).Msg("router.ended")
 	return nil
 }
 
+// endBy waits for the requests in work until a time.
+func (n *Node) endBy(at time.Time) error {
+	ctx, stop := context.WithDeadline(context.Background(), at)
+	defer stop()
+	return n.server.End(ctx)
+}
+
 // pause waits; a SIGHUP meanwhile is obeyed.
 func (n *Node) pause(d time.Duration, signals <-chan os.Signal) {
 	timer := time.NewTimer(d)
