--- a/internal/router/ingress/check.go
+++ b/internal/router/ingress/check.go
@@ -34,6 +34,9 @@
 	if view == nil {
 		return nil, refusal{status: http.StatusServiceUnavailable, retryAfter: notReadyPause}, false
 	}
+	if h.refusesAll() {
+		return nil, refusal{status: http.StatusServiceUnavailable, retryAfter: elsewherePause, close: true}, false
+	}
 	if no, bad := malformed(r); bad {
 		return nil, no, false
 	}
@@ -123,7 +126,8 @@
 	timeout := time.Duration(a.route.TimeoutMS) * time.Millisecond
 	a.deadline = a.arrived.Add(min(within, timeout))
 	a.again = view.again(a.route, min(within, timeout))
-	if a.service, known = view.Index.Service(serviceFor(a.route, a.requestID)); !known { // a valid configuration names none such
+	// A valid configuration names no service that is not there.
+	if a.service, known = view.Index.Service(serviceFor(a.route, a.requestID)); !known {
 		return http.StatusServiceUnavailable
 	}
 	return 0
