--- a/coordination/chain/feed.go
+++ b/coordination/chain/feed.go
@@ -239,10 +239,7 @@
 	n.committed = snapshot.Point.Index
 	n.applied = snapshot.Point.Index
 	n.recent = newRecent(snapshot.Recent)
-	n.unsaved = false
-	state := n.State()
-	n.out.Install = &Install{Snapshot: a.Snapshot, Records: state.Records()}
-	n.out.Records = nil // the whole state takes their place
+	n.out.Install = &Install{Snapshot: a.Snapshot}
 	n.requests.lostBehind(n.life, n.recent)
 	return true
 }
--- a/coordination/chain/node.go
+++ b/coordination/chain/node.go
@@ -129,6 +129,11 @@
 	n.runFeed(now)
 	n.runRequests(now)
 	n.watch.wake = max(n.watch.wake, now+wakeGrain)
+	if n.out.Install != nil { // the whole state takes the place of the step's records
+		state := n.State()
+		n.out.Install.Records, n.out.Records = state.Records(), nil
+		n.unsaved = false
+	}
 	out := n.out
 	n.out = Output{}
 	return out
--- a/coordination/chain/types.go
+++ b/coordination/chain/types.go
@@ -106,7 +106,7 @@
 // Node.Persisted is called; when that fails, the messages are dropped and Node.Refused is called.
 type Output struct {
 	Records  [][]byte
-	Install  *Install // replaces log and snapshot on disk, after the records
+	Install  *Install // replaces log and snapshot on disk; then there are no records
 	Messages []Envelope
 }
 
--- a/coordination/engine/engine.go
+++ b/coordination/engine/engine.go
@@ -18,7 +18,7 @@
 // Sizes of the log.
 const (
 	DefaultCompactBytes = 4 << 20   // of log after which a snapshot is made, unless the snapshot is larger
-	keepBytes           = 256 << 10 // of commands kept for members that lack little
+	DefaultKeepBytes    = 256 << 10 // of commands kept for members that lack little
 	refusedRetry        = 500 * time.Millisecond
 )
 
@@ -43,6 +43,7 @@
 	Random       uint64
 	Timing       chain.Timing
 	CompactBytes int64
+	KeepBytes    int // of commands kept in memory behind a snapshot
 	SegmentBytes int64
 	Mutation     mutation.Set
 }
@@ -106,6 +107,9 @@
 	if options.CompactBytes <= 0 {
 		options.CompactBytes = DefaultCompactBytes
 	}
+	if options.KeepBytes <= 0 {
+		options.KeepBytes = DefaultKeepBytes
+	}
 	log, recovered, err := wal.Open(options.FS, wal.Options{SegmentBytes: options.SegmentBytes})
 	if err != nil {
 		return nil, fmt.Errorf("engine: opening the log: %w", err)
@@ -224,40 +228,52 @@
 // gather adds a step's output to what is synced next. A snapshot from a peer is written at once.
 func (e *Engine) gather(now time.Duration, out chain.Output) {
 	if out.Install != nil {
-		e.flush(now)
-		if !e.install(now, out.Install) {
-			return
-		}
+		e.install(now, out)
+		return
 	}
 	e.records = append(e.records, out.Records...)
 	e.messages = append(e.messages, out.Messages...)
 }
 
-// install writes a snapshot from a peer and the state beside it, then restores the machine from it.
-func (e *Engine) install(now time.Duration, install *chain.Install) bool {
-	if err := e.log.Checkpoint(install.Snapshot, install.Records); err != nil {
+// install writes what was gathered before, then a snapshot from a peer with the state beside it, and restores the
+// machine from it.
+func (e *Engine) install(now time.Duration, out chain.Output) {
+	err := e.log.Append(e.records)
+	if err == nil {
+		err = e.log.Checkpoint(out.Install.Snapshot, out.Install.Records)
+	}
+	if err != nil {
 		e.refuse(now, err)
-		return false
+		return
 	}
-	e.heldBase, e.snapshot = e.log.Held(), int64(len(install.Snapshot))
-	snapshot, err := chain.DecodeSnapshot(install.Snapshot)
+	e.heldBase, e.snapshot = e.log.Held(), int64(len(out.Install.Snapshot))
+	snapshot, err := chain.DecodeSnapshot(out.Install.Snapshot)
 	if err == nil {
 		err = e.options.Machine.Restore(snapshot.Machine)
 	}
 	if err != nil {
 		panic(fmt.Sprintf("engine: a snapshot of the group can't be restored: %v", err)) // state and disk now differ
 	}
-	return true
+	e.records = nil
+	e.messages = append(e.messages, out.Messages...)
+	e.finish()
 }
 
 // flush syncs what was gathered; then its messages may leave and what it committed may be applied.
 func (e *Engine) flush(now time.Duration) {
-	records, messages := e.records, e.messages
-	e.records, e.messages = nil, nil
+	records := e.records
+	e.records = nil
 	if err := e.log.Append(records); err != nil {
 		e.refuse(now, err)
 		return
 	}
+	e.finish()
+}
+
+// finish carries out what waited for the disk.
+func (e *Engine) finish() {
+	messages := e.messages
+	e.messages = nil
 	e.node.Persisted()
 	for _, envelope := range messages {
 		e.emit(envelope)
@@ -339,7 +355,7 @@
 }
 
 func (e *Engine) checkpoint() error {
-	state := e.node.Checkpoint(keepBytes)
+	state := e.node.Checkpoint(e.options.KeepBytes)
 	_, applied := e.node.Applied()
 	snapshot := chain.Snapshot{Point: state.Snapshot, Recent: applied, Machine: e.options.Machine.Snapshot()}.Encode()
 	if err := e.log.Checkpoint(snapshot, state.Records()); err != nil {
