--- a/cmd/raventrestle-control/run.go
+++ b/cmd/raventrestle-control/run.go
@@ -58,9 +58,8 @@
 				continue
 			}
 			events.stopping(received.String())
-			err := instance.stop(ctx)
-			events.stopped(err)
-			return err
+			events.stopped(instance.stop(ctx)) // the end itself went as asked, also where nobody took over
+			return nil
 		case err := <-instance.failed:
 			return err
 		}
--- a/internal/control/distribution/hub.go
+++ b/internal/control/distribution/hub.go
@@ -130,11 +130,20 @@
 	Close   []Closing
 	Floor   uint64                    // every subscribed router has confirmed the table up to this revision
 	Barrier uint64                    // begin a barrier now and return the number with BarrierPassed; 0: none is needed
+	Joined  []protocol.Subscribe      // routers that were taken in
 	Routers bool                      // the set of routers changed: see Connected
 	Granted []protocol.GrantConfirmed // that routers confirmed
 	WakeAt  time.Time                 // Step again then at the latest; zero: at the next input
 }
 
+// Reasons for closing a router's connection.
+const (
+	Refused  = "refused"  // an isolated instance sends routers away at their first try
+	Isolated = "isolated" // a router may find a better instance by now
+	Replaced = "replaced" // the router has subscribed again
+	Slow     = "slow"     // it did not confirm in time
+)
+
 // Closing is a connection to be closed, and why.
 type Closing struct {
 	Connection ConnectionID
--- a/internal/control/distribution/hub_test.go
+++ b/internal/control/distribution/hub_test.go
@@ -150,7 +150,7 @@
 	out := h.Step(begin, noTable, subscribed(1, "r1", 0))
 	for now := begin; now.Before(begin.Add(4 * time.Second)); now = out.WakeAt {
 		if out = h.Step(now, noTable); len(out.Close) > 0 {
-			if out.Close[0].Reason != "slow" {
+			if out.Close[0].Reason != Slow {
 				t.Errorf("closed as %s", out.Close[0].Reason)
 			}
 			if out.Floor != ^uint64(0) {
--- a/internal/control/distribution/subscriber.go
+++ b/internal/control/distribution/subscriber.go
@@ -76,6 +76,7 @@
 	h.order = append(h.order, s)
 	slices.SortFunc(h.order, func(a, b *subscriber) int { return cmp.Compare(a.connection, b.connection) })
 	h.out.Routers = true
+	h.out.Joined = append(h.out.Joined, in.Router)
 	update := h.update(now, s)
 	update.Full, update.Endpoints = h.whole, table(!h.whole)
 	update.Members = h.members
@@ -95,7 +96,7 @@
 	if tried && now.Sub(last) <= retryFirst {
 		return false
 	}
-	h.close(in.Connection, in.Router.Node, "isolated")
+	h.close(in.Connection, in.Router.Node, Refused)
 	return true
 }
 
@@ -108,7 +109,7 @@
 		}
 		h.forget(id)
 		if id != in.Connection {
-			h.close(id, s.router.Node, "replaced")
+			h.close(id, s.router.Node, Replaced)
 		}
 	}
 }
@@ -189,10 +190,10 @@
 		switch {
 		case len(s.waiting) > 0 && now.Sub(s.waiting[0].sent) > confirmWithin:
 			h.forget(id)
-			h.close(id, s.router.Node, "slow")
+			h.close(id, s.router.Node, Slow)
 		case s.isolated && now.Sub(s.since) > isolatedFor, h.isolated && !s.isolated:
 			h.forget(id)
-			h.close(id, s.router.Node, "isolated")
+			h.close(id, s.router.Node, Isolated)
 		case now.Sub(s.lastSent) >= BeaconEvery-beaconSlack:
 			s.lastSent = now
 			h.out.Send = append(h.out.Send, Send{Connection: id,
--- a/internal/control/host/commands.go
+++ b/internal/control/host/commands.go
@@ -186,7 +186,6 @@
 	h.byID[h.nextID] = connection
 	h.readConfiguration()
 	h.news.Hub = append(h.news.Hub, distribution.Subscribed{Connection: h.nextID, Router: *router})
-	h.parts.Events.RouterSubscribed(router.Node, router.Zone, router.Generation)
 }
 
 func (h *Host) forgetConnection(connection *transport.Connection) {
--- a/internal/control/host/desk.go
+++ b/internal/control/host/desk.go
@@ -34,6 +34,7 @@
 	Routers     []distribution.Send
 	Peers       []registry.Send
 	Close       []distribution.Closing
+	Joined      []protocol.Subscribe
 	Acknowledge []registry.Acknowledge
 	Granted     []protocol.GrantConfirmed // for the holder of the quota allocator's role
 	Barrier     uint64                    // begin a barrier now; 0: none is needed
@@ -58,6 +59,7 @@
 	orders := Orders{
 		Routers:     first.Send,
 		Close:       first.Close,
+		Joined:      first.Joined,
 		Granted:     first.Granted,
 		Peers:       changes.Send,
 		Acknowledge: changes.Acknowledge,
--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -185,6 +185,9 @@
 	for _, message := range orders.Peers {
 		h.sendPeer(now, message.To, message.Message)
 	}
+	for _, router := range orders.Joined {
+		h.parts.Events.RouterSubscribed(router.Node, router.Zone, router.Generation)
+	}
 	for _, closing := range orders.Close {
 		h.closeRouter(closing)
 	}
@@ -228,7 +231,9 @@
 	}
 	delete(h.byID, closing.Connection)
 	delete(h.connections, connection)
-	h.parts.Events.RouterClosed(closing.Node, closing.Reason)
+	if closing.Reason != distribution.Refused {
+		h.parts.Events.RouterClosed(closing.Node, closing.Reason)
+	}
 	connection.Close()
 }
 
