--- a/internal/control/roles/holder.go
+++ b/internal/control/roles/holder.go
@@ -200,13 +200,16 @@
 	}
 }
 
-// begin takes the role up. Where nobody else can have held it in between, the placer goes on as it was.
+// begin takes the role up. Where nobody else can have held it in between, the deciders go on as they were.
 func (h *Holder) begin(now time.Time) {
 	h.nextStep = now
-	h.parts.Events.RoleBegan(h.turn.Epoch, now.Sub(h.turn.From))
-	if h.placer != nil && h.turn.Epoch-h.ended <= 1 {
-		return
+	if h.placer == nil || h.turn.Epoch-h.ended > 1 {
+		h.startAnew()
 	}
+	h.parts.Events.RoleBegan(h.turn.Epoch, now.Sub(h.turn.From))
+}
+
+func (h *Holder) startAnew() {
 	h.placer = h.parts.NewPlacer(h.turn.Quiet)
 	h.allocator = h.parts.NewAllocator(h.turn.Quiet)
 	h.roster = newRoster()
