--- a/internal/router/dispatch/view.go
+++ b/internal/router/dispatch/view.go
@@ -95,6 +95,7 @@
 // told is the newest load that the endpoint told of.
 type told struct {
 	running, waiting int // of others than this router
+	own              int // this router's calls then
 	at               time.Duration
 	ever             bool
 }
@@ -116,6 +117,11 @@
 	for i := range change.Endpoints {
 		d.update(&change.Endpoints[i])
 	}
+	for i := range change.Quotas {
+		if t := d.tenants[change.Quotas[i].Tenant]; t != nil {
+			d.payHeld(t)
+		}
+	}
 }
 
 // configure takes over a configuration.
@@ -265,13 +271,10 @@
 
 // hold makes the endpoint's holdings those that were told.
 func (d *Decider) hold(e *endpoint, models []protocol.HeldModel, newer bool) {
-	if e.service.engine() == nil && len(models) == 0 {
-		d.holdOne(e, "", nil, newer)
-		return
-	}
+	d.holdOne(e, "", nil, newer) // requests that name no model go to any endpoint
 	for i := len(e.holdings) - 1; i >= 0; i-- {
 		h := e.holdings[i]
-		kept := slices.ContainsFunc(models, func(m protocol.HeldModel) bool { return m.Name == h.group.model })
+		kept := h.group.model == "" || slices.ContainsFunc(models, func(m protocol.HeldModel) bool { return m.Name == h.group.model })
 		if !kept {
 			d.release(e, h)
 		}
@@ -378,5 +381,6 @@
 		e.slots = load.Slots
 	}
 	own := len(e.calls) - len(e.unanswered)
-	e.told = told{running: max(load.Running-own, 0), waiting: max(load.Waiting-len(e.unanswered), 0), at: d.now, ever: true}
+	e.told = told{running: max(load.Running-own, 0), waiting: max(load.Waiting-len(e.unanswered), 0),
+		own: len(e.calls), at: d.now, ever: true}
 }
