--- a/handover.go
+++ b/handover.go
@@ -68,9 +68,9 @@
 
 // Beliefs returns what the policy has learned. It changes nothing.
 func (p *Policy) Beliefs() Beliefs {
-	b := Beliefs{CallSec: p.callSec, Mean: p.times.mean, Dev: p.times.dev, N: p.times.n, IdleLife: p.idleLife, Told: p.told}
+	b := Beliefs{CallSec: p.flows.Mean, Mean: p.times.mean, Dev: p.times.dev, N: p.times.n, IdleLife: p.idleLife, Told: p.told}
 	for _, d := range p.dests {
-		x := DestBeliefs{Dest: d.id, CallSec: d.callSec, Shut: d.shut, Left: d.left, Cramped: p.cramped[d.ki]}
+		x := DestBeliefs{Dest: d.id, CallSec: d.Mean, Shut: d.shut, Left: d.left, Cramped: p.cramped[d.ki]}
 		if !d.kind.Apart {
 			x.Route = d.shared.beliefs()
 		}
@@ -91,7 +91,7 @@
 
 // Believe takes over what another process had learned, of the targets that this one's list names.
 func (p *Policy) Believe(b Beliefs) {
-	p.callSec, p.times, p.told = b.CallSec, times{mean: b.Mean, dev: b.Dev, n: b.N}, b.Told
+	p.flows.Mean, p.times, p.told = b.CallSec, times{mean: b.Mean, dev: b.Dev, n: b.N}, b.Told
 	if b.IdleLife > 0 {
 		p.idleLife = min(p.idleLife, b.IdleLife)
 	}
@@ -100,7 +100,7 @@
 		if d == nil {
 			continue
 		}
-		d.callSec, d.shut, d.left, p.cramped[d.ki] = x.CallSec, x.Shut, x.Left, p.cramped[d.ki] || x.Cramped
+		d.Mean, d.shut, d.left, p.cramped[d.ki] = x.CallSec, x.Shut, x.Left, p.cramped[d.ki] || x.Cramped
 		d.shared.believe(x.Route)
 		for _, y := range x.Targets {
 			t := p.targets[y.Target]
@@ -181,4 +181,4 @@
 }
 
 // Elsewhere says how many more of the slots another process of this forwarder uses than it did, or fewer.
-func (p *Policy) Elsewhere(more int) { p.calls += more }
+func (p *Policy) Elsewhere(more int) { p.flows.Busy += more }
--- a/policy.go
+++ b/policy.go
@@ -1,8 +1,8 @@
 package raventrestle
 
 // This module holds all decisions of a forwarder. Its interface (settings, events and
-// actions) is in raventrestle.go, the fields of its records in state.go. Reading order:
-// settings, events, destination state, guards, worth, select and send, final answers.
+// actions) is in raventrestle.go, its records are in state.go. Reading order:
+// events, destination state, guards, worth, select and send, final answers.
 //
 // The ordinary path is ASFQ: each destination is a flow, the held head with the lowest
 // start tag plus delta leaves while slots are free, and a monitor of slot-seconds
@@ -11,62 +11,13 @@
 
 import (
 	"cmp"
-	"errors"
-	"fmt"
 	"maps"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
-)
-
-// Policy decides for one forwarder. It is not safe for concurrent use.
-type Policy struct {
-	set             Settings
-	rng             *rand.Rand
-	out             []Action
-	dests           map[DestID]*dest
-	active          []*dest // those with messages held or calls out lately
-	targets         map[TargetID]*target
-	msgs            map[MessageID]*msg
-	calls           int     // slots in use, those elsewhere included
-	vs, vf          float64 // largest start and finish tag sent
-	tenants         []odds  // messages of each tenant, in odds.all, with weights that fade
-	stakes          float64 // the most that a held message has at stake, see stake
-	callSec         float64 // mean slot-seconds of a call, over all destinations
-	times           times   // of all answers
-	now             time.Duration
-	period, tickAt  time.Duration    // of the monitor, and when this one ends
-	longest, memory time.Duration    // deadline of the classes; how long failures count
-	idleLife        time.Duration    // idle connections seem to live so long
-	borne           [2]time.Duration // longest idle before an answered call, this period and last
-	askAt, askGap   time.Duration    // when to ask for the list again, and the backoff
-	stood           bool             // this batch came late
-	told            bool             // answers bring reports
-	cramped         []bool           // by kind, the last for unknown ones: no room for idle connections
-	closing         time.Duration    // when the host ends its life, 0 while it does not
-	crowded         time.Duration    // targets may have few connections left, until then
-	wakeAt, pending time.Duration    // when a decision may change, and the WakeAt still owed
-}
 
-// New returns the policy of one forwarder, or says what it can't work with.
-func New(set Settings, seed uint64) (*Policy, error) {
-	if min(set.CallSlots, set.MostHeld, set.Forwarders, len(set.Classes)) < 1 {
-		return nil, errors.New("raventrestle: CallSlots, MostHeld, Forwarders and Classes must be at least one")
-	}
-	p := &Policy{set: set, rng: rand.New(rand.NewPCG(seed, 0)), dests: map[DestID]*dest{},
-		targets: map[TargetID]*target{}, msgs: map[MessageID]*msg{},
-		period: time.Hour, askAt: -1}
-	for _, c := range set.Classes {
-		if c.Aim <= 0 || c.Deadline < c.Aim {
-			return nil, fmt.Errorf("raventrestle: class %q needs 0 < Aim <= Deadline", c.Name)
-		}
-		p.period, p.longest = min(p.period, c.Aim), max(p.longest, c.Deadline)
-	}
-	p.idleLife, p.memory = set.IdleClose, max(set.ColdFor, p.period)
-	p.tenants, p.cramped = make([]odds, len(set.Tenants)), make([]bool, len(set.Kinds)+1)
-	return p, nil
-}
+	"raventrestle/asfq"
+)
 
 // ---- events ----
 
@@ -80,20 +31,7 @@
 		p.pending = 0
 	}
 	for _, e := range events {
-		switch e := e.(type) {
-		case Listing:
-			p.listing(e)
-		case Arrival:
-			p.arrival(e)
-		case Restored:
-			p.restored(e)
-		case Closing:
-			p.closing = e.At
-		case Outcome:
-			p.outcome(e)
-		case Withdrawn:
-			p.withdrawn(e)
-		}
+		e.apply(p)
 	}
 	p.askForList()
 	p.monitor()
@@ -107,22 +45,6 @@
 	return p.out
 }
 
-func (p *Policy) wakeBy(t time.Duration) {
-	if t > p.now {
-		p.wakeAt = min(p.wakeAt, t)
-	}
-}
-
-func (p *Policy) dest(id DestID) *dest {
-	d := p.dests[id]
-	if d == nil {
-		d = &dest{id: id, ki: len(p.set.Kinds), kind: Kind{BundleMax: 1}, usedAt: p.now}
-		d.shared = &route{filledAt: p.now}
-		p.dests[id] = d
-	}
-	return d
-}
-
 func (p *Policy) listing(l Listing) {
 	if l.How == ListFailed {
 		p.askGap = min(max(2*p.askGap, p.set.AskWithin/20, p.set.Tick), p.set.AskWithin/4)
@@ -221,7 +143,7 @@
 		p.failedBefore(m, r)
 	}
 	if p.spent(m) {
-		m.d.unhold(m)
+		p.unhold(m)
 		p.giveUp(m)
 	}
 }
@@ -249,7 +171,7 @@
 	if m := p.msgs[w.ID]; m != nil && m.call != nil {
 		m.over = true
 	} else if m != nil {
-		m.d.unhold(m)
+		p.unhold(m)
 		p.forget(m)
 	}
 }
@@ -294,51 +216,20 @@
 
 // hold gives the message's flow one more turn.
 func (p *Policy) hold(m *msg) {
-	d := m.d
-	v := p.vf
-	if p.calls > 0 {
-		v = p.vs
-	}
-	s := max(v, d.lastF)
-	cost := 1.0 // in calls of the mean slot time; one that is quickly refused wins no turns by it
-	if d.callSec > 0 {
-		cost = max(d.callSec/p.callSec, 0.25)
-	}
-	d.lastF = s + cost
-	d.tags = append(d.tags, s)
-	d.held = append(d.held, m)
-	if !d.active {
-		d.active, d.usedAt = true, p.now
-		p.active = append(p.active, d)
-	}
+	p.flows.Hold(m.d, p.flows.Cost(m.d), p.now)
+	m.d.held = append(m.d.held, m)
 }
 
 // unhold: the last turn goes too.
-func (d *dest) unhold(m *msg) {
-	d.held = without(d.held, m)
-	d.lastF = d.tags[len(d.tags)-1]
-	d.tags = d.tags[:len(d.tags)-1]
-}
-
-// without returns the list less its member x.
-func without[T comparable](list []T, x T) []T {
-	i := slices.Index(list, x)
-	return slices.Delete(list, i, i+1)
-}
-
-func (d *dest) accrue(now time.Duration) {
-	d.use += float64(len(d.out)) * (now - d.usedAt).Seconds()
-	d.usedAt = now
+func (p *Policy) unhold(m *msg) {
+	p.flows.Unhold(m.d)
+	m.d.held = without(m.d.held, m)
 }
 
 func (p *Policy) hangUp(c *call) {
-	d := c.t.d
-	d.accrue(p.now)
-	d.out = without(d.out, c)
-	p.calls--
+	c.t.d.out = without(c.t.d.out, c)
+	p.flows.Ended(c.t.d, (p.now - c.at).Seconds(), p.now)
 	p.letGo(c.t)
-	sec := (p.now - c.at).Seconds()
-	d.callSec, p.callSec = mix(d.callSec, sec, 8), mix(p.callSec, sec, 32)
 }
 
 // letGo ends a call's use of its connection. One not expected to be used before it closes by
@@ -373,66 +264,17 @@
 	return idle
 }
 
-func mix[T float64 | time.Duration](mean, x, n T) T {
-	if mean == 0 {
-		return x
-	}
-	return mean + (x-mean)/n
-}
-
-// monitor compares the slot-seconds of the active destinations once a period. A flow
-// above the least used one by more than two messages' worth is set back by the
-// difference, in messages of its own; below that its setback is halved.
+// monitor drops destinations that are gone and idle, at the end of each of its periods.
 func (p *Policy) monitor() {
-	if p.now >= p.tickAt {
-		p.tickAt = p.now + p.period
-		least := math.Inf(1)
-		for _, d := range p.active {
-			d.accrue(p.now)
-			if len(d.held) > 0 {
-				least = min(least, d.use)
-			}
-		}
-		for _, d := range p.active {
-			if u := d.use - least; u > 2*p.callSec && d.callSec > 0 {
-				d.delta = u / d.callSec
-			} else if d.delta /= 2; d.delta < 0.5 {
-				d.delta = 0
-			}
-			d.use = 0
-			if d.active = len(d.held)+len(d.out) > 0; !d.active {
-				d.lastF, d.delta = 0, 0
-			}
-		}
-		p.active = slices.DeleteFunc(p.active, func(d *dest) bool { return !d.active })
+	if p.flows.Tick(p.now) {
 		maps.DeleteFunc(p.dests, func(_ DestID, d *dest) bool {
-			return !d.active && len(d.targets) == 0 && d.shared.until <= p.now
+			return d.Held()+d.Out()+len(d.targets) == 0 && d.shared.until <= p.now
 		})
 		p.borne = [2]time.Duration{0, p.borne[0]}
 	}
 	if len(p.msgs) > 0 {
-		p.wakeBy(p.tickAt)
-	}
-}
-
-func (t *times) add(took time.Duration) {
-	if t.n++; t.n == 1 {
-		t.mean, t.dev = took, took/2
+		p.wakeBy(p.flows.TickAt)
 	}
-	diff := took - t.mean
-	t.mean += diff / 8
-	t.dev += (max(diff, -diff) - t.dev) / 4
-}
-
-func (x *odds) fade(p *Policy) {
-	f := math.Exp(-float64(p.now-x.at) / float64(p.memory))
-	x.bad, x.all, x.at = x.bad*f, x.all*f, p.now
-}
-
-// share is that of the failures, with a prior share that counts for so many calls.
-func (x *odds) share(p *Policy, prior, weight float64) float64 {
-	x.fade(p)
-	return (x.bad + prior*weight) / (x.all + weight)
 }
 
 // risk is the share of failed calls to expect of a class at a target: what was seen of the
@@ -445,7 +287,7 @@
 // own it borrows from all others: a forwarder may see a destination once in a minute.
 func (p *Policy) usual(r *route) (mean, dev time.Duration) {
 	if p.times.n == 0 {
-		return p.period / 4, p.period / 4
+		return p.flows.Period / 4, p.flows.Period / 4
 	}
 	own, all := time.Duration(min(r.times.n, 64)), time.Duration(4)
 	return (own*r.times.mean + all*p.times.mean) / (own + all), (own*r.times.dev + all*p.times.dev) / (own + all)
@@ -454,7 +296,7 @@
 // step is what an answer adds to the pace below the knee: one call in two periods, but of many
 // forwarders each adds no more than a tenth of its even part, so that ten answers to each double it.
 func (p *Policy) step(r *route) float64 {
-	least := 0.5 / p.period.Seconds()
+	least := 0.5 / p.flows.Period.Seconds()
 	return min(least, cmp.Or(p.even(r)/10, least))
 }
 
@@ -525,7 +367,7 @@
 	if (o.Status == OK || silent) && !p.stood { // else it was lost, not slow
 		r.times.add(o.Took)
 		p.times.add(o.Took)
-		t.mean = mix(t.mean, o.Took, 8)
+		t.mean = asfq.Mix(t.mean, o.Took, 8)
 	}
 	switch o.Status {
 	case OK:
@@ -681,8 +523,6 @@
 	return max(usual, r.size/float64(p.set.Forwarders))
 }
 
-func gap(rate float64) time.Duration { return time.Duration(float64(time.Second) / rate) }
-
 // rampRate is this forwarder's part of what a route's targets in slow start bear by now.
 func (p *Policy) rampRate(r *route) float64 {
 	s := &p.set
@@ -695,10 +535,6 @@
 	return max(p.spend()*warm/float64(max(len(r.targets), 1))*p.usualRate(r), 2/s.TipAfter.Seconds())
 }
 
-func (p *Policy) log(format string, args ...any) {
-	p.out = append(p.out, Log{fmt.Sprintf(format, args...)})
-}
-
 // ---- guards ----
 
 // sick: half of its targets are held off, or one is and the route that they share has not answered
@@ -718,13 +554,13 @@
 // several that are slow or hang at once would else hold most slots for as long as their calls
 // last, and each of them stays far under the half that the design allows it.
 func (p *Policy) full(d *dest, quarters int) bool {
-	if !d.sick {
-		return len(d.out) >= max(p.set.CallSlots*3/4, 1)
+	if !d.Trouble {
+		return p.flows.Full(d)
 	}
 	out := 0
-	for _, x := range p.active {
-		if x.sick {
-			out += len(x.out)
+	for _, x := range p.flows.Active {
+		if x.Trouble {
+			out += x.Out()
 		}
 	}
 	return out >= max(p.set.CallSlots*quarters/4, 1)
@@ -825,9 +661,9 @@
 // that is held has left, and a part of what it has left then.
 func (p *Policy) weigh() {
 	p.stakes = 0
-	held := max(len(p.msgs)-p.calls, 0)
-	wait := time.Duration(float64(held) * p.callSec / float64(p.set.CallSlots) * float64(time.Second))
-	for _, d := range p.active {
+	held := max(len(p.msgs)-p.flows.Busy, 0)
+	wait := time.Duration(float64(held) * p.flows.Mean / float64(p.set.CallSlots) * float64(time.Second))
+	for _, d := range p.flows.Active {
 		mean, _ := p.usual(d.shared)
 		for _, m := range d.held {
 			now := p.left(m, p.now+mean)
@@ -846,36 +682,37 @@
 // over weight comes on top: a head with less at stake than others waits for as many more turns. A
 // flow with no eligible message is passed over and does not block the others.
 func (p *Policy) dispatch() {
-	for _, d := range p.active {
-		d.sick, d.stuck, d.next = p.sick(d), len(d.held) == 0, nil
+	for _, d := range p.flows.Active {
+		d.Trouble = p.sick(d)
 	}
 	p.weigh()
-	for p.calls < p.set.CallSlots {
-		var best *dest
-		least := math.Inf(1)
-		for _, d := range p.active {
-			if !d.stuck && (d.next == nil || p.full(d, 1)) {
-				d.next, d.on = p.head(d)
-				d.stuck = d.next == nil
-			}
-			if d.stuck {
-				continue
-			}
-			later := min(p.stakes/max(d.next.stake, 1e-9), float64(len(p.msgs)))
-			if key := d.tags[0] + d.delta + later; key < least {
-				best, least = d, key
-			}
-		}
-		if best == nil {
-			return
-		}
-		m := best.next
-		best.next = nil
-		p.call(m, best.on)
-		best.stuck = len(best.held) == 0
+	for _, d := range p.flows.Active {
+		p.look(d)
+	}
+	for d, ok := p.flows.Next(p.offer); ok; d, ok = p.flows.Next(p.offer) {
+		p.call(d.next, d.on)
+		p.look(d)
 	}
 }
 
+// look finds the destination's head while a slot is free.
+func (p *Policy) look(d *dest) {
+	if d.next = nil; d.Held() > 0 && p.flows.Busy < p.flows.Slots {
+		d.next, d.on = p.head(d)
+	}
+}
+
+// offer says whether the destination has a head, and how many turns later than its own that is due.
+func (p *Policy) offer(d *dest) (later float64, ok bool) {
+	if d.next != nil && p.full(d, 1) {
+		p.look(d)
+	}
+	if d.next == nil {
+		return 0, false
+	}
+	return min(p.stakes/max(d.next.stake, 1e-9), float64(len(p.msgs))), true
+}
+
 // head picks which message of the destination takes its turn, and the target. One that seems to hang before
 // anything has failed there gets a message that is harmless to repeat, whatever slots the sick hold: its
 // connection may have fallen silent alone.
@@ -948,13 +785,11 @@
 func (p *Policy) call(m *msg, t *target) {
 	d, r := m.d, t.r
 	c := &call{t: t, at: p.now, idle: p.connection(t), trial: t.onTrial()}
-	d.accrue(p.now)
 	d.out = append(d.out, c)
-	p.calls++
 	t.inFlight++
 	r.tokens--
 	if t.lastSent > 0 {
-		t.gap = mix(t.gap, p.now-t.lastSent, 4)
+		t.gap = asfq.Mix(t.gap, p.now-t.lastSent, 4)
 	}
 	span := p.span(r)
 	r.brisk, r.briskAt = r.brisk*math.Exp(-(p.now-r.briskAt).Seconds()/span)+1/span, p.now
@@ -980,11 +815,10 @@
 func (p *Policy) send(m *msg, c *call) {
 	d := m.d
 	if c.n > 0 { // a mate takes no slot, and so no turn: the flow's last one is not needed
-		d.unhold(m)
+		p.unhold(m)
 	} else {
 		d.held, c.first = without(d.held, m), m
-		p.vs, p.vf = max(p.vs, d.tags[0]), max(p.vf, d.tags[0]+1)
-		d.tags = d.tags[1:]
+		p.flows.Sent(d, p.now)
 	}
 	m.call, m.sends = c, m.sends+1
 	c.n++
@@ -1027,7 +861,7 @@
 // expire answers the held messages that can't be sent any more. A call that is overdue while its target
 // has answered one that was sent later is on a connection that has fallen silent: it is called off.
 func (p *Policy) expire() {
-	for _, d := range p.active {
+	for _, d := range p.flows.Active {
 		for _, c := range d.out {
 			if p.set.Cancels && !c.off && c.t.okSent > c.at && p.overdue(c, 4) {
 				c.off, p.out = true, append(p.out, Cancel{c.first.id, c.first.sends - 1})
@@ -1036,7 +870,7 @@
 		for _, m := range slices.Clone(d.held) {
 			p.wakeBy(p.lastCall(m))
 			if p.now >= p.lastCall(m) || p.spent(m) { // fewer attempts may be allowed than when it was held
-				d.unhold(m)
+				p.unhold(m)
 				p.giveUp(m)
 			}
 		}
@@ -1047,7 +881,7 @@
 // gives up what is the least waste, so that none can fill the store for the others.
 func (p *Policy) shed() {
 	for len(p.msgs) > p.set.MostHeld*7/8 {
-		worst := slices.MaxFunc(p.active, func(a, b *dest) int { return len(a.held) - len(b.held) })
+		worst := slices.MaxFunc(p.flows.Active, func(a, b *dest) int { return len(a.held) - len(b.held) })
 		var last *msg
 		for _, m := range worst.held {
 			if p.refusable(m) && (last == nil || m.waste <= last.waste) {
@@ -1057,7 +891,7 @@
 		if last == nil {
 			return
 		}
-		worst.unhold(last)
+		p.unhold(last)
 		p.giveUp(last)
 	}
 }
@@ -1079,11 +913,9 @@
 	if !p.set.RetryAfter {
 		return 0
 	}
-	after := p.period
+	after := p.flows.Period
 	for _, t := range d.targets {
 		after = max(after, t.r.until-p.now, t.r.nextAt-p.now)
 	}
 	return min(after, p.set.MaxRetryAfter)
 }
-
-func (p *Policy) forget(m *msg) { delete(p.msgs, m.id) }
--- a/raventrestle.go
+++ b/raventrestle.go
@@ -2,7 +2,7 @@
 // held message leaves, over which target, and how it is finally answered.
 //
 // This file is the interface: settings, events and actions. It decides nothing.
-// The decisions are all in policy.go. A host makes one [Policy] per forwarder with
+// The decisions are all in policy.go, over the queue of package asfq. A host makes one [Policy] per forwarder with
 // [New], hands it batches of events through [Policy.Step], and carries out the
 // returned actions in the order given.
 package raventrestle
@@ -142,7 +142,7 @@
 }
 
 // Event is one of Listing, Arrival, Restored, Closing, Outcome, Withdrawn, Probed, Note and Wake.
-type Event interface{ event() }
+type Event interface{ apply(*Policy) }
 
 // ListKind says how a Listing relates to what came before.
 type ListKind uint8
@@ -260,15 +260,15 @@
 // Wake says that the time of a WakeAt has come.
 type Wake struct{}
 
-func (Listing) event()   {}
-func (Arrival) event()   {}
-func (Restored) event()  {}
-func (Closing) event()   {}
-func (Outcome) event()   {}
-func (Withdrawn) event() {}
-func (Probed) event()    {}
-func (Note) event()      {}
-func (Wake) event()      {}
+func (e Listing) apply(p *Policy)   { p.listing(e) }
+func (e Arrival) apply(p *Policy)   { p.arrival(e) }
+func (e Restored) apply(p *Policy)  { p.restored(e) }
+func (e Closing) apply(p *Policy)   { p.closing = e.At }
+func (e Outcome) apply(p *Policy)   { p.outcome(e) }
+func (e Withdrawn) apply(p *Policy) { p.withdrawn(e) }
+func (Probed) apply(*Policy)        {}
+func (Note) apply(*Policy)          {}
+func (Wake) apply(*Policy)          {}
 
 // Action is one of Send, Refuse, Fail, Cancel, CloseIdle, Subscribe, Probe, Tell, WakeAt and Log.
 type Action interface{ action() }
--- a/retune.go
+++ b/settings.go
@@ -1,6 +1,33 @@
 package raventrestle
 
-import "slices"
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"raventrestle/asfq"
+)
+
+// New returns the policy of one forwarder, or says what it can't work with.
+func New(set Settings, seed uint64) (*Policy, error) {
+	if min(set.CallSlots, set.MostHeld, set.Forwarders, len(set.Classes)) < 1 {
+		return nil, errors.New("raventrestle: CallSlots, MostHeld, Forwarders and Classes must be at least one")
+	}
+	p := &Policy{set: set, rng: rand.New(rand.NewPCG(seed, 0)), dests: map[DestID]*dest{},
+		targets: map[TargetID]*target{}, msgs: map[MessageID]*msg{}, askAt: -1,
+		flows: asfq.Scheduler[*dest]{Slots: set.CallSlots, Period: time.Hour, Tolerance: 2}}
+	for _, c := range set.Classes {
+		if c.Aim <= 0 || c.Deadline < c.Aim {
+			return nil, fmt.Errorf("raventrestle: class %q needs 0 < Aim <= Deadline", c.Name)
+		}
+		p.flows.Period, p.longest = min(p.flows.Period, c.Aim), max(p.longest, c.Deadline)
+	}
+	p.idleLife, p.memory = set.IdleClose, max(set.ColdFor, p.flows.Period)
+	p.tenants, p.cramped = make([]odds, len(set.Tenants)), make([]bool, len(set.Kinds)+1)
+	return p, nil
+}
 
 // Retune gives the policy other settings while it holds messages, or says what it can't work with and keeps
 // those it has. Classes, kinds, zones and tenants keep their indices, further ones stand behind them. Messages
@@ -11,7 +38,8 @@
 		return err
 	}
 	was := p.set
-	p.set, p.period, p.longest, p.memory = set, next.period, next.longest, next.memory
+	p.set, p.longest, p.memory = set, next.longest, next.memory
+	p.flows.Slots, p.flows.Period = set.CallSlots, next.flows.Period
 	if p.idleLife == was.IdleClose {
 		p.idleLife = set.IdleClose
 	}
--- a/state.go
+++ b/state.go
@@ -1,31 +1,58 @@
 package raventrestle
 
-// The records that policy.go keeps. Nothing is decided here.
+// The records that policy.go keeps, and their arithmetic. Nothing is decided here.
 
-import "time"
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
 
-// dest is one flow: a destination with its hold.
+	"raventrestle/asfq"
+)
+
+// Policy decides for one forwarder. It is not safe for concurrent use.
+type Policy struct {
+	set             Settings
+	rng             *rand.Rand
+	out             []Action
+	dests           map[DestID]*dest
+	flows           asfq.Scheduler[*dest]
+	targets         map[TargetID]*target
+	msgs            map[MessageID]*msg
+	tenants         []odds  // messages of each tenant, in odds.all, with weights that fade
+	stakes          float64 // the most that a held message has at stake, see stake
+	times           times   // of all answers
+	now             time.Duration
+	longest, memory time.Duration    // deadline of the classes; how long failures count
+	idleLife        time.Duration    // idle connections seem to live so long
+	borne           [2]time.Duration // longest idle before an answered call, this period and last
+	askAt, askGap   time.Duration    // when to ask for the list again, and the backoff
+	stood           bool             // this batch came late
+	told            bool             // answers bring reports
+	cramped         []bool           // by kind, the last for unknown ones: no room for idle connections
+	closing         time.Duration    // when the host ends its life, 0 while it does not
+	crowded         time.Duration    // targets may have few connections left, until then
+	wakeAt, pending time.Duration    // when a decision may change, and the WakeAt still owed
+}
+
+// dest is one flow: a destination with its hold, and a turn for each message held.
 type dest struct {
-	id           DestID
-	ki           int // index of its kind, the number of kinds if unknown
-	kind         Kind
-	targets      []*target // by id
-	shared       *route    // the route of all targets where they are not apart
-	held         []*msg    // in order of arrival
-	tags         []float64 // start tags of the flow's turns, one for each held message
-	lastF, delta float64   // last finish tag, and the monitor's setback in messages
-	out          []*call
-	use          float64 // slot-seconds in this period, calls still out included
-	usedAt       time.Duration
-	callSec      float64       // mean slot-seconds of a call
-	shut         int           // refusals in a row with no word of the limit; with most of it left they count twice
-	left         float64       // usual rate of the target that left last
-	came         float64       // messages left by the host's last life
-	heir         time.Duration // they tell its usual rate until then
-	next         *msg          // its head in this batch, and where that would go
-	on           *target
-	active       bool // in Policy.active
-	sick, stuck  bool // in this batch: see sick; nothing is eligible
+	asfq.Flow
+	id      DestID
+	ki      int // index of its kind, the number of kinds if unknown
+	kind    Kind
+	targets []*target // by id
+	shared  *route    // the route of all targets where they are not apart
+	held    []*msg    // in order of arrival
+	out     []*call
+	shut    int           // refusals in a row with no word of the limit; with most of it left they count twice
+	left    float64       // usual rate of the target that left last
+	came    float64       // messages left by the host's last life
+	heir    time.Duration // they tell its usual rate until then
+	next    *msg          // its head in this batch, and where that would go
+	on      *target
 }
 
 // route is what has a limit and waits of its own: a target where routes are apart,
@@ -116,3 +143,54 @@
 	trial, told bool          // whether it was a trial; its fate has been learned
 	idle        time.Duration // how long its connection may have been idle, 0 for a new one
 }
+
+func (p *Policy) dest(id DestID) *dest {
+	d := p.dests[id]
+	if d == nil {
+		d = &dest{id: id, ki: len(p.set.Kinds), kind: Kind{BundleMax: 1}}
+		d.shared = &route{filledAt: p.now}
+		p.dests[id] = d
+	}
+	return d
+}
+
+// forget ends a message.
+func (p *Policy) forget(m *msg) { delete(p.msgs, m.id) }
+
+// without returns the list less its member x.
+func without[T comparable](list []T, x T) []T {
+	i := slices.Index(list, x)
+	return slices.Delete(list, i, i+1)
+}
+
+func (t *times) add(took time.Duration) {
+	if t.n++; t.n == 1 {
+		t.mean, t.dev = took, took/2
+	}
+	diff := took - t.mean
+	t.mean += diff / 8
+	t.dev += (max(diff, -diff) - t.dev) / 4
+}
+
+func (x *odds) fade(p *Policy) {
+	f := math.Exp(-float64(p.now-x.at) / float64(p.memory))
+	x.bad, x.all, x.at = x.bad*f, x.all*f, p.now
+}
+
+// share is that of the failures, with a prior share that counts for so many calls.
+func (x *odds) share(p *Policy, prior, weight float64) float64 {
+	x.fade(p)
+	return (x.bad + prior*weight) / (x.all + weight)
+}
+
+func gap(rate float64) time.Duration { return time.Duration(float64(time.Second) / rate) }
+
+func (p *Policy) log(format string, args ...any) {
+	p.out = append(p.out, Log{fmt.Sprintf(format, args...)})
+}
+
+func (p *Policy) wakeBy(t time.Duration) {
+	if t > p.now {
+		p.wakeAt = min(p.wakeAt, t)
+	}
+}
