Test the fair queue's monitor, means and costs against a second reckoning

Of 22 single faults put into the package six were not met by its tests: the largest finish tag, weights and held flows in the monitor, use up to a send, the means, the least cost. Now all 22 are.

--- a/asfq/asfq_test.go
+++ b/asfq/asfq_test.go
@@ -33,6 +33,11 @@
 	finishes map[*flow][]float64
 	last     map[*flow]float64
 	v        float64 // largest seen
+	finish   float64 // largest finish tag sent
+	tickAt   time.Duration
+	began    time.Duration     // of the monitor's period
+	used     map[*flow]float64 // slot-seconds of the calls that ended in it
+	delta    map[*flow]float64
 }
 
 type call struct {
@@ -42,7 +47,8 @@
 
 func newWorld(t *rapid.T) *world {
 	w := &world{s: newScheduler(rapid.IntRange(1, 9).Draw(t, "slots")),
-		starts: map[*flow][]float64{}, finishes: map[*flow][]float64{}, last: map[*flow]float64{}}
+		starts: map[*flow][]float64{}, finishes: map[*flow][]float64{}, last: map[*flow]float64{},
+		used: map[*flow]float64{}, delta: map[*flow]float64{}}
 	for i := range rapid.IntRange(1, 6).Draw(t, "flows") {
 		weight := rapid.SampledFrom([]float64{0, 0.5, 1, 3}).Draw(t, "weight")
 		w.flows = append(w.flows, &flow{Flow: Flow{Weight: weight}, name: fmt.Sprint("f", i)})
@@ -56,7 +62,7 @@
 	f, cost := w.pick(t), rapid.Float64Range(0.25, 8).Draw(t, "cost")
 	v := w.s.v
 	if len(w.calls) == 0 {
-		v = max(v, w.s.finish)
+		v = max(v, w.finish)
 	}
 	if w.s.Hold(f, cost, w.now); w.s.v != v {
 		t.Fatalf("virtual time is %v, want %v", w.s.v, v)
@@ -99,7 +105,16 @@
 				want, least = f, key
 			}
 		}
-		got, found := w.s.Next(func(f *flow) (float64, bool) { return later[f], !refused[f] })
+		least = math.Inf(1)
+		got, found := w.s.Next(func(f *flow) (float64, bool) {
+			if w.starts[f][0]+f.Delta() >= least {
+				t.Fatalf("%s was asked about though it can't come first", f.name)
+			}
+			if !refused[f] {
+				least = min(least, w.starts[f][0]+f.Delta()+later[f])
+			}
+			return later[f], !refused[f]
+		})
 		if found != (want != nil) || found && got != want {
 			t.Fatalf("next is %v, want %v", got, want)
 		}
@@ -108,6 +123,7 @@
 		}
 		w.s.Sent(got, w.now)
 		w.calls = append(w.calls, call{got, w.now})
+		w.finish = max(w.finish, w.finishes[got][0])
 		w.starts[got], w.finishes[got] = w.starts[got][1:], w.finishes[got][1:]
 		if w.s.Busy > w.s.Slots {
 			t.Fatalf("%d slots of %d in use", w.s.Busy, w.s.Slots)
@@ -122,19 +138,60 @@
 	i := rapid.IntRange(0, len(w.calls)-1).Draw(t, "call")
 	c := w.calls[i]
 	w.calls = append(w.calls[:i], w.calls[i+1:]...)
-	w.s.Ended(c.of, (w.now - c.at).Seconds(), w.now)
+	seconds := (w.now - c.at).Seconds()
+	own, all := mean(c.of.Mean, seconds, 8), mean(w.s.Mean, seconds, 32)
+	if w.s.Ended(c.of, seconds, w.now); c.of.Mean != own || w.s.Mean != all {
+		t.Fatalf("means are %v and %v, want %v and %v", c.of.Mean, w.s.Mean, own, all)
+	}
+	w.used[c.of] += (w.now - max(c.at, w.began)).Seconds()
+}
+
+func mean(before, x, n float64) float64 {
+	if before == 0 {
+		return x
+	}
+	return before + (x-before)/n
 }
 
 func (w *world) pass(t *rapid.T) {
 	w.now += time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond
-	if !w.s.Tick(w.now) {
+	if due := w.now >= w.tickAt; w.s.Tick(w.now) != due {
+		t.Fatalf("at %v a period ended: want %v", w.now, due)
+	} else if !due {
 		return
 	}
+	w.tickAt = w.now + w.s.Period
+	for _, c := range w.calls {
+		w.used[c.of] += (w.now - max(c.at, w.began)).Seconds()
+	}
+	least := math.Inf(1)
 	for _, f := range w.flows {
-		if f.Held()+f.Out() == 0 {
-			w.last[f] = 0
+		if f.Held() > 0 {
+			least = min(least, w.used[f]/cmp.Or(f.Weight, 1))
 		}
 	}
+	for _, f := range w.flows {
+		w.judge(t, f, w.used[f]/cmp.Or(f.Weight, 1)-least)
+	}
+	w.began, w.used = w.now, map[*flow]float64{}
+}
+
+// judge says what the monitor owes a flow that used so much more than the least used one.
+func (w *world) judge(t *rapid.T, f *flow, gap float64) {
+	bound := w.s.Tolerance * w.s.Mean
+	if math.Abs(gap-bound) < 1e-9 { // rounding decides
+		w.delta[f] = f.Delta()
+	} else if gap > bound && f.Mean > 0 {
+		w.delta[f] = gap * cmp.Or(f.Weight, 1) / f.Mean
+	} else if w.delta[f] /= 2; w.delta[f] < 0.5 {
+		w.delta[f] = 0
+	}
+	if f.Held()+f.Out() == 0 {
+		w.delta[f], w.last[f] = 0, 0
+	}
+	if math.Abs(f.Delta()-w.delta[f]) > 1e-6*max(1, w.delta[f]) {
+		t.Fatalf("%s is set back by %v calls, want %v", f.name, f.Delta(), w.delta[f])
+	}
 }
 
 func (w *world) trouble(t *rapid.T) {
@@ -180,7 +237,7 @@
 }
 
 // TestTagsAndOrder: lowest start tag plus delta among the eligible, work conserving (whatever is eligible
-// goes while a slot is free), the slot cap, tags by their definition, virtual time never falls, the idle are dropped.
+// goes while a slot is free), the slot cap, tags and setbacks by their definition, virtual time never falls, the idle are dropped.
 func TestTagsAndOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
@@ -334,6 +391,16 @@
 	}
 }
 
+func TestCost(t *testing.T) {
+	s := newScheduler(1)
+	for _, c := range []struct{ own, all, want float64 }{{0, 0, 1}, {0, 2, 1}, {3, 2, 1.5}, {1, 2, 0.5}, {0.1, 2, 0.25}} {
+		s.Mean = c.all
+		if got := s.Cost(&flow{Flow: Flow{Mean: c.own}}); got != c.want {
+			t.Errorf("a call of %v s among those of %v s costs %v, want %v", c.own, c.all, got, c.want)
+		}
+	}
+}
+
 func TestSlotCap(t *testing.T) {
 	for _, c := range []struct {
 		slots   int
