Split the decision module by concern

Change: one file for each, all listed under policy; the making of a target's record, its pace and its risk are arithmetic of records and stand in state.go.

--- a/raventrestle.go
+++ b/raventrestle.go
@@ -2,7 +2,7 @@
 // held message leaves, over which target, and how it is finally answered.
 //
 // This file is the interface: settings, events and actions. It decides nothing.
-// The decisions are all in policy.go, over the queue of package asfq. A host makes one [Policy] per forwarder with
+// The decisions are all in the policy files, over the queue of package asfq. A host makes one [Policy] per forwarder with
 // [New], hands it batches of events through [Policy.Step], and carries out the
 // returned actions in the order given.
 package raventrestle
--- a/state.go
+++ b/state.go
@@ -1,8 +1,9 @@
 package raventrestle
 
-// The records that policy.go keeps, and their arithmetic. Nothing is decided here.
+// The records that the policy files keep, and their arithmetic. Nothing is decided here.
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -154,6 +155,24 @@
 	return d
 }
 
+// target makes the record of a target that joins the list.
+func (p *Policy) target(e Entry) *target {
+	d := p.dest(e.Dest)
+	if e.Kind >= 0 && e.Kind < len(p.set.Kinds) {
+		d.ki, d.kind = e.Kind, p.set.Kinds[e.Kind]
+	}
+	t := &target{id: e.Target, d: d, zone: e.Zone, r: d.shared, since: p.now, lastOK: -1 << 60,
+		lastSent: -1 << 60, taste: 1 + p.rng.Float64()/4, odds: make([]odds, len(p.set.Classes)+1)}
+	if d.kind.Apart {
+		t.r = &route{filledAt: p.now, until: d.shared.until}
+	}
+	p.targets[e.Target] = t
+	t.r.targets = append(t.r.targets, t)
+	d.targets = append(d.targets, t)
+	slices.SortFunc(d.targets, func(a, b *target) int { return cmp.Compare(a.id, b.id) })
+	return t
+}
+
 // forget ends a message.
 func (p *Policy) forget(m *msg) { delete(p.msgs, m.id) }
 
@@ -183,6 +202,25 @@
 	return (x.bad + prior*weight) / (x.all + weight)
 }
 
+// risk is the share of failed calls to expect of a class at a target: what was seen of the
+// class there counts before the target's other classes.
+func (p *Policy) risk(t *target, class int) float64 {
+	return t.odds[class].share(p, t.odds[len(p.set.Classes)].share(p, 0, 1), 1)
+}
+
+// pace is the calls a second lately sent to the target, as it was before an outage.
+func (t *target) pace(p *Policy) float64 {
+	if t.health != open {
+		return t.usual
+	}
+	x := &t.odds[len(p.set.Classes)]
+	x.fade(p)
+	age := max(float64(p.now-t.since)/float64(p.memory), 0.25)
+	few := min(float64(p.set.CallSlots)/float64(p.set.Forwarders), 1)
+	seen := max(x.all-max(1-age, 0)*(1-few), 0) // of many the one that just called has no rate yet
+	return seen / (p.memory.Seconds() * (1 - math.Exp(-age)))
+}
+
 func gap(rate float64) time.Duration { return time.Duration(float64(time.Second) / rate) }
 
 func (p *Policy) log(format string, args ...any) {
