Call what a process has learned that: types, package, and names of a route's rates

Beliefs are now learned state (raventrestle.Learned, internal/learned), taken over with Inherit; knee, brisk and cramped are the slow-start threshold, the sent rate and a limit of connections.

--- a/advise_test.go
+++ b/advise_test.go
@@ -110,7 +110,7 @@
 		plain, w := newWorld(seed), newWorld(seed)
 		plain.play(steps)
 		w.play(steps)
-		before := w.p.Beliefs()
+		before := w.p.Learned()
 		var told []Advice
 		at := func(name string) time.Duration {
 			return w.now - time.Duration(rapid.IntRange(-2000, 20_000).Draw(t, name))*time.Millisecond
@@ -120,8 +120,8 @@
 				Limit: rapid.SampledFrom([]float64{0, 1e-9, 0.5, 5, 50, 1e9}).Draw(t, "limit"), LimitAt: at("limit at"), OutAt: at("out at")})
 		}
 		w.p.Advise(w.now, told)
-		after := w.p.Beliefs()
-		route := func(x, y *RouteBeliefs) {
+		after := w.p.Learned()
+		route := func(x, y *LearnedRoute) {
 			if x != nil && (y.Until < x.Until || x.Rate > 0 && y.Rate > x.Rate || x.Size > 0 && y.Size > x.Size || x.Told && y.Size != x.Size ||
 				y.NextAt < x.NextAt ||
 				y.Fails < x.Fails || y.Told != x.Told || y.Shut != x.Shut) {
--- a/cmd/raventrestle/serve.go
+++ b/cmd/raventrestle/serve.go
@@ -19,12 +19,12 @@
 	"github.com/gofrs/flock"
 
 	"raventrestle"
-	"raventrestle/internal/beliefs"
 	"raventrestle/internal/config"
 	"raventrestle/internal/deadletter"
 	"raventrestle/internal/figures"
 	"raventrestle/internal/fleet"
 	"raventrestle/internal/journal"
+	"raventrestle/internal/learned"
 	"raventrestle/internal/lifecycle"
 	"raventrestle/internal/net/admin"
 	"raventrestle/internal/net/courier"
@@ -138,9 +138,9 @@
 			return err
 		}
 	}
-	remembers := listener == nil && disk > 4*beliefs.Room // where a next process follows, it is handed them
+	remembers := listener == nil && disk > 4*learned.Room // where a next process follows, it is handed them
 	if remembers {
-		disk -= beliefs.Room
+		disk -= learned.Room
 	}
 	shared := int64(0) // of the folder, for what the couriers of a fleet share
 	if remembers && set.Fleet != nil {
@@ -163,7 +163,7 @@
 	}
 	d.courier.Tell, d.courier.Successors = d.tell, listener != nil
 	if remembers {
-		keeper := beliefs.Keep(life.Folder, d.log)
+		keeper := learned.Keep(life.Folder, d.log)
 		defer keeper.Close()
 		d.courier.Recall(d.before(life.Folder), keeper)
 	}
@@ -324,8 +324,8 @@
 }
 
 // before is what the life before had learned, as far as it still counts; nil for nothing.
-func (d *daemon) before(folder string) *raventrestle.Beliefs {
-	saved, err := beliefs.Load(folder)
+func (d *daemon) before(folder string) *raventrestle.Learned {
+	saved, err := learned.Load(folder)
 	if errors.Is(err, os.ErrNotExist) {
 		return nil
 	} else if err != nil {
@@ -333,7 +333,7 @@
 		return nil
 	}
 	now := time.Duration(time.Now().UnixNano())
-	b, ok := beliefs.Current(saved, now, d.conf.Settings.ColdFor)
+	b, ok := learned.Current(saved, now, d.conf.Settings.ColdFor)
 	if d.log.Info("raventrestle: what the life before had learned", "age", now-saved.At, "counts", ok); !ok {
 		return nil
 	}
--- a/internal/beliefs/beliefs.go
+++ b/internal/learned/learned.go
@@ -1,4 +1,4 @@
-// Package beliefs keeps what a life has learned of channels in the folder that lasts, for the next one: limits and waits
+// Package learned keeps what a life has learned of channels in the folder that lasts, for the next one: limits and waits
 // that were told, outages, paces. A life that was killed would else know no limit, and all that it restores would leave
 // at once.
 //
@@ -8,7 +8,7 @@
 //     known since the clock went back (TestOnlyWhatIsFreshCounts);
 //   - a file that is torn, garbled, too large or of another form is an error, and changes nothing (TestTornAndGarbledFiles);
 //   - whoever saves never waits for the disk, and the folder's limit counts the file twice (TestTheNewestIsWritten).
-package beliefs
+package learned
 
 import (
 	"encoding/binary"
@@ -34,37 +34,37 @@
 )
 
 const (
-	fileName, nextName = "beliefs", "beliefs.next"
-	magic              = "rvtb\x00\x01\x00\x00" // the last bytes are the form's version
-	head               = len(magic) + 16        // checksum of what follows it, then when it was saved
+	fileName, nextName = "beliefs", "beliefs.next" // as earlier versions named them
+	magic              = "rvtb\x00\x01\x00\x00"    // the last bytes are the form's version
+	head               = len(magic) + 16           // checksum of what follows it, then when it was saved
 )
 
-// Saved are the beliefs of a life at a time, on the clock of Policy.Step: Unix time in nanoseconds.
+// Saved is what a life had learned at a time, on the clock of Policy.Step: Unix time in nanoseconds.
 type Saved struct {
 	At time.Duration
-	raventrestle.Beliefs
+	raventrestle.Learned
 }
 
 // Why a file is not used.
 var (
-	ErrForm  = errors.New("beliefs: not a file of this form")
-	ErrTorn  = errors.New("beliefs: the file is not whole")
-	ErrLarge = fmt.Errorf("beliefs: over %d bytes", MostBytes)
+	ErrForm  = errors.New("learned: not a file of this form")
+	ErrTorn  = errors.New("learned: the file is not whole")
+	ErrLarge = fmt.Errorf("learned: over %d bytes", MostBytes)
 )
 
-// Current is what of the beliefs counts at that time, and whether anything does. Memory is how long the module counts
+// Current is what of it counts at that time, and whether anything does. Memory is how long the module counts
 // failures.
-func Current(s Saved, now, memory time.Duration) (raventrestle.Beliefs, bool) {
+func Current(s Saved, now, memory time.Duration) (raventrestle.Learned, bool) {
 	if age := now - s.At; age < 0 || age > memory {
-		return raventrestle.Beliefs{}, false
+		return raventrestle.Learned{}, false
 	}
-	return s.Beliefs, true
+	return s.Learned, true
 }
 
 func encode(s Saved) ([]byte, error) {
-	text, err := json.Marshal(s.Beliefs)
+	text, err := json.Marshal(s.Learned)
 	if err != nil {
-		return nil, fmt.Errorf("beliefs: %w", err)
+		return nil, fmt.Errorf("learned: %w", err)
 	}
 	if head+len(text) > MostBytes {
 		return nil, ErrLarge
@@ -89,30 +89,30 @@
 		return Saved{}, ErrTorn
 	}
 	s := Saved{At: time.Duration(binary.BigEndian.Uint64(b[len(magic)+8:]))}
-	if err := json.Unmarshal(b[head:], &s.Beliefs); err != nil {
+	if err := json.Unmarshal(b[head:], &s.Learned); err != nil {
 		return Saved{}, fmt.Errorf("%w: %w", ErrForm, err)
 	}
 	return s, nil
 }
 
-// Load reads the folder's beliefs; without any the error is os.ErrNotExist.
+// Load reads the folder's file; without one the error is os.ErrNotExist.
 func Load(folder string) (Saved, error) {
 	path := filepath.Join(folder, fileName)
 	info, err := os.Stat(path)
 	if err != nil {
-		return Saved{}, fmt.Errorf("beliefs: %w", err)
+		return Saved{}, fmt.Errorf("learned: %w", err)
 	}
 	if info.Size() > MostBytes {
 		return Saved{}, ErrLarge
 	}
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return Saved{}, fmt.Errorf("beliefs: %w", err)
+		return Saved{}, fmt.Errorf("learned: %w", err)
 	}
 	return decode(b)
 }
 
-// Keeper writes beliefs in its own goroutine, the newest where several wait.
+// Keeper writes what was learned in its own goroutine, the newest where several wait.
 type Keeper struct {
 	folder string
 	log    *slog.Logger
@@ -122,14 +122,14 @@
 	next   chan Saved // closed at the end, under mu
 }
 
-// Keep returns a keeper of the folder's beliefs, until it is closed.
+// Keep returns a keeper of the folder's file, until it is closed.
 func Keep(folder string, log *slog.Logger) *Keeper {
 	k := &Keeper{folder: folder, log: log, next: make(chan Saved, 1), done: make(chan struct{})}
 	go k.run()
 	return k
 }
 
-// Save hands beliefs to the keeper without waiting; once it is closed they are dropped.
+// Save hands what was learned to the keeper without waiting; once it is closed they are dropped.
 func (k *Keeper) Save(s Saved) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -143,7 +143,7 @@
 	k.next <- s
 }
 
-// Close writes what was handed in last and ends the keeper.
+// Close writes what was saved last and ends the keeper.
 func (k *Keeper) Close() {
 	k.mu.Lock()
 	if !k.ended {
@@ -163,7 +163,7 @@
 			word = err.Error()
 		}
 		if word != "" && word != failing {
-			k.log.Warn("beliefs: not kept", "folder", k.folder, "err", word)
+			k.log.Warn("learned: not kept", "folder", k.folder, "err", word)
 		}
 		failing = word
 	}
@@ -177,10 +177,10 @@
 	}
 	next := filepath.Join(folder, nextName)
 	if err := os.WriteFile(next, b, 0o600); err != nil {
-		return errors.Join(fmt.Errorf("beliefs: %w", err), os.Remove(next))
+		return errors.Join(fmt.Errorf("learned: %w", err), os.Remove(next))
 	}
 	if err := os.Rename(next, filepath.Join(folder, fileName)); err != nil {
-		return fmt.Errorf("beliefs: %w", err)
+		return fmt.Errorf("learned: %w", err)
 	}
 	return nil
 }
--- a/internal/beliefs/beliefs_test.go
+++ b/internal/learned/learned_test.go
@@ -1,4 +1,4 @@
-package beliefs
+package learned
 
 import (
 	"errors"
@@ -15,8 +15,8 @@
 )
 
 func some(at time.Duration) Saved {
-	return Saved{At: at, Beliefs: raventrestle.Beliefs{CallSec: 0.1, N: 3, Told: true, Dests: []raventrestle.DestBeliefs{{Dest: 7,
-		Targets: []raventrestle.TargetBeliefs{{Target: "s-1", Route: &raventrestle.RouteBeliefs{Size: 250, Rate: 0.9, Told: true, Until: at}}}}}}}
+	return Saved{At: at, Learned: raventrestle.Learned{CallSec: 0.1, N: 3, Told: true, Dests: []raventrestle.LearnedDest{{Dest: 7,
+		Targets: []raventrestle.LearnedTarget{{Target: "s-1", Route: &raventrestle.LearnedRoute{Size: 250, Rate: 0.9, Told: true, Until: at}}}}}}}
 }
 
 func TestOnlyWhatIsFreshCounts(t *testing.T) {
@@ -32,7 +32,7 @@
 	}
 }
 
-// Whatever a file lost or got, it is an error: never a crash, and never other beliefs.
+// Whatever a file lost or got, it is an error: never a crash, and never another state.
 func TestTornAndGarbledFiles(t *testing.T) {
 	whole, err := encode(some(time.Hour))
 	if err != nil {
--- a/internal/net/courier/courier.go
+++ b/internal/net/courier/courier.go
@@ -216,7 +216,7 @@
 func (c *Courier) Run(ctx context.Context) {
 	go c.group.Run(ctx)
 	go c.notices.Run(ctx)
-	c.believeBefore(ctx)
+	c.inheritBefore(ctx)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	look := time.NewTicker(lookAgain)
@@ -304,9 +304,9 @@
 			}
 		case passMsg:
 			pass = !c.passing
-		case believeMsg:
-			c.believed = true
-			c.policy.Believe(m.Beliefs)
+		case inheritMsg:
+			c.inherited = true
+			c.policy.Inherit(m.Learned)
 		case heedMsg:
 			c.heed(m.waits)
 		case elsewhereMsg:
@@ -402,7 +402,7 @@
 
 // restored: a try that was out when the last process ended may have run.
 func (c *Courier) restored(k journal.Kept, t time.Duration) raventrestle.Restored {
-	r := raventrestle.Restored{Arrival: c.arrived(arrival{Message: k.Message}, t), Sends: k.Tries, Moved: k.Handed || c.believed}
+	r := raventrestle.Restored{Arrival: c.arrived(arrival{Message: k.Message}, t), Sends: k.Tries, Moved: k.Handed || c.inherited}
 	ran := k.Ran
 	if ran == nil {
 		ran = k.Out
--- a/internal/net/courier/handover.go
+++ b/internal/net/courier/handover.go
@@ -14,14 +14,14 @@
 
 // handover is the actor's part of it.
 type handover struct {
-	passing  bool // this process goes: what is not out is the next one's
-	theirs   int  // slots that another process uses
-	believed bool // what the process before had learned has come
+	passing   bool // this process goes: what is not out is the next one's
+	theirs    int  // slots that another process uses
+	inherited bool // what the process before had learned has come
 }
 
 type (
 	passMsg      struct{}
-	believeMsg   struct{ raventrestle.Beliefs }
+	inheritMsg   struct{ raventrestle.Learned }
 	heedMsg      struct{ waits map[string]int64 }
 	elsewhereMsg struct{ calls int }
 )
@@ -36,7 +36,7 @@
 // pass is the step in which the courier begins to hand over: the module forgets all messages, and the
 // journal has those that are not out as the next one's before it says that nothing is begun any more.
 func (c *Courier) pass() (events []raventrestle.Event, records []journal.Record) {
-	left, err := json.Marshal(c.policy.Beliefs())
+	left, err := json.Marshal(c.policy.Learned())
 	if err != nil {
 		c.log.Error("courier: what is known of channels stays here", "err", err)
 	}
@@ -103,17 +103,17 @@
 	}
 }
 
-// Believe takes over what the process before had learned, as its journal has it.
-func (c *Courier) Believe(left []byte) {
+// Inherit takes over what the process before had learned, as its journal has it.
+func (c *Courier) Inherit(left []byte) {
 	if len(left) == 0 {
 		return
 	}
-	var b raventrestle.Beliefs
+	var b raventrestle.Learned
 	if err := json.Unmarshal(left, &b); err != nil {
 		c.log.Warn("courier: what the process before had learned can't be read", "err", err)
 		return
 	}
-	c.post(believeMsg{b})
+	c.post(inheritMsg{b})
 }
 
 // Heed keeps waits that the process before was told, by the names of peers, until when in Unix nanoseconds.
--- a/internal/net/upgrade/life.go
+++ b/internal/net/upgrade/life.go
@@ -28,7 +28,7 @@
 	Adopt([]journal.Kept) (n int, err error) // writes them down, then takes them up: the first n of them
 	Settled()                                // no earlier journal is there any more
 	Heed(waits map[string]int64)
-	Believe(left []byte)
+	Inherit(left []byte)
 	Elsewhere(ids []string, calls int)
 }
 
@@ -209,7 +209,7 @@
 		plan := e.heir.Look(legacy, gone)
 		if plan.Begin && !e.closing {
 			e.closing = true
-			c.Believe(legacy.Left)
+			c.Inherit(legacy.Left)
 			l.log.Info("upgrade: taking over", "from", e.folder, "gone", gone, "adopted", len(plan.Adopt), "out there", plan.Calls)
 		}
 		if plan.Begin {
--- a/internal/net/upgrade/life_test.go
+++ b/internal/net/upgrade/life_test.go
@@ -33,7 +33,7 @@
 }
 func (h *heir) Settled()                    { h.settled = true; h.Append([]journal.Record{journal.Settled()}, nil) }
 func (h *heir) Heed(map[string]int64)       {}
-func (h *heir) Believe([]byte)              {}
+func (h *heir) Inherit([]byte)              {}
 func (h *heir) Elsewhere(_ []string, _ int) {}
 
 var errDead = errors.New("the process is dead")
--- a/policy_learn.go
+++ b/policy_learn.go
@@ -35,7 +35,7 @@
 	}
 	if o.Status == Full && c.idle == 0 && o.Wait == 0 && o.Report == (Report{}) && p.told &&
 		p.set.Forwarders > p.set.CallSlots {
-		p.cramped[t.d.ki] = true // the load would come with its report
+		p.connLimited[t.d.ki] = true // the load would come with its report
 	}
 	if o.Report.Limit > 0 {
 		r.told, p.told = true, true
@@ -81,7 +81,7 @@
 	r.lastOK = p.now
 	t.lastOK, t.d.shut, r.fails = p.now, 0, 0
 	if r.rate > 0 {
-		if r.rate += p.step(r) / 4; r.rate < r.knee { // back to where it was refused
+		if r.rate += p.step(r) / 4; r.rate < r.threshold { // back to where it was refused
 			r.rate += p.step(r) * 3 / 4
 		}
 	}
@@ -117,8 +117,8 @@
 		} else if o.Report.Limit > 0 { // most is left: it weighs twice
 			t.d.shut++
 		}
-		r.rate = min(cmp.Or(r.rate, r.brisk), r.brisk) // a pace that was not used proves nothing
-		r.knee = 0.9 * r.rate
+		r.rate = min(cmp.Or(r.rate, r.sentRate), r.sentRate) // a pace that was not used proves nothing
+		r.threshold = 0.9 * r.rate
 		n := float64(p.set.Forwarders) // the more peers, the fewer of the refusals are met here
 		if r.rate = max((0.5+0.5/n)*r.rate, r.size/n/2); r.size == 0 {
 			r.rate = max(r.rate, 1/p.longest.Seconds())
--- a/policy_pace.go
+++ b/policy_pace.go
@@ -18,7 +18,7 @@
 	return (own*r.times.mean + all*p.times.mean) / (own + all), (own*r.times.dev + all*p.times.dev) / (own + all)
 }
 
-// step is what an answer adds to the pace below the knee: one call in two periods, but of many
+// step is what an answer adds to the pace below the threshold: one call in two periods, but of many
 // forwarders each adds no more than a tenth of its even part, so that ten answers to each double it.
 func (p *Policy) step(r *route) float64 {
 	least := 0.5 / p.flows.Period.Seconds()
--- a/policy_send.go
+++ b/policy_send.go
@@ -146,7 +146,7 @@
 		t.gap = asfq.Mix(t.gap, p.now-t.lastSent, 4)
 	}
 	span := p.span(r)
-	r.brisk, r.briskAt = r.brisk*math.Exp(-(p.now-r.briskAt).Seconds()/span)+1/span, p.now
+	r.sentRate, r.sentRateAt = r.sentRate*math.Exp(-(p.now-r.sentRateAt).Seconds()/span)+1/span, p.now
 	t.lastSent = p.now
 	if c.trial {
 		t.trials++
@@ -214,7 +214,7 @@
 	t.idleAt = p.now
 	seldom := t.inFlight+len(t.d.held) == 0 && p.set.Forwarders > p.set.CallSlots &&
 		p.now < p.crowded && (t.gap == 0 || t.gap > p.set.IdleClose)
-	if seldom || p.cramped[t.d.ki] {
+	if seldom || p.connLimited[t.d.ki] {
 		p.closeIdle(t)
 	}
 }
--- a/policy_test.go
+++ b/policy_test.go
@@ -1064,7 +1064,7 @@
 		forwarders int
 		idle       bool // the call that is turned away goes over a connection that was left open
 		answer     Outcome
-		cramped    bool
+		limited    bool
 	}{
 		"no word":           {309, false, Outcome{Status: Full}, true},
 		"to one of few":     {2, false, Outcome{Status: Full}, false},
@@ -1098,7 +1098,7 @@
 			call(1, Outcome{Status: OK, Report: report})
 		}
 		call(1, c.answer)
-		if got := call(2, Outcome{Status: OK, Report: report}); got != c.cramped {
+		if got := call(2, Outcome{Status: OK, Report: report}); got != c.limited {
 			t.Errorf("%s: the next connection at the kind was shut: %v", name, got)
 		}
 		if call(3, Outcome{Status: OK, Report: report}) {
--- a/raventrestle.go
+++ b/raventrestle.go
@@ -202,7 +202,7 @@
 	RanZone int           // index into Settings.Zones, -1 if unknown
 	RanAt   time.Duration // on the clock of Step
 	Failed  bool          // it was over before that life ended, which was not its success
-	Moved   bool          // from a process that goes, whose Beliefs came with it
+	Moved   bool          // from a process that goes, whose Learned came with it
 }
 
 // Closing says that the host ends its life at that time: attempts out then may have run.
--- a/retune_test.go
+++ b/retune_test.go
@@ -45,8 +45,8 @@
 	if err := p.Retune(next); err != nil {
 		t.Fatal(err)
 	}
-	if n := len(p.targets["a"].odds); n != 3 || p.dests[8].ki != 2 || len(p.cramped) != 3 {
-		t.Errorf("%d odds, unknown kind %d, %d marks", n, p.dests[8].ki, len(p.cramped))
+	if n := len(p.targets["a"].odds); n != 3 || p.dests[8].ki != 2 || len(p.connLimited) != 3 {
+		t.Errorf("%d odds, unknown kind %d, %d marks", n, p.dests[8].ki, len(p.connLimited))
 	}
 	// One that may have run is free to repeat by its own class, and the cap of now ends it.
 	_, ended := step(Outcome{ID: "under way", Target: "a", Status: Reset})
--- a/return_test.go
+++ b/return_test.go
@@ -10,9 +10,9 @@
 )
 
 // restarted plays a fleet of n at 1.2 times the limit of a destination, of which seven in ten are restarted at once with all
-// that they hold; believing, they take up what they had learned. It gives the most calls in a second after it, as a share
+// that they hold; inheriting, they take up what they had learned. It gives the most calls in a second after it, as a share
 // of the limit, and how many were refused in the five seconds after, as a share of those sent.
-func restarted(t *testing.T, n int, believing bool) (worst, refused float64) {
+func restarted(t *testing.T, n int, inheriting bool) (worst, refused float64) {
 	const limit, load, step = 60.0, 1.2, 10 * ms
 	rng := rand.New(rand.NewPCG(5, uint64(n)))
 	set := settings()
@@ -77,8 +77,8 @@
 				l := begin(i, 1)
 				fleet[i] = l
 				act(l, list)
-				if believing {
-					l.p.Believe(old.p.Beliefs())
+				if inheriting {
+					l.p.Inherit(old.p.Learned())
 				}
 				for _, id := range ids(old.held) {
 					l.held[id], l.sends[id] = old.held[id], old.sends[id]
@@ -137,10 +137,10 @@
 func TestARestartedFleetGoesByTheLimitsThatItKnew(t *testing.T) {
 	for _, n := range []int{2, 8, 48, 300} {
 		worst, refused := restarted(t, n, false)
-		believed, fewer := restarted(t, n, true)
-		t.Logf("%3d couriers: worst second %.2f of the limit, %.2f refused; with what was learned %.2f, %.2f", n, worst, refused, believed, fewer)
-		if believed > 1.5 || fewer*2 > refused {
-			t.Errorf("%d couriers: %.2f of the limit in a second and %.2f refused, %.2f and %.2f without", n, believed, fewer, worst, refused)
+		inherited, fewer := restarted(t, n, true)
+		t.Logf("%3d couriers: worst second %.2f of the limit, %.2f refused; with what was learned %.2f, %.2f", n, worst, refused, inherited, fewer)
+		if inherited > 1.5 || fewer*2 > refused {
+			t.Errorf("%d couriers: %.2f of the limit in a second and %.2f refused, %.2f and %.2f without", n, inherited, fewer, worst, refused)
 		}
 	}
 }
--- a/settings.go
+++ b/settings.go
@@ -25,7 +25,7 @@
 		p.flows.Period, p.longest = min(p.flows.Period, c.Aim), max(p.longest, c.Deadline)
 	}
 	p.idleLife, p.memory = set.IdleClose, max(set.ColdFor, p.flows.Period)
-	p.tenants, p.cramped = make([]odds, len(set.Tenants)), make([]bool, len(set.Kinds)+1)
+	p.tenants, p.connLimited = make([]odds, len(set.Tenants)), make([]bool, len(set.Kinds)+1)
 	return p, nil
 }
 
@@ -46,7 +46,7 @@
 	p.idleLife = min(p.idleLife, set.IdleClose)
 	p.tenants = append(p.tenants, make([]odds, max(0, len(set.Tenants)-len(p.tenants)))...)
 	unknown := len(was.Kinds) // the last mark stands for kinds that are not known
-	p.cramped = slices.Insert(p.cramped, unknown, make([]bool, max(0, len(set.Kinds)-unknown))...)
+	p.connLimited = slices.Insert(p.connLimited, unknown, make([]bool, max(0, len(set.Kinds)-unknown))...)
 	for _, d := range p.dests {
 		if d.ki >= unknown {
 			d.ki = len(set.Kinds)
--- a/state.go
+++ b/state.go
@@ -32,7 +32,7 @@
 	askAt, askGap   time.Duration    // when to ask for the list again, and the backoff
 	stood           bool             // this batch came late
 	told            bool             // answers bring reports
-	cramped         []bool           // by kind, the last for unknown ones: no room for idle connections
+	connLimited     []bool           // by kind, the last for unknown ones: no room for idle connections
 	closing         time.Duration    // when the host ends its life, 0 while it does not
 	crowded         time.Duration    // targets may have few connections left, until then
 	wakeAt, pending time.Duration    // when a decision may change, and the WakeAt still owed
@@ -62,11 +62,11 @@
 	targets      []*target
 	size         float64 // calls a second from all forwarders, 0 if unknown
 	told         bool    // by reports, which come before the list
-	knee         float64 // just under the pace that was last refused
+	threshold    float64 // just under the pace that was last refused
 	rate, tokens float64 // this forwarder's pace by AIMD, 0 while no limit is known
-	brisk        float64 // calls a second lately sent
+	sentRate     float64 // calls a second lately sent
 	filledAt     time.Duration
-	briskAt      time.Duration
+	sentRateAt   time.Duration
 	cutAt        time.Duration
 	until        time.Duration // told to wait
 	shut         bool          // its targets were held off together
--- a/view.go
+++ b/view.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// DestView is what the policy believes of a destination, for operators' eyes.
+// DestView is the state that the policy keeps of a destination, for operators' eyes.
 type DestView struct {
 	Dest    DestID        `json:"dest"`
 	Held    int           `json:"held"`           // messages that wait here
@@ -16,7 +16,7 @@
 	Targets []TargetView  `json:"targets"`        // in the order of their ids
 }
 
-// TargetView is what the policy believes of a target.
+// TargetView is the state that the policy keeps of a target.
 type TargetView struct {
 	Target TargetID      `json:"target"`
 	Ready  bool          `json:"ready"`  // by the list
@@ -41,7 +41,7 @@
 	return n
 }
 
-// View is what the policy believes of all destinations, in the order of their numbers. It changes nothing.
+// View is the state that the policy keeps of all destinations, in the order of their numbers. It changes nothing.
 func (p *Policy) View() []DestView {
 	all := make([]DestView, 0, len(p.dests))
 	for _, d := range p.dests {
