--- a/internal/net/upstream/silence_test.go
+++ b/internal/net/upstream/silence_test.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"raventrestle"
-	"raventrestle/internal/asking"
 	"raventrestle/internal/config"
 	"raventrestle/internal/net/nettest"
+	"raventrestle/internal/polling"
 )
 
 // scripted is a discovery over pipes in a test's own time; answer gets each call with its number, from 1, and says
@@ -97,7 +97,7 @@
 							break
 						}
 					}
-					told := max(asking.Told, wait+asking.ToldAfterWait)
+					told := max(polling.Told, wait+polling.ToldAfterWait)
 					if took := time.Since(began); took > told {
 						t.Errorf("a wait of %v fell silent: its news came after %v, told after %v", wait, took, told)
 					}
--- a/internal/net/upstream/upstream.go
+++ b/internal/net/upstream/upstream.go
@@ -1,6 +1,6 @@
 // Package upstream keeps the upstream group: discovery's list of the peers that messages may
 // go to. An actor asks for it and its changes once the courier has subscribed, or from the start where lists are
-// pushed; internal/asking decides when and how.
+// pushed; internal/polling decides when and how.
 package upstream
 
 import (
@@ -18,8 +18,8 @@
 	jsoniter "github.com/json-iterator/go"
 
 	"raventrestle"
-	"raventrestle/internal/asking"
 	"raventrestle/internal/config"
+	"raventrestle/internal/polling"
 )
 
 // Entry is one line of the list, with where the peer is.
@@ -39,7 +39,7 @@
 type Group struct {
 	url    string
 	terms  atomic.Pointer[terms]
-	plan   asking.Plan
+	plan   polling.Plan
 	client *http.Client
 	log    *slog.Logger
 	tell   func(Update)
@@ -62,7 +62,7 @@
 	g := &Group{url: place(discovery), log: log, tell: tell,
 		asked: make(chan struct{}, 1), moved: make(chan string, 1),
 		client: &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConns: 1, IdleConnTimeout: time.Minute,
-			DialContext: (&net.Dialer{Timeout: asking.Connect}).DialContext}}}
+			DialContext: (&net.Dialer{Timeout: polling.Connect}).DialContext}}}
 	g.Serve(set, names)
 	u, err := Update{}, error(nil)
 	if len(known) > 0 {
@@ -106,7 +106,7 @@
 // Run asks for the list, as the plan says: where it waits to be asked, a Subscribe or Move begins the next call.
 func (g *Group) Run(ctx context.Context) {
 	defer g.client.CloseIdleConnections()
-	next := g.next(asking.None)
+	next := g.next(polling.None)
 	for {
 		var due <-chan time.Time
 		if !next.Asked {
@@ -119,7 +119,7 @@
 			next.After = 0
 		case discovery := <-g.moved:
 			g.turn(discovery)
-			next = g.next(asking.None)
+			next = g.next(polling.None)
 		case <-due:
 		}
 		r := g.call(ctx, next)
@@ -127,20 +127,20 @@
 			return
 		}
 		next = g.next(r)
-		if next.Asked && r != asking.None {
+		if next.Asked && r != polling.None {
 			select { // what was asked meanwhile was for that call
 			case <-g.asked:
 			default:
 			}
 			g.tell(Update{How: raventrestle.ListFailed})
-		} else if r == asking.None { // moved: asked at once
+		} else if r == polling.None { // moved: asked at once
 			next.Asked = false
 		}
 	}
 }
 
-func (g *Group) next(r asking.Result) asking.Call {
-	return g.plan.Next(asking.Settings{Pushed: g.terms.Load().pushed, Known: g.index >= 0}, r, rand.Float64())
+func (g *Group) next(r polling.Result) polling.Call {
+	return g.plan.Next(polling.Settings{Pushed: g.terms.Load().pushed, Known: g.index >= 0}, r, rand.Float64())
 }
 
 // turn points the group at another discovery, whose versions tell nothing of the old one's.
@@ -151,7 +151,7 @@
 
 // call makes a call and tells the list that it brought. None stands for one that was cut short, since the group was
 // moved or has ended.
-func (g *Group) call(ctx context.Context, c asking.Call) asking.Result {
+func (g *Group) call(ctx context.Context, c polling.Call) polling.Result {
 	within, stop := context.WithTimeout(ctx, c.Limit)
 	defer stop()
 	type result struct {
@@ -170,23 +170,23 @@
 		stop()
 		<-came
 		g.turn(discovery)
-		return asking.None
+		return polling.None
 	}
 	var late net.Error
 	switch {
 	case ctx.Err() != nil:
-		return asking.None
+		return polling.None
 	case r.error == nil:
 		g.index = r.Index
 		g.tell(r.Update)
-		return asking.Answered
+		return polling.Answered
 	case errors.As(r.error, &late) && late.Timeout(): // of the call, or of its connection
 		g.log.Warn("upstream: silence", "wait", c.Wait, "limit", c.Limit, "err", r.error)
 		g.client.CloseIdleConnections()
-		return asking.Silent
+		return polling.Silent
 	}
 	g.log.Warn("upstream: call failed", "wait", c.Wait, "err", r.error)
-	return asking.Failed
+	return polling.Failed
 }
 
 // ask makes one call. A watch goes on as long as the next follows at once. A poll asks for the whole list and not for
--- a/internal/asking/asking.go
+++ b/internal/polling/polling.go
@@ -1,4 +1,4 @@
-// Package asking decides when discovery is asked for the list of endpoints, whether by a watch or by a poll, and
+// Package polling decides when discovery is asked for the list of endpoints, whether by a watch or by a poll, and
 // when silence means that a call is broken. It is pure: chance comes in as an argument, and the answer is a [Call].
 //
 // Invariants, each held by a test of the same name:
@@ -6,7 +6,7 @@
 //     [ToldAfterWait] after the wait of a call that may wait. A call that brought nothing by then was followed by another
 //     one that had time for its answer, at once and not after a pause.
 //   - TestPushedIsAskedFromTheStart: where lists are pushed, a call is always out or about to be, from the first moment.
-package asking
+package polling
 
 import "time"
 
--- a/internal/asking/asking_test.go
+++ b/internal/polling/polling_test.go
@@ -1,4 +1,4 @@
-package asking
+package polling
 
 import (
 	"testing"
