--- a/cmd/raventrestle/commands_test.go
+++ b/cmd/raventrestle/commands_test.go
@@ -172,7 +172,7 @@
 	for _, m := range []struct {
 		class, id string
 	}{{"single", "pay"}, {"free", "rate"}} {
-		if code := d.handIn(m.class, m.id, 1.5); code != 202 {
+		if code := d.submit(m.class, m.id, 1.5); code != 202 {
 			t.Fatalf("%s answered %d", m.id, code)
 		}
 	}
@@ -234,7 +234,7 @@
 	second.log = &lines{}
 	second.start()
 	second.log.(*lines).await(t, "another process has the store open")
-	if code := second.handIn("free", "x", 1); code != 202 {
+	if code := second.submit("free", "x", 1); code != 202 {
 		t.Fatal(code)
 	}
 	second.kill()
@@ -320,17 +320,17 @@
 	}
 	t.Setenv("RAVENTRESTLE_SETTINGS", file)
 	d.start()
-	handIn := func(class, id string, left float64) {
+	submit := func(class, id string, left float64) {
 		t.Helper()
-		if code := d.handIn(class, id, left); code != 202 {
+		if code := d.submit(class, id, left); code != 202 {
 			t.Fatalf("%s answered %d", id, code)
 		}
 	}
-	handIn("single", "reset", 10)
-	handIn("single", "timeout", 1)
+	submit("single", "reset", 10)
+	submit("single", "timeout", 1)
 	nettest.Wait(t, "notice", d.notices)
 	nettest.Wait(t, "notice", d.notices)
-	handIn("single", "killed", 10)
+	submit("single", "killed", 10)
 	for began := time.Now(); ; time.Sleep(5 * time.Millisecond) {
 		mu.Lock()
 		n := calls["killed"]
@@ -347,7 +347,7 @@
 	if got := nettest.Wait(t, "notice", d.notices); got != `{"id":"killed","status":"undeliverable"}` {
 		t.Fatal(got)
 	}
-	handIn("free", "well", 10) // the channel delivers
+	submit("free", "well", 10) // the channel delivers
 	time.Sleep(400 * time.Millisecond)
 	env := []string{"RAVENTRESTLE_SETTINGS=" + file}
 	out, complaint, code := command(t, env, "undeliverable", "list", "--json")
--- a/cmd/raventrestle/fleet_test.go
+++ b/cmd/raventrestle/fleet_test.go
@@ -138,9 +138,9 @@
 			}
 		}
 	}
-	handIn := func(f *fellow, id string) {
+	submit := func(f *fellow, id string) {
 		t.Helper()
-		if code := f.handIn("free", id, 15); code != 202 {
+		if code := f.submit("free", id, 15); code != 202 {
 			t.Fatalf("%s answered %d", id, code)
 		}
 	}
@@ -166,14 +166,14 @@
 		f.up(3)
 	}
 
-	handIn(a, "short")
+	submit(a, "short")
 	first := called("short")
 	b.heeds(0)
 	c.heeds(0)
-	handIn(b, "of-b")
-	handIn(c, "of-c")
-	handIn(wrong, "of-d")
-	handIn(alone, "of-e")
+	submit(b, "of-b")
+	submit(c, "of-c")
+	submit(wrong, "of-d")
+	submit(alone, "of-e")
 	early, late := 0, map[string]bool{"short": true, "of-b": true, "of-c": true}
 	for len(late) > 0 {
 		call := nettest.Wait(t, "call", end.Calls)
@@ -192,7 +192,7 @@
 	wrong.up(1)
 	alone.up(1)
 
-	handIn(a, "long")
+	submit(a, "long")
 	called("long")
 	b.heeds(long / 2)
 	c.heeds(long / 2)
@@ -209,7 +209,7 @@
 	f := newFellow(t, "f", record+seeds+"]", end)
 	f.begin()
 	f.up(4)
-	handIn(f, "of-f")
+	submit(f, "of-f")
 	called("of-f")
 	b.heeds(long / 2) // what it had heeded it keeps
 
--- a/cmd/raventrestle/history_test.go
+++ b/cmd/raventrestle/history_test.go
@@ -70,9 +70,9 @@
 			ids = slices.DeleteFunc(ids, func(s string) bool { return s == id })
 		}
 	}
-	handIn := func(f *fellow, class, id string) {
+	submit := func(f *fellow, class, id string) {
 		t.Helper()
-		if code := f.handIn(class, id, 10); code != 202 {
+		if code := f.submit(class, id, 10); code != 202 {
 			t.Fatalf("%s answered %d", id, code)
 		}
 	}
@@ -104,15 +104,15 @@
 		f.up(3)
 	}
 
-	handIn(a, "free", "wait")
+	submit(a, "free", "wait")
 	called("wait")
 	b.heeds(0)
 	c.heeds(0)
-	handIn(b, "free", "of-b")
-	handIn(c, "free", "of-c")
+	submit(b, "free", "of-b")
+	submit(c, "free", "of-c")
 	called("wait", "of-b", "of-c")
-	handIn(a, "free", "free")
-	handIn(a, "single", "single")
+	submit(a, "free", "free")
+	submit(a, "single", "single")
 	called("free", "single")
 	a.kill()
 	close(killed)
--- a/cmd/raventrestle/life_test.go
+++ b/cmd/raventrestle/life_test.go
@@ -72,7 +72,7 @@
 	if probe("/livez") != 200 || probe("/readyz") != 200 || healthz() != 200 {
 		t.Error("not ready by its probes")
 	}
-	if code := d.handIn("free", "one", 8); code != 202 {
+	if code := d.submit("free", "one", 8); code != 202 {
 		t.Fatal(code)
 	}
 	s := status()
@@ -86,7 +86,7 @@
 	if out, complaint, code := command(t, env, "drain"); code != 0 || strings.TrimSpace(out) != "draining" {
 		t.Fatalf("%d %s%s", code, out, complaint)
 	}
-	if code := d.handIn("free", "two", 8); code != 503 || healthz() != 503 || probe("/readyz") != 503 || probe("/livez") != 200 {
+	if code := d.submit("free", "two", 8); code != 503 || healthz() != 503 || probe("/readyz") != 503 || probe("/livez") != 200 {
 		t.Errorf("drained, it answers %d", code)
 	}
 	if s := status(); s.Report.State != "draining" || !slices.Equal(s.Report.Why, []string{"it was asked to drain"}) {
@@ -102,7 +102,7 @@
 	if out, _, code := command(t, env, "undrain"); code != 0 || strings.TrimSpace(out) != "ready" {
 		t.Errorf("%d %s", code, out)
 	}
-	if code := d.handIn("free", "three", 8); code != 202 || healthz() != 200 {
+	if code := d.submit("free", "three", 8); code != 202 || healthz() != 200 {
 		t.Errorf("taken back, it answers %d", code)
 	}
 
--- a/cmd/raventrestle/main_test.go
+++ b/cmd/raventrestle/main_test.go
@@ -136,7 +136,7 @@
 	}
 }
 
-func (d *deployment) handIn(class, id string, left float64) int {
+func (d *deployment) submit(class, id string, left float64) int {
 	d.t.Helper()
 	req, err := http.NewRequest("POST", "http://"+d.addr+"/"+class, strings.NewReader("body of "+id))
 	if err != nil {
@@ -179,7 +179,7 @@
 		class, id string
 		left      float64
 	}{{"guarded", "g", 10}, {"single", "s", 10}, {"free", "f", 10}, {"free", "short", 0.7}} {
-		if code := d.handIn(m.class, m.id, m.left); code != 202 {
+		if code := d.submit(m.class, m.id, m.left); code != 202 {
 			t.Fatalf("%s answered %d", m.id, code)
 		}
 		select {
@@ -222,7 +222,7 @@
 	end := nettest.NewPeer(t, nettest.Answer(nettest.Plain(200, "", "")))
 	d := deploy(t, silent)
 	d.start()
-	if code := d.handIn("single", "owed", 1.5); code != 202 {
+	if code := d.submit("single", "owed", 1.5); code != 202 {
 		t.Fatalf("answered %d", code)
 	}
 	nettest.Wait(t, "call", silent.Calls)
@@ -240,7 +240,7 @@
 		}
 	}
 	hangUp(`{"discovery":`)
-	if code := d.handIn("free", "more", 1.5); code != 202 {
+	if code := d.submit("free", "more", 1.5); code != 202 {
 		t.Fatalf("answered %d", code)
 	}
 	fresh := make(chan string, 64)
@@ -252,7 +252,7 @@
 			t.Fatalf("asked for %q, want %q", call.Query, want)
 		}
 	}
-	if code := d.handIn("free", "new", 10); code != 202 {
+	if code := d.submit("free", "new", 10); code != 202 {
 		t.Fatalf("answered %d", code)
 	}
 	for id := ""; id != "new"; id = nettest.Wait(t, "call to the new peer", end.Calls).Header.Get("X-Txn") {
@@ -275,7 +275,7 @@
 	})
 	d := deploy(t, end)
 	d.start()
-	if code := d.handIn("single", "out", 10); code != 202 {
+	if code := d.submit("single", "out", 10); code != 202 {
 		t.Fatalf("answered %d", code)
 	}
 	nettest.Wait(t, "call", end.Calls)
@@ -297,8 +297,8 @@
 	if _, err := r.ReadByte(); err != io.EOF {
 		t.Fatalf("an idle client connection: %v", err)
 	}
-	if code := d.handIn("free", "late", 10); code != 503 {
-		t.Fatalf("a late hand-in got %d", code)
+	if code := d.submit("free", "late", 10); code != 503 {
+		t.Fatalf("a late submission got %d", code)
 	}
 	close(answer)
 	if err := nettest.Wait(t, "end", d.ended); err != nil {
--- a/cmd/raventrestle/serve.go
+++ b/cmd/raventrestle/serve.go
@@ -238,7 +238,7 @@
 			}
 			stop()
 			if d.letters != nil {
-				d.letters.Wait() // what it was handed in is written
+				d.letters.Wait() // what it was given is written
 			}
 			if err := d.store.Close(); err != nil {
 				d.log.Warn("raventrestle: journal", "err", err)
--- a/cmd/raventrestle/settings_test.go
+++ b/cmd/raventrestle/settings_test.go
@@ -66,14 +66,14 @@
 		t.Fatal(err)
 	}
 	whole := string(file)
-	if code := d.handIn("free", "old-terms", 15); code != 202 {
+	if code := d.submit("free", "old-terms", 15); code != 202 {
 		t.Fatal(code)
 	}
 	nettest.Wait(t, "call", end.Calls)
 	// free gets strict, guarded goes, more comes.
 	next := strings.Replace(strings.Replace(whole, `"name":"guarded"`, `"name":"more"`, 1), `"effect":"free"`, `"effect":"single_shot"`, 1)
 	hangUp(next, "app.config_reloads", "1")
-	if more, gone := d.handIn("more", "m", 15), d.handIn("guarded", "g", 15); more != 202 || gone != 400 {
+	if more, gone := d.submit("more", "m", 15), d.submit("guarded", "g", 15); more != 202 || gone != 400 {
 		t.Fatal(more, gone)
 	}
 	nettest.Wait(t, "call", end.Calls)
@@ -81,10 +81,10 @@
 		strings.Replace(whole, `"send_cap":8`, `"send_cap":0`, 1)} {
 		hangUp(broken, "app.config_reload_errors", string(rune('1'+i)))
 	}
-	if code := d.handIn("guarded", "g", 15); code != 400 {
+	if code := d.submit("guarded", "g", 15); code != 400 {
 		t.Fatal("a broken file was taken:", code)
 	}
-	if code := d.handIn("free", "new-terms", 15); code != 202 {
+	if code := d.submit("free", "new-terms", 15); code != 202 {
 		t.Fatal(code)
 	}
 	nettest.Wait(t, "call", end.Calls)
--- a/cmd/raventrestle/untried_test.go
+++ b/cmd/raventrestle/untried_test.go
@@ -43,7 +43,7 @@
 	untried := map[string]bool{}
 	for i := range 40 {
 		id := fmt.Sprintf("u-%d", i)
-		if code := d.handIn("free", id, 9); code != 202 {
+		if code := d.submit("free", id, 9); code != 202 {
 			t.Fatalf("%s answered %d", id, code)
 		}
 		untried[id] = true
--- a/cmd/raventrestle/upgrade_test.go
+++ b/cmd/raventrestle/upgrade_test.go
@@ -29,7 +29,7 @@
 	effects map[string]int // by id: calls whose last byte came
 	doubled []string
 	handed  map[string]bool // ids whose client heard 202
-	broken  atomic.Int64    // hand-ins that met a refused, reset or unread connection
+	broken  atomic.Int64    // submissions that met a refused, reset or unread connection
 	refused atomic.Int64
 	stop    chan struct{}
 	clients sync.WaitGroup
@@ -80,7 +80,7 @@
 	return s
 }
 
-// client hands in one message after the other, over a connection that it keeps while it may.
+// client submits one message after the other, over a connection that it keeps while it may.
 func (s *service) client(i int, rnd *rand.Rand) {
 	client := &http.Client{Timeout: 400 * time.Millisecond, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	defer client.CloseIdleConnections()
@@ -200,11 +200,11 @@
 		}
 	}
 	if len(s.handed) < 20 {
-		s.t.Errorf("only %d handed in", len(s.handed))
+		s.t.Errorf("only %d submitted", len(s.handed))
 	}
 }
 
-// Two upgrades in a row under load: no hand-in meets a refused, reset or unread connection, none is refused,
+// Two upgrades in a row under load: no submission meets a refused, reset or unread connection, none is refused,
 // every message has one effect and no notice, and the old process is gone before its SIGKILL would come.
 func TestUpgrade(t *testing.T) {
 	s := serviceUnderLoad(t, 1, 8)
@@ -227,14 +227,14 @@
 	time.Sleep(200 * time.Millisecond)
 	s.settle(old, false)
 	if b, r := s.broken.Load(), s.refused.Load(); b+r > 0 {
-		t.Errorf("%d hand-ins met a connection that was closed, %d were refused", b, r)
+		t.Errorf("%d submissions met a connection that was closed, %d were refused", b, r)
 	}
 }
 
 // One of the two processes dies by SIGKILL at a moment drawn from the seed: the old one before its SIGTERM, in
 // the middle of handing over or at its end, or the new one before or just after its yes, upon which another
 // is started. What was taken has its end all the same, a single shot takes effect once at most, and no
-// hand-in but those that the dead process had read meets a closed connection.
+// submission but those that the dead process had read meets a closed connection.
 func TestUpgradeKilled(t *testing.T) {
 	seeds := uint64(8)
 	if n, err := strconv.ParseUint(os.Getenv("RAVENTRESTLE_UPGRADE_SEEDS"), 10, 32); err == nil {
@@ -276,7 +276,7 @@
 			time.Sleep(500 * time.Millisecond)
 			s.settle(next, true)
 			if b := s.broken.Load(); b > 8 { // a client has one connection
-				t.Errorf("%d hand-ins met a closed connection", b)
+				t.Errorf("%d submissions met a closed connection", b)
 			}
 		})
 	}
--- a/internal/deadletter/keeper.go
+++ b/internal/deadletter/keeper.go
@@ -225,7 +225,7 @@
 // Wait waits until the store is closed.
 func (k *Keeper) Wait() { <-k.done }
 
-// drain carries out what was handed in before the end.
+// drain carries out what was posted before the end.
 func (k *Keeper) drain() {
 	for len(k.mail) > 0 {
 		k.take(<-k.mail)
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -24,7 +24,7 @@
 	}
 	taken := func(l *Ledger, m *Message) {
 		l.Ready(0, at(-1))
-		l.HandIn(m, "t1", 0, at(0))
+		l.Submit(m, "t1", 0, at(0))
 		l.Answered("t1", 202, at(0.1))
 	}
 	send := func(l *Ledger, code int, s float64) {
@@ -95,7 +95,7 @@
 			l.Effect("t1", "s-7", "a", true, at(2))
 			send(l, 200, 3)
 		}, ""},
-		"never handed in": {func(l *Ledger, m *Message) {
+		"never submitted": {func(l *Ledger, m *Message) {
 			taken(l, m)
 			send(l, 200, 1)
 			l.Begin("t9", 7, "s-7", "a", 0, at(2))
@@ -154,7 +154,7 @@
 			defer ch.Close()
 			ch.Set(c.mode, time.Now())
 			m := &Message{Key: "k", Dest: 7, Until: time.Now().Add(time.Hour)}
-			ledger.HandIn(m, "t1", 0, time.Now())
+			ledger.Submit(m, "t1", 0, time.Now())
 			ledger.Answered("t1", 202, time.Now())
 			for range 20 {
 				line := call(t, ch.Endpoints[0].Addr(0), "t1")
@@ -189,7 +189,7 @@
 			}
 			defer ch.Close()
 			m := &Message{Key: "k", Dest: 7, Until: time.Now().Add(time.Hour), Allowed: OnceByFloor}
-			ledger.HandIn(m, "t1", 0, time.Now())
+			ledger.Submit(m, "t1", 0, time.Now())
 			ledger.Answered("t1", 202, time.Now())
 			var both sync.WaitGroup
 			both.Go(func() { call(t, ch.Endpoints[0].Addr(0), "t1") })
--- a/internal/emulator/faults_test.go
+++ b/internal/emulator/faults_test.go
@@ -49,7 +49,7 @@
 	l.Ready(0, at(-1))
 	for i, id := range []string{"before", "after"} {
 		m := &Message{Key: id, Dest: 7, Born: at(float64(i)), Until: at(10)}
-		l.HandIn(m, id, 0, at(float64(i)))
+		l.Submit(m, id, 0, at(float64(i)))
 		l.Answered(id, 202, at(float64(i)))
 		if i == 0 {
 			l.Forgot(0, at(0.5))
@@ -66,7 +66,7 @@
 	l := NewLedger(start)
 	for n, id := range []string{"x", "y"} {
 		l.Ready(n, at(-1))
-		l.HandIn(&Message{Key: id, Dest: 7, Born: at(0), Until: at(10)}, id, n, at(0))
+		l.Submit(&Message{Key: id, Dest: 7, Born: at(0), Until: at(10)}, id, n, at(0))
 		l.Answered(id, 202, at(0))
 	}
 	l.Swapped(0, 1, at(1))
--- a/internal/emulator/ledger.go
+++ b/internal/emulator/ledger.go
@@ -26,7 +26,7 @@
 	historyAtMost = 60
 )
 
-// Message is one message as its client means it, over all its hand-ins.
+// Message is one message as its client means it, over all its submissions.
 type Message struct {
 	Key, Class, Hotel string
 	Dest              int64
@@ -40,11 +40,11 @@
 	Resent            int       // calls after that
 	LateDelivered     time.Time // by a resend
 	history           []string
-	handIns           []*handIn
+	submissions       []*submission
 }
 
-// handIn is one handing-in of a message, under an id of its own.
-type handIn struct {
+// submission is one sending of a message, under an id of its own.
+type submission struct {
 	id        string
 	msg       *Message
 	courier   int
@@ -73,11 +73,11 @@
 	mu         sync.Mutex
 	start      time.Time
 	messages   map[string]*Message
-	ids        map[string]*handIn
+	ids        map[string]*submission
 	lives      map[int][]life
 	violations []Violation
 	excuses    Excuses
-	guests     int // the courier whose messages others may hand in, -1 for none
+	guests     int // the courier whose messages others may submit, -1 for none
 	Calls      int // on the receiving side, messages counted one by one
 	Refused    int
 	counts     Counts
@@ -87,10 +87,11 @@
 
 // Counts are the ledger's figures so far.
 type Counts struct {
-	HandIns, Taken, TurnedAway, Unanswered int // by clients
-	Delivered, Undeliverable, Deferred     int // first ends
-	Calls, CallsRefused, Effects, Resends  int // on the receiving side
-	Lists                                  int // asked of discovery: whole ones and watches
+	Submissions                           int `json:"HandIns"` // by clients; results that are kept have that key
+	Taken, TurnedAway, Unanswered         int // of these
+	Delivered, Undeliverable, Deferred    int // first ends
+	Calls, CallsRefused, Effects, Resends int // on the receiving side
+	Lists                                 int // asked of discovery: whole ones and watches
 }
 
 // Counts reads the figures so far.
@@ -125,7 +126,7 @@
 
 // NewLedger returns an empty one.
 func NewLedger(start time.Time) *Ledger {
-	return &Ledger{start: start, messages: map[string]*Message{}, ids: map[string]*handIn{}, lives: map[int][]life{}, guests: -1,
+	return &Ledger{start: start, messages: map[string]*Message{}, ids: map[string]*submission{}, lives: map[int][]life{}, guests: -1,
 		Later: func(d time.Duration, f func()) { time.AfterFunc(d, f) }}
 }
 
@@ -144,16 +145,16 @@
 	l.violations = append(l.violations, v)
 }
 
-// HandIn says that a client is about to hand a message in under the id.
-func (l *Ledger) HandIn(m *Message, id string, courier int, at time.Time) {
+// Submit says that a client is about to submit a message under the id.
+func (l *Ledger) Submit(m *Message, id string, courier int, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.messages[m.Key] = m
-	h := &handIn{id: id, msg: m, courier: courier}
+	h := &submission{id: id, msg: m, courier: courier}
 	l.ids[id] = h
-	m.handIns = append(m.handIns, h)
-	l.counts.HandIns++
-	l.note(m, at, "handed in to n%d as %s", courier, id)
+	m.submissions = append(m.submissions, h)
+	l.counts.Submissions++
+	l.note(m, at, "submitted to n%d as %s", courier, id)
 }
 
 // Answered says what the client heard: a code, or 0 for none in its time.
@@ -184,7 +185,7 @@
 	call = l.Calls
 	h := l.ids[id]
 	if h == nil && courier == l.guests {
-		h = &handIn{id: id, courier: courier, taken: at, msg: &Message{Key: id, Dest: dest, Born: at, Until: at.Add(time.Hour)}}
+		h = &submission{id: id, courier: courier, taken: at, msg: &Message{Key: id, Dest: dest, Born: at, Until: at.Add(time.Hour)}}
 		l.ids[id], l.messages[id] = h, h.msg
 	}
 	if h == nil {
@@ -288,7 +289,7 @@
 	defer l.mu.Unlock()
 	h := l.ids[id]
 	if h == nil {
-		l.broken("unknown message", nil, "n%d told %s of %s, which nobody handed in", courier, status, id)
+		l.broken("unknown message", nil, "n%d told %s of %s, which nobody submitted", courier, status, id)
 		return false
 	}
 	m := h.msg
@@ -324,12 +325,12 @@
 	l.guests = courier
 }
 
-// Of is the message that was handed in under the id, and by how many ids it was.
-func (l *Ledger) Of(id string) (m *Message, handIns int) {
+// Of is the message that was submitted under the id, and by how many ids it was.
+func (l *Ledger) Of(id string) (m *Message, submissions int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if h := l.ids[id]; h != nil {
-		return h.msg, len(h.msg.handIns)
+		return h.msg, len(h.msg.submissions)
 	}
 	return nil, 0
 }
@@ -422,7 +423,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, m := range l.sorted() {
-		for _, h := range m.handIns {
+		for _, h := range m.submissions {
 			if h.taken.IsZero() {
 				continue
 			}
@@ -482,13 +483,13 @@
 
 // Taken says whether a courier took the message on.
 func (m Message) Taken() bool {
-	return slices.ContainsFunc(m.handIns, func(h *handIn) bool { return !h.taken.IsZero() })
+	return slices.ContainsFunc(m.submissions, func(h *submission) bool { return !h.taken.IsZero() })
 }
 
-// IDs are the ids under which the message was handed in.
+// IDs are the ids under which the message was submitted.
 func (m Message) IDs() []string {
-	ids := make([]string, len(m.handIns))
-	for i, h := range m.handIns {
+	ids := make([]string, len(m.submissions))
+	for i, h := range m.submissions {
 		ids[i] = h.id
 	}
 	return ids
--- a/internal/emulator/plan.go
+++ b/internal/emulator/plan.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// Arrival is a message as it is to be handed in first.
+// Arrival is a message as it is to be submitted first.
 type Arrival struct {
 	At      time.Duration // from the start of the traffic
 	Class   *ClassSpec
@@ -147,20 +147,20 @@
 	return &s.Classes[len(s.Classes)-1]
 }
 
-// Comeback says when a client hands a message in again whose hand-in number try (from 0) was turned
+// Comeback says when a client submits a message again whose submission number try (from 0) was turned
 // away or not answered, and whether it does.
 func Comeback(try int) (after time.Duration, again bool) {
 	return time.Duration(100+100*try) * time.Millisecond, try < 3
 }
 
-// Recall says when a client hands a message in again that a courier took on and told it to bring
-// again after so long, and whether it does: it was handed in so often before, and has until then.
-func Recall(after time.Duration, handIns int, now, until time.Time) (at time.Time, again bool) {
+// Recall says when a client submits a message again that a courier took on and told it to bring
+// again after so long, and whether it does: it was submitted so often before, and has until then.
+func Recall(after time.Duration, submissions int, now, until time.Time) (at time.Time, again bool) {
 	at = now.Add(max(after, 100*time.Millisecond))
-	return at, handIns <= 6 && !at.After(until)
+	return at, submissions <= 6 && !at.After(until)
 }
 
-// Patience is how long a client waits for the answer to a hand-in.
+// Patience is how long a client waits for the answer to a submission.
 const Patience = 400 * time.Millisecond
 
 // Front is the layer that spreads clients' connections. It notices a dead courier only some time
--- a/internal/emulator/plan_test.go
+++ b/internal/emulator/plan_test.go
@@ -103,12 +103,12 @@
 		t.Errorf("%d times", n)
 	}
 	for _, c := range []struct {
-		after   time.Duration
-		handIns int
-		until   time.Time
-		again   bool
+		after       time.Duration
+		submissions int
+		until       time.Time
+		again       bool
 	}{{time.Second, 1, at(2), true}, {time.Second, 1, at(0.5), false}, {time.Second, 7, at(9), false}, {0, 1, at(0.05), false}} {
-		if _, again := Recall(c.after, c.handIns, at(0), c.until); again != c.again {
+		if _, again := Recall(c.after, c.submissions, at(0), c.until); again != c.again {
 			t.Errorf("%+v", c)
 		}
 	}
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -76,7 +76,7 @@
 	Faults      link.Record `json:",omitzero"` // of links and processes; a plan is drawn from it by Seed
 	Fleet       bool        `json:",omitzero"` // couriers are told of one another, and share what they learn
 	Hot         []Hot
-	Only        []string // keys of the messages that are handed in, of those that are drawn; none for all
+	Only        []string // keys of the messages that are submitted, of those that are drawn; none for all
 	// FloorDelay is how long a call takes to another floor than its courier's, each way.
 	FloorDelay time.Duration
 	// FrontNotices is how long the front layer takes to notice a dead courier.
@@ -120,8 +120,8 @@
 	late      atomic.Int64
 	lateness  *hdrhistogram.Histogram // ms; of the traffic's goroutine
 	Asked     int
-	Refused   atomic.Int64 // hand-ins
-	Lost      atomic.Int64 // hand-ins that no courier answered
+	Refused   atomic.Int64 // submissions
+	Lost      atomic.Int64 // submissions that no courier answered
 	classes   sync.Map     // id to *ClassSpec
 	comeAgain sync.WaitGroup
 	clients   context.Context // of those who come again; it ends with the run
@@ -408,7 +408,7 @@
 // Lateness is by how many milliseconds the rig was late itself, message by message, once Run has returned.
 func (w *World) Lateness() *hdrhistogram.Histogram { return w.lateness }
 
-// Late is how many messages the rig itself handed in more than 50 ms late.
+// Late is how many messages the rig itself submitted more than 50 ms late.
 func (w *World) Late() int64 { return w.late.Load() }
 
 // deliver hands one message in, and again after a refusal or no answer, each time at another courier.
@@ -423,8 +423,8 @@
 		w.frontMu.Unlock()
 		id := fmt.Sprintf("t%08d", w.ids.Add(1))
 		w.classes.Store(id, class)
-		w.Ledger.HandIn(m, id, n, now)
-		code := w.handIn(ctx, w.client, m, id, w.Couriers[n].Addr, m.Until.Sub(now), try)
+		w.Ledger.Submit(m, id, n, now)
+		code := w.submit(ctx, w.client, m, id, w.Couriers[n].Addr, m.Until.Sub(now), try)
 		w.Ledger.Answered(id, code, time.Now())
 		switch {
 		case code == 200 || code == 202:
@@ -469,7 +469,7 @@
 			w.classes.Store(id, &w.Classes[i])
 		}
 	}
-	w.Ledger.HandIn(m, id, courier, m.Born)
+	w.Ledger.Submit(m, id, courier, m.Born)
 	w.Ledger.Answered(id, http.StatusAccepted, m.Born)
 	w.Ledger.Notice(id, "undeliverable", courier, m.Until)
 }
@@ -482,13 +482,13 @@
 			w.classes.Store(id, &w.Classes[i])
 		}
 	}
-	w.Ledger.HandIn(m, id, courier, time.Now())
-	code := w.handIn(ctx, client, m, id, w.Couriers[courier].Addr, time.Until(m.Until), 0)
+	w.Ledger.Submit(m, id, courier, time.Now())
+	code := w.submit(ctx, client, m, id, w.Couriers[courier].Addr, time.Until(m.Until), 0)
 	w.Ledger.Answered(id, code, time.Now())
 	return code
 }
 
-func (w *World) handIn(ctx context.Context, client *http.Client, m *Message, id, addr string, left time.Duration, try int) int {
+func (w *World) submit(ctx context.Context, client *http.Client, m *Message, id, addr string, left time.Duration, try int) int {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/"+m.Class, strings.NewReader("message "+m.Key))
 	if err != nil {
 		return 0
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -3,7 +3,7 @@
 //
 //	messages taken = completed + rejected + failed + pending
 //
-// but for those refused at the hand-in, which were never taken, and those whose client left before it was
+// but for those refused at the submission, which were never taken, and those whose client left before it was
 // told. Adding to a figure and reading all of them wait for nobody.
 package figures
 
--- a/internal/fleet/facts/table.go
+++ b/internal/fleet/facts/table.go
@@ -79,7 +79,7 @@
 }
 
 // Table is the table of one owner; it is not safe for several goroutines. All times are of the owner's one monotonic
-// clock, handed in as now.
+// clock, passed in as now.
 type Table struct {
 	lim     Limits
 	groups  map[Key]*group
--- a/internal/fleet/store/store.go
+++ b/internal/fleet/store/store.go
@@ -13,7 +13,7 @@
 // Shards are chosen by the subject's hash, and all share one bound: whoever brings the sum above it, drops from the
 // fullest shard, in the table's order. The sum is above its bound by no more than the batches at work.
 //
-// All times are the process's monotonic clock, handed in.
+// All times are the process's monotonic clock, passed in.
 package store
 
 import (
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -24,7 +24,7 @@
 // ErrClosed says that the journal takes nothing more.
 var ErrClosed = errors.New("journal: closed")
 
-// Message is what a client handed in. It does not change.
+// Message is what a client submitted. It does not change.
 type Message struct {
 	ID, Key       string
 	Class, Tenant string
@@ -33,7 +33,7 @@
 	Body          []byte
 	Since         int64  // when it was taken on, Unix time in nanoseconds; 0 in a journal of an older build
 	Terms         string // what its class was when it was taken on; opaque here, "" in a journal of an older build
-	Resend        int64  // of an undeliverable message: which resend this is, from 1; 0 for a client's hand-in
+	Resend        int64  // of an undeliverable message: which resend this is, from 1; 0 for a client's submission
 }
 
 // Try is one attempt at a message.
@@ -64,7 +64,7 @@
 
 // End is an ending that the platform is told of.
 type End struct {
-	Deferred bool // safe to hand in again
+	Deferred bool // safe to submit again
 	AgainMS  int64
 }
 
@@ -200,7 +200,7 @@
 	}
 }
 
-// Close writes what has been handed in and closes the file.
+// Close writes what has been appended and closes the file.
 func (s *Store) Close() error {
 	close(s.quit)
 	<-s.done
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -312,7 +312,7 @@
 		d.Violations = append(d.Violations, v.String())
 	}
 	if late := float64(d.RigLate) / float64(max(d.Asked, 1)); late > s.Holds.RigLateShare {
-		d.Void = fmt.Sprintf("the rig itself handed in %.1f%% of the messages more than 50 ms late", 100*late)
+		d.Void = fmt.Sprintf("the rig itself submitted %.1f%% of the messages more than 50 ms late", 100*late)
 	}
 	if len(d.Violations) > s.Holds.Violations {
 		d.Failed = append(d.Failed, fmt.Sprintf("%d violations, at most %d may be", len(d.Violations), s.Holds.Violations))
--- a/internal/lab/rig.go
+++ b/internal/lab/rig.go
@@ -16,7 +16,7 @@
 type RigRow struct {
 	Rate      float64 `json:"rate_per_s"`
 	Asked     int     `json:"asked"`
-	Late      float64 `json:"late_share"` // handed in more than 50 ms after their time
+	Late      float64 `json:"late_share"` // submitted more than 50 ms after their time
 	P99       int64   `json:"late_p99_ms"`
 	Most      int64   `json:"late_most_ms"`
 	Taken     int     `json:"taken"`
--- a/internal/lab/virtual/courier.go
+++ b/internal/lab/virtual/courier.go
@@ -215,8 +215,8 @@
 	}
 }
 
-// handIn is a client's request: taken on once the journal has it, unless the courier holds all it may.
-func (c *courier) handIn(m *emulator.Message, id string, class *emulator.ClassSpec, try int, answer func(int)) {
+// submit is a client's request: taken on once the journal has it, unless the courier holds all it may.
+func (c *courier) submit(m *emulator.Message, id string, class *emulator.ClassSpec, try int, answer func(int)) {
 	w := c.w
 	switch {
 	case !c.up:
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -73,7 +73,7 @@
 	ends     map[raventrestle.TargetID]*endpoint
 	couriers []*courier
 	front    *emulator.Front
-	classes  map[string]*emulator.ClassSpec // by id of the hand-in
+	classes  map[string]*emulator.ClassSpec // by id of the submission
 	ids      int
 	list     []mark // of endpoints that do not just serve
 	listRnd  *rand.Rand
@@ -278,7 +278,7 @@
 	w.ids++
 	id := fmt.Sprintf("t%08d", w.ids)
 	w.classes[id] = class
-	w.ledger.HandIn(m, id, n, w.now)
+	w.ledger.Submit(m, id, n, w.now)
 	answer := func(code int) {
 		w.ledger.Answered(id, code, w.now)
 		if code == 202 {
@@ -289,7 +289,7 @@
 		}
 	}
 	c := w.couriers[n]
-	w.after(w.costs.Hop, func() { c.handIn(m, id, class, try, answer) })
+	w.after(w.costs.Hop, func() { c.submit(m, id, class, try, answer) })
 }
 
 // notice is a courier's word of a message's end.
--- a/internal/net/courier/handover.go
+++ b/internal/net/courier/handover.go
@@ -72,7 +72,7 @@
 			c.known[k.ID] = true
 		}
 		c.mu.Unlock()
-		if known { // handed in here as well
+		if known { // submitted here as well
 			n++
 			continue
 		}
@@ -134,7 +134,7 @@
 }
 
 // Elsewhere says which messages another process of this courier still has out, on how many calls: what is
-// handed in under their ids is known, and the slots are taken.
+// submitted under their ids is known, and the slots are taken.
 func (c *Courier) Elsewhere(ids []string, calls int) {
 	known := make(map[string]bool, len(ids))
 	for _, id := range ids {
--- a/internal/net/front/front.go
+++ b/internal/net/front/front.go
@@ -1,4 +1,4 @@
-// Package front is the clients' side: it reads what they hand in and answers them. A reverse
+// Package front is the clients' side: it reads what they submit and answers them. A reverse
 // proxy takes each request, and its RoundTripper is the courier's taking it on.
 package front
 
@@ -82,15 +82,15 @@
 // Leave closes each connection behind its next answer; what comes on it is taken on all the same.
 func (f *Front) Leave() { f.leaving.Store(true) }
 
-// handIn is the request context's part of a message that is handed in.
-type handIn struct {
+// submission is the request context's part of a message that is submitted.
+type submission struct {
 	conn          *gate.Conn
 	began         time.Time        // when the request came
 	msg           *journal.Message // set once it is written down
 	again, orphan bool
 }
 
-type handInKey struct{}
+type submissionKey struct{}
 
 // ServeHTTP answers a request. A message is let in only once its 202 is written to a client
 // that is still there; else it is withdrawn.
@@ -111,7 +111,7 @@
 		return
 	}
 	f.Counts.Requests.Add(1)
-	in := &handIn{began: time.Now()}
+	in := &submission{began: time.Now()}
 	if in.conn = gate.Of(r.Context()); in.conn != nil {
 		in.began = in.began.Add(-min(sock.Age(in.conn), longestStall)) // it may have waited to be read
 	}
@@ -130,7 +130,7 @@
 			http.Error(w, "a fault of the courier", http.StatusServiceUnavailable)
 		}
 	}()
-	f.proxy.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), handInKey{}, in)))
+	f.proxy.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), submissionKey{}, in)))
 	if in.msg == nil {
 		return
 	}
@@ -154,7 +154,7 @@
 
 // RoundTrip takes the message on instead of sending the request anywhere.
 func (f *Front) RoundTrip(r *http.Request) (*http.Response, error) {
-	in := r.Context().Value(handInKey{}).(*handIn)
+	in := r.Context().Value(submissionKey{}).(*submission)
 	m, err := f.message(r, in)
 	if err != nil {
 		return nil, err
@@ -166,7 +166,7 @@
 		return f.refuse(r, m), nil
 	}
 	switch err := f.courier.Take(m); {
-	case errors.Is(err, ErrKnown): // handed in once more over another connection
+	case errors.Is(err, ErrKnown): // submitted once more over another connection
 		return f.answer(r, http.StatusAccepted), nil
 	case err != nil:
 		f.log.Debug("front: refused", "id", m.ID, "err", err)
@@ -183,7 +183,7 @@
 
 // stays looks at the connection itself: after a stall of the process a request may be read whose
 // client left long ago, and the server hears of that only some time after.
-func (in *handIn) stays() bool {
+func (in *submission) stays() bool {
 	if in.conn == nil {
 		return true
 	}
@@ -227,7 +227,7 @@
 }
 
 // message takes out of a request what the courier needs of it; the rest stays as it came.
-func (f *Front) message(r *http.Request, in *handIn) (*journal.Message, error) {
+func (f *Front) message(r *http.Request, in *submission) (*journal.Message, error) {
 	bad := func(why string) (*journal.Message, error) { return nil, &formError{http.StatusBadRequest, why} }
 	switch { // what could hide another request is not read at all
 	case !r.ProtoAtLeast(1, 1):
--- a/internal/net/front/front_test.go
+++ b/internal/net/front/front_test.go
@@ -82,7 +82,7 @@
 
 // Every request gets an answer, on one connection, and only a message that is written down and
 // whose client heard of it is let in.
-func TestHandIn(t *testing.T) {
+func TestSubmission(t *testing.T) {
 	full := errors.New("full")
 	plain := func(line, rest string) string { return line + "\r\nHost: x\r\n" + good + rest }
 	without := func(line string) string { return strings.Replace(good, line, "", 1) }
@@ -151,7 +151,7 @@
 	})
 	conn, _ := dial(t, addr)
 	io.WriteString(conn, request("notice", good, "b"))
-	nettest.Wait(t, "hand-in", taking)
+	nettest.Wait(t, "submission", taking)
 	conn.Close()
 	time.AfterFunc(patience+50*time.Millisecond, func() { close(left) })
 	nettest.Wait(t, "withdrawal", s.withdrawn)
@@ -160,7 +160,7 @@
 	}
 }
 
-// After a stall requests are read whose clients have left, and handed in again elsewhere: the
+// After a stall requests are read whose clients have left, and submitted again elsewhere: the
 // server's own word of their leaving comes too late.
 func TestLeftDuringAStall(t *testing.T) {
 	s, _, server := unstarted(t, func(*journal.Message) error { return nil })
@@ -206,7 +206,7 @@
 	})
 	held, heldAnswer := dial(t, addr)
 	io.WriteString(held, request("notice", strings.Replace(good, "9b1f", "held", 1), "b"))
-	nettest.Wait(t, "hand-in", taking)
+	nettest.Wait(t, "submission", taking)
 	for _, text := range []string{"", "POST /notice HTTP/1.1\r\nX-A: ", "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"} {
 		for range 8 { // twice as many as are let in
 			conn, r := dial(t, addr)
--- a/internal/net/notice/notice.go
+++ b/internal/net/notice/notice.go
@@ -43,7 +43,7 @@
 			Transport: &http.Transport{MaxConnsPerHost: 2, MaxIdleConns: 1, IdleConnTimeout: 20 * time.Second}}}
 }
 
-// Add hands in a notice without blocking; it says whether the mailbox took it.
+// Add takes on a notice without blocking; it says whether the mailbox took it.
 func (s *Sender) Add(it Item) bool {
 	select {
 	case s.mail <- it:
--- a/raventrestle.go
+++ b/raventrestle.go
@@ -126,7 +126,7 @@
 	Notes         bool          // Tell is permitted
 	Cancels       bool          // Cancel is permitted
 	SecondCopies  bool          // two attempts of a message may be out together
-	MarksRetry    bool          // clients mark messages that they hand in again
+	MarksRetry    bool          // clients mark messages that they submit again
 	RetryAfter    bool          // clients are told when to come back
 	MaxRetryAfter time.Duration // and heed no more than this
 
@@ -188,7 +188,7 @@
 	Dest     DestID
 	Budget   time.Duration // how long it may still be delivered
 	Estimate time.Duration // expected work, 0 if unknown
-	Again    bool          // handed in again, where clients mark it
+	Again    bool          // submitted again, where clients mark it
 	Orphan   bool          // comes from a forwarder that died
 }
 
