--- a/cmd/ravenlab/main.go
+++ b/cmd/ravenlab/main.go
@@ -81,7 +81,7 @@
 	var o lab.Options
 	var clients, letters, body int
 	var d time.Duration
-	c := &cobra.Command{Use: "cost", Short: "Measure what keeping letters costs: rate and memory, on against off", Args: cobra.NoArgs,
+	c := &cobra.Command{Use: "cost", Short: "Measure what keeping dead letters costs: rate and memory, on against off", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			rows, err := lab.Cost(c.Context(), clients, d, o)
 			if err != nil {
@@ -104,8 +104,8 @@
 	f := c.Flags()
 	f.IntVar(&clients, "clients", 64, "clients at each courier")
 	f.DurationVar(&d, "for", 20*time.Second, "length of the load")
-	f.IntVar(&letters, "letters", 100000, "letters at rest")
-	f.IntVar(&body, "body", 200, "bytes of each letter's body")
+	f.IntVar(&letters, "letters", 100000, "dead letters at rest")
+	f.IntVar(&body, "body", 200, "bytes of each dead letter's body")
 	return c
 }
 
--- a/cmd/raventrestle/commands_test.go
+++ b/cmd/raventrestle/commands_test.go
@@ -198,14 +198,14 @@
 	}
 	env := []string{"RAVENTRESTLE_SETTINGS=" + file}
 	out, _, code := command(t, env, "undeliverable", "resend", "pay")
-	if code != 0 || !strings.Contains(out, "must never be sent again") || !strings.Contains(out, "0 of 1 letters") {
+	if code != 0 || !strings.Contains(out, "must never be sent again") || !strings.Contains(out, "0 of 1 dead letters") {
 		t.Fatal(code, out)
 	}
 	out, _, code = command(t, env, "undeliverable", "show", "pay")
 	if code != 0 || !strings.Contains(out, "may have run") || !strings.Contains(out, `"body of pay"`) {
 		t.Fatal(code, out)
 	}
-	if _, complaint, code := command(t, env, "undeliverable", "show", "none"); code != 1 || !strings.Contains(complaint, "no such letter") {
+	if _, complaint, code := command(t, env, "undeliverable", "show", "none"); code != 1 || !strings.Contains(complaint, "no such dead letter") {
 		t.Fatal(code, complaint)
 	}
 
@@ -224,7 +224,7 @@
 	list()
 	n := len(items)
 
-	// Two couriers at one folder: the second takes messages and keeps no letters.
+	// Two couriers at one folder: the second takes messages and keeps no dead letters.
 	second := deploy(t, end)
 	other := filepath.Join(t.TempDir(), "second.cue")
 	if err := os.WriteFile(other, []byte(fmt.Sprintf("undeliverable: {keep: true, folder: %q}\n", filepath.Join(d.state, "undeliverable"))), 0o600); err != nil {
@@ -243,7 +243,7 @@
 	d.kill()
 	list()
 	if len(items) != n {
-		t.Fatalf("%d letters, and %d before", len(items), n)
+		t.Fatalf("%d dead letters, and %d before", len(items), n)
 	}
 	if _, complaint, code := command(t, env, "undeliverable", "discard", "pay", "--settings", file); code != 1 ||
 		!strings.Contains(complaint, "--offline") && !strings.Contains(complaint, "no courier answers") {
@@ -364,9 +364,9 @@
 		delete(want, it.ID)
 	}
 	if len(want) > 0 {
-		t.Errorf("no letter of %v", want)
+		t.Errorf("no dead letter of %v", want)
 	}
-	if out, _, code := command(t, env, "undeliverable", "resend", "--all"); code != 0 || !strings.Contains(out, "0 of 3 letters") {
+	if out, _, code := command(t, env, "undeliverable", "resend", "--all"); code != 0 || !strings.Contains(out, "0 of 3 dead letters") {
 		t.Error(out)
 	}
 	time.Sleep(400 * time.Millisecond) // room for what must not come
--- a/cmd/raventrestle/serve.go
+++ b/cmd/raventrestle/serve.go
@@ -47,20 +47,20 @@
 
 // daemon is what a running courier consists of.
 type daemon struct {
-	log     *slog.Logger
-	level   *slog.LevelVar
-	conf    *config.Config // as this process started
-	held    *config.Config // as it was last read
-	file    string         // operators' settings, "" for none
-	life    *instance.Instance
-	store   *journal.Store
-	letters *deadletter.Keeper // nil where none are kept
-	courier *courier.Courier
-	front   *front.Front
-	figures *figures.Book
-	handing atomic.Bool // to the process that follows
-	clients *gate.Gate
-	fleet   *fellows // nil where nothing is shared
+	log         *slog.Logger
+	level       *slog.LevelVar
+	conf        *config.Config // as this process started
+	held        *config.Config // as it was last read
+	file        string         // operators' settings, "" for none
+	life        *instance.Instance
+	store       *journal.Store
+	deadLetters *deadletter.Keeper // nil where none are kept
+	courier     *courier.Courier
+	front       *front.Front
+	figures     *figures.Book
+	handing     atomic.Bool // to the process that follows
+	clients     *gate.Gate
+	fleet       *fellows // nil where nothing is shared
 }
 
 // serve runs the courier until SIGTERM. File names the operators' settings, "" for none.
@@ -154,10 +154,10 @@
 	}
 	d.tell(lifecycle.Done{Step: lifecycle.Journal})
 	if listener != nil && set.Undeliverable.Keep {
-		d.log.Warn("undeliverable: no letters are kept where the clients' socket is inherited: two processes would write one store")
+		d.log.Warn("undeliverable: no dead letters are kept where the clients' socket is inherited: two processes would write one store")
 		set.Undeliverable.Keep = false
 	}
-	kept = d.openLetters(set, kept)
+	kept = d.openDeadLetters(set, kept)
 	if d.courier, err = courier.New(d.conf, d.store, kept, d.figures, d.log); err != nil {
 		return err
 	}
@@ -170,9 +170,9 @@
 	d.front = front.New(d.courier, d.conf.Names, d.figures, d.log)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	if d.letters != nil {
-		d.courier.Keep(d.letters)
-		go d.letters.Run(ctx)
+	if d.deadLetters != nil {
+		d.courier.Keep(d.deadLetters)
+		go d.deadLetters.Run(ctx)
 	}
 	d.fleet = d.meet(ctx, set, life.Folder, shared)
 	defer d.record(set, listener != nil)()
@@ -184,8 +184,8 @@
 			d.log.Error("admin: no listener", "err", err)
 		} else {
 			var desk deadletter.Desk
-			if d.letters != nil {
-				desk = d.letters
+			if d.deadLetters != nil {
+				desk = d.deadLetters
 			}
 			defer admin.Serve(l, desk, d, d.log).Close()
 		}
@@ -207,7 +207,7 @@
 	go life.Run(ctx, d.courier, func() { go func() { failed <- server.Serve(clients) }() }, func() {
 		d.tell(lifecycle.Done{Step: lifecycle.Listening})
 		d.log.Info("raventrestle: ready", "name", d.conf.Name, "listen", d.conf.Listen, "inherited", inherited,
-			"discovery", d.conf.Discovery, "restored", len(kept), "letters", d.letters != nil)
+			"discovery", d.conf.Discovery, "restored", len(kept), "letters", d.deadLetters != nil)
 	})
 
 	for {
@@ -237,8 +237,8 @@
 				d.log.Warn("raventrestle: client connections", "err", err)
 			}
 			stop()
-			if d.letters != nil {
-				d.letters.Wait() // what it was given is written
+			if d.deadLetters != nil {
+				d.deadLetters.Wait() // what it was given is written
 			}
 			if err := d.store.Close(); err != nil {
 				d.log.Warn("raventrestle: journal", "err", err)
@@ -366,10 +366,10 @@
 	return func() {}, nil
 }
 
-// openLetters opens the store of letters, if the settings want one, and returns what of the journal
+// openDeadLetters opens the store of dead letters, if the settings want one, and returns what of the journal
 // the courier takes up. A store that can't be opened stops nothing: the courier serves on without,
 // and resends that the journal holds stay there untouched until a life that has the store.
-func (d *daemon) openLetters(set *settings.Settings, kept []journal.Kept) []journal.Kept {
+func (d *daemon) openDeadLetters(set *settings.Settings, kept []journal.Kept) []journal.Kept {
 	var fresh, resends []journal.Kept
 	for _, k := range kept {
 		if k.Resend > 0 {
@@ -380,7 +380,7 @@
 	}
 	if !set.Undeliverable.Keep {
 		if len(resends) > 0 {
-			d.log.Warn("undeliverable: resends wait in the journal, since no letters are kept", "n", len(resends))
+			d.log.Warn("undeliverable: resends wait in the journal, since no dead letters are kept", "n", len(resends))
 		}
 		return fresh
 	}
@@ -388,9 +388,9 @@
 	var live []journal.Kept
 	var stale []string
 	var err error
-	if d.letters, live, stale, err = deadletter.Start(c, kept, d.store.Sound()); err != nil {
-		d.letters = nil
-		d.tell(lifecycle.Began{Trouble: lifecycle.LettersFail})
+	if d.deadLetters, live, stale, err = deadletter.Start(c, kept, d.store.Sound()); err != nil {
+		d.deadLetters = nil
+		d.tell(lifecycle.Began{Trouble: lifecycle.DeadLettersFail})
 		d.log.Error("undeliverable: no store, serving on without", "folder", c.Folder, "err", err)
 		return fresh
 	}
@@ -408,7 +408,7 @@
 func (d *daemon) keeping(set *settings.Settings) deadletter.Config {
 	u := set.Undeliverable
 	names, classes := d.conf.Names, d.conf.Settings.Classes
-	return deadletter.Config{Folder: lettersFolder(set, d.conf.State), Limits: limits(u, d.conf.Settings.Forwarders, d.conf.Settings.ColdFor), MaxAge: u.MaxAge.Duration(),
+	return deadletter.Config{Folder: deadLetterFolder(set, d.conf.State), Limits: limits(u, d.conf.Settings.Forwarders, d.conf.Settings.ColdFor), MaxAge: u.MaxAge.Duration(),
 		Settled: u.SettledAge.Duration(), Log: d.log, Seed: d.conf.Seed, Append: d.store.Append,
 		Options: deadletter.Options{MaxBytes: u.MaxBytes, MaxLetters: u.MaxLetters, Sync: u.Sync},
 		Begin:   func(a deadletter.Again) bool { return d.courier.Again(a) },
@@ -423,7 +423,7 @@
 
 // reload reads both files anew, each whole or not at all. Of the configuration it moves to the
 // discovery that it names; of the operators' settings it takes the log's level and what bounds and
-// paces the letters. The rest holds from the next start on.
+// paces the dead letters. The rest holds from the next start on.
 func (d *daemon) reload(ctx context.Context) {
 	if err := d.retune(ctx); err != nil {
 		d.figures.ConfigReloadFails.Add(1)
@@ -442,8 +442,8 @@
 			return
 		}
 		d.level.Set(set.Log.Level)
-		if d.letters != nil {
-			d.letters.Set(d.keeping(set))
+		if d.deadLetters != nil {
+			d.deadLetters.Set(d.keeping(set))
 		}
 		d.log.Info("settings: read anew", "file", d.file)
 	}()
@@ -489,10 +489,10 @@
 	if d.fleet != nil {
 		d.fleet.Count(d.log)
 	}
-	if d.letters == nil {
+	if d.deadLetters == nil {
 		return
 	}
-	l := &d.letters.Counts
+	l := &d.deadLetters.Counts
 	d.log.Info("counters: undeliverable", "kept", l.Kept.Load(), "lost", l.Lost.Load(), "gave_way", l.GaveWay.Load(),
 		"expired", l.Expired.Load(), "begun", l.Begun.Load(), "delivered", l.Delivered.Load(), "failed", l.Failed.Load(),
 		"yielded", l.Yielded.Load(), "void", l.Voids.Load())
--- a/cmd/raventrestle/undeliverable.go
+++ b/cmd/raventrestle/undeliverable.go
@@ -23,7 +23,7 @@
 	"raventrestle/internal/settings"
 )
 
-// where says how a command reaches the letters.
+// where says how a command reaches the dead letters.
 type where struct {
 	file           *string // settings
 	socket, folder string
@@ -45,7 +45,7 @@
 	socket, folder := cmp.Or(w.socket, set.Admin.Socket), cmp.Or(w.folder, set.Undeliverable.Folder)
 	if folder == "" {
 		if conf, err := config.Load(os.Getenv); err == nil {
-			folder = lettersFolder(set, conf.State)
+			folder = deadLetterFolder(set, conf.State)
 		}
 	}
 	if socket != "" && !w.offline && w.folder == "" {
@@ -57,7 +57,7 @@
 		return nil, none, errors.New("no courier answers, and no folder is named: give --settings, --socket or --folder")
 	}
 	if writes && !w.offline {
-		return nil, none, fmt.Errorf("no courier answers: give --offline to change the letters in %s while it is stopped", folder)
+		return nil, none, fmt.Errorf("no courier answers: give --offline to change the dead letters in %s while it is stopped", folder)
 	}
 	u := set.Undeliverable
 	store, err := deadletter.Open(folder, deadletter.Options{MaxBytes: u.MaxBytes, MaxLetters: u.MaxLetters, Sync: true,
@@ -68,8 +68,8 @@
 	return &deadletter.Offline{Store: store, Limits: limits(u, 1, 0)}, store.Close, nil
 }
 
-// lettersFolder is where a courier with these settings has its letters.
-func lettersFolder(set *settings.Settings, state string) string {
+// deadLetterFolder is where a courier with these settings has its dead letters.
+func deadLetterFolder(set *settings.Settings, state string) string {
 	return cmp.Or(set.Undeliverable.Folder, filepath.Join(state, "undeliverable"))
 }
 
@@ -99,7 +99,7 @@
 	p := root.PersistentFlags()
 	p.StringVar(file, "settings", *file, "operators' settings; name socket and folder")
 	p.StringVar(&w.socket, "socket", "", "admin socket of the courier")
-	p.StringVar(&w.folder, "folder", "", "folder of a stopped courier's letters")
+	p.StringVar(&w.folder, "folder", "", "folder of a stopped courier's dead letters")
 	p.BoolVar(&w.offline, "offline", false, "open a stopped courier's folder for writing")
 	p.BoolVar(&w.asJSON, "json", false, "print JSON")
 
@@ -137,7 +137,7 @@
 			}
 			f.IDs = args
 			if writes && len(args) == 0 && !all && f.Class+f.Hotel+channel+f.State+reason == "" && f.OlderThan+f.NewerThan == 0 {
-				return errors.New("name letters, give a filter, or --all")
+				return errors.New("name dead letters, give a filter, or --all")
 			}
 			return works(func(c *cobra.Command, args []string) error {
 				desk, done, err := w.desk(c.Context(), writes && !dry)
@@ -148,7 +148,7 @@
 			})(c, args)
 		}
 	}
-	list := filters(&cobra.Command{Use: "list [ID...]", Short: "List letters, with why each may or may not be sent again",
+	list := filters(&cobra.Command{Use: "list [ID...]", Short: "List dead letters, with why each may or may not be sent again",
 		RunE: with(false, func(c *cobra.Command, d deadletter.Desk, _ []string) error {
 			items, err := d.List(c.Context(), f)
 			if err != nil {
@@ -160,7 +160,7 @@
 			return table(c.OutOrStdout(), items)
 		})})
 	list.Flags().IntVar(&f.Limit, "limit", 0, "at most so many")
-	show := &cobra.Command{Use: "show ID", Short: "Print all that is known of a letter", Args: cobra.ExactArgs(1),
+	show := &cobra.Command{Use: "show ID", Short: "Print all that is known of a dead letter", Args: cobra.ExactArgs(1),
 		RunE: with(false, func(c *cobra.Command, d deadletter.Desk, args []string) error {
 			it, err := d.Show(c.Context(), args[0])
 			if err != nil {
@@ -186,23 +186,23 @@
 					fmt.Fprintf(c.OutOrStdout(), "%s\t%s\t%s\n", a.ID, map[bool]string{true: "yes", false: "no"}[a.Done], a.Sentence)
 				}
 				if err == nil {
-					fmt.Fprintf(c.OutOrStdout(), "%d of %d letters%s\n", done, len(answers), map[bool]string{true: " (dry run: nothing changed)"}[dry])
+					fmt.Fprintf(c.OutOrStdout(), "%d of %d dead letters%s\n", done, len(answers), map[bool]string{true: " (dry run: nothing changed)"}[dry])
 				}
 				return err
 			})})
-		c.Flags().BoolVar(&all, "all", false, "all letters")
+		c.Flags().BoolVar(&all, "all", false, "all dead letters")
 		c.Flags().BoolVar(&dry, "dry-run", false, "say what would happen and change nothing")
 		return c
 	}
-	resend := change("resend [ID...]", "Have letters sent again, as far as their class allows it",
+	resend := change("resend [ID...]", "Have dead letters sent again, as far as their class allows it",
 		func(d deadletter.Desk, ctx context.Context) ([]deadletter.Answer, error) {
 			return d.Resend(ctx, f, dry)
 		})
-	discard := change("discard [ID...]", "End letters: they are not sent again and are forgotten in time",
+	discard := change("discard [ID...]", "End dead letters: they are not sent again and are forgotten in time",
 		func(d deadletter.Desk, ctx context.Context) ([]deadletter.Answer, error) {
 			return d.Discard(ctx, f, dry)
 		})
-	stats := &cobra.Command{Use: "stats", Short: "Count the letters by state, class and reason", Args: cobra.NoArgs,
+	stats := &cobra.Command{Use: "stats", Short: "Count the dead letters by state, class and reason", Args: cobra.NoArgs,
 		RunE: with(false, func(c *cobra.Command, d deadletter.Desk, _ []string) error {
 			st, err := d.Stats(c.Context())
 			if err != nil {
@@ -211,7 +211,7 @@
 			if w.asJSON {
 				return print(c, st)
 			}
-			return letterFigures(c.OutOrStdout(), st)
+			return deadLetterFigures(c.OutOrStdout(), st)
 		})}
 	check := &cobra.Command{Use: "check", Short: "Read a stopped courier's whole store and say what is wrong with it", Args: cobra.NoArgs,
 		RunE: works(func(c *cobra.Command, _ []string) error {
@@ -292,10 +292,10 @@
 
 func clip(b []byte) []byte { return b[:min(len(b), 200)] }
 
-func letterFigures(out io.Writer, st *deadletter.Stats) error {
+func deadLetterFigures(out io.Writer, st *deadletter.Stats) error {
 	t := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
 	row := func(name string, v any) { fmt.Fprintf(t, "%s\t%v\n", name, v) }
-	row("letters", st.Letters)
+	row("dead letters", st.Letters)
 	row("bytes of bodies", st.Bytes)
 	row("worth held", st.Worth)
 	row("unreadable", st.Unread)
--- a/internal/deadletter/desk.go
+++ b/internal/deadletter/desk.go
@@ -12,7 +12,7 @@
 	"raventrestle/internal/deadletter/rule"
 )
 
-// Filter picks letters; what is empty picks all.
+// Filter picks dead letters; what is empty picks all.
 type Filter struct {
 	IDs       []string      `json:"ids,omitempty"`
 	Class     string        `json:"class,omitempty"`
@@ -33,7 +33,7 @@
 		(f.NewerThan == 0 || age <= f.NewerThan)
 }
 
-// Item is a letter as operators see it.
+// Item is a dead letter as operators see it.
 type Item struct {
 	*Letter
 	StateWord string      `json:"status"`
@@ -43,7 +43,7 @@
 	Content   []byte      `json:"body,omitempty"`
 }
 
-// Answer says what became of a letter that an operator asked something for.
+// Answer says what became of a dead letter that an operator asked something for.
 type Answer struct {
 	ID       string      `json:"id"`
 	Done     bool        `json:"done"`
@@ -71,7 +71,7 @@
 	Yielded   int64               `json:"resends_yielded"`
 }
 
-// Desk is what operators can do with letters: at a running courier, or at a stopped one's folder.
+// Desk is what operators can do with dead letters: at a running courier, or at a stopped one's folder.
 type Desk interface {
 	List(ctx context.Context, f Filter) ([]Item, error)
 	Show(ctx context.Context, id string) (*Item, error)
@@ -80,7 +80,7 @@
 	Stats(ctx context.Context) (*Stats, error)
 }
 
-// judge says why a letter may or may not be sent again.
+// judge says why a dead letter may or may not be sent again.
 type judge func(l *Letter, now time.Time) rule.Reason
 
 func item(l *Letter, r rule.Reason) Item {
@@ -120,10 +120,10 @@
 	return st, errors.Join(err, ctx.Err())
 }
 
-// errSkip leaves one letter of a change as it was.
+// errSkip leaves one dead letter of a change as it was.
 var errSkip = errors.New("left as it was")
 
-// ask has a letter sent again, if its class allows that at all. It is sent when its destination's
+// ask has a dead letter sent again, if its class allows that at all. It is sent when its destination's
 // pace and the courier's load permit.
 func (s *Store) ask(id string, now time.Time, dry bool, j judge) (a Answer, err error) {
 	a.ID = id
@@ -150,7 +150,7 @@
 	return a, err
 }
 
-// discard ends a letter that is not out.
+// discard ends a dead letter that is not out.
 func (s *Store) discard(id string, now time.Time, dry bool) (a Answer, err error) {
 	a.ID = id
 	err = s.change(id, dry, func(l *Letter) bool {
@@ -172,7 +172,7 @@
 	return a, err
 }
 
-// change reads a letter, has it changed and, unless dry, writes it.
+// change reads a dead letter, has it changed and, unless dry, writes it.
 func (s *Store) change(id string, dry bool, f func(*Letter) bool) error {
 	if dry {
 		l, err := s.Get(id)
@@ -283,8 +283,8 @@
 	return k.each(ctx, f, func(id string) (Answer, error) { return k.store.discard(id, time.Now(), dry) })
 }
 
-// each does something with the letters that the filter picks, one after the other in the actor's
-// goroutine, where nothing can come between the look at a letter and its change.
+// each does something with the dead letters that the filter picks, one after the other in the actor's
+// goroutine, where nothing can come between the look at a dead letter and its change.
 func (k *Keeper) each(ctx context.Context, f Filter, do func(id string) (Answer, error)) ([]Answer, error) {
 	items, err := k.List(ctx, f)
 	if err != nil {
@@ -315,7 +315,7 @@
 // ---- at a stopped courier's folder ----
 
 // Offline is the desk at the folder of a courier that is not running. Where its destinations stand
-// is not known, so a letter's reason tells only of its class and its own history.
+// is not known, so a dead letter's reason tells only of its class and its own history.
 type Offline struct {
 	Store  *Store
 	Limits rule.Limits
@@ -340,7 +340,7 @@
 // Stats implements Desk.
 func (o *Offline) Stats(ctx context.Context) (*Stats, error) { return o.Store.stats(ctx, o.judge) }
 
-// Resend implements Desk: the letters go when the courier runs again.
+// Resend implements Desk: the dead letters go when the courier runs again.
 func (o *Offline) Resend(ctx context.Context, f Filter, dry bool) ([]Answer, error) {
 	return o.each(ctx, f, func(id string) (Answer, error) { return o.Store.ask(id, time.Now(), dry, o.judge) })
 }
@@ -372,12 +372,12 @@
 		for c, k, v := cursor(tx); k != nil; k, v = c.Next() {
 			l, err := parse(v)
 			if err != nil {
-				faults = append(faults, fmt.Sprintf("letter %x: %v", k, err))
+				faults = append(faults, fmt.Sprintf("dead letter %x: %v", k, err))
 				continue
 			}
 			known[string(k)] = l.ID
 			if at := tx.Bucket(ids).Get([]byte(l.ID)); string(at) != string(k) {
-				faults = append(faults, fmt.Sprintf("letter %s is not found by its id", l.ID))
+				faults = append(faults, fmt.Sprintf("dead letter %s is not found by its id", l.ID))
 			}
 			if _, err := unseal(tx.Bucket(bodies).Get(k)); err != nil {
 				faults = append(faults, fmt.Sprintf("body of %s: %v", l.ID, err))
@@ -390,7 +390,7 @@
 					seq = v
 				}
 				if _, ok := known[string(seq)]; !ok {
-					faults = append(faults, fmt.Sprintf("%s has %x, and there is no such letter", b, k))
+					faults = append(faults, fmt.Sprintf("%s has %x, and there is no such dead letter", b, k))
 				}
 				return nil
 			}); err != nil {
--- a/internal/deadletter/fuzz_test.go
+++ b/internal/deadletter/fuzz_test.go
@@ -6,7 +6,7 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// What is no letter is an error and never a fault; what is one comes back the same.
+// What is no dead letter is an error and never a fault; what is one comes back the same.
 func FuzzLetter(f *testing.F) {
 	whole, err := letter("m", 1, 2, 3).head()
 	if err != nil {
--- a/internal/deadletter/keeper.go
+++ b/internal/deadletter/keeper.go
@@ -15,8 +15,8 @@
 	"raventrestle/internal/journal"
 )
 
-// ErrOff says that no letters are kept now: the store is broken, or the keeper is behind or closed.
-var ErrOff = errors.New("no letters are kept")
+// ErrOff says that no dead letters are kept now: the store is broken, or the keeper is behind or closed.
+var ErrOff = errors.New("no dead letters are kept")
 
 // View is what the courier tells of itself; it is replaced, never changed.
 type View struct {
@@ -25,7 +25,7 @@
 	Places  map[int64][]rule.Place // endpoints that take new work, by destination
 }
 
-// Again is a letter that is to be sent again now; the journal has it.
+// Again is a dead letter that is to be sent again now; the journal has it.
 type Again struct {
 	*journal.Message
 	MayRun bool
@@ -46,12 +46,12 @@
 	Folder  string
 	Options Options
 	Limits  rule.Limits
-	MaxAge  time.Duration // of a letter
+	MaxAge  time.Duration // of a dead letter
 	Settled time.Duration // how long one that has its end is kept
 	Class   func(name string) (raventrestle.Class, bool)
 	Log     *slog.Logger
 	Seed    uint64
-	Begin   func(Again) bool // hands a letter to the courier; false if it has no room
+	Begin   func(Again) bool // hands a dead letter to the courier; false if it has no room
 	Append  func([]journal.Record, func(error)) error
 }
 
@@ -61,7 +61,7 @@
 	Begun, Delivered, Failed, Yielded, Voids atomic.Int64
 }
 
-// Keeper is the actor of the letters: all reading and writing of the store is its goroutine's.
+// Keeper is the actor of the dead letters: all reading and writing of the store is its goroutine's.
 type Keeper struct {
 	Counts Counts
 	Config
@@ -100,15 +100,15 @@
 
 const (
 	mailbox   = 4096
-	beat      = 50 * time.Millisecond // between two looks for letters that are due
+	beat      = 50 * time.Millisecond // between two looks for dead letters that are due
 	sweep     = 2 * time.Second
 	patience  = 150 * time.Millisecond // of a courier that owes a notice, for the disk
-	lookAt    = 16                     // letters of a destination at one look
-	backAfter = time.Second            // a letter that found no place or no turn is looked at again
+	lookAt    = 16                     // dead letters of a destination at one look
+	backAfter = time.Second            // a dead letter that found no place or no turn is looked at again
 )
 
 // Start opens the store, reconciles it with what the journal holds and returns the keeper and the
-// letters that were out and still are, to be taken up like any message of an earlier life. Stale are
+// dead letters that were out and still are, to be taken up like any message of an earlier life. Stale are
 // the ids of resends that the journal can forget. A store that can't be read is set aside for an
 // empty one.
 func Start(c Config, kept []journal.Kept, sound bool) (k *Keeper, live []journal.Kept, stale []string, err error) {
@@ -123,7 +123,7 @@
 		return nil, nil, nil, err
 	}
 	if store.Spoilt > 0 {
-		c.Log.Error("undeliverable: letters can't be read", "n", store.Spoilt)
+		c.Log.Error("undeliverable: dead letters can't be read", "n", store.Spoilt)
 	}
 	if live, stale, err = reconcile(store, kept, sound, now); err != nil {
 		return nil, nil, nil, errors.Join(err, store.Close())
@@ -138,12 +138,12 @@
 }
 
 // reconcile puts right what a crash left between the store and the journal:
-//   - a letter of a message that the journal still holds: the crash came before the message's end was
-//     written, so the journal answers and the letter goes;
-//   - a letter of a message whose client was told to come again, as the disk was slow: it goes too;
-//   - a resend in the journal whose letter is not out: its end is written, so the journal may forget it;
-//   - a letter that is out but not in the journal: it was never sent, since the journal comes first.
-//     Where the journal was lost or torn that is not known, and the letter counts as one that ran.
+//   - a dead letter of a message that the journal still holds: the crash came before the message's end was
+//     written, so the journal answers and the dead letter goes;
+//   - a dead letter of a message whose client was told to come again, as the disk was slow: it goes too;
+//   - a resend in the journal whose dead letter is not out: its end is written, so the journal may forget it;
+//   - a dead letter that is out but not in the journal: it was never sent, since the journal comes first.
+//     Where the journal was lost or torn that is not known, and the dead letter counts as one that ran.
 func reconcile(s *Store, kept []journal.Kept, sound bool, now time.Time) (live []journal.Kept, stale []string, err error) {
 	resent := map[string]bool{}
 	var drop []string
@@ -246,9 +246,9 @@
 	}
 }
 
-// Keep writes a letter down and calls then, once: with nil when it is on disk; with an error when it
+// Keep writes a dead letter down and calls then, once: with nil when it is on disk; with an error when it
 // is not, or not soon enough for a courier that owes a notice. It does not block. Refused says that
-// after an error the client is told to come again: a letter that came too late is then taken back.
+// after an error the client is told to come again: a dead letter that came too late is then taken back.
 func (k *Keeper) Keep(l *Letter, refused bool, then func(error)) {
 	told := &atomic.Bool{}
 	once := func(err error) {
@@ -264,7 +264,7 @@
 	}
 }
 
-// Finish writes a resend's end into its letter and calls then with nil once it is there. Until then
+// Finish writes a resend's end into its dead letter and calls then with nil once it is there. Until then
 // the journal answers for it.
 func (k *Keeper) Finish(r Result, then func(error)) {
 	if !k.post(finishMsg{r, then}) {
@@ -348,7 +348,7 @@
 	}
 }
 
-// pace is the destination's, made on demand; nil where it has no letters and none is wanted.
+// pace is the destination's, made on demand; nil where it has no dead letters and none is wanted.
 func (k *Keeper) pace(dest int64, wanted bool) *rule.Pace {
 	p := k.paces[dest]
 	if p == nil && (wanted || k.store != nil && k.store.shelves[dest] != nil) {
@@ -379,7 +379,7 @@
 		k.Log.Error("undeliverable: not kept", "n", len(all), "id", all[0].l.ID, "err", err)
 	} else {
 		k.Counts.Kept.Add(int64(len(all)))
-		for _, l := range letters { // a failure just seen shuts the pace before the first letter is due
+		for _, l := range letters { // a failure just seen shuts the pace before the first dead letter is due
 			k.pace(l.Dest, true)
 		}
 	}
@@ -422,7 +422,7 @@
 	k.store = nil
 	closed := store.Close()
 	name, moved := SetAside(k.Folder, time.Now())
-	k.Log.Error("undeliverable: the store broke and is set aside; no letters are kept until the next start",
+	k.Log.Error("undeliverable: the store broke and is set aside; no dead letters are kept until the next start",
 		"err", err, "as", name, "moved", moved, "closed", closed)
 }
 
@@ -518,7 +518,7 @@
 	}
 }
 
-// begin sends the first letter of the destination that may be sent.
+// begin sends the first dead letter of the destination that may be sent.
 func (k *Keeper) begin(dest int64, p *rule.Pace, v *View, now time.Time) bool {
 	if p.May(now, true) != rule.Allowed {
 		return false
@@ -550,7 +550,7 @@
 	return false
 }
 
-// judge asks the rule about a letter, under its class as it is now.
+// judge asks the rule about a dead letter, under its class as it is now.
 func (k *Keeper) judge(limits rule.Limits, l *Letter, now time.Time, places []rule.Place) (rule.Facts, rule.Reason) {
 	class, known := k.Class(l.Class)
 	if !known {
@@ -560,7 +560,7 @@
 	return f, limits.May(f, now, places)
 }
 
-// send marks the letter out, writes it into the journal and hands it to the courier, in that order.
+// send marks the dead letter out, writes it into the journal and hands it to the courier, in that order.
 func (k *Keeper) send(l *Letter, f rule.Facts, now time.Time) {
 	began := now.UnixNano()
 	err := k.store.Change([]string{l.ID}, func(x *Letter) error {
--- a/internal/deadletter/letter.go
+++ b/internal/deadletter/letter.go
@@ -2,8 +2,8 @@
 // and sends them again. What may be sent again, when and how fast is decided by deadletter/rule.
 //
 // The invariant: at every moment one place answers for a message. A message is the journal's until
-// its letter is on disk and the journal has its end; a letter that is being sent again is marked out
-// first and is the journal's from then on, until its end is written into the letter. Reconcile puts
+// its dead letter is on disk and the journal has its end; a dead letter that is being sent again is marked out
+// first and is the journal's from then on, until its end is written into the dead letter. Reconcile puts
 // a crash between two of these writes right; TestEveryWriteBoundary enumerates them.
 package deadletter
 
@@ -38,7 +38,7 @@
 	return true
 }
 
-// Resend is one more delivery of the letter, with tries of its own.
+// Resend is one more delivery of the dead letter, with tries of its own.
 type Resend struct {
 	Began  int64  `cbor:"1,keyasint,omitempty" json:"began"`
 	Ended  int64  `cbor:"2,keyasint,omitempty" json:"ended"`
@@ -46,7 +46,7 @@
 	Tries  []Try  `cbor:"4,keyasint,omitempty" json:"tries"`
 }
 
-// Letter is one failed message. Its body is kept beside it.
+// Letter is one dead letter: a failed message. Its body is kept beside it.
 type Letter struct {
 	ID        string              `cbor:"1,keyasint" json:"id"`
 	Key       string              `cbor:"2,keyasint,omitempty" json:"key"`
@@ -74,7 +74,7 @@
 	Body []byte `cbor:"-" json:"-"`
 }
 
-// Facts are the letter as the rule sees it.
+// Facts are the dead letter as the rule sees it.
 func (l *Letter) Facts() rule.Facts {
 	f := rule.Facts{State: l.State, Effect: l.Effect, Group: l.Group, Window: time.Duration(l.Window),
 		Failed: time.Unix(0, l.Failed), Resends: len(l.Resends), NotBefore: time.Unix(0, l.NotBefore), Asked: l.Asked}
@@ -87,8 +87,8 @@
 	return f
 }
 
-// Stricter is the letter's facts under the class as it is configured now: a class that became
-// stricter binds old letters too, one that became laxer does not.
+// Stricter is the dead letter's facts under the class as it is configured now: a class that became
+// stricter binds old dead letters too, one that became laxer does not.
 func (l *Letter) Stricter(c raventrestle.Class) rule.Facts {
 	f := l.Facts()
 	if c.Effect > f.Effect {
@@ -112,13 +112,13 @@
 	}
 }
 
-// Message is the letter as the journal and the courier know it while it is sent again.
+// Message is the dead letter as the journal and the courier know it while it is sent again.
 func (l *Letter) Message(until time.Time) *journal.Message {
 	return &journal.Message{ID: l.ID, Key: l.Key, Class: l.Class, Tenant: l.Tenant, Dest: l.Dest, Until: until.UnixNano(),
 		Body: l.Body, Since: l.Taken, Resend: int64(len(l.Resends))}
 }
 
-// Of is the letter of a message that was given up.
+// Of is the dead letter of a message that was given up.
 func Of(k journal.Kept, c raventrestle.Class, why string, now time.Time) *Letter {
 	l := &Letter{ID: k.ID, Key: k.Key, Class: k.Class, Tenant: k.Tenant, Dest: k.Dest, Taken: k.Since, Until: k.Until,
 		Failed: now.UnixNano(), Why: why, Effect: c.Effect, Group: c.Group, Window: int64(c.Window),
--- a/internal/deadletter/reconcile_test.go
+++ b/internal/deadletter/reconcile_test.go
@@ -33,7 +33,7 @@
 		sound    bool
 		live     int
 		stale    []string
-		want     string // state of the letter afterwards, "" for none
+		want     string // state of the dead letter afterwards, "" for none
 		mayRun   bool
 		attempts int
 	}{
@@ -79,7 +79,7 @@
 	}
 }
 
-// A guarded letter whose first try may have run on a floor that has no endpoint left is held with
+// A guarded dead letter whose first try may have run on a floor that has no endpoint left is held with
 // that reason, goes nowhere else, and goes there when an endpoint is back in time.
 func TestFloorGone(t *testing.T) {
 	begun := make(chan Again, 4)
--- a/internal/deadletter/rule/pace.go
+++ b/internal/deadletter/rule/pace.go
@@ -6,7 +6,7 @@
 	"golang.org/x/time/rate"
 )
 
-// Pace says how fast one destination's letters go again. It is shut until the destination has been
+// Pace says how fast one destination's dead letters go again. It is shut until the destination has been
 // seen to deliver, starts with one call at a time at the first rate, stays there for as long as a
 // returning destination may be cold, then grows with each resend that is delivered, and rests after a
 // failure, longer after each further one. A courier that was just started knows of no outage: to it
@@ -46,7 +46,7 @@
 			p.failures++
 		}
 		// A fresh message's failure makes for the first rest only: channels that fail one call in
-		// twenty would else keep their letters for good.
+		// twenty would else keep their dead letters for good.
 		if rest := now.Add(p.limits.Rest(max(p.failures, 1), chance)); resend || !now.Before(p.until) {
 			p.until = rest
 		}
--- a/internal/deadletter/rule/rule.go
+++ b/internal/deadletter/rule/rule.go
@@ -1,8 +1,8 @@
-// Package rule decides which undeliverable messages ("letters") may be sent again, when, how many at
+// Package rule decides which undeliverable messages ("dead letters") may be sent again, when, how many at
 // once, and which give way when the store is full. It is pure: no clock, file, goroutine or log; time
 // and chance come in as arguments.
 //
-// The invariant: no letter may take effect more often than its class allows. A single_shot that may
+// The invariant: no dead letter may take effect more often than its class allows. A single_shot that may
 // have run is never sent again, by anybody; a guarded one that may have run goes only to where its
 // repeat is dropped, and only while it is. TestAllowance and TestNeverBeyondAllowance hold it.
 package rule
@@ -14,7 +14,7 @@
 	"raventrestle"
 )
 
-// State is what has become of a letter.
+// State is what has become of a dead letter.
 type State uint8
 
 const (
@@ -30,15 +30,15 @@
 	return [...]string{"held", "out", "delivered", "void", "discarded"}[min(s, Discarded)]
 }
 
-// Settled says that nothing more will happen to the letter.
+// Settled says that nothing more will happen to the dead letter.
 func (s State) Settled() bool { return s >= Delivered }
 
-// Facts are what the rule needs to know of a letter.
+// Facts are what the rule needs to know of a dead letter.
 type Facts struct {
 	State     State
 	Effect    raventrestle.Effect
 	Group     raventrestle.Group
-	Window    time.Duration // how long repeats of a guarded letter are dropped
+	Window    time.Duration // how long repeats of a guarded dead letter are dropped
 	MayRun    bool          // a try may have run
 	RanPeer   string        // and the first such went there
 	RanFloor  string
@@ -52,7 +52,7 @@
 // Place is where the list has endpoints of a destination that take new work.
 type Place struct{ Peer, Floor string }
 
-// Reason says why a letter may or may not be sent again.
+// Reason says why a dead letter may or may not be sent again.
 type Reason string
 
 const (
@@ -102,7 +102,7 @@
 type Limits struct {
 	Automatic             bool
 	MaxResends            int
-	LastDate              time.Duration // after its failure a letter is not sent again later than this
+	LastDate              time.Duration // after its failure a dead letter is not sent again later than this
 	FirstRate, MaxRate    float64       // calls a second to one destination, from this courier
 	Cold                  time.Duration // a returning destination may be cold for so long
 	Growth                float64
@@ -112,7 +112,7 @@
 	Lag                   time.Duration // a repeat may take so much longer on its way than the first try did
 }
 
-// Allowance says whether the class lets the letter be sent again at all, whoever asks.
+// Allowance says whether the class lets the dead letter be sent again at all, whoever asks.
 func (l Limits) Allowance(f Facts, now time.Time) Reason {
 	switch {
 	case f.State.Settled():
@@ -127,7 +127,7 @@
 	return Allowed
 }
 
-// Reaches says whether a repeat of the letter may go to the place.
+// Reaches says whether a repeat of the dead letter may go to the place.
 func (f Facts) Reaches(p Place) bool {
 	switch {
 	case !f.MayRun || f.Effect == raventrestle.Safe:
@@ -142,7 +142,7 @@
 	return true
 }
 
-// May says whether the letter may be sent again now, as far as it alone decides: what its class
+// May says whether the dead letter may be sent again now, as far as it alone decides: what its class
 // allows goes before all else, then what an operator asked for, then the limits.
 func (l Limits) May(f Facts, now time.Time, places []Place) Reason {
 	if r := l.Allowance(f, now); r != Allowed {
@@ -182,7 +182,7 @@
 	return deadline
 }
 
-// Rest is how long a letter or a destination rests after so many failures in a row, at least one.
+// Rest is how long a dead letter or a destination rests after so many failures in a row, at least one.
 // chance is drawn evenly from [0, 1).
 func (l Limits) Rest(failures int, chance float64) time.Duration {
 	d := float64(l.Backoff)
@@ -196,8 +196,8 @@
 const lastChance = 100 * time.Millisecond
 
 // Lost says that a message which the module refuses is lost like one that failed: its client has no
-// time left to hand it in again. It becomes a letter, and the platform is told undeliverable in place
-// of deferred, since a client that came again all the same would meet the letter's resend.
+// time left to submit it again. It becomes a dead letter, and the platform is told undeliverable in place
+// of deferred, since a client that came again all the same would meet the dead letter's resend.
 func Lost(left time.Duration) bool { return left < lastChance }
 
 // Load is what the courier has to do.
@@ -219,14 +219,14 @@
 // turned away or given up for one.
 func (l Limits) Crowded(x Load) int { return min(max(x.Held-x.MostHeld*3/4, 0), x.Resends) }
 
-// Weight is what a letter counts for when the store is full.
+// Weight is what a dead letter counts for when the store is full.
 type Weight struct {
 	Settled bool
 	Worth   float32
 	Failed  int64 // Unix time in nanoseconds
 }
 
-// Before orders letters by which gives way first: those that have their end, then those of less
+// Before orders dead letters by which gives way first: those that have their end, then those of less
 // worth, then the older.
 func (w Weight) Before(o Weight) int {
 	if w.Settled != o.Settled {
--- a/internal/deadletter/rule/rule_test.go
+++ b/internal/deadletter/rule/rule_test.go
@@ -102,7 +102,7 @@
 	})
 }
 
-// A destination's letters wait for a delivery, then go one at a time; no more are out than were
+// A destination's dead letters wait for a delivery, then go one at a time; no more are out than were
 // delivered since, and one. A failure shuts the pace for a rest that doubles.
 func TestPaceStartsWithOne(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/deadletter/store.go
+++ b/internal/deadletter/store.go
@@ -21,13 +21,13 @@
 // Errors of a store.
 var (
 	ErrLocked  = errors.New("another process has the store open")
-	ErrMissing = errors.New("no such letter")
-	ErrNoRoom  = errors.New("the letter is larger than the store may be")
+	ErrMissing = errors.New("no such dead letter")
+	ErrNoRoom  = errors.New("the dead letter is larger than the store may be")
 )
 
 // Options say how a store is kept.
 type Options struct {
-	MaxBytes   int64 // sum of the letters' sizes
+	MaxBytes   int64 // sum of the dead letters' sizes
 	MaxLetters int
 	Sync       bool // each write waits for the disk
 	ReadOnly   bool
@@ -36,20 +36,20 @@
 	Before func() error
 }
 
-// Store is the lasting store of letters: one bbolt file. In memory it has an entry of 40 bytes for
-// each letter. Only one goroutine may use it at a time.
+// Store is the lasting store of dead letters: one bbolt file. In memory it has an entry of 40 bytes for
+// each dead letter. Only one goroutine may use it at a time.
 type Store struct {
 	Options
 	path    string
 	log     *slog.Logger
 	db      *bbolt.DB
 	shelves map[int64]*shelf
-	Bytes   int64 // of all letters
+	Bytes   int64 // of all dead letters
 	Letters int
 	Spoilt  int // records that could not be read at the start
 }
 
-// shelf has a destination's letters, in the order they were put there.
+// shelf has a destination's dead letters, in the order they were put there.
 type shelf struct{ entries []entry }
 
 type entry struct {
@@ -65,11 +65,11 @@
 
 const (
 	fileName = "letters.db"
-	overhead = 96 // bytes of the file for each letter, beside its head and body
+	overhead = 96 // bytes of the file for each dead letter, beside its head and body
 )
 
 var (
-	heads  = []byte("heads")  // sequence number to the letter without its body
+	heads  = []byte("heads")  // sequence number to the dead letter without its body
 	bodies = []byte("bodies") // sequence number to the body
 	ids    = []byte("ids")    // the message's id to the sequence number
 )
@@ -158,11 +158,11 @@
 	return s.db.View(f)
 }
 
-// scan reads every letter's head once. One that can't be read is counted and passed over.
+// scan reads every dead letter's head once. One that can't be read is counted and passed over.
 func (s *Store) scan() error {
 	return s.read(func(tx *bbolt.Tx) error {
 		if tx.Bucket(heads) == nil || tx.Bucket(ids) == nil || tx.Bucket(bodies) == nil {
-			return fmt.Errorf("deadletter: %s: no letters in it: %w", s.path, ErrSpoilt)
+			return fmt.Errorf("deadletter: %s: no dead letters in it: %w", s.path, ErrSpoilt)
 		}
 		return tx.Bucket(heads).ForEach(func(k, v []byte) error {
 			l, err := parse(v)
@@ -270,7 +270,7 @@
 
 func number(seq uint64) []byte { return binary.BigEndian.AppendUint64(nil, seq) }
 
-// Put writes letters in one transaction, in place of those with their ids. What gave way to them is
+// Put writes dead letters in one transaction, in place of those with their ids. What gave way to them is
 // returned.
 func (s *Store) Put(letters ...*Letter) (gave []Letter, err error) {
 	defer s.guard(&err, nil)
@@ -316,8 +316,8 @@
 	return gave, nil
 }
 
-// makeRoom drops letters, by the rule's order, where so many bytes and letters more would be over
-// the caps; one in 64 more than needed, so that a full store is not sorted for each letter.
+// makeRoom drops dead letters, by the rule's order, where so many bytes and dead letters more would be over
+// the caps; one in 64 more than needed, so that a full store is not sorted for each dead letter.
 func (s *Store) makeRoom(bytes int64, letters int) ([]Letter, error) {
 	overBytes, over := s.Bytes+bytes-s.MaxBytes, s.Letters+letters-s.MaxLetters
 	if overBytes <= 0 && over <= 0 {
@@ -401,7 +401,7 @@
 	return l, binary.BigEndian.Uint64(at), nil
 }
 
-// Get reads one letter, its body included.
+// Get reads one dead letter, its body included.
 func (s *Store) Get(id string) (l *Letter, err error) {
 	defer s.guard(&err, nil)
 	err = s.read(func(tx *bbolt.Tx) error {
@@ -411,7 +411,7 @@
 	return l, err
 }
 
-// Change rewrites the heads of letters in one transaction, all or none. An error of change leaves
+// Change rewrites the heads of dead letters in one transaction, all or none. An error of change leaves
 // all as they were and is returned.
 func (s *Store) Change(which []string, change func(*Letter) error) (err error) {
 	defer s.guard(&err, nil)
@@ -445,7 +445,7 @@
 	return nil
 }
 
-// Delete forgets letters; those that are not there are passed over.
+// Delete forgets dead letters; those that are not there are passed over.
 func (s *Store) Delete(which ...string) (err error) {
 	defer s.guard(&err, nil)
 	var seqs []uint64
@@ -464,7 +464,7 @@
 	return err
 }
 
-// Each hands out every letter that can be read, without its body, in the order they were put there,
+// Each hands out every dead letter that can be read, without its body, in the order they were put there,
 // until f says no.
 func (s *Store) Each(f func(*Letter) bool) (err error) {
 	defer s.guard(&err, nil)
@@ -484,7 +484,7 @@
 	return c, k, v
 }
 
-// Expire drops the letters that have outlived their time, at most so many.
+// Expire drops the dead letters that have outlived their time, at most so many.
 func (s *Store) Expire(now time.Time, age, settled time.Duration, most int) (gone []Letter, err error) {
 	defer s.guard(&err, nil)
 	var seqs []uint64
@@ -506,14 +506,14 @@
 	return s.drop(seqs)
 }
 
-// next are the letters of a destination that may be due, the most urgent first: asked for, of more
+// next are the dead letters of a destination that may be due, the most urgent first: asked for, of more
 // worth, older.
 func (s *Store) next(dest int64, now time.Time, most int) []*entry {
 	sh := s.shelves[dest]
 	if sh == nil {
 		return nil
 	}
-	// One pass that keeps the best few: a destination may have all of 100,000 letters.
+	// One pass that keeps the best few: a destination may have all of 100,000 dead letters.
 	var due []*entry
 	for i := range sh.entries {
 		e := &sh.entries[i]
@@ -552,7 +552,7 @@
 	return l, err
 }
 
-// settle writes the letter's end into it.
+// settle writes the dead letter's end into it.
 func (l *Letter) settle(state rule.State, now time.Time) {
 	l.State, l.Settled, l.NotBefore, l.Asked = state, now.UnixNano(), now.UnixNano(), false
 }
--- a/internal/deadletter/store_test.go
+++ b/internal/deadletter/store_test.go
@@ -171,7 +171,7 @@
 }
 
 // A store that is cut off, overwritten or has bits flipped never stops the courier: it opens, is set
-// aside, or loses the letters that were hit, and what can still be read is what was written.
+// aside, or loses the dead letters that were hit, and what can still be read is what was written.
 func TestSpoiltStore(t *testing.T) {
 	dir := t.TempDir()
 	s := open(t, dir, large)
@@ -261,7 +261,7 @@
 	}
 }
 
-// A full disk loses the letter that came then and nothing else; when there is room again, the next
+// A full disk loses the dead letter that came then and nothing else; when there is room again, the next
 // one is kept.
 func TestFullDisk(t *testing.T) {
 	full := false
@@ -303,7 +303,7 @@
 	}
 }
 
-// A disk that does not answer keeps no notice back. The letter that comes late stays where the client
+// A disk that does not answer keeps no notice back. The dead letter that comes late stays where the client
 // was told that the message failed, and is taken back where it was told to come again.
 func TestSlowDisk(t *testing.T) {
 	for _, refused := range []bool{false, true} {
@@ -344,7 +344,7 @@
 	t.Cleanup(func() { stop(); k.Wait() })
 }
 
-// Discard and resend at one letter, over and over: whichever comes first holds, and a letter that is
+// Discard and resend at one dead letter, over and over: whichever comes first holds, and a dead letter that is
 // out can't be discarded.
 func TestDiscardAgainstResend(t *testing.T) {
 	begun := make(chan Again, 64)
@@ -417,7 +417,7 @@
 	}
 }
 
-// What letters at rest take in memory: under 200 bytes each. `ravenlab cost` measures 100,000 in a courier.
+// What dead letters at rest take in memory: under 200 bytes each. `ravenlab cost` measures 100,000 in a courier.
 func TestMemoryAtRest(t *testing.T) {
 	if testing.Short() {
 		t.Skip("writes 20,000 letters")
--- a/internal/lab/coldreturn.go
+++ b/internal/lab/coldreturn.go
@@ -17,14 +17,14 @@
 	"raventrestle/internal/emulator"
 )
 
-// ReturnRow is one play of a channel that comes back cold with so many letters waiting for it.
+// ReturnRow is one play of a channel that comes back cold with so many dead letters waiting for it.
 type ReturnRow struct {
 	Letters    int      `json:"letters"`
 	Fresh      int      `json:"fresh"`   // messages for the channel from its return on
 	InTime     int      `json:"in_time"` // of those
 	P50        float64  `json:"p50_ms"`  // from birth to delivery
 	P99        float64  `json:"p99_ms"`
-	Resent     int      `json:"resent"`  // letters delivered
+	Resent     int      `json:"resent"`  // dead letters delivered
 	First      float64  `json:"first_s"` // the first of them, after the return
 	Refused    int      `json:"refused"` // calls turned away by channels
 	Violations []string `json:"violations"`
@@ -35,7 +35,7 @@
 `
 
 // ColdReturn plays a channel that is well for some seconds, then shut, and comes back at 15% of what
-// it can do, while fresh messages for it never stop: with so many letters for it at the start.
+// it can do, while fresh messages for it never stop: with so many dead letters for it at the start.
 func ColdReturn(ctx context.Context, numbers []int, o Options) ([]ReturnRow, error) {
 	var rows []ReturnRow
 	for _, n := range numbers { // one after the other: each has the machine to itself
@@ -121,7 +121,7 @@
 	return row, err
 }
 
-// preload puts letters of an earlier outage into the courier's store and the ledger.
+// preload puts dead letters of an earlier outage into the courier's store and the ledger.
 func preload(w *emulator.World, n int, class emulator.ClassSpec) error {
 	store, err := deadletter.Open(filepath.Join(w.Couriers[0].Folder, "state", "undeliverable"),
 		deadletter.Options{MaxBytes: 1 << 30, MaxLetters: 1 << 20}, slog.New(slog.DiscardHandler))
--- a/internal/lab/cost.go
+++ b/internal/lab/cost.go
@@ -41,7 +41,7 @@
 `
 
 // costSpec is one courier that is handed more than it can take: channels answer in some milliseconds,
-// and three payments in a thousand with an error after they have run, which makes them letters.
+// and three payments in a thousand with an error after they have run, which makes them dead letters.
 func costSpec(store bool, o Options) emulator.Spec {
 	ms := func(n int) [2]time.Duration {
 		return [2]time.Duration{time.Duration(n) * time.Millisecond, time.Duration(n+1) * time.Millisecond}
@@ -173,17 +173,17 @@
 	return (user + system) / 100, rss, anon, errors.Join(err1, err2, err3)
 }
 
-// RestRow is a courier at rest with so many letters.
+// RestRow is a courier at rest with so many dead letters.
 type RestRow struct {
 	Letters int           `json:"letters"`
 	File    float64       `json:"file_mb"`
 	Ready   time.Duration `json:"ready_ns"`
 	RSS     float64       `json:"rss_mb"`
 	Anon    float64       `json:"anonymous_mb"`
-	Each    float64       `json:"bytes_each"` // of anonymous memory, over a courier without letters
+	Each    float64       `json:"bytes_each"` // of anonymous memory, over a courier without dead letters
 }
 
-// AtRest starts a courier at a store of so many letters, for each number in turn.
+// AtRest starts a courier at a store of so many dead letters, for each number in turn.
 func AtRest(ctx context.Context, numbers []int, body int, o Options) ([]RestRow, error) {
 	var rows []RestRow
 	for _, n := range numbers {
--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -61,7 +61,7 @@
 	case <-time.After(30 * time.Second):
 	}
 	w.Channels[2].Set(emulator.Well, time.Now())
-	fmt.Fprintln(out, "Channel 3 is back; a message for it, or `undeliverable resend`, lets its letters go.")
+	fmt.Fprintln(out, "Channel 3 is back; a message for it, or `undeliverable resend`, lets its dead letters go.")
 	<-ctx.Done()
 	return c.Stop()
 }
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -32,7 +32,7 @@
 }
 
 // A short run of the scenario with real processes: couriers are killed while resends are out, no
-// rule is broken, every message that was given up has its letter, and some are delivered late that
+// rule is broken, every message that was given up has its dead letter, and some are delivered late that
 // are lost without resending. It is the whole way through the program, in half a minute.
 func TestUndeliverable(t *testing.T) {
 	t.Parallel()
@@ -69,8 +69,8 @@
 	}
 }
 
-// A channel comes back cold with letters waiting: nobody pushes it over, fresh messages go on being
-// delivered, and letters go once the channel delivers.
+// A channel comes back cold with dead letters waiting: nobody pushes it over, fresh messages go on being
+// delivered, and dead letters go once the channel delivers.
 func TestColdReturn(t *testing.T) {
 	t.Parallel()
 	if testing.Short() {
--- a/internal/lab/undeliverable.go
+++ b/internal/lab/undeliverable.go
@@ -42,11 +42,11 @@
 	Delivered int            `json:"delivered"` // within their time
 	GivenUp   int            `json:"given_up"`  // the platform was told undeliverable
 	Letters   int            `json:"letters"`
-	Missing   int            `json:"missing"`      // given up, and no letter at the end
-	Resent    int            `json:"resent"`       // letters with at least one resend
+	Missing   int            `json:"missing"`      // given up, and no dead letter at the end
+	Resent    int            `json:"resent"`       // dead letters with at least one resend
 	Calls     int            `json:"resend_calls"` // that reached an endpoint
 	Late      int            `json:"delivered_late"`
-	HeldBack  map[string]int `json:"held_back"` // letters with no end, by reason
+	HeldBack  map[string]int `json:"held_back"` // dead letters with no end, by reason
 	Most      int            `json:"most_effects"`
 	Worth     float64        `json:"worth_recovered"`
 }
@@ -141,7 +141,7 @@
 	return s
 }
 
-// settled asks the couriers whether any letter may still be sent.
+// settled asks the couriers whether any dead letter may still be sent.
 func settled(w *emulator.World) bool {
 	for _, c := range w.Couriers {
 		ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
@@ -211,7 +211,7 @@
 	return p, nil
 }
 
-// read takes the letters out of a stopped courier's folder, as the operators' commands do.
+// read takes the dead letters out of a stopped courier's folder, as the operators' commands do.
 func read(ctx context.Context, dir string, into map[string]*deadletter.Item) error {
 	store, err := deadletter.Open(dir, deadletter.Options{ReadOnly: true}, slog.New(slog.DiscardHandler))
 	if err != nil {
@@ -248,7 +248,7 @@
 	}
 	if l == nil {
 		row.Missing++
-		p.Violations = append(p.Violations, fmt.Sprintf("letter kept: %s %s was given up and has no letter", m.Class, m.Key))
+		p.Violations = append(p.Violations, fmt.Sprintf("dead letter kept: %s %s was given up and has no dead letter", m.Class, m.Key))
 		return
 	}
 	row.Letters++
@@ -263,7 +263,7 @@
 		row.HeldBack[string(l.Reason)]++
 	}
 	if l.State == rule.Delivered && m.Effects == 0 {
-		p.Violations = append(p.Violations, fmt.Sprintf("letters tell the truth: %s %s counts as delivered and had no effect", m.Class, m.Key))
+		p.Violations = append(p.Violations, fmt.Sprintf("dead letters tell the truth: %s %s counts as delivered and had no effect", m.Class, m.Key))
 	}
 }
 
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -45,9 +45,9 @@
 type Trouble uint8
 
 const (
-	JournalFails Trouble = iota // it can't be written: nothing can be taken on
-	ListStale                   // discovery does not answer; the last list holds
-	LettersFail                 // undeliverable messages can't be kept
+	JournalFails    Trouble = iota // it can't be written: nothing can be taken on
+	ListStale                      // discovery does not answer; the last list holds
+	DeadLettersFail                // undeliverable messages can't be kept
 	troubleCount
 )
 
--- a/internal/net/admin/admin.go
+++ b/internal/net/admin/admin.go
@@ -129,8 +129,8 @@
 	}
 }
 
-// Serve answers commands until the listener closes. Desk is nil where no letters are kept, the daemon
-// where only letters are served.
+// Serve answers commands until the listener closes. Desk is nil where no dead letters are kept, the daemon
+// where only dead letters are served.
 func Serve(l net.Listener, desk deadletter.Desk, d Daemon, log *slog.Logger) *http.Server {
 	mux := http.NewServeMux()
 	if d != nil {
--- a/internal/net/admin/admin_test.go
+++ b/internal/net/admin/admin_test.go
@@ -48,7 +48,7 @@
 	}
 }
 
-// A courier that keeps no letters says so; connections that say nothing shut out nobody for longer
+// A courier that keeps no dead letters says so; connections that say nothing shut out nobody for longer
 // than their time.
 func TestNoLetters(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "admin.sock")
--- a/internal/net/courier/courier.go
+++ b/internal/net/courier/courier.go
@@ -41,20 +41,20 @@
 
 // Courier is the module's actor.
 type Courier struct {
-	Counts  Counts
-	conf    *config.Config
-	policy  *raventrestle.Policy
-	log     *slog.Logger
-	journal *journal.Store
-	group   *upstream.Group
-	notices *notice.Sender
-	mail    chan any
-	quiet   chan struct{}      // closed once it is closing and owes nothing
-	letters *deadletter.Keeper // nil where none are kept
+	Counts      Counts
+	conf        *config.Config
+	policy      *raventrestle.Policy
+	log         *slog.Logger
+	journal     *journal.Store
+	group       *upstream.Group
+	notices     *notice.Sender
+	mail        chan any
+	quiet       chan struct{}      // closed once it is closing and owes nothing
+	deadLetters *deadletter.Keeper // nil where none are kept
 
 	mu        sync.Mutex
 	known     map[string]bool     // ids written down whose end is not told yet; true once let in
-	resends   map[string]bool     // ids of letters that are being sent again
+	resends   map[string]bool     // ids of dead letters that are being sent again
 	handed    int                 // of the known ones, how many are the next process's
 	elsewhere map[string]bool     // ids that another process of this courier has out
 	dests     map[int64]time.Time // when the list last named a peer of the destination
@@ -73,7 +73,7 @@
 	diary
 	seen   []deadletter.Seen // of this step
 	again  int               // resends that the module has
-	shown  time.Time         // when the letters' keeper last heard of the load
+	shown  time.Time         // when the dead letters' keeper last heard of the load
 	listed time.Time         // when discovery last answered
 	index  int64             // of its list
 
@@ -89,7 +89,7 @@
 
 type message struct {
 	*journal.Message
-	journal.Progress // Tries always; how they ended only where letters are kept
+	journal.Progress // Tries always; how they ended only where dead letters are kept
 	out              bool
 }
 
@@ -484,7 +484,7 @@
 	maps.DeleteFunc(c.dests, func(_ int64, last time.Time) bool { return t.Sub(last) > c.longest })
 }
 
-// statuses are the words for how a try ended, in records, letters and counters.
+// statuses are the words for how a try ended, in records, dead letters and counters.
 var statuses = [...]string{raventrestle.OK: "ok", raventrestle.Error: "error", raventrestle.Full: "full",
 	raventrestle.TimedOut: "timed_out", raventrestle.ConnectFailed: "connect_failed", raventrestle.Reset: "reset",
 	raventrestle.Cancelled: "cancelled", raventrestle.Moot: "moot"}
@@ -503,7 +503,7 @@
 	}
 	id, m := string(o.ID), c.msgs[o.ID]
 	word := ""
-	if c.letters != nil {
+	if c.deadLetters != nil {
 		word = statuses[o.Status]
 		c.note(m, o, word)
 	}
@@ -518,7 +518,7 @@
 			what = "void"
 		}
 		c.resent(m, what)
-		return records // the letter comes first
+		return records // the dead letter comes first
 	case o.Closed:
 		end := &c.Counts.Delivered
 		if o.Status != raventrestle.OK {
@@ -617,7 +617,7 @@
 				zone = c.conf.Settings.Zones[z].Name
 			}
 			begun := journal.Try{Peer: string(a.Target), Zone: zone, At: int64(t)}
-			if c.letters != nil {
+			if c.deadLetters != nil {
 				c.begin(m, begun)
 			}
 			records = append(records, journal.Begun(m.ID, begun))
@@ -639,7 +639,7 @@
 				continue
 			}
 			end := journal.End{Deferred: true, AgainMS: a.After.Milliseconds()}
-			if m := c.msgs[a.ID]; m != nil && c.letters != nil && rule.Lost(time.Duration(m.Until)-t) {
+			if m := c.msgs[a.ID]; m != nil && c.deadLetters != nil && rule.Lost(time.Duration(m.Until)-t) {
 				c.undeliverable(m, t, end)
 				continue
 			}
@@ -654,7 +654,7 @@
 				c.resent(m, "failed")
 				continue
 			}
-			if m != nil && c.letters != nil {
+			if m != nil && c.deadLetters != nil {
 				c.undeliverable(m, t, journal.End{})
 				continue
 			}
@@ -848,7 +848,7 @@
 	delete(c.resends, id)
 }
 
-// owed is how many messages have no end yet that is told, or written into their letter.
+// owed is how many messages have no end yet that is told, or written into their dead letter.
 func (c *Courier) owed() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/net/courier/letters.go
+++ b/internal/net/courier/deadletters.go
@@ -11,9 +11,9 @@
 )
 
 // Keep makes the courier keep what it gives up. Call it before Run.
-func (c *Courier) Keep(k *deadletter.Keeper) { c.letters = k }
+func (c *Courier) Keep(k *deadletter.Keeper) { c.deadLetters = k }
 
-// Again takes a letter that is to be sent again; the journal has it already. It does not block, and
+// Again takes a dead letter that is to be sent again; the journal has it already. It does not block, and
 // says whether there was room.
 func (c *Courier) Again(a deadletter.Again) bool {
 	c.mu.Lock()
@@ -28,7 +28,7 @@
 	}
 }
 
-// begin and note keep the message's tries for its letter.
+// begin and note keep the message's tries for its dead letter.
 func (c *Courier) begin(m *message, t journal.Try) {
 	c.past(m, "")
 	m.Out = &t
@@ -72,8 +72,8 @@
 	m.Out = nil
 }
 
-// undeliverable writes the letter of a message that was given up, then its end, and then tells the
-// platform, in that order. Without the letter the module's own end is told.
+// undeliverable writes the dead letter of a message that was given up, then its end, and then tells the
+// platform, in that order. Without the dead letter the module's own end is told.
 func (c *Courier) undeliverable(m *message, t time.Duration, end journal.End) {
 	delete(c.msgs, raventrestle.MessageID(m.ID))
 	class := raventrestle.Class{Name: m.Class, Effect: raventrestle.Unsafe}
@@ -82,7 +82,7 @@
 	}
 	l := deadletter.Of(journal.Kept{Message: m.Message, Progress: m.Progress}, class, c.why(m, class, t), time.Unix(0, int64(t)))
 	it := notice.Item{ID: m.ID}
-	c.letters.Keep(l, end.Deferred, func(err error) { // the keeper has counted and logged what it could not write
+	c.deadLetters.Keep(l, end.Deferred, func(err error) { // the keeper has counted and logged what it could not write
 		if err != nil {
 			it.End = end
 		}
@@ -127,7 +127,7 @@
 	return n
 }
 
-// resend hands a letter to the module as a message of its own life, unless a fresh one would have to
+// resend hands a dead letter to the module as a message of its own life, unless a fresh one would have to
 // wait for it; then it goes back unsent.
 func (c *Courier) resend(a deadletter.Again, t time.Duration) raventrestle.Event {
 	m := &message{Message: a.Message}
@@ -137,7 +137,7 @@
 	c.msgs[raventrestle.MessageID(m.ID)] = m
 	c.again++
 	load := c.load()
-	if c.closing || c.letters == nil || load.Held > load.MostHeld*3/4 || c.waiting()[m.Dest] > 0 {
+	if c.closing || c.deadLetters == nil || load.Held > load.MostHeld*3/4 || c.waiting()[m.Dest] > 0 {
 		c.resent(m, "yielded")
 		return nil
 	}
@@ -156,20 +156,20 @@
 	return -1
 }
 
-// resent writes a resend's end into its letter, and then lets the journal forget it. Where the letter
+// resent writes a resend's end into its dead letter, and then lets the journal forget it. Where the dead letter
 // can't be written, the journal goes on answering for it until the next start.
 func (c *Courier) resent(m *message, what string) {
 	delete(c.msgs, raventrestle.MessageID(m.ID))
 	c.again--
-	if c.letters == nil {
+	if c.deadLetters == nil {
 		return
 	}
 	id := m.ID
-	c.letters.Finish(deadletter.Result{ID: id, Dest: m.Dest, What: what, List: deadletter.Tries(m.Progress)}, func(err error) {
+	c.deadLetters.Finish(deadletter.Result{ID: id, Dest: m.Dest, What: what, List: deadletter.Tries(m.Progress)}, func(err error) {
 		if err != nil {
 			return
 		}
-		c.letterEnded(id, what)
+		c.deadLetterEnded(id, what)
 		c.over(id)
 		c.post(heardMsg{})
 	})
@@ -217,15 +217,15 @@
 	return n
 }
 
-// showEvery is how often the letters' keeper hears of the load.
+// showEvery is how often the dead letters' keeper hears of the load.
 const showEvery = 20 * time.Millisecond
 
-// show tells the letters' keeper how calls ended and what there is to do.
+// show tells the dead letters' keeper how calls ended and what there is to do.
 func (c *Courier) show() {
-	if c.letters == nil {
+	if c.deadLetters == nil {
 		return
 	}
-	c.letters.Saw(c.seen)
+	c.deadLetters.Saw(c.seen)
 	c.seen = nil
 	if time.Since(c.shown) < showEvery {
 		return
@@ -245,5 +245,5 @@
 		}
 		v.Places[int64(r.entry.Dest)] = append(v.Places[int64(r.entry.Dest)], rule.Place{Peer: string(r.entry.Target), Floor: floor})
 	}
-	c.letters.Tell(v)
+	c.deadLetters.Tell(v)
 }
--- a/internal/net/courier/letters_test.go
+++ b/internal/net/courier/deadletters_test.go
@@ -23,7 +23,7 @@
 	"raventrestle/internal/net/nettest"
 )
 
-// stopper ends a life at its nth write, of the journal or of the letters: that write and all after
+// stopper ends a life at its nth write, of the journal or of the dead letters: that write and all after
 // it never happen, as if the process had been killed there.
 type stopper struct {
 	left   atomic.Int64
@@ -61,8 +61,8 @@
 	peers   []*nettest.Peer // zones a, b
 	notices *nettest.Peer
 	mu      sync.Mutex
-	seen    map[string]int // calls by letter
-	effects map[string]int // by letter, repeats in one zone dropped
+	seen    map[string]int // calls by dead letter
+	effects map[string]int // by dead letter, repeats in one zone dropped
 	zones   map[string]bool
 }
 
@@ -75,8 +75,8 @@
 	{Name: "single", Aim: time.Second, Deadline: 5 * time.Second, Credit: 5, Effect: raventrestle.Unsafe},
 }
 
-// newSite has the letters of one failure: of every class some that never ran and some that may have.
-// The first letter of an id is its class; what follows says what its endpoint does at the first call:
+// newSite has the dead letters of one failure: of every class some that never ran and some that may have.
+// The first dead letter of an id is its class; what follows says what its endpoint does at the first call:
 // ok, 500 (after it ran), reset (after it ran) or busy (it never ran).
 func newSite(t *testing.T) *site {
 	s := &site{t: t, dir: t.TempDir(), seen: map[string]int{}, effects: map[string]int{}, zones: map[string]bool{}}
@@ -139,7 +139,7 @@
 	return err == nil
 }
 
-// life runs a courier until it has settled all letters or meets its last write, and says which.
+// life runs a courier until it has settled all dead letters or meets its last write, and says which.
 func (s *site) life(w *stopper) (done bool) {
 	t := s.t
 	conf := &config.Config{Discovery: s.notices.Addr(), Known: []byte(fmt.Sprintf(`{"index":1,"snapshot":true,"endpoints":[`+
@@ -232,7 +232,7 @@
 	return len(s.left(ctx, k)) == 0
 }
 
-// check reads the letters as the last life left them.
+// check reads the dead letters as the last life left them.
 func (s *site) check() {
 	t := s.t
 	store, err := deadletter.Open(filepath.Join(s.dir, "letters"), deadletter.Options{ReadOnly: true}, nettest.Log)
@@ -266,7 +266,7 @@
 	}
 }
 
-// Letters of every class are sent again by a courier that is killed at every write boundary in turn,
+// Dead letters of every class are sent again by a courier that is killed at every write boundary in turn,
 // in its journal and in its store, and then started again: none takes effect more often than its
 // class allows, none is lost, and all come to their end. Every third run is killed a second time.
 func TestEveryWriteBoundary(t *testing.T) {
@@ -300,7 +300,7 @@
 	}
 }
 
-// The courier's own way to a letter: what is given up is on disk with all its tries before the
+// The courier's own way to a dead letter: what is given up is on disk with all its tries before the
 // platform hears of it, and the journal forgets it only then.
 func TestGivenUp(t *testing.T) {
 	s := newSite(t)
@@ -372,7 +372,7 @@
 	s.mu.Unlock()
 }
 
-// Fresh messages first: a letter that the module holds, since its endpoint told a wait, goes back to
+// Fresh messages first: a dead letter that the module holds, since its endpoint told a wait, goes back to
 // the store when a fresh message for the same channel comes, and is sent after it.
 func TestLetterMakesWay(t *testing.T) {
 	order := make(chan string, 16)
@@ -419,7 +419,7 @@
 		}
 		c.Admit(m, false, false)
 	}
-	fresh("told", 50*time.Millisecond) // is told the wait, and runs out of time: it becomes the letter
+	fresh("told", 50*time.Millisecond) // is told the wait, and runs out of time: it becomes the dead letter
 	if got := nettest.Wait(t, "call", order); got != "told" {
 		t.Fatal(got)
 	}
--- a/internal/net/courier/handover.go
+++ b/internal/net/courier/handover.go
@@ -41,7 +41,7 @@
 		c.log.Error("courier: what is known of channels stays here", "err", err)
 	}
 	for id, m := range c.msgs {
-		if m.Resend > 0 { // its letter tells the next life
+		if m.Resend > 0 { // its dead letter tells the next life
 			continue
 		}
 		events = append(events, raventrestle.Withdrawn{ID: id})
--- a/internal/net/courier/history.go
+++ b/internal/net/courier/history.go
@@ -93,9 +93,9 @@
 	}
 }
 
-// letterEnded writes that a dead letter went through. What else becomes of a resend is no end of the message, which has
+// deadLetterEnded writes that a dead letter went through. What else becomes of a resend is no end of the message, which has
 // had it.
-func (c *Courier) letterEnded(id, what string) {
+func (c *Courier) deadLetterEnded(id, what string) {
 	if c.history != nil && what == "delivered" {
 		c.history.Write(history.Record{Kind: history.MessageEnded, ID: id, How: history.LetterDelivered})
 	}
--- a/internal/net/courier/history_test.go
+++ b/internal/net/courier/history_test.go
@@ -57,7 +57,7 @@
 		c.waits("a", time.Time{})
 		c.answered("m", raventrestle.OK)
 		c.ended(nil, c.answers(), nil)
-		c.letterEnded("m", "delivered")
+		c.deadLetterEnded("m", "delivered")
 	}); n > 0 || c.taken != nil {
 		t.Fatalf("%v allocations with no history", n)
 	}
@@ -92,7 +92,7 @@
 	c.answered("m", raventrestle.Error)
 	c.ended(nil, c.answers(), nil)
 	c.ended(nil, c.answers(), nil)
-	c.letterEnded("o", "failed")
-	c.letterEnded("o", "delivered")
+	c.deadLetterEnded("o", "failed")
+	c.deadLetterEnded("o", "delivered")
 	want("ends", "message ended mvoid ", "message ended oletter_delivered ")
 }
--- a/internal/settings/schema/schema.cue
+++ b/internal/settings/schema/schema.cue
@@ -25,24 +25,24 @@
 		keep: bool | *false
 		// Folder of the store; empty for "undeliverable" in the folder that lasts. Next start.
 		folder: *"" | =~"^/.+$"
-		// Letters give way above this sum of their sizes. The file may be twice as large.
+		// Dead letters give way above this sum of their sizes. The file may be twice as large.
 		max_bytes: int & >=65536 & <=1099511627776 | *67108864
-		// Letters give way above this number.
+		// Dead letters give way above this number.
 		max_letters: int & >=1 & <=10000000 | *100000
-		// Letters older than this are dropped, whatever became of them.
+		// Dead letters older than this are dropped, whatever became of them.
 		max_age_s: number & >=1 & <=31536000 | *259200
-		// A letter that has its end (delivered, discarded) stays to be looked at for so long.
+		// A dead letter that has its end (delivered, discarded) stays to be looked at for so long.
 		settled_age_s: number & >=0 & <=31536000 | *3600
-		// Wait for the disk, so that letters outlast a power cut and not the process alone. Next start.
+		// Wait for the disk, so that dead letters outlast a power cut and not the process alone. Next start.
 		sync: bool | *true
 
 		// Sending again.
 		resend: {
 			// Send again without being asked.
 			automatic: bool | *true
-			// Resends of one letter, at most.
+			// Resends of one dead letter, at most.
 			max_resends: int & >=1 & <=100 | *5
-			// A letter is not sent again later than this after its failure.
+			// A dead letter is not sent again later than this after its failure.
 			last_date_s: number & >=1 & <=31536000 | *86400
 			// The pace of one destination, in calls a second from all couriers together, of which each
 			// takes its part: first, and at most.
@@ -50,7 +50,7 @@
 			max_rate:   number & >=0.01 & <=10000 | *20
 			// Each delivery raises the pace by this share of it.
 			growth: number & >0 & <=4 | *0.25
-			// After a failure the letter, and its destination, rest so long; twice as long after each more.
+			// After a failure the dead letter, and its destination, rest so long; twice as long after each more.
 			backoff_s: number & >=0.05 & <=3600 | *2
 			// The longest such rest.
 			max_backoff_s: number & >=0.05 & <=86400 | *300
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -73,7 +73,7 @@
 	MaxBytes int64  `json:"max_bytes"`
 }
 
-// Resend is about sending letters again. Rates are in calls a second for one destination.
+// Resend is about sending dead letters again. Rates are in calls a second for one destination.
 type Resend struct {
 	Automatic  bool    `json:"automatic"`
 	MaxResends int     `json:"max_resends"`
