Answer all requests before a router ends: refuse what is held, end unanswered calls

Dispatch takes Closing{HoldUntil, AnswerBy}: from the drain on nothing is held, shortly before the end calls without a first byte are abandoned. The node's course of the end is one function that keeps its order for any grace. The loopback test of the end fails without it.

--- /dev/null
+++ b/internal/router/dispatch/closing_test.go
@@ -0,0 +1,156 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"raventrestle/internal/protocol"
+)
+
+func abandoned(out []Output) (list []RequestID) {
+	for _, o := range out {
+		if o, ok := o.(Abandon); ok {
+			list = append(list, o.ID)
+		}
+	}
+	return list
+}
+
+func (s *script) closing(holdUntil, answerBy int) Closing {
+	return Closing{HoldUntil: s.time(holdUntil), AnswerBy: s.time(answerBy)}
+}
+
+// patient makes a request whose objective is far.
+func (s *script) patient(model string) Request {
+	r := s.request(model)
+	r.Objective, r.Deadline = s.time(s.at+10000), s.time(s.at+30000)
+	return r
+}
+
+// A request that waits for its model to be loaded would be held up to its objective: it is refused when the router lets
+// in no more clients, with a word to come back soon. So is what comes later and can't be sent.
+func TestNothingIsHeldAtTheEnd(t *testing.T) {
+	loading := modelEndpoint("a", 1, "m")
+	loading.Loading = []protocol.Load{{Model: "rare", Within: 9 * time.Second}}
+	s := newScript(t, loading)
+	s.step(1000)
+	s.step(1000, Arrived{s.patient("rare")})
+	if out := s.step(1100, s.closing(2500, 7000)); len(refusals(out)) > 0 {
+		t.Fatalf("refused while clients may still come: %v", out)
+	}
+	if at := s.d.NextWake(); at.IsZero() || at.After(s.time(2500)) {
+		t.Errorf("next wake %v after the start", at.Sub(s.zero))
+	}
+	refusal := s.oneRefusal(s.step(2500))
+	if refusal.Reason != Leaving || refusal.RetryAfter <= 0 || refusal.RetryAfter > 100*time.Millisecond {
+		t.Errorf("%+v", refusal)
+	}
+	if refusal := s.oneRefusal(s.step(2600, Arrived{s.patient("rare")})); refusal.Reason != Leaving {
+		t.Errorf("%+v", refusal)
+	}
+	if send := s.oneSend(s.step(2700, Arrived{s.patient("m")})); send.Endpoint != "a" {
+		t.Errorf("%+v", send)
+	}
+	if len(s.d.requests) != 1 {
+		t.Errorf("%d requests", len(s.d.requests))
+	}
+}
+
+// A load that will be done only after the router lets in no more clients is not waited for.
+func TestLoadsThatComeTooLateAreNotAwaited(t *testing.T) {
+	loading := modelEndpoint("a", 1, "m")
+	loading.Loading = []protocol.Load{{Model: "rare", Within: 9 * time.Second}}
+	s := newScript(t, loading)
+	s.step(0, s.closing(2500, 7000))
+	r := s.request("rare")
+	r.Objective, r.Deadline = s.time(10000), s.time(30000)
+	s.step(1, Arrived{r})
+	refusal := s.oneRefusal(s.step(2300))
+	if refusal.Reason != NoEndpoint || refusal.RetryAfter < 6*time.Second {
+		t.Errorf("%+v", refusal)
+	}
+}
+
+// At the last, calls without a first byte are ended, those that may run once as well; what has begun goes on, and
+// nothing is sent any more.
+func TestCallsWithoutAFirstByteAreEnded(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"), modelEndpoint("b", 1, "m"), plainEndpoint("p", 6))
+	s.step(0, s.closing(2000, 7000))
+	stream := s.oneSend(s.step(6800, Arrived{s.patient("m")}))
+	begun := s.oneSend(s.step(6801, Arrived{s.patient("m")}))
+	once := s.oneSend(s.step(6802, Arrived{s.request("")}))
+	s.step(6900, FirstByte{ID: begun.ID, Endpoint: begun.Endpoint})
+	out := s.step(7000)
+	if list := abandoned(out); len(list) != 2 || list[0] != stream.ID || list[1] != once.ID {
+		t.Fatalf("%v", out)
+	}
+	refusal := s.oneRefusal(s.step(7001, Finished{ID: stream.ID, Endpoint: stream.Endpoint, Result: Lost, More: true}))
+	if refusal.ID != stream.ID {
+		t.Errorf("%+v", refusal)
+	}
+	s.step(7002, Finished{ID: once.ID, Endpoint: "p", Result: Lost})
+	if refusal := s.oneRefusal(s.step(7003, Arrived{s.patient("m")})); refusal.Reason != Leaving {
+		t.Errorf("%+v", refusal)
+	}
+	if out := s.step(7100, Finished{ID: begun.ID, Endpoint: begun.Endpoint}); len(out) > 0 {
+		t.Errorf("%v", out)
+	}
+	if len(s.d.requests) > 0 {
+		t.Errorf("%d requests", len(s.d.requests))
+	}
+}
+
+// A stream that broke off midway is not given up for a moment without a free place.
+func TestAStreamUnderWayWaitsAtTheEnd(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"))
+	s.step(0, s.closing(2000, 7000))
+	send := s.oneSend(s.step(2100, Arrived{s.patient("m")}))
+	s.step(2200, FirstByte{ID: send.ID, Endpoint: "a"})
+	out := s.step(2300, Finished{ID: send.ID, Endpoint: "a", Result: Lost, More: true})
+	if len(refusals(out)) > 0 {
+		t.Fatalf("%v", out)
+	}
+	b := modelEndpoint("b", 1, "m")
+	if send := s.oneSend(s.step(2350, ViewChanged{Endpoints: []protocol.Endpoint{b}})); send.Endpoint != "b" {
+		t.Errorf("%+v", send)
+	}
+}
+
+// Routers that end on days at random: each request has one end, all of those without a first byte before the last
+// moment, and all rules hold.
+func TestRoutersThatEnd(t *testing.T) {
+	for seed := range uint64(3) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		w := newWorld(t, seed, 3)
+		w.usual(0.5 + 2*rng.Float64())
+		s := w.servers[rng.IntN(len(w.servers))]
+		trouble := troubles[rng.IntN(len(troubles))]
+		w.at(2*time.Second, func(w *world) { trouble(w, s, 5*time.Second) })
+		hold, answer := 2500*time.Millisecond, 4500*time.Millisecond
+		w.ending[1] = w.zero.Add(answer)
+		w.at(time.Second, func(w *world) {
+			w.inputs[1] = append(w.inputs[1], Closing{HoldUntil: w.zero.Add(hold), AnswerBy: w.zero.Add(answer)})
+		})
+		w.play(hold + worldTick)
+		w.checkHeld(w.routers[1])
+		w.play(answer + 2*worldTick)
+		w.checkHeld(w.routers[1])
+		for _, r := range w.routers[1].requests {
+			if !r.answering {
+				t.Errorf("seed %d: request %d has no answer", seed, r.ID)
+			}
+		}
+		w.play(7 * time.Second)
+		w.finish()
+	}
+}
+
+// checkHeld: nothing is held but streams that broke off midway.
+func (w *world) checkHeld(d *Decider) {
+	for _, r := range d.requests {
+		if r.stage == waiting && !r.answering {
+			w.t.Errorf("request %d is held", r.ID)
+		}
+	}
+}
--- a/internal/router/dispatch/decider.go
+++ b/internal/router/dispatch/decider.go
@@ -38,6 +38,7 @@
 	suspects  []*endpoint // silent or failing, to be reported
 	graves    graves
 	gone      []*endpoint // scratch
+	ending    ending
 }
 
 // stage is where a request stands.
@@ -122,7 +123,10 @@
 	}
 	d.schedule.Tick(d.now)
 	d.fire()
-	d.dispatch()
+	if !d.over() {
+		d.dispatch()
+	}
+	d.close()
 	d.report()
 	return d.out
 }
@@ -160,6 +164,8 @@
 		d.finished(input)
 	case ViewChanged:
 		d.view(input)
+	case Closing:
+		d.end(input)
 	}
 }
 
--- a/internal/router/dispatch/settle.go
+++ b/internal/router/dispatch/settle.go
@@ -72,6 +72,7 @@
 	if r.Again || r.arrivals > 0 {
 		limit = r.lastUse()
 	}
+	limit = d.heldAtMost(limit)
 	if known && at < limit {
 		r.holdUntil = max(min(at+lookAgain, limit), d.now+leastHeld)
 		d.timers.add(r.holdUntil, r)
--- a/internal/router/dispatch/types.go
+++ b/internal/router/dispatch/types.go
@@ -102,12 +102,18 @@
 	Routers       int // 0: unchanged
 }
 
+// Closing: this process ends. From HoldUntil on nothing is held: what can't be sent at once is refused, and its
+// client comes back to another router. By AnswerBy whatever has had no first byte is answered: held requests are
+// refused, and calls are abandoned; nothing is sent any more. Streams that have begun go on.
+type Closing struct{ HoldUntil, AnswerBy time.Time }
+
 func (Arrived) input()     {}
 func (Withdrawn) input()   {}
 func (FirstByte) input()   {}
 func (Progress) input()    {}
 func (Finished) input()    {}
 func (ViewChanged) input() {}
+func (Closing) input()     {}
 
 // Output is something the host must do: one of the types below.
 type Output interface{ output() }
@@ -131,6 +137,7 @@
 	NoEndpoint                // 503: no endpoint of the service, or none holds the model in time
 	BudgetSpent               // what failed may not be sent again
 	Exhausted                 // MaxEndpoints reached, or it may have run and is not repeatable
+	Leaving                   // 503: this process ends, and another router may serve the request
 )
 
 // Refuse: answer at once. RetryAfter is when the client may come back, 0 where coming back is useless.
@@ -142,7 +149,8 @@
 }
 
 // Abandon: end this call now, its endpoint is silent and the request goes on elsewhere. The host answers
-// with Finished{Lost, More}. Only requests that may run twice, before their first byte, are abandoned.
+// with Finished{Lost, More}. Only requests that may run twice, before their first byte, are abandoned;
+// at the end of the process (Closing) all that have had no first byte, and the host answers as after any loss.
 type Abandon struct {
 	ID       RequestID
 	Endpoint string
--- a/internal/router/dispatch/world_test.go
+++ b/internal/router/dispatch/world_test.go
@@ -63,6 +63,7 @@
 	now     time.Duration
 	routers []*Decider
 	inputs  [][]Input
+	ending  []time.Time // of each router: from then on it abandons calls of any kind; zero: it does not end
 	clients []map[RequestID]*client
 	servers []*server
 	kinds   []*kind
@@ -109,6 +110,7 @@
 		w.clients = append(w.clients, map[RequestID]*client{})
 	}
 	w.inputs = make([][]Input, routers)
+	w.ending = make([]time.Time, routers)
 	return w
 }
 
--- a/internal/router/dispatcher/actor.go
+++ b/internal/router/dispatcher/actor.go
@@ -104,6 +104,9 @@
 	}
 }
 
+// Close tells the decider that the process ends.
+func (a *Actor) Close(closing dispatch.Closing) { a.post(command{kind: tell, input: closing}) }
+
 func (a *Actor) post(c command) {
 	a.mutex.Lock()
 	a.queue = append(a.queue, c)
--- a/internal/router/ingress/exchange.go
+++ b/internal/router/ingress/exchange.go
@@ -133,7 +133,7 @@
 	defer l.end() // for panics; it has ended otherwise
 	answer, err := x.ask(c)
 	switch {
-	case err != nil && c.Reused && !call.MayHaveRun(err) && !x.late():
+	case err != nil && c.Reused && !call.MayHaveRun(err) && !errors.Is(err, call.ErrAbandoned) && !x.late():
 		l.end() // the endpoint had closed it
 		return x.callAnew()
 	case err != nil:
--- /dev/null
+++ b/internal/router/node/ending_test.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"raventrestle/internal/protocol"
+)
+
+// endingDocument has a service whose endpoints say nothing and one without any, with objectives beyond all patience.
+const endingDocument = `{"generation":1,"routes":[
+	{"name":"once","hostname":"shop.example","path_prefix":"/once/","type":"non_idempotent","timeout_ms":60000,
+	 "target_latency_ms":50000,"priority":0,"backend":"silent","max_retries":2,"public":true},
+	{"name":"flow","hostname":"shop.example","path_prefix":"/flow/","type":"streaming","timeout_ms":60000,
+	 "target_latency_ms":50000,"priority":0,"backend":"silent","max_retries":2,"public":true,"resumable":true,"gap_aim_ms":300},
+	{"name":"held","hostname":"shop.example","path_prefix":"/held/","type":"streaming","timeout_ms":60000,
+	 "target_latency_ms":50000,"priority":0,"backend":"absent","max_retries":2,"public":true,"gap_aim_ms":300}],
+	"services":[{"name":"silent","health_check":"/healthz","max_connections":1000,"protocol":"h1","tls":false},
+	{"name":"absent","health_check":"/healthz","max_connections":1000,"protocol":"h1","tls":false}],
+	"limits":{"max_header_bytes":16384,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+
+// Whatever is held, or out without a first byte, when a router ends has its answer before the process is gone: a closed
+// connection would leave the client without the word that it may come back, or that its request may have run.
+func TestAnswersBeforeTheEnd(t *testing.T) {
+	reached := make(chan struct{}, 2)
+	release := make(chan struct{})
+	defer close(release)
+	e := model(t, func(c net.Conn, r *http.Request) { reached <- struct{}{}; <-release })
+	e.Service = "silent"
+	ctl := newControl(t, protocol.Update{Sequence: 1, Generation: 1, Document: []byte(endingDocument), Full: true,
+		Confirmed: true, Routers: 1, Endpoints: []protocol.Endpoint{e}})
+	r := newRouter(t, ctl)
+	r.settings.Bounds.Grace = 1200 * time.Millisecond
+	<-ctl.confirmed
+	clients := map[string]net.Conn{}
+	for _, path := range []string{"/once/x", "/flow/x", "/held/x"} {
+		clients[path] = r.dial()
+		fmt.Fprintf(clients[path], "POST %s HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r\r\nContent-Length: 0\r\n\r\n", path)
+	}
+	<-reached
+	<-reached
+	r.signals <- syscall.SIGTERM
+	held := receive(t, clients["/held/x"])
+	if held.StatusCode != http.StatusServiceUnavailable || held.Header.Get("Retry-After") == "" {
+		t.Errorf("held: %v", held)
+	}
+	select {
+	case <-r.ended:
+		t.Error("ended with requests open")
+	default:
+	}
+	for _, path := range []string{"/once/x", "/flow/x"} {
+		if got := receive(t, clients[path]); got.StatusCode != http.StatusBadGateway {
+			t.Errorf("%s: %v", path, got)
+		}
+	}
+	if err := <-r.ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// The last answers come after the drain and before the end, and the end before the kill, however short the grace is.
+func TestCourseOfTheEnd(t *testing.T) {
+	for _, grace := range []time.Duration{0, 100 * time.Millisecond, time.Second, 3 * time.Second, 8 * time.Second, time.Minute} {
+		c := ending(grace, servesOn)
+		if c.drain > c.answer || c.answer > c.end || c.end > grace || grace > 0 && c.end == grace {
+			t.Errorf("%v: %+v", grace, c)
+		}
+	}
+	if c := ending(8*time.Second, servesOn); c.drain != servesOn || c.end != 7400*time.Millisecond {
+		t.Errorf("%+v", c)
+	}
+}
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -27,10 +27,6 @@
 )
 
 const (
-	servesOn     = 2300 * time.Millisecond // after SIGTERM: the platform's probe, once a second, has failed twice
-	servesOnPart = 4                       // of the time until SIGKILL, at most one part in so many
-	endMargin    = 600 * time.Millisecond  // before SIGKILL
-
 	reservedDescriptors = 200 // by the platform
 	otherDescriptors    = 64  // listeners, control plane, probes, the runtime
 	leastConnections    = 16
@@ -137,11 +133,13 @@
 func (n *Node) end(signals <-chan os.Signal) error {
 	began := time.Now()
 	grace := n.settings.Bounds.Grace
+	course := ending(grace, n.servesOn)
 	n.ending.Store(true)
+	n.actor.Close(dispatch.Closing{HoldUntil: began.Add(course.drain), AnswerBy: began.Add(course.answer)})
 	n.log.Info().Msg("router.ending")
-	n.pause(min(n.servesOn, grace/servesOnPart*(servesOnPart-1)), signals)
+	n.pause(course.drain, signals)
 	n.handler.Drain()
-	ctx, stop := context.WithDeadline(context.Background(), began.Add(max(0, grace-endMargin)))
+	ctx, stop := context.WithDeadline(context.Background(), began.Add(course.end))
 	defer stop()
 	if err := n.server.End(ctx); err != nil {
 		n.log.Warn().Err(err).Msg("router.ended_with_requests_open")
