--- a/internal/control/roles/holder.go
+++ b/internal/control/roles/holder.go
@@ -9,14 +9,16 @@
 	"raventrestle/internal/configuration"
 	"raventrestle/internal/control/host"
 	"raventrestle/internal/control/placer"
+	"raventrestle/internal/control/quota"
 	"raventrestle/internal/protocol"
 )
 
 const (
 	shortestPause  = 50 * time.Millisecond // between two steps
+	lackingPause   = 4 * time.Millisecond  // the same, while requests wait for quota
 	watchEvery     = 500 * time.Millisecond
 	troubleLasts   = 4 * time.Second // after a change of view or of who is live
-	maximumReports = 4096            // kept until the next step
+	maximumBatches = 1024            // of reports, kept until the next step
 	viewWithin     = time.Second
 )
 
@@ -25,11 +27,16 @@
 	Step(now time.Time, in placer.Input) placer.Output
 }
 
+// Allocator divides tenants' limits; *quota.Allocator is one.
+type Allocator interface {
+	Step(now time.Time, in quota.Input) quota.Output
+}
+
 // Endpoints is the soft state that the roles work on; *host.Host is one.
 type Endpoints interface {
 	View(ctx context.Context) (host.View, error)
 	ShowLoading(table protocol.LoadingTable)
-	Grant(routers []protocol.RouterGrants)
+	Grant(batches map[string][]protocol.RouterGrants)
 }
 
 // Configurations gives the newest committed configuration, nil before the first.
@@ -51,6 +58,7 @@
 	Configurations Configurations
 	Mesh           host.Mesh
 	NewPlacer      func(quiet time.Duration) Placer // nobody has sent an order for so long
+	NewAllocator   func(quiet time.Duration) Allocator
 	Events         Events
 }
 
@@ -79,26 +87,25 @@
 	turn          Turn
 	ended         uint64 // epoch in which this instance last ceased to act
 	placer        Placer
+	allocator     Allocator
+	roster        *roster
 	loadings      *loadings
-	configuration *configuration.Configuration
-	orders        map[uint64]placer.Order // without a result
+	configuration *configuration.Configuration // that the placer has
+	divided       *configuration.Configuration // that the allocator has
+	orders        map[uint64]placer.Order      // without a result
 	trouble       trouble
 	nextStep      time.Time // not before then
+	stepped       time.Time // the last one
 	wakeAt        time.Time // when the placer wants its next step
 }
 
 // inbox gathers what arrives between two steps.
 type inbox struct {
-	reports []arrivedReport
+	batches []*protocol.ReportBatch
 	results []placer.Result
 	looks   []placer.Look
 }
 
-type arrivedReport struct {
-	from   string // the instance that the router is connected to
-	report protocol.Report
-}
-
 // New makes a holder; Run starts it.
 func New(settings Settings, parts Parts) *Holder {
 	h := &Holder{
@@ -133,13 +140,11 @@
 	h.nudge()
 }
 
-// Reports takes routers' reports that arrived at an instance. It does not block.
-func (h *Holder) Reports(from string, reports []protocol.Report) {
+// Reports takes what an instance's routers reported. It does not block.
+func (h *Holder) Reports(batch *protocol.ReportBatch) {
 	h.mutex.Lock()
-	for _, report := range reports {
-		if len(h.inbox.reports) < maximumReports {
-			h.inbox.reports = append(h.inbox.reports, arrivedReport{from: from, report: report})
-		}
+	if len(h.inbox.batches) < maximumBatches {
+		h.inbox.batches = append(h.inbox.batches, batch)
 	}
 	h.mutex.Unlock()
 	h.nudge()
@@ -161,7 +166,7 @@
 		changed := h.parts.Replica.Changed() // before the look, so that no change is missed
 		now := time.Now()
 		h.look(now)
-		if h.turn.Acts && !now.Before(h.nextStep) {
+		if h.turn.Acts && !now.Before(h.stepFrom()) {
 			h.step(ctx, now)
 		}
 		timer.Reset(h.pause(now))
@@ -175,6 +180,18 @@
 	}
 }
 
+// stepFrom is when the next step may be made: soon if requests wait for quota.
+func (h *Holder) stepFrom() time.Time {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for _, batch := range h.inbox.batches {
+		if batch.Lacks() {
+			return h.stepped.Add(lackingPause)
+		}
+	}
+	return h.nextStep
+}
+
 // look draws from the replica's status what this instance may do.
 func (h *Holder) look(now time.Time) {
 	status := h.parts.Replica.Status()
@@ -186,7 +203,7 @@
 		h.turn = Turn{}
 	}
 	if !h.turn.Leads {
-		h.inbox.reports = nil
+		h.inbox.batches = nil
 	}
 	h.mutex.Unlock()
 	switch {
@@ -205,9 +222,11 @@
 		return
 	}
 	h.placer = h.parts.NewPlacer(h.turn.Quiet)
+	h.allocator = h.parts.NewAllocator(h.turn.Quiet)
+	h.roster = newRoster()
 	h.loadings = newLoadings()
 	h.loadings.changed = true // the others forget what an earlier holder showed
-	h.configuration = nil
+	h.configuration, h.divided = nil, nil
 	clear(h.orders)
 	h.mutex.Lock()
 	h.term++
@@ -220,33 +239,92 @@
 	h.parts.Events.RoleEnded(before.Epoch)
 }
 
-// step has the placer decide and begins what it orders.
+// step has the placer and the allocator decide, and begins what they order.
 func (h *Holder) step(ctx context.Context, now time.Time) {
+	h.stepped = now
+	h.nextStep = now.Add(shortestPause)
 	view, err := h.view(ctx)
 	if err != nil {
-		h.nextStep = now.Add(shortestPause)
 		return // the instance stops, or is behind: later
 	}
-	in := placer.Input{Endpoints: view.Endpoints, Recovering: h.trouble.lasts(now)}
-	if newest := h.parts.Configurations.Current(); newest != nil && newest != h.configuration {
-		h.configuration = newest
-		in.Configuration = newest
-		h.loadings.configure(newest)
-	}
 	arrived := h.takeInbox()
-	for _, report := range arrived.reports {
-		in.Reports = append(in.Reports, report.report)
-	}
-	in.Results, in.Looks = arrived.results, arrived.looks
+	reports := h.reportsOf(now, arrived.batches)
+	changed := h.newConfiguration()
 	h.note(now, arrived.results)
 	h.loadings.observe(now, view.Endpoints)
-	out := h.placer.Step(now, in)
+	out := h.placer.Step(now, placer.Input{
+		Configuration: changed,
+		Endpoints:     view.Endpoints,
+		Reports:       reports,
+		Results:       arrived.results,
+		Looks:         arrived.looks,
+		Recovering:    h.trouble.lasts(now),
+	})
 	h.carryOut(ctx, out, view.Endpoints)
 	if table, changed := h.loadings.table(now, h.turn.Epoch); changed {
 		h.parts.Endpoints.ShowLoading(table)
 	}
-	h.nextStep = now.Add(shortestPause)
 	h.wakeAt = out.WakeAt
+	h.divide(now, quota.Input{
+		Routers:   h.roster.routers(now),
+		Floors:    h.roster.count(now, view.RouterCount),
+		Reports:   reports,
+		Confirmed: h.confirmedOf(arrived.batches),
+	})
+}
+
+// newConfiguration returns the newest version if it is new here.
+func (h *Holder) newConfiguration() *configuration.Configuration {
+	newest := h.parts.Configurations.Current()
+	if newest == nil || newest == h.configuration {
+		return nil
+	}
+	h.configuration = newest
+	h.loadings.configure(newest)
+	return newest
+}
+
+func (h *Holder) reportsOf(now time.Time, batches []*protocol.ReportBatch) []protocol.Report {
+	var reports []protocol.Report
+	for _, batch := range batches {
+		for i := range batch.Reports {
+			h.roster.see(now, batch.Origin.Address, &batch.Reports[i])
+		}
+		reports = append(reports, batch.Reports...)
+	}
+	return reports
+}
+
+// confirmedOf returns the confirmations of grants of this epoch; numbers of others mean nothing here.
+func (h *Holder) confirmedOf(batches []*protocol.ReportBatch) []quota.Confirmation {
+	var confirmed []quota.Confirmation
+	for _, batch := range batches {
+		for _, told := range batch.Confirmed {
+			if told.Epoch == h.turn.Epoch {
+				router := quota.Router{Node: told.Node, Incarnation: told.Incarnation}
+				confirmed = append(confirmed, quota.Confirmation{Router: router, Batch: told.Batch})
+			}
+		}
+	}
+	return confirmed
+}
+
+// divide has the tenants' limits divided. While the number of routers is unknown, all keep to their floors.
+func (h *Holder) divide(now time.Time, in quota.Input) {
+	if in.Floors == 0 {
+		return
+	}
+	if h.configuration != h.divided {
+		h.divided = h.configuration
+		in.Configuration = h.configuration
+	}
+	out := h.allocator.Step(now, in)
+	if len(out.Grants) > 0 {
+		h.parts.Endpoints.Grant(h.roster.batches(out.Grants, h.turn.Epoch))
+	}
+	if len(in.Routers) > 0 && out.WakeAt.Before(h.wakeAt) {
+		h.wakeAt = out.WakeAt
+	}
 }
 
 func (h *Holder) view(ctx context.Context) (host.View, error) {
@@ -329,5 +407,5 @@
 	if due := h.wakeAt; !due.IsZero() {
 		pause = min(pause, due.Sub(now))
 	}
-	return max(pause, h.nextStep.Sub(now), 0)
+	return max(pause, h.stepFrom().Sub(now), 0)
 }
--- a/internal/router/dispatch/decider.go
+++ b/internal/router/dispatch/decider.go
@@ -37,8 +37,8 @@
 	errors    Errors
 	suspects  []*endpoint // silent or failing, to be reported
 	graves    graves
-	gone      []*endpoint // scratch
-	ending    ending
+	gone      []*endpoint   // scratch
+	holdUntil time.Duration // at the end of the process; 0: it does not end
 }
 
 // stage is where a request stands.
@@ -85,6 +85,7 @@
 	arrivals   int
 	mayHaveRun bool
 	charged    float64
+	unpaid     bool // held until its tenant's quota allows it
 	spentAt    int64
 	spentNow   bool
 }
@@ -123,9 +124,7 @@
 	}
 	d.schedule.Tick(d.now)
 	d.fire()
-	if !d.over() {
-		d.dispatch()
-	}
+	d.dispatch()
 	d.close()
 	d.report()
 	return d.out
@@ -165,7 +164,7 @@
 	case ViewChanged:
 		d.view(input)
 	case Closing:
-		d.end(input)
+		d.holdUntil = max(input.HoldUntil.Sub(d.base), d.now)
 	}
 }
 
@@ -183,11 +182,18 @@
 	r.deadline = asked.Deadline.Sub(d.base)
 	r.rank = rank(asked)
 	r.group = d.serviceNamed(asked.Service).groupNamed(asked.Model)
-	if wait, ok := d.charge(r); !ok {
-		d.out = append(d.out, Refuse{ID: r.ID, Reason: OverQuota, RetryAfter: wait})
-		return
-	}
+	wait, paid := d.charge(r)
 	d.requests[r.ID] = r
+	switch {
+	case paid:
+		d.admit(r)
+	case !d.holdUnpaid(r):
+		d.refuse(r, OverQuota, wait)
+	}
+}
+
+// admit lets in a request that is paid for.
+func (d *Decider) admit(r *request) {
 	d.countRequest(r.group.service)
 	d.countDemand(r)
 	r.holdUntil = r.patience()
@@ -211,6 +217,9 @@
 // forget drops a request that has ended.
 func (d *Decider) forget(r *request) {
 	r.stage = ended
+	if r.unpaid {
+		d.dropUnpaid(r)
+	}
 	d.refund(r)
 	delete(d.requests, r.ID)
 }
--- a/internal/router/dispatch/types.go
+++ b/internal/router/dispatch/types.go
@@ -103,9 +103,8 @@
 }
 
 // Closing: this process ends. From HoldUntil on nothing is held: what can't be sent at once is refused, and its
-// client comes back to another router. By AnswerBy whatever has had no first byte is answered: held requests are
-// refused, and calls are abandoned; nothing is sent any more. Streams that have begun go on.
-type Closing struct{ HoldUntil, AnswerBy time.Time }
+// client comes back to another router. Only a stream that broke off midway still waits for an endpoint.
+type Closing struct{ HoldUntil time.Time }
 
 func (Arrived) input()     {}
 func (Withdrawn) input()   {}
@@ -149,8 +148,7 @@
 }
 
 // Abandon: end this call now, its endpoint is silent and the request goes on elsewhere. The host answers
-// with Finished{Lost, More}. Only requests that may run twice, before their first byte, are abandoned;
-// at the end of the process (Closing) all that have had no first byte, and the host answers as after any loss.
+// with Finished{Lost, More}. Only requests that may run twice, before their first byte, are abandoned.
 type Abandon struct {
 	ID       RequestID
 	Endpoint string
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -132,23 +132,30 @@
 // end lets the platform notice that no more clients should come, then finishes what is under way.
 func (n *Node) end(signals <-chan os.Signal) error {
 	began := time.Now()
-	grace := n.settings.Bounds.Grace
-	course := ending(grace, n.servesOn)
+	course := ending(n.settings.Bounds.Grace, n.servesOn)
 	n.ending.Store(true)
-	n.actor.Close(dispatch.Closing{HoldUntil: began.Add(course.drain), AnswerBy: began.Add(course.answer)})
+	n.actor.Close(dispatch.Closing{HoldUntil: began.Add(course.drain)})
 	n.log.Info().Msg("router.ending")
 	n.pause(course.drain, signals)
 	n.handler.Drain()
-	ctx, stop := context.WithDeadline(context.Background(), began.Add(course.end))
-	defer stop()
-	if err := n.server.End(ctx); err != nil {
-		n.log.Warn().Err(err).Msg("router.ended_with_requests_open")
-		return nil
+	refusing := time.AfterFunc(time.Until(began.Add(course.refuse)), n.handler.RefuseHeld)
+	defer refusing.Stop()
+	err := n.endBy(began.Add(course.cut))
+	if err != nil {
+		n.handler.CutCalls()
+		err = n.endBy(began.Add(course.end))
 	}
-	n.log.Info().Dur("after", time.Since(began)).Msg("router.ended")
+	n.log.Info().Dur("after", time.Since(began)).Bool("open", err != nil).Msg("router.ended")
 	return nil
 }
 
+// endBy waits for the requests in work until a time.
+func (n *Node) endBy(at time.Time) error {
+	ctx, stop := context.WithDeadline(context.Background(), at)
+	defer stop()
+	return n.server.End(ctx)
+}
+
 // pause waits; a SIGHUP meanwhile is obeyed.
 func (n *Node) pause(d time.Duration, signals <-chan os.Signal) {
 	timer := time.NewTimer(d)
