--- a/internal/router/dispatch/decider.go
+++ b/internal/router/dispatch/decider.go
@@ -37,7 +37,8 @@
 	errors    Errors
 	suspects  []*endpoint // silent or failing, to be reported
 	graves    graves
-	gone      []*endpoint // scratch
+	gone      []*endpoint   // scratch
+	holdUntil time.Duration // at the end of the process; 0: it does not end
 }
 
 // stage is where a request stands.
@@ -124,6 +125,7 @@
 	d.schedule.Tick(d.now)
 	d.fire()
 	d.dispatch()
+	d.close()
 	d.report()
 	return d.out
 }
@@ -161,6 +163,8 @@
 		d.finished(input)
 	case ViewChanged:
 		d.view(input)
+	case Closing:
+		d.holdUntil = max(input.HoldUntil.Sub(d.base), d.now)
 	}
 }
 
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -27,12 +27,6 @@
 )
 
 const (
-	servesOn     = 2300 * time.Millisecond // after SIGTERM: the platform's probe, once a second, has failed twice
-	servesOnPart = 4                       // of the time until SIGKILL, at most one part in so many
-	refuseMargin = 1500 * time.Millisecond // before SIGKILL: what is still held is refused
-	endMargin    = 600 * time.Millisecond  // before SIGKILL: calls that are still out are cut
-	cutTime      = 200 * time.Millisecond  // for the last answers after that
-
 	reservedDescriptors = 200 // by the platform
 	otherDescriptors    = 64  // listeners, control plane, probes, the runtime
 	leastConnections    = 16
@@ -138,17 +132,18 @@
 // end lets the platform notice that no more clients should come, then finishes what is under way.
 func (n *Node) end(signals <-chan os.Signal) error {
 	began := time.Now()
-	grace := n.settings.Bounds.Grace
+	course := ending(n.settings.Bounds.Grace, n.servesOn)
 	n.ending.Store(true)
+	n.actor.Close(dispatch.Closing{HoldUntil: began.Add(course.drain)})
 	n.log.Info().Msg("router.ending")
-	n.pause(min(n.servesOn, grace/servesOnPart*(servesOnPart-1)), signals)
+	n.pause(course.drain, signals)
 	n.handler.Drain()
-	refusing := time.AfterFunc(time.Until(began.Add(grace-refuseMargin)), n.handler.RefuseHeld)
+	refusing := time.AfterFunc(time.Until(began.Add(course.refuse)), n.handler.RefuseHeld)
 	defer refusing.Stop()
-	err := n.endBy(began.Add(grace - endMargin))
+	err := n.endBy(began.Add(course.cut))
 	if err != nil {
 		n.handler.CutCalls()
-		err = n.endBy(began.Add(grace - endMargin + cutTime))
+		err = n.endBy(began.Add(course.end))
 	}
 	n.log.Info().Dur("after", time.Since(began)).Bool("open", err != nil).Msg("router.ended")
 	return nil
