Wait on for a silent stream that can't go on elsewhere

Change: a pause is told to the dispatcher, which ends the call only where the request goes now; the read goes on otherwise. Tests on relay, ingress and decider.

--- a/internal/router/dispatch/decider.go
+++ b/internal/router/dispatch/decider.go
@@ -159,6 +159,8 @@
 		d.firstByte(input)
 	case Progress:
 		d.progress(input)
+	case Stalled:
+		d.stalled(input)
 	case Finished:
 		d.finished(input)
 	case ViewChanged:
--- a/internal/router/dispatch/decisions_test.go
+++ b/internal/router/dispatch/decisions_test.go
@@ -264,6 +264,27 @@
 	}
 }
 
+// A stream that pauses goes on elsewhere only where that is possible; else its call is left alone.
+func TestStalledStreamMovesOnlyWhereItCanGo(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"))
+	first := s.oneSend(s.step(1, Arrived{s.request("m")}))
+	s.step(100, FirstByte{ID: first.ID, Endpoint: "a"})
+	if hasAbandon(s.step(1700, Stalled{ID: first.ID, Endpoint: "a"})) {
+		t.Error("left an endpoint with nowhere else to go")
+	}
+	s.step(1800, ViewChanged{Endpoints: []protocol.Endpoint{modelEndpoint("b", 1, "m")}})
+	if !hasAbandon(s.step(2100, Stalled{ID: first.ID, Endpoint: "a"})) {
+		t.Error("stayed at a silent endpoint")
+	}
+	if hasAbandon(s.step(2500, Stalled{ID: first.ID, Endpoint: "a"})) {
+		t.Error("abandoned twice")
+	}
+	out := s.step(2501, Finished{ID: first.ID, Endpoint: "a", Result: Lost, More: true})
+	if send := s.oneSend(out); send.Endpoint != "b" {
+		t.Errorf("sent to %s", send.Endpoint)
+	}
+}
+
 func TestDarkEndpointIsLeft(t *testing.T) {
 	s := newScript(t, modelEndpoint("a", 1, "m"), modelEndpoint("b", 1, "m"))
 	first := s.oneSend(s.step(1, Arrived{s.request("m")}))
--- a/internal/router/dispatch/evidence.go
+++ b/internal/router/dispatch/evidence.go
@@ -237,8 +237,26 @@
 
 // abandon ends a call to a dark endpoint where the request may go on elsewhere.
 func (d *Decider) abandon(r *request) {
+	if r.answering {
+		return
+	}
+	d.moveCall(r)
+}
+
+// stalled ends the call of a stream that has paused for long, where it may go on elsewhere; else it waits on:
+// silence alone is no reason to end an answer.
+func (d *Decider) stalled(input Stalled) {
+	r := d.requests[input.ID]
+	if r == nil || r.stage != sent || r.abandoned || r.at.id != input.Endpoint {
+		return
+	}
+	d.moveCall(r)
+}
+
+// moveCall ends a call so that its request goes on elsewhere, if it may and can go there now.
+func (d *Decider) moveCall(r *request) {
 	e := r.at
-	if !r.Repeatable || r.answering || r.withdrawn {
+	if !r.Repeatable || r.withdrawn {
 		return
 	}
 	if r.runs+1 >= max(r.MaxEndpoints, 1) || !d.mayGoAgain(r) {
--- a/internal/router/dispatch/types.go
+++ b/internal/router/dispatch/types.go
@@ -66,6 +66,12 @@
 	Events   int // since the last
 }
 
+// Stalled: a stream that may go on elsewhere has paused for long. The call goes on unless Abandon follows.
+type Stalled struct {
+	ID       RequestID
+	Endpoint string
+}
+
 // Result says how a call ended.
 type Result uint8
 
@@ -109,6 +115,7 @@
 func (Arrived) input()     {}
 func (Withdrawn) input()   {}
 func (FirstByte) input()   {}
+func (Stalled) input()     {}
 func (Progress) input()    {}
 func (Finished) input()    {}
 func (ViewChanged) input() {}
--- a/internal/router/dispatcher/ticket.go
+++ b/internal/router/dispatcher/ticket.go
@@ -68,6 +68,16 @@
 	t.actor.post(command{kind: tell, input: dispatch.Progress{ID: t.id, Endpoint: endpoint, Events: events}})
 }
 
+// Stalled tells that the endpoint has paused for long in a stream that may go on elsewhere. It is false where the call
+// has been abandoned already.
+func (t *Ticket) Stalled(endpoint string) bool {
+	if t.abandoned.Load() {
+		return false
+	}
+	t.actor.post(command{kind: tell, input: dispatch.Stalled{ID: t.id, Endpoint: endpoint}})
+	return true
+}
+
 // Ending is how a call ended.
 type Ending struct {
 	Send       *dispatch.Send
--- a/internal/router/ingress/answer.go
+++ b/internal/router/ingress/answer.go
@@ -273,6 +273,8 @@
 
 func (s *source) SetReadDeadline(t time.Time) error { return s.lease.connection.SetReadDeadline(t) }
 
+func (s *source) OnSilence(ask func() time.Time) { s.lease.connection.OnSilence = ask }
+
 // eventClient is the client of a relay.
 type eventClient struct {
 	x       *exchange
@@ -296,6 +298,8 @@
 
 func (c *eventClient) Flush() error { return c.flusher.Flush() }
 
+func (c *eventClient) Stalled() bool { return c.x.ticket.Stalled(c.x.out.Endpoint) }
+
 func (c *eventClient) Progress(events int) {
 	c.x.ticket.Progress(c.x.out.Endpoint, events)
 }
--- a/internal/router/ingress/stream_test.go
+++ b/internal/router/ingress/stream_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -198,6 +199,30 @@
 	}
 }
 
+// A resumable stream that falls silent where no other endpoint can take it is waited for.
+func TestSilentStreamIsWaitedFor(t *testing.T) {
+	var w *world
+	e0 := newEndpoint(t, func(c net.Conn, r *received) bool {
+		return streaming(2, "s0", func(c net.Conn) {
+			w.double.until(t, "told of the pause", func() bool {
+				return slices.ContainsFunc(w.double.seen, func(i dispatch.Input) bool { _, ok := i.(dispatch.Stalled); return ok })
+			})
+			chunk(c, eventsTo(3, 4))
+			chunk(c, "")
+		})(c, r)
+	})
+	w = newWorld(t, e0)
+	w.handler.leastSilence = 20 * time.Millisecond
+	route, _ := w.holder.Load().Index.Route(testHost, "/resumable/")
+	route.GapAimMS = 5
+	if got := w.ask(request("POST", "/resumable/x", "r1", "b")); got.text != eventsTo(1, 4) || got.err != nil {
+		t.Errorf("%q %v", got.text, got.err)
+	}
+	if have := w.double.results(t, 1); have[0] != dispatch.Succeeded {
+		t.Errorf("results %v", have)
+	}
+}
+
 // A stream of another kind than events in chunks: with a length, and without any event.
 func TestStreamFramings(t *testing.T) {
 	e := newEndpoint(t, func(c net.Conn, r *received) bool {
--- a/internal/router/ingress/world_test.go
+++ b/internal/router/ingress/world_test.go
@@ -123,6 +123,10 @@
 		case dispatch.Arrived:
 			d.requests[i.Request.ID] = &i.Request
 			outputs = append(outputs, d.next(i.Request.ID)...)
+		case dispatch.Stalled: // as the decider: a call ends only where another endpoint will take the request
+			if d.sent[i.ID] < len(d.endpoints) {
+				outputs = append(outputs, dispatch.Abandon{ID: i.ID, Endpoint: i.Endpoint})
+			}
 		case dispatch.Finished:
 			d.finished = append(d.finished, i)
 			if i.More {
--- a/internal/router/pool/connection.go
+++ b/internal/router/pool/connection.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -36,6 +37,10 @@
 	Endpoint string
 	Reused   bool // an earlier call was answered on it
 
+	// OnSilence is asked when the deadline of a read has passed, for another one; the read goes on. Where it is nil or
+	// returns the zero time, the read fails.
+	OnSilence func() time.Time
+
 	restUntil time.Time
 	headLeft  int // bytes that the head of the answer may still take, negative: no limit now
 }
@@ -108,12 +113,24 @@
 		b = b[:c.headLeft]
 	}
 	n, err := c.Conn.Read(b)
+	for n == 0 && err != nil && c.waitsOn(err) {
+		n, err = c.Conn.Read(b)
+	}
 	if c.headLeft > 0 {
 		c.headLeft -= n
 	}
 	return n, err
 }
 
+// waitsOn says whether a read whose deadline has passed is to go on, and sets its new deadline.
+func (c *Connection) waitsOn(err error) bool {
+	if c.OnSilence == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	until := c.OnSilence()
+	return !until.IsZero() && c.Conn.SetReadDeadline(until) == nil
+}
+
 // BeginHead bounds what is read until EndHead.
 func (c *Connection) BeginHead() { c.headLeft = mostHeadBytes }
 
--- a/internal/router/stream/relay.go
+++ b/internal/router/stream/relay.go
@@ -10,6 +10,9 @@
 // progressInterval is how often the client of a relay is told of progress, at most.
 const progressInterval = 500 * time.Millisecond
 
+// stalledPart of the longest pause is how long a silent source is waited for before Stalled is asked again.
+const stalledPart = 4
+
 // ErrGap says that a second run did not go on where the first had broken off.
 var ErrGap = errors.New("events are missing")
 
@@ -17,6 +20,7 @@
 type Source interface {
 	io.Reader
 	SetReadDeadline(time.Time) error
+	OnSilence(func() time.Time) // asked when a read's deadline has passed: a new one, or zero to let the read fail
 }
 
 // Client takes what is passed on.
@@ -25,6 +29,7 @@
 	Write([]byte) error  // whole events
 	Flush() error        // sends what was written
 	Progress(events int) // so many came since the last call
+	Stalled() bool       // the source has been silent for long; true to wait on
 }
 
 // ClientError is a client's connection that failed.
@@ -65,6 +70,10 @@
 	r.splitter.Reset()
 	r.sequence.Resume()
 	watch := watch{source: source, pace: pace}
+	if pace.Silence > 0 {
+		source.OnSilence(func() time.Time { return r.waitOn(pace) })
+		defer source.OnSilence(nil)
+	}
 	for {
 		failed := r.splitter.Fill(source)
 		passed, err := r.passWhole()
@@ -89,6 +98,15 @@
 	}
 }
 
+// waitOn says until when a source that was silent is waited for, zero for no longer.
+func (r *Relay) waitOn(pace Pace) time.Time {
+	now := time.Now()
+	if !now.Before(pace.Deadline) || !r.client.Stalled() {
+		return time.Time{}
+	}
+	return pace.until(now, pace.Silence/stalledPart)
+}
+
 // passWhole writes all whole events that were read, those that follow each other in one piece.
 func (r *Relay) passWhole() (passed int, err error) {
 	var piece []byte
@@ -175,9 +193,13 @@
 		return nil
 	}
 	w.renewAt = now.Add(w.pace.Silence / 8)
-	until := now.Add(w.pace.Silence + w.pace.Silence/8)
-	if until.After(w.pace.Deadline) {
-		until = w.pace.Deadline
+	return w.source.SetReadDeadline(w.pace.until(now, w.pace.Silence+w.pace.Silence/8))
+}
+
+// until is the end of a wait, not beyond the deadline.
+func (p Pace) until(now time.Time, wait time.Duration) time.Time {
+	if end := now.Add(wait); end.Before(p.Deadline) {
+		return end
 	}
-	return w.source.SetReadDeadline(until)
+	return p.Deadline
 }
--- a/internal/router/stream/relay_test.go
+++ b/internal/router/stream/relay_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -31,12 +32,15 @@
 
 func (r *run) SetReadDeadline(time.Time) error { return nil }
 
+func (r *run) OnSilence(func() time.Time) {}
+
 // sink is a client that keeps what it was sent.
 type sink struct {
 	bytes.Buffer
 	begun   int
 	flushed int
 	failing bool
+	stalls  int // pauses that are waited for
 }
 
 func (s *sink) Begin() { s.begun++ }
@@ -53,6 +57,8 @@
 
 func (s *sink) Progress(int) {}
 
+func (s *sink) Stalled() bool { s.stalls--; return s.stalls >= 0 }
+
 var errBroken = errors.New("broken")
 
 func events(ids ...int) string {
@@ -191,3 +197,46 @@
 		}
 	})
 }
+
+// A silent source is waited for as long as the client says so; then the run ends with its time-out.
+func TestSilenceIsWaitedFor(t *testing.T) {
+	pace := Pace{Silence: time.Second, Deadline: time.Now().Add(time.Minute)}
+	for stalls, want := range map[int]string{0: events(1), 1: events(1, 2), 2: events(1, 2, 3)} {
+		client := &sink{stalls: stalls}
+		err := NewRelay(client, 1).Run(&halting{reads: []string{events(1), "", events(2), "", events(3)}}, pace)
+		if client.String() != want {
+			t.Errorf("%d pauses waited for: %q", stalls, client.String())
+		}
+		if whole := stalls == 2; whole != (err == nil) || !whole && !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%d pauses waited for: %v", stalls, err)
+		}
+	}
+	late := &sink{stalls: 9}
+	if err := NewRelay(late, 1).Run(&halting{reads: []string{events(1), "", events(2)}}, Pace{Silence: time.Second}); err == nil {
+		t.Error("waited on after the deadline")
+	}
+}
+
+// halting is a source whose reads time out where a piece is empty.
+type halting struct {
+	reads []string
+	ask   func() time.Time
+}
+
+func (h *halting) Read(b []byte) (int, error) {
+	for len(h.reads) > 0 {
+		piece := h.reads[0]
+		h.reads = h.reads[1:]
+		if piece != "" {
+			return copy(b, piece), nil
+		}
+		if h.ask().IsZero() {
+			return 0, os.ErrDeadlineExceeded
+		}
+	}
+	return 0, io.EOF
+}
+
+func (h *halting) SetReadDeadline(time.Time) error { return nil }
+
+func (h *halting) OnSilence(ask func() time.Time) { h.ask = ask }
