--- a/internal/control/registry/beats.go
+++ b/internal/control/registry/beats.go
@@ -28,8 +28,12 @@
 	r.acknowledge(in.Ticket, true)
 }
 
-// late says that something newer of the endpoint is known. The same sequence again is a repeated call.
+// late says that something newer of the endpoint is known. The same sequence again is a repeated call, unless the
+// endpoint was given up since.
 func (r *Registry) late(e *entry, told protocol.Endpoint) bool {
+	if e.gone {
+		return told.Sequence <= e.endpoint.Sequence
+	}
 	return e.content != 0 && told.Sequence < e.endpoint.Sequence
 }
 
--- /dev/null
+++ b/internal/control/registry/registry_test.go
@@ -0,0 +1,295 @@
+package registry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"raventrestle/internal/protocol"
+)
+
+const heartbeatEvery = 1200 * time.Millisecond
+
+var begin = time.Unix(1000, 0)
+
+// table is a registry with a clock of its own.
+type table struct {
+	t *testing.T
+	*Registry
+	now    time.Time
+	ticket uint64
+	out    Output
+}
+
+// newTable returns a registry that is old enough to judge, without other instances or routers.
+func newTable(t *testing.T) *table {
+	t.Helper()
+	settings := Settings{Origin: protocol.Origin{Address: "self", Incarnation: 1}, Heartbeat: heartbeatEvery}
+	made := &table{t: t, Registry: New(settings, begin), now: begin}
+	made.wait(5 * time.Second)
+	return made
+}
+
+// wait lets time pass with a step whenever one is due.
+func (x *table) wait(span time.Duration) {
+	for end := x.now.Add(span); x.now.Before(end); {
+		next := x.wakeAt()
+		if !next.After(x.now) || next.After(end) {
+			next = end
+		}
+		x.now = next
+		x.step()
+	}
+}
+
+func (x *table) step(inputs ...Input) Output {
+	x.out = x.Step(x.now, inputs...)
+	return x.out
+}
+
+func beat(id string, sequence uint64, state protocol.EndpointState) protocol.Endpoint {
+	return protocol.Endpoint{ID: id, Service: "s", Address: id + ":1", State: state, Sequence: sequence}
+}
+
+func (x *table) beat(endpoint protocol.Endpoint) Output {
+	x.ticket++
+	return x.step(Heartbeat{Ticket: x.ticket, Endpoint: endpoint})
+}
+
+func (x *table) leave(id string) Output {
+	x.ticket++
+	return x.step(Leave{Ticket: x.ticket, ID: id})
+}
+
+func (x *table) want(id string, state protocol.EndpointState) {
+	x.t.Helper()
+	for _, e := range x.Endpoints(x.now) {
+		if e.ID == id {
+			if e.State != state {
+				x.t.Errorf("%s is %d, want %d", id, e.State, state)
+			}
+			return
+		}
+	}
+	if state != protocol.Gone {
+		x.t.Errorf("%s is not there, want %d", id, state)
+	}
+}
+
+func acknowledged(out Output) bool { return len(out.Acknowledge) == 1 && out.Acknowledge[0].Settled }
+
+func TestLateHeartbeatChangesNothing(t *testing.T) {
+	x := newTable(t)
+	x.beat(beat("e", 5, protocol.Draining))
+	if out := x.beat(beat("e", 4, protocol.Ready)); !acknowledged(out) || len(out.Changed) != 0 {
+		t.Errorf("%+v", out)
+	}
+	x.want("e", protocol.Draining)
+	x.leave("e")
+	x.beat(beat("e", 6, protocol.Ready))
+	x.want("e", protocol.Gone)
+}
+
+func TestUnchangedHeartbeatIsNoNews(t *testing.T) {
+	x := newTable(t)
+	x.beat(beat("e", 1, protocol.Ready))
+	if out := x.beat(beat("e", 2, protocol.Ready)); len(out.Changed) != 0 || len(out.Send) != 0 {
+		t.Errorf("%+v", out)
+	}
+	cold := beat("e", 3, protocol.Ready)
+	cold.ColdFor = 3 * time.Second
+	if out := x.beat(cold); len(out.Changed) != 1 {
+		t.Errorf("news of a cold endpoint: %+v", out)
+	}
+	x.wait(time.Second)
+	cold.Sequence, cold.ColdFor = 4, 2*time.Second
+	if out := x.beat(cold); len(out.Changed) != 0 {
+		t.Errorf("it grows warm as expected: %+v", out)
+	}
+}
+
+func TestSilenceThenEnd(t *testing.T) {
+	x := newTable(t)
+	x.beat(beat("e", 1, protocol.Ready))
+	x.wait(3 * heartbeatEvery)
+	x.want("e", protocol.Ready)
+	x.wait(2 * time.Second)
+	x.want("e", protocol.Silent)
+	x.beat(beat("e", 2, protocol.Ready))
+	x.want("e", protocol.Ready)
+	x.wait(dropAfter + 2*time.Second)
+	x.want("e", protocol.Gone)
+	x.beat(beat("e", 3, protocol.Ready))
+	x.want("e", protocol.Ready)
+}
+
+func TestSilentDrainingEndpointIsNotOffered(t *testing.T) {
+	x := newTable(t)
+	x.beat(beat("e", 1, protocol.Draining))
+	x.wait(6 * time.Second)
+	x.want("e", protocol.Draining)
+}
+
+func TestRoutersJudgeSilentEndpoints(t *testing.T) {
+	x := newTable(t)
+	for _, id := range []string{"reached", "unreachable", "alive"} {
+		x.beat(beat(id, 1, protocol.Ready))
+	}
+	for range 5 {
+		x.wait(heartbeatEvery)
+		x.beat(beat("alive", 9, protocol.Ready))
+	}
+	report := RouterReport{Unreachable: []string{"unreachable", "alive"}, Reached: []string{"reached"}}
+	x.step(report)
+	x.want("unreachable", protocol.Gone)
+	x.want("alive", protocol.Ready)
+	x.step(RouterReport{Unreachable: []string{"reached"}})
+	x.want("reached", protocol.Silent)
+	for range 8 {
+		x.wait(3 * time.Second)
+		x.step(RouterReport{Reached: []string{"reached"}})
+	}
+	x.want("reached", protocol.Silent)
+}
+
+func TestNewEndpointAtAnOldAddress(t *testing.T) {
+	x := newTable(t)
+	x.beat(beat("old", 1, protocol.Ready))
+	x.wait(time.Second)
+	next := beat("new", 1, protocol.Ready)
+	next.Address = "old:1"
+	x.beat(next)
+	x.want("old", protocol.Gone)
+	x.want("new", protocol.Ready)
+	x.beat(beat("old", 1, protocol.Ready)) // late
+	x.want("old", protocol.Gone)
+	x.want("new", protocol.Ready)
+}
+
+func TestFarewellWaitsForRoutersAndInstances(t *testing.T) {
+	x := newTable(t)
+	x.beat(beat("e", 1, protocol.Ready))
+	x.step(Peers{Reachable: []string{"other"}}, RoutersConfirmed{Revision: x.Revision()})
+	out := x.beat(beat("e", 2, protocol.Draining))
+	if len(out.Acknowledge) != 0 {
+		t.Fatal("acknowledged at once")
+	}
+	var delta *protocol.RegistryDelta
+	for _, message := range out.Send {
+		if sent, isDelta := message.Message.(*protocol.RegistryDelta); isDelta {
+			delta = sent
+		}
+	}
+	if delta == nil || !delta.Settle || len(delta.Records) != 1 {
+		t.Fatalf("sent %+v", out.Send)
+	}
+	if out = x.step(RoutersConfirmed{Revision: out.Revision}); len(out.Acknowledge) != 0 {
+		t.Fatal("acknowledged without the other instance")
+	}
+	confirm := &protocol.RegistryConfirm{Origin: protocol.Origin{Address: "other", Incarnation: 2}, For: 1,
+		InForce: []uint64{delta.Sequence}}
+	if out = x.step(Message{Content: confirm}); !acknowledged(out) {
+		t.Fatalf("%+v", out)
+	}
+	if out = x.beat(beat("e", 3, protocol.Draining)); !acknowledged(out) {
+		t.Errorf("it waits again: %+v", out)
+	}
+}
+
+func TestFarewellDoesNotWaitForEver(t *testing.T) {
+	x := newTable(t)
+	x.step(Peers{Reachable: []string{"mute"}})
+	start := x.now
+	x.beat(beat("e", 1, protocol.Draining))
+	for len(x.out.Acknowledge) == 0 {
+		x.wait(10 * time.Millisecond)
+	}
+	if took := x.now.Sub(start); took < SettleWithin || took > SettleWithin+20*time.Millisecond {
+		t.Errorf("acknowledged after %v", took)
+	}
+	if x.out.Acknowledge[0].Settled {
+		t.Error("settled without the other instance")
+	}
+}
+
+func TestIsolatedOrYoungInstanceRefusesFarewells(t *testing.T) {
+	x := newTable(t)
+	x.step(Peers{Isolated: true})
+	for _, out := range []Output{x.beat(beat("e", 1, protocol.Ready)), x.beat(beat("e", 2, protocol.Draining)),
+		x.leave("e")} {
+		if len(out.Acknowledge) != 1 || !out.Acknowledge[0].Refused {
+			t.Errorf("%+v", out)
+		}
+	}
+	x.want("e", protocol.Gone) // noted all the same
+	young := &table{t: t, Registry: New(x.settings, begin), now: begin.Add(10 * time.Millisecond)}
+	if out := young.beat(beat("e", 1, protocol.Ready)); !acknowledged(out) {
+		t.Errorf("ready at a young instance: %+v", out)
+	}
+	if out := young.beat(beat("e", 2, protocol.Draining)); !out.Acknowledge[0].Refused {
+		t.Errorf("draining at a young instance: %+v", out)
+	}
+}
+
+func TestThawedInstanceBlamesNobody(t *testing.T) {
+	x := newTable(t)
+	x.beat(beat("e", 1, protocol.Ready))
+	x.now = x.now.Add(30 * time.Second)
+	x.step()
+	x.want("e", protocol.Ready)
+}
+
+func TestHintsAreBounded(t *testing.T) {
+	x := newTable(t)
+	x.step(Peers{Reachable: []string{"other"}})
+	x.step(Peers{})
+	for n := range maximumHints + 10 {
+		x.beat(beat(fmt.Sprint("e", n), 1, protocol.Ready))
+	}
+	if hints := len(x.peers["other"].dirty); hints > maximumHints {
+		t.Errorf("%d hints", hints)
+	}
+	out := x.step(Peers{Reachable: []string{"other"}})
+	for _, message := range out.Send {
+		if _, isSummary := message.Message.(*protocol.RegistrySummary); isSummary {
+			return
+		}
+	}
+	t.Error("no full exchange")
+}
+
+func TestTombstonesAreForgotten(t *testing.T) {
+	x := newTable(t)
+	x.beat(beat("e", 1, protocol.Ready))
+	x.leave("e")
+	x.wait(leftFor + 3*time.Second)
+	if len(x.entries) != 0 || len(x.byHash) != 0 || len(x.byAddress) != 0 {
+		t.Errorf("%d entries, %d hashes, %d addresses", len(x.entries), len(x.byHash), len(x.byAddress))
+	}
+}
+
+func TestLoadingOfTheNewestHolderIsShown(t *testing.T) {
+	x := newTable(t)
+	x.beat(beat("e", 1, protocol.Ready))
+	table := func(epoch, sequence uint64, models ...string) *protocol.LoadingTable {
+		made := &protocol.LoadingTable{Origin: protocol.Origin{Address: "other", Incarnation: 2}, Epoch: epoch,
+			Sequence: sequence}
+		for _, model := range models {
+			made.Loading = append(made.Loading, protocol.EndpointLoading{Endpoint: "e",
+				Loads: []protocol.Load{{Model: model, Within: 5 * time.Second}}})
+		}
+		return made
+	}
+	x.step(Message{Content: table(3, 1, "m")})
+	x.now = x.now.Add(2 * time.Second)
+	if shown := x.Endpoints(x.now)[0].Loading; len(shown) != 1 || shown[0].Model != "m" || shown[0].Within != 3*time.Second {
+		t.Errorf("%+v", shown)
+	}
+	x.step(Message{Content: table(2, 9, "old")})
+	if shown := x.Endpoints(x.now)[0].Loading; shown[0].Model != "m" {
+		t.Errorf("an earlier holder's: %+v", shown)
+	}
+	if out := x.step(Message{Content: table(3, 2)}); len(out.Changed) != 1 || len(out.Changed[0].Loading) != 0 {
+		t.Errorf("when it is done: %+v", out.Changed)
+	}
+}
