--- /dev/null
+++ b/cmd/raventrestle-control/instance_test.go
@@ -0,0 +1,239 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"raventrestle/internal/nodeconfig"
+	"raventrestle/internal/protocol"
+	"raventrestle/internal/transport"
+)
+
+const patience = 15 * time.Second // of a test for what must come
+
+// group is three instances on loopback, each with an address of its own and the same ports.
+type group struct {
+	t         *testing.T
+	settings  []*nodeconfig.Settings
+	instances []*instance
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
+func startGroup(t *testing.T) *group {
+	t.Helper()
+	g := &group{t: t}
+	control, internal := freePort(t), freePort(t)
+	var seeds []string
+	for n := range 3 {
+		seeds = append(seeds, fmt.Sprintf("127.0.0.%d:%d", 21+n, control))
+	}
+	for n, seed := range seeds {
+		ip, _, _ := net.SplitHostPort(seed)
+		g.settings = append(g.settings, &nodeconfig.Settings{
+			NodeName: fmt.Sprintf("core-%d", n+1), IP: ip, Zone: fmt.Sprintf("z%d", n+1), ListenControl: seed,
+			EphemeralFirst: internal, Seeds: seeds, Bootstrap: true, DataDir: t.TempDir(),
+			Heartbeat: 300 * time.Millisecond, LogLevel: "error", FaultToleranceMachines: 1,
+			Bounds: nodeconfig.Bounds{Lease: 300 * time.Millisecond},
+		})
+		g.instances = append(g.instances, nil)
+		g.start(n)
+	}
+	t.Cleanup(func() {
+		for n := range g.instances {
+			g.stop(n, 0)
+		}
+	})
+	return g
+}
+
+func (g *group) start(n int) {
+	g.t.Helper()
+	running, err := start(context.Background(), g.settings[n], newEvents("error"))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.instances[n] = running
+}
+
+// stop ends an instance; without a time for the handover it is not a planned one.
+func (g *group) stop(n int, handOver time.Duration) {
+	if g.instances[n] == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handOver)
+	defer cancel()
+	_ = g.instances[n].stop(ctx) // whether others could take over is seen by what they answer
+	g.instances[n] = nil
+}
+
+// call asks an instance until it answers with one of the statuses.
+func (g *group) call(n int, method, path, ifMatch, body string, statuses ...int) string {
+	g.t.Helper()
+	var last string
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); {
+		status, text := g.once(n, method, path, ifMatch, body)
+		last = strconv.Itoa(status) + " " + text
+		for _, wanted := range statuses {
+			if status == wanted {
+				return text
+			}
+		}
+	}
+	g.t.Fatalf("%s %s at %d: %s", method, path, n, last)
+	return ""
+}
+
+func (g *group) once(n int, method, path, ifMatch, body string) (status int, text string) {
+	url := "http://" + g.settings[n].ListenControl + path
+	request, err := http.NewRequestWithContext(g.t.Context(), method, url, strings.NewReader(body))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	request.Header.Set("If-Match", ifMatch)
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = answer.Body.Close() }()
+	read, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return answer.StatusCode, string(read)
+}
+
+func document(generation int) string {
+	return fmt.Sprintf(`{"generation":%d,"routes":[],"services":[{"name":"s","health_check":"/h","max_connections":4,`+
+		`"protocol":"h1"}],"limits":{"max_header_bytes":1000,"max_body_bytes":1000,"header_timeout_ms":1000,`+
+		`"idle_timeout_ms":1000},"tenants":[]}`, generation)
+}
+
+// router follows one instance and confirms what it gets.
+type router struct {
+	updates chan *protocol.Update
+	closed  chan struct{}
+}
+
+func (r *router) Message(c *transport.Connection, message any) {
+	if update, isUpdate := message.(*protocol.Update); isUpdate {
+		_ = c.Send(protocol.Confirm{Sequence: update.Sequence}) // a closed connection tells of itself
+		r.updates <- update
+	}
+}
+
+func (r *router) Closed(*transport.Connection, error) { close(r.closed) }
+
+func (g *group) subscribe(n int, node string) *router {
+	g.t.Helper()
+	r := &router{updates: make(chan *protocol.Update, 256), closed: make(chan struct{})}
+	connection, err := transport.Dial(g.t.Context(), g.instances[n].peers.Address(), protocol.NewCodec(), r)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.t.Cleanup(connection.Close)
+	if err := connection.Send(protocol.Subscribe{Node: node, Incarnation: 1}); err != nil {
+		g.t.Fatal(err)
+	}
+	return r
+}
+
+func (r *router) await(t *testing.T, what string, fits func(u *protocol.Update) bool) {
+	t.Helper()
+	deadline := time.After(patience)
+	for {
+		select {
+		case update := <-r.updates:
+			if fits(update) {
+				return
+			}
+		case <-deadline:
+			t.Fatalf("no update with %s", what)
+		}
+	}
+}
+
+func endpointBody(state string, sequence int) string {
+	return fmt.Sprintf(`{"backend":"s","address":"127.0.0.9:8080","zone":"z1","slots":4,"state":%q,"seq":%d}`,
+		state, sequence)
+}
+
+// TestWholeGroup takes a configuration, brings it and an endpoint to a router of another instance, and goes on after
+// the head has left.
+func TestWholeGroup(t *testing.T) {
+	g := startGroup(t)
+	g.call(1, http.MethodPut, "/-/config", "0", document(5), http.StatusOK)
+	g.call(2, http.MethodPut, "/-/config", "0", document(5), http.StatusOK)
+	g.call(0, http.MethodPut, "/-/config", "0", document(6), http.StatusPreconditionFailed)
+	g.call(0, http.MethodPut, "/-/config", "5", document(5), http.StatusBadRequest)
+	var follower *router
+	for follower == nil || !follower.stays() {
+		follower = g.subscribe(2, "r1")
+	}
+	follower.await(t, "version 5 confirmed", func(u *protocol.Update) bool { return u.Generation == 5 && u.Confirmed })
+	g.call(0, http.MethodPut, "/-/instances/i-1", "", endpointBody("ready", 1), http.StatusOK)
+	follower.await(t, "the endpoint", func(u *protocol.Update) bool { return len(u.Endpoints) > 0 })
+	g.call(0, http.MethodPut, "/-/instances/i-1", "", endpointBody("draining", 2), http.StatusOK)
+	follower.await(t, "the farewell", func(u *protocol.Update) bool {
+		return len(u.Endpoints) > 0 && u.Endpoints[0].State == protocol.Draining
+	})
+	g.stop(0, 2*time.Second)
+	text := g.call(1, http.MethodGet, "/-/config", "", "", http.StatusOK)
+	if !strings.Contains(text, `"generation":5`) {
+		t.Errorf("read back %s", text)
+	}
+	g.call(2, http.MethodPut, "/-/config", "5", document(8), http.StatusOK)
+	follower.await(t, "version 8", func(u *protocol.Update) bool { return u.Generation == 8 })
+	g.settings[0].Bootstrap = false
+	g.start(0)
+	text = g.call(0, http.MethodGet, "/-/config", "", "", http.StatusOK)
+	if !strings.Contains(text, `"generation":8`) {
+		t.Errorf("read back by the one that returned: %s", text)
+	}
+}
+
+// stays says whether the instance keeps the router: one that has not met the others yet sends it away once.
+func (r *router) stays() bool {
+	select {
+	case <-r.closed:
+		return false
+	case update := <-r.updates:
+		r.updates <- update
+		return true
+	}
+}
+
+func TestStartNeedsNobody(t *testing.T) {
+	port := freePort(t)
+	settings := &nodeconfig.Settings{
+		NodeName: "core-1", IP: "127.0.0.21", Zone: "z", ListenControl: fmt.Sprintf("127.0.0.21:%d", port),
+		EphemeralFirst: freePort(t), Seeds: []string{"127.0.0.22:1", "127.0.0.23:1"}, DataDir: t.TempDir(),
+		Heartbeat: time.Second, LogLevel: "error",
+	}
+	begun := time.Now()
+	running, err := start(t.Context(), settings, newEvents("error"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(begun); took > time.Second {
+		t.Errorf("it took %v", took)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_ = running.stop(ctx) // nobody is there to take over
+}
