--- a/cmd/raventrestle/commands_test.go
+++ b/cmd/raventrestle/commands_test.go
@@ -172,7 +172,7 @@
 	for _, m := range []struct {
 		class, id string
 	}{{"single", "pay"}, {"free", "rate"}} {
-		if code := d.handIn(m.class, m.id, 1.5); code != 202 {
+		if code := d.submit(m.class, m.id, 1.5); code != 202 {
 			t.Fatalf("%s answered %d", m.id, code)
 		}
 	}
@@ -198,14 +198,14 @@
 	}
 	env := []string{"RAVENTRESTLE_SETTINGS=" + file}
 	out, _, code := command(t, env, "undeliverable", "resend", "pay")
-	if code != 0 || !strings.Contains(out, "must never be sent again") || !strings.Contains(out, "0 of 1 letters") {
+	if code != 0 || !strings.Contains(out, "must never be sent again") || !strings.Contains(out, "0 of 1 dead letters") {
 		t.Fatal(code, out)
 	}
 	out, _, code = command(t, env, "undeliverable", "show", "pay")
 	if code != 0 || !strings.Contains(out, "may have run") || !strings.Contains(out, `"body of pay"`) {
 		t.Fatal(code, out)
 	}
-	if _, complaint, code := command(t, env, "undeliverable", "show", "none"); code != 1 || !strings.Contains(complaint, "no such letter") {
+	if _, complaint, code := command(t, env, "undeliverable", "show", "none"); code != 1 || !strings.Contains(complaint, "no such dead letter") {
 		t.Fatal(code, complaint)
 	}
 
@@ -224,7 +224,7 @@
 	list()
 	n := len(items)
 
-	// Two couriers at one folder: the second takes messages and keeps no letters.
+	// Two couriers at one folder: the second takes messages and keeps no dead letters.
 	second := deploy(t, end)
 	other := filepath.Join(t.TempDir(), "second.cue")
 	if err := os.WriteFile(other, []byte(fmt.Sprintf("undeliverable: {keep: true, folder: %q}\n", filepath.Join(d.state, "undeliverable"))), 0o600); err != nil {
@@ -234,7 +234,7 @@
 	second.log = &lines{}
 	second.start()
 	second.log.(*lines).await(t, "another process has the store open")
-	if code := second.handIn("free", "x", 1); code != 202 {
+	if code := second.submit("free", "x", 1); code != 202 {
 		t.Fatal(code)
 	}
 	second.kill()
@@ -243,7 +243,7 @@
 	d.kill()
 	list()
 	if len(items) != n {
-		t.Fatalf("%d letters, and %d before", len(items), n)
+		t.Fatalf("%d dead letters, and %d before", len(items), n)
 	}
 	if _, complaint, code := command(t, env, "undeliverable", "discard", "pay", "--settings", file); code != 1 ||
 		!strings.Contains(complaint, "--offline") && !strings.Contains(complaint, "no courier answers") {
@@ -320,17 +320,17 @@
 	}
 	t.Setenv("RAVENTRESTLE_SETTINGS", file)
 	d.start()
-	handIn := func(class, id string, left float64) {
+	submit := func(class, id string, left float64) {
 		t.Helper()
-		if code := d.handIn(class, id, left); code != 202 {
+		if code := d.submit(class, id, left); code != 202 {
 			t.Fatalf("%s answered %d", id, code)
 		}
 	}
-	handIn("single", "reset", 10)
-	handIn("single", "timeout", 1)
+	submit("single", "reset", 10)
+	submit("single", "timeout", 1)
 	nettest.Wait(t, "notice", d.notices)
 	nettest.Wait(t, "notice", d.notices)
-	handIn("single", "killed", 10)
+	submit("single", "killed", 10)
 	for began := time.Now(); ; time.Sleep(5 * time.Millisecond) {
 		mu.Lock()
 		n := calls["killed"]
@@ -347,7 +347,7 @@
 	if got := nettest.Wait(t, "notice", d.notices); got != `{"id":"killed","status":"undeliverable"}` {
 		t.Fatal(got)
 	}
-	handIn("free", "well", 10) // the channel delivers
+	submit("free", "well", 10) // the channel delivers
 	time.Sleep(400 * time.Millisecond)
 	env := []string{"RAVENTRESTLE_SETTINGS=" + file}
 	out, complaint, code := command(t, env, "undeliverable", "list", "--json")
@@ -364,9 +364,9 @@
 		delete(want, it.ID)
 	}
 	if len(want) > 0 {
-		t.Errorf("no letter of %v", want)
+		t.Errorf("no dead letter of %v", want)
 	}
-	if out, _, code := command(t, env, "undeliverable", "resend", "--all"); code != 0 || !strings.Contains(out, "0 of 3 letters") {
+	if out, _, code := command(t, env, "undeliverable", "resend", "--all"); code != 0 || !strings.Contains(out, "0 of 3 dead letters") {
 		t.Error(out)
 	}
 	time.Sleep(400 * time.Millisecond) // room for what must not come
--- a/internal/net/courier/handover.go
+++ b/internal/net/courier/handover.go
@@ -14,14 +14,14 @@
 
 // handover is the actor's part of it.
 type handover struct {
-	passing  bool // this process goes: what is not out is the next one's
-	theirs   int  // slots that another process uses
-	believed bool // what the process before had learned has come
+	passing   bool // this process goes: what is not out is the next one's
+	theirs    int  // slots that another process uses
+	inherited bool // what the process before had learned has come
 }
 
 type (
 	passMsg      struct{}
-	believeMsg   struct{ raventrestle.Beliefs }
+	inheritMsg   struct{ raventrestle.Learned }
 	heedMsg      struct{ waits map[string]int64 }
 	elsewhereMsg struct{ calls int }
 )
@@ -36,12 +36,12 @@
 // pass is the step in which the courier begins to hand over: the module forgets all messages, and the
 // journal has those that are not out as the next one's before it says that nothing is begun any more.
 func (c *Courier) pass() (events []raventrestle.Event, records []journal.Record) {
-	left, err := json.Marshal(c.policy.Beliefs())
+	left, err := json.Marshal(c.policy.Learned())
 	if err != nil {
 		c.log.Error("courier: what is known of channels stays here", "err", err)
 	}
 	for id, m := range c.msgs {
-		if m.Resend > 0 { // its letter tells the next life
+		if m.Resend > 0 { // its dead letter tells the next life
 			continue
 		}
 		events = append(events, raventrestle.Withdrawn{ID: id})
@@ -72,7 +72,7 @@
 			c.known[k.ID] = true
 		}
 		c.mu.Unlock()
-		if known { // handed in here as well
+		if known { // submitted here as well
 			n++
 			continue
 		}
@@ -103,17 +103,17 @@
 	}
 }
 
-// Believe takes over what the process before had learned, as its journal has it.
-func (c *Courier) Believe(left []byte) {
+// Inherit takes over what the process before had learned, as its journal has it.
+func (c *Courier) Inherit(left []byte) {
 	if len(left) == 0 {
 		return
 	}
-	var b raventrestle.Beliefs
+	var b raventrestle.Learned
 	if err := json.Unmarshal(left, &b); err != nil {
 		c.log.Warn("courier: what the process before had learned can't be read", "err", err)
 		return
 	}
-	c.post(believeMsg{b})
+	c.post(inheritMsg{b})
 }
 
 // Heed keeps waits that the process before was told, by the names of peers, until when in Unix nanoseconds.
@@ -134,7 +134,7 @@
 }
 
 // Elsewhere says which messages another process of this courier still has out, on how many calls: what is
-// handed in under their ids is known, and the slots are taken.
+// submitted under their ids is known, and the slots are taken.
 func (c *Courier) Elsewhere(ids []string, calls int) {
 	known := make(map[string]bool, len(ids))
 	for _, id := range ids {
--- a/internal/router/dispatch/world_test.go
+++ b/internal/router/dispatch/world_test.go
@@ -25,6 +25,8 @@
 	inTime   bool
 	refused  bool
 	left     bool
+	began    bool
+	cameBack bool // another try followed, and counts instead
 }
 
 type worldCall struct {
@@ -76,7 +78,10 @@
 	lag      time.Duration         // of views
 	tells    []telling
 	events   []worldEvent
-	fullFree int // refusals while half of the places were free
+	live     []*worldCall
+	cut      []bool          // routers whose calls reach nobody
+	loading  map[string]bool // nil: no placer
+	fullFree int             // refusals while half of the places were free
 }
 
 type returning struct {
@@ -109,6 +114,7 @@
 		w.clients = append(w.clients, map[RequestID]*client{})
 	}
 	w.inputs = make([][]Input, routers)
+	w.cut = make([]bool, routers)
 	return w
 }
 
@@ -155,6 +161,9 @@
 func (w *world) play(until time.Duration) {
 	for ; w.now < until; w.now += worldTick {
 		w.happen()
+		if w.resting() {
+			continue
+		}
 		w.arrive()
 		w.serve()
 		w.hosts()
@@ -164,6 +173,24 @@
 	}
 }
 
+// resting: nothing happens until a router wakes.
+func (w *world) resting() bool {
+	if len(w.live)+len(w.later) > 0 {
+		return false
+	}
+	for _, k := range w.kinds {
+		if k.perSecond > 0 {
+			return false
+		}
+	}
+	for i, d := range w.routers {
+		if wake := d.NextWake(); len(w.inputs[i]) > 0 || !wake.IsZero() && !wake.After(w.clock()) {
+			return false
+		}
+	}
+	return true
+}
+
 // finish lets everything end.
 func (w *world) finish() {
 	for _, k := range w.kinds {
@@ -294,6 +321,7 @@
 		return
 	}
 	j.call.begun = true
+	c.began = true
 	c.inTime = !w.clock().After(c.request.Objective)
 	w.tellRouter(c, FirstByte{ID: c.request.ID, Endpoint: j.call.server.row.ID, Load: j.call.server.load()})
 }
@@ -336,20 +364,21 @@
 
 // hosts ends calls whose time is over, and those that hang at crashed endpoints.
 func (w *world) hosts() {
-	for _, list := range w.clients {
-		for _, c := range list {
-			if c.call == nil {
-				continue
-			}
-			if c.call.lost > 0 && w.now >= c.call.lost {
-				w.lose(c)
-				continue
-			}
-			if w.clock().After(c.request.Deadline) {
-				c.call.server.drop(c.call)
-				w.finishCall(c, GivenUp, false)
-				w.close(c)
-			}
+	live := w.live
+	w.live = w.live[:0:0]
+	for _, call := range live {
+		c := call.client
+		switch {
+		case c.call != call:
+			continue
+		case call.lost > 0 && w.now >= call.lost:
+			w.lose(c)
+		case w.clock().After(c.request.Deadline):
+			call.server.drop(call)
+			w.finishCall(c, GivenUp, false)
+			w.close(c)
+		default:
+			w.live = append(w.live, call)
 		}
 	}
 }
