--- a/internal/router/dispatch/admission.go
+++ b/internal/router/dispatch/admission.go
@@ -243,7 +243,6 @@
 	r.abandoned = false
 	d.note(e, h, r, ms, kept)
 	e.calls = append(e.calls, r)
-	e.unanswered = append(e.unanswered, r)
 	e.opened = max(e.opened, len(e.calls))
 	e.usedAt = d.now
 	e.service.out++
--- a/internal/router/dispatch/decider.go
+++ b/internal/router/dispatch/decider.go
@@ -238,8 +238,7 @@
 	e := r.at
 	r.heard = true
 	r.answering = true
-	e.unanswered = without(e.unanswered, r)
-	e.tokens -= r.toRead
+	e.unqueue(r)
 	d.heard(e, input.Load)
 	d.answered(r, e)
 	d.good(e, r)
@@ -279,8 +278,7 @@
 	e := r.at
 	e.calls = without(e.calls, r)
 	if !r.heard {
-		e.unanswered = without(e.unanswered, r)
-		e.tokens -= r.toRead
+		e.unqueue(r)
 	}
 	if r.trial {
 		e.evidence.trials--
--- a/internal/router/dispatch/estimate.go
+++ b/internal/router/dispatch/estimate.go
@@ -17,6 +17,7 @@
 	outlier         = 4.0  // an answer that took longer than so many times the expected counts as that
 	durationMemory  = 0.05 // weight of a new call in the mean duration
 	promptMemory    = 0.05
+	behindMemory    = 0.05
 	slowMemory      = 0.2  // weight of a new answer in an endpoint's slowness
 	slowChance      = 0.25 // of the logarithm, that may be chance
 	slowFades       = 8 * time.Second
@@ -137,10 +138,16 @@
 	e, g := h.at, h.group
 	kept = min(h.kept.length(r.chain(), r.Parts, d.now), r.PromptTokens)
 	running, othersWaiting := d.othersLoad(e)
-	ahead := float64(e.tokens) + othersWaiting*g.prompt
-	thousands := (float64(r.PromptTokens-kept) + ahead) / 1000
+	ahead := e.backlog
+	calls := float64(len(e.calls))
+	if !r.late { // the late ones stand behind
+		ahead.tokens -= e.behind.tokens
+		calls -= float64(e.behind.calls)
+		othersWaiting *= 1 - g.service.behind
+	}
+	thousands := (float64(r.PromptTokens-kept+ahead.tokens) + othersWaiting*g.prompt) / 1000
 	ms = g.first(thousands)
-	taken := running + othersWaiting + float64(len(e.calls))
+	taken := running + othersWaiting + calls
 	capacity := e.capacity(g.kvTokens)
 	if over := taken + 1 - capacity; over > 0 {
 		ms += over / capacity * g.service.meanDuration()
@@ -159,16 +166,57 @@
 	return s.duration
 }
 
+// backlog is what this router has unanswered at an endpoint.
+type backlog struct{ calls, tokens int }
+
+func (b *backlog) add(calls, tokens int) {
+	b.calls += calls
+	b.tokens += tokens
+}
+
+// queue counts a call that is sent among the unanswered ones.
+func (d *Decider) queue(e *endpoint, r *request) {
+	e.unanswered = append(e.unanswered, r)
+	e.backlog.add(1, r.toRead)
+	behind := 0.0
+	if r.late {
+		e.behind.add(1, r.toRead)
+		behind = 1
+	}
+	s := r.group.service
+	if late := float64(e.behind.calls) / float64(e.backlog.calls); late > behind {
+		behind = late
+	}
+	s.behind += (behind - s.behind) * behindMemory
+}
+
+// unqueue: it is answered, or over.
+func (e *endpoint) unqueue(r *request) {
+	e.unanswered = without(e.unanswered, r)
+	e.backlog.add(-1, -r.toRead)
+	if r.late {
+		e.behind.add(-1, -r.toRead)
+	}
+}
+
+// writeOff: nothing waits any more for what was unanswered when the endpoint was left.
+func (e *endpoint) writeOff() {
+	for _, r := range e.unanswered {
+		r.toRead = 0
+	}
+	e.backlog.tokens, e.behind.tokens = 0, 0
+}
+
 // note writes down what was predicted for a call, to be held against what is seen.
 func (d *Decider) note(e *endpoint, h *holding, r *request, ms float64, kept int) {
 	g := h.group
 	r.expected = ms
 	r.toRead = r.PromptTokens - kept
-	r.readAtSend = float64(r.toRead+e.tokens) / 1000
+	r.readAtSend = float64(r.toRead+e.backlog.tokens-e.behind.tokens) / 1000
 	r.slowAtSend = e.slow.factor(d.now)
 	taken, waiting := d.load(e)
 	r.plain = !r.late && taken+waiting+1 <= e.capacity(g.kvTokens)
-	e.tokens += r.toRead
+	d.queue(e, r)
 	g.prompt += (float64(r.toRead) - g.prompt) * promptMemory
 	g.kvTokens += (float64(r.PromptTokens) + float64(r.OutputTokens)/2 - g.kvTokens) * promptMemory
 }
--- a/internal/router/dispatch/evidence.go
+++ b/internal/router/dispatch/evidence.go
@@ -143,10 +143,7 @@
 	for _, r := range e.calls {
 		r.trial = false
 	}
-	for _, r := range e.unanswered { // presumed lost: nothing waits for them
-		e.tokens -= r.toRead
-		r.toRead = 0
-	}
+	e.writeOff()
 	d.moveOn(e)
 	d.mark(e)
 	d.urgent()
--- a/internal/router/dispatch/settle.go
+++ b/internal/router/dispatch/settle.go
@@ -9,6 +9,7 @@
 
 const (
 	mostSettled = 2   // times that a request is put off at the end of its patience
+	largeTimes  = 1.7 // the mean size of a model's requests
 	overCalls   = 4   // mean durations of a call, until places can be hoped for again
 	overLeast   = 0.8 // of that time is told at least, the rest is drawn
 )
@@ -53,7 +54,13 @@
 	if answer > r.lastUse() {
 		return false
 	}
-	return r.Again || r.arrivals > 0 || !r.mayComeBack(d.now)
+	return r.Again || r.arrivals > 0 || r.large() || !r.mayComeBack(d.now)
+}
+
+// large: well above the mean of its model. Its own reading fills much of its objective, and it would be
+// refused again and again.
+func (r *request) large() bool {
+	return float64(r.PromptTokens)+float64(r.OutputTokens)/2 > largeTimes*r.group.kvTokens
 }
 
 // lastUse is until when an answer may begin: clients give up a stream after a silence.
--- a/internal/router/dispatch/view.go
+++ b/internal/router/dispatch/view.go
@@ -23,6 +23,7 @@
 	out       int                    // this router's calls
 	groups    map[string]*group      // by model; "" for a service without models
 	budget    budget
+	behind    float64 // part of the unanswered calls that go as late ones
 	duration  float64 // mean of a call, ms
 	line      line    // of times to the first byte, over all its groups
 }
@@ -86,7 +87,8 @@
 	sends      int        // turns taken, for the share of the patient ones
 	calls      []*request // out
 	unanswered []*request // of calls, those without a first byte, in order of sending
-	tokens     int        // to be read of those
+	backlog    backlog    // of those
+	behind     backlog    // of those, the late ones
 	opened     int        // connections that seem to be open
 	usedAt     time.Duration
 	evidence   evidence
