--- a/cmd/raventrestle/main_test.go
+++ b/cmd/raventrestle/main_test.go
@@ -219,16 +219,24 @@
 }
 
 // SIGHUP: a file that can't be read changes nothing; another discovery gets the notices and has its
-// list asked for and watched. What is held stays held, and the process lives on.
+// list asked for and watched. What is out stays out, and the process lives on: when the calls end after the
+// move, the single shot's notice goes to the new discovery and the free message to the new peer.
 func TestReload(t *testing.T) {
-	silent := nettest.NewPeer(t, func(net.Conn, nettest.Call) bool { return true })
+	cut := make(chan struct{})
+	silent := nettest.NewPeer(t, func(net.Conn, nettest.Call) bool { <-cut; return false })
 	end := nettest.NewPeer(t, nettest.Answer(nettest.Plain(200, "", "")))
 	d := deploy(t, silent)
 	d.start()
-	if code := d.handIn("single", "owed", 1.5); code != 202 {
-		t.Fatalf("answered %d", code)
+	out := func(class, id string) {
+		t.Helper()
+		if code := d.handIn(class, id, 10); code != 202 {
+			t.Fatalf("%s answered %d", id, code)
+		}
+		if call := nettest.Wait(t, "call", silent.Calls); call.Header.Get("X-Txn") != id {
+			t.Fatalf("%s is sent in place of %s", call.Header.Get("X-Txn"), id)
+		}
 	}
-	nettest.Wait(t, "call", silent.Calls)
+	out("single", "owed")
 	if call := nettest.Wait(t, "watch", d.discovery.Calls); call.Query == "" {
 		t.Fatal("no watch")
 	}
@@ -243,9 +251,7 @@
 		}
 	}
 	hangUp(`{"discovery":`)
-	if code := d.handIn("free", "more", 1.5); code != 202 {
-		t.Fatalf("answered %d", code)
-	}
+	out("free", "more")
 	fresh := make(chan string, 64)
 	moved := discover(t, fresh, strings.Replace(list([]*nettest.Peer{end}), "s-0", "s-9", 1))
 	hangUp(strings.ReplaceAll(string(good), d.discovery.Addr(), moved.Addr()))
@@ -258,11 +264,16 @@
 	if code := d.handIn("free", "new", 10); code != 202 {
 		t.Fatalf("answered %d", code)
 	}
-	for id := ""; id != "new"; id = nettest.Wait(t, "call to the new peer", end.Calls).Header.Get("X-Txn") {
+	if id := nettest.Wait(t, "call to the new peer", end.Calls).Header.Get("X-Txn"); id != "new" {
+		t.Fatalf("%s is sent to the new peer while its call is out", id)
 	}
+	close(cut)
 	if got := nettest.Wait(t, "notice", fresh); got != `{"id":"owed","status":"undeliverable"}` {
 		t.Fatal(got)
 	}
+	if id := nettest.Wait(t, "call to the new peer", end.Calls).Header.Get("X-Txn"); id != "more" {
+		t.Fatalf("%s is sent to the new peer", id)
+	}
 	if len(d.notices) > 0 {
 		t.Fatal("notices at the old discovery")
 	}
