--- a/internal/control/state/machine_test.go
+++ b/internal/control/state/machine_test.go
@@ -126,7 +126,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, body := range [][]byte{nil, []byte("x"), bomb, bomb[:len(bomb)/2]} {
+	whole, err := pack(put(1, "cut"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, body := range [][]byte{nil, []byte("x"), bomb, whole[:len(whole)/2]} {
 		encoded, err := cbor.Marshal(ChangeConfiguration{Method: Replace, Body: body, Zlib: true})
 		if err != nil {
 			t.Fatal(err)
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -28,6 +28,7 @@
 // Listen accepts connections at an address until Close.
 func Listen(address string, codec *Codec, handler Handler, changes ...Option) (*Server, error) {
 	config := net.ListenConfig{KeepAlive: -1}
+	config.SetMultipathTCP(false) // Go would take it for listeners; plain TCP is what the machines promise
 	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("transport: listen at %s: %w", address, err)
