--- a/coordination/chain/requests.go
+++ b/coordination/chain/requests.go
@@ -27,7 +27,6 @@
 	body   []byte
 	sent   bool
 	sentAt time.Duration
-	done   bool
 	lost   bool
 }
 
--- a/coordination/wal/log.go
+++ b/coordination/wal/log.go
@@ -22,7 +22,6 @@
 	snapshot uint64 // number of the newest snapshot that counts; 0 when there is none
 	numbered uint64 // highest number of a snapshot that may lie on the disk
 	held     int64  // bytes since the newest checkpoint
-	stale    []string
 }
 
 type segment struct {
--- a/internal/control/host/world_test.go
+++ b/internal/control/host/world_test.go
@@ -37,7 +37,6 @@
 	desk    *Desk
 	wakeAt  time.Time
 	reach   []string
-	known   distribution.ConnectionID
 }
 
 type router struct {
--- a/internal/control/placer/placer.go
+++ b/internal/control/placer/placer.go
@@ -41,7 +41,6 @@
 	awaited   map[uint64]*endpoint // orders without a result
 	counters  Counters
 	warm      map[string]map[string]bool // by service and address: models that stand on that disk
-	snapshot  time.Time
 }
 
 // New makes a placer that knows nothing yet. The first Step is its start.
--- a/internal/control/placer/world_test.go
+++ b/internal/control/placer/world_test.go
@@ -145,7 +145,6 @@
 type orderUnder struct {
 	order Order
 	ends  time.Duration
-	cold  bool
 }
 
 type engine struct {
--- a/internal/control/quota/world_test.go
+++ b/internal/control/quota/world_test.go
@@ -53,7 +53,6 @@
 	spent    []spending
 	asked    float64
 	refused  float64
-	owed     float64 // refused although within the limit
 	largeAsk int
 	largeNo  int
 }
@@ -85,7 +84,6 @@
 	grants    int
 	window    time.Duration
 	broken    string
-	adverse   bool
 }
 
 func (w *world) later(after time.Duration, do func()) {
