--- /dev/null
+++ b/internal/control/quota/size_test.go
@@ -0,0 +1,55 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"raventrestle/internal/sizetest"
+)
+
+const stepsPerS = 20 // at most: a step takes place no sooner than 50 ms after the one before
+
+// BenchmarkStepAtSize is one of 20 steps in a second, with its part of all routers' reports, each of which asks for a
+// few of 200 tenants.
+func BenchmarkStepAtSize(b *testing.B) {
+	random := rand.New(rand.NewPCG(1, 1))
+	now := time.Unix(0, 0)
+	a := New(Options{Slack: 11000, Over: 0.1, QuietBefore: time.Minute, Confirms: true})
+	var routers []Router
+	for i := range sizetest.Routers {
+		routers = append(routers, Router{Node: sizetest.RouterName(i), Incarnation: uint64(i) + 1})
+	}
+	a.Step(now, Input{Configuration: sizetest.Configuration(), Routers: routers, Floors: sizetest.Routers})
+	step, grants := 0, 0
+	sequence := uint64(0)
+	var confirmed []Confirmation
+	one := func() {
+		now = now.Add(time.Second / stepsPerS)
+		in := Input{Routers: routers, Floors: sizetest.Routers, Confirmed: confirmed}
+		for i := range sizetest.Routers * sizetest.ReportsPerS / stepsPerS {
+			sequence++
+			in.Reports = append(in.Reports, sizetest.Report(random, (step*sizetest.Routers*sizetest.ReportsPerS/stepsPerS+i)%sizetest.Routers, sequence))
+		}
+		step++
+		b.StartTimer()
+		out := a.Step(now, in)
+		b.StopTimer()
+		confirmed = nil
+		for _, grant := range out.Grants {
+			grants++
+			confirmed = append(confirmed, Confirmation{Router: grant.Router, Batch: grant.Batch})
+		}
+	}
+	for range 5 * stepsPerS {
+		one()
+	}
+	grants = 0
+	b.ReportAllocs()
+	b.StartTimer()
+	for b.Loop() {
+		one()
+		b.StartTimer()
+	}
+	b.ReportMetric(float64(grants)/float64(b.N), "grants/op")
+}
--- /dev/null
+++ b/internal/sizetest/sizetest.go
@@ -0,0 +1,159 @@
+// Package sizetest makes the tables of the size to design for, for benchmarks: docs/CAPACITY.md names what it
+// assumes where the plan says nothing.
+package sizetest
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"raventrestle/internal/configuration"
+	"raventrestle/internal/protocol"
+)
+
+// The operators' plan.
+const (
+	Routers       = 830
+	Endpoints     = 2900
+	Models        = 1100
+	Adapters      = 2200
+	Zones         = 12
+	Instances     = 15 // of control
+	RequestsPerS  = 14000
+	Heartbeat     = 1200 * time.Millisecond
+	ReportsPerS   = 2 // of a router, while it has requests
+	ChangesPerDay = 14000
+)
+
+// What the plan leaves open, assumed.
+const (
+	Services        = 10 // with an engine
+	Routes          = 300
+	Tenants         = 200
+	HeldModels      = 3  // by one endpoint
+	RowsPerReport   = 10 // models and adapters that one router was asked for in half a second
+	TenantsOfReport = 5
+)
+
+const (
+	seed           = 830
+	adaptersOfUsed = 20
+)
+
+// Configuration is one whole version.
+func Configuration() *configuration.Configuration {
+	c := &configuration.Configuration{
+		Generation: 1,
+		Limits: configuration.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 4 << 20, HeaderTimeoutMS: 3000,
+			IdleTimeoutMS: 15000},
+	}
+	for i := range Services {
+		c.Services = append(c.Services, service(i))
+	}
+	for i := range Routes {
+		c.Routes = append(c.Routes, configuration.Route{
+			Name: fmt.Sprintf("route-%04d", i), Hostname: fmt.Sprintf("host%02d.example", i%50),
+			PathPrefix: fmt.Sprintf("/path%04d/", i), Type: configuration.Streaming, TimeoutMS: 15000,
+			TargetLatencyMS: 510, Priority: i % 2, Backend: ServiceName(i % Services), MaxRetries: 2,
+			SessionAffinity: true, Resumable: i%2 == 0, GapAimMS: 250,
+		})
+	}
+	for i := range Tenants {
+		c.Tenants = append(c.Tenants, configuration.Tenant{
+			Name: TenantName(i), APIKeys: []string{fmt.Sprintf("key-%018d", 2*i), fmt.Sprintf("key-%018d", 2*i+1)},
+			Priority: 1, Unit: configuration.TokenCount, PlainTokens: 200, RatePerS: 30000, Burst: 30000,
+		})
+	}
+	return c
+}
+
+func service(number int) configuration.Service {
+	engine := &configuration.Engine{Slots: 64, KVTokens: 130518, KVBytes: 163840, LinkMbps: 130000, Stride: 2,
+		WeightsMB: 180000, AdapterSlots: 8, LoadsPerS: 2.8}
+	for i := number; i < Models; i += Services {
+		model := configuration.Model{Name: ModelName(i), WeightsMB: 58000, LoadTimeS: 4.5, AdapterMB: 66}
+		if i < Adapters/adaptersOfUsed {
+			model.Adapters = adaptersOfUsed
+		}
+		engine.Models = append(engine.Models, model)
+	}
+	return configuration.Service{Name: ServiceName(number), HealthCheck: "/healthz", MaxConnections: 370, Protocol: "h1",
+		Engine: engine}
+}
+
+// ServiceName names a service.
+func ServiceName(number int) string { return fmt.Sprintf("service-%02d", number) }
+
+// ModelName names a model; the lower its number, the more it is asked for.
+func ModelName(number int) string { return fmt.Sprintf("model-%06d", number) }
+
+// TenantName names a tenant.
+func TenantName(number int) string { return fmt.Sprintf("tenant-%04d", number) }
+
+// EndpointID names an endpoint.
+func EndpointID(number int) string { return fmt.Sprintf("i-%08x", number) }
+
+// RouterName names a router.
+func RouterName(number int) string {
+	return fmt.Sprintf("edge-zone%02d-%d", number%Zones, number/Zones)
+}
+
+// Document is Configuration as the operator sends it.
+func Document() []byte {
+	text, err := json.Marshal(Configuration())
+	if err != nil {
+		panic(err) // plain fields
+	}
+	return text
+}
+
+// Table is all endpoints. Each model is held by one at least, and those that are asked for by many.
+func Table() []protocol.Endpoint {
+	random := rand.New(rand.NewPCG(seed, 0))
+	table := make([]protocol.Endpoint, Endpoints)
+	for i := range table {
+		number := i % Services
+		table[i] = protocol.Endpoint{
+			ID: EndpointID(i), Service: ServiceName(number), Address: fmt.Sprintf("10.%d.%d.9:8080", i/250, i%250),
+			Zone: fmt.Sprintf("zone%02d", i%Zones), Generation: "v1", Slots: 64, Sequence: 1,
+		}
+		held := map[int]bool{i % Models: true}
+		for len(held) < HeldModels {
+			held[Popular(random)/Services*Services+number] = true
+		}
+		for model := range Models {
+			if held[model] {
+				table[i].Models = append(table[i].Models, protocol.HeldModel{Name: ModelName(model), Generation: 1})
+			}
+		}
+	}
+	return table
+}
+
+// Popular draws a model: few are asked for often.
+func Popular(random *rand.Rand) int {
+	part := random.Float64()
+	return int(part * part * part * float64(Models-1))
+}
+
+// Report is what one router says twice a second.
+func Report(random *rand.Rand, router int, sequence uint64) protocol.Report {
+	report := protocol.Report{Node: RouterName(router), Incarnation: uint64(router) + 1, Sequence: sequence,
+		Over: time.Second / ReportsPerS}
+	seen := map[int]bool{}
+	for len(seen) < RowsPerReport {
+		model := Popular(random)
+		if seen[model] {
+			continue
+		}
+		seen[model] = true
+		report.Models = append(report.Models, protocol.ModelDemand{Service: ServiceName(model % Services),
+			Model: ModelName(model), Asked: 1, Running: 2, Tokens: 1400, Worth: 9})
+	}
+	for i := range TenantsOfReport {
+		report.Tenants = append(report.Tenants, protocol.TenantDemand{Tenant: TenantName((router + i) % Tenants),
+			Asked: 2800, Granted: 2800})
+	}
+	return report
+}
