--- /dev/null
+++ b/internal/router/node/ending.go
@@ -0,0 +1,30 @@
+package node
+
+import "time"
+
+const (
+	servesOn     = 2300 * time.Millisecond // after SIGTERM: the platform's probe, once a second, has failed twice
+	servesOnPart = 4                       // of the time until all is refused, all but one part in so many at most
+	killMargin   = 400 * time.Millisecond  // before SIGKILL the process ends
+	cutMargin    = 200 * time.Millisecond  // before the end, for the last answers
+	refuseMargin = 900 * time.Millisecond  // before the cut; a connection that is being made is up or not by then
+	marginPart   = 8                       // of the time until SIGKILL, a margin takes one part in so many at most
+)
+
+// course is what happens when after SIGTERM.
+type course struct {
+	drain  time.Duration // no more clients are let in, resting connections are closed, nothing is held
+	refuse time.Duration // nothing is taken on any more
+	cut    time.Duration // calls are ended; whoever has seen nothing of an answer is told so
+	end    time.Duration // of the process
+}
+
+// ending is the course of a process that is killed after grace.
+func ending(grace, servesOn time.Duration) course {
+	part := grace / marginPart
+	c := course{end: grace - min(killMargin, part)}
+	c.cut = c.end - min(cutMargin, part)
+	c.refuse = c.cut - min(refuseMargin, part)
+	c.drain = min(servesOn, c.refuse*(servesOnPart-1)/servesOnPart)
+	return c
+}
--- a/raventrestle.go
+++ b/raventrestle.go
@@ -2,7 +2,7 @@
 // held message leaves, over which target, and how it is finally answered.
 //
 // This file is the interface: settings, events and actions. It decides nothing.
-// The decisions are all in policy.go. A host makes one [Policy] per forwarder with
+// The decisions are all in the policy files, over the queue of package asfq. A host makes one [Policy] per forwarder with
 // [New], hands it batches of events through [Policy.Step], and carries out the
 // returned actions in the order given.
 package raventrestle
@@ -126,7 +126,7 @@
 	Notes         bool          // Tell is permitted
 	Cancels       bool          // Cancel is permitted
 	SecondCopies  bool          // two attempts of a message may be out together
-	MarksRetry    bool          // clients mark messages that they hand in again
+	MarksRetry    bool          // clients mark messages that they submit again
 	RetryAfter    bool          // clients are told when to come back
 	MaxRetryAfter time.Duration // and heed no more than this
 
@@ -142,7 +142,7 @@
 }
 
 // Event is one of Listing, Arrival, Restored, Closing, Outcome, Withdrawn, Probed, Note and Wake.
-type Event interface{ event() }
+type Event interface{ apply(*Policy) }
 
 // ListKind says how a Listing relates to what came before.
 type ListKind uint8
@@ -188,7 +188,7 @@
 	Dest     DestID
 	Budget   time.Duration // how long it may still be delivered
 	Estimate time.Duration // expected work, 0 if unknown
-	Again    bool          // handed in again, where clients mark it
+	Again    bool          // submitted again, where clients mark it
 	Orphan   bool          // comes from a forwarder that died
 }
 
@@ -202,7 +202,7 @@
 	RanZone int           // index into Settings.Zones, -1 if unknown
 	RanAt   time.Duration // on the clock of Step
 	Failed  bool          // it was over before that life ended, which was not its success
-	Moved   bool          // from a process that goes, whose Beliefs came with it
+	Moved   bool          // from a process that goes, whose Learned came with it
 }
 
 // Closing says that the host ends its life at that time: attempts out then may have run.
@@ -260,15 +260,15 @@
 // Wake says that the time of a WakeAt has come.
 type Wake struct{}
 
-func (Listing) event()   {}
-func (Arrival) event()   {}
-func (Restored) event()  {}
-func (Closing) event()   {}
-func (Outcome) event()   {}
-func (Withdrawn) event() {}
-func (Probed) event()    {}
-func (Note) event()      {}
-func (Wake) event()      {}
+func (e Listing) apply(p *Policy)   { p.listing(e) }
+func (e Arrival) apply(p *Policy)   { p.arrival(e) }
+func (e Restored) apply(p *Policy)  { p.restored(e) }
+func (e Closing) apply(p *Policy)   { p.closing = e.At }
+func (e Outcome) apply(p *Policy)   { p.outcome(e) }
+func (e Withdrawn) apply(p *Policy) { p.withdrawn(e) }
+func (Probed) apply(*Policy)        {}
+func (Note) apply(*Policy)          {}
+func (Wake) apply(*Policy)          {}
 
 // Action is one of Send, Refuse, Fail, Cancel, CloseIdle, Subscribe, Probe, Tell, WakeAt and Log.
 type Action interface{ action() }
