--- a/internal/control/quota/world_test.go
+++ b/internal/control/quota/world_test.go
@@ -58,6 +58,7 @@
 	asks     []spending
 	asked    float64
 	refused  float64
+	owed     float64 // refused although within the limit
 	largeAsk int
 	largeNo  int
 }
