Encode what many routers get once, gather ordinary changes, look at endpoints a few at a time

Cause: at 1000 endpoints and 100 routers the holder took half a core, mostly for reports of endpoints asked all at once; each router's updates were encoded for it alone, one for each few milliseconds.

--- a/cmd/raventrestle-control/instance.go
+++ b/cmd/raventrestle-control/instance.go
@@ -93,7 +93,7 @@
 	newPlacer := func(quiet time.Duration) roles.Placer { return makePlacer(settings, quiet) }
 	newAllocator := func(quiet time.Duration) roles.Allocator { return makeAllocator(settings, quiet) }
 	reports := &lateReports{}
-	table := host.New(host.Settings{Origin: origin, Heartbeat: settings.Heartbeat}, host.Parts{
+	table := host.New(host.Settings{Origin: origin, Heartbeat: settings.Heartbeat, Codec: codec}, host.Parts{
 		Replica: group, Configurations: configurations, Mesh: i.mesh, Roles: reports, Events: events,
 	})
 	i.holder = roles.New(roles.Settings{Origin: origin, Node: settings.NodeName, Lease: settings.Bounds.Lease},
@@ -106,7 +106,7 @@
 		cancel()
 		return nil, err
 	}
-	public, err := net.Listen("tcp", settings.ListenControl)
+	public, err := listenControl(ctx, settings.ListenControl)
 	if err != nil {
 		cancel()
 		return nil, fmt.Errorf("listen for endpoints and the operator: %w", err)
@@ -132,6 +132,13 @@
 	}()
 }
 
+// listenControl listens without keep-alive probes: idle connections are closed after some seconds anyway, and each
+// option of a socket is a system call.
+func listenControl(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAlive: -1}
+	return config.Listen(ctx, "tcp", address)
+}
+
 func (i *instance) serve(public net.Listener) {
 	if err := i.http.Serve(public); !errors.Is(err, http.ErrServerClosed) {
 		i.failed <- fmt.Errorf("serve endpoints and the operator: %w", err)
--- a/internal/control/api/server.go
+++ b/internal/control/api/server.go
@@ -22,8 +22,8 @@
 	headerTimeout         = 3 * time.Second
 	readTimeout           = 20 * time.Second
 	writeTimeout          = 30 * time.Second
-	idleTimeout           = 60 * time.Second
-	retryAfter            = "0.2" // seconds; callers of this interface read fractions
+	idleTimeout           = 10 * time.Second // several heartbeats: an endpoint that moved on leaves its connection
+	retryAfter            = "0.2"            // seconds; callers of this interface read fractions
 )
 
 // Instances is the registry as endpoints reach it.
--- a/internal/control/api/views.go
+++ b/internal/control/api/views.go
@@ -96,10 +96,11 @@
 		fail(w, http.StatusServiceUnavailable, err.Error())
 		return nil, false
 	}
-	slices.SortFunc(view.Endpoints, func(a, b protocol.Endpoint) int {
+	endpoints := slices.Clone(view.Endpoints) // the table is everybody's
+	slices.SortFunc(endpoints, func(a, b protocol.Endpoint) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
 	})
-	return view.Endpoints, true
+	return endpoints, true
 }
 
 func viewOf(e *protocol.Endpoint) EndpointView {
--- a/internal/control/distribution/hub.go
+++ b/internal/control/distribution/hub.go
@@ -19,7 +19,8 @@
 	// BeaconEvery is how often a router hears from its instance at least.
 	BeaconEvery = 250 * time.Millisecond
 
-	gatherFor      = 4 * time.Millisecond // ordinary changes wait so long for others
+	gatherFor      = 4 * time.Millisecond  // ordinary changes wait so long for others
+	flushEvery     = 40 * time.Millisecond // and go no more often than this
 	beaconSlack    = 60 * time.Millisecond
 	confirmWithin  = 3 * time.Second  // a router that is slower is sent away
 	retryFirst     = 10 * time.Second // an isolated instance takes a router at its second try within this time
@@ -46,6 +47,7 @@
 	changed  map[string]protocol.Endpoint // not sent yet
 	revision uint64                       // of the table, with changed
 	flushAt  time.Time
+	flushed  time.Time
 	beaconAt time.Time
 
 	arrivals  uint64 // subscriptions so far
@@ -310,6 +312,9 @@
 
 func (h *Hub) flushWithin(now time.Time, wait time.Duration) {
 	at := now.Add(wait)
+	if next := h.flushed.Add(flushEvery); wait > 0 && next.After(at) {
+		at = next
+	}
 	if h.flushAt.IsZero() || at.Before(h.flushAt) {
 		h.flushAt = at
 	}
--- a/internal/control/distribution/subscriber.go
+++ b/internal/control/distribution/subscriber.go
@@ -166,7 +166,7 @@
 
 // flush sends what has gathered.
 func (h *Hub) flush(now time.Time) {
-	h.flushAt = time.Time{}
+	h.flushAt, h.flushed = time.Time{}, now
 	endpoints := make([]protocol.Endpoint, 0, len(h.changed))
 	for _, id := range slices.Sorted(maps.Keys(h.changed)) {
 		endpoints = append(endpoints, h.changed[id])
--- /dev/null
+++ b/internal/control/host/frames.go
@@ -0,0 +1,67 @@
+package host
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"raventrestle/internal/protocol"
+	"raventrestle/internal/transport"
+)
+
+// encodedUpdate is protocol.Update with the endpoints encoded before: many routers get the same ones.
+type encodedUpdate struct {
+	Sequence   uint64                `cbor:"1,keyasint"`
+	Generation int64                 `cbor:"2,keyasint"`
+	Document   []byte                `cbor:"3,keyasint,omitempty"`
+	Full       bool                  `cbor:"4,keyasint,omitempty"`
+	Endpoints  cbor.RawMessage       `cbor:"5,keyasint,omitempty"`
+	Members    []protocol.Member     `cbor:"6,keyasint,omitempty"`
+	Routers    int                   `cbor:"7,keyasint,omitempty"`
+	Quotas     []protocol.QuotaGrant `cbor:"8,keyasint,omitempty"`
+	Confirmed  bool                  `cbor:"9,keyasint,omitempty"`
+}
+
+// frames makes frames of updates and encodes a list of endpoints once, however many routers get it in a row.
+type frames struct {
+	codec  *transport.Codec
+	tables encodedList // whole tables
+	deltas encodedList
+}
+
+// encodedList is the list that was encoded last. Lists don't change once they are in an update.
+type encodedList struct {
+	list    []protocol.Endpoint
+	encoded cbor.RawMessage
+}
+
+// update returns an update as a frame.
+func (f *frames) update(u *protocol.Update) (transport.Frame, error) {
+	cache := &f.deltas
+	if u.Full {
+		cache = &f.tables
+	}
+	endpoints, err := cache.encode(u.Endpoints)
+	if err != nil {
+		return nil, fmt.Errorf("update %d: %w", u.Sequence, err)
+	}
+	return f.codec.EncodeAs(protocol.KindUpdate, encodedUpdate{
+		Sequence: u.Sequence, Generation: u.Generation, Document: u.Document, Full: u.Full, Endpoints: endpoints,
+		Members: u.Members, Routers: u.Routers, Quotas: u.Quotas, Confirmed: u.Confirmed,
+	})
+}
+
+func (c *encodedList) encode(list []protocol.Endpoint) (cbor.RawMessage, error) {
+	if len(list) == 0 {
+		return nil, nil
+	}
+	if len(list) == len(c.list) && &list[0] == &c.list[0] {
+		return c.encoded, nil
+	}
+	encoded, err := cbor.Marshal(list)
+	if err != nil {
+		return nil, fmt.Errorf("encode %d endpoints: %w", len(list), err)
+	}
+	c.list, c.encoded = list, encoded
+	return encoded, nil
+}
--- /dev/null
+++ b/internal/control/host/frames_test.go
@@ -0,0 +1,55 @@
+package host
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"raventrestle/internal/protocol"
+)
+
+// TestFrameOfAnUpdate reads frames back and compares them with the update.
+func TestFrameOfAnUpdate(t *testing.T) {
+	codec := protocol.NewCodec()
+	f := frames{codec: codec}
+	list := []protocol.Endpoint{{ID: "e", Service: "s", Slots: 3, ColdFor: time.Second,
+		Models: []protocol.HeldModel{{Name: "m", Adapters: []string{"a"}}}, Loading: []protocol.Load{{Model: "n"}}}}
+	updates := []*protocol.Update{
+		{Sequence: 1, Generation: 2, Document: []byte("{}"), Full: true, Endpoints: list,
+			Members: []protocol.Member{{Identity: "m"}}, Routers: 4, Confirmed: true,
+			Quotas: []protocol.QuotaGrant{{Tenant: "t", RatePerS: 5, Burst: 6, For: time.Second}}},
+		{Sequence: 2, Endpoints: list},
+		{Sequence: 3},
+	}
+	for _, update := range updates {
+		frame, err := f.update(update)
+		if err != nil {
+			t.Fatal(err)
+		}
+		const headBytes = 5
+		read, err := codec.Decode(frame[headBytes-1], frame[headBytes:])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(update, read); diff != "" {
+			t.Error(diff)
+		}
+	}
+}
+
+// TestEncodedUpdateHasAllFields fails when protocol.Update gets a field that frames leave out.
+func TestEncodedUpdateHasAllFields(t *testing.T) {
+	whole, encoded := reflect.TypeFor[protocol.Update](), reflect.TypeFor[encodedUpdate]()
+	for i := range whole.NumField() {
+		field := whole.Field(i)
+		same, present := encoded.FieldByName(field.Name)
+		if !present || same.Tag != field.Tag {
+			t.Errorf("field %s: %q in the update, %q in the frame", field.Name, field.Tag, same.Tag)
+		}
+	}
+	if whole.NumField() != encoded.NumField() {
+		t.Errorf("%d fields, %d in the frame", whole.NumField(), encoded.NumField())
+	}
+}
--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -53,6 +53,7 @@
 type Settings struct {
 	Origin    protocol.Origin
 	Heartbeat time.Duration // between an endpoint's heartbeats
+	Codec     *transport.Codec
 }
 
 // Parts are what the host works with.
@@ -84,6 +85,7 @@
 	status      statusView
 	started     time.Time
 	delays      delays
+	frames      frames
 	reports     []protocol.Report
 	granted     []protocol.GrantConfirmed
 	reportsSent time.Time
@@ -101,6 +103,7 @@
 		desk:        NewDesk(registry.Settings{Origin: settings.Origin, Heartbeat: settings.Heartbeat}, now),
 		started:     now,
 		delays:      newDelays(),
+		frames:      frames{codec: settings.Codec},
 		connections: make(map[*transport.Connection]distribution.ConnectionID),
 		byID:        make(map[distribution.ConnectionID]*transport.Connection),
 		tickets:     make(map[uint64]chan registry.Acknowledge),
@@ -221,11 +224,23 @@
 	if connection == nil {
 		return
 	}
-	if err := connection.Send(message.Message); err != nil {
+	if err := h.sendOn(connection, message.Message); err != nil {
 		connection.Close() // it reads too slowly, or is gone: it subscribes anew
 	}
 }
 
+func (h *Host) sendOn(connection *transport.Connection, message any) error {
+	update, isUpdate := message.(*protocol.Update)
+	if !isUpdate {
+		return connection.Send(message)
+	}
+	frame, err := h.frames.update(update)
+	if err != nil {
+		return err
+	}
+	return connection.SendFrame(frame)
+}
+
 func (h *Host) closeRouter(closing distribution.Closing) {
 	connection := h.byID[closing.Connection]
 	if connection == nil {
--- a/internal/control/host/host_test.go
+++ b/internal/control/host/host_test.go
@@ -92,6 +92,7 @@
 		self.host = New(Settings{
 			Origin:    protocol.Origin{Address: self.address, Incarnation: uint64(n + 1)},
 			Heartbeat: 200 * time.Millisecond,
+			Codec:     testCodec(),
 		}, Parts{Replica: self.double, Configurations: self.stand, Mesh: mesh, Roles: self.stand, Events: self.stand})
 		entrances[n].host = self.host
 	}
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -177,7 +177,7 @@
 
 // flush sends what is due to the instances that can be reached.
 func (r *Registry) flush(now time.Time) {
-	r.flushAt = time.Time{}
+	r.flushAt, r.flushedAt = time.Time{}, now
 	for _, p := range r.order {
 		r.sendConfirm(p)
 		if !p.reachable {
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -23,8 +23,10 @@
 	// after a second.
 	SettleWithin = 600 * time.Millisecond
 
-	wholeBeats       = 2               // every living endpoint has called somewhere by then
-	loadingEvery     = 5 * time.Second // the orders under way are told again
+	wholeBeats       = 2                      // every living endpoint has called somewhere by then
+	loadingEvery     = 5 * time.Second        // the orders under way are told again
+	flushEvery       = 50 * time.Millisecond  // deltas with ordinary changes to other instances
+	tableLasts       = 400 * time.Millisecond // a table without changes is not made anew
 	tickEvery        = time.Second
 	settleRetry      = 250 * time.Millisecond // a settling record that is not confirmed is sent once more
 	silenceMargin    = 400 * time.Millisecond
@@ -78,6 +80,11 @@
 	changed   map[string]struct{}
 	urgent    bool
 	flushAt   time.Time // for deltas to other instances; zero: none are due
+	flushedAt time.Time
+
+	cached   []protocol.Endpoint // the whole table at a revision
+	cachedAt time.Time
+	cachedOf uint64
 
 	out Output
 }
@@ -255,9 +262,15 @@
 	clear(r.changed)
 }
 
-// Endpoints returns the whole table as routers see it, by ID. Those given up are not in it.
+// Endpoints returns the whole table as routers see it, by ID. Those given up are not in it. Times and sequences may be
+// some hundred milliseconds old. The table must not be changed.
 func (r *Registry) Endpoints(now time.Time) []protocol.Endpoint {
-	return r.views(now, func(e *entry) bool { return !e.gone })
+	isNew := r.cached != nil && r.cachedOf == r.revision && len(r.changed) == 0 && now.Sub(r.cachedAt) < tableLasts
+	if !isNew {
+		r.cached = r.views(now, func(e *entry) bool { return !e.gone })
+		r.cachedAt, r.cachedOf = now, r.revision
+	}
+	return r.cached
 }
 
 // EndpointsAndGone returns the same with those that are gone and not forgotten yet.
@@ -292,9 +305,12 @@
 	return wake
 }
 
-// flushWithin has the changes sent to the other instances soon.
+// flushWithin has the changes sent to the other instances soon. Ordinary ones in quick succession go together.
 func (r *Registry) flushWithin(now time.Time, wait time.Duration) {
 	at := now.Add(wait)
+	if wait > urgentChange {
+		at = later(at, r.flushedAt.Add(flushEvery))
+	}
 	if r.flushAt.IsZero() || at.Before(r.flushAt) {
 		r.flushAt = at
 	}
--- a/internal/control/roles/holder.go
+++ b/internal/control/roles/holder.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -90,6 +92,7 @@
 	allocator     Allocator
 	roster        *roster
 	loadings      *loadings
+	looks         *looks
 	configuration *configuration.Configuration // that the placer has
 	divided       *configuration.Configuration // that the allocator has
 	orders        map[uint64]placer.Order      // without a result
@@ -114,6 +117,7 @@
 		wake:     make(chan struct{}, 1),
 		tenure:   NewTenure(settings.Lease, time.Now()),
 		loadings: newLoadings(),
+		looks:    newLooks(),
 		orders:   make(map[uint64]placer.Order),
 	}
 	h.sender = NewSender(settings.Node, h.permitted)
@@ -228,6 +232,7 @@
 	h.allocator = h.parts.NewAllocator(h.turn.Quiet)
 	h.roster = newRoster()
 	h.loadings = newLoadings()
+	h.looks = newLooks()
 	h.loadings.changed = true // the others forget what an earlier holder showed
 	h.configuration, h.divided = nil, nil
 	clear(h.orders)
@@ -254,6 +259,9 @@
 	reports := h.reportsOf(now, arrived.batches)
 	changed := h.newConfiguration()
 	h.note(now, arrived.results)
+	for _, look := range arrived.looks {
+		h.looks.done(look.Endpoint)
+	}
 	h.loadings.observe(now, view.Endpoints)
 	out := h.placer.Step(now, placer.Input{
 		Configuration: changed,
@@ -363,16 +371,21 @@
 		h.tasks.Add(1)
 		go h.order(ctx, epoch, term, order)
 	}
-	for _, id := range out.Looks {
-		for i := range endpoints {
-			if endpoints[i].ID == id {
-				h.tasks.Add(1)
-				go h.lookAt(ctx, epoch, term, id, endpoints[i].Address)
-			}
+	h.looks.want(out.Looks)
+	for _, id := range h.looks.next() {
+		at, known := slices.BinarySearchFunc(endpoints, id, compareID)
+		if !known {
+			h.deliver(term, func(in *inbox) { in.looks = append(in.looks, placer.Look{Endpoint: id, Failed: true}) })
+			continue
 		}
+		h.tasks.Add(1)
+		go h.lookAt(ctx, epoch, term, id, endpoints[at].Address)
 	}
 }
 
+// compareID orders endpoints as tables have them.
+func compareID(e protocol.Endpoint, id string) int { return strings.Compare(e.ID, id) }
+
 func (h *Holder) order(ctx context.Context, epoch, term uint64, order placer.Order) {
 	defer h.tasks.Done()
 	outcome, err := h.sender.Order(ctx, epoch, order)
@@ -407,6 +420,9 @@
 		return min(watchEvery, max(0, h.turn.From.Sub(now)))
 	}
 	pause := watchEvery
+	if h.looks.wait() {
+		pause = 0 // until the next step may be made
+	}
 	if due := h.wakeAt; !due.IsZero() {
 		pause = min(pause, due.Sub(now))
 	}
--- a/internal/control/roles/sender.go
+++ b/internal/control/roles/sender.go
@@ -34,11 +34,13 @@
 // no order arrives after a later one.
 type Sender struct {
 	holder string
-	permit Permit
+	client *http.Client
 }
 
 // NewSender makes a sender; holder is this instance's node name.
-func NewSender(holder string, permit Permit) *Sender { return &Sender{holder: holder, permit: permit} }
+func NewSender(holder string, permit Permit) *Sender {
+	return &Sender{holder: holder, client: newClient(permit)}
+}
 
 // orderBody is the body of POST /-/order.
 type orderBody struct {
@@ -52,7 +54,7 @@
 
 // Order sends one order and says what became of it.
 func (s *Sender) Order(ctx context.Context, epoch uint64, order placer.Order) (placer.Outcome, error) {
-	ctx, cancel := context.WithTimeout(ctx, orderWithin)
+	ctx, cancel := context.WithTimeout(context.WithValue(ctx, epochKey{}, epoch), orderWithin)
 	defer cancel()
 	body := orderBody{
 		Operation: operationLoad,
@@ -65,13 +67,12 @@
 	if order.Unload {
 		body.Operation = operationDrop
 	}
-	client := s.client(epoch)
 	request, err := sling.New().Base("http://"+order.Address).Post("/-/order").
 		Set("X-Expected-Instance", order.Endpoint).BodyJSON(body).Request()
 	if err != nil {
 		return placer.Invalid, fmt.Errorf("order to %s: build: %w", order.Endpoint, err)
 	}
-	answer, err := client.Do(request.WithContext(ctx))
+	answer, err := s.client.Do(request.WithContext(ctx))
 	if err != nil {
 		return placer.Unknown, fmt.Errorf("order to %s: %w", order.Endpoint, err)
 	}
@@ -96,14 +97,14 @@
 
 // Look asks an endpoint for its own report.
 func (s *Sender) Look(ctx context.Context, epoch uint64, id, address string) (placer.Look, error) {
-	ctx, cancel := context.WithTimeout(ctx, orderWithin)
+	ctx, cancel := context.WithTimeout(context.WithValue(ctx, epochKey{}, epoch), orderWithin)
 	defer cancel()
 	failed := placer.Look{Endpoint: id, Failed: true}
 	request, err := sling.New().Base("http://"+address).Get("/-/report").Set("X-Expected-Instance", id).Request()
 	if err != nil {
 		return failed, fmt.Errorf("report of %s: build: %w", id, err)
 	}
-	answer, err := s.client(epoch).Do(request.WithContext(ctx))
+	answer, err := s.client.Do(request.WithContext(ctx))
 	if err != nil {
 		return failed, fmt.Errorf("report of %s: %w", id, err)
 	}
@@ -118,9 +119,12 @@
 	return placer.Look{Endpoint: id, Busy: told.Busy, Revision: told.Revision, Models: told.Models}, nil
 }
 
-// client makes a client for one order. The lease is looked at before each write.
-func (s *Sender) client(epoch uint64) *http.Client {
-	dialer := net.Dialer{KeepAlive: -1}
+// epochKey is the key of a request's epoch in its context.
+type epochKey struct{}
+
+// newClient makes the client of all orders. Each has a connection of its own.
+func newClient(permit Permit) *http.Client {
+	dialer := net.Dialer{KeepAlive: -1, Timeout: orderWithin}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		connection, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
@@ -129,7 +133,8 @@
 		if tcp, isTCP := connection.(*net.TCPConn); isTCP {
 			_ = tcp.SetLinger(0) // where it fails, an order that timed out may only arrive late
 		}
-		return &guarded{Conn: connection, permit: func() bool { return s.permit(epoch) }}, nil
+		epoch, _ := ctx.Value(epochKey{}).(uint64) // without one nothing is permitted
+		return &guarded{Conn: connection, permit: func() bool { return permit(epoch) }}, nil
 	}
 	return &http.Client{
 		Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
--- a/internal/control/roles/sender_test.go
+++ b/internal/control/roles/sender_test.go
@@ -91,6 +91,10 @@
 	if !errors.Is(err, ErrLeaseOver) || outcome != placer.Unknown || calls.Load() != 0 {
 		t.Errorf("%v, %v, %d calls", outcome, err, calls.Load())
 	}
+	if outcome, err := sender.Order(t.Context(), 2, placer.Order{Address: serverAddress(endpoint)}); err != nil ||
+		outcome != placer.Holds {
+		t.Errorf("in the epoch of the lease: %v, %v", outcome, err)
+	}
 }
 
 func TestOrderWithoutAnswerIsUnknown(t *testing.T) {
