Let a new holder of the roles act a third of a lease after the former may act

Change: a pause of lease_ms/3 after the former lease; who acted before another one waits a whole lease.

--- a/internal/control/roles/tenure.go
+++ b/internal/control/roles/tenure.go
@@ -8,13 +8,18 @@
 	"raventrestle/coordination/replica"
 )
 
-// foundingEpoch is the first epoch of a system: nobody held a role before it.
-const foundingEpoch = 1
+const (
+	// foundingEpoch is the first epoch of a system: nobody held a role before it.
+	foundingEpoch = 1
+	// handoverPart of the deployment's lease_ms passes between two holders' acts at least.
+	handoverPart = 3
+)
 
 // Tenure decides whether this instance may act. It is pure.
 //
-// Invariant (tenure_test.go): between the last moment at which an earlier holder may act and the first of this
-// one lies a whole lease, unless the earlier holder was this process in the epoch just before.
+// Invariants (tenure_test.go): a holder acts only after the last moment at which an earlier one may act, and a part
+// of the lease later; and a holder that has acted, or may have before its process started, acts again after another
+// one only when a whole lease has passed since: holders never take turns within a lease.
 type Tenure struct {
 	lease time.Duration
 	begun time.Time     // start of the process
@@ -22,6 +27,7 @@
 	from  time.Time     // it may act in that epoch from then on
 	quiet time.Duration // nobody has acted for so long before
 	acted uint64        // newest epoch in which it acted; 0: none
+	last  time.Time     // when it acted last, or may have: the start of the process
 }
 
 // Turn says what this instance may do now.
@@ -35,7 +41,9 @@
 }
 
 // NewTenure makes a tenure; lease is the deployment's lease_ms.
-func NewTenure(lease time.Duration, now time.Time) *Tenure { return &Tenure{lease: lease, begun: now} }
+func NewTenure(lease time.Duration, now time.Time) *Tenure {
+	return &Tenure{lease: lease, begun: now, last: now}
+}
 
 // Step looks at the newest status.
 func (t *Tenure) Step(now time.Time, status replica.Status) Turn {
@@ -51,6 +59,7 @@
 	if !now.Before(t.from) {
 		turn.Acts = true
 		t.acted = t.epoch
+		t.last = now
 	}
 	return turn
 }
@@ -64,9 +73,15 @@
 	case epoch == foundingEpoch:
 		return now, now.Sub(t.begun) // an earlier process of this instance may have acted
 	}
-	start := status.LeaderSince
-	if status.PreviousMayAct.After(start) {
-		start = status.PreviousMayAct
+	former := latest(status.LeaderSince, status.PreviousMayAct)
+	pause := t.lease / handoverPart
+	from = latest(former.Add(pause), t.last.Add(t.lease))
+	return from, from.Sub(former)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return start.Add(t.lease), t.lease
+	return b
 }
