--- a/coordination/wal/modeldisk/disk.go
+++ b/coordination/wal/modeldisk/disk.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 
 	"raventrestle/coordination/wal"
 )
@@ -22,12 +23,13 @@
 	names   map[string]*content
 	durable map[string]*content
 
-	Refuse  bool // every write, sync, creation and rename fails
+	Refuse  bool // every write, sync, creation and rename fails; Fill sets it from another goroutine
 	NoSync  bool // a planted fault: syncs do nothing
 	Steps   int  // changes of the disk so far
 	Syncs   int
 	Written int64
 	CutAt   int // the power fails at this step, before it takes effect; 0 means never
+	full    atomic.Bool
 	// Failing makes that many of the next syncs fail although the bytes may be on the disk.
 	Failing int
 }
@@ -47,13 +49,16 @@
 	return &Disk{names: map[string]*content{}, durable: map[string]*content{}}
 }
 
+// Fill makes the disk refuse, or ends that. Unlike all else it may be called from any goroutine.
+func (d *Disk) Fill(full bool) { d.full.Store(full) }
+
 // step counts a change of the disk.
 func (d *Disk) step() error {
 	d.Steps++
 	if d.CutAt > 0 && d.Steps == d.CutAt {
 		panic(PowerCut{})
 	}
-	if d.Refuse {
+	if d.Refuse || d.full.Load() {
 		return ErrRefused
 	}
 	return nil
