Let more than half of the members hold a majority of the votes

With five or more members beside three voters, a cut could leave the larger side without a majority of the votes. Voters now grow to the largest odd number of members (at most nine), the chain stays short.

--- a/coordination/chain/change.go
+++ b/coordination/chain/change.go
@@ -307,7 +307,13 @@
 		return
 	}
 	decided := Decided{View: c.proposer.Value, Clean: n.clean(now)}
+	proposer := c.proposer
 	n.enter(now, decided.View, decided.Clean)
+	for _, voter := range proposer.Current.Voters { // who did not promise counts as silent until it is heard
+		if p := n.find(voter.Identity); p != nil && !proposer.HasPromise(voter.Identity) {
+			p.heardAt = min(p.heardAt, now-n.timing.Suspect-time.Millisecond)
+		}
+	}
 	for _, p := range n.peers {
 		n.send(p.member, Message{Decided: &decided})
 	}
--- a/coordination/chain/node.go
+++ b/coordination/chain/node.go
@@ -86,6 +86,7 @@
 	}
 	n.requests.next = random.Uint64() >> 1
 	n.begin(now)
+	n.giveGrace(now)
 	return n
 }
 
@@ -142,7 +143,7 @@
 
 // idleWake is the longest time between two steps; wakeGrain the shortest that a timer asks for.
 const (
-	idleWake  = 250 * time.Millisecond
+	idleWake  = time.Second
 	wakeGrain = 2 * time.Millisecond
 )
 
@@ -172,6 +173,7 @@
 // Restored tells that the disk takes writes again and Checkpointed was called for all of the state.
 func (n *Node) Restored(now time.Duration) {
 	n.refusing = false
+	n.giveGrace(now)
 	n.begin(now)
 }
 
--- a/coordination/chain/receive.go
+++ b/coordination/chain/receive.go
@@ -130,6 +130,7 @@
 
 // enter begins a view. What was promised towards it is done with.
 func (n *Node) enter(now time.Duration, v view.View, clean bool) {
+	before := n.view.Head().Identity
 	n.view, n.clear = v, clean
 	n.learnView(now, v)
 	r := record{View: &v}
@@ -144,9 +145,19 @@
 	if !clean {
 		n.watch.previousMayAct = now + n.timing.Lease + leaseMargin
 	}
+	if before != n.self.Identity {
+		n.giveGrace(now)
+	}
 	n.begin(now)
 }
 
+// giveGrace has all peers count as heard now, for a head that has not watched them so far.
+func (n *Node) giveGrace(now time.Duration) {
+	for _, p := range n.peers {
+		p.heardAt = now
+	}
+}
+
 // begin resets all that is volatile in an epoch: after a start, a change of view or a refused write.
 func (n *Node) begin(now time.Duration) {
 	n.matched = n.whole()
@@ -157,9 +168,6 @@
 		p.next, p.waiting, p.asked = 0, false, nil
 		p.confirmed, p.pong, p.answered = 0, Pong{}, false
 		p.progressAt = now
-		if now-p.heardAt < n.timing.Suspect || n.isHead() {
-			p.heardAt = now
-		}
 	}
 	n.learnView(now, n.view)
 	for _, member := range n.known {
--- a/coordination/chain/watch.go
+++ b/coordination/chain/watch.go
@@ -52,7 +52,7 @@
 	n.watch.live = nil
 	for _, p := range n.peers {
 		p.pingedAt = 0
-		if n.isHead() && grace > p.heardAt {
+		if n.isHead() && grace > now {
 			p.heardAt = grace
 		}
 	}
--- a/coordination/chain/wish.go
+++ b/coordination/chain/wish.go
@@ -27,7 +27,7 @@
 			remaining++
 		}
 	}
-	if out && remaining >= n.minimum() {
+	if out && remaining+len(n.voterReserves(now)) >= n.minimum() {
 		return true
 	}
 	if n.leaving && n.heirLive(now) {
@@ -133,18 +133,47 @@
 	return true
 }
 
-// wantedIn tells whether a voter can come back into the chain, or a standby take a vote.
-func (n *Node) wantedIn(now time.Duration) bool {
+// voterReserves lists the voters outside the chain that can come into it.
+func (n *Node) voterReserves(now time.Duration) []view.Member {
+	var reserves []view.Member
 	for _, voter := range n.view.Voters {
 		p := n.find(voter.Identity)
 		if p != nil && n.view.Place(voter.Identity) < 0 && n.admissible(now, p) {
-			return true
+			reserves = append(reserves, voter)
 		}
 	}
-	if len(n.standbys(now)) == 0 || n.holdersLive(now) < n.minimum() {
-		return len(n.standbys(now)) > 0 && len(n.view.Voters) < n.minimum()
+	return reserves
+}
+
+// wantedIn tells whether a voter should come into the chain, or a standby should take a vote.
+func (n *Node) wantedIn(now time.Duration) bool {
+	room := len(n.view.Chain) < view.TargetChain(len(n.view.Voters), n.config.Faults)
+	if room && len(n.voterReserves(now)) > 0 {
+		return true
+	}
+	if len(n.standbys(now)) == 0 {
+		return false
+	}
+	voters := len(n.view.Voters)
+	if voters < n.minimum() {
+		return true // so few have never committed anything
 	}
-	return len(n.view.Voters) < view.TargetVoters(n.config.Faults) || len(n.gone(now)) > 0
+	if len(n.gone(now)) > 0 && n.holdersLive(now) >= n.minimum() {
+		return true
+	}
+	grown := view.CommitMinimum(voters+1, n.config.Faults)
+	return voters < n.targetVoters(now) && n.holdersLive(now) >= grown
+}
+
+// targetVoters is how many voters the live members should have.
+func (n *Node) targetVoters(now time.Duration) int {
+	members := 1
+	for _, p := range n.peers {
+		if n.view.Votes(p.member.Identity) || n.live(now, p) && p.answered {
+			members++
+		}
+	}
+	return view.TargetVoters(n.config.Faults, members)
 }
 
 // holdersLive counts the members whose logs are whole in this epoch.
@@ -203,10 +232,11 @@
 
 // wish is what the next view should be, from what this node knows. Others than the head know only who promises.
 func (n *Node) wish(now time.Duration) view.Wish {
-	wish := view.Wish{Faults: n.config.Faults}
+	wish := view.Wish{Faults: n.config.Faults, Target: len(n.view.Voters)}
 	if !n.isHead() {
 		return wish
 	}
+	wish.Target = n.targetVoters(now)
 	for _, member := range n.view.Chain {
 		if n.wantedOut(now, member.Identity) {
 			wish.Out = append(wish.Out, member.Identity)
@@ -239,5 +269,16 @@
 	if n.isHead() || !n.watch.pinged {
 		return false
 	}
-	return !n.inChain() || len(n.view.Chain)-1 < n.minimum()
+	return !n.inChain() || len(n.view.Chain)-1+n.reservesTold() < n.minimum()
+}
+
+// reservesTold counts the voters outside the chain that the head has told to be live.
+func (n *Node) reservesTold() int {
+	count := 0
+	for i, member := range n.table.members {
+		if i < len(n.table.live) && n.table.live[i] && n.view.Votes(member.Identity) && n.view.Place(member.Identity) < 0 {
+			count++
+		}
+	}
+	return count
 }
--- a/coordination/simnet/scenario_test.go
+++ b/coordination/simnet/scenario_test.go
@@ -416,3 +416,25 @@
 		}
 	})
 }
+
+// With more machines than seeds, the side of a cut that holds more than half of them goes on.
+func TestLargerSideGoesOn(t *testing.T) {
+	for _, machines := range []int{4, 5, 6, 7} {
+		scenario(t, 2500*time.Millisecond, machines, func(w *World) {
+			_ = w.Run(2 * time.Second) // the votes spread
+			order := w.random.Perm(len(w.machines))
+			var smaller, larger []*machine
+			for at, i := range order {
+				if at < (machines-1)/2 {
+					smaller = append(smaller, w.machines[i])
+				} else {
+					larger = append(larger, w.machines[i])
+				}
+			}
+			w.cutOff(smaller, larger, true, true)
+			for _, m := range smaller { // their clients see nothing
+				m.inbox = nil
+			}
+		})
+	}
+}
--- a/coordination/view/plan.go
+++ b/coordination/view/plan.go
@@ -5,6 +5,7 @@
 // Wish is what a proposer would like the next view to be. Plan grants of it what is safe.
 type Wish struct {
 	Faults   int
+	Target   int      // voters to work towards; the present ones stay in any case
 	Out      []string // identities that should leave the chain
 	Gone     []string // voters that should give up their vote to a standby
 	Standbys []Member // live members outside the voters whose logs are near the head's, best first
@@ -76,30 +77,32 @@
 	return len(v.Chain) + place(v.Voters, identity)
 }
 
-// planVoters gives the places of the gone to standbys, and free places to standbys, as long as enough voters
-// hold all that was committed. A majority of the new voters must meet the holders, also after the loss of as
-// many disks as must be borne.
+// planVoters gives the places of the gone to standbys, and free places to standbys, one after the other as long as
+// enough voters hold all that was committed: a majority of the new voters must meet the holders, also after the
+// loss of as many disks as must be borne.
 func planVoters(current View, reports, holders []Report, wish Wish) []Member {
-	voters := slices.Clone(current.Voters)
+	voters := current.Voters
 	standbys := slices.Clone(wish.Standbys)
-	take := func() Member {
-		standby := standbys[0]
-		standbys = standbys[1:]
-		return standby
+	try := func(changed []Member) {
+		if enoughHolders(current, changed, holders, wish.Faults) {
+			voters, standbys = changed, standbys[1:]
+		}
 	}
-	for i, voter := range voters {
+	for i, voter := range current.Voters {
 		promised := slices.ContainsFunc(reports, func(r Report) bool { return r.Member.Identity == voter.Identity })
-		if !promised && slices.Contains(wish.Gone, voter.Identity) && len(standbys) > 0 {
-			voters[i] = take()
+		if promised || !slices.Contains(wish.Gone, voter.Identity) || len(standbys) == 0 {
+			continue
 		}
+		changed := slices.Clone(voters)
+		changed[i] = standbys[0]
+		try(changed)
 	}
-	for len(voters) < TargetVoters(wish.Faults) && len(standbys) > 0 {
-		voters = append(voters, take())
-	}
-	if enoughHolders(current, voters, holders, wish.Faults) {
-		return voters
+	for range len(standbys) {
+		if len(voters) < wish.Target {
+			try(append(slices.Clone(voters), standbys[0]))
+		}
 	}
-	return current.Voters
+	return voters
 }
 
 func enoughHolders(current View, voters []Member, holders []Report, faults int) bool {
@@ -124,11 +127,12 @@
 	return true
 }
 
-// planChain puts the head first, then the former chain in its order, then the other voters.
+// planChain puts the head first, then the former chain in its order, then other voters up to the target.
 func planChain(current View, voters []Member, reports []Report, head Report, wish Wish) []Member {
 	chain := []Member{head.Member}
+	target := TargetChain(len(voters), wish.Faults)
 	add := func(member Member) {
-		if place(chain, member.Identity) < 0 && place(voters, member.Identity) >= 0 {
+		if len(chain) < target && place(chain, member.Identity) < 0 && place(voters, member.Identity) >= 0 {
 			chain = append(chain, member)
 		}
 	}
--- a/coordination/view/types.go
+++ b/coordination/view/types.go
@@ -72,8 +72,20 @@
 	return max(faults+1, meetsMajority)
 }
 
-// TargetVoters is how many voters a group that bears that many lost disks works towards.
-func TargetVoters(faults int) int { return max(2*faults+1, 3) }
+// maximumVoters bounds the voters of a large group: every attempt asks all of them.
+const maximumVoters = 9
+
+// TargetVoters is how many voters a group of that many live members works towards: an odd number, enough to bear
+// the lost disks, and so many of the members that more than half of those hold a majority of the votes.
+func TargetVoters(faults, members int) int {
+	odd := members - 1 + members%2
+	return max(2*faults+1, 3, min(odd, maximumVoters))
+}
+
+// TargetChain is how long a chain among that many voters should be: one member can go before another must come in.
+func TargetChain(voters, faults int) int {
+	return max(2*faults+1, CommitMinimum(voters, faults)+1)
+}
 
 func place(members []Member, identity string) int {
 	for i, member := range members {
--- a/coordination/view/view_test.go
+++ b/coordination/view/view_test.go
@@ -108,7 +108,7 @@
 // drawPlan draws a situation in which a view has to be planned.
 func drawPlan(t *rapid.T) (View, []Report, Wish) {
 	faults := rapid.IntRange(0, 2).Draw(t, "faults")
-	voters := members(rapid.IntRange(1, TargetVoters(faults)).Draw(t, "voters"))
+	voters := members(rapid.IntRange(1, 7).Draw(t, "voters"))
 	current := View{Epoch: 5, Voters: voters, Chain: voters[:rapid.IntRange(1, len(voters)).Draw(t, "chain")]}
 	promised := rapid.Permutation(voters).Draw(t, "order")
 	promised = promised[:rapid.IntRange(current.Majority(), len(voters)).Draw(t, "promises")]
@@ -124,6 +124,7 @@
 	identity := rapid.Custom(func(t *rapid.T) string { return member(rapid.IntRange(0, 9).Draw(t, "identity")).Identity })
 	wish := Wish{
 		Faults: faults,
+		Target: rapid.IntRange(0, 9).Draw(t, "target"),
 		Out:    rapid.SliceOfN(identity, 0, 3).Draw(t, "out"),
 		Gone:   rapid.SliceOfN(identity, 0, 3).Draw(t, "gone"),
 	}
@@ -150,7 +151,7 @@
 				t.Fatalf("%v is in the chain twice", link)
 			}
 		}
-		if len(next.Voters) > max(TargetVoters(wish.Faults), len(current.Voters)) {
+		if len(next.Voters) > max(wish.Target, len(current.Voters)) {
 			t.Fatalf("%d voters", len(next.Voters))
 		}
 		if slices.Equal(next.Voters, current.Voters) {
@@ -172,7 +173,7 @@
 // Every chain that may commit meets every majority of its voters, also after as many lost disks as must be borne.
 func TestCommitMinimum(t *testing.T) {
 	for faults := range 4 {
-		for voters := 1; voters <= TargetVoters(faults); voters++ {
+		for voters := 1; voters <= maximumVoters; voters++ {
 			minimum := CommitMinimum(voters, faults)
 			majority := voters/2 + 1
 			if minimum+majority <= voters || minimum <= faults {
