--- a/coordination/simnet/network.go
+++ b/coordination/simnet/network.go
@@ -43,8 +43,12 @@
 			return
 		}
 		for _, m := range w.machines {
-			if m.address == envelope.Address && m.engine != nil {
-				m.put(engine.Input{Message: &message, Address: from})
+			if m.address != envelope.Address || m.engine == nil {
+				continue
+			}
+			deliver := func() { m.put(engine.Input{Message: &message, Address: from}) }
+			if w.deviate(from, m, deliver) {
+				deliver()
 			}
 		}
 	})
--- a/coordination/simnet/plain_test.go
+++ b/coordination/simnet/plain_test.go
@@ -7,3 +7,5 @@
 
 // scenarioSeeds is how often each scenario is played.
 const scenarioSeeds = 12
+
+const raceDetected = false
--- a/coordination/simnet/race_test.go
+++ b/coordination/simnet/race_test.go
@@ -6,4 +6,5 @@
 const (
 	seedsPlayed   = 16
 	scenarioSeeds = 3
+	raceDetected  = true
 )
--- a/coordination/simnet/world.go
+++ b/coordination/simnet/world.go
@@ -36,6 +36,8 @@
 	commands  int  // proposed by clients
 	finishing bool // clients have stopped
 	failure   error
+
+	exploration exploration
 }
 
 // NewWorld starts all machines of the setup within 0.3 s of each other.
