--- a/coordination/chain/feed.go
+++ b/coordination/chain/feed.go
@@ -239,10 +239,7 @@
 	n.committed = snapshot.Point.Index
 	n.applied = snapshot.Point.Index
 	n.recent = newRecent(snapshot.Recent)
-	n.unsaved = false
-	state := n.State()
-	n.out.Install = &Install{Snapshot: a.Snapshot, Records: state.Records()}
-	n.out.Records = nil // the whole state takes their place
+	n.out.Install = &Install{Snapshot: a.Snapshot}
 	n.requests.lostBehind(n.life, n.recent)
 	return true
 }
@@ -266,7 +263,8 @@
 
 // commitHere commits at the tail: every member of the chain has synced what the tail is about to sync.
 func (n *Node) commitHere() {
-	if !n.isTail() || !n.whole() || n.wedged() || !n.mayCommit() || n.refusing || n.committed >= n.log.last() {
+	last := n.isTail() || n.config.Mutation.AckAtFaults && n.successor() == n.view.Tail()
+	if !last || !n.whole() || n.wedged() || !n.mayCommit() || n.refusing || n.committed >= n.log.last() {
 		return
 	}
 	n.committed, n.unsaved = n.log.last(), true
--- a/coordination/chain/receive.go
+++ b/coordination/chain/receive.go
@@ -32,9 +32,11 @@
 // sameEpoch refuses messages of other epochs and sees that the one behind learns of the later one.
 func (n *Node) sameEpoch(now time.Duration, address string, m Message) bool {
 	switch {
+	case m.Epoch < n.view.Epoch && n.config.Mutation.NoEpochCheck && m.Epoch > 0:
+		return true
 	case m.Epoch < n.view.Epoch:
 		n.tellView(now, m.From, address)
-		return n.config.Mutation.NoEpochCheck && m.Epoch > 0
+		return false
 	case m.Epoch > n.view.Epoch:
 		n.askView(now, m.From, address)
 		return false
@@ -45,7 +47,7 @@
 func (n *Node) receiveInEpoch(now time.Duration, address string, m Message) {
 	switch {
 	case m.Ping != nil:
-		n.onPing(now, address, m.From, *m.Ping)
+		n.onPing(now, address, m)
 	case m.Pong != nil:
 		n.onPong(now, m.From, *m.Pong)
 	case m.Fetch != nil:
@@ -79,7 +81,7 @@
 	if n.view.Epoch == 0 || !n.mayTell(now, identity) {
 		return
 	}
-	n.sendTo(address, Message{To: identity, Decided: &Decided{View: n.filled(n.view)}})
+	n.sendTo(address, Message{To: identity, Decided: &Decided{View: n.filled(n.view), Clean: n.clear}})
 }
 
 // askView asks a member that has shown a later epoch for its view.
@@ -128,7 +130,7 @@
 
 // enter begins a view. What was promised towards it is done with.
 func (n *Node) enter(now time.Duration, v view.View, clean bool) {
-	n.view = v
+	n.view, n.clear = v, clean
 	n.learnView(now, v)
 	r := record{View: &v}
 	if n.isHead() {
--- a/coordination/chain/wish.go
+++ b/coordination/chain/wish.go
@@ -13,7 +13,7 @@
 // flapMemory is how long a member's silences count against its admission; flapLimit bounds what they cost.
 const (
 	flapMemory = 30 * time.Second
-	flapLimit  = 4
+	flapLimit  = 5
 )
 
 // wanted tells whether the head wants another view than its own.
@@ -27,7 +27,7 @@
 			remaining++
 		}
 	}
-	if out && remaining >= n.view.CommitMinimum(n.config.Faults) {
+	if out && remaining >= n.minimum() {
 		return true
 	}
 	if n.leaving && n.heirLive(now) {
@@ -141,8 +141,8 @@
 			return true
 		}
 	}
-	if len(n.standbys(now)) == 0 || n.holdersLive(now) < n.view.CommitMinimum(n.config.Faults) {
-		return len(n.standbys(now)) > 0 && len(n.view.Voters) < n.view.CommitMinimum(n.config.Faults)
+	if len(n.standbys(now)) == 0 || n.holdersLive(now) < n.minimum() {
+		return len(n.standbys(now)) > 0 && len(n.view.Voters) < n.minimum()
 	}
 	return len(n.view.Voters) < view.TargetVoters(n.config.Faults) || len(n.gone(now)) > 0
 }
@@ -230,10 +230,14 @@
 	return n.finish(now)
 }
 
-// Left tells whether nothing more is gained by waiting after Leave.
+// Left tells whether nothing more is gained by waiting after Leave. The member has heard the head of its view, so
+// that others know the view even if nothing more leaves this member.
 func (n *Node) Left() bool {
-	if n.view.Epoch == 0 || !n.inChain() {
+	if n.view.Epoch == 0 {
 		return true
 	}
-	return !n.isHead() && len(n.view.Chain)-1 < n.view.CommitMinimum(n.config.Faults)
+	if n.isHead() || !n.watch.pinged {
+		return false
+	}
+	return !n.inChain() || len(n.view.Chain)-1 < n.minimum()
 }
--- a/coordination/simnet/history.go
+++ b/coordination/simnet/history.go
@@ -42,6 +42,7 @@
 
 // Finish heals everything and checks that the group goes on and that nothing is lost.
 func (w *World) Finish() error {
+	w.finishing = true
 	w.heal()
 	if err := w.Run(recovering); err != nil {
 		return err
@@ -81,12 +82,17 @@
 }
 
 func (w *World) anyUp() *machine {
-	for {
-		m := w.machines[w.random.IntN(len(w.machines))]
+	up := w.machines[:0:0]
+	for _, m := range w.machines {
 		if m.engine != nil {
-			return m
+			up = append(up, m)
 		}
 	}
+	if len(up) == 0 {
+		w.fail("no machine is up")
+		return w.machines[0]
+	}
+	return up[w.random.IntN(len(up))]
 }
 
 // heal ends all troubles.
--- a/internal/control/distribution/hub.go
+++ b/internal/control/distribution/hub.go
@@ -19,7 +19,8 @@
 	// BeaconEvery is how often a router hears from its instance at least.
 	BeaconEvery = 250 * time.Millisecond
 
-	gatherFor      = 4 * time.Millisecond // ordinary changes wait so long for others
+	gatherFor      = 4 * time.Millisecond  // ordinary changes wait so long for others
+	flushEvery     = 40 * time.Millisecond // and go no more often than this
 	beaconSlack    = 60 * time.Millisecond
 	confirmWithin  = 3 * time.Second  // a router that is slower is sent away
 	retryFirst     = 10 * time.Second // an isolated instance takes a router at its second try within this time
@@ -46,6 +47,7 @@
 	changed  map[string]protocol.Endpoint // not sent yet
 	revision uint64                       // of the table, with changed
 	flushAt  time.Time
+	flushed  time.Time
 	beaconAt time.Time
 
 	arrivals  uint64 // subscriptions so far
@@ -130,11 +132,20 @@
 	Close   []Closing
 	Floor   uint64                    // every subscribed router has confirmed the table up to this revision
 	Barrier uint64                    // begin a barrier now and return the number with BarrierPassed; 0: none is needed
+	Joined  []protocol.Subscribe      // routers that were taken in
 	Routers bool                      // the set of routers changed: see Connected
 	Granted []protocol.GrantConfirmed // that routers confirmed
 	WakeAt  time.Time                 // Step again then at the latest; zero: at the next input
 }
 
+// Reasons for closing a router's connection.
+const (
+	Refused  = "refused"  // an isolated instance sends routers away at their first try
+	Isolated = "isolated" // a router may find a better instance by now
+	Replaced = "replaced" // the router has subscribed again
+	Slow     = "slow"     // it did not confirm in time
+)
+
 // Closing is a connection to be closed, and why.
 type Closing struct {
 	Connection ConnectionID
@@ -301,6 +312,9 @@
 
 func (h *Hub) flushWithin(now time.Time, wait time.Duration) {
 	at := now.Add(wait)
+	if next := h.flushed.Add(flushEvery); wait > 0 && next.After(at) {
+		at = next
+	}
 	if h.flushAt.IsZero() || at.Before(h.flushAt) {
 		h.flushAt = at
 	}
--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -53,6 +53,7 @@
 type Settings struct {
 	Origin    protocol.Origin
 	Heartbeat time.Duration // between an endpoint's heartbeats
+	Codec     *transport.Codec
 }
 
 // Parts are what the host works with.
@@ -84,6 +85,7 @@
 	status      statusView
 	started     time.Time
 	delays      delays
+	frames      frames
 	reports     []protocol.Report
 	granted     []protocol.GrantConfirmed
 	reportsSent time.Time
@@ -101,6 +103,7 @@
 		desk:        NewDesk(registry.Settings{Origin: settings.Origin, Heartbeat: settings.Heartbeat}, now),
 		started:     now,
 		delays:      newDelays(),
+		frames:      frames{codec: settings.Codec},
 		connections: make(map[*transport.Connection]distribution.ConnectionID),
 		byID:        make(map[distribution.ConnectionID]*transport.Connection),
 		tickets:     make(map[uint64]chan registry.Acknowledge),
@@ -187,6 +190,9 @@
 	for _, message := range orders.Peers {
 		h.sendPeer(now, message.To, message.Message)
 	}
+	for _, router := range orders.Joined {
+		h.parts.Events.RouterSubscribed(router.Node, router.Zone, router.Generation)
+	}
 	for _, closing := range orders.Close {
 		h.closeRouter(closing)
 	}
@@ -218,11 +224,23 @@
 	if connection == nil {
 		return
 	}
-	if err := connection.Send(message.Message); err != nil {
+	if err := h.sendOn(connection, message.Message); err != nil {
 		connection.Close() // it reads too slowly, or is gone: it subscribes anew
 	}
 }
 
+func (h *Host) sendOn(connection *transport.Connection, message any) error {
+	update, isUpdate := message.(*protocol.Update)
+	if !isUpdate {
+		return connection.Send(message)
+	}
+	frame, err := h.frames.update(update)
+	if err != nil {
+		return err
+	}
+	return connection.SendFrame(frame)
+}
+
 func (h *Host) closeRouter(closing distribution.Closing) {
 	connection := h.byID[closing.Connection]
 	if connection == nil {
@@ -230,7 +248,9 @@
 	}
 	delete(h.byID, closing.Connection)
 	delete(h.connections, connection)
-	h.parts.Events.RouterClosed(closing.Node, closing.Reason)
+	if closing.Reason != distribution.Refused {
+		h.parts.Events.RouterClosed(closing.Node, closing.Reason)
+	}
 	connection.Close()
 }
 
--- a/internal/router/dispatch/counters.go
+++ b/internal/router/dispatch/counters.go
@@ -8,7 +8,7 @@
 	SentAgain uint64 // of those, beyond a request's first
 	Abandoned uint64 // calls to endpoints that went dark
 	Moved     uint64 // held requests that went to another endpoint's flow
-	Refused   [Exhausted + 1]uint64
+	Refused   [Leaving + 1]uint64
 	Tripped   uint64 // endpoints that were left for their failures
 }
 
@@ -26,6 +26,8 @@
 		return "no endpoint"
 	case BudgetSpent:
 		return "retry budget spent"
+	case Leaving:
+		return "leaving"
 	case Exhausted:
 		return "exhausted"
 	}
--- a/internal/router/dispatch/types.go
+++ b/internal/router/dispatch/types.go
@@ -66,6 +66,12 @@
 	Events   int // since the last
 }
 
+// Stalled: a stream that may go on elsewhere has paused for long. The call goes on unless Abandon follows.
+type Stalled struct {
+	ID       RequestID
+	Endpoint string
+}
+
 // Result says how a call ended.
 type Result uint8
 
@@ -102,12 +108,18 @@
 	Routers       int // 0: unchanged
 }
 
+// Closing: this process ends. From HoldUntil on nothing is held: what can't be sent at once is refused, and its
+// client comes back to another router. Only a stream that broke off midway still waits for an endpoint.
+type Closing struct{ HoldUntil time.Time }
+
 func (Arrived) input()     {}
 func (Withdrawn) input()   {}
 func (FirstByte) input()   {}
+func (Stalled) input()     {}
 func (Progress) input()    {}
 func (Finished) input()    {}
 func (ViewChanged) input() {}
+func (Closing) input()     {}
 
 // Output is something the host must do: one of the types below.
 type Output interface{ output() }
@@ -131,6 +143,7 @@
 	NoEndpoint                // 503: no endpoint of the service, or none holds the model in time
 	BudgetSpent               // what failed may not be sent again
 	Exhausted                 // MaxEndpoints reached, or it may have run and is not repeatable
+	Leaving                   // 503: this process ends, and another router may serve the request
 )
 
 // Refuse: answer at once. RetryAfter is when the client may come back, 0 where coming back is useless.
