--- a/internal/control/quota/quota.go
+++ b/internal/control/quota/quota.go
@@ -40,14 +40,14 @@
 	demandTime   = 4000 * time.Millisecond // over which demand is averaged
 	bucketSpan   = 250 * time.Millisecond  // of the record of what was spent
 	changePart   = 0.1                     // a part is sent anew when it changed by more
-	pulledAmple  = 0.3                     // a router's rate is to exceed its demand by this factor, with credits
+	pulledAmple  = 0.0                     // a router's rate is to exceed its demand by this factor, with credits
 	pushedAmple  = 1.5                     // and without
 	stockTime    = 2 * time.Second         // of demand that a router is to have in credits
 	stockLow     = 0.5                     // of its stock, below which it is filled up
-	stockLacks   = 3                     // a stock smaller than so many usual lacks serves nobody
+	stockLacks   = 3                       // a stock smaller than so many usual lacks serves nobody
 	lackBy       = 0.1                     // by how much a new lack changes the usual one
 	goneAfter    = 30 * time.Second        // a router out of reach for so long has ended
-	stockPart    = 0.5                    // of what may be lent, at most so much for stocks
+	stockPart    = 0.5                     // of what may be lent, at most so much for stocks
 	reserve      = 0.02                    // of what a window allows, never handed out
 	depthPart    = 0.2                     // of what a window allows beyond rate and burst, given to the buckets' depth
 	evenPart     = 0.2                     // of the depth, divided evenly among the routers that ask
@@ -142,6 +142,9 @@
 	}
 	if a.acting.IsZero() {
 		a.acting = now
+		for _, t := range a.order {
+			t.judgePast(now, a.options)
+		}
 	}
 	if now.Sub(a.acting) < a.earlier()-a.options.QuietBefore {
 		return out
--- a/internal/control/quota/tenant.go
+++ b/internal/control/quota/tenant.go
@@ -19,6 +19,7 @@
 	pulled      bool      // routers tell what they lack
 	lack        float64   // what a router usually lacks when it lacks
 	began       time.Time
+	asked       float64 // since then
 }
 
 // credit is what was lent to a router and has not been reported as spent. It counts as spent in every window.
@@ -70,6 +71,28 @@
 	return t
 }
 
+// How an allocator judges what happened before it began.
+const (
+	judgedOver  = 2 * time.Second // gathered for less, it knows nothing
+	pressedPart = 1.3             // of its rate: a tenant that asks for more was pressing before, too
+	pressedMore = 2               // usual lacks, on top
+)
+
+// judgePast makes sure, when the allocator begins to act, that what an earlier holder may have let a tenant spend is
+// counted. A tenant that presses, or of which nothing is known, is assumed to have spent all of a window at once.
+func (t *tenant) judgePast(now time.Time, options Options) {
+	t.advance(now)
+	over := now.Sub(t.began)
+	if over >= judgedOver && t.asked <= pressedPart*t.rate*over.Seconds()+pressedMore*t.lack {
+		return
+	}
+	at := len(t.spent) - 1 - int(over/bucketSpan)
+	if at < 0 {
+		return
+	}
+	t.spent[at] = math.Max(t.spent[at], t.allowed(options))
+}
+
 // advance lets time pass in the record of what was spent.
 func (t *tenant) advance(now time.Time) {
 	for now.Sub(t.newest) >= bucketSpan {
@@ -91,6 +114,7 @@
 	by := math.Exp(-elapsed / demandTime.Seconds())
 	p.demand = p.demand*by + row.Asked/demandTime.Seconds()
 	p.lastAt, p.lacking = now, row.Lacking
+	t.asked += row.Asked
 	if row.Lacking > 0 {
 		t.lack += (row.Lacking - t.lack) * lackBy
 		t.pulled = true
--- a/internal/control/quota/world_test.go
+++ b/internal/control/quota/world_test.go
@@ -384,3 +384,9 @@
 	}
 	return w
 }
+
+// changeHolder takes the role away; another instance learns after a while and acts later.
+func (w *world) changeHolder(gathers, acts time.Duration) {
+	w.allocator, w.gatherAt, w.holderAt = nil, w.now+gathers, w.now+acts
+	w.options.QuietBefore = 3 * time.Second
+}
