--- a/internal/control/quota/world_test.go
+++ b/internal/control/quota/world_test.go
@@ -91,7 +91,6 @@
 	grants    int
 	window    time.Duration
 	broken    string
-	adverse   bool
 }
 
 func (w *world) later(after time.Duration, do func()) {
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -129,3 +129,13 @@
 	Lacking float64 `cbor:"4,keyasint,omitempty"` // what held requests lack now, to be lent as Credit
 	Credit  float64 `cbor:"5,keyasint,omitempty"` // what is left of credits
 }
+
+// Lacks says that requests wait at the router for a tenant's quota.
+func (r *Report) Lacks() bool {
+	for i := range r.Tenants {
+		if r.Tenants[i].Lacking > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/router/dispatch/engine_test.go
@@ -0,0 +1,187 @@
+package dispatch
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"raventrestle/internal/protocol"
+)
+
+// The endpoints of the world: batch engines with prefill in pieces, and plain servers. Time goes in ticks.
+
+const worldTick = 2 * time.Millisecond
+
+// mood is how an endpoint is.
+type mood int
+
+const (
+	well mood = iota
+	crashed
+	isDark
+)
+
+// job is a call at an endpoint.
+type job struct {
+	call     *worldCall
+	priority int
+	at       time.Duration
+	read     float64 // tokens of the prompt still to be read
+	size     float64 // tokens in memory
+	put      float64 // tokens still to be put out, or ms of work
+	begun    bool    // first byte sent
+}
+
+type server struct {
+	row     protocol.Endpoint
+	engine  bool
+	mood    mood
+	slow    float64 // 1: as usual
+	garble  float64 // chance that a call is reset
+	running []*job
+	queue   []*job
+	most    int // queue
+	cached  map[uint64]bool
+	ready   float64       // ms of the step that are over
+	step    float64       // ms that it takes
+	first   []*job        // that put out their first token in it
+	saved   float64       // tokens that were kept
+	shared  float64       // tokens that could have been
+	drainAt time.Duration // when draining was told to the routers, 0: not
+	gone    bool
+}
+
+func (s *server) holds(model, adapter string) bool {
+	if !s.engine {
+		return true
+	}
+	for _, m := range s.row.Models {
+		if m.Name == model {
+			return adapter == "" || slices.Contains(m.Adapters, adapter)
+		}
+	}
+	return false
+}
+
+// accept takes a call in; false: turned away.
+func (s *server) accept(c *worldCall, priority int, now time.Duration, rng *rand.Rand) bool {
+	if len(s.queue) >= s.most {
+		return false
+	}
+	r := &c.client.request
+	j := &job{call: c, priority: priority, at: now, read: float64(r.PromptTokens), put: float64(r.OutputTokens)}
+	j.size = j.read + j.put
+	if !s.engine {
+		j.read, j.put = 0, 15*(0.6+rng.Float64()*0.8)
+	}
+	for _, link := range c.links {
+		if !s.cached[link.key] {
+			break
+		}
+		j.read -= link.tokens
+		s.saved += link.tokens
+	}
+	for _, link := range c.links {
+		s.shared += link.tokens
+		s.cached[link.key] = true
+	}
+	j.read = max(j.read, 0)
+	s.queue = append(s.queue, j)
+	slices.SortStableFunc(s.queue, func(a, b *job) int { return cmp.Compare(a.priority, b.priority) })
+	return true
+}
+
+// tick works for one tick and says which jobs began and which ended.
+func (s *server) tick() (begun, ended []*job) {
+	if s.mood == isDark {
+		return nil, nil
+	}
+	ms := float64(worldTick) / float64(time.Millisecond) / s.slow
+	if !s.engine {
+		return s.work(ms)
+	}
+	s.ready += ms
+	for s.ready >= s.step { // the step under way is over
+		s.ready -= s.step
+		for _, j := range s.first {
+			j.begun = true
+		}
+		begun = append(begun, s.first...)
+		ended = append(ended, s.reap()...)
+		if s.first, s.step = nil, 0; len(s.queue)+len(s.running) == 0 {
+			s.ready = 0
+			break
+		}
+		s.stepOnce()
+	}
+	return begun, ended
+}
+
+const (
+	chunk     = 1024.0 // tokens read in a step at most
+	perMS     = 19.2   // tokens read in a ms
+	kvInWorld = 130518.0
+)
+
+// stepOnce begins a step of the batch: a token for each that runs, and a piece of the first prompts.
+func (s *server) stepOnce() {
+	left := chunk
+	memory := kvInWorld
+	for _, j := range s.running {
+		j.put--
+		memory -= j.size
+	}
+	s.step = 10.5 + 0.00733*float64(len(s.running)) + 0.0171*(kvInWorld-memory)/1000
+	for len(s.queue) > 0 && len(s.running) < s.row.Slots && left > 0 {
+		j := s.queue[0]
+		if memory -= j.size; memory < 0 {
+			break
+		}
+		read := min(j.read, left)
+		j.read -= read
+		left -= read
+		if j.read > 0 {
+			break
+		}
+		s.first = append(s.first, j)
+		s.running = append(s.running, j)
+		s.queue = s.queue[1:]
+	}
+	s.step += (chunk - left) / perMS
+}
+
+func (s *server) work(ms float64) (begun, ended []*job) {
+	for len(s.queue) > 0 && len(s.running) < s.row.Slots {
+		s.running = append(s.running, s.queue[0])
+		s.queue = s.queue[1:]
+	}
+	for _, j := range s.running {
+		if j.put -= ms; j.put <= 0 {
+			j.begun = true
+			begun = append(begun, j)
+		}
+	}
+	return begun, s.reap()
+}
+
+func (s *server) reap() (ended []*job) {
+	s.running = slices.DeleteFunc(s.running, func(j *job) bool {
+		if j.put <= 0 {
+			ended = append(ended, j)
+		}
+		return j.put <= 0
+	})
+	return ended
+}
+
+// drop takes a call out, as its connection was closed.
+func (s *server) drop(c *worldCall) {
+	gone := func(j *job) bool { return j.call == c }
+	s.running = slices.DeleteFunc(s.running, gone)
+	s.queue = slices.DeleteFunc(s.queue, gone)
+}
+
+func (s *server) load() *ToldLoad {
+	return &ToldLoad{Running: len(s.running), Waiting: len(s.queue), Slots: s.row.Slots}
+}
