--- a/cmd/raventrestle-control/instance.go
+++ b/cmd/raventrestle-control/instance.go
@@ -29,6 +29,9 @@
 const (
 	handOverWithin = 2 * time.Second
 	answerWithin   = 700 * time.Millisecond // calls under way at the end
+
+	reservedFiles    = 200 // of the descriptors
+	leastConnections = 256
 )
 
 // instance is a running control instance.
@@ -37,7 +40,7 @@
 	holder  *roles.Holder
 	mesh    *transport.Mesh
 	peers   *transport.Server
-	http    *http.Server
+	http    *api.Server
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
 	failed  chan error
@@ -93,7 +96,7 @@
 	newPlacer := func(quiet time.Duration) roles.Placer { return makePlacer(settings, quiet) }
 	newAllocator := func(quiet time.Duration) roles.Allocator { return makeAllocator(settings, quiet) }
 	reports := &lateReports{}
-	table := host.New(host.Settings{Origin: origin, Heartbeat: settings.Heartbeat}, host.Parts{
+	table := host.New(host.Settings{Origin: origin, Heartbeat: settings.Heartbeat, Codec: codec}, host.Parts{
 		Replica: group, Configurations: configurations, Mesh: i.mesh, Roles: reports, Events: events,
 	})
 	i.holder = roles.New(roles.Settings{Origin: origin, Node: settings.NodeName, Lease: settings.Bounds.Lease},
@@ -106,12 +109,13 @@
 		cancel()
 		return nil, err
 	}
-	public, err := net.Listen("tcp", settings.ListenControl)
+	public, err := listenControl(ctx, settings.ListenControl)
 	if err != nil {
 		cancel()
 		return nil, fmt.Errorf("listen for endpoints and the operator: %w", err)
 	}
-	i.http = api.New(table, configurations, statusView(group, machine)).Server()
+	i.http = api.New(table, configurations, statusView(group, machine)).
+		Server(connectionsOf(settings.Limits))
 	i.spawn(func() { table.Run(ctx) })
 	i.spawn(func() { i.holder.Run(ctx) })
 	i.spawn(func() { i.serve(public) })
@@ -119,6 +123,11 @@
 	return i, nil
 }
 
+// connectionsOf is how many connections the public interface may have: the others' transports need some too.
+func connectionsOf(limits nodeconfig.Limits) int {
+	return max(leastConnections, (limits.MaxFDs-reservedFiles)/2)
+}
+
 // lateReports breaks the circle between the host and the holder.
 type lateReports struct{ holder *roles.Holder }
 
@@ -132,6 +141,13 @@
 	}()
 }
 
+// listenControl listens without keep-alive probes: idle connections are closed after some seconds anyway, and each
+// option of a socket is a system call.
+func listenControl(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAlive: -1}
+	return config.Listen(ctx, "tcp", address)
+}
+
 func (i *instance) serve(public net.Listener) {
 	if err := i.http.Serve(public); !errors.Is(err, http.ErrServerClosed) {
 		i.failed <- fmt.Errorf("serve endpoints and the operator: %w", err)
