--- a/internal/net/courier/act.go
+++ b/internal/net/courier/act.go
@@ -26,87 +26,26 @@
 	frame    = 16       // of a message in a call, beside its id, key and bytes
 )
 
+// effects are what the actions of one step come to, in their order.
+type effects struct {
+	at      time.Duration
+	records []journal.Record
+	calls   []*calls
+	moot    []raventrestle.Outcome // of what has nowhere to go any more
+	owed    []notice.Item          // ends to be told
+}
+
 // act carries the actions out in order; what they do waits until the journal has them.
 func (c *Courier) act(actions []raventrestle.Action, records []journal.Record) {
-	var out []*calls
-	var moot []raventrestle.Outcome
-	var owed []notice.Item
-	t := now()
+	e := &effects{at: now(), records: records}
 	for _, a := range actions {
 		switch a := a.(type) {
 		case raventrestle.Send:
-			m := c.msgs[a.ID]
-			if m == nil {
-				c.log.Error("courier: send of an unknown message", "id", a.ID)
-				continue
-			}
-			r := c.peers[a.Target]
-			try := peer.Try{ID: m.ID, Key: m.Key, N: m.Tries, Body: m.Body, Wait: a.Timeout,
-				Until: time.Unix(0, m.Until)}
-			if a.Within > 0 {
-				try.Before = time.Unix(0, int64(t+a.Within))
-			}
-			m.Tries++
-			m.out = true
-			c.out++
-			if r == nil || r.entry.Dest != raventrestle.DestID(m.Dest) {
-				moot = append(moot, raventrestle.Outcome{ID: a.ID, Target: a.Target, Try: try.N, Status: raventrestle.Moot})
-				continue
-			}
-			zone := ""
-			if z := r.entry.Zone; z >= 0 {
-				zone = c.conf.Settings.Zones[z].Name
-			}
-			begun := journal.Try{Peer: string(a.Target), Zone: zone, At: int64(t)}
-			if c.deadLetters != nil {
-				c.begin(m, begun)
-			}
-			records = append(records, journal.Begun(m.ID, begun))
-			c.tries(m.ID, a.Target)
-			size := len(m.ID) + len(m.Key) + len(m.Body) + frame
-			i := slices.IndexFunc(out, func(x *calls) bool {
-				return x.to == r.Peer && len(x.tries) < c.kind(r).BundleMax && x.size+size <= mostBody
-			})
-			if i < 0 {
-				i, out = len(out), append(out, &calls{to: r.Peer, target: a.Target})
-			}
-			out[i].tries, out[i].size = append(out[i].tries, try), out[i].size+size
+			c.send(e, a)
 		case raventrestle.Refuse:
-			if m := c.msgs[a.ID]; m != nil && m.Resend > 0 {
-				c.resent(m, "refused")
-				continue
-			}
-			if c.passing && c.msgs[a.ID] == nil { // it was handed over in this step: the next process ends it
-				continue
-			}
-			end := journal.End{Deferred: true, AgainMS: a.After.Milliseconds()}
-			if m := c.msgs[a.ID]; m != nil && c.deadLetters != nil && rule.Lost(time.Duration(m.Until)-t) {
-				c.undeliverable(m, t, end)
-				continue
-			}
-			c.Counts.Deferred.Add(1)
-			if m := c.msgs[a.ID]; m != nil {
-				c.counted(m.Message, false, true)
-			}
-			owed = append(owed, notice.Item{ID: string(a.ID), End: end})
+			c.refuse(e, a)
 		case raventrestle.Fail:
-			m := c.msgs[a.ID]
-			if m != nil && m.Resend > 0 {
-				c.resent(m, "failed")
-				continue
-			}
-			if m != nil && c.deadLetters != nil {
-				c.undeliverable(m, t, journal.End{})
-				continue
-			}
-			if c.passing && m == nil {
-				continue
-			}
-			c.Counts.Undeliverable.Add(1)
-			if m != nil {
-				c.counted(m.Message, false, false)
-			}
-			owed = append(owed, notice.Item{ID: string(a.ID)})
+			c.fail(e, a)
 		case raventrestle.CloseIdle:
 			if r := c.peers[a.Target]; r != nil {
 				r.CloseIdle()
@@ -125,26 +64,112 @@
 			c.log.Info(a.Text)
 		}
 	}
-	for _, it := range owed {
+	for _, it := range e.owed {
 		delete(c.msgs, raventrestle.MessageID(it.ID))
-		records = append(records, journal.Ended(it.ID, it.End))
+		e.records = append(e.records, journal.Ended(it.ID, it.End))
 	}
-	for _, o := range moot {
+	for _, o := range e.moot {
 		c.post(o)
 	}
-	if len(records) == 0 {
+	if len(e.records) == 0 {
 		return
 	}
 	answers := c.answers()
 	then := func(err error) {
-		c.ended(err, answers, owed)
-		c.written(err, out, owed)
+		c.ended(err, answers, e.owed)
+		c.written(err, e.calls, e.owed)
 	}
-	if err := c.journal.Append(records, then); err != nil {
+	if err := c.journal.Append(e.records, then); err != nil {
 		then(err)
 	}
 }
 
+// send notes a try, and adds it to a call to its target that has room for it, or to a new one.
+func (c *Courier) send(e *effects, a raventrestle.Send) {
+	m := c.msgs[a.ID]
+	if m == nil {
+		c.log.Error("courier: send of an unknown message", "id", a.ID)
+		return
+	}
+	r := c.peers[a.Target]
+	try := peer.Try{ID: m.ID, Key: m.Key, N: m.Tries, Body: m.Body, Wait: a.Timeout, Until: time.Unix(0, m.Until)}
+	if a.Within > 0 {
+		try.Before = time.Unix(0, int64(e.at+a.Within))
+	}
+	m.Tries++
+	m.out = true
+	c.out++
+	if r == nil || r.entry.Dest != raventrestle.DestID(m.Dest) {
+		e.moot = append(e.moot, raventrestle.Outcome{ID: a.ID, Target: a.Target, Try: try.N, Status: raventrestle.Moot})
+		return
+	}
+	zone := ""
+	if z := r.entry.Zone; z >= 0 {
+		zone = c.conf.Settings.Zones[z].Name
+	}
+	begun := journal.Try{Peer: string(a.Target), Zone: zone, At: int64(e.at)}
+	if c.deadLetters != nil {
+		c.begin(m, begun)
+	}
+	e.records = append(e.records, journal.Begun(m.ID, begun))
+	c.tries(m.ID, a.Target)
+	e.add(r, a.Target, try, c.kind(r).BundleMax)
+}
+
+// add puts a try into a call.
+func (e *effects) add(r *ref, target raventrestle.TargetID, try peer.Try, most int) {
+	size := len(try.ID) + len(try.Key) + len(try.Body) + frame
+	i := slices.IndexFunc(e.calls, func(x *calls) bool {
+		return x.to == r.Peer && len(x.tries) < most && x.size+size <= mostBody
+	})
+	if i < 0 {
+		i, e.calls = len(e.calls), append(e.calls, &calls{to: r.Peer, target: target})
+	}
+	x := e.calls[i]
+	x.tries, x.size = append(x.tries, try), x.size+size
+}
+
+// refuse ends a message that surely did not run, or leaves it to the dead letters or to the next process.
+func (c *Courier) refuse(e *effects, a raventrestle.Refuse) {
+	m := c.msgs[a.ID]
+	end := journal.End{Deferred: true, AgainMS: a.After.Milliseconds()}
+	switch {
+	case m != nil && m.Resend > 0:
+		c.resent(m, "refused")
+		return
+	case c.passing && m == nil: // it was handed over in this step: the next process ends it
+		return
+	case m != nil && c.deadLetters != nil && rule.Lost(time.Duration(m.Until)-e.at):
+		c.undeliverable(m, e.at, end)
+		return
+	}
+	c.Counts.Deferred.Add(1)
+	if m != nil {
+		c.counted(m.Message, false, true)
+	}
+	e.owed = append(e.owed, notice.Item{ID: string(a.ID), End: end})
+}
+
+// fail ends a message that may have run, or leaves it to the dead letters or to the next process.
+func (c *Courier) fail(e *effects, a raventrestle.Fail) {
+	m := c.msgs[a.ID]
+	switch {
+	case m != nil && m.Resend > 0:
+		c.resent(m, "failed")
+		return
+	case m != nil && c.deadLetters != nil:
+		c.undeliverable(m, e.at, journal.End{})
+		return
+	case c.passing && m == nil:
+		return
+	}
+	c.Counts.Undeliverable.Add(1)
+	if m != nil {
+		c.counted(m.Message, false, false)
+	}
+	e.owed = append(e.owed, notice.Item{ID: string(a.ID)})
+}
+
 // written goes on with a step once the journal has it. What it could not write is not sent;
 // an ending is told all the same.
 func (c *Courier) written(err error, out []*calls, owed []notice.Item) {
