Give adapters places at once, keep what is in use for two seconds

Adapters that nobody asks for make way first; one in use makes way only after its turn of 2 s, for one that is nowhere; a place that was made is kept for whom it was made; what made way is not loaded again within a second. Needs that a free or faded place meets go before loads of models, and an adapter under way no longer keeps an endpoint from a plan.

--- a/internal/control/placer/adapters.go
+++ b/internal/control/placer/adapters.go
@@ -10,17 +10,52 @@
 
 // How adapters are placed.
 const (
-	adapterShare   = 0.3              // of an endpoint's time: an adapter that needs more gets another place
-	adapterKeep    = 2 * time.Second  // an adapter asked for so little ago keeps its place
-	adapterHorizon = 10 * time.Second // an adapter asked for within it counts as in use
+	adapterShare   = 0.3                     // of an endpoint's time: an adapter that needs more gets another place
+	adapterFade    = 2500 * time.Millisecond // an adapter that nobody asked for so long makes way at once
+	adapterStay    = 2 * time.Second         // an adapter in use stays so long before another takes its turn
+	adapterAway    = time.Second             // what made way is not loaded again so soon, wherever
+	adapterHold    = time.Second             // a place that was made is kept so long for whom it was made
+	adapterHorizon = 10 * time.Second        // an adapter asked for within it counts as in use
 	adapterPerStep = 16
 )
 
+// adapterKey names an adapter.
+type adapterKey struct{ model, adapter string }
+
+// reservation keeps a place that was made for an adapter.
+type reservation struct {
+	adapterKey
+	until time.Time
+}
+
 // place is one adapter's place on an endpoint.
 type place struct {
 	at             *endpoint
 	model, adapter string
 	asked          time.Time // when the adapter was last asked for
+	since          time.Time // when it came
+	running        int       // requests that are out for it
+	spare          bool      // it is elsewhere too
+}
+
+// faded tells that nobody has asked for the adapter lately.
+func (c place) faded(now time.Time) bool { return c.running == 0 && now.Sub(c.asked) >= adapterFade }
+
+// before tells whether the place is missed less than the other: faded ones first, by their last request; then those
+// that are elsewhere too; then those nobody is served with at the moment, by the time that they have had.
+func (c place) before(now time.Time, other place) bool {
+	if faded := c.faded(now); faded != other.faded(now) {
+		return faded
+	} else if faded {
+		return c.asked.Before(other.asked)
+	}
+	if c.spare != other.spare {
+		return c.spare
+	}
+	if idle := c.running == 0; idle != (other.running == 0) {
+		return idle
+	}
+	return c.since.Before(other.since)
 }
 
 // adapterNeed is an adapter that wants one more place.
@@ -29,23 +64,24 @@
 	adapter string
 	demand  *demand
 	weight  float64
+	nowhere bool
 }
 
-// adapters gives places to the adapters that are asked for, then fills free places with those that may be.
-func (p *Placer) adapters(now time.Time, f *fleet, b *book, onlyUrgent bool, out *Output) {
-	needs := p.adapterNeeds(now, f, b)
+// adapters gives places to the adapters that are asked for. The urgent part is those that are nowhere, as far as a
+// place is free or taken by what nobody asks for any more.
+func (p *Placer) adapters(now time.Time, f *fleet, b *book, urgent bool, out *Output) {
 	count := 0
-	for _, need := range needs {
+	for _, need := range p.adapterNeeds(now, f, b) {
 		if count >= adapterPerStep {
 			return
 		}
-		if p.placeAdapter(now, f, b.by[need.model], need, out) {
+		if urgent && !need.nowhere {
+			continue
+		}
+		if p.placeAdapter(now, f, b.by[need.model], need, !urgent, out) {
 			count++
 		}
 	}
-	if !onlyUrgent || p.demand.start.IsZero() {
-		p.fillPlaces(now, f, b, out)
-	}
 }
 
 // adapterNeeds lists the asked-for adapters that have too few places, the most wanted first.
@@ -69,9 +105,9 @@
 			}
 			weight := rate
 			if have == 0 {
-				weight += 100 * (1 + float64(d.waiting) + d.unmet)
+				weight += 100 * (1 + float64(d.waiting) + d.unmet) * (1 + f.awayFor(now, l.model, name).Seconds())
 			}
-			needs = append(needs, adapterNeed{l.model, name, d, weight})
+			needs = append(needs, adapterNeed{l.model, name, d, weight, have == 0})
 		}
 	}
 	slices.SortFunc(needs, func(x, y adapterNeed) int {
@@ -80,6 +116,14 @@
 	return needs
 }
 
+// awayFor is how long the adapter has had no place, as far as it is known to have made way.
+func (f *fleet) awayFor(now time.Time, model, adapter string) time.Duration {
+	if at, known := f.madeWay[adapterKey{model, adapter}]; known {
+		return min(adapterHorizon, now.Sub(at))
+	}
+	return adapterHorizon
+}
+
 // adapterPlaces counts where the adapter is or is arriving.
 func (l *load) adapterPlaces(adapter string) int {
 	count := 0
@@ -100,35 +144,54 @@
 }
 
 // placeAdapter loads the adapter where a place is free, or unloads the one that is missed least.
-func (p *Placer) placeAdapter(now time.Time, f *fleet, l *load, need adapterNeed, out *Output) bool {
+func (p *Placer) placeAdapter(now time.Time, f *fleet, l *load, need adapterNeed, turns bool, out *Output) bool {
 	var free *endpoint
-	oldest := place{asked: now.Add(-adapterKeep)}
+	var least place
+	nowhere := l.adapterPlaces(need.adapter) == 0
 	for _, s := range l.sites {
 		e := s.at
 		if e.find(need.model) == nil || e.find(need.model).has(need.adapter) || !p.quiet(now, e) {
 			continue
 		}
-		if f.places(e) > 0 && f.room(e) >= f.models[need.model].AdapterMB {
+		if f.places(e) > 0 && f.room(e) >= f.models[need.model].AdapterMB && e.keepsFor(now, need) {
 			if free == nil || e.used < free.used {
 				free = e
 			}
 			continue
 		}
-		if found, ok := p.leastMissed(f, e); ok && found.asked.Before(oldest.asked) {
-			oldest = found
+		if found, ok := p.leastMissed(now, f, e, nowhere && turns); ok && (least.at == nil || found.before(now, least)) {
+			least = found
 		}
 	}
 	if free != nil {
-		reason := fmt.Sprintf("%d waiting, %.1f refused, a place is free", need.demand.waiting, need.demand.unmet)
-		return p.issue(now, f, free, Order{Model: need.model, Adapter: need.adapter, Reason: reason}, out)
+		if !nowhere || f.awayFor(now, need.model, need.adapter) >= adapterAway {
+			reason := fmt.Sprintf("%d waiting, %.1f refused, a place is free", need.demand.waiting, need.demand.unmet)
+			return p.issue(now, f, free, Order{Model: need.model, Adapter: need.adapter, Reason: reason}, out)
+		}
+		return false
 	}
-	if oldest.at == nil || l.adapterPlaces(need.adapter) > 0 {
+	if least.at == nil || !nowhere || f.awayFor(now, need.model, need.adapter) < adapterAway {
 		return false
 	}
+	return p.makePlace(now, f, least, need, out)
+}
+
+// makePlace has an adapter make way and keeps the place.
+func (p *Placer) makePlace(now time.Time, f *fleet, least place, need adapterNeed, out *Output) bool {
 	reason := fmt.Sprintf("place for %s of %s: %d waiting, %.1f refused", need.adapter, need.model, need.demand.waiting,
 		need.demand.unmet)
-	order := Order{Model: oldest.model, Adapter: oldest.adapter, Unload: true, Reason: reason}
-	return p.issue(now, f, oldest.at, order, out)
+	order := Order{Model: least.model, Adapter: least.adapter, Unload: true, Reason: reason}
+	if !p.issue(now, f, least.at, order, out) {
+		return false
+	}
+	least.at.kept = reservation{adapterKey{need.model, need.adapter}, now.Add(adapterHold)}
+	f.madeWay[adapterKey{least.model, least.adapter}] = now
+	return true
+}
+
+// keepsFor tells whether a free place of the endpoint may go to the adapter.
+func (e *endpoint) keepsFor(now time.Time, need adapterNeed) bool {
+	return !now.Before(e.kept.until) || e.kept.adapterKey == adapterKey{need.model, need.adapter}
 }
 
 // quiet tells whether an order may be sent to the endpoint that is no part of a plan.
@@ -139,25 +202,40 @@
 	return e.known || (!p.options.Looks && e.settled)
 }
 
-// leastMissed finds the adapter on the endpoint that was asked for longest ago and that nobody waits for.
-func (p *Placer) leastMissed(f *fleet, e *endpoint) (place, bool) {
-	oldest := place{}
+// leastMissed finds the adapter on the endpoint that may make way and is missed least; one that is in use may only
+// for an adapter that is nowhere, after its turn.
+func (p *Placer) leastMissed(now time.Time, f *fleet, e *endpoint, turns bool) (place, bool) {
+	least := place{}
 	for i := range e.copies {
 		c := &e.copies[i]
 		for _, adapter := range c.adapters {
-			candidate := place{at: e, model: c.model, adapter: adapter}
+			candidate := place{at: e, model: c.model, adapter: adapter, since: c.adapterSince(adapter)}
 			if d := p.adapterDemand(f, c.model, adapter); d != nil {
-				if d.waiting > 0 {
-					continue
-				}
-				candidate.asked = d.askedAt
+				candidate.asked, candidate.running = d.askedAt, d.running+d.waiting
 			}
-			if oldest.at == nil || candidate.asked.Before(oldest.asked) {
-				oldest = candidate
+			if !candidate.faded(now) && (!turns || now.Sub(candidate.since) < adapterStay) {
+				continue
 			}
+			candidate.spare = f.elsewhere(c.model, adapter, e)
+			if least.at == nil || candidate.before(now, least) {
+				least = candidate
+			}
+		}
+	}
+	return least, least.at != nil
+}
+
+// elsewhere tells whether another endpoint has the adapter too.
+func (f *fleet) elsewhere(model, adapter string, but *endpoint) bool {
+	for _, e := range f.order {
+		if e == but || !e.live() || e.leaving(model) {
+			continue
+		}
+		if found := e.find(model); found != nil && found.has(adapter) {
+			return true
 		}
 	}
-	return oldest, oldest.at != nil
+	return false
 }
 
 func (p *Placer) adapterDemand(f *fleet, model, adapter string) *demand {
--- a/internal/control/placer/endpoint.go
+++ b/internal/control/placer/endpoint.go
@@ -52,9 +52,10 @@
 	model    string
 	adapters []string // sorted
 	since    time.Time
-	missing  int      // heartbeats in a row that did not show it
-	seen     bool     // a heartbeat showed it: one without it is newer than its end
-	told     []string // its adapters in the newest heartbeat that showed it
+	missing  int                  // heartbeats in a row that did not show it
+	seen     bool                 // a heartbeat showed it: one without it is newer than its end
+	told     []string             // its adapters in the newest heartbeat that showed it
+	came     map[string]time.Time // when its adapters came, where that was seen
 }
 
 // plan is what is to become of an endpoint in several orders: victims make way, then the target is loaded.
@@ -84,6 +85,7 @@
 	pauseUntil time.Time
 	held       map[string]bool // models this incarnation has surely held: its own disk has them
 	used       float64         // share of its time in use, as estimated
+	kept       reservation     // a place for an adapter
 }
 
 func (e *endpoint) live() bool { return e.State == protocol.Ready }
@@ -121,6 +123,16 @@
 	slices.Sort(c.adapters)
 }
 
+func (c *copyOf) arrived(adapter string, now time.Time) {
+	if c.came == nil {
+		c.came = map[string]time.Time{}
+	}
+	c.came[adapter] = now
+}
+
+// adapterSince is when the adapter came, zero if it was always there.
+func (c *copyOf) adapterSince(adapter string) time.Time { return c.came[adapter] }
+
 func (c *copyOf) removeAdapter(adapter string) {
 	c.adapters = slices.DeleteFunc(c.adapters, func(a string) bool { return a == adapter })
 }
@@ -253,6 +265,7 @@
 	default:
 		if found := e.find(order.Model); found != nil {
 			found.addAdapter(order.Adapter)
+			found.arrived(order.Adapter, now)
 		}
 	}
 }
@@ -298,7 +311,7 @@
 		found := e.add(model.Name, now)
 		for _, old := range before {
 			if old.model == model.Name {
-				found.since, found.seen, found.told = old.since, old.seen, old.told
+				found.since, found.seen, found.told, found.came = old.since, old.seen, old.told, old.came
 			}
 		}
 		for _, adapter := range model.Adapters {
--- a/internal/control/placer/placer.go
+++ b/internal/control/placer/placer.go
@@ -60,9 +60,10 @@
 	engine    configuration.Engine
 	models    map[string]configuration.Model
 	endpoints map[string]*endpoint
-	order     []*endpoint // by ID
-	tokenTime float64     // endpoint seconds of one token over all models, learned
-	decided   time.Time   // last step
+	order     []*endpoint              // by ID
+	tokenTime float64                  // endpoint seconds of one token over all models, learned
+	decided   time.Time                // last step
+	madeWay   map[adapterKey]time.Time // when adapters last made way for others
 }
 
 // Step takes in what is new and returns what is to be done.
@@ -111,7 +112,8 @@
 		seen[service.Name] = true
 		f := p.fleets[service.Name]
 		if f == nil {
-			f = &fleet{name: service.Name, endpoints: map[string]*endpoint{}, tokenTime: priorTokenTime}
+			f = &fleet{name: service.Name, endpoints: map[string]*endpoint{}, tokenTime: priorTokenTime,
+				madeWay: map[adapterKey]time.Time{}}
 			p.fleets[service.Name] = f
 		}
 		f.engine = *service.Engine
--- a/internal/control/placer/plan.go
+++ b/internal/control/placer/plan.go
@@ -40,12 +40,16 @@
 		}
 	}
 	onlyUrgent := recovering || now.Sub(p.start) < carefulTime || p.demand.age(now) < carefulTime
+	p.adapters(now, f, b, true, out) // first: these take a moment only, loads seconds
 	for range plansPerStep {
 		if !p.best(now, f, b, onlyUrgent, out) {
 			break
 		}
 	}
-	p.adapters(now, f, b, onlyUrgent, out)
+	p.adapters(now, f, b, false, out)
+	if !onlyUrgent || p.demand.start.IsZero() {
+		p.fillPlaces(now, f, b, out)
+	}
 }
 
 // choice is a change that may be made: the target comes to the endpoint, the victims leave.
@@ -132,9 +136,12 @@
 
 // takes tells whether a new plan may begin at the endpoint.
 func (p *Placer) takes(now time.Time, e *endpoint, model string) bool {
-	if !e.live() || e.plan != nil || e.pending != nil || now.Before(e.pauseUntil) || e.find(model) != nil {
+	if !e.live() || e.plan != nil || now.Before(e.pauseUntil) || e.find(model) != nil {
 		return false
 	}
+	if e.pending != nil && e.pending.order.Adapter == "" {
+		return false // an adapter takes a moment only
+	}
 	if p.options.Looks && !e.known {
 		return false
 	}
