Let a new holder load at once what is wanted, and take no copy away unheard

A new holder counted no loads of the earlier one and so began only two in its first window of 5 s; it now counts one for each endpoint whose own report does not show that it has begun none. A holder that took the role up again after seconds believed that nothing was asked for and took copies of busy models away: it hears reports for a second first. Trouble of the core holds no copy back any more: demand is known then too.

--- a/internal/control/placer/ceiling.go
+++ b/internal/control/placer/ceiling.go
@@ -12,6 +12,9 @@
 // ceilingMargin lengthens the window for clocks that differ and for time that the host takes.
 const ceilingMargin = 300 * time.Millisecond
 
+// reportAge is how old an endpoint's report may be: some hundred ms, and the way.
+const reportAge = 500 * time.Millisecond
+
 // ledger counts the loads from the weight store so that no window holds more than the rule allows.
 //
 // A load begins somewhere between its order and the order's answer. When one is ordered, all earlier ones that may
@@ -20,7 +23,9 @@
 	window  time.Duration
 	limit   int
 	entries []begun
-	until   time.Time // when these have left every window
+	until   time.Time            // when the loads of earlier holders have left every window
+	before  time.Time            // the latest moment at which an earlier holder's load may have begun
+	others  map[string]time.Time // the same for each endpoint that may have had one, by ID
 }
 
 type begun struct {
@@ -29,7 +34,8 @@
 }
 
 func newLedger(now time.Time, window, quiet time.Duration) *ledger {
-	return &ledger{window: window + ceilingMargin, until: now.Add(window + ceilingMargin - quiet)}
+	return &ledger{window: window + ceilingMargin, until: now.Add(window + ceilingMargin - quiet), before: now.Add(-quiet),
+		others: map[string]time.Time{}}
 }
 
 // setRate takes what the store allows a second.
@@ -37,14 +43,34 @@
 	l.limit = int(perSecond*window.Seconds()*over + ceilingSlack)
 }
 
-// allows tells whether one more load may begin now.
+// allows tells whether one more load may begin now. An endpoint carries out one order at a time, so that each can have
+// had one load of an earlier holder, unless its own report tells that it had none; spareLoads are for endpoints that
+// nobody knows any more.
 func (l *ledger) allows(now time.Time) bool {
 	l.expire(now)
-	used := len(l.entries)
+	own := len(l.entries)
+	if own+len(l.others) < l.limit-spareLoads {
+		return true
+	}
+	return now.Before(l.until) && own < min(spareLoads, l.limit)
+}
+
+// met notes an endpoint at which an earlier holder may have begun a load.
+func (l *ledger) met(now time.Time, endpoint string) {
 	if now.Before(l.until) {
-		return used < min(spareLoads, l.limit)
+		l.others[endpoint] = l.before
+	}
+}
+
+// idle notes that the endpoint carries out no order, and that no load that it may have done lasts less than shortest.
+func (l *ledger) idle(now time.Time, endpoint string, shortest time.Duration) {
+	if !now.Add(-reportAge).After(l.before) {
+		return // the report may be older than the last order
+	}
+	latest, may := l.others[endpoint]
+	if at := now.Add(-shortest); may && at.Before(latest) {
+		l.others[endpoint] = at
 	}
-	return used < l.limit-spareLoads
 }
 
 func (l *ledger) expire(now time.Time) {
@@ -55,6 +81,11 @@
 		}
 	}
 	l.entries = kept
+	for endpoint, latest := range l.others {
+		if !latest.Add(l.window).After(now) {
+			delete(l.others, endpoint)
+		}
+	}
 }
 
 func (l *ledger) ordered(order uint64) {
--- a/internal/control/placer/demand.go
+++ b/internal/control/placer/demand.go
@@ -13,10 +13,11 @@
 	slowTime    = 4 * time.Second
 	longTime    = 20 * time.Second
 	unmetTime   = 3 * time.Second
-	gaugeTime   = 3 * time.Second // a router that said nothing for so long has nothing waiting or out
-	recentTime  = 3 * time.Second // demand so little ago keeps the last copy of a model
-	priorRate   = 1.0 / 30        // a second: a model that nobody asked for yet
-	noiseFactor = 1.5             // a trend counts as far as it exceeds so many standard deviations
+	gaugeTime   = 3 * time.Second         // a router that said nothing for so long has nothing waiting or out
+	recentTime  = 3 * time.Second         // demand so little ago keeps the last copy of a model
+	unheardTime = 1500 * time.Millisecond // after such a silence of all routers demand is learned anew
+	priorRate   = 1.0 / 30                // a second: a model that nobody asked for yet
+	noiseFactor = 1.5                     // a trend counts as far as it exceeds so many standard deviations
 )
 
 // average is an exponentially weighted rate of events, corrected for its youth.
@@ -128,7 +129,8 @@
 	models  map[string]map[string]*demand // by service and model
 	routers map[string]gauges             // by node
 	last    time.Time
-	start   time.Time // of the first report
+	start   time.Time // of the first report, or of the first after a silence
+	heard   time.Time // last report
 }
 
 func newTally() *tally {
@@ -136,7 +138,7 @@
 }
 
 func (t *tally) age(now time.Time) time.Duration {
-	if t.start.IsZero() {
+	if t.start.IsZero() || now.Sub(t.heard) > unheardTime {
 		return 0
 	}
 	return now.Sub(t.start)
@@ -179,11 +181,22 @@
 	}
 }
 
+// startAnew forgets rates that were counted before a silence; the long-term rate stays.
+func (t *tally) startAnew() {
+	for _, models := range t.models {
+		for _, d := range models {
+			d.decay(0, 0, 1, 1)
+		}
+	}
+}
+
 // take counts one router's report.
 func (t *tally) take(now time.Time, report protocol.Report) {
-	if t.start.IsZero() {
+	if t.start.IsZero() || now.Sub(t.heard) > unheardTime {
 		t.start = now.Add(-report.Over)
+		t.startAnew()
 	}
+	t.heard = now
 	rows := make(map[rowKey]rowGauge, len(report.Models))
 	for _, row := range report.Models {
 		d := t.of(row.Service, row.Model)
--- a/internal/control/placer/placer.go
+++ b/internal/control/placer/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -12,6 +13,13 @@
 // carefulTime is how long a new holder only does what is urgent: it has not heard from all routers yet.
 const carefulTime = 2 * time.Second
 
+// hearTime is how long a new holder hears reports before it takes a copy away: all routers have told by then what
+// they have out and were asked for.
+const hearTime = time.Second
+
+// leastLoad is the least time of a load from the store, against load_time_s.
+const leastLoad = 0.9
+
 // idleWake is when the next step is due while nothing is under way.
 const idleWake = time.Second
 
@@ -86,7 +94,7 @@
 	out := Output{}
 	for _, f := range p.sorted() {
 		p.expire(now, f)
-		p.decide(now, f, in.Recovering, &out)
+		p.decide(now, f, &out)
 		p.looks(now, f, &out)
 	}
 	p.wake(now, &out)
@@ -169,6 +177,9 @@
 	f.endpoints[told.ID] = e
 	f.order = append(f.order, e)
 	fresh := now.Sub(p.start) > answerTime && len(told.Models) == 0
+	if !fresh {
+		p.ledger.met(now, told.ID)
+	}
 	if fresh {
 		e.known, e.settled, e.lookAt = true, true, time.Time{}
 	}
@@ -260,6 +271,9 @@
 func (p *Placer) look(now time.Time, told Look) {
 	for _, f := range p.fleets {
 		if e := f.endpoints[told.Endpoint]; e != nil {
+			if !told.Failed && !told.Busy {
+				p.ledger.idle(now, told.Endpoint, f.shortestLoad(told.Models))
+			}
 			e.look(now, told)
 			p.remember(f, e)
 			return
@@ -267,6 +281,16 @@
 	}
 }
 
+// shortestLoad is the least time that a load from the store of one of these models lasts.
+func (f *fleet) shortestLoad(models []protocol.HeldModel) time.Duration {
+	shortest := time.Duration(math.MaxInt64)
+	for _, held := range models {
+		lasts := time.Duration(leastLoad * f.models[held.Name].LoadTimeS * float64(time.Second))
+		shortest = min(shortest, lasts)
+	}
+	return shortest
+}
+
 // expire ends what took too long and settles endpoints that no other holder can have orders at.
 func (p *Placer) expire(now time.Time, f *fleet) {
 	for _, e := range f.order {
--- a/internal/control/placer/plan.go
+++ b/internal/control/placer/plan.go
@@ -30,7 +30,7 @@
 )
 
 // decide carries on with what is under way and begins what is worth it.
-func (p *Placer) decide(now time.Time, f *fleet, recovering bool, out *Output) {
+func (p *Placer) decide(now time.Time, f *fleet, out *Output) {
 	b := p.survey(now, f)
 	p.learn(now, f, b, now.Sub(f.decided))
 	f.decided = now
@@ -39,7 +39,7 @@
 			p.proceed(now, f, b, e, out)
 		}
 	}
-	onlyUrgent := recovering || now.Sub(p.start) < carefulTime || p.demand.age(now) < carefulTime
+	onlyUrgent := now.Sub(p.start) < carefulTime || p.demand.age(now) < carefulTime
 	p.adapters(now, f, b, true, out) // first: these take a moment only, loads seconds
 	for range plansPerStep {
 		if !p.best(now, f, b, onlyUrgent, out) {
@@ -252,6 +252,9 @@
 	if l == nil { // not in the configuration any more
 		return v, true
 	}
+	if now.Sub(p.start) < hearTime || p.demand.age(now) < hearTime {
+		return v, false
+	}
 	last := f.present(held.model, e) == 0
 	if now.Sub(held.since) < residence && (last || l.demand == nil) {
 		return v, false
--- /dev/null
+++ b/internal/control/placer/takeover_test.go
@@ -0,0 +1,156 @@
+package placer
+
+import (
+	"testing"
+	"time"
+
+	"raventrestle/internal/configuration"
+	"raventrestle/internal/protocol"
+)
+
+// takeover is a fleet of six endpoints, each with a copy of "busy" and room for one model more, as a new holder finds it.
+func takeover() (*configuration.Configuration, []protocol.Endpoint) {
+	models := []configuration.Model{{Name: "busy", WeightsMB: 60, LoadTimeS: 6}}
+	for _, name := range []string{"m1", "m2", "m3", "m4", "m5", "m6"} {
+		models = append(models, configuration.Model{Name: name, WeightsMB: 60, LoadTimeS: 6})
+	}
+	engine := &configuration.Engine{Slots: 64, WeightsMB: 150, AdapterSlots: 2, LoadsPerS: 2.8, Models: models}
+	services := []configuration.Service{{Name: "lm", Engine: engine}}
+	var table []protocol.Endpoint
+	for _, id := range []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"} {
+		table = append(table, protocol.Endpoint{ID: id, Service: "lm", Address: id + ":80", Zone: "z", Slots: 64,
+			Sequence: 9, Models: []protocol.HeldModel{{Name: "busy", Generation: 1}}})
+	}
+	return &configuration.Configuration{Generation: 1, Services: services}, table
+}
+
+func looksAt(table []protocol.Endpoint, busy bool) []Look {
+	var looks []Look
+	for _, e := range table {
+		looks = append(looks, Look{Endpoint: e.ID, Busy: busy, Revision: 3, Models: e.Models})
+	}
+	return looks
+}
+
+func wantedModels(unserved int, names ...string) []protocol.Report {
+	told := protocol.Report{Node: "r", Sequence: 1, Over: 500 * time.Millisecond}
+	for _, name := range names {
+		told.Models = append(told.Models, protocol.ModelDemand{Service: "lm", Model: name, Asked: 5, Unserved: unserved,
+			Worth: 40, Tokens: 5000})
+	}
+	told.Models = append(told.Models, protocol.ModelDemand{Service: "lm", Model: "busy", Asked: 1, Worth: 9, Tokens: 1000})
+	return []protocol.Report{told}
+}
+
+// TestNewHolderLoadsWhatIsWantedAtOnce has a new holder whose looks show that no endpoint has begun a load lately: it
+// need not wait a window for the earlier holder's loads.
+func TestNewHolderLoadsWhatIsWantedAtOnce(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	c, table := takeover()
+	p := New(Options{Looks: true, QuietBefore: time.Second})
+	p.Step(now, Input{Configuration: c, Endpoints: table})
+	out := p.Step(now.Add(100*time.Millisecond), Input{Endpoints: table, Looks: looksAt(table, false),
+		Reports: wantedModels(5, "m1", "m2", "m3", "m4", "m5", "m6")})
+	loads := 0
+	for _, order := range out.Orders {
+		if !order.Unload {
+			loads++
+		}
+	}
+	if loads != 6 {
+		t.Errorf("%d loads, want all 6: %+v", loads, out.Orders)
+	}
+}
+
+// TestNewHolderCountsLoadsThatMayBeUnderWay has every endpoint busy: each may carry out a load of the earlier holder.
+func TestNewHolderCountsLoadsThatMayBeUnderWay(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	ledger := newLedger(now, 5*time.Second, time.Second)
+	ledger.setRate(1, 1.1, 5*time.Second)
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		ledger.met(now, id)
+	}
+	count := func(at time.Time) int {
+		n := 0
+		for ; ledger.allows(at); n++ {
+			ledger.ordered(uint64(n))
+			ledger.answered(uint64(n), at, true)
+		}
+		return n
+	}
+	if got := count(now); got != spareLoads {
+		t.Errorf("%d loads beside 5 of others, want %d", got, spareLoads)
+	}
+	ledger.idle(now, "a", 6*time.Second)
+	ledger.idle(now, "b", 6*time.Second)
+	if got := count(now); got != 1 { // 8 at most, of these 2 spare: 3 of others and 2 own leave 1
+		t.Errorf("%d loads after looks at two, want 1", got)
+	}
+}
+
+// TestNewHolderTakesNoCopyAwayUnheard has a new holder that has heard one report only, with a model in want of room.
+func TestNewHolderTakesNoCopyAwayUnheard(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	c, table := takeover()
+	c.Services[0].Engine.WeightsMB = 100 // no room beside the copy that is there
+	p := New(Options{Looks: true, QuietBefore: time.Second})
+	p.Step(now, Input{Configuration: c, Endpoints: table})
+	out := p.Step(now.Add(100*time.Millisecond), Input{Endpoints: table, Looks: looksAt(table, false),
+		Reports: wantedModels(5, "m1")})
+	if len(out.Orders) != 0 {
+		t.Errorf("orders before the routers were heard: %+v", out.Orders)
+	}
+	out = p.Step(now.Add(1200*time.Millisecond), Input{Endpoints: table, Reports: wantedModels(5, "m1")})
+	if len(out.Orders) == 0 || !out.Orders[0].Unload {
+		t.Errorf("no room is made after the routers were heard: %+v", out.Orders)
+	}
+}
+
+// TestHolderThatHeardNothingForSecondsTakesNoCopyAway has a holder act again after seconds in which others led.
+func TestHolderThatHeardNothingForSecondsTakesNoCopyAway(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	c, table := takeover()
+	c.Services[0].Engine.WeightsMB = 100
+	p := New(Options{Looks: true, QuietBefore: time.Second})
+	p.Step(now, Input{Configuration: c, Endpoints: table})
+	p.Step(now.Add(100*time.Millisecond), Input{Endpoints: table, Looks: looksAt(table, false), Reports: wantedModels(0)})
+	again := now.Add(5 * time.Second)
+	out := p.Step(again, Input{Endpoints: table, Reports: wantedModels(5, "m1")})
+	if len(out.Orders) != 0 {
+		t.Errorf("orders before the routers were heard again: %+v", out.Orders)
+	}
+	if out = p.Step(again.Add(600*time.Millisecond), Input{Endpoints: table, Reports: wantedModels(5, "m1")}); len(out.Orders) == 0 {
+		t.Error("no room is made after the routers were heard")
+	}
+}
+
+// TestTroubleOfTheCoreKeepsNoCopyBack has one endpoint alone serve what all ask for while the core is in trouble.
+func TestTroubleOfTheCoreKeepsNoCopyBack(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	c, table := takeover()
+	for i := range table[1:] {
+		table[1+i].Models = nil
+	}
+	p := New(Options{Looks: true, QuietBefore: time.Second})
+	p.Step(now, Input{Configuration: c, Endpoints: table, Recovering: true})
+	looks := looksAt(table, false)
+	loads := 0
+	for i := range 60 {
+		at := now.Add(time.Duration(i+1) * 50 * time.Millisecond)
+		in := Input{Endpoints: table, Looks: looks, Recovering: true}
+		if i%10 == 0 {
+			in.Reports = []protocol.Report{{Node: "r", Sequence: uint64(i), Over: 500 * time.Millisecond,
+				Models: []protocol.ModelDemand{{Service: "lm", Model: "busy", Asked: 50, Running: 60, Waiting: 5, Worth: 450,
+					Tokens: 50000}}}}
+		}
+		looks = nil
+		for _, order := range p.Step(at, in).Orders {
+			if order.Model == "busy" && !order.Unload {
+				loads++
+			}
+		}
+	}
+	if loads == 0 {
+		t.Error("no second copy of a busy model")
+	}
+}
--- a/internal/control/placer/world_test.go
+++ b/internal/control/placer/world_test.go
@@ -383,7 +383,7 @@
 	}
 	if w.due(&w.plan.changes) {
 		w.decider = nil
-		w.pauseTill = w.now + time.Duration(3000+w.random.IntN(2000))*time.Millisecond
+		w.pauseTill = w.now + time.Duration(1000+w.random.IntN(4000))*time.Millisecond
 	}
 	if w.due(&w.plan.release) {
 		for i := range 2 {
@@ -721,7 +721,7 @@
 		return
 	}
 	if w.decider == nil {
-		w.decider = w.fresh(3 * time.Second)
+		w.decider = w.fresh(time.Second)
 		w.first = true
 	}
 	if w.now%(100*time.Millisecond) != 0 && len(w.results)+len(w.looks) == 0 {
