Prefer copies without runs to make way, and another place when an unload drags

An unload waits for the model's runs, seconds where streams are out. A copy that runs requests costs more to take away, for each of them; a model whose room is being made for over 0.7 s may be placed elsewhere.

--- a/internal/control/placer/capacity.go
+++ b/internal/control/placer/capacity.go
@@ -77,7 +77,7 @@
 	slices.SortFunc(b.loads, func(x, y *load) int { return cmp.Compare(x.model, y.model) })
 	for _, e := range f.order {
 		e.used = 0
-		f.eachServed(e, func(model string) {
+		f.eachServed(now, e, func(model string) {
 			if l := b.by[model]; l != nil {
 				l.sites = append(l.sites, site{at: e})
 			}
@@ -93,7 +93,7 @@
 }
 
 // eachServed calls with every model that requests may go to the endpoint for, now or soon.
-func (f *fleet) eachServed(e *endpoint, call func(string)) {
+func (f *fleet) eachServed(now time.Time, e *endpoint, call func(string)) {
 	if !e.live() {
 		return
 	}
@@ -102,7 +102,7 @@
 			call(e.copies[i].model)
 		}
 	}
-	if target := e.target(); target != "" && e.find(target) == nil {
+	if target := e.target(); target != "" && e.find(target) == nil && !e.drags(now) {
 		call(target)
 	}
 }
--- a/internal/control/placer/endpoint.go
+++ b/internal/control/placer/endpoint.go
@@ -23,6 +23,7 @@
 	goneBeats     = 2                      // heartbeats without the model after an unload's answer, one may be older
 	forgetBeats   = 4                      // heartbeats without a model that nobody unloaded
 	loadLate      = 3                      // an unanswered load is over after so many load times
+	dragTime      = 700 * time.Millisecond // an unload that lasts longer waits for runs
 	decidedWithin = 4 * time.Second        // a plan that could not begin for so long is decided anew
 )
 
@@ -156,6 +157,11 @@
 	return e.pending != nil && !e.pending.order.Unload && e.pending.order.Model == model && e.pending.order.Adapter == ""
 }
 
+// drags tells that an unload of the endpoint's plan waits for runs: another place may be sooner.
+func (e *endpoint) drags(now time.Time) bool {
+	return e.plan != nil && e.pending != nil && e.pending.order.Unload && now.Sub(e.pending.issued) > dragTime
+}
+
 // leaving tells whether the model is being unloaded or is a victim of a plan.
 func (e *endpoint) leaving(model string) bool {
 	if e.plan != nil && slices.Contains(e.plan.victims, model) {
--- a/internal/control/placer/plan.go
+++ b/internal/control/placer/plan.go
@@ -16,7 +16,8 @@
 	adapterLoss    = 0.3  // what a request loses that finds no place with its adapter
 	adapterMove    = 0.15 // bringing an adapter in use elsewhere, besides the order
 	cacheLoss      = 0.2  // prompts kept by a copy in use
-	runLoss        = 0.2  // an unload waits for runs
+	runLoss        = 0.2  // an unload waits for runs: for each on the copy
+	mostRuns       = 8.0  // that count
 	hysteresis     = 0.4  // a change must bring so much more than it costs
 	delayLoss      = 0.03 // each second until the copy serves
 	fitBonus       = 0.05 // for filling the room whole
@@ -295,8 +296,8 @@
 		rate += redundancy * l.rate * d.worth
 	}
 	sum := horizon * rate
-	if float64(d.running) > 0.5*float64(len(l.sites)) {
-		sum += runLoss + cacheLoss
+	if out := float64(d.running) / float64(max(1, len(l.sites))); out > 0.5 {
+		sum += runLoss*math.Min(out, mostRuns) + cacheLoss
 	}
 	for _, name := range held.adapters {
 		if a := d.adapters[name]; a != nil && now.Sub(a.askedAt).Seconds() < horizon {
@@ -312,6 +313,11 @@
 		target: c.load.model, victims: slices.Clone(c.victims), decided: now, touched: now, score: c.score,
 		reason: p.reason(c),
 	}
+	for _, e := range f.order {
+		if e != c.at && e.drags(now) && e.plan.target == c.load.model {
+			e.plan = nil // its unload goes on, and the room is for what is best then
+		}
+	}
 	for _, victim := range c.victims {
 		if l := b.by[victim]; l != nil {
 			l.leave(c.at)
--- a/internal/control/placer/takeover_test.go
+++ b/internal/control/placer/takeover_test.go
@@ -154,3 +154,65 @@
 		t.Error("no second copy of a busy model")
 	}
 }
+
+// TestAnUnloadThatDragsHasAnotherPlaceChosen has the unload that makes room for a wanted model wait for runs.
+func TestAnUnloadThatDragsHasAnotherPlaceChosen(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	c, table := takeover()
+	c.Services[0].Engine.WeightsMB = 100
+	p := New(Options{Looks: true, QuietBefore: time.Minute})
+	p.Step(now, Input{Configuration: c, Endpoints: table})
+	p.Step(now.Add(50*time.Millisecond), Input{Endpoints: table, Looks: looksAt(table, false), Reports: wantedModels(0)})
+	places := map[string]bool{}
+	var results []Result
+	for at := 500 * time.Millisecond; at < 4*time.Second; at += 100 * time.Millisecond {
+		in := Input{Endpoints: table, Results: results}
+		if at%(500*time.Millisecond) == 0 {
+			in.Reports = wantedModels(2, "m1")
+		}
+		results = nil
+		for _, order := range p.Step(now.Add(at), in).Orders {
+			places[order.Endpoint] = true
+			results = append(results, Result{ID: order.ID, Outcome: Accepted})
+		}
+	}
+	if len(places) < 2 {
+		t.Errorf("orders at %v only, want another place", places)
+	}
+}
+
+// TestTheCopyWithFewerRunsMakesWay has one endpoint's model run many requests and the other's none.
+func TestTheCopyWithFewerRunsMakesWay(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	c, table := takeover()
+	c.Services[0].Engine.WeightsMB = 100
+	for i := range table {
+		table[i].Models = []protocol.HeldModel{{Name: "busy", Generation: 1}}
+		if i >= 3 {
+			table[i].Models = []protocol.HeldModel{{Name: "m2", Generation: 1}}
+		}
+	}
+	p := New(Options{Looks: true, QuietBefore: time.Minute})
+	p.Step(now, Input{Configuration: c, Endpoints: table})
+	looks := looksAt(table, false)
+	for at := 500 * time.Millisecond; at < 7*time.Second; at += 500 * time.Millisecond {
+		told := protocol.Report{Node: "r", Sequence: uint64(at), Over: 500 * time.Millisecond,
+			Models: []protocol.ModelDemand{
+				{Service: "lm", Model: "busy", Asked: 1, Running: 30, Worth: 9, Tokens: 1000},
+				{Service: "lm", Model: "m2", Asked: 1, Worth: 9, Tokens: 1000},
+			}}
+		if at > 6*time.Second {
+			told.Models = append(told.Models, protocol.ModelDemand{Service: "lm", Model: "m1", Asked: 3, Unserved: 3, Worth: 27})
+		}
+		out := p.Step(now.Add(at), Input{Endpoints: table, Looks: looks, Reports: []protocol.Report{told}})
+		looks = nil
+		for _, order := range out.Orders {
+			if order.Unload && order.Model != "m2" {
+				t.Fatalf("%s makes way while it runs requests: %+v", order.Model, order)
+			}
+		}
+	}
+	if p.counters.Unloads == 0 {
+		t.Error("nothing made way")
+	}
+}
