--- a/internal/control/placer/capacity.go
+++ b/internal/control/placer/capacity.go
@@ -63,11 +63,12 @@
 func (p *Placer) survey(now time.Time, f *fleet) *book {
 	b := &book{by: make(map[string]*load, len(f.models))}
 	age := p.demand.age(now)
+	whole := p.demand.wholeOf(f.name)
 	for name, model := range f.models {
 		ahead := time.Duration(model.LoadTimeS * float64(time.Second))
 		l := &load{model: name, demand: p.demand.models[f.name][name], steady: priorRate}
 		if d := l.demand; d != nil {
-			l.rate = d.projected(age, ahead)
+			l.rate = d.projected(whole.fast, whole.slow, age, ahead)
 			l.steady = d.steady(age)
 			l.time = l.rate * f.requestTime(d, age)
 		}
--- a/internal/control/placer/demand.go
+++ b/internal/control/placer/demand.go
@@ -16,7 +16,7 @@
 	gaugeTime   = 3 * time.Second // a router that said nothing for so long has nothing waiting or out
 	recentTime  = 3 * time.Second // demand so little ago keeps the last copy of a model
 	priorRate   = 1.0 / 30        // a second: a model that nobody asked for yet
-	noiseFactor = 1.5             // a trend counts as far as it exceeds so many standard deviations
+	noiseFactor = 0.7             // a trend counts as far as it exceeds so many standard deviations
 )
 
 // average is an exponentially weighted rate of events, corrected for its youth.
@@ -96,21 +96,21 @@
 	return (d.long.sum + 1) / (weight + priorSpan)
 }
 
-// projected is the rate to be expected after ahead.
-func (d *demand) projected(age, ahead time.Duration) float64 {
-	fast, slow := d.fast.rate(age, fastTime), d.slow.rate(age, slowTime)
-	base := fast
-	if slow > fast {
-		base = (fast + slow) / 2
+// projected is the rate to be expected after ahead. The whole of a service's demand is not extrapolated, only how
+// much of it asks for this model: demand moves from model to model faster than it grows.
+func (d *demand) projected(whole, before average, age, ahead time.Duration) float64 {
+	fast, slow := whole.rate(age, fastTime), before.rate(age, slowTime)
+	if fast <= 0 || slow <= 0 {
+		return d.fast.rate(age, fastTime)
 	}
-	lag := (slowTime - fastTime).Seconds()
-	noise := noiseFactor * math.Sqrt(math.Max(slow, 0.5)/(2*fastTime.Seconds()))
-	rise := fast - slow
-	if math.Abs(rise) < noise {
-		return math.Max(base, slow)
-	}
-	slope := (rise - math.Copysign(noise, rise)) / lag
-	return math.Max(0, base+slope*(fastTime+ahead).Seconds())
+	share := d.fast.rate(age, fastTime) / fast
+	shareBefore := d.slow.rate(age, slowTime) / slow
+	deviation := math.Sqrt(math.Max(share, shareBefore) / (2 * fastTime.Seconds() * fast))
+	rise := share - shareBefore
+	rise -= math.Copysign(math.Min(math.Abs(rise), noiseFactor*deviation), rise)
+	slope := rise / (slowTime - fastTime).Seconds()
+	future := shareBefore + slope*(slowTime+ahead).Seconds()
+	return math.Min(1, math.Max(0, future)) * math.Max(fast, slow)
 }
 
 // gauges are the last told requests waiting and out of one router.
@@ -126,13 +126,14 @@
 // tally holds the demand of all services.
 type tally struct {
 	models  map[string]map[string]*demand // by service and model
+	whole   map[string]*demand            // by service
 	routers map[string]gauges             // by node
 	last    time.Time
 	start   time.Time // of the first report
 }
 
 func newTally() *tally {
-	return &tally{models: map[string]map[string]*demand{}, routers: map[string]gauges{}}
+	return &tally{models: map[string]map[string]*demand{}, whole: map[string]*demand{}, routers: map[string]gauges{}}
 }
 
 func (t *tally) age(now time.Time) time.Duration {
@@ -156,6 +157,15 @@
 	return found
 }
 
+func (t *tally) wholeOf(service string) *demand {
+	found := t.whole[service]
+	if found == nil {
+		found = newDemand()
+		t.whole[service] = found
+	}
+	return found
+}
+
 // advance lets time pass.
 func (t *tally) advance(now time.Time) {
 	elapsed := now.Sub(t.last).Seconds()
@@ -171,6 +181,9 @@
 			d.decay(fast, slow, long, unmet)
 		}
 	}
+	for _, d := range t.whole {
+		d.decay(fast, slow, long, unmet)
+	}
 	for node, router := range t.routers {
 		if now.Sub(router.at) > gaugeTime {
 			t.gauge(router.rows, -1)
@@ -188,6 +201,7 @@
 	for _, row := range report.Models {
 		d := t.of(row.Service, row.Model)
 		d.count(now, row)
+		t.wholeOf(row.Service).count(now, row)
 		if row.Adapter != "" {
 			d.adapter(row.Adapter).count(now, row)
 		}
--- a/internal/control/placer/plan.go
+++ b/internal/control/placer/plan.go
@@ -16,13 +16,15 @@
 	adapterLoss    = 0.3  // what a request loses that finds no place with its adapter
 	adapterMove    = 0.15 // bringing an adapter in use elsewhere, besides the order
 	cacheLoss      = 0.2  // prompts kept by a copy in use
-	runLoss        = 0.2  // an unload waits for runs
+	runLoss        = 1.0  // an unload waits for runs, and keeps the endpoint from other orders
 	hysteresis     = 0.4  // a change must bring so much more than it costs
 	delayLoss      = 0.03 // each second until the copy serves
 	fitBonus       = 0.05 // for filling the room whole
 	zoneBonus      = 0.1  // for the first copy in a zone
 	waitGrowth     = 0.5  // each second of waiting makes a request weigh so much more
 	mostUnmet      = 5.0  // refused requests that count as coming back
+	dormantWorth   = 3.0  // the last copy of a model that nobody asked for yet
+	dormantTime    = 10 * time.Minute
 	residence      = 4 * time.Second
 	mostVictims    = 8 // copies on an endpoint that are tried in all combinations
 	plansPerStep   = 8
@@ -270,11 +272,7 @@
 // loss is what the copy's leaving costs.
 func (p *Placer) loss(now time.Time, l *load, e *endpoint, held *copyOf, last bool) float64 {
 	if last {
-		worth := 1.0
-		if l.demand != nil {
-			worth = l.demand.worth
-		}
-		return horizon * math.Max(l.rate, l.steady) * (missLoss*worth + p.options.LoadPrice)
+		return p.lastLoss(now, l)
 	}
 	d := l.demand
 	if d == nil {
@@ -289,13 +287,22 @@
 		sum += runLoss + cacheLoss
 	}
 	for _, name := range held.adapters {
-		if a := d.adapters[name]; a != nil && now.Sub(a.askedAt).Seconds() < horizon {
-			sum += adapterMove + p.options.OrderPrice
+		if a := d.adapters[name]; a != nil {
+			sum += (adapterMove + p.options.OrderPrice) * math.Min(1, a.slow.rate(p.demand.age(now), slowTime)*horizon)
 		}
 	}
 	return sum
 }
 
+// lastLoss is what it costs to have no copy of the model: its next requests wait for a load. Of a model that nobody
+// asked for yet nothing is known, except that somebody put it there: it may be the next that is asked for much.
+func (p *Placer) lastLoss(now time.Time, l *load) float64 {
+	if l.demand == nil || l.demand.askedAt.IsZero() {
+		return dormantWorth * math.Exp(-now.Sub(p.start).Seconds()/dormantTime.Seconds())
+	}
+	return horizon * math.Max(l.rate, l.steady) * (missLoss*l.demand.worth + p.options.LoadPrice)
+}
+
 // adopt makes the choice the endpoint's plan and takes it into the book.
 func (p *Placer) adopt(now time.Time, f *fleet, b *book, c *choice, out *Output) {
 	c.at.plan = &plan{
--- a/internal/control/placer/world_test.go
+++ b/internal/control/placer/world_test.go
@@ -337,8 +337,14 @@
 }
 
 func (w *world) run() stats {
+	w.runUntil(w.lead + w.shape.length + 5*time.Second)
+	w.finish()
+	return w.stats
+}
+
+func (w *world) runUntil(until time.Duration) {
 	end := w.lead + w.shape.length
-	for ; w.now < end+5*time.Second; w.now += tick {
+	for ; w.now < until; w.now += tick {
 		w.deliver()
 		w.troubles()
 		if w.now >= w.lead && w.now < end {
@@ -351,8 +357,6 @@
 		w.report()
 		w.step()
 	}
-	w.finish()
-	return w.stats
 }
 
 func (w *world) deliver() {
