--- /dev/null
+++ b/coordination/chain/node_test.go
@@ -0,0 +1,129 @@
+package chain
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"raventrestle/coordination/view"
+)
+
+var testSeeds = []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
+
+// founder returns a founding node that has just started.
+func founder(t *testing.T, number int) *Node {
+	t.Helper()
+	state, ok := Found(view.Member{Address: testSeeds[number], Zone: fmt.Sprint("z", number)}, testSeeds)
+	if !ok {
+		t.Fatal("no founder")
+	}
+	return New(time.Second, state, Config{Faults: 1, Seeds: testSeeds, Random: uint64(number + 1)})
+}
+
+// later returns the view that follows the founders' one, with another head.
+func later(n *Node) view.View {
+	first := n.View()
+	return view.View{Epoch: 2, Chain: []view.Member{first.Chain[1], first.Chain[2]}, Voters: first.Voters}
+}
+
+// epochMessages are the messages that belong to an epoch.
+func epochMessages(from view.Member) []Message {
+	return []Message{
+		{Ping: &Ping{Life: 1, Sent: 1}}, {Pong: &Pong{Life: 1}}, {Fetch: &Fetch{Number: 1}},
+		{Append: &Append{Entries: []Entry{{Index: 1, Epoch: 1}}}}, {Commit: &Commit{Index: 1}},
+		{Forward: &Forward{ID: CommandID{Proposer: 1}}}, {Barrier: &Barrier{Number: 1, Asker: "x", Address: "x"}},
+		{Poll: &Poll{Number: 1}}, {PollReply: &PollReply{Number: 1}}, {Promise: &view.Promise{Given: true}},
+		{Accept: &Accept{Ballot: view.Ballot{Round: 9}}}, {Accepted: &Accepted{}},
+	}
+}
+
+// Whatever belongs to an epoch that is over changes nothing; its sender is told of the newer view.
+func TestEarlierEpochIsRefused(t *testing.T) {
+	for _, message := range epochMessages(view.Member{}) {
+		n := founder(t, 1)
+		from := n.View().Chain[0]
+		n.Receive(time.Second, from.Address, Message{From: from.Identity, Decided: &Decided{View: later(n)}})
+		n.Persisted()
+		before := n.durable
+		message.From, message.Epoch = from.Identity, 1
+		out := n.Receive(2*time.Second, from.Address, message)
+		if len(out.Records) > 0 || !reflect.DeepEqual(before, n.durable) {
+			t.Errorf("%+v changes the state", message)
+		}
+		told := false
+		for _, envelope := range out.Messages {
+			told = told || envelope.Message.Decided != nil && envelope.Address == from.Address
+			if m := envelope.Message; m.Pong != nil || m.BarrierReply != nil || m.Barrier != nil {
+				t.Errorf("%+v is answered by %+v", message, m)
+			}
+		}
+		if !told {
+			t.Errorf("the sender of %+v is not told the view", message)
+		}
+	}
+}
+
+// A voter that has promised the next epoch takes part in its own no more.
+func TestPromiseEndsTheEpoch(t *testing.T) {
+	n := founder(t, 1)
+	head, proposer := n.View().Chain[0], n.View().Chain[2]
+	ballot := view.Ballot{Round: 1, Identity: proposer.Identity}
+	out := n.Receive(time.Second, proposer.Address,
+		Message{From: proposer.Identity, Epoch: 1, Prepare: &Prepare{View: n.View(), Ballot: ballot}})
+	n.Persisted()
+	if len(out.Records) == 0 {
+		t.Fatal("the promise is not kept on disk")
+	}
+	for _, message := range []Message{
+		{Append: &Append{Answer: n.feed.number, Entries: []Entry{{Index: 1, Epoch: 1}}}},
+		{Barrier: &Barrier{Number: 1, Asker: "x", Address: "x"}},
+	} {
+		message.From, message.Epoch = head.Identity, 1
+		n.Receive(time.Second, head.Address, message)
+		if n.log.last() != 0 {
+			t.Errorf("%+v is taken", message)
+		}
+	}
+	out = n.Receive(time.Second, head.Address,
+		Message{From: head.Identity, Epoch: 1, Ping: &Ping{Life: 1, Sent: time.Second}})
+	for _, envelope := range out.Messages {
+		if pong := envelope.Message.Pong; pong != nil && pong.Promised != 2 {
+			t.Errorf("the answer to a ping hides the promise: %+v", pong)
+		}
+	}
+}
+
+// Records come before the messages that rest on them: a refused write takes the step back.
+func TestRefusedWriteIsTakenBack(t *testing.T) {
+	n := founder(t, 0)
+	n.Persisted()
+	before := n.durable
+	_, out := n.Propose(time.Second, []byte("x"))
+	if len(out.Records) == 0 || n.log.last() != 1 {
+		t.Fatal("the head does not take the command")
+	}
+	n.Refused(time.Second)
+	if !reflect.DeepEqual(before.log, n.durable.log) || !n.Refusing() {
+		t.Errorf("log %+v after a refused write", n.log)
+	}
+	if _, out := n.Propose(time.Second, []byte("y")); len(out.Records) > 0 {
+		t.Error("a command is taken while the disk refuses")
+	}
+}
+
+// A command that is forwarded twice is in the log once.
+func TestForwardTwice(t *testing.T) {
+	n := founder(t, 0)
+	from := n.View().Chain[1]
+	for range 3 {
+		n.Receive(time.Second, from.Address, Message{
+			From: from.Identity, Epoch: 1,
+			Forward: &Forward{ID: CommandID{Proposer: 7, Number: 1}, Command: []byte("x")},
+		})
+		n.Persisted()
+	}
+	if n.log.last() != 1 {
+		t.Errorf("%d entries", n.log.last())
+	}
+}
--- a/coordination/chain/requests.go
+++ b/coordination/chain/requests.go
@@ -5,9 +5,13 @@
 	"time"
 )
 
-// forwardAgain is the time after which a command is sent to the same head again. It is long because commands
-// may be large.
-const forwardAgain = time.Second
+// A command is sent to the same head again after forwardAgain; a large one, which may still be on its way, after
+// largeAgain.
+const (
+	forwardAgain = 300 * time.Millisecond
+	largeAgain   = 1500 * time.Millisecond
+	largeCommand = 64 << 10
+)
 
 // openEntries and openBytes bound what the head takes before it is committed.
 const (
@@ -138,10 +142,14 @@
 // runRequests sends what is due.
 func (n *Node) runRequests(now time.Duration) {
 	for _, c := range n.requests.commands {
-		due := c.sentAt + forwardAgain
+		again := forwardAgain
+		if len(c.body) > largeCommand {
+			again = largeAgain
+		}
+		due := c.sentAt + again
 		if c.sentAt == 0 || now >= due {
 			n.forward(now, c)
-			due = now + forwardAgain
+			due = now + again
 		}
 		n.wakeBy(due)
 	}
--- a/coordination/chain/watch.go
+++ b/coordination/chain/watch.go
@@ -169,6 +169,7 @@
 	if !slices.Equal(live, n.watch.live) {
 		n.watch.live = live
 		n.tableVersion++
+		n.forgetPeers(now)
 	}
 }
 
--- a/coordination/simnet/faults.go
+++ b/coordination/simnet/faults.go
@@ -228,6 +228,9 @@
 
 // replaceOne removes a machine for good and adds an empty one at another address.
 func (w *World) replaceOne(until time.Duration) {
+	if w.Faults == 0 {
+		return // no disk may be lost
+	}
 	w.whenCalm(until, func() {
 		m := w.pick()
 		if m.removed {
--- a/coordination/simnet/history.go
+++ b/coordination/simnet/history.go
@@ -17,13 +17,17 @@
 // Play plays the history of a seed and returns the world and what was broken first.
 func Play(seed uint64, planted mutation.Set, trace func(string)) (*World, error) {
 	setup := Setup{Seed: seed, Machines: 3, Seeds: 3, Faults: 1, Mutation: planted, Trace: trace}
-	switch seed % 4 {
+	switch seed % 6 {
 	case 1:
 		setup.Machines = 4
 	case 2:
 		setup.Machines = 5
 	case 3:
 		setup.Machines, setup.Faults = 6, 2
+	case 4:
+		setup.Machines = 7
+	case 5:
+		setup.Machines, setup.Faults = 4, 0
 	}
 	if seed%5 == 0 {
 		setup.Loss = 0.01
