--- a/internal/router/dispatch/types.go
+++ b/internal/router/dispatch/types.go
@@ -39,7 +39,8 @@
 	Objective      time.Time // when the first event or the answer is due for the full worth
 	Deadline       time.Time // when the client gives up, or the route's timeout if that is earlier
 	Arrived        time.Time
-	MaxEndpoints   int // most endpoints it may be sent to
+	MaxEndpoints   int  // most endpoints it may be sent to
+	Again          bool // seems to be a client's further try: its deadline is well below the route's time
 }
 
 // Input is something that happened: one of the types below.
@@ -55,6 +56,7 @@
 type FirstByte struct {
 	ID       RequestID
 	Endpoint string
+	Load     *ToldLoad // from X-Instance-Load of the answer's head, nil without
 }
 
 // Progress: an event of a stream arrived; sent at most a few times a second for each request.
@@ -64,6 +66,12 @@
 	Events   int // since the last
 }
 
+// Stalled: a stream that may go on elsewhere has paused for long. The call goes on unless Abandon follows.
+type Stalled struct {
+	ID       RequestID
+	Endpoint string
+}
+
 // Result says how a call ended.
 type Result uint8
 
@@ -100,12 +108,18 @@
 	Routers       int // 0: unchanged
 }
 
+// Closing: this process ends. From HoldUntil on nothing is held: what can't be sent at once is refused, and its
+// client comes back to another router. Only a stream that broke off midway still waits for an endpoint.
+type Closing struct{ HoldUntil time.Time }
+
 func (Arrived) input()     {}
 func (Withdrawn) input()   {}
 func (FirstByte) input()   {}
+func (Stalled) input()     {}
 func (Progress) input()    {}
 func (Finished) input()    {}
 func (ViewChanged) input() {}
+func (Closing) input()     {}
 
 // Output is something the host must do: one of the types below.
 type Output interface{ output() }
@@ -129,6 +143,7 @@
 	NoEndpoint                // 503: no endpoint of the service, or none holds the model in time
 	BudgetSpent               // what failed may not be sent again
 	Exhausted                 // MaxEndpoints reached, or it may have run and is not repeatable
+	Leaving                   // 503: this process ends, and another router may serve the request
 )
 
 // Refuse: answer at once. RetryAfter is when the client may come back, 0 where coming back is useless.
@@ -139,9 +154,17 @@
 	RetryAfter time.Duration
 }
 
+// Abandon: end this call now, its endpoint is silent and the request goes on elsewhere. The host answers
+// with Finished{Lost, More}. Only requests that may run twice, before their first byte, are abandoned.
+type Abandon struct {
+	ID       RequestID
+	Endpoint string
+}
+
 // Report: demand since the last report, to be sent to the control plane.
 type Report struct{ Report protocol.Report }
 
-func (Send) output()   {}
-func (Refuse) output() {}
-func (Report) output() {}
+func (Send) output()    {}
+func (Refuse) output()  {}
+func (Abandon) output() {}
+func (Report) output()  {}
