--- a/internal/control/quota/quota.go
+++ b/internal/control/quota/quota.go
@@ -107,7 +107,6 @@
 	id       Router
 	sequence uint64
 	sentAt   time.Time
-	since    time.Time // in touch without a break
 	gone     bool
 }
 
@@ -130,7 +129,7 @@
 	if in.Configuration != nil {
 		a.configure(now, in.Configuration.Tenants)
 	}
-	a.meet(now, in)
+	a.meet(in)
 	for _, confirmation := range in.Confirmed {
 		a.confirm(now, confirmation)
 	}
@@ -143,9 +142,8 @@
 	}
 	if a.acting.IsZero() {
 		a.acting = now
-		heard := a.heard(now)
 		for _, t := range a.order {
-			t.judgePast(now, heard, a.options)
+			t.judgePast(now, a.options)
 		}
 	}
 	if now.Sub(a.acting) < a.earlier()-a.options.QuietBefore {
@@ -189,19 +187,8 @@
 	slices.SortFunc(a.order, func(x, y *tenant) int { return cmp.Compare(x.name, y.name) })
 }
 
-// heard tells whether all routers have been in touch for long enough to know what tenants ask for.
-func (a *Allocator) heard(now time.Time) bool {
-	count := 0
-	for _, r := range a.routers {
-		if now.Sub(r.since) >= judgedOver {
-			count++
-		}
-	}
-	return count > 0 && count >= a.floors
-}
-
 // meet takes the set of routers.
-func (a *Allocator) meet(now time.Time, in Input) {
+func (a *Allocator) meet(in Input) {
 	a.floors = in.Floors
 	if a.floors <= 0 {
 		a.floors = len(in.Routers)
@@ -211,7 +198,7 @@
 	}
 	for _, id := range in.Routers {
 		if a.routers[id] == nil {
-			a.routers[id] = &router{id: id, since: now}
+			a.routers[id] = &router{id: id}
 		}
 		a.routers[id].gone = false
 	}
--- a/internal/control/quota/tenant.go
+++ b/internal/control/quota/tenant.go
@@ -80,10 +80,10 @@
 
 // judgePast makes sure, when the allocator begins to act, that what an earlier holder may have let a tenant spend is
 // counted. A tenant that presses, or of which nothing is known, is assumed to have spent all of a window at once.
-func (t *tenant) judgePast(now time.Time, heard bool, options Options) {
+func (t *tenant) judgePast(now time.Time, options Options) {
 	t.advance(now)
 	over := now.Sub(t.began)
-	if heard && over >= judgedOver && t.asked <= pressedPart*t.rate*over.Seconds()+pressedMore*t.lack {
+	if over >= judgedOver && t.asked <= pressedPart*t.rate*over.Seconds()+pressedMore*t.lack {
 		return
 	}
 	at := len(t.spent) - 1 - int(over/bucketSpan)
