--- a/coordination/simnet/machine.go
+++ b/coordination/simnet/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"raventrestle/coordination/chain"
@@ -140,9 +141,12 @@
 		}
 		m.carryOut(effects)
 	})
-	if m.engine != nil {
-		m.plan(max(took, e.Wake()-m.local()))
+	syncs = m.disk.Syncs
+	if err := e.Maintain(m.local()); err != nil {
+		w.tracef("%s: %v", m.address, err)
 	}
+	m.busy += time.Duration(m.disk.Syncs-syncs) * w.Sync
+	m.plan(e.Wake() - m.local())
 	m.show()
 	w.check()
 }
@@ -171,6 +175,7 @@
 	}()
 	defer m.powerCut()
 	m.engine.Step(m.local(), inputs)
+	_ = m.engine.Maintain(m.local())
 	m.world.tracef("%s: power held through steps %d to %d", m.address, steps, m.disk.Steps)
 	m.disk.CutAt = 0
 	m.losePower() // at the latest before anything is sent
@@ -259,5 +264,8 @@
 	}
 	m.world.tracef("%s thaws", m.address)
 	m.frozen, m.planned = false, false
+	if m.world.random.IntN(2) == 0 { // its connections were given up meanwhile
+		m.inbox = slices.DeleteFunc(m.inbox, func(input engine.Input) bool { return input.Message != nil })
+	}
 	m.plan(0)
 }
