Give placing and dividing a part of the holder's time only

While requests waited for quota the holder stepped every 4 ms, each time with a copy of the whole table and a step of the placer; a step that takes long left no time for the heartbeats, configurations and routers of its instance. Lacks now step the allocator alone; after a step of the placer four times, of the allocator once its duration passes.

--- a/internal/control/roles/holder.go
+++ b/internal/control/roles/holder.go
@@ -20,6 +20,8 @@
 	troubleLasts   = 4 * time.Second // after a change of view or of who is live
 	maximumBatches = 1024            // of reports, kept until the next step
 	viewWithin     = time.Second
+	placePart      = 4 // so many times as long as placing took pass before the next time
+	dividePart     = 1 // and so many times as long as dividing took
 )
 
 // Placer decides about orders; *placer.Placer is one.
@@ -94,9 +96,14 @@
 	divided       *configuration.Configuration // that the allocator has
 	orders        map[uint64]placer.Order      // without a result
 	trouble       trouble
-	nextStep      time.Time // not before then
-	stepped       time.Time // the last one
-	wakeAt        time.Time // when the placer wants its next step
+	forPlacer     placer.Input // what came since its last step
+	routerCount   int          // of the last view
+	nextStep      time.Time    // not before then
+	nextPlace     time.Time    // no step of the placer before then
+	stepped       time.Time    // the last one's end
+	rest          time.Duration
+	placeAt       time.Time // when the placer wants its next step
+	wakeAt        time.Time // when the next step is due
 }
 
 // inbox gathers what arrives between two steps.
@@ -186,7 +193,7 @@
 	defer h.mutex.Unlock()
 	for _, batch := range h.inbox.batches {
 		if batch.Lacks() {
-			return h.stepped.Add(lackingPause)
+			return h.stepped.Add(max(lackingPause, h.rest))
 		}
 	}
 	return h.nextStep
@@ -216,7 +223,7 @@
 
 // begin takes the role up. Where nobody else can have held it in between, the deciders go on as they were.
 func (h *Holder) begin(now time.Time) {
-	h.nextStep = now
+	h.nextStep, h.nextPlace = now, now
 	if h.placer == nil || h.turn.Epoch-h.ended > 1 {
 		h.startAnew()
 	}
@@ -230,6 +237,7 @@
 	h.loadings = newLoadings()
 	h.loadings.changed = true // the others forget what an earlier holder showed
 	h.configuration, h.divided = nil, nil
+	h.forPlacer = placer.Input{}
 	clear(h.orders)
 	h.mutex.Lock()
 	h.term++
@@ -242,38 +250,72 @@
 	h.parts.Events.RoleEnded(before.Epoch)
 }
 
-// step has the placer and the allocator decide, and begins what they order.
+// step has the placer and the allocator decide, and begins what they order. Where one of them takes long, it gets a
+// part of the time only: heartbeats, configurations and routers of this instance must not wait for it.
 func (h *Holder) step(ctx context.Context, now time.Time) {
-	h.stepped = now
-	h.nextStep = now.Add(shortestPause)
+	arrived := h.takeInbox()
+	reports := h.reportsOf(now, arrived.batches)
+	h.gather(now, arrived, reports)
+	if !now.Before(h.nextPlace) {
+		h.place(ctx, now)
+		h.nextPlace = pauseAfter(now, placePart)
+		h.placeAt = later(h.placeAt, h.nextPlace)
+	}
+	h.wakeAt = h.placeAt
+	divided := time.Now()
+	h.divide(now, quota.Input{
+		Routers:   h.roster.routers(now),
+		Floors:    h.roster.count(now, h.routerCount),
+		Reports:   reports,
+		Confirmed: h.confirmedOf(arrived.batches),
+	})
+	h.stepped = time.Now()
+	h.rest = dividePart * h.stepped.Sub(divided)
+	h.nextStep = later(now.Add(shortestPause), h.stepped.Add(h.rest))
+}
+
+// pauseAfter is when work that began at a time, and ends now, may be done again.
+func pauseAfter(began time.Time, part time.Duration) time.Time {
+	ended := time.Now()
+	return ended.Add(part * ended.Sub(began))
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// gather keeps what arrived for the placer's next step.
+func (h *Holder) gather(now time.Time, arrived inbox, reports []protocol.Report) {
+	if changed := h.newConfiguration(); changed != nil {
+		h.forPlacer.Configuration = changed
+	}
+	h.note(now, arrived.results)
+	h.forPlacer.Reports = append(h.forPlacer.Reports, reports...)
+	h.forPlacer.Results = append(h.forPlacer.Results, arrived.results...)
+	h.forPlacer.Looks = append(h.forPlacer.Looks, arrived.looks...)
+}
+
+// place has the placer decide.
+func (h *Holder) place(ctx context.Context, now time.Time) {
 	view, err := h.view(ctx)
 	if err != nil {
 		return // the instance stops, or is behind: later
 	}
-	arrived := h.takeInbox()
-	reports := h.reportsOf(now, arrived.batches)
-	changed := h.newConfiguration()
-	h.note(now, arrived.results)
+	in := h.forPlacer
+	h.forPlacer = placer.Input{}
+	h.routerCount = view.RouterCount
 	h.loadings.observe(now, view.Endpoints)
-	out := h.placer.Step(now, placer.Input{
-		Configuration: changed,
-		Endpoints:     view.Endpoints,
-		Reports:       reports,
-		Results:       arrived.results,
-		Looks:         arrived.looks,
-		Recovering:    h.trouble.lasts(now),
-	})
+	in.Endpoints = view.Endpoints
+	in.Recovering = h.trouble.lasts(now)
+	out := h.placer.Step(now, in)
 	h.carryOut(ctx, out, view.Endpoints)
 	if table, changed := h.loadings.table(now, h.turn.Epoch); changed {
 		h.parts.Endpoints.ShowLoading(table)
 	}
-	h.wakeAt = out.WakeAt
-	h.divide(now, quota.Input{
-		Routers:   h.roster.routers(now),
-		Floors:    h.roster.count(now, view.RouterCount),
-		Reports:   reports,
-		Confirmed: h.confirmedOf(arrived.batches),
-	})
+	h.placeAt = out.WakeAt
 }
 
 // newConfiguration returns the newest version if it is new here.
