Start the whole system by one command, and check files with every fault by its item

ravenlab system needs a stand-in for endpoints and a run of both programs on loopback; check reads configurations, settings and deploy files for both programs.

--- /dev/null
+++ b/internal/check/check.go
@@ -0,0 +1,115 @@
+// Package check reads what operators write, a configuration, a settings file or a deploy file, and tells every fault
+// by the item that it is about. Nothing is sent anywhere.
+package check
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"raventrestle/internal/configuration"
+	"raventrestle/internal/nodeconfig"
+)
+
+// Fault is one thing that is wrong.
+type Fault struct {
+	Item   string `json:"item"`
+	Reason string `json:"reason"`
+}
+
+// Report is what a check found.
+type Report struct {
+	Good    bool    `json:"good"`
+	Summary string  `json:"summary,omitempty"` // of something good
+	Faults  []Fault `json:"faults,omitempty"`
+}
+
+func good(format string, arguments ...any) Report {
+	return Report{Good: true, Summary: fmt.Sprintf(format, arguments...)}
+}
+
+func bad(faults []Fault) Report { return Report{Faults: faults} }
+
+// Settings checks a settings file. An empty path stands for the one that the environment names.
+func Settings(path string) (Report, error) {
+	if path == "" {
+		path = os.Getenv(nodeconfig.EnvironmentVariable)
+	}
+	if path == "" {
+		return Report{}, fmt.Errorf("name a FILE, or set %s", nodeconfig.EnvironmentVariable)
+	}
+	body, err := readFile(path)
+	if err != nil {
+		return Report{}, err
+	}
+	settings, err := nodeconfig.Parse(path, body)
+	if err != nil {
+		return bad(faultsOf(err)), nil
+	}
+	return good("%s, role %s, zone %s, serves %v", settings.NodeName, settings.Role, settings.Zone, settings.Serves), nil
+}
+
+// faultsOf takes an error of the settings apart.
+func faultsOf(err error) []Fault {
+	if joined, many := err.(interface{ Unwrap() []error }); many {
+		var faults []Fault
+		for _, part := range joined.Unwrap() {
+			faults = append(faults, faultsOf(part)...)
+		}
+		return faults
+	}
+	var fault *nodeconfig.Fault
+	if direct, is := err.(*nodeconfig.Fault); is {
+		return []Fault{{Item: place(direct), Reason: direct.Reason}}
+	}
+	if inner := errors.Unwrap(err); inner != nil && errors.As(err, &fault) {
+		return faultsOf(inner)
+	}
+	return []Fault{{Item: "file", Reason: err.Error()}}
+}
+
+// place names a key and its line; a missing key has none.
+func place(fault *nodeconfig.Fault) string {
+	if fault.Line == 0 {
+		return fault.Key
+	}
+	return fmt.Sprintf("line %d: %s", fault.Line, fault.Key)
+}
+
+// Configuration checks a whole configuration, as an operator would send it first.
+func Configuration(path string) (Report, error) {
+	body, err := readFile(path)
+	if err != nil {
+		return Report{}, err
+	}
+	document, err := configuration.ParseDocument(body)
+	if err == nil {
+		err = configuration.Check(document.Configuration(), nil)
+	}
+	var invalid *configuration.Invalid
+	switch {
+	case errors.As(err, &invalid):
+		var faults []Fault
+		for _, fault := range invalid.Faults {
+			faults = append(faults, Fault{Item: fault.Item, Reason: fault.Reason})
+		}
+		return bad(faults), nil
+	case err != nil:
+		return bad([]Fault{{Item: "file", Reason: err.Error()}}), nil
+	}
+	read := document.Configuration()
+	return good("generation %d: %d routes, %d services, %d tenants", read.Generation, len(read.Routes),
+		len(read.Services), len(read.Tenants)), nil
+}
+
+// readFile reads a named file, or standard input for "-".
+func readFile(path string) ([]byte, error) {
+	switch path {
+	case "":
+		return nil, errors.New("name a FILE, or - for standard input")
+	case "-":
+		return io.ReadAll(os.Stdin)
+	}
+	return os.ReadFile(path)
+}
--- /dev/null
+++ b/internal/check/check_test.go
@@ -0,0 +1,86 @@
+package check
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/subcommands"
+)
+
+func checkRun(t *testing.T, text string, status subcommands.ExitStatus, told []string, arguments ...string) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	command := &Command{Program: "test", Out: &out}
+	flags := flag.NewFlagSet("check", flag.ContinueOnError)
+	command.SetFlags(flags)
+	if err := flags.Parse(append(arguments, path)); err != nil {
+		t.Fatal(err)
+	}
+	if got := command.Execute(context.Background(), flags); got != status {
+		t.Errorf("ends with %d, want %d", got, status)
+	}
+	for _, line := range told {
+		if !strings.Contains(out.String(), line) {
+			t.Errorf("%q is missing in %s", line, out.String())
+		}
+	}
+}
+
+const goodSettings = `node_name=n
+role=r
+serves=edge
+ip=10.0.0.1
+zone=a
+listen.front=10.0.0.1:80
+listen.readiness=10.0.0.1:81
+ephemeral_ports=7500,7515
+seeds=
+`
+
+func TestSettings(t *testing.T) {
+	checkRun(t, goodSettings, 0, []string{"good: n, role r, zone a"}, "-settings")
+	text := strings.Replace(goodSettings, "ip=10.0.0.1", "ip=here", 1)
+	text = strings.Replace(text, "zone=a\n", "", 1)
+	checkRun(t, text, 1, []string{"line 4: ip: ", "zone: is missing"}, "-settings")
+}
+
+func TestConfigurationTellsEveryFault(t *testing.T) {
+	checkRun(t, `{"generation":1,"routes":[],"services":[]}`, 0, []string{"good: generation 1"})
+	checkRun(t, `{"generation":1,"services":[],"routes":[
+		{"name":"a","hostname":"h","path_prefix":"/a/","type":"idempotent","timeout_ms":0,"backend":"x"},
+		{"name":"b","hostname":"h","path_prefix":"/a/","type":"idempotent","timeout_ms":5,"backend":"y"}]}`, 1,
+		[]string{`"a"`, `"b"`, "timeout_ms"})
+	checkRun(t, `{`, 1, nil)
+}
+
+func TestDeploy(t *testing.T) {
+	checkRun(t, "build = \"b\"\n[roles.r]\nrun = \"x\"\non = \"edge\"\nshare = 1.0\nserves = [\"edge\"]\n", 0,
+		[]string{"good: roles r"}, "-deploy")
+	checkRun(t, "[roles.r]\non = \"hill\"\nshare = 2.0\nserves = [\"all\"]\n", 1,
+		[]string{"build: is missing", "role r: run is missing", `on is "hill"`, "share is 2", `serves "all"`}, "-deploy")
+	checkRun(t, "build = \"b\"\nbilld = 1\n", 1, []string{"line 2: billd: is not known"}, "-deploy")
+	checkRun(t, "build = \n", 1, []string{"line 1"}, "-deploy")
+}
+
+// The deploy file in service is good.
+func TestOwnDeployFile(t *testing.T) {
+	report, err := Deploy(filepath.Join("..", "..", "deploy", "system.toml"))
+	if err != nil || !report.Good {
+		t.Errorf("%+v, %v", report, err)
+	}
+}
+
+func TestFileThatIsNotThere(t *testing.T) {
+	if _, err := Configuration(filepath.Join(t.TempDir(), "none")); err == nil {
+		t.Error("a file that is not there was checked")
+	}
+}
--- /dev/null
+++ b/internal/lab/system/operator.go
@@ -0,0 +1,141 @@
+package system
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"raventrestle/internal/configuration"
+)
+
+// Names in the configuration.
+const (
+	host          = "books.example"
+	writerService = "writer"
+	ledgerService = "ledger"
+	writerPath    = "/write/"
+	ledgerPath    = "/ledger/"
+	tenantName    = "library"
+	tenantKey     = "key-of-the-library"
+	modelMB       = 40000
+	roomMB        = 90000
+	tryAgainIn    = 50 * time.Millisecond
+	callWithin    = 2 * time.Second
+)
+
+// models are those of the writer service; the last one is held nowhere at the start.
+var models = []string{"sparrow", "wren", "heron", "stork"}
+
+// firstConfiguration is what the operator sends.
+func firstConfiguration() *configuration.Configuration {
+	engine := &configuration.Engine{Slots: slots, KVTokens: 130000, KVBytes: 163840, LinkMbps: 10000, Stride: 1,
+		WeightsMB: roomMB, AdapterSlots: 2, LoadsPerS: 2}
+	for _, name := range models {
+		engine.Models = append(engine.Models, configuration.Model{Name: name, WeightsMB: modelMB,
+			LoadTimeS: loadTime.Seconds(), Adapters: 1, AdapterMB: 60})
+	}
+	return &configuration.Configuration{
+		Generation: 1,
+		Limits: configuration.Limits{MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4 << 20, HeaderTimeoutMS: 3000,
+			IdleTimeoutMS: 15000},
+		Services: []configuration.Service{
+			{Name: writerService, HealthCheck: "/healthz", MaxConnections: 64, Protocol: "h1", Engine: engine},
+			{Name: ledgerService, HealthCheck: "/healthz", MaxConnections: 64, Protocol: "h1"},
+		},
+		Routes: []configuration.Route{
+			{Name: "write", Hostname: host, PathPrefix: writerPath, Type: configuration.Streaming, TimeoutMS: 10000,
+				TargetLatencyMS: 5000, Backend: writerService, MaxRetries: 2, SessionAffinity: true, Resumable: true,
+				GapAimMS: 500},
+			{Name: "ledger", Hostname: host, PathPrefix: ledgerPath, Type: configuration.NonIdempotent, TimeoutMS: 2000,
+				TargetLatencyMS: 500, Backend: ledgerService, MaxRetries: 1},
+		},
+		Tenants: []configuration.Tenant{{Name: tenantName, APIKeys: []string{tenantKey}, Unit: configuration.TokenCount,
+			PlainTokens: 200}},
+	}
+}
+
+// configure sends the configuration until it is taken.
+func (w *world) configure(ctx context.Context) error {
+	text, err := json.MarshalIndent(firstConfiguration(), "", "  ")
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	for number := 0; ; number++ {
+		if err = w.put(ctx, w.places.control(number%instances), text); err == nil {
+			return nil
+		}
+		if !pause(ctx, tryAgainIn) {
+			return fmt.Errorf("the configuration was not taken in time: %w", err)
+		}
+	}
+}
+
+func (w *world) put(ctx context.Context, control string, text []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+control+"/-/config", bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("If-Match", "0")
+	request.Header.Set("Content-Type", "application/json")
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }() // it has been read
+	told, err := io.ReadAll(answer.Body)
+	if err == nil && answer.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s: %s", answer.Status, strings.TrimSpace(string(told)))
+	}
+	return err
+}
+
+var errNotReady = errors.New("is not ready")
+
+// awaitReady waits until a router says that it is ready.
+func (w *world) awaitReady(ctx context.Context, number int) error {
+	for {
+		err := ready(ctx, w.places.readiness(number))
+		if err == nil {
+			return nil
+		}
+		if !pause(ctx, tryAgainIn) {
+			return fmt.Errorf("router %d: %w; see %s", number+1, err, w.routers[number].log)
+		}
+	}
+}
+
+func ready(ctx context.Context, address string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/-/readyz", nil)
+	if err != nil {
+		return err
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	_ = answer.Body.Close() // its status says all
+	if answer.StatusCode != http.StatusOK {
+		return errNotReady
+	}
+	return nil
+}
+
+// pause waits; false if the context ended.
+func pause(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/lab/system/process.go
@@ -0,0 +1,69 @@
+package system
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+
+	"raventrestle/internal/nodeconfig"
+)
+
+// process is one of the system's programs, running.
+type process struct {
+	name  string
+	log   string
+	run   *exec.Cmd
+	ended chan error
+}
+
+// startProcess writes the settings file and starts the program with it.
+func startProcess(w *world, program, name, settings string) (*process, error) {
+	path := w.file(name + ".conf")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return nil, fmt.Errorf("settings of %s: %w", name, err)
+	}
+	p := &process{name: name, log: w.file(name + ".log"), ended: make(chan error, 1)}
+	output, err := os.Create(p.log)
+	if err != nil {
+		return nil, fmt.Errorf("log of %s: %w", name, err)
+	}
+	defer func() { _ = output.Close() }() // the program has its own descriptor of it
+	p.run = exec.Command(filepath.Join(w.options.Programs, program), "run")
+	p.run.Env = append(os.Environ(), nodeconfig.EnvironmentVariable+"="+path)
+	p.run.Stdout, p.run.Stderr = output, output
+	if err := p.run.Start(); err != nil {
+		return nil, fmt.Errorf("start %s (is it built? go build -o %s ./cmd/...): %w", name, w.options.Programs, err)
+	}
+	go func() { p.ended <- p.run.Wait() }()
+	return p, nil
+}
+
+// stopAll sends SIGTERM to all and waits for them. What is left when the context ends is killed.
+func stopAll(ctx context.Context, processes []*process) error {
+	for _, p := range processes {
+		_ = p.run.Process.Signal(syscall.SIGTERM) // it has ended by itself otherwise, which shows below
+	}
+	var all error
+	for _, p := range processes {
+		all = errors.Join(all, p.wait(ctx))
+	}
+	return all
+}
+
+func (p *process) wait(ctx context.Context) error {
+	select {
+	case err := <-p.ended:
+		if err != nil {
+			return fmt.Errorf("%s ended: %w", p.name, err)
+		}
+		return nil
+	case <-ctx.Done():
+		_ = p.run.Process.Kill() // it ended in this moment otherwise
+		<-p.ended
+		return fmt.Errorf("%s did not end in time and was killed", p.name)
+	}
+}
--- /dev/null
+++ b/internal/lab/system/system.go
@@ -0,0 +1,181 @@
+// Package system starts the whole system on loopback addresses, to be tried by hand: three control instances, two
+// routers, stand-ins for endpoints, a configuration, some requests.
+package system
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"time"
+
+	"raventrestle/internal/lab/standin"
+)
+
+const (
+	instances    = 3
+	routers      = 2
+	startWithin  = 20 * time.Second
+	endWithin    = 12 * time.Second
+	heartbeat    = 500 * time.Millisecond
+	eventEvery   = 15 * time.Millisecond
+	eventsEach   = 12
+	loadTime     = 800 * time.Millisecond
+	slots        = 16
+	graceSeconds = 4
+)
+
+// Options of a run.
+type Options struct {
+	Programs string // folder with raventrestle-control and raventrestle-router
+	Dir      string // for the folder of the run
+	Keep     bool   // the folder
+	Stay     bool   // until the context ends
+	Out      io.Writer
+	Log      *slog.Logger
+}
+
+// world is what runs.
+type world struct {
+	options   Options
+	folder    string
+	places    places
+	controls  []*process
+	routers   []*process
+	endpoints []*standin.Endpoint
+}
+
+// Run starts everything, plays requests, tells what was served, and ends everything.
+func Run(ctx context.Context, options Options) (err error) {
+	folder, err := os.MkdirTemp(options.Dir, "raven-system-")
+	if err != nil {
+		return fmt.Errorf("folder of the run: %w", err)
+	}
+	w := &world{options: options, folder: folder}
+	defer func() { err = errors.Join(err, w.end(err != nil)) }()
+	if err := w.start(ctx); err != nil {
+		return err
+	}
+	if err := w.play(ctx); err != nil {
+		return err
+	}
+	w.tellNext()
+	if options.Stay {
+		<-ctx.Done()
+	}
+	return nil
+}
+
+// start brings up all processes and endpoints and the first configuration.
+func (w *world) start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startWithin)
+	defer cancel()
+	began := time.Now()
+	var err error
+	if w.places, err = findPlaces(); err != nil {
+		return err
+	}
+	for number := range instances {
+		if err := w.startControl(number); err != nil {
+			return err
+		}
+	}
+	for number := range routers {
+		if err := w.startRouter(number); err != nil {
+			return err
+		}
+	}
+	if err := w.startEndpoints(); err != nil {
+		return err
+	}
+	if err := w.configure(ctx); err != nil {
+		return err
+	}
+	w.tell("configuration 1 is taken after %d ms", time.Since(began).Milliseconds())
+	for number := range routers {
+		if err := w.awaitReady(ctx, number); err != nil {
+			return err
+		}
+	}
+	w.tell("%d control instances, %d routers and %d endpoints are up after %d ms", instances, routers,
+		len(w.endpoints), time.Since(began).Milliseconds())
+	return nil
+}
+
+func (w *world) startControl(number int) error {
+	process, err := startProcess(w, "raventrestle-control", fmt.Sprintf("control-%d", number+1), w.controlSettings(number))
+	if err == nil {
+		w.controls = append(w.controls, process)
+	}
+	return err
+}
+
+func (w *world) startRouter(number int) error {
+	process, err := startProcess(w, "raventrestle-router", fmt.Sprintf("router-%d", number+1), w.routerSettings(number))
+	if err == nil {
+		w.routers = append(w.routers, process)
+	}
+	return err
+}
+
+// startEndpoints starts stand-ins. One model is held by two of them, another by none.
+func (w *world) startEndpoints() error {
+	for number, models := range [][]string{{"sparrow", "wren"}, {"sparrow"}, {"heron"}, nil} {
+		if err := w.startEndpoint(number, writerService, models); err != nil {
+			return err
+		}
+	}
+	return w.startEndpoint(4, ledgerService, nil)
+}
+
+func (w *world) startEndpoint(number int, service string, models []string) error {
+	endpoint, err := standin.Start(context.Background(), standin.Options{
+		ID:      fmt.Sprintf("i-%d", number+1),
+		Service: service,
+		Zone:    zoneOf(number),
+		Address: w.places.endpoint(number),
+		Controls: func() (list []string) {
+			for n := range instances {
+				list = append(list, w.places.control((number+n)%instances))
+			}
+			return list
+		}(),
+		Slots:     slots,
+		Models:    models,
+		LoadTime:  loadTime,
+		Event:     eventEvery,
+		Events:    eventsEach,
+		Heartbeat: heartbeat,
+		Log:       w.options.Log,
+	})
+	if err == nil {
+		w.endpoints = append(w.endpoints, endpoint)
+	}
+	return err
+}
+
+// end stops routers first, then endpoints, then the control plane.
+func (w *world) end(failed bool) error {
+	ctx, cancel := context.WithTimeout(context.Background(), endWithin)
+	defer cancel()
+	err := stopAll(ctx, w.routers)
+	for _, endpoint := range w.endpoints {
+		err = errors.Join(err, endpoint.Stop(ctx))
+	}
+	err = errors.Join(err, stopAll(ctx, w.controls))
+	if w.options.Keep || failed {
+		w.tell("settings and logs are kept in %s", w.folder)
+		return err
+	}
+	return errors.Join(err, os.RemoveAll(w.folder))
+}
+
+func (w *world) tell(format string, arguments ...any) {
+	_, _ = fmt.Fprintf(w.options.Out, format+"\n", arguments...) // nobody listens any more otherwise
+}
+
+// file is a path in the folder of the run.
+func (w *world) file(name string) string { return filepath.Join(w.folder, name) }
