--- a/check.sh
+++ b/check.sh
@@ -60,6 +60,8 @@
 	sh -c "$(build_line deploy/system.toml)"
 	need_c_library target/raventrestle-router
 	need_c_library target/raventrestle-control
+	bin/raventrestle-control check -deploy deploy/system.toml
+	bin/ravenlab system --once
 fi
 
 files=$(policy_files)
--- a/cmd/raventrestle-control/config.go
+++ b/cmd/raventrestle-control/config.go
@@ -12,54 +12,11 @@
 
 	"github.com/google/subcommands"
 
-	"raventrestle/internal/configuration"
 	"raventrestle/internal/control/api"
-	"raventrestle/internal/nodeconfig"
 )
 
 const configPath = "/-/config"
 
-// checkCommand reads a configuration, or the settings file, and says what is wrong with it.
-type checkCommand struct{ settings bool }
-
-func (*checkCommand) Name() string     { return "check" }
-func (*checkCommand) Synopsis() string { return "check a configuration without sending it" }
-func (*checkCommand) Usage() string {
-	return "check FILE\n  Checks a whole configuration.\ncheck -settings [FILE]\n  Checks a settings file.\n"
-}
-
-func (c *checkCommand) SetFlags(flags *flag.FlagSet) {
-	flags.BoolVar(&c.settings, "settings", false, "FILE is a settings file")
-}
-
-func (c *checkCommand) Execute(_ context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.settings {
-		return status(checkSettings(flags.Arg(0)))
-	}
-	return status(checkConfiguration(flags.Arg(0)))
-}
-
-func checkSettings(path string) error {
-	if path == "" {
-		_, err := nodeconfig.FromEnvironment()
-		return err
-	}
-	_, err := nodeconfig.Load(path)
-	return err
-}
-
-func checkConfiguration(path string) error {
-	body, err := readFile(path)
-	if err != nil {
-		return err
-	}
-	document, err := configuration.ParseDocument(body)
-	if err != nil {
-		return err
-	}
-	return configuration.Check(document.Configuration(), nil)
-}
-
 // readFile reads a named file, or standard input for "-".
 func readFile(path string) ([]byte, error) {
 	switch path {
--- a/cmd/raventrestle-control/main.go
+++ b/cmd/raventrestle-control/main.go
@@ -10,6 +10,8 @@
 	"runtime/debug"
 
 	"github.com/google/subcommands"
+
+	"raventrestle/internal/check"
 )
 
 func main() {
@@ -18,7 +20,7 @@
 	commander.Register(commander.FlagsCommand(), "")
 	commander.Register(&runCommand{}, "")
 	commander.Register(&versionCommand{}, "")
-	commander.Register(&checkCommand{}, "")
+	commander.Register(&check.Command{Program: "raventrestle-control"}, "")
 	commander.Register(&configCommand{}, "")
 	for _, table := range tableCommands() {
 		commander.Register(table, "")
--- a/cmd/raventrestle-router/main.go
+++ b/cmd/raventrestle-router/main.go
@@ -13,6 +13,7 @@
 	"github.com/google/subcommands"
 	"github.com/phuslu/log"
 
+	"raventrestle/internal/check"
 	"raventrestle/internal/nodeconfig"
 	"raventrestle/internal/router/node"
 )
@@ -22,6 +23,7 @@
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(&run{}, "")
 	commander.Register(&version{}, "")
+	commander.Register(&check.Command{Program: "raventrestle-router"}, "")
 	flag.Parse()
 	os.Exit(int(commander.Execute(context.Background())))
 }
--- a/internal/control/registry/size_test.go
+++ b/internal/control/registry/size_test.go
@@ -111,9 +111,7 @@
 	for b.Loop() {
 		runtime.GC()
 		runtime.ReadMemStats(&before)
-		r, _, table := atSize()
-		table = nil
-		_ = table
+		r, _, _ := atSize()
 		runtime.GC()
 		runtime.ReadMemStats(&after)
 		runtime.KeepAlive(r)
--- a/internal/lab/system/process.go
+++ b/internal/lab/system/process.go
@@ -42,18 +42,33 @@
 	return p, nil
 }
 
-// stopAll sends SIGTERM to all and waits for them. What is left when the context ends is killed.
+// stopAll sends SIGTERM to all and waits for them. What is left when the context ends is killed. One that a visitor
+// has killed before is no error.
 func stopAll(ctx context.Context, processes []*process) error {
+	var running []*process
 	for _, p := range processes {
-		_ = p.run.Process.Signal(syscall.SIGTERM) // it has ended by itself otherwise, which shows below
+		if !p.gone() {
+			running = append(running, p)
+			_ = p.run.Process.Signal(syscall.SIGTERM) // it ends by itself otherwise
+		}
 	}
 	var all error
-	for _, p := range processes {
+	for _, p := range running {
 		all = errors.Join(all, p.wait(ctx))
 	}
 	return all
 }
 
+// gone says whether the process has ended by now.
+func (p *process) gone() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 func (p *process) wait(ctx context.Context) error {
 	select {
 	case err := <-p.ended:
