--- a/internal/control/roles/holder.go
+++ b/internal/control/roles/holder.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -92,15 +94,17 @@
 	allocator     Allocator
 	roster        *roster
 	loadings      *loadings
+	looks         *looks
 	configuration *configuration.Configuration // that the placer has
 	divided       *configuration.Configuration // that the allocator has
 	orders        map[uint64]placer.Order      // without a result
 	trouble       trouble
 	forPlacer     placer.Input // what came since its last step
 	routerCount   int          // of the last view
-	nextStep      time.Time    // not before then
-	nextPlace     time.Time    // no step of the placer before then
-	stepped       time.Time    // the last one's end
+	endpoints     []protocol.Endpoint
+	nextStep      time.Time // not before then
+	nextPlace     time.Time // no step of the placer before then
+	stepped       time.Time // the last one's end
 	rest          time.Duration
 	placeAt       time.Time // when the placer wants its next step
 	wakeAt        time.Time // when the next step is due
@@ -121,6 +125,7 @@
 		wake:     make(chan struct{}, 1),
 		tenure:   NewTenure(settings.Lease, time.Now()),
 		loadings: newLoadings(),
+		looks:    newLooks(),
 		orders:   make(map[uint64]placer.Order),
 	}
 	h.sender = NewSender(settings.Node, h.permitted)
@@ -235,6 +240,7 @@
 	h.allocator = h.parts.NewAllocator(h.turn.Quiet)
 	h.roster = newRoster()
 	h.loadings = newLoadings()
+	h.looks = newLooks()
 	h.loadings.changed = true // the others forget what an earlier holder showed
 	h.configuration, h.divided = nil, nil
 	h.forPlacer = placer.Input{}
@@ -261,6 +267,7 @@
 		h.nextPlace = pauseAfter(now, placePart)
 		h.placeAt = later(h.placeAt, h.nextPlace)
 	}
+	h.ask(ctx)
 	h.wakeAt = h.placeAt
 	divided := time.Now()
 	h.divide(now, quota.Input{
@@ -293,6 +300,9 @@
 		h.forPlacer.Configuration = changed
 	}
 	h.note(now, arrived.results)
+	for _, look := range arrived.looks {
+		h.looks.done(look.Endpoint)
+	}
 	h.forPlacer.Reports = append(h.forPlacer.Reports, reports...)
 	h.forPlacer.Results = append(h.forPlacer.Results, arrived.results...)
 	h.forPlacer.Looks = append(h.forPlacer.Looks, arrived.looks...)
@@ -306,12 +316,12 @@
 	}
 	in := h.forPlacer
 	h.forPlacer = placer.Input{}
-	h.routerCount = view.RouterCount
+	h.routerCount, h.endpoints = view.RouterCount, view.Endpoints
 	h.loadings.observe(now, view.Endpoints)
 	in.Endpoints = view.Endpoints
 	in.Recovering = h.trouble.lasts(now)
 	out := h.placer.Step(now, in)
-	h.carryOut(ctx, out, view.Endpoints)
+	h.carryOut(ctx, out)
 	if table, changed := h.loadings.table(now, h.turn.Epoch); changed {
 		h.parts.Endpoints.ShowLoading(table)
 	}
@@ -398,23 +408,33 @@
 }
 
 // carryOut begins what the placer decided, one goroutine for each call.
-func (h *Holder) carryOut(ctx context.Context, out placer.Output, endpoints []protocol.Endpoint) {
+func (h *Holder) carryOut(ctx context.Context, out placer.Output) {
 	epoch, term := h.turn.Epoch, h.term
 	for _, order := range out.Orders {
 		h.orders[order.ID] = order
 		h.tasks.Add(1)
 		go h.order(ctx, epoch, term, order)
 	}
-	for _, id := range out.Looks {
-		for i := range endpoints {
-			if endpoints[i].ID == id {
-				h.tasks.Add(1)
-				go h.lookAt(ctx, epoch, term, id, endpoints[i].Address)
-			}
+	h.looks.want(out.Looks)
+}
+
+// ask has the next endpoints report, at the addresses that the placer saw last.
+func (h *Holder) ask(ctx context.Context) {
+	epoch, term := h.turn.Epoch, h.term
+	for _, id := range h.looks.next() {
+		at, known := slices.BinarySearchFunc(h.endpoints, id, compareID)
+		if !known {
+			h.deliver(term, func(in *inbox) { in.looks = append(in.looks, placer.Look{Endpoint: id, Failed: true}) })
+			continue
 		}
+		h.tasks.Add(1)
+		go h.lookAt(ctx, epoch, term, id, h.endpoints[at].Address)
 	}
 }
 
+// compareID orders endpoints as tables have them.
+func compareID(e protocol.Endpoint, id string) int { return strings.Compare(e.ID, id) }
+
 func (h *Holder) order(ctx context.Context, epoch, term uint64, order placer.Order) {
 	defer h.tasks.Done()
 	outcome, err := h.sender.Order(ctx, epoch, order)
@@ -449,6 +469,9 @@
 		return min(watchEvery, max(0, h.turn.From.Sub(now)))
 	}
 	pause := watchEvery
+	if h.looks.wait() {
+		pause = 0 // until the next step may be made
+	}
 	if due := h.wakeAt; !due.IsZero() {
 		pause = min(pause, due.Sub(now))
 	}
