--- /dev/null
+++ b/internal/protocol/size_test.go
@@ -0,0 +1,47 @@
+package protocol_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"raventrestle/internal/protocol"
+	"raventrestle/internal/sizetest"
+)
+
+// BenchmarkReportAtSize is one router's report of half a second, encoded once and decoded once.
+func BenchmarkReportAtSize(b *testing.B) {
+	codec := protocol.NewCodec()
+	report := sizetest.Report(rand.New(rand.NewPCG(1, 1)), 1, 1)
+	bytes := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		frame, err := codec.Encode(&report)
+		if err != nil {
+			b.Fatal(err)
+		}
+		bytes = len(frame)
+		if _, err := codec.Decode(frame[4], frame[5:]); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(bytes), "B/report")
+}
+
+// BenchmarkWholeTableAtSize is the table as a router gets it when it subscribes.
+func BenchmarkWholeTableAtSize(b *testing.B) {
+	codec := protocol.NewCodec()
+	update := protocol.Update{Full: true, Endpoints: sizetest.Table()}
+	bytes := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		frame, err := codec.Encode(&update)
+		if err != nil {
+			b.Fatal(err)
+		}
+		bytes = len(frame)
+		if _, err := codec.Decode(frame[4], frame[5:]); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(bytes), "B/table")
+}
--- a/internal/router/dispatch/size_test.go
+++ b/internal/router/dispatch/size_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
 	"raventrestle/internal/configuration"
 	"raventrestle/internal/protocol"
+	"raventrestle/internal/sizetest"
 )
 
 // large is a router at the size to design for: 2,900 endpoints, 1,100 models, 830 routers.
@@ -70,3 +72,32 @@
 		d.Step(now, []Input{ViewChanged{Endpoints: []protocol.Endpoint{row}}})
 	}
 }
+
+// BenchmarkConfigurationAtSize is a new version and the whole table put in force, as after a change of instance.
+func BenchmarkConfigurationAtSize(b *testing.B) {
+	d := New(Options{Seed: 1, Zone: "zone01", Routers: sizetest.Routers, BudgetRatio: 0.2, BudgetSlack: 56})
+	now := time.Now()
+	config, table := sizetest.Configuration(), sizetest.Table()
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		next := *config
+		d.Step(now, []Input{ViewChanged{Configuration: &next, Full: true, Endpoints: table, Routers: sizetest.Routers}})
+	}
+}
+
+// BenchmarkMemoryAtSize tells the heap of a router's tables.
+func BenchmarkMemoryAtSize(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		d := New(Options{Seed: 1, Zone: "zone01", Routers: sizetest.Routers, BudgetRatio: 0.2, BudgetSlack: 56})
+		d.Step(time.Now(), []Input{ViewChanged{Configuration: sizetest.Configuration(), Full: true,
+			Endpoints: sizetest.Table(), Routers: sizetest.Routers}})
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(d)
+	}
+	b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-B")
+}
