--- a/internal/control/distribution/hub.go
+++ b/internal/control/distribution/hub.go
@@ -86,7 +86,7 @@
 // Configuration: a version is committed.
 type Configuration struct {
 	Generation int64
-	Document   []byte // as JSON; must not be changed any more
+	Document   []byte // as updates carry it; must not be changed any more
 }
 
 // BarrierPassed: a barrier has returned that began when Barrier was this number.
--- a/internal/control/distribution/size_test.go
+++ b/internal/control/distribution/size_test.go
@@ -16,7 +16,7 @@
 	whole := func(bool) []protocol.Endpoint { return table }
 	now := time.Unix(0, 0)
 	h := New()
-	h.Step(now, whole, Configuration{Generation: 1, Document: sizetest.Document()})
+	h.Step(now, whole, Configuration{Generation: 1, Document: protocol.PackDocument(sizetest.Document())})
 	h.Step(now, whole, Endpoints{Revision: 1, Routers: sizetest.Routers, Whole: true})
 	for i := range routersPerInstance {
 		h.Step(now, whole, Subscribed{Connection: ConnectionID(i + 1), Router: protocol.Subscribe{Node: sizetest.RouterName(i)}})
@@ -84,7 +84,8 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		generation++
-		bytes += encoded(b, h.Step(now, whole, Configuration{Generation: generation, Document: document}))
+		packed := protocol.PackDocument(document)
+		bytes += encoded(b, h.Step(now, whole, Configuration{Generation: generation, Document: packed}))
 		confirmAll(h, now, whole)
 	}
 	b.ReportMetric(float64(bytes)/float64(b.N), "B-sent/op")
--- a/internal/control/host/commands.go
+++ b/internal/control/host/commands.go
@@ -228,7 +228,8 @@
 	generation, document := h.parts.Configurations.Newest()
 	if generation > h.status.generation {
 		h.status.generation = generation
-		h.news.Hub = append(h.news.Hub, distribution.Configuration{Generation: generation, Document: document})
+		packed := protocol.PackDocument(document)
+		h.news.Hub = append(h.news.Hub, distribution.Configuration{Generation: generation, Document: packed})
 	}
 }
 
--- a/internal/control/quota/size_test.go
+++ b/internal/control/quota/size_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"raventrestle/internal/protocol"
 	"raventrestle/internal/sizetest"
 )
 
@@ -21,7 +22,8 @@
 		routers = append(routers, Router{Node: sizetest.RouterName(i), Incarnation: uint64(i) + 1})
 	}
 	a.Step(now, Input{Configuration: sizetest.Configuration(), Routers: routers, Floors: sizetest.Routers})
-	step, grants := 0, 0
+	codec := protocol.NewCodec()
+	step, grants, bytes := 0, 0, 0
 	sequence := uint64(0)
 	var confirmed []Confirmation
 	one := func() {
@@ -38,13 +40,18 @@
 		confirmed = nil
 		for _, grant := range out.Grants {
 			grants++
+			frame, err := codec.Encode(&protocol.Update{Quotas: grant.List})
+			if err != nil {
+				b.Fatal(err)
+			}
+			bytes += len(frame)
 			confirmed = append(confirmed, Confirmation{Router: grant.Router, Batch: grant.Batch})
 		}
 	}
 	for range 5 * stepsPerS {
 		one()
 	}
-	grants = 0
+	grants, bytes = 0, 0
 	b.ReportAllocs()
 	b.StartTimer()
 	for b.Loop() {
@@ -52,4 +59,5 @@
 		b.StartTimer()
 	}
 	b.ReportMetric(float64(grants)/float64(b.N), "grants/op")
+	b.ReportMetric(float64(bytes)/float64(max(1, grants)), "B/grant")
 }
--- a/internal/control/registry/size_test.go
+++ b/internal/control/registry/size_test.go
@@ -19,6 +19,7 @@
 	var others []string
 	for i := 1; i < sizetest.Instances; i++ {
 		others = append(others, instanceAddress(i))
+		r.Step(now, Message{Content: &protocol.RegistryDigest{Origin: origin(i)}})
 	}
 	r.Step(now, Peers{Reachable: others})
 	table := sizetest.Table()
@@ -32,9 +33,26 @@
 			Records: []protocol.Record{{Endpoint: table[i]}},
 		}})
 	}
+	confirmDeltas(r, r.Step(now.Add(ordinaryChange)), now)
 	return r, now, table
 }
 
+// confirmDeltas has the other instances confirm what they were sent.
+func confirmDeltas(r *Registry, out Output, now time.Time) {
+	for _, send := range out.Send {
+		delta, is := send.Message.(*protocol.RegistryDelta)
+		if !is || delta.Sequence == 0 {
+			continue
+		}
+		for i := 1; i < sizetest.Instances; i++ {
+			if send.To == instanceAddress(i) {
+				r.Step(now, Message{Content: &protocol.RegistryConfirm{Origin: origin(i),
+					For: r.settings.Origin.Incarnation, Received: []uint64{delta.Sequence}}})
+			}
+		}
+	}
+}
+
 func instanceAddress(number int) string { return fmt.Sprintf("10.0.0.%d:7500", number+1) }
 
 func origin(number int) protocol.Origin {
@@ -92,7 +110,7 @@
 		e.Sequence = sequence
 		e.Models = []protocol.HeldModel{{Name: sizetest.ModelName(int(sequence % sizetest.Models)), Generation: 1}}
 		r.Step(now, Heartbeat{Ticket: sequence, Endpoint: e})
-		r.Step(now.Add(ordinaryChange))
+		confirmDeltas(r, r.Step(now.Add(ordinaryChange)), now)
 	}
 }
 
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -67,7 +67,7 @@
 type Update struct {
 	Sequence   uint64       `cbor:"1,keyasint"`
 	Generation int64        `cbor:"2,keyasint"`           // of Document; only committed versions are sent
-	Document   []byte       `cbor:"3,keyasint,omitempty"` // the whole configuration as JSON, when it is newer
+	Document   []byte       `cbor:"3,keyasint,omitempty"` // the whole configuration, when it is newer: see PackDocument
 	Full       bool         `cbor:"4,keyasint,omitempty"` // Endpoints is the whole table
 	Endpoints  []Endpoint   `cbor:"5,keyasint,omitempty"` // added, changed, or Gone
 	Members    []Member     `cbor:"6,keyasint,omitempty"` // all control instances known
--- a/internal/router/subscription/subscription.go
+++ b/internal/router/subscription/subscription.go
@@ -350,7 +350,11 @@
 func (s *Subscription) view(u *protocol.Update) (dispatch.ViewChanged, error) {
 	view := dispatch.ViewChanged{Full: u.Full, Endpoints: u.Endpoints, Quotas: u.Quotas, Routers: u.Routers}
 	if u.Generation > s.generation && len(u.Document) > 0 {
-		read, err := s.force.Prepare(u.Document)
+		document, err := protocol.UnpackDocument(u.Document)
+		if err != nil {
+			return view, fmt.Errorf("%w: generation %d: %w", ErrDocument, u.Generation, err)
+		}
+		read, err := s.force.Prepare(document)
 		if err != nil {
 			return view, fmt.Errorf("%w: generation %d: %w", ErrDocument, u.Generation, err)
 		}
