--- a/internal/control/api/connections.go
+++ b/internal/control/api/connections.go
@@ -12,8 +12,8 @@
 	keepIdlePart  = 0.5
 )
 
-// valve bounds the connections of a server: beyond a part of the most it keeps none that rests, beyond the most it turns
-// new ones away at once, so that their callers ask another instance instead of waiting here.
+// valve bounds the connections of a server: beyond a part of the most it keeps none that rests, beyond the most
+// it turns new ones away at once, so that their callers ask another instance instead of waiting here.
 type valve struct {
 	most   int64
 	open   atomic.Int64
--- a/internal/control/registry/registry_test.go
+++ b/internal/control/registry/registry_test.go
@@ -282,7 +282,8 @@
 	}
 	x.step(Message{Content: table(3, 1, "m")})
 	x.now = x.now.Add(2 * time.Second)
-	if shown := x.Endpoints(x.now)[0].Loading; len(shown) != 1 || shown[0].Model != "m" || shown[0].Within != 3*time.Second {
+	shown := x.Endpoints(x.now)[0].Loading
+	if len(shown) != 1 || shown[0].Model != "m" || shown[0].Within != 3*time.Second {
 		t.Errorf("%+v", shown)
 	}
 	x.step(Message{Content: table(2, 9, "old")})
--- a/internal/control/roles/holder_test.go
+++ b/internal/control/roles/holder_test.go
@@ -143,7 +143,9 @@
 	next(t, "result", s.inputs, func(in placer.Input) bool {
 		return len(in.Results) == 1 && in.Results[0] == placer.Result{ID: 1, Outcome: placer.Accepted}
 	})
-	shown := next(t, "load under way", s.loadings, func(table protocol.LoadingTable) bool { return len(table.Loading) > 0 })
+	shown := next(t, "load under way", s.loadings, func(table protocol.LoadingTable) bool {
+		return len(table.Loading) > 0
+	})
 	if load := shown.Loading[0]; load.Endpoint != "i-1" || load.Loads[0].Model != "m" {
 		t.Errorf("%+v", load)
 	}
