Let the next holder of the roles learn before it may act

Cause: the allocator took all tenants to have spent a whole window when it had gathered for less than 2 s, and with the shorter handover it always had: credit was refused for seconds after each change of head.

--- a/internal/control/quota/quota.go
+++ b/internal/control/quota/quota.go
@@ -137,7 +137,7 @@
 		a.report(now, report)
 	}
 	out := Output{WakeAt: now.Add(wakeEvery)}
-	if in.Gathering {
+	if in.Gathering || a.acting.IsZero() && now.Sub(a.start) < judgedOver {
 		return out
 	}
 	if a.acting.IsZero() {
--- a/internal/control/roles/holder.go
+++ b/internal/control/roles/holder.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -181,6 +179,9 @@
 		if h.turn.Acts && !now.Before(h.stepFrom()) {
 			h.step(ctx, now)
 		}
+		if h.turn.Leads && !h.turn.Acts {
+			h.learn(ctx, now)
+		}
 		timer.Reset(h.pause(now))
 		select {
 		case <-ctx.Done():
@@ -218,6 +219,9 @@
 		h.inbox.batches = nil
 	}
 	h.mutex.Unlock()
+	if h.turn.Leads && (!before.Leads || before.Epoch != h.turn.Epoch) {
+		h.prepare()
+	}
 	switch {
 	case h.turn.Acts && !before.Acts:
 		h.begin(now)
@@ -226,12 +230,17 @@
 	}
 }
 
-// begin takes the role up. Where nobody else can have held it in between, the deciders go on as they were.
-func (h *Holder) begin(now time.Time) {
-	h.nextStep, h.nextPlace = now, now
+// prepare makes ready to gather for the role. Where nobody else can have held it in between, the deciders go on as
+// they were.
+func (h *Holder) prepare() {
 	if h.placer == nil || h.turn.Epoch-h.ended > 1 {
 		h.startAnew()
 	}
+}
+
+// begin takes the role up.
+func (h *Holder) begin(now time.Time) {
+	h.nextStep, h.nextPlace = now, now
 	h.parts.Events.RoleBegan(h.turn.Epoch, now.Sub(h.turn.From))
 }
 
@@ -281,6 +290,30 @@
 	h.nextStep = later(now.Add(shortestPause), h.stepped.Add(h.rest))
 }
 
+// learn takes in what is reported before this instance may act.
+func (h *Holder) learn(ctx context.Context, now time.Time) {
+	if now.Before(h.nextStep) {
+		return
+	}
+	h.nextStep = now.Add(shortestPause)
+	if h.routerCount == 0 {
+		view, err := h.view(ctx)
+		if err != nil {
+			return // later
+		}
+		h.routerCount = view.RouterCount
+	}
+	arrived := h.takeInbox()
+	reports := h.reportsOf(now, arrived.batches)
+	h.gather(now, arrived, reports)
+	h.divide(now, quota.Input{
+		Routers:   h.roster.routers(now),
+		Floors:    h.roster.count(now, h.routerCount),
+		Reports:   reports,
+		Gathering: true,
+	})
+}
+
 // pauseAfter is when work that began at a time, and ends now, may be done again.
 func pauseAfter(began time.Time, part time.Duration) time.Time {
 	ended := time.Now()
@@ -407,59 +440,6 @@
 	}
 }
 
-// carryOut begins what the placer decided, one goroutine for each call.
-func (h *Holder) carryOut(ctx context.Context, out placer.Output) {
-	epoch, term := h.turn.Epoch, h.term
-	for _, order := range out.Orders {
-		h.orders[order.ID] = order
-		h.tasks.Add(1)
-		go h.order(ctx, epoch, term, order)
-	}
-	h.looks.want(out.Looks)
-}
-
-// ask has the next endpoints report, at the addresses that the placer saw last.
-func (h *Holder) ask(ctx context.Context) {
-	epoch, term := h.turn.Epoch, h.term
-	for _, id := range h.looks.next() {
-		at, known := slices.BinarySearchFunc(h.endpoints, id, compareID)
-		if !known {
-			h.deliver(term, func(in *inbox) { in.looks = append(in.looks, placer.Look{Endpoint: id, Failed: true}) })
-			continue
-		}
-		h.tasks.Add(1)
-		go h.lookAt(ctx, epoch, term, id, h.endpoints[at].Address)
-	}
-}
-
-// compareID orders endpoints as tables have them.
-func compareID(e protocol.Endpoint, id string) int { return strings.Compare(e.ID, id) }
-
-func (h *Holder) order(ctx context.Context, epoch, term uint64, order placer.Order) {
-	defer h.tasks.Done()
-	outcome, err := h.sender.Order(ctx, epoch, order)
-	h.parts.Events.Order(epoch, order, outcome, err)
-	h.deliver(term, func(in *inbox) {
-		in.results = append(in.results, placer.Result{ID: order.ID, Outcome: outcome})
-	})
-}
-
-func (h *Holder) lookAt(ctx context.Context, epoch, term uint64, id, address string) {
-	defer h.tasks.Done()
-	look, _ := h.sender.Look(ctx, epoch, id, address) // a failure is said in the look itself
-	h.deliver(term, func(in *inbox) { in.looks = append(in.looks, look) })
-}
-
-// deliver puts an answer into the inbox, unless the placer that asked is gone.
-func (h *Holder) deliver(term uint64, put func(in *inbox)) {
-	h.mutex.Lock()
-	if term == h.term {
-		put(&h.inbox)
-	}
-	h.mutex.Unlock()
-	h.nudge()
-}
-
 // pause says when to look again, while nothing arrives.
 func (h *Holder) pause(now time.Time) time.Duration {
 	if !h.turn.Leads {
