Push to members that have not asked since a restart; know a lost disk by its successor

The first command after a head's restart in the same epoch waited up to 0.3 s for its successor to ask. A member that shows a new identity at a known address tells that the former one is gone.

--- a/coordination/chain/feed.go
+++ b/coordination/chain/feed.go
@@ -134,13 +134,20 @@
 	n.out.Messages[len(n.out.Messages)-1].AttachSnapshot = snapshot
 }
 
-// pushAll sends new entries to everybody downstream that has asked and keeps up.
+// pushAll sends new entries to everybody downstream that keeps up. One that has not asked since this node's start
+// is taken to lack only the newest; it asks when it lacks more.
 func (n *Node) pushAll() {
 	if !n.whole() || n.wedged() {
 		return
 	}
 	for _, p := range n.peers {
-		if p.next > 0 && !p.waiting && n.feeds(p.member.Identity) && n.limit(p) >= p.next {
+		if p.waiting || !n.feeds(p.member.Identity) {
+			continue
+		}
+		if p.next == 0 && p.asked == nil {
+			p.next = n.limit(p)
+		}
+		if p.next > 0 && n.limit(p) >= p.next {
 			n.push(p, 0, false)
 		}
 	}
--- a/coordination/chain/receive.go
+++ b/coordination/chain/receive.go
@@ -110,6 +110,7 @@
 		return
 	}
 	p.helloAt = now
+	n.buryFormer(now, p.member)
 	switch {
 	case m.Epoch < n.view.Epoch:
 		n.tellView(now, m.From, address)
@@ -120,6 +121,20 @@
 	}
 }
 
+// buryFormer takes the member for dead that was known at the address of another: it has lost its disk. Its own word
+// would take this back.
+func (n *Node) buryFormer(now time.Duration, member view.Member) {
+	for _, former := range n.peers {
+		if former.member.Address != member.Address || former.member.Identity == member.Identity {
+			continue
+		}
+		former.heardAt = min(former.heardAt, now-n.timing.Suspect-time.Millisecond)
+		if former.member.Identity == n.view.Head().Identity {
+			n.watch.yielding = true
+		}
+	}
+}
+
 // onDecided enters a view that is later than the node's own.
 func (n *Node) onDecided(now time.Duration, d Decided) {
 	if d.View.Epoch <= n.view.Epoch || len(d.View.Chain) == 0 {
