Start an attempt only when a majority has answered in the epoch; poll again sooner

A head that took a restarted group's grace for life froze its own epoch with attempts that could not end.

--- a/coordination/chain/change.go
+++ b/coordination/chain/change.go
@@ -83,7 +83,7 @@
 
 // runHeadChange starts an attempt when the head wants another view and hears enough voters to have it.
 func (n *Node) runHeadChange(now time.Duration) {
-	if !n.wanted(now) || !n.majorityLive(now) {
+	if !n.wanted(now) || !n.majorityAnswers(now) {
 		return
 	}
 	if now < n.change.notBefore {
@@ -113,7 +113,7 @@
 		n.wakeBy(c.notBefore)
 		return
 	}
-	c.notBefore = now + 2*n.timing.Retry + n.turn()
+	c.notBefore = now + n.timing.Retry + n.turn()
 	n.wakeBy(c.notBefore)
 	n.startPoll(now)
 }
--- a/coordination/chain/watch.go
+++ b/coordination/chain/watch.go
@@ -173,19 +173,29 @@
 	}
 }
 
-// majorityLive tells whether the head hears enough voters to decide a view.
+// majorityLive tells whether the head hears enough voters to decide a view, as far as it knows by now.
 func (n *Node) majorityLive(now time.Duration) bool {
+	return n.countVoters(func(p *peer) bool { return n.live(now, p) }) >= n.view.Majority()
+}
+
+// majorityAnswers tells whether enough voters have answered the head in this epoch.
+func (n *Node) majorityAnswers(now time.Duration) bool {
+	return n.countVoters(func(p *peer) bool { return p.answered && n.live(now, p) }) >= n.view.Majority()
+}
+
+// countVoters counts the voters of whom it holds, and the node itself.
+func (n *Node) countVoters(holds func(p *peer) bool) int {
 	count := 0
 	for _, voter := range n.view.Voters {
 		if voter.Identity == n.self.Identity {
 			count++
 			continue
 		}
-		if p := n.find(voter.Identity); p != nil && n.live(now, p) {
+		if p := n.find(voter.Identity); p != nil && holds(p) {
 			count++
 		}
 	}
-	return count >= n.view.Majority()
+	return count
 }
 
 // onPing takes in the head's word and answers it.
