Call for the head until it is heard; keep a lease that still holds after a slow step

A wiped member that had learned the view went silent for a start's grace, so those that started later did not learn of its loss. A step that takes long (a large change) no longer ends the tenure.

--- a/coordination/chain/watch.go
+++ b/coordination/chain/watch.go
@@ -19,6 +19,7 @@
 // watch is the watch over the head, or as the head over the others.
 type watch struct {
 	wake           time.Duration
+	enteredAt      time.Duration // the epoch began here
 	headHeard      time.Duration // newest ping, or the start of a grace
 	echo           time.Duration // newest own answer that the head has confirmed, on its clock
 	echoAt         time.Duration // it changed
@@ -46,6 +47,7 @@
 		grace = max(now, n.startedAt+n.timing.Grace-n.timing.Suspect)
 	}
 	n.watch.headHeard, n.watch.echo, n.watch.echoAt = grace, 0, grace
+	n.watch.enteredAt = now
 	n.watch.yielding, n.watch.pinged = false, false
 	n.watch.headCommitted, n.watch.headLast = 0, 0
 	n.watch.leaderSince = 0
@@ -58,13 +60,20 @@
 	}
 }
 
-// forgetLiveness gives everybody time to be heard after the process stood still, and drops the lease.
+// forgetLiveness gives everybody time to be heard after the process stood still. A lease that is over is dropped
+// and must be confirmed anew; one that still holds is as good as before, because it counts on the clock alone.
 func (n *Node) forgetLiveness(now time.Duration) {
+	holds := n.leaseUntil(now) > now
 	n.watch.headHeard, n.watch.echoAt = now, now
-	n.watch.leaderSince = 0
 	n.change.troubleSince = 0
 	for _, p := range n.peers {
-		p.heardAt, p.progressAt, p.pingedAt, p.confirmed, p.steadySince = now, now, 0, 0, 0
+		p.heardAt, p.progressAt, p.pingedAt, p.steadySince = now, now, 0, 0
+		if !holds {
+			p.confirmed = 0
+		}
+	}
+	if !holds {
+		n.watch.leaderSince = 0
 	}
 }
 
@@ -89,7 +98,7 @@
 		if n.majorityLive(now) {
 			return
 		}
-	} else if n.view.Epoch > 0 && now-n.watch.headHeard <= n.timing.Suspect && n.watch.helloAt > 0 {
+	} else if n.watch.pinged && now-n.watch.headHeard <= n.timing.Suspect {
 		n.wakeBy(n.watch.headHeard + n.timing.Suspect)
 		return
 	}
@@ -97,7 +106,7 @@
 }
 
 func (n *Node) runHello(now time.Duration) {
-	due := n.watch.helloAt + helloEvery
+	due := max(n.watch.helloAt, n.watch.enteredAt) + helloEvery
 	if n.watch.helloAt > 0 && now < due {
 		n.wakeBy(due)
 		return
