Bound what clients' names make the dispatcher remember, and wake when a load is due

A request that waited for a load was looked at only at the end of its patience, since that timer replaced the earlier one.

--- a/internal/router/dispatch/decider.go
+++ b/internal/router/dispatch/decider.go
@@ -38,7 +38,8 @@
 	suspects  []*endpoint // silent or failing, to be reported
 	graves    graves
 	counters  Counters
-	gone      []*endpoint   // scratch
+	gone      []*endpoint // scratch
+	sweptAt   time.Duration
 	holdUntil time.Duration // at the end of the process; 0: it does not end
 }
 
@@ -126,6 +127,7 @@
 		d.take(input)
 	}
 	d.schedule.Tick(d.now)
+	d.sweep()
 	d.fire()
 	d.dispatch()
 	d.close()
@@ -179,6 +181,11 @@
 		return
 	}
 	d.counters.Arrived++
+	if d.unknown(asked) {
+		d.counters.Refused[NoEndpoint]++
+		d.out = append(d.out, Refuse{ID: asked.ID, Reason: NoEndpoint, RetryAfter: unknownAfter})
+		return
+	}
 	r := &request{Request: *asked}
 	r.arrived = d.now
 	if !asked.Arrived.IsZero() {
@@ -203,8 +210,8 @@
 	d.countRequest(r.group.service)
 	d.countDemand(r)
 	r.holdUntil = r.patience()
-	d.place(r)
 	d.timers.add(r.holdUntil, r)
+	d.place(r)
 }
 
 // withdraw forgets a held request. One that is out goes on until Finished.
@@ -389,8 +396,8 @@
 	default:
 		r.late = false
 		r.holdUntil = d.patienceAgain(r)
-		d.place(r)
 		d.timers.add(r.holdUntil, r)
+		d.place(r)
 	}
 }
 
--- /dev/null
+++ b/internal/router/dispatch/parts_test.go
@@ -0,0 +1,112 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestPrefixMemory holds the memory of parts against a plain list, newest first.
+func TestPrefixMemory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type entry struct {
+			key    uint64
+			tokens int
+		}
+		var p prefixes
+		var plain []entry
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Second
+			var links []uint64
+			var parts []Part
+			for i := range rapid.IntRange(1, 4).Draw(t, "length") {
+				key := uint64(i*10 + rapid.IntRange(0, 4).Draw(t, "key"))
+				links = append(links, key)
+				parts = append(parts, Part{Hash: key, Tokens: 10 * (i + 1)})
+			}
+			want := 0
+			for i, link := range links {
+				if !slices.ContainsFunc(plain, func(e entry) bool { return e.key == link }) {
+					break
+				}
+				want += parts[i].Tokens
+			}
+			if got := p.length(links, parts, now); got != want {
+				t.Fatalf("%d tokens kept of %v, want %d", got, links, want)
+			}
+			p.add(links, parts, now, 100)
+			for i := len(links) - 1; i >= 0; i-- {
+				plain = slices.DeleteFunc(plain, func(e entry) bool { return e.key == links[i] })
+				plain = slices.Insert(plain, 0, entry{links[i], parts[i].Tokens})
+			}
+			sum := 0
+			for i, e := range plain {
+				if sum += e.tokens; sum > 100 {
+					plain = plain[:i]
+					break
+				}
+			}
+			if len(p.index) != len(plain) || p.tokens > 100 {
+				t.Fatalf("%d parts with %d tokens, want %d", len(p.index), p.tokens, len(plain))
+			}
+		}
+		p.expire(now + prefixLife + time.Second)
+		if len(p.index) != 0 || p.tokens != 0 || p.nodes != nil {
+			t.Fatalf("%d parts after their time", len(p.index))
+		}
+	})
+}
+
+// TestTimersComeInOrder holds the heap against a sorted list.
+func TestTimersComeInOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var list timers
+		last := map[*request]time.Duration{}
+		var all []*request
+		for range rapid.IntRange(1, 40).Draw(t, "count") {
+			r := &request{}
+			if len(all) > 0 && rapid.Bool().Draw(t, "again") {
+				r = rapid.SampledFrom(all).Draw(t, "which")
+			} else {
+				all = append(all, r)
+			}
+			at := time.Duration(rapid.IntRange(1, 100).Draw(t, "at"))
+			list.add(at, r)
+			last[r] = at
+		}
+		before := time.Duration(0)
+		for now := time.Duration(1); now <= 100; now++ {
+			for r, ok := list.due(now); ok; r, ok = list.due(now) {
+				if last[r] != now || now < before {
+					t.Fatalf("due at %d, want %d", now, last[r])
+				}
+				before = now
+				delete(last, r)
+			}
+		}
+		if len(last) > 0 || len(list) > 0 {
+			t.Fatalf("%d never came, %d left", len(last), len(list))
+		}
+	})
+}
+
+func TestWhatClientsNameIsBounded(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"))
+	if refusal := s.oneRefusal(s.step(1, Arrived{s.request("nonsense")})); refusal.Reason != NoEndpoint || refusal.RetryAfter <= 0 {
+		t.Errorf("%+v", refusal)
+	}
+	if s.d.services["lm"].groups["nonsense"] != nil {
+		t.Error("it is remembered")
+	}
+	for i := range 500 {
+		r := s.request("m")
+		r.Adapter = string(rune('A' + i))
+		s.step(2+i, Arrived{r})
+	}
+	if n := len(s.d.services["lm"].groups["m"].targets); n > leastTargets+1 {
+		t.Errorf("%d adapters are kept account of", n)
+	}
+}
--- a/internal/router/dispatch/settle.go
+++ b/internal/router/dispatch/settle.go
@@ -98,6 +98,9 @@
 		limit = r.lastUse()
 	}
 	limit = d.heldAtMost(limit)
+	if !known && r.Again { // refused again it would be lost
+		r.holdUntil = max(r.holdUntil, min(limit, r.arrived+(r.deadline-r.arrived)*2/5))
+	}
 	switch {
 	case known && at < limit:
 		r.holdUntil = max(min(at, limit), d.now+leastHeld)
--- a/internal/router/dispatch/view.go
+++ b/internal/router/dispatch/view.go
@@ -34,6 +34,7 @@
 	service  *service
 	model    string
 	loadTime time.Duration // as configured
+	adapters int           // as configured
 	holders  []*holding
 	targets  map[string]*target // by adapter
 	line     line               // of times to the first byte
@@ -145,7 +146,9 @@
 		}
 		for j := range set.Engine.Models {
 			model := &set.Engine.Models[j]
-			s.groupNamed(model.Name).loadTime = seconds(model.LoadTimeS)
+			g := s.groupNamed(model.Name)
+			g.loadTime = seconds(model.LoadTimeS)
+			g.adapters = model.Adapters
 		}
 	}
 	for name, s := range d.services {
