--- a/internal/net/gate/gate.go
+++ b/internal/net/gate/gate.go
@@ -157,17 +157,22 @@
 // End lets in no more and closes what is between requests until nothing is left, or the context's error says that its time
 // is up; new ones have the time of a request that has not come whole. It stands in place of the server's Shutdown, which closes as idle what has half a head of a request read off it.
 func (g *Gate) End(ctx context.Context) error {
-	err := g.Close()
+	return errors.Join(g.Close(), g.Empty(ctx))
+}
+
+// Empty closes what is between requests until nothing is left, or the context's error says that its time is up. New ones
+// are let in all the while.
+func (g *Gate) Empty(ctx context.Context) error {
 	look := time.NewTicker(fullPause)
 	defer look.Stop()
 	for g.Dismiss(g.Busy) > 0 {
 		select {
 		case <-ctx.Done():
-			return errors.Join(err, ctx.Err())
+			return ctx.Err()
 		case <-look.C:
 		}
 	}
-	return err
+	return nil
 }
 
 // SetState hears from the server when a connection is between requests again, or is not.
--- a/internal/router/dispatch/closing.go
+++ b/internal/router/dispatch/closing.go
@@ -5,8 +5,11 @@
 	"time"
 )
 
-// The end of the process: nothing is held beyond the moment at which no more clients are let in. The router may not live
-// until a held request could go, and its client finds another router that does.
+// The end of the process: from a moment on nothing is held for long. The router may not live until a held request could
+// go, and its client finds another router that does.
+
+// endHold is how long a request is held at most, once the process is about to end.
+const endHold = 150 * time.Millisecond
 
 // heldAtMost bounds a time until which a request is to be held.
 func (d *Decider) heldAtMost(until time.Duration) time.Duration {
@@ -16,7 +19,10 @@
 	return until
 }
 
-// close refuses what is held, once the time has come.
+// heldTo is until when the request is held while the process ends.
+func (d *Decider) heldTo(r *request) time.Duration { return max(d.holdUntil, r.arrived+endHold) }
+
+// close refuses what was held for long, once the time has come.
 func (d *Decider) close() {
 	switch {
 	case d.holdUntil == 0:
@@ -33,11 +39,15 @@
 	}
 }
 
-// dismiss refuses these requests. A stream that broke off midway is worth a wait.
+// dismiss refuses those whose time is over. A stream that broke off midway is worth a wait.
 func (d *Decider) dismiss(held []*request) {
 	for _, r := range slices.Clone(held) {
-		if !r.answering {
+		switch {
+		case r.answering:
+		case d.now >= d.heldTo(r):
 			d.refuse(r, Leaving, d.retryAfter(r, 0))
+		default:
+			d.wakeBy(d.heldTo(r))
 		}
 	}
 }
--- a/internal/router/dispatch/types.go
+++ b/internal/router/dispatch/types.go
@@ -108,8 +108,8 @@
 	Routers       int // 0: unchanged
 }
 
-// Closing: this process ends. From HoldUntil on nothing is held: what can't be sent at once is refused, and its
-// client comes back to another router. Only a stream that broke off midway still waits for an endpoint.
+// Closing: this process ends. From HoldUntil on nothing is held for longer than a moment: what can't be sent is
+// refused, and its client comes back to another router. Only a stream that broke off midway still waits for an endpoint.
 type Closing struct{ HoldUntil time.Time }
 
 func (Arrived) input()     {}
--- a/internal/router/ingress/server.go
+++ b/internal/router/ingress/server.go
@@ -154,6 +154,10 @@
 	s.gate.SetState(c.Conn, state)
 }
 
+// Empty closes connections between requests and waits for the others, until none is left or the context ends. New ones
+// are accepted all the while.
+func (s *Server) Empty(ctx context.Context) error { return s.gate.Empty(ctx) }
+
 // End accepts no more connections, closes those between requests and waits for the others until the context ends.
 func (s *Server) End(ctx context.Context) error {
 	s.closed.Store(true)
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -129,7 +129,8 @@
 	}
 }
 
-// end lets the platform notice that no more clients should come, then finishes what is under way.
+// end lets the platform notice that no more clients should come, then finishes what is under way. Whoever comes all the
+// same, since too few routers are left, is served while there is time.
 func (n *Node) end(signals <-chan os.Signal) error {
 	began := time.Now()
 	course := ending(n.settings.Bounds.Grace, n.servesOn)
@@ -138,22 +139,24 @@
 	n.log.Info().Msg("router.ending")
 	n.pause(course.drain, signals)
 	n.handler.Drain()
-	refusing := time.AfterFunc(time.Until(began.Add(course.refuse)), n.handler.RefuseHeld)
-	defer refusing.Stop()
-	err := n.endBy(began.Add(course.cut))
+	_ = n.by(began.Add(course.close), n.server.Empty) // what is left goes on
+	if n.by(began.Add(course.refuse), n.server.End) != nil {
+		n.handler.RefuseHeld()
+	}
+	err := n.by(began.Add(course.cut), n.server.End)
 	if err != nil {
 		n.handler.CutCalls()
-		err = n.endBy(began.Add(course.end))
+		err = n.by(began.Add(course.end), n.server.End)
 	}
 	n.log.Info().Dur("after", time.Since(began)).Bool("open", err != nil).Msg("router.ended")
 	return nil
 }
 
-// endBy waits for the requests in work until a time.
-func (n *Node) endBy(at time.Time) error {
+// by gives something until a time.
+func (n *Node) by(at time.Time, do func(context.Context) error) error {
 	ctx, stop := context.WithDeadline(context.Background(), at)
 	defer stop()
-	return n.server.End(ctx)
+	return do(ctx)
 }
 
 // pause waits; a SIGHUP meanwhile is obeyed.
