--- a/internal/control/api/server.go
+++ b/internal/control/api/server.go
@@ -22,8 +22,8 @@
 	headerTimeout         = 3 * time.Second
 	readTimeout           = 20 * time.Second
 	writeTimeout          = 30 * time.Second
-	idleTimeout           = 60 * time.Second
-	retryAfter            = "0.2" // seconds; callers of this interface read fractions
+	idleTimeout           = 10 * time.Second // several heartbeats: an endpoint that moved on leaves its connection
+	retryAfter            = "0.2"            // seconds; callers of this interface read fractions
 )
 
 // Instances is the registry as endpoints reach it.
@@ -81,18 +81,6 @@
 	}
 }
 
-// Server returns an HTTP server with its bounds; the caller serves and closes it.
-func (a *API) Server() *http.Server {
-	return &http.Server{
-		Handler:           a.Handler(),
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       readTimeout,
-		WriteTimeout:      writeTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maximumHeaderBytes,
-	}
-}
-
 // Handler returns the calls of the interface.
 func (a *API) Handler() http.Handler {
 	calls := http.NewServeMux()
