Keep the returning in a short chain before the leaving

In a rolling restart a chain that fell below its minimum took the leaving head back before the member that had just returned.

--- a/coordination/simnet/scenario_test.go
+++ b/coordination/simnet/scenario_test.go
@@ -365,3 +365,23 @@
 	})
 	taken.check(t, t.Name(), 60*time.Millisecond)
 }
+
+// Machines are stopped and started in turn, each as soon as the one before is back: only moments are lost.
+func TestRollingRestart(t *testing.T) {
+	scenario(t, 300*time.Millisecond, 4, func(w *World) {
+		for _, m := range w.machines {
+			done := false
+			w.leave(m, func() {
+				w.after(300*time.Millisecond, func() { m.start(false); done = true })
+			})
+			for !done && w.failure == nil {
+				_ = w.Run(10 * time.Millisecond)
+			}
+			took, ok := w.nextAck(3 * time.Second)
+			if !ok || took > 800*time.Millisecond {
+				w.fail("nothing is committed for %v after %s has left", took, m.address)
+			}
+			_ = w.Run(w.between(0, 700*time.Millisecond))
+		}
+	})
+}
--- a/coordination/view/plan.go
+++ b/coordination/view/plan.go
@@ -149,9 +149,11 @@
 		add(standby)
 	}
 	minimum := CommitMinimum(len(voters), wish.Faults)
-	for _, report := range inOrder { // those that should go stay while they are needed
-		if len(chain) < minimum {
-			add(report.Member)
+	for _, leaving := range []bool{false, true} { // those that should go stay while they are needed
+		for _, report := range inOrder {
+			if len(chain) < minimum && report.Leaving == leaving {
+				add(report.Member)
+			}
 		}
 	}
 	return chain
