--- a/coordination/replica/replica_test.go
+++ b/coordination/replica/replica_test.go
@@ -227,7 +227,8 @@
 	g.net.lock.Lock()
 	delete(g.net.members, address(2)) // is no longer reached
 	g.net.lock.Unlock()
-	if _, err := lonely.Propose(ctx, []byte("three")); !errors.Is(err, replica.ErrUnavailable) && !errors.Is(err, replica.ErrUnclear) {
+	_, err = lonely.Propose(ctx, []byte("three"))
+	if !errors.Is(err, replica.ErrUnavailable) && !errors.Is(err, replica.ErrUnclear) {
 		t.Errorf("a command without a group: %v", err)
 	}
 }
--- a/coordination/simnet/faults.go
+++ b/coordination/simnet/faults.go
@@ -171,7 +171,9 @@
 		if m.removed {
 			continue
 		}
-		if m.engine == nil || w.now-m.startedAt < catchUp/2 || m.frozen || m.disk.Refuse || m.disk.Failing > 0 || m.stall > 0 || m.disk.CutAt > 0 {
+		up := m.engine != nil && !m.frozen && w.now-m.startedAt >= catchUp/2
+		good := !m.disk.Refuse && m.disk.Failing == 0 && m.disk.CutAt == 0 && m.stall == 0
+		if !up || !good {
 			return false
 		}
 	}
--- a/coordination/view/view_test.go
+++ b/coordination/view/view_test.go
@@ -23,68 +23,90 @@
 	return list
 }
 
-// duel lets proposers with values of their own race through acceptors, with messages lost, doubled and late, and
-// returns the values that were decided.
-func duel(random *rand.Rand, voters int, planted mutation.Set) []View {
-	current := View{Epoch: 1, Chain: members(voters), Voters: members(voters)}
-	acceptors := make([]Acceptor, voters)
-	var decided []View
-	var flying []func()
-	send := func(deliver func()) {
-		if random.IntN(10) > 0 {
-			flying = append(flying, deliver)
-		}
-		if random.IntN(10) == 0 {
-			flying = append(flying, deliver)
-		}
+// duel lets proposers race through acceptors, with messages lost, doubled and in any order.
+type duel struct {
+	random    *rand.Rand
+	planted   mutation.Set
+	current   View
+	acceptors []Acceptor
+	flying    []func()
+	decided   []View
+}
+
+// send has a message delivered some time later: once, twice or not at all.
+func (d *duel) send(deliver func()) {
+	if d.random.IntN(10) > 0 {
+		d.flying = append(d.flying, deliver)
+	}
+	if d.random.IntN(10) == 0 {
+		d.flying = append(d.flying, deliver)
 	}
-	attempt := func(round uint64, identity string) {
-		p := &Proposer{Current: current, Ballot: Ballot{Round: round, Identity: identity}}
-		propose := func() {
-			value, bound := p.Bound()
-			if !bound {
-				value = View{Epoch: 2, Chain: []Member{{Identity: fmt.Sprint(identity, round)}}}
+}
+
+// prepare opens a ballot.
+func (d *duel) prepare(ballot Ballot) {
+	p := &Proposer{Current: d.current, Ballot: ballot}
+	for i := range d.acceptors {
+		d.send(func() {
+			given := d.acceptors[i].Prepare(2, ballot)
+			promise := Promise{Ballot: ballot, Given: given, Report: Report{Member: member(i)}}
+			if given {
+				promise.Accepted, promise.Value = d.acceptors[i].Accepted, d.acceptors[i].Value
 			}
-			p.Value = value
-			for i := range acceptors {
-				send(func() {
-					if acceptors[i].Accept(p.Ballot, value, planted) {
-						send(func() {
-							if p.Accepted(member(i).Identity) {
-								decided = append(decided, value)
-							}
-						})
-					}
-				})
+			d.send(func() {
+				p.Promised(promise)
+				if p.Prepared() && p.Value.Epoch == 0 {
+					d.propose(p)
+				}
+			})
+		})
+	}
+}
+
+// propose sends the ballot's value: one of its own, unless another may be decided.
+func (d *duel) propose(p *Proposer) {
+	value, bound := p.Bound()
+	if !bound {
+		value = View{Epoch: 2, Chain: []Member{{Identity: fmt.Sprint(p.Ballot)}}}
+	}
+	p.Value = value
+	for i := range d.acceptors {
+		d.send(func() {
+			if !d.acceptors[i].Accept(p.Ballot, value, d.planted) {
+				return
 			}
-		}
-		for i := range acceptors {
-			send(func() {
-				given := acceptors[i].Prepare(2, p.Ballot)
-				promise := Promise{Ballot: p.Ballot, Given: given, Report: Report{Member: member(i)}}
-				if given {
-					promise.Accepted, promise.Value = acceptors[i].Accepted, acceptors[i].Value
+			d.send(func() {
+				if p.Accepted(member(i).Identity) {
+					d.decided = append(d.decided, value)
 				}
-				send(func() {
-					p.Promised(promise)
-					if p.Prepared() && p.Value.Epoch == 0 {
-						propose()
-					}
-				})
 			})
-		}
+		})
 	}
-	for round := range 4 {
-		attempt(uint64(round+1), "x")
-		attempt(uint64(round+1), "y")
+}
+
+// play returns the values that two proposers of four ballots each have decided.
+func (d *duel) play() []View {
+	for round := range uint64(4) {
+		d.prepare(Ballot{Round: round + 1, Identity: "x"})
+		d.prepare(Ballot{Round: round + 1, Identity: "y"})
 	}
-	for len(flying) > 0 {
-		at := random.IntN(len(flying))
-		deliver := flying[at]
-		flying = slices.Delete(flying, at, at+1)
+	for len(d.flying) > 0 {
+		at := d.random.IntN(len(d.flying))
+		deliver := d.flying[at]
+		d.flying = slices.Delete(d.flying, at, at+1)
 		deliver()
 	}
-	return decided
+	return d.decided
+}
+
+func playDuel(seed uint64, voters int, planted mutation.Set) []View {
+	d := &duel{
+		random:    rand.New(rand.NewPCG(seed, 0)),
+		planted:   planted,
+		current:   View{Epoch: 1, Chain: members(voters), Voters: members(voters)},
+		acceptors: make([]Acceptor, voters),
+	}
+	return d.play()
 }
 
 // An epoch decides one view, whatever the order of the messages; a voter that forgets its promise breaks that.
@@ -95,10 +117,10 @@
 		same := func(decided []View) bool {
 			return !slices.ContainsFunc(decided, func(v View) bool { return !slices.Equal(v.Chain, decided[0].Chain) })
 		}
-		if decided := duel(rand.New(rand.NewPCG(seed, 0)), voters, mutation.Set{}); !same(decided) {
+		if decided := playDuel(seed, voters, mutation.Set{}); !same(decided) {
 			t.Fatalf("seed %d: %v", seed, decided)
 		}
-		found = found || !same(duel(rand.New(rand.NewPCG(seed, 0)), voters, mutation.Set{AnyBallot: true}))
+		found = found || !same(playDuel(seed, voters, mutation.Set{AnyBallot: true}))
 	}
 	if !found {
 		t.Error("accepting a ballot below the promise is not found")
