--- a/internal/router/dispatch/day_test.go
+++ b/internal/router/dispatch/day_test.go
@@ -24,11 +24,13 @@
 	w.kinds = []*kind{
 		{name: "brief", model: "m", perSecond: 13 * x, objective: 500 * time.Millisecond, within: 15 * time.Second,
 			prompt: 1460, output: 172, repeatable: true, tries: 1, tenant: "", rank: 1},
-		{name: "reply", model: "m", adapter: "a1", perSecond: 8 * x, objective: 400 * time.Millisecond, within: 10 * time.Second,
+		{name: "reply", model: "m", adapter: "a1", perSecond: 8 * x,
+			objective: 400 * time.Millisecond, within: 10 * time.Second,
 			prompt: 650, output: 70, repeatable: true, tries: 1, rank: 2},
 		{name: "rewrite", model: "rare", perSecond: 1.2 * x, objective: 8 * time.Second, within: 30 * time.Second,
 			prompt: 1460, output: 172, tries: 1, rank: 0},
-		{name: "push", perSecond: 11 * x, objective: 100 * time.Millisecond, within: 600 * time.Millisecond, tries: 1, rank: 2},
+		{name: "push", perSecond: 11 * x, objective: 100 * time.Millisecond, within: 600 * time.Millisecond,
+			tries: 1, rank: 2},
 	}
 	w.start()
 }
@@ -208,13 +210,13 @@
 				owed += k.owed
 			}
 		}
-		n := float64(sum.asked)
 		for i := range byRank {
 			byRank[i] /= asked[i]
 		}
 		t.Logf("x %2.0f: served by rank %.3f", x, byRank)
-		t.Logf("x %2.0f: worth %.3f; in time %.3f again %.3f late %.3f missed %.3f twice %.3f; refused with half free %d", x, worth/owed,
-			float64(sum.inTime)/n, float64(sum.again)/n, float64(sum.served)/n, float64(sum.missed)/n, float64(sum.twice)/n, free)
+		part := func(n int) float64 { return float64(n) / float64(sum.asked) }
+		t.Logf("x %2.0f: worth %.3f; in time %.3f again %.3f late %.3f missed %.3f twice %.3f; refused with half free %d",
+			x, worth/owed, part(sum.inTime), part(sum.again), part(sum.served), part(sum.missed), part(sum.twice), free)
 		if x <= 4 && worth < 0.9*owed {
 			t.Errorf("x %.0f: worth only %.3f", x, worth/owed)
 		}
@@ -263,7 +265,8 @@
 	briefN, replyN := brief, reply
 	briefN.model, briefN.perSecond = "n", 8
 	replyN.model, replyN.adapter, replyN.perSecond = "n", "", 5
-	push := kind{name: "push", perSecond: 11, objective: 100 * time.Millisecond, within: 600 * time.Millisecond, tries: 1, rank: 2}
+	push := kind{name: "push", perSecond: 11, objective: 100 * time.Millisecond, within: 600 * time.Millisecond,
+		tries: 1, rank: 2}
 	w.kinds = []*kind{&brief, &reply, &briefN, &replyN, &push}
 	for _, i := range []int{0, 1, 2, 4, 5, 6, 8, 9, 10} {
 		w.kinds = append(w.kinds, &kind{name: "rewrite", model: fmt.Sprint("rare", i), perSecond: 0.28,
--- /dev/null
+++ b/internal/router/dispatch/holding_test.go
@@ -0,0 +1,200 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"raventrestle/internal/protocol"
+)
+
+func TestNothingHoldsTheModel(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"))
+	out := s.step(1, Arrived{s.request("rare")})
+	list := reports(out)
+	if len(list) != 1 || list[0].Models[0].Model != "rare" || list[0].Models[0].Waiting != 1 {
+		t.Fatalf("reported %+v", list)
+	}
+	at := int(s.d.NextWake().Sub(s.zero) / time.Millisecond)
+	if at > 125 {
+		t.Fatalf("wakes at %d ms", at)
+	}
+	refusal := s.oneRefusal(s.step(at + 1))
+	if refusal.Reason != NoEndpoint || refusal.RetryAfter < 4*time.Second || refusal.RetryAfter > 5*time.Second {
+		t.Errorf("refused with %+v", refusal)
+	}
+}
+
+// A request that names no model is one for any endpoint of the service, whatever that holds.
+func TestWithoutAModelAnyEndpointWillDo(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"), modelEndpoint("b", 1))
+	first := s.request("")
+	first.Service = "lm"
+	s.oneSend(s.step(1, Arrived{first}))
+	second := s.request("")
+	second.Service = "lm"
+	s.oneSend(s.step(2, ViewChanged{Endpoints: []protocol.Endpoint{modelEndpoint("a", 2, "rare")}}, Arrived{second}))
+}
+
+func TestHeldForALoadThatFits(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"))
+	s.step(1, Arrived{s.request("rare")})
+	loads := modelEndpoint("a", 1, "m")
+	loads.Loading = []protocol.Load{{Model: "rare", Within: 250 * time.Millisecond}}
+	s.step(20, ViewChanged{Endpoints: []protocol.Endpoint{loads}})
+	if out := s.step(130); len(refusals(out)) > 0 {
+		t.Fatalf("refused %v though the load fits", refusals(out))
+	}
+	loaded := ViewChanged{Endpoints: []protocol.Endpoint{modelEndpoint("a", 2, "m", "rare")}}
+	if send := s.oneSend(s.step(280, loaded)); send.ID != 1 {
+		t.Errorf("sent %+v", send)
+	}
+}
+
+func TestRefusedForALoadThatDoesNotFit(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"))
+	s.step(1, Arrived{s.request("rare")})
+	loads := modelEndpoint("a", 1, "m")
+	loads.Loading = []protocol.Load{{Model: "rare", Within: 2 * time.Second}}
+	s.step(20, ViewChanged{Endpoints: []protocol.Endpoint{loads}})
+	refusal := s.oneRefusal(s.step(124))
+	if refusal.RetryAfter < 1800*time.Millisecond || refusal.RetryAfter > 2600*time.Millisecond {
+		t.Errorf("refused with %+v", refusal)
+	}
+}
+
+// A stream that pauses goes on elsewhere only where that is possible; else its call is left alone.
+func TestStalledStreamMovesOnlyWhereItCanGo(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"))
+	first := s.oneSend(s.step(1, Arrived{s.request("m")}))
+	s.step(100, FirstByte{ID: first.ID, Endpoint: "a"})
+	if hasAbandon(s.step(1700, Stalled{ID: first.ID, Endpoint: "a"})) {
+		t.Error("left an endpoint with nowhere else to go")
+	}
+	s.step(1800, ViewChanged{Endpoints: []protocol.Endpoint{modelEndpoint("b", 1, "m")}})
+	if !hasAbandon(s.step(2100, Stalled{ID: first.ID, Endpoint: "a"})) {
+		t.Error("stayed at a silent endpoint")
+	}
+	if hasAbandon(s.step(2500, Stalled{ID: first.ID, Endpoint: "a"})) {
+		t.Error("abandoned twice")
+	}
+	out := s.step(2501, Finished{ID: first.ID, Endpoint: "a", Result: Lost, More: true})
+	if send := s.oneSend(out); send.Endpoint != "b" {
+		t.Errorf("sent to %s", send.Endpoint)
+	}
+}
+
+func TestDarkEndpointIsLeft(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"), modelEndpoint("b", 1, "m"))
+	first := s.oneSend(s.step(1, Arrived{s.request("m")}))
+	other := "a"
+	if first.Endpoint == "a" {
+		other = "b"
+	}
+	at := 1
+	for !hasAbandon(s.step(at)) {
+		if at += 5; at > 600 {
+			t.Fatal("it waits on")
+		}
+	}
+	out := s.step(at+1, Finished{ID: 1, Endpoint: first.Endpoint, Result: Lost, More: true})
+	if send := s.oneSend(out); send.Endpoint != other {
+		t.Errorf("sent %+v", send)
+	}
+	if send := s.oneSend(s.step(at+2, Arrived{s.request("m")})); send.Endpoint != other {
+		t.Errorf("sent %+v", send)
+	}
+}
+
+func hasAbandon(out []Output) bool {
+	for _, o := range out {
+		if _, ok := o.(Abandon); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// A router whose estimates went wrong, before endpoints that others keep busy, puts them right.
+func TestWrongEstimatesAreForgotten(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"), modelEndpoint("b", 1, "m"))
+	busy := &ToldLoad{Running: 40, Slots: 64}
+	g := s.d.services["lm"].groupNamed("m")
+	for range 100 {
+		g.line.add(s.d.now, 1, 3000)
+		g.service.line.add(s.d.now, 1, 3000)
+	}
+	served := 0
+	for at := 10; at < 40000; at += 200 {
+		for _, id := range []string{"a", "b"} {
+			s.d.heard(s.d.endpoints[id], busy)
+		}
+		for _, send := range sends(s.step(at, Arrived{s.request("m")})) {
+			s.step(at+60, FirstByte{ID: send.ID, Endpoint: send.Endpoint, Load: busy})
+			s.step(at+100, Finished{ID: send.ID, Endpoint: send.Endpoint, Load: busy})
+			served++
+		}
+	}
+	if served < 50 {
+		t.Errorf("only %d of 200 were sent", served)
+	}
+}
+
+func TestPartsOfASessionGoToOneEndpoint(t *testing.T) {
+	var table []protocol.Endpoint
+	for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+		table = append(table, modelEndpoint(id, 1, "m"))
+	}
+	where := map[uint64]string{}
+	used := map[string]bool{}
+	for router := range uint64(4) {
+		s := newScript(t, table...)
+		s.d.seed = router
+		for i := range 60 {
+			r := s.request("m")
+			session := uint64(100 + i%12)
+			r.Parts = []Part{{Hash: 7, Tokens: 300}, {Hash: session, Tokens: 300}}
+			send := s.oneSend(s.step(10+20*i, Arrived{r}))
+			s.step(10+20*i+10, FirstByte{ID: r.ID, Endpoint: send.Endpoint}, Finished{ID: r.ID, Endpoint: send.Endpoint})
+			if before, known := where[session]; known && before != send.Endpoint {
+				t.Fatalf("router %d sent session %d to %s, before to %s", router, session, send.Endpoint, before)
+			}
+			where[session] = send.Endpoint
+			used[send.Endpoint] = true
+		}
+	}
+	if len(used) < 4 {
+		t.Errorf("12 sessions use only %v", used)
+	}
+}
+
+func TestPlacesAreTakenBeforeAnythingIsHeld(t *testing.T) {
+	s := newScript(t, plainEndpoint("p", 6), plainEndpoint("q", 6))
+	used := map[string]int{}
+	for i := range 6 {
+		used[s.oneSend(s.step(1+i, Arrived{s.request("")})).Endpoint]++
+	}
+	if used["p"] != 3 || used["q"] != 3 {
+		t.Errorf("sent %v", used)
+	}
+}
+
+func TestSilentEndpointIsUsedOnlyInDoubt(t *testing.T) {
+	silent := modelEndpoint("a", 2, "m")
+	silent.State = protocol.Silent
+	s := newScript(t, silent, modelEndpoint("b", 1, "m"))
+	for i := range 10 {
+		send := s.oneSend(s.step(10*i+1, Arrived{s.request("m")}))
+		if send.Endpoint != "b" {
+			t.Fatalf("sent to %s", send.Endpoint)
+		}
+		s.step(10*i+5, FirstByte{ID: send.ID, Endpoint: "b"}, Finished{ID: send.ID, Endpoint: "b"})
+	}
+	s.step(200, ViewChanged{Endpoints: []protocol.Endpoint{{ID: "b", Service: "lm", State: protocol.Gone, Sequence: 3}}})
+	if send := s.oneSend(s.step(201, Arrived{s.request("m")})); send.Endpoint != "a" {
+		t.Errorf("sent to %s", send.Endpoint)
+	}
+	out := s.step(700, FirstByte{ID: s.id, Endpoint: "a"}, Arrived{s.request("m")})
+	if list := reports(out); len(list) != 1 || len(list[0].Reached) != 1 {
+		t.Errorf("reported %+v", list)
+	}
+}
--- a/internal/router/dispatch/parts_test.go
+++ b/internal/router/dispatch/parts_test.go
@@ -95,7 +95,8 @@
 
 func TestWhatClientsNameIsBounded(t *testing.T) {
 	s := newScript(t, modelEndpoint("a", 1, "m"))
-	if refusal := s.oneRefusal(s.step(1, Arrived{s.request("nonsense")})); refusal.Reason != NoEndpoint || refusal.RetryAfter <= 0 {
+	refusal := s.oneRefusal(s.step(1, Arrived{s.request("nonsense")}))
+	if refusal.Reason != NoEndpoint || refusal.RetryAfter <= 0 {
 		t.Errorf("%+v", refusal)
 	}
 	if s.d.services["lm"].groups["nonsense"] != nil {
--- a/internal/router/dispatch/placing_test.go
+++ b/internal/router/dispatch/placing_test.go
@@ -22,7 +22,8 @@
 		if m.Waiting+m.Unserved == 0 || m.Service != "lm" {
 			continue
 		}
-		if name := m.Model + "/" + m.Adapter; m.Adapter != "" && w.held(m.Model) && !w.loading[name] && !w.has(m.Model, m.Adapter) {
+		name := m.Model + "/" + m.Adapter
+		if m.Adapter != "" && w.held(m.Model) && !w.loading[name] && !w.has(m.Model, m.Adapter) {
 			w.loading[name] = true
 			w.at(w.now+worldOrder, func(w *world) { w.loadAdapter(m.Model, m.Adapter) })
 		}
--- a/internal/router/dispatch/size_test.go
+++ b/internal/router/dispatch/size_test.go
@@ -15,12 +15,13 @@
 // large is a router at the size to design for: 2,900 endpoints, 1,100 models, 830 routers.
 func large() (*Decider, time.Time, []string) {
 	const endpoints, models = 2900, 1100
-	config := &configuration.Configuration{Generation: 1, Services: []configuration.Service{{Name: "lm", MaxConnections: 370,
-		Engine: &configuration.Engine{Slots: 64, KVTokens: 130000}}}}
+	engine := &configuration.Engine{Slots: 64, KVTokens: 130000}
+	config := &configuration.Configuration{Generation: 1,
+		Services: []configuration.Service{{Name: "lm", MaxConnections: 370, Engine: engine}}}
 	names := make([]string, models)
 	for i := range names {
 		names[i] = fmt.Sprint("m", i)
-		config.Services[0].Engine.Models = append(config.Services[0].Engine.Models, configuration.Model{Name: names[i], LoadTimeS: 5})
+		engine.Models = append(engine.Models, configuration.Model{Name: names[i], LoadTimeS: 5})
 	}
 	rng := rand.New(rand.NewPCG(1, 2))
 	var table []protocol.Endpoint
@@ -47,8 +48,8 @@
 	for i := range b.N {
 		now = now.Add(50 * time.Millisecond)
 		model := names[min(rng.IntN(len(names)), rng.IntN(len(names)), rng.IntN(len(names)))]
-		r := Request{ID: RequestID(i + 1), Service: "lm", Model: model, PromptTokens: 1000, OutputTokens: 100, Repeatable: true,
-			MaxEndpoints: 2, Objective: now.Add(500 * time.Millisecond), Deadline: now.Add(15 * time.Second),
+		r := Request{ID: RequestID(i + 1), Service: "lm", Model: model, PromptTokens: 1000, OutputTokens: 100,
+			Repeatable: true, MaxEndpoints: 2, Objective: now.Add(500 * time.Millisecond), Deadline: now.Add(15 * time.Second),
 			Parts: []Part{{Hash: uint64(rng.IntN(3)), Tokens: 200}, {Hash: uint64(rng.IntN(100)), Tokens: 100}}}
 		for _, o := range d.Step(now, []Input{Arrived{r}}) {
 			if o, ok := o.(Send); ok {
--- a/internal/router/dispatch/types.go
+++ b/internal/router/dispatch/types.go
@@ -109,7 +109,7 @@
 }
 
 // Closing: this process ends. From HoldUntil on nothing is held for longer than a moment: what can't be sent is
-// refused, and its client comes back to another router. Only a stream that broke off midway still waits for an endpoint.
+// refused, and its client comes back to another router. Only a stream that broke off midway still waits.
 type Closing struct{ HoldUntil time.Time }
 
 func (Arrived) input()     {}
--- a/internal/router/dispatch/world_test.go
+++ b/internal/router/dispatch/world_test.go
@@ -114,8 +114,8 @@
 		further: map[string][]time.Duration{}, asks: map[string][]time.Duration{}, spent: map[string][]spending{},
 		lag: 5 * time.Millisecond}
 	for i := range routers {
-		w.routers = append(w.routers, New(Options{Node: fmt.Sprint("r", i), Seed: seed + uint64(i), Zone: "z", Routers: routers,
-			BudgetRatio: 0.2, BudgetSlack: 56, QuotaOver: 0.1, QuotaSlack: 11000}))
+		w.routers = append(w.routers, New(Options{Node: fmt.Sprint("r", i), Seed: seed + uint64(i), Zone: "z",
+			Routers: routers, BudgetRatio: 0.2, BudgetSlack: 56, QuotaOver: 0.1, QuotaSlack: 11000}))
 		w.clients = append(w.clients, map[RequestID]*client{})
 	}
 	w.inputs = make([][]Input, routers)
@@ -211,7 +211,8 @@
 			}
 		}
 		if d := w.routers[i]; len(d.requests) > 0 || d.schedule.Busy != 0 || len(d.homeless) > 0 {
-			w.t.Errorf("router %d: %d requests, %d slots in use, %d homeless", i, len(d.requests), d.schedule.Busy, len(d.homeless))
+			w.t.Errorf("router %d: %d requests, %d slots in use, %d homeless", i, len(d.requests), d.schedule.Busy,
+				len(d.homeless))
 		}
 	}
 	w.checkWindows()
@@ -293,7 +294,8 @@
 	if before != nil {
 		deadline := before.request.Deadline
 		r.Again, r.Deadline = true, deadline
-		r.PromptTokens, r.OutputTokens, r.Parts = before.request.PromptTokens, before.request.OutputTokens, before.request.Parts
+		r.PromptTokens, r.OutputTokens = before.request.PromptTokens, before.request.OutputTokens
+		r.Parts = before.request.Parts
 		r.Charge = before.request.Charge
 	} else {
 		k.asked++
@@ -310,117 +312,3 @@
 }
 
 func (w *world) clock() time.Time { return w.zero.Add(w.now) }
-
-// serve lets the endpoints work.
-func (w *world) serve() {
-	for _, s := range w.servers {
-		begun, ended := s.tick()
-		for _, j := range begun {
-			w.begin(j)
-		}
-		for _, j := range ended {
-			w.end(j)
-		}
-	}
-}
-
-func (w *world) begin(j *job) {
-	c := j.call.client
-	if c.call != j.call {
-		return
-	}
-	j.call.begun = true
-	c.began = true
-	c.inTime = !w.clock().After(c.request.Objective)
-	w.tellRouter(c, FirstByte{ID: c.request.ID, Endpoint: j.call.server.row.ID, Load: j.call.server.load()})
-}
-
-func (w *world) end(j *job) {
-	c := j.call.client
-	if c.call != j.call {
-		return
-	}
-	w.finishCall(c, Succeeded, false)
-	c.served = true
-	w.close(c)
-}
-
-func (w *world) tellRouter(c *client, input Input) {
-	w.inputs[c.router] = append(w.inputs[c.router], input)
-}
-
-func (w *world) finishCall(c *client, result Result, more bool) {
-	call := c.call
-	c.call = nil
-	w.tellRouter(c, Finished{ID: c.request.ID, Endpoint: call.server.row.ID, Result: result, More: more,
-		Load: call.server.load()})
-}
-
-// earns is what the try's end is worth, as a part of the request's worth.
-func (c *client) earns() float64 {
-	switch {
-	case c.served && c.inTime && c.request.Again:
-		return 0.65
-	case c.served && c.inTime:
-		return 1
-	case c.served:
-		return 0.3
-	case c.request.Again && c.refusedNow:
-		return -0.3
-	}
-	return 0
-}
-
-// weight is the request's worth against its kind's.
-func (k *kind) weight(c *client) float64 {
-	if k.output == 0 {
-		return 1
-	}
-	return min(0.3+0.7*float64(c.size())/float64(k.prompt+10*k.output), 4)
-}
-
-// close counts the end of a request.
-func (w *world) close(c *client) {
-	c.ends++
-	c.kind.earned += c.kind.weight(c) * c.earns()
-	switch {
-	case c.served && c.inTime && c.request.Again:
-		c.kind.again++
-	case c.served && c.inTime:
-		c.kind.inTime++
-	case c.served:
-		c.kind.served++
-	default:
-		c.kind.missed++
-	}
-}
-
-// hosts ends calls whose time is over, and those that hang at crashed endpoints.
-func (w *world) hosts() {
-	live := w.live
-	w.live = w.live[:0:0]
-	for _, call := range live {
-		c := call.client
-		switch {
-		case c.call != call:
-			continue
-		case call.lost > 0 && w.now >= call.lost:
-			w.lose(c)
-		case w.clock().After(c.request.Deadline):
-			call.server.drop(call)
-			w.finishCall(c, GivenUp, false)
-			w.close(c)
-		default:
-			w.live = append(w.live, call)
-		}
-	}
-}
-
-// lose breaks a call off after it was written.
-func (w *world) lose(c *client) {
-	more := c.request.Repeatable
-	w.finishCall(c, Lost, more)
-	if !more {
-		w.close(c)
-	}
-}
--- /dev/null
+++ b/internal/router/dispatch/worldhost_test.go
@@ -0,0 +1,115 @@
+package dispatch
+
+// serve lets the endpoints work.
+func (w *world) serve() {
+	for _, s := range w.servers {
+		begun, ended := s.tick()
+		for _, j := range begun {
+			w.begin(j)
+		}
+		for _, j := range ended {
+			w.end(j)
+		}
+	}
+}
+
+func (w *world) begin(j *job) {
+	c := j.call.client
+	if c.call != j.call {
+		return
+	}
+	j.call.begun = true
+	c.began = true
+	c.inTime = !w.clock().After(c.request.Objective)
+	w.tellRouter(c, FirstByte{ID: c.request.ID, Endpoint: j.call.server.row.ID, Load: j.call.server.load()})
+}
+
+func (w *world) end(j *job) {
+	c := j.call.client
+	if c.call != j.call {
+		return
+	}
+	w.finishCall(c, Succeeded, false)
+	c.served = true
+	w.close(c)
+}
+
+func (w *world) tellRouter(c *client, input Input) {
+	w.inputs[c.router] = append(w.inputs[c.router], input)
+}
+
+func (w *world) finishCall(c *client, result Result, more bool) {
+	call := c.call
+	c.call = nil
+	w.tellRouter(c, Finished{ID: c.request.ID, Endpoint: call.server.row.ID, Result: result, More: more,
+		Load: call.server.load()})
+}
+
+// earns is what the try's end is worth, as a part of the request's worth.
+func (c *client) earns() float64 {
+	switch {
+	case c.served && c.inTime && c.request.Again:
+		return 0.65
+	case c.served && c.inTime:
+		return 1
+	case c.served:
+		return 0.3
+	case c.request.Again && c.refusedNow:
+		return -0.3
+	}
+	return 0
+}
+
+// weight is the request's worth against its kind's.
+func (k *kind) weight(c *client) float64 {
+	if k.output == 0 {
+		return 1
+	}
+	return min(0.3+0.7*float64(c.size())/float64(k.prompt+10*k.output), 4)
+}
+
+// close counts the end of a request.
+func (w *world) close(c *client) {
+	c.ends++
+	c.kind.earned += c.kind.weight(c) * c.earns()
+	switch {
+	case c.served && c.inTime && c.request.Again:
+		c.kind.again++
+	case c.served && c.inTime:
+		c.kind.inTime++
+	case c.served:
+		c.kind.served++
+	default:
+		c.kind.missed++
+	}
+}
+
+// hosts ends calls whose time is over, and those that hang at crashed endpoints.
+func (w *world) hosts() {
+	live := w.live
+	w.live = w.live[:0:0]
+	for _, call := range live {
+		c := call.client
+		switch {
+		case c.call != call:
+			continue
+		case call.lost > 0 && w.now >= call.lost:
+			w.lose(c)
+		case w.clock().After(c.request.Deadline):
+			call.server.drop(call)
+			w.finishCall(c, GivenUp, false)
+			w.close(c)
+		default:
+			w.live = append(w.live, call)
+		}
+	}
+}
+
+// lose breaks a call off after it was written.
+func (w *world) lose(c *client) {
+	more := c.request.Repeatable
+	w.finishCall(c, Lost, more)
+	if !more {
+		w.close(c)
+	}
+}
