--- a/internal/control/roles/holder.go
+++ b/internal/control/roles/holder.go
@@ -20,7 +20,7 @@
 	troubleLasts   = 4 * time.Second // after a change of view or of who is live
 	maximumBatches = 1024            // of reports, kept until the next step
 	viewWithin     = time.Second
-	placePart      = 4 // so many times as long as placing took pass before the next time
+	placePart      = 2 // so many times as long as placing took pass before the next time
 	dividePart     = 1 // and so many times as long as dividing took
 )
 
@@ -273,7 +273,6 @@
 	h.gather(now, arrived, reports)
 	if !now.Before(h.nextPlace) {
 		h.place(ctx, now)
-		h.nextPlace = pauseAfter(now, placePart)
 		h.placeAt = later(h.placeAt, h.nextPlace)
 	}
 	h.ask(ctx)
@@ -347,6 +346,7 @@
 	if err != nil {
 		return // the instance stops, or is behind: later
 	}
+	began := time.Now() // without the wait for the view, which the holder has not caused
 	in := h.forPlacer
 	h.forPlacer = placer.Input{}
 	h.routerCount, h.endpoints = view.RouterCount, view.Endpoints
@@ -359,6 +359,7 @@
 		h.parts.Endpoints.ShowLoading(table)
 	}
 	h.placeAt = out.WakeAt
+	h.nextPlace = pauseAfter(began, placePart)
 }
 
 // newConfiguration returns the newest version if it is new here.
