--- a/internal/control/distribution/size_test.go
+++ b/internal/control/distribution/size_test.go
@@ -19,7 +19,8 @@
 	h.Step(now, whole, Configuration{Generation: 1, Document: protocol.PackDocument(sizetest.Document())})
 	h.Step(now, whole, Endpoints{Revision: 1, Routers: sizetest.Routers, Whole: true})
 	for i := range routersPerInstance {
-		h.Step(now, whole, Subscribed{Connection: ConnectionID(i + 1), Router: protocol.Subscribe{Node: sizetest.RouterName(i)}})
+		router := protocol.Subscribe{Node: sizetest.RouterName(i)}
+		h.Step(now, whole, Subscribed{Connection: ConnectionID(i + 1), Router: router})
 	}
 	h.Step(now, whole, BarrierPassed{Barrier: routersPerInstance})
 	confirmAll(h, now, whole)
@@ -97,7 +98,8 @@
 	bytes := 0
 	b.ReportAllocs()
 	for b.Loop() {
-		bytes += encoded(b, h.Step(now, whole, Subscribed{Connection: 1, Router: protocol.Subscribe{Node: sizetest.RouterName(0)}}))
+		router := protocol.Subscribe{Node: sizetest.RouterName(0)}
+		bytes += encoded(b, h.Step(now, whole, Subscribed{Connection: 1, Router: router}))
 	}
 	b.ReportMetric(float64(bytes)/float64(b.N), "B-sent/op")
 }
--- a/internal/control/placer/size_test.go
+++ b/internal/control/placer/size_test.go
@@ -30,7 +30,8 @@
 		in := Input{Endpoints: table, Results: results, Looks: looks}
 		for i := range sizetest.Routers * sizetest.ReportsPerS / stepsPerS {
 			sequence++
-			in.Reports = append(in.Reports, sizetest.Report(random, (step*sizetest.Routers/stepsPerS+i)%sizetest.Routers, sequence))
+			router := (step*sizetest.Routers*sizetest.ReportsPerS/stepsPerS + i) % sizetest.Routers
+			in.Reports = append(in.Reports, sizetest.Report(random, router, sequence))
 		}
 		step++
 		b.StartTimer()
--- a/internal/control/quota/size_test.go
+++ b/internal/control/quota/size_test.go
@@ -31,7 +31,8 @@
 		in := Input{Routers: routers, Floors: sizetest.Routers, Confirmed: confirmed}
 		for i := range sizetest.Routers * sizetest.ReportsPerS / stepsPerS {
 			sequence++
-			in.Reports = append(in.Reports, sizetest.Report(random, (step*sizetest.Routers*sizetest.ReportsPerS/stepsPerS+i)%sizetest.Routers, sequence))
+			router := (step*sizetest.Routers*sizetest.ReportsPerS/stepsPerS + i) % sizetest.Routers
+			in.Reports = append(in.Reports, sizetest.Report(random, router, sequence))
 		}
 		step++
 		b.StartTimer()
--- a/internal/control/registry/size_test.go
+++ b/internal/control/registry/size_test.go
@@ -15,7 +15,7 @@
 // atSize is the table of one of 15 instances with 2,900 endpoints, of which it hears its part.
 func atSize() (*Registry, time.Time, []protocol.Endpoint) {
 	now := time.Unix(0, 0)
-	r := New(Settings{Origin: protocol.Origin{Address: "10.0.0.1:7500", Incarnation: 1}, Heartbeat: sizetest.Heartbeat}, now)
+	r := New(Settings{Origin: origin(0), Heartbeat: sizetest.Heartbeat}, now)
 	var others []string
 	for i := 1; i < sizetest.Instances; i++ {
 		others = append(others, instanceAddress(i))
@@ -92,7 +92,8 @@
 			count(r.Step(now, Heartbeat{Ticket: uint64(beat), Endpoint: e}))
 		}
 		for i := 1; i < sizetest.Instances; i++ {
-			count(r.Step(now, Message{Content: &protocol.RegistryDigest{Origin: origin(i), Alive: alive[i], Table: r.tableHash()}}))
+			digest := &protocol.RegistryDigest{Origin: origin(i), Alive: alive[i], Table: r.tableHash()}
+			count(r.Step(now, Message{Content: digest}))
 		}
 	}
 	b.ReportMetric(float64(bytes)/float64(b.N), "B-sent/s")
--- a/internal/lab/standin/beat.go
+++ b/internal/lab/standin/beat.go
@@ -35,8 +35,8 @@
 	Adapters   []string `json:"adapters"`
 }
 
-// register tells the system of the endpoint until the context ends. An instance that does not acknowledge is followed by
-// the next one.
+// register tells the system of the endpoint until the context ends. An instance that does not acknowledge is followed
+// by the next one.
 func (e *Endpoint) register(ctx context.Context) {
 	at := 0
 	for {
--- a/internal/lab/system/clients.go
+++ b/internal/lab/system/clients.go
@@ -119,7 +119,8 @@
 	w.tell(`
 To try next, in another shell while this runs:
 
-  curl -sN -H 'Host: %[1]s' -H 'Api-Key: %[2]s' -H 'X-Request-Id: my-1' -H 'X-Model: sparrow' -H 'X-Token-Usage: 120,40' -d text http://%[3]s%[4]sby-hand
+  curl -sN -H 'Host: %[1]s' -H 'Api-Key: %[2]s' -H 'X-Request-Id: my-1' -H 'X-Model: sparrow' \
+    -H 'X-Token-Usage: 120,40' -d text http://%[3]s%[4]sby-hand
   %[5]s members -control %[6]s
   %[5]s endpoints -control %[6]s
   %[5]s models -control %[6]s
--- a/internal/lab/system/places.go
+++ b/internal/lab/system/places.go
@@ -102,7 +102,8 @@
 }
 
 func (w *world) routerSettings(number int) string {
-	return w.common(fmt.Sprintf("router-%d", number+1), fmt.Sprintf("%s%d", routerNet, number+1), number) + fmt.Sprintf(`role=router
+	name := fmt.Sprintf("router-%d", number+1)
+	return w.common(name, fmt.Sprintf("%s%d", routerNet, number+1), number) + fmt.Sprintf(`role=router
 serves=edge
 listen.front=%s
 listen.readiness=%s
