--- a/internal/control/roles/holder.go
+++ b/internal/control/roles/holder.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -22,6 +20,8 @@
 	troubleLasts   = 4 * time.Second // after a change of view or of who is live
 	maximumBatches = 1024            // of reports, kept until the next step
 	viewWithin     = time.Second
+	placePart      = 2 // so many times as long as placing took pass before the next time
+	dividePart     = 1 // and so many times as long as dividing took
 )
 
 // Placer decides about orders; *placer.Placer is one.
@@ -97,9 +97,15 @@
 	divided       *configuration.Configuration // that the allocator has
 	orders        map[uint64]placer.Order      // without a result
 	trouble       trouble
+	forPlacer     placer.Input // what came since its last step
+	routerCount   int          // of the last view
+	endpoints     []protocol.Endpoint
 	nextStep      time.Time // not before then
-	stepped       time.Time // the last one
-	wakeAt        time.Time // when the placer wants its next step
+	nextPlace     time.Time // no step of the placer before then
+	stepped       time.Time // the last one's end
+	rest          time.Duration
+	placeAt       time.Time // when the placer wants its next step
+	wakeAt        time.Time // when the next step is due
 }
 
 // inbox gathers what arrives between two steps.
@@ -173,6 +179,9 @@
 		if h.turn.Acts && !now.Before(h.stepFrom()) {
 			h.step(ctx, now)
 		}
+		if h.turn.Leads && !h.turn.Acts {
+			h.learn(ctx, now)
+		}
 		timer.Reset(h.pause(now))
 		select {
 		case <-ctx.Done():
@@ -190,7 +199,7 @@
 	defer h.mutex.Unlock()
 	for _, batch := range h.inbox.batches {
 		if batch.Lacks() {
-			return h.stepped.Add(lackingPause)
+			return h.stepped.Add(max(lackingPause, h.rest))
 		}
 	}
 	return h.nextStep
@@ -210,6 +219,9 @@
 		h.inbox.batches = nil
 	}
 	h.mutex.Unlock()
+	if h.turn.Leads && (!before.Leads || before.Epoch != h.turn.Epoch) {
+		h.prepare()
+	}
 	switch {
 	case h.turn.Acts && !before.Acts:
 		h.begin(now)
@@ -218,12 +230,17 @@
 	}
 }
 
-// begin takes the role up. Where nobody else can have held it in between, the deciders go on as they were.
-func (h *Holder) begin(now time.Time) {
-	h.nextStep = now
+// prepare makes ready to gather for the role. Where nobody else can have held it in between, the deciders go on as
+// they were.
+func (h *Holder) prepare() {
 	if h.placer == nil || h.turn.Epoch-h.ended > 1 {
 		h.startAnew()
 	}
+}
+
+// begin takes the role up.
+func (h *Holder) begin(now time.Time) {
+	h.nextStep, h.nextPlace = now, now
 	h.parts.Events.RoleBegan(h.turn.Epoch, now.Sub(h.turn.From))
 }
 
@@ -235,6 +252,7 @@
 	h.looks = newLooks()
 	h.loadings.changed = true // the others forget what an earlier holder showed
 	h.configuration, h.divided = nil, nil
+	h.forPlacer = placer.Input{}
 	clear(h.orders)
 	h.mutex.Lock()
 	h.term++
@@ -247,41 +265,101 @@
 	h.parts.Events.RoleEnded(before.Epoch)
 }
 
-// step has the placer and the allocator decide, and begins what they order.
+// step has the placer and the allocator decide, and begins what they order. Where one of them takes long, it gets a
+// part of the time only: heartbeats, configurations and routers of this instance must not wait for it.
 func (h *Holder) step(ctx context.Context, now time.Time) {
-	h.stepped = now
+	arrived := h.takeInbox()
+	reports := h.reportsOf(now, arrived.batches)
+	h.gather(now, arrived, reports)
+	if !now.Before(h.nextPlace) {
+		h.place(ctx, now)
+		h.placeAt = later(h.placeAt, h.nextPlace)
+	}
+	h.ask(ctx)
+	h.wakeAt = h.placeAt
+	divided := time.Now()
+	h.divide(now, quota.Input{
+		Routers:   h.roster.routers(now),
+		Floors:    h.roster.count(now, h.routerCount),
+		Reports:   reports,
+		Confirmed: h.confirmedOf(arrived.batches),
+	})
+	h.stepped = time.Now()
+	h.rest = dividePart * h.stepped.Sub(divided)
+	h.nextStep = later(now.Add(shortestPause), h.stepped.Add(h.rest))
+}
+
+// learn takes in what is reported before this instance may act.
+func (h *Holder) learn(ctx context.Context, now time.Time) {
+	if now.Before(h.nextStep) {
+		return
+	}
 	h.nextStep = now.Add(shortestPause)
-	view, err := h.view(ctx)
-	if err != nil {
-		return // the instance stops, or is behind: later
+	if h.routerCount == 0 {
+		view, err := h.view(ctx)
+		if err != nil {
+			return // later
+		}
+		h.routerCount = view.RouterCount
 	}
 	arrived := h.takeInbox()
 	reports := h.reportsOf(now, arrived.batches)
-	changed := h.newConfiguration()
+	h.gather(now, arrived, reports)
+	h.divide(now, quota.Input{
+		Routers:   h.roster.routers(now),
+		Floors:    h.roster.count(now, h.routerCount),
+		Reports:   reports,
+		Gathering: true,
+	})
+}
+
+// pauseAfter is when work that began at a time, and ends now, may be done again.
+func pauseAfter(began time.Time, part time.Duration) time.Time {
+	ended := time.Now()
+	return ended.Add(part * ended.Sub(began))
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// gather keeps what arrived for the placer's next step.
+func (h *Holder) gather(now time.Time, arrived inbox, reports []protocol.Report) {
+	if changed := h.newConfiguration(); changed != nil {
+		h.forPlacer.Configuration = changed
+	}
 	h.note(now, arrived.results)
 	for _, look := range arrived.looks {
 		h.looks.done(look.Endpoint)
 	}
+	h.forPlacer.Reports = append(h.forPlacer.Reports, reports...)
+	h.forPlacer.Results = append(h.forPlacer.Results, arrived.results...)
+	h.forPlacer.Looks = append(h.forPlacer.Looks, arrived.looks...)
+}
+
+// place has the placer decide.
+func (h *Holder) place(ctx context.Context, now time.Time) {
+	view, err := h.view(ctx)
+	if err != nil {
+		return // the instance stops, or is behind: later
+	}
+	began := time.Now() // without the wait for the view, which the holder has not caused
+	in := h.forPlacer
+	h.forPlacer = placer.Input{}
+	h.routerCount, h.endpoints = view.RouterCount, view.Endpoints
 	h.loadings.observe(now, view.Endpoints)
-	out := h.placer.Step(now, placer.Input{
-		Configuration: changed,
-		Endpoints:     view.Endpoints,
-		Reports:       reports,
-		Results:       arrived.results,
-		Looks:         arrived.looks,
-		Recovering:    h.trouble.lasts(now),
-	})
-	h.carryOut(ctx, out, view.Endpoints)
+	in.Endpoints = view.Endpoints
+	in.Recovering = h.trouble.lasts(now)
+	out := h.placer.Step(now, in)
+	h.carryOut(ctx, out)
 	if table, changed := h.loadings.table(now, h.turn.Epoch); changed {
 		h.parts.Endpoints.ShowLoading(table)
 	}
-	h.wakeAt = out.WakeAt
-	h.divide(now, quota.Input{
-		Routers:   h.roster.routers(now),
-		Floors:    h.roster.count(now, view.RouterCount),
-		Reports:   reports,
-		Confirmed: h.confirmedOf(arrived.batches),
-	})
+	h.placeAt = out.WakeAt
+	h.nextPlace = pauseAfter(began, placePart)
 }
 
 // newConfiguration returns the newest version if it is new here.
@@ -363,54 +441,6 @@
 	}
 }
 
-// carryOut begins what the placer decided, one goroutine for each call.
-func (h *Holder) carryOut(ctx context.Context, out placer.Output, endpoints []protocol.Endpoint) {
-	epoch, term := h.turn.Epoch, h.term
-	for _, order := range out.Orders {
-		h.orders[order.ID] = order
-		h.tasks.Add(1)
-		go h.order(ctx, epoch, term, order)
-	}
-	h.looks.want(out.Looks)
-	for _, id := range h.looks.next() {
-		at, known := slices.BinarySearchFunc(endpoints, id, compareID)
-		if !known {
-			h.deliver(term, func(in *inbox) { in.looks = append(in.looks, placer.Look{Endpoint: id, Failed: true}) })
-			continue
-		}
-		h.tasks.Add(1)
-		go h.lookAt(ctx, epoch, term, id, endpoints[at].Address)
-	}
-}
-
-// compareID orders endpoints as tables have them.
-func compareID(e protocol.Endpoint, id string) int { return strings.Compare(e.ID, id) }
-
-func (h *Holder) order(ctx context.Context, epoch, term uint64, order placer.Order) {
-	defer h.tasks.Done()
-	outcome, err := h.sender.Order(ctx, epoch, order)
-	h.parts.Events.Order(epoch, order, outcome, err)
-	h.deliver(term, func(in *inbox) {
-		in.results = append(in.results, placer.Result{ID: order.ID, Outcome: outcome})
-	})
-}
-
-func (h *Holder) lookAt(ctx context.Context, epoch, term uint64, id, address string) {
-	defer h.tasks.Done()
-	look, _ := h.sender.Look(ctx, epoch, id, address) // a failure is said in the look itself
-	h.deliver(term, func(in *inbox) { in.looks = append(in.looks, look) })
-}
-
-// deliver puts an answer into the inbox, unless the placer that asked is gone.
-func (h *Holder) deliver(term uint64, put func(in *inbox)) {
-	h.mutex.Lock()
-	if term == h.term {
-		put(&h.inbox)
-	}
-	h.mutex.Unlock()
-	h.nudge()
-}
-
 // pause says when to look again, while nothing arrives.
 func (h *Holder) pause(now time.Time) time.Duration {
 	if !h.turn.Leads {
