Let one copy in use leave for a wanted model, and make one place for one adapter

While an unload dragged, the next choice took away another copy in use, and so on each 0.7 s: four copies of busy models left for one rare model. Another place is now chosen only where nothing with runs has to leave. A place that is being made for an adapter keeps others from being made for it.

--- a/internal/control/placer/capacity.go
+++ b/internal/control/placer/capacity.go
@@ -50,6 +50,7 @@
 	sites  []site  // by endpoint ID
 	level  float64 // share of time in use of the endpoints it uses
 
+	dragging    bool    // an unload that makes room for it waits for runs
 	adapterGain float64 // what places for adapters on one copy more are worth a second
 }
 
@@ -96,6 +97,9 @@
 	slices.SortFunc(b.loads, func(x, y *load) int { return cmp.Compare(x.model, y.model) })
 	for _, e := range f.order {
 		e.used = 0
+		if e.drags(now) && b.by[e.plan.target] != nil {
+			b.by[e.plan.target].dragging = true
+		}
 		f.eachServed(now, e, func(model string) {
 			if l := b.by[model]; l != nil {
 				l.sites = append(l.sites, site{at: e})
@@ -137,6 +141,11 @@
 	return ""
 }
 
+// runs tells that the model's copies have requests out.
+func (l *load) runs() bool {
+	return l.demand != nil && float64(l.demand.running) > 0.5*float64(len(l.sites))
+}
+
 // requestTime is how long one request of the model keeps an endpoint busy.
 func (f *fleet) requestTime(d *demand, age time.Duration) float64 {
 	tokens := usualTokens * 1.0
--- a/internal/control/placer/order_test.go
+++ b/internal/control/placer/order_test.go
@@ -147,3 +147,30 @@
 		}
 	}
 }
+
+// TestOnePlaceIsMadeForOneAdapter has two endpoints with all places taken and one adapter that has none.
+func TestOnePlaceIsMadeForOneAdapter(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	p, first := single(t, now)
+	second := first
+	second.ID, second.Address = "i-2", "10.0.0.2:80"
+	held := []protocol.HeldModel{{Name: "big", Generation: 1, Adapters: []string{"a1", "a2"}}}
+	first.Models, second.Models, first.Sequence = held, held, 2
+	table := []protocol.Endpoint{first, second}
+	p.Step(now.Add(50*time.Millisecond), Input{Endpoints: table})
+	asked := []protocol.Report{{Node: "r", Sequence: 1, Over: 500 * time.Millisecond,
+		Models: []protocol.ModelDemand{{Service: "lm", Model: "big", Adapter: "a3", Asked: 2, Unserved: 2}}}}
+	in := Input{Endpoints: table, Reports: asked, Looks: []Look{{Endpoint: "i-1", Models: held}, {Endpoint: "i-2", Models: held}}}
+	unloads := 0
+	for i := range 10 {
+		for _, order := range p.Step(now.Add(time.Duration(2+i)*50*time.Millisecond), in).Orders {
+			if order.Unload {
+				unloads++
+			}
+		}
+		in = Input{Endpoints: table}
+	}
+	if unloads != 1 {
+		t.Errorf("%d adapters make way for one, want 1", unloads)
+	}
+}
--- a/internal/control/placer/plan.go
+++ b/internal/control/placer/plan.go
@@ -129,6 +129,9 @@
 		if most <= 0 || chosen != nil && most <= chosen.score || !p.victims(now, f, b, c) {
 			continue
 		}
+		if l.dragging && b.waitsToo(c) {
+			continue // one copy in use that leaves for it is enough
+		}
 		price := p.options.LoadPrice + p.options.OrderPrice*float64(1+len(c.victims))
 		c.score = c.gain - c.loss - price - hysteresis
 		c.score -= delayLoss * p.loadTime(f, e, l.model).Seconds() * (1 + p.pressing(l))
@@ -140,6 +143,11 @@
 	return chosen
 }
 
+// waitsToo tells that a victim of the choice has runs to wait for.
+func (b *book) waitsToo(c *choice) bool {
+	return slices.ContainsFunc(c.victims, func(model string) bool { return b.by[model] != nil && b.by[model].runs() })
+}
+
 // takes tells whether a new plan may begin at the endpoint. Allowed: one more load from the store may begin.
 func (p *Placer) takes(now time.Time, e *endpoint, model string, allowed bool) bool {
 	if !e.live() || e.plan != nil || now.Before(e.pauseUntil) || e.find(model) != nil {
--- a/internal/control/placer/takeover_test.go
+++ b/internal/control/placer/takeover_test.go
@@ -219,3 +219,32 @@
 		t.Error("nothing made way")
 	}
 }
+
+// TestAnUnloadThatDragsTakesNoOtherCopyInUse has all copies run requests: one unload waits, no other joins it.
+func TestAnUnloadThatDragsTakesNoOtherCopyInUse(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	c, table := takeover()
+	c.Services[0].Engine.WeightsMB = 100
+	p := New(Options{Looks: true, QuietBefore: time.Minute})
+	p.Step(now, Input{Configuration: c, Endpoints: table})
+	looks := looksAt(table, false)
+	unloads := 0
+	var results []Result
+	for at := 500 * time.Millisecond; at < 5*time.Second; at += 100 * time.Millisecond {
+		in := Input{Endpoints: table, Results: results, Looks: looks}
+		if at%(500*time.Millisecond) == 0 {
+			in.Reports = wantedModels(2, "m1")
+			in.Reports[0].Models[1].Running = 30
+		}
+		results, looks = nil, nil
+		for _, order := range p.Step(now.Add(at), in).Orders {
+			results = append(results, Result{ID: order.ID, Outcome: Accepted})
+			if strings.Contains(order.Reason, "first copy") {
+				unloads++
+			}
+		}
+	}
+	if unloads != 1 {
+		t.Errorf("%d copies leave for one model, want 1", unloads)
+	}
+}
