--- a/internal/control/placer/endpoint.go
+++ b/internal/control/placer/endpoint.go
@@ -12,7 +12,8 @@
 const (
 	lookAgain     = 300 * time.Millisecond // a look is asked again when no answer came or it told nothing new
 	firstLook     = 120 * time.Millisecond // after an order: a report is about 100 ms old
-	adapterTime   = 100 * time.Millisecond // an adapter arrives within some ms
+	adapterTime   = 200 * time.Millisecond // an adapter arrives within some ms, and a heartbeat says so
+	adapterLate   = time.Second            // without one it is taken as there
 	answerTime    = 3 * time.Second        // an order without a result for so long has none
 	doubtTime     = time.Second            // an order without an answer may still arrive for so long
 	refusedPause  = 300 * time.Millisecond // after 409
@@ -42,6 +43,8 @@
 	answered time.Time
 	sequence uint64 // of the newest heartbeat when it was answered
 	expected time.Time
+	shown    bool // a heartbeat showed the effect before the answer came
+	seen     bool // of an adapter to be unloaded: a heartbeat had shown it
 }
 
 // copyOf is a model in an endpoint's memory.
@@ -49,7 +52,10 @@
 	model    string
 	adapters []string // sorted
 	since    time.Time
-	missing  int // heartbeats in a row that did not show it
+	missing  int                  // heartbeats in a row that did not show it
+	seen     bool                 // a heartbeat showed it: one without it is newer than its end
+	told     []string             // its adapters in the newest heartbeat that showed it
+	came     map[string]time.Time // when its adapters came, where that was seen
 }
 
 // plan is what is to become of an endpoint in several orders: victims make way, then the target is loaded.
@@ -79,6 +85,7 @@
 	pauseUntil time.Time
 	held       map[string]bool // models this incarnation has surely held: its own disk has them
 	used       float64         // share of its time in use, as estimated
+	kept       reservation     // a place for an adapter
 }
 
 func (e *endpoint) live() bool { return e.State == protocol.Ready }
@@ -116,6 +123,16 @@
 	slices.Sort(c.adapters)
 }
 
+func (c *copyOf) arrived(adapter string, now time.Time) {
+	if c.came == nil {
+		c.came = map[string]time.Time{}
+	}
+	c.came[adapter] = now
+}
+
+// adapterSince is when the adapter came, zero if it was always there.
+func (c *copyOf) adapterSince(adapter string) time.Time { return c.came[adapter] }
+
 func (c *copyOf) removeAdapter(adapter string) {
 	c.adapters = slices.DeleteFunc(c.adapters, func(a string) bool { return a == adapter })
 }
@@ -131,6 +148,11 @@
 	return e.find(model) != nil || e.arriving(model)
 }
 
+// offers tells whether the endpoint has the model and keeps it.
+func (e *endpoint) offers(model string) bool {
+	return e.live() && e.find(model) != nil && !e.leaving(model)
+}
+
 // arriving tells whether the model is being loaded or is the target of a plan.
 func (e *endpoint) arriving(model string) bool {
 	if e.plan != nil && e.plan.target == model {
@@ -164,7 +186,7 @@
 			e.copies[i].missing = 0
 		}
 	}
-	e.finishByBeat(now)
+	e.finishByBeat(now, told)
 	e.forget(now)
 }
 
@@ -177,6 +199,7 @@
 		e.add(told.Name, now)
 	}
 	found := e.find(told.Name)
+	found.seen, found.told = true, told.Adapters
 	for _, adapter := range told.Adapters {
 		found.addAdapter(adapter)
 	}
@@ -185,21 +208,36 @@
 		return
 	}
 	if order.order.Adapter == "" || slices.Contains(told.Adapters, order.order.Adapter) {
-		e.done(now)
+		e.shows(now)
 	}
 }
 
-// finishByBeat ends an unload that enough heartbeats show as done, and gives up a load that never came.
-func (e *endpoint) finishByBeat(now time.Time) {
+// shows takes in that a heartbeat shows the pending order's effect. An answer that is still to come counts in the
+// revision, so the order is not over before it.
+func (e *endpoint) shows(now time.Time) {
+	if e.pending.phase == sent {
+		e.pending.shown = true
+		return
+	}
+	e.done(now)
+}
+
+// finishByBeat ends an unload that a heartbeat shows as done.
+func (e *endpoint) finishByBeat(now time.Time, told protocol.Endpoint) {
 	order := e.pending
-	if order == nil || order.phase == sent {
+	if order == nil || !order.order.Unload {
 		return
 	}
-	if order.order.Unload && order.order.Adapter == "" {
-		found := e.find(order.order.Model)
-		if found == nil || (e.Sequence >= order.sequence+goneBeats && found.missing >= 1) {
-			e.done(now)
+	at := slices.IndexFunc(told.Models, func(m protocol.HeldModel) bool { return m.Name == order.order.Model })
+	if order.order.Adapter != "" {
+		if at >= 0 && !slices.Contains(told.Models[at].Adapters, order.order.Adapter) && order.seen {
+			e.shows(now)
 		}
+		return
+	}
+	found := e.find(order.order.Model)
+	if found == nil || (at < 0 && (found.seen || (order.phase != sent && told.Sequence >= order.sequence+goneBeats))) {
+		e.shows(now)
 	}
 }
 
@@ -217,6 +255,9 @@
 func (e *endpoint) done(now time.Time) {
 	order := e.pending.order
 	e.pending = nil
+	if e.known {
+		e.lookAt = time.Time{} // nothing is left to ask
+	}
 	switch {
 	case order.Adapter == "" && order.Unload:
 		e.remove(order.Model)
@@ -229,6 +270,7 @@
 	default:
 		if found := e.find(order.Model); found != nil {
 			found.addAdapter(order.Adapter)
+			found.arrived(order.Adapter, now)
 		}
 	}
 }
@@ -274,7 +316,7 @@
 		found := e.add(model.Name, now)
 		for _, old := range before {
 			if old.model == model.Name {
-				found.since = old.since
+				found.since, found.seen, found.told, found.came = old.since, old.seen, old.told, old.came
 			}
 		}
 		for _, adapter := range model.Adapters {
--- a/internal/router/dispatch/decider.go
+++ b/internal/router/dispatch/decider.go
@@ -2,11 +2,9 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"raventrestle/asfq"
-	"raventrestle/internal/protocol"
 )
 
 // Decider decides for one router. It is not safe for concurrent use.
@@ -38,7 +36,8 @@
 	suspects  []*endpoint // silent or failing, to be reported
 	graves    graves
 	counters  Counters
-	gone      []*endpoint   // scratch
+	gone      []*endpoint // scratch
+	sweptAt   time.Duration
 	holdUntil time.Duration // at the end of the process; 0: it does not end
 }
 
@@ -72,13 +71,15 @@
 	sentAt     time.Duration
 	expected   float64 // ms to the first byte, as predicted
 	slowAtSend float64
-	readAtSend float64 // thousands of tokens ahead of its first byte
-	plain      bool    // its time tells of reading alone, not of waiting for a place
-	toRead     int     // tokens
-	answering  bool    // an endpoint began to answer
-	heard      bool    // in this call
+	readAtSend float64  // thousands of tokens ahead of its first byte
+	plain      bool     // its time tells of reading alone, not of waiting for a place
+	proves     *holding // which it tries: the model is only presumed to be there
+	toRead     int      // tokens
+	answering  bool     // an endpoint began to answer
+	heard      bool     // in this call
 	trial      bool
 	abandoned  bool
+	silences   int // that it has borne
 
 	tried      []*endpoint
 	runs       int // endpoints on which it may have run
@@ -125,6 +126,7 @@
 		d.take(input)
 	}
 	d.schedule.Tick(d.now)
+	d.sweep()
 	d.fire()
 	d.dispatch()
 	d.close()
@@ -178,6 +180,11 @@
 		return
 	}
 	d.counters.Arrived++
+	if d.unknown(asked) {
+		d.counters.Refused[NoEndpoint]++
+		d.out = append(d.out, Refuse{ID: asked.ID, Reason: NoEndpoint, RetryAfter: unknownAfter})
+		return
+	}
 	r := &request{Request: *asked}
 	r.arrived = d.now
 	if !asked.Arrived.IsZero() {
@@ -202,8 +209,8 @@
 	d.countRequest(r.group.service)
 	d.countDemand(r)
 	r.holdUntil = r.patience()
-	d.place(r)
 	d.timers.add(r.holdUntil, r)
+	d.place(r)
 }
 
 // withdraw forgets a held request. One that is out goes on until Finished.
@@ -252,6 +259,8 @@
 	r.heard = true
 	r.answering = true
 	e.unqueue(r)
+	d.tried(r)
+	d.prove(r, e)
 	d.heard(e, input.Load)
 	d.answered(r, e)
 	d.good(e, r)
@@ -265,109 +274,6 @@
 	}
 }
 
-// finished takes in the end of a call.
-func (d *Decider) finished(input Finished) {
-	r := d.requests[input.ID]
-	if r == nil || r.stage != sent || r.at.id != input.Endpoint {
-		return
-	}
-	e := r.at
-	d.hangUp(r)
-	d.heard(e, input.Load)
-	d.judge(r, e, input)
-	e.changed()
-	if e.state == protocol.Gone && len(e.calls) == 0 {
-		delete(d.endpoints, e.id)
-	}
-	if !input.More || r.withdrawn {
-		r.group.service.fairness.count(r, input.Result == Succeeded)
-		d.forget(r)
-		return
-	}
-	d.again(r)
-}
-
-// hangUp frees the slot of a call.
-func (d *Decider) hangUp(r *request) {
-	e := r.at
-	e.calls = without(e.calls, r)
-	if !r.heard {
-		e.unqueue(r)
-	}
-	if r.trial {
-		e.evidence.trials--
-		r.trial = false
-	}
-	e.service.out--
-	e.usedAt = d.now
-	d.schedule.Ended(e, (d.now - r.sentAt).Seconds(), d.now)
-	r.target.running--
-	d.changed()
-	r.at = nil
-	r.stage = waiting
-}
-
-// judge draws from the end of a call what it says of the request and of the endpoint.
-func (d *Decider) judge(r *request, e *endpoint, input Finished) {
-	r.tried = append(r.tried, e)
-	switch input.Result {
-	case Succeeded:
-		r.ran()
-		d.ended(r)
-		if !r.heard {
-			d.answered(r, e)
-		}
-		d.good(e, r)
-	case Failed:
-		r.ran()
-		d.failed(e, r, failureWeight)
-	case Lost:
-		r.ran()
-		d.failed(e, r, lossWeight)
-	case GivenUp:
-		r.ran()
-		d.gaveUp(e, r)
-	case NotSent:
-		r.arrivals--
-		d.unspend(r)
-		r.rejections++
-		d.failed(e, r, deadWeight)
-	case Refused:
-		r.rejections++
-		d.turnedAway(e, r, input.Load)
-	case WrongTarget:
-		r.rejections++
-		d.misdirected(e, r)
-	}
-}
-
-// ran: from now on it may have run on one endpoint more.
-func (r *request) ran() {
-	r.runs++
-	r.mayHaveRun = true
-}
-
-// again finds another endpoint for a request whose call ended without an answer, if that is allowed.
-func (d *Decider) again(r *request) {
-	switch {
-	case r.mayHaveRun && !r.Repeatable, r.runs >= max(r.MaxEndpoints, 1):
-		d.refuse(r, Exhausted, 0)
-	case r.rejections > mostRejections:
-		d.refuse(r, Exhausted, d.retryAfter(r, 0))
-	case !d.mayGoAgain(r):
-		d.refuse(r, BudgetSpent, d.retryAfter(r, 0))
-	case d.now >= r.deadline:
-		d.refuse(r, NoTime, 0)
-	default:
-		r.late = false
-		r.holdUntil = d.patienceAgain(r)
-		d.place(r)
-		d.timers.add(r.holdUntil, r)
-	}
-}
-
-func (r *request) hasTried(e *endpoint) bool { return slices.Contains(r.tried, e) }
-
 // fire looks at the requests whose time has come.
 func (d *Decider) fire() {
 	for {
