--- /dev/null
+++ b/internal/lab/system/system_test.go
@@ -0,0 +1,46 @@
+package system
+
+import (
+	"encoding/json"
+	"testing"
+
+	"raventrestle/internal/configuration"
+	"raventrestle/internal/nodeconfig"
+)
+
+// What the run writes for the programs is what they take.
+func TestSettingsAreGood(t *testing.T) {
+	w := &world{folder: t.TempDir(), places: places{first: firstPort}}
+	for number := range instances {
+		settings, err := nodeconfig.Parse("control", []byte(w.controlSettings(number)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if settings.ListenControl != w.places.control(number) || len(settings.Seeds) != instances || !settings.Bootstrap {
+			t.Errorf("%+v", settings)
+		}
+	}
+	for number := range routers {
+		settings, err := nodeconfig.Parse("router", []byte(w.routerSettings(number)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if settings.ListenFront != w.places.front(number) || settings.EphemeralFirst != firstPort+portInternal {
+			t.Errorf("%+v", settings)
+		}
+	}
+}
+
+func TestFirstConfigurationIsGood(t *testing.T) {
+	text, err := json.Marshal(firstConfiguration())
+	if err != nil {
+		t.Fatal(err)
+	}
+	document, err := configuration.ParseDocument(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := configuration.Check(document.Configuration(), nil); err != nil {
+		t.Error(err)
+	}
+}
