Leave a tenant's last quota to its more urgent requests

While more urgent ones are refused for quota, less urgent ones leave what one of those needs, but for each eighth.

--- a/internal/router/dispatch/decider.go
+++ b/internal/router/dispatch/decider.go
@@ -88,6 +88,7 @@
 	arrivals   int
 	mayHaveRun bool
 	charged    float64
+	yields     bool // leaves its quota to more urgent ones
 	unpaid     bool // held until its tenant's quota allows it
 	spentAt    int64
 	spentNow   bool
@@ -199,7 +200,7 @@
 	switch {
 	case paid:
 		d.admit(r)
-	case !d.holdUnpaid(r):
+	case r.yields || !d.holdUnpaid(r):
 		d.refuse(r, OverQuota, wait)
 	}
 }
@@ -243,6 +244,9 @@
 		d.countUnserved(r)
 	}
 	d.counters.Refused[reason]++
+	if t := d.tenants[r.Tenant]; t != nil && reason == OverQuota && !r.yields {
+		t.over.note(r, d.now)
+	}
 	d.out = append(d.out, Refuse{ID: r.ID, Reason: reason, RetryAfter: after})
 	if reason != OverQuota && reason != NoEndpoint {
 		r.group.service.fairness.count(r, false)
--- a/internal/router/dispatch/decisions_test.go
+++ b/internal/router/dispatch/decisions_test.go
@@ -211,3 +211,29 @@
 		t.Errorf("%d sent again, at most %v; %d refused for it", again, most, spent)
 	}
 }
+
+// While a tenant's urgent requests are refused for want of quota, its less urgent small ones don't eat up what comes in.
+func TestLessUrgentLeaveQuotaToTheUrgent(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"))
+	var served, asked [2]int
+	kindOf := map[RequestID]int{}
+	for at := 10; at < 20000; at += 50 {
+		for kind, charge := range []float64{400, 60} {
+			r := s.charged(charge)
+			r.RoutePriority = kind + 1
+			asked[kind]++
+			kindOf[r.ID] = kind
+			for _, out := range [][]Output{s.step(at+20*kind, Arrived{r}), s.step(at + 20*kind + 10)} {
+				for _, send := range sends(out) {
+					served[kindOf[send.ID]]++
+					s.step(at+20*kind+10, Finished{ID: send.ID, Endpoint: "a"})
+				}
+			}
+		}
+	}
+	urgent, other := float64(served[0])/float64(asked[0]), float64(served[1])/float64(asked[1])
+	t.Logf("%.3f of the urgent served, %.3f of the others", urgent, other)
+	if other > urgent*4 || other < 0.02 {
+		t.Errorf("%.3f of the urgent served, %.3f of the others", urgent, other)
+	}
+}
--- a/internal/router/dispatch/quota.go
+++ b/internal/router/dispatch/quota.go
@@ -36,6 +36,7 @@
 	creditEnds time.Duration
 	unpaid     []*request    // held until they can be paid, in order of arrival
 	drought    time.Duration // nothing is held before, since credit did not come
+	over       refusedOver
 }
 
 // configureTenants takes over the limits of a new configuration. Levels stay, below the new bounds.
@@ -135,6 +136,10 @@
 	d.changed()
 	d.refill(t)
 	first := len(t.unpaid) == 0 || t.unpaid[0] == r
+	r.yields = r.Charge <= d.means(t) && r.Charge+d.reserve(t, r) > d.means(t)
+	if r.yields {
+		return longQuotaWait, false
+	}
 	if first && d.pay(t, r) {
 		return 0, true
 	}
