--- a/internal/router/ingress/world_test.go
+++ b/internal/router/ingress/world_test.go
@@ -125,7 +125,7 @@
 			outputs = append(outputs, d.next(i.Request.ID)...)
 		case dispatch.Stalled: // as the decider: a call ends only where another endpoint will take the request
 			if d.sent[i.ID] < len(d.endpoints) {
-				outputs = append(outputs, dispatch.Abandon{ID: i.ID, Endpoint: i.Endpoint})
+				outputs = append(outputs, dispatch.Abandon(i))
 			}
 		case dispatch.Finished:
 			d.finished = append(d.finished, i)
