--- a/internal/control/placer/endpoint.go
+++ b/internal/control/placer/endpoint.go
@@ -23,6 +23,7 @@
 	goneBeats     = 2                      // heartbeats without the model after an unload's answer, one may be older
 	forgetBeats   = 4                      // heartbeats without a model that nobody unloaded
 	loadLate      = 3                      // an unanswered load is over after so many load times
+	dragTime      = 700 * time.Millisecond // an unload that lasts longer waits for runs
 	decidedWithin = 4 * time.Second        // a plan that could not begin for so long is decided anew
 )
 
@@ -52,9 +53,10 @@
 	model    string
 	adapters []string // sorted
 	since    time.Time
-	missing  int      // heartbeats in a row that did not show it
-	seen     bool     // a heartbeat showed it: one without it is newer than its end
-	told     []string // its adapters in the newest heartbeat that showed it
+	missing  int                  // heartbeats in a row that did not show it
+	seen     bool                 // a heartbeat showed it: one without it is newer than its end
+	told     []string             // its adapters in the newest heartbeat that showed it
+	came     map[string]time.Time // when its adapters came, where that was seen
 }
 
 // plan is what is to become of an endpoint in several orders: victims make way, then the target is loaded.
@@ -84,6 +86,7 @@
 	pauseUntil time.Time
 	held       map[string]bool // models this incarnation has surely held: its own disk has them
 	used       float64         // share of its time in use, as estimated
+	kept       reservation     // a place for an adapter
 }
 
 func (e *endpoint) live() bool { return e.State == protocol.Ready }
@@ -121,6 +124,16 @@
 	slices.Sort(c.adapters)
 }
 
+func (c *copyOf) arrived(adapter string, now time.Time) {
+	if c.came == nil {
+		c.came = map[string]time.Time{}
+	}
+	c.came[adapter] = now
+}
+
+// adapterSince is when the adapter came, zero if it was always there.
+func (c *copyOf) adapterSince(adapter string) time.Time { return c.came[adapter] }
+
 func (c *copyOf) removeAdapter(adapter string) {
 	c.adapters = slices.DeleteFunc(c.adapters, func(a string) bool { return a == adapter })
 }
@@ -149,6 +162,11 @@
 	return e.pending != nil && !e.pending.order.Unload && e.pending.order.Model == model && e.pending.order.Adapter == ""
 }
 
+// drags tells that an unload of the endpoint's plan waits for runs: another place may be sooner.
+func (e *endpoint) drags(now time.Time) bool {
+	return e.plan != nil && e.pending != nil && e.pending.order.Unload && now.Sub(e.pending.issued) > dragTime
+}
+
 // leaving tells whether the model is being unloaded or is a victim of a plan.
 func (e *endpoint) leaving(model string) bool {
 	if e.plan != nil && slices.Contains(e.plan.victims, model) {
@@ -258,6 +276,7 @@
 	default:
 		if found := e.find(order.Model); found != nil {
 			found.addAdapter(order.Adapter)
+			found.arrived(order.Adapter, now)
 		}
 	}
 }
@@ -303,7 +322,7 @@
 		found := e.add(model.Name, now)
 		for _, old := range before {
 			if old.model == model.Name {
-				found.since, found.seen, found.told = old.since, old.seen, old.told
+				found.since, found.seen, found.told, found.came = old.since, old.seen, old.told, old.came
 			}
 		}
 		for _, adapter := range model.Adapters {
