Check: run the tests that start real processes before the simulated worlds

Cause: TestUpgradeKilled met 11 closed connections (8 allowed) in a check beside other work at a load over 40; the new parts' simulated worlds run on all processors beside it in the check itself. Change: packages under cmd first, one at a time; no test is eased.

--- a/check.sh
+++ b/check.sh
@@ -75,8 +75,13 @@
 red_packages=$(printf '%s\n' "$red_list" | cut -f2 | sort -u)
 all_packages=$(go list ./...)
 green_packages=$(printf '%s\n' "$all_packages" | grep -vxF -e "${red_packages:-none}")
-# shellcheck disable=SC2086 # a list of packages
-go test -race $green_packages
+# Tests that start real processes and measure their time go first, one package at a time: the simulated worlds of the
+# deciders take all processors.
+processes='^raventrestle/cmd/'
+# shellcheck disable=SC2046 # lists of packages
+go test -race -p 1 $(printf '%s\n' "$green_packages" | grep -E "$processes")
+# shellcheck disable=SC2046
+go test -race $(printf '%s\n' "$green_packages" | grep -vE "$processes")
 for package in $red_packages; do
 	skipped=$(printf '%s\n' "$red_list" | awk -F "$tab" -v p="$package" '$2 == p { print $1 }' | pattern)
 	go test -race -skip "$skipped" "$package"
