--- a/internal/control/placer/capacity.go
+++ b/internal/control/placer/capacity.go
@@ -46,7 +46,6 @@
 	demand *demand // nil: nobody ever asked
 	rate   float64 // projected requests a second
 	steady float64
-	slow   float64 // requests a second in the last seconds
 	time   float64 // endpoint seconds a second
 	sites  []site  // by endpoint ID
 	level  float64 // share of time in use of the endpoints it uses
@@ -90,7 +89,6 @@
 		if d := l.demand; d != nil {
 			l.rate = d.projected(whole.fast, whole.slow, age, ahead)
 			l.steady = d.steady(age)
-			l.slow = d.slow.rate(age, slowTime)
 			l.time = l.rate * f.requestTime(d, age)
 		}
 		b.loads = append(b.loads, l)
@@ -143,11 +141,6 @@
 	return ""
 }
 
-// lasting is the rate that a first copy is worth: one request within a second is no rate of one a second.
-func (l *load) lasting() float64 {
-	return math.Max(l.steady, math.Min(l.rate, l.slow))
-}
-
 // runs tells that the model's copies have requests out.
 func (l *load) runs() bool {
 	return l.demand != nil && float64(l.demand.running) > 0.5*float64(len(l.sites))
--- a/internal/control/placer/plan.go
+++ b/internal/control/placer/plan.go
@@ -179,7 +179,7 @@
 			waited += waitGrowth * now.Sub(d.waitingSince).Seconds()
 		}
 		now := p.pressing(l) * d.worth * waited
-		return now + horizon*l.lasting()*(missLoss*d.worth+p.options.LoadPrice)*after
+		return now + horizon*math.Max(l.rate, l.steady)*(missLoss*d.worth+p.options.LoadPrice)*after
 	}
 	rate := l.rate * d.worth * (after - worthAt(l.level))
 	sum := horizon * (rate + p.redundant(l) + l.adapterGain)
@@ -245,7 +245,7 @@
 	d := l.demand
 	if len(l.sites) == 0 {
 		return fmt.Sprintf("first copy: %d waiting, %.1f refused, %.2f asked/s; gain %.2f, loss %.2f",
-			d.waiting, d.unmet, l.lasting(), c.gain, c.loss)
+			d.waiting, d.unmet, math.Max(l.rate, l.steady), c.gain, c.loss)
 	}
 	return fmt.Sprintf("copy %d: %.1f asked/s expected, endpoints %.0f%% in use; gain %.2f, loss %.2f",
 		len(l.sites)+1, l.rate, 100*l.level, c.gain, c.loss)
--- a/internal/control/placer/victims.go
+++ b/internal/control/placer/victims.go
@@ -129,5 +129,5 @@
 	if l.demand == nil || l.demand.askedAt.IsZero() {
 		return dormantWorth * math.Exp(-now.Sub(p.start).Seconds()/dormantTime.Seconds())
 	}
-	return horizon * l.lasting() * (missLoss*l.demand.worth + p.options.LoadPrice)
+	return horizon * math.Max(l.rate, l.steady) * (missLoss*l.demand.worth + p.options.LoadPrice)
 }
