Take back the smaller stocks and the strict judgement, keep the debts' true share

Change: stocks and the judgement of an earlier holder as before; the debt share of a half, which keeps windows, and the longer tests stay.

--- a/internal/control/quota/quota.go
+++ b/internal/control/quota/quota.go
@@ -10,7 +10,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -33,7 +32,7 @@
 	DefaultWindow   = 8 * time.Second
 	DefaultDelivery = 750 * time.Millisecond
 
-	pulledFor    = 4 * time.Second         // a grant is good for so long where routers ask for credits
+	pulledFor    = 8 * time.Second         // a grant is good for so long where routers ask for credits
 	pushedFor    = 1500 * time.Millisecond // and where they don't
 	renewPart    = 0.5                     // of its time, after which it is renewed
 	reportLag    = 700 * time.Millisecond  // what a router spent so long ago is surely reported
@@ -45,10 +44,10 @@
 	pushedAmple  = 1.5                     // and without
 	stockTime    = 2 * time.Second         // of demand that a router is to have in credits
 	stockLow     = 0.5                     // of its stock, below which it is filled up
-	stockLacks   = 5.0                     // a stock smaller than so many usual lacks serves nobody
+	stockLacks   = 3                       // a stock smaller than so many usual lacks serves nobody
 	lackBy       = 0.1                     // by how much a new lack changes the usual one
 	goneAfter    = 30 * time.Second        // a router out of reach for so long has ended
-	stockPart    = 0.25                    // of what may be lent, at most so much for stocks
+	stockPart    = 0.5                     // of what may be lent, at most so much for stocks
 	reserve      = 0.02                    // of what a window allows, never handed out
 	depthPart    = 0.2                     // of what a window allows beyond rate and burst, given to the buckets' depth
 	evenPart     = 0.2                     // of the depth, divided evenly among the routers that ask
@@ -108,7 +107,6 @@
 	id       Router
 	sequence uint64
 	sentAt   time.Time
-	since    time.Time // in touch without a break
 	gone     bool
 }
 
@@ -131,7 +129,7 @@
 	if in.Configuration != nil {
 		a.configure(now, in.Configuration.Tenants)
 	}
-	a.meet(now, in)
+	a.meet(in)
 	for _, confirmation := range in.Confirmed {
 		a.confirm(now, confirmation)
 	}
@@ -144,9 +142,8 @@
 	}
 	if a.acting.IsZero() {
 		a.acting = now
-		heard := a.heard(now)
 		for _, t := range a.order {
-			t.judgePast(now, heard, a.options)
+			t.judgePast(now, a.options)
 		}
 	}
 	if now.Sub(a.acting) < a.earlier()-a.options.QuietBefore {
@@ -190,19 +187,8 @@
 	slices.SortFunc(a.order, func(x, y *tenant) int { return cmp.Compare(x.name, y.name) })
 }
 
-// heard is the part of the routers that have been in touch for long enough to tell what tenants ask for.
-func (a *Allocator) heard(now time.Time) float64 {
-	count := 0
-	for _, r := range a.routers {
-		if now.Sub(r.since) >= judgedOver {
-			count++
-		}
-	}
-	return math.Min(1, float64(count)/math.Max(1, float64(a.floors)))
-}
-
 // meet takes the set of routers.
-func (a *Allocator) meet(now time.Time, in Input) {
+func (a *Allocator) meet(in Input) {
 	a.floors = in.Floors
 	if a.floors <= 0 {
 		a.floors = len(in.Routers)
@@ -212,7 +198,7 @@
 	}
 	for _, id := range in.Routers {
 		if a.routers[id] == nil {
-			a.routers[id] = &router{id: id, since: now}
+			a.routers[id] = &router{id: id}
 		}
 		a.routers[id].gone = false
 	}
--- a/internal/control/quota/tenant.go
+++ b/internal/control/quota/tenant.go
@@ -76,16 +76,14 @@
 	judgedOver  = 2 * time.Second // gathered for less, it knows nothing
 	pressedPart = 1.3             // of its rate: a tenant that asks for more was pressing before, too
 	pressedMore = 2               // usual lacks, on top
-	heardPart   = 0.5             // of the routers: where fewer were heard, nothing is known
 )
 
 // judgePast makes sure, when the allocator begins to act, that what an earlier holder may have let a tenant spend is
 // counted. A tenant that presses, or of which nothing is known, is assumed to have spent all of a window at once.
-func (t *tenant) judgePast(now time.Time, heard float64, options Options) {
+func (t *tenant) judgePast(now time.Time, options Options) {
 	t.advance(now)
 	over := now.Sub(t.began)
-	usual := pressedPart*t.rate*over.Seconds()*heard + pressedMore*t.lack
-	if heard > heardPart && over >= judgedOver && t.asked <= usual {
+	if over >= judgedOver && t.asked <= pressedPart*t.rate*over.Seconds()+pressedMore*t.lack {
 		return
 	}
 	at := len(t.spent) - 1 - int(over/bucketSpan)
