--- a/internal/control/quota/quota.go
+++ b/internal/control/quota/quota.go
@@ -32,7 +32,7 @@
 	DefaultWindow   = 8 * time.Second
 	DefaultDelivery = 750 * time.Millisecond
 
-	pulledFor    = 8 * time.Second         // a grant is good for so long where routers ask for credits
+	pulledFor    = 4 * time.Second         // a grant is good for so long where routers ask for credits
 	pushedFor    = 1500 * time.Millisecond // and where they don't
 	renewPart    = 0.5                     // of its time, after which it is renewed
 	reportLag    = 700 * time.Millisecond  // what a router spent so long ago is surely reported
@@ -44,10 +44,10 @@
 	pushedAmple  = 1.5                     // and without
 	stockTime    = 2 * time.Second         // of demand that a router is to have in credits
 	stockLow     = 0.5                     // of its stock, below which it is filled up
-	stockLacks   = 3                       // a stock smaller than so many usual lacks serves nobody
+	stockLacks   = 5                       // a stock smaller than so many usual lacks serves nobody
 	lackBy       = 0.1                     // by how much a new lack changes the usual one
 	goneAfter    = 30 * time.Second        // a router out of reach for so long has ended
-	stockPart    = 0.5                     // of what may be lent, at most so much for stocks
+	stockPart    = 0.25                    // of what may be lent, at most so much for stocks
 	reserve      = 0.02                    // of what a window allows, never handed out
 	depthPart    = 0.2                     // of what a window allows beyond rate and burst, given to the buckets' depth
 	evenPart     = 0.2                     // of the depth, divided evenly among the routers that ask
