--- a/internal/router/dispatch/quota.go
+++ b/internal/router/dispatch/quota.go
@@ -15,8 +15,8 @@
 // the bucket is served. A request that the bucket can't pay is held for a moment, and what it lacks is told to the
 // control plane at once, which may lend it as credit.
 const (
-	floorShare     = 0.5 // of its even part of the rate, that a router spends without a grant
-	toleranceShare = 0.5 // of the tolerance, that all routers together may be in debt
+	floorShare     = protocol.QuotaFloorShare // of its even part of the rate, that a router spends without a grant
+	toleranceShare = protocol.QuotaDebtShare  // of the tolerance, that all routers together may be in debt
 	longQuotaWait  = time.Second
 	mostQuotaHold  = 80 * time.Millisecond  // that a request waits for credit
 	quotaDrought   = 150 * time.Millisecond // without holding, after credit was not given in time
