Name the messages and types by which a router learns the age of what it knows

Standing, Probe and Probed carry epoch, age and marks; Status tells ConfirmedAt. Nothing sends or reads them yet.

--- a/coordination/chain/types.go
+++ b/coordination/chain/types.go
@@ -126,4 +126,7 @@
 	LeaseUntil     time.Duration
 	LeaderSince    time.Duration
 	PreviousMayAct time.Duration
+	// ConfirmedAt is the newest moment at which a majority of the voters was in View's epoch and before which
+	// everything that was acknowledged anywhere is applied here. 0: there was none in this epoch and life.
+	ConfirmedAt time.Duration
 }
--- a/coordination/replica/types.go
+++ b/coordination/replica/types.go
@@ -32,6 +32,10 @@
 	Leader      bool
 	LeaseUntil  time.Time
 	LeaderSince time.Time // start of this member's own tenure in this epoch
+	// ConfirmedAt is the newest moment (steady clock) of which this member can prove two things: a majority of the
+	// voters was in View's epoch then, and everything that was acknowledged anywhere before it is applied here. Zero:
+	// there was none in this epoch and life.
+	ConfirmedAt time.Time
 	// PreviousMayAct is until when a leader of an earlier epoch may still believe in its lease.
 	PreviousMayAct time.Time
 }
--- a/internal/protocol/codec.go
+++ b/internal/protocol/codec.go
@@ -10,6 +10,8 @@
 	KindBeacon    byte = 4
 	KindReport    byte = 5
 	KindReplica   byte = 6
+	KindProbe     byte = 7
+	KindProbed    byte = 8
 )
 
 // ReplicaMessage carries a message between replicas, whose insides only they know.
@@ -28,5 +30,7 @@
 	codec.Register(KindBeacon, Beacon{})
 	codec.Register(KindReport, Report{})
 	codec.Register(KindReplica, ReplicaMessage{})
+	codec.Register(KindProbe, Probe{})
+	codec.Register(KindProbed, Probed{})
 	return codec
 }
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -60,6 +60,7 @@
 	Incarnation uint64 `cbor:"3,keyasint"` // random, one for each start of the process
 	Generation  int64  `cbor:"4,keyasint"` // of the newest configuration it has; 0: none
 	Ready       bool   `cbor:"5,keyasint"`
+	Mark        uint64 `cbor:"6,keyasint,omitempty"` // comes back in Standing.Mark; 0: none
 }
 
 // Update brings a router up to date. Sequence rises by one with each update of a connection; a gap means
@@ -74,17 +75,20 @@
 	Routers    int          `cbor:"7,keyasint,omitempty"` // how many routers share limits; 0: unchanged
 	Quotas     []QuotaGrant `cbor:"8,keyasint,omitempty"`
 	Confirmed  bool         `cbor:"9,keyasint,omitempty"` // a majority confirmed that Generation is the newest
+	Standing   Standing     `cbor:"10,keyasint,omitzero"`
 }
 
 // Confirm answers an Update: it is in force.
 type Confirm struct {
 	Sequence uint64 `cbor:"1,keyasint"`
+	Mark     uint64 `cbor:"2,keyasint,omitempty"` // comes back in Standing.Mark; 0: none
 }
 
 // Beacon is sent when there is nothing else to send, so that silence means a broken connection.
 type Beacon struct {
-	Sequence   uint64 `cbor:"1,keyasint"` // of the last update
-	Generation int64  `cbor:"2,keyasint"` // newest committed configuration
+	Sequence   uint64   `cbor:"1,keyasint"` // of the last update
+	Generation int64    `cbor:"2,keyasint"` // newest committed configuration
+	Standing   Standing `cbor:"3,keyasint,omitzero"`
 }
 
 // QuotaGrant is a router's part of a tenant's rate, in the tenant's unit.
