--- a/cmd/ravenlab/main.go
+++ b/cmd/ravenlab/main.go
@@ -40,7 +40,7 @@
 	c := &cobra.Command{Use: "ravenlab", Short: "Play scenarios against real couriers on an emulated world",
 		SilenceErrors: true, SilenceUsage: true}
 	c.AddCommand(run(), scenarioCommands(), reportCommand(), compareCommand(), experimentCommand(), shrinkCommand(), replayCommand(),
-		rig(), double(), cost(), demo(), systemCommand())
+		rig(), double(), cost(), demo(), systemCommand(), daysCommand())
 	return c
 }
 
