Name the packages of a clean build, build without version control, and check both

A clean machine has Go and what the deploy file names. Read by strace of the build: gcc, cc1, collect2, as, ld; files of gcc-12, cpp-12, binutils, libgcc-12-dev, libc6-dev, linux-libc-dev. With packages gcc alone it fails on grp.h, with libc6-dev alone on cgo.

--- a/check.sh
+++ b/check.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Checks format, vet, staticcheck, both builds and how they are linked, tests and the size of the decision module.
+# Checks format, vet, staticcheck, both builds, how they are linked and what a clean machine needs for them, tests and the size of the decision module.
 #
 # A test that is known to fail stands in KNOWN-RED.txt: test name, package, cause and issue, divided by tabs.
 # Those tests are run apart and their outcome is told; all others must pass.
@@ -62,6 +62,7 @@
 	need_c_library target/raventrestle-control
 	bin/raventrestle-control check -deploy deploy/system.toml
 	bin/ravenlab system --once
+	deploy/clean-build-check
 fi
 
 files=$(policy_files)
--- a/cmd/raventrestle-router/main.go
+++ b/cmd/raventrestle-router/main.go
@@ -7,12 +7,12 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/google/subcommands"
 	"github.com/phuslu/log"
 
+	"raventrestle/internal/buildinfo"
 	"raventrestle/internal/check"
 	"raventrestle/internal/nodeconfig"
 	"raventrestle/internal/router/node"
@@ -22,7 +22,7 @@
 	commander := subcommands.NewCommander(flag.CommandLine, "raventrestle-router")
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(&run{}, "")
-	commander.Register(&version{}, "")
+	commander.Register(&buildinfo.Command{Program: "raventrestle-router"}, "")
 	commander.Register(&check.Command{Program: "raventrestle-router"}, "")
 	flag.Parse()
 	os.Exit(int(commander.Execute(context.Background())))
@@ -58,21 +58,3 @@
 	}
 	return subcommands.ExitSuccess
 }
-
-// version tells what was built.
-type version struct{}
-
-func (*version) Name() string             { return "version" }
-func (*version) Synopsis() string         { return "print what this program was built from" }
-func (*version) Usage() string            { return "version\n" }
-func (*version) SetFlags(f *flag.FlagSet) {}
-
-func (*version) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		fmt.Println("raventrestle-router (unknown build)")
-		return subcommands.ExitSuccess
-	}
-	fmt.Println("raventrestle-router", info.Main.Version, info.GoVersion)
-	return subcommands.ExitSuccess
-}
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -71,6 +71,18 @@
 	checkRun(t, "build = \n", 1, []string{"line 1"}, "-deploy")
 }
 
+func TestPackagesOfDeployFile(t *testing.T) {
+	roles := "[roles.r]\nrun = \"x\"\non = \"edge\"\nshare = 1.0\n"
+	checkRun(t, "build = \"b\"\npackages = [\"gcc\", \"libstdc++-12-dev\", \"libc6-dev\"]\n"+roles, 0, []string{"good: roles r"},
+		"-deploy")
+	checkRun(t, "build = \"b\"\npackages = []\n"+roles, 0, nil, "-deploy")
+	checkRun(t, "build = \"b\"\npackages = [\"GCC\", \"a b\", \"\", \"g\", \"-x\", \"gcc\", \"gcc\"]\n"+roles, 1, []string{
+		`packages: "GCC" is no name`, `packages: "a b" is`, `packages: "" is`, `packages: "g" is`, `packages: "-x" is`,
+		`packages: "gcc" is named twice`}, "-deploy")
+	checkRun(t, "build = \"b\"\npackages = \"gcc\"\n"+roles, 1, []string{"line 2: packages"}, "-deploy")
+	checkRun(t, "build = \"b\"\npackages = [1]\n"+roles, 1, []string{"line 2: packages"}, "-deploy")
+}
+
 // The deploy file in service is good.
 func TestOwnDeployFile(t *testing.T) {
 	report, err := Deploy(filepath.Join("..", "..", "deploy", "system.toml"))
--- a/internal/check/deploy.go
+++ b/internal/check/deploy.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"regexp"
 	"slices"
 	"strings"
 
@@ -19,8 +20,9 @@
 
 // deployFile says how the system is built and which program runs on which machines.
 type deployFile struct {
-	Build string          `toml:"build"`
-	Roles map[string]role `toml:"roles"`
+	Build    string          `toml:"build"`
+	Packages []string        `toml:"packages"` // system packages that the build needs, by their Debian names
+	Roles    map[string]role `toml:"roles"`
 }
 
 type role struct {
@@ -41,7 +43,7 @@
 	var file deployFile
 	decoder := toml.NewDecoder(bytes.NewReader(body)).DisallowUnknownFields()
 	if err := decoder.Decode(&file); err != nil {
-		return bad(faultsOfTOML(err)), nil
+		return bad(faultsOfTOML(body, err)), nil
 	}
 	if faults := file.faults(); len(faults) > 0 {
 		return bad(faults), nil
@@ -50,28 +52,47 @@
 }
 
 // faultsOfTOML names the line of each unknown or malformed key.
-func faultsOfTOML(err error) []Fault {
+func faultsOfTOML(body []byte, err error) []Fault {
 	var unknown *toml.StrictMissingError
 	if errors.As(err, &unknown) {
 		var faults []Fault
 		for i := range unknown.Errors {
-			faults = append(faults, faultOfTOML(&unknown.Errors[i], "is not known"))
+			faults = append(faults, faultOfTOML(body, &unknown.Errors[i], "is not known"))
 		}
 		return faults
 	}
 	var malformed *toml.DecodeError
 	if errors.As(err, &malformed) {
-		return []Fault{faultOfTOML(malformed, malformed.Error())}
+		return []Fault{faultOfTOML(body, malformed, goField.ReplaceAllString(malformed.Error(), ""))}
 	}
 	return []Fault{{Item: "file", Reason: err.Error()}}
 }
 
-func faultOfTOML(err *toml.DecodeError, reason string) Fault {
+// goField is how the library names a field of this program, which is nothing to the reader of a deploy file.
+var goField = regexp.MustCompile(`struct field \S+ of type `)
+
+func faultOfTOML(body []byte, err *toml.DecodeError, reason string) Fault {
 	line, _ := err.Position()
 	item := strings.Join(err.Key(), ".")
+	if item == "" {
+		item = keyOfLine(body, line)
+	}
 	return Fault{Item: strings.TrimSuffix(fmt.Sprintf("line %d: %s", line, item), ": "), Reason: reason}
 }
 
+// keyOfLine gives the key that a line sets, if it sets one: the library doesn't name the key of a wrong type.
+func keyOfLine(body []byte, line int) string {
+	lines := strings.Split(string(body), "\n")
+	if line < 1 || line > len(lines) {
+		return ""
+	}
+	key, _, sets := strings.Cut(lines[line-1], "=")
+	if !sets {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
 func (d *deployFile) faults() []Fault {
 	var found []Fault
 	add := func(item, format string, arguments ...any) {
@@ -80,6 +101,9 @@
 	if d.Build == "" {
 		add("build", "is missing")
 	}
+	for _, reason := range packageFaults(d.Packages) {
+		add("packages", "%s", reason)
+	}
 	if len(d.Roles) == 0 {
 		add("roles", "there is none")
 	}
@@ -103,6 +127,25 @@
 	return found
 }
 
+// packageName is what Debian allows as the name of a package.
+var packageName = regexp.MustCompile(`^[a-z0-9][a-z0-9+.-]+$`)
+
+// packageFaults tells which entries are no names of packages, and which come twice.
+func packageFaults(packages []string) []string {
+	var found []string
+	seen := make(map[string]bool)
+	for _, name := range packages {
+		switch {
+		case !packageName.MatchString(name):
+			found = append(found, fmt.Sprintf("%q is no name of a Debian package", name))
+		case seen[name]:
+			found = append(found, fmt.Sprintf("%q is named twice", name))
+		}
+		seen[name] = true
+	}
+	return found
+}
+
 // mostRoles run on one machine.
 const mostRoles = 2
 
