--- a/check.sh
+++ b/check.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Checks format, vet, staticcheck, both builds, how they are linked and what a clean machine needs for them, tests and the size of the decision module.
+# Checks format, vet, staticcheck, both builds, how they are linked and what a clean machine needs for them, tests and
+# the size of the decision module.
 #
 # A test that is known to fail stands in KNOWN-RED.txt: test name, package, cause and issue, divided by tabs.
 # Those tests are run apart and their outcome is told; all others must pass.
--- a/internal/control/placer/order_test.go
+++ b/internal/control/placer/order_test.go
@@ -54,6 +54,39 @@
 	}
 }
 
+// TestARestartedEndpointIsLookedAtAnew has an endpoint start again, empty, with a new ID at its old address: its count of
+// orders begins anew. While an earlier holder's order may be on its way, its own report must tell so first.
+func TestARestartedEndpointIsLookedAtAnew(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	p, e := single(t, now)
+	look := Look{Endpoint: e.ID, Revision: 7, Models: e.Models}
+	out := p.Step(now.Add(50*time.Millisecond), Input{Endpoints: []protocol.Endpoint{e}, Looks: []Look{look}})
+	if len(out.Orders) != 1 || *out.Orders[0].Revision != 7 {
+		t.Fatalf("orders %+v, want one at revision 7", out.Orders)
+	}
+	e.ID, e.Sequence, e.Models = "i-2", 1, nil
+	table := []protocol.Endpoint{e}
+	results := []Result{{ID: out.Orders[0].ID, Outcome: Accepted}}
+	asked := protocol.Report{Node: "r", Sequence: 1, Over: 500 * time.Millisecond,
+		Models: []protocol.ModelDemand{{Service: "lm", Model: "big", Asked: 2, Unserved: 2}}}
+	in := Input{Endpoints: table, Results: results, Reports: []protocol.Report{asked}}
+	out = p.Step(now.Add(100*time.Millisecond), in)
+	if len(out.Orders) != 0 || len(out.Looks) != 1 || out.Looks[0] != "i-2" {
+		t.Fatalf("orders %+v, looks %+v, want a look at i-2 alone", out.Orders, out.Looks)
+	}
+	in = Input{Endpoints: table, Looks: []Look{{Endpoint: "i-2"}}}
+	for at := 150 * time.Millisecond; at < 5*time.Second; at += 50 * time.Millisecond {
+		out = p.Step(now.Add(at), in)
+		in.Looks = nil
+		if len(out.Orders) > 0 {
+			break
+		}
+	}
+	if len(out.Orders) != 1 || out.Orders[0].Endpoint != "i-2" || *out.Orders[0].Revision != 0 {
+		t.Errorf("orders %+v, want a load at revision 0", out.Orders)
+	}
+}
+
 // TestAHeartbeatWithoutAnUnloadedAdapterEndsItsOrder has the place free at once.
 func TestAHeartbeatWithoutAnUnloadedAdapterEndsItsOrder(t *testing.T) {
 	now := time.Unix(1e9, 0)
