State once how a process keeps to its machine, how an operator's file is read, and what a report lacks

control had its own copy of the runtime's limits, which took limits.memory_mb=0 as a limit of 0 bytes: the collector would run all the time. Both programs now call nodeconfig; control's collector stays at 100 per cent. TestMachineLimitsWithoutMemory fails with the condition taken out. config of control and check read files by one function. The placer says held where it said not there.

--- a/cmd/raventrestle-control/config.go
+++ b/cmd/raventrestle-control/config.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -12,22 +11,12 @@
 
 	"github.com/google/subcommands"
 
+	"raventrestle/internal/check"
 	"raventrestle/internal/control/api"
 )
 
 const configPath = "/-/config"
 
-// readFile reads a named file, or standard input for "-".
-func readFile(path string) ([]byte, error) {
-	switch path {
-	case "":
-		return nil, errors.New("name a FILE, or - for standard input")
-	case "-":
-		return io.ReadAll(os.Stdin)
-	}
-	return os.ReadFile(path)
-}
-
 // configCommand reads and changes the configuration.
 type configCommand struct {
 	client
@@ -79,7 +68,7 @@
 }
 
 func (c *configCommand) change(ctx context.Context, method, path string) error {
-	body, err := readFile(path)
+	body, err := check.ReadFile(path)
 	if err != nil {
 		return err
 	}
@@ -139,7 +128,7 @@
 }
 
 func (c *configCommand) diff(ctx context.Context, path string) error {
-	body, err := readFile(path)
+	body, err := check.ReadFile(path)
 	if err != nil {
 		return err
 	}
--- a/cmd/raventrestle-control/run.go
+++ b/cmd/raventrestle-control/run.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/google/subcommands"
@@ -15,9 +13,6 @@
 	"raventrestle/internal/nodeconfig"
 )
 
-// memoryPart of the machine's limit is left to the garbage collector before it works harder.
-const memoryPart = 0.7
-
 // runCommand is the instance itself.
 type runCommand struct{}
 
@@ -44,7 +39,7 @@
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	limitRuntime(settings.Limits)
+	settings.Limits.ApplyMachineLimits()
 	events := newEvents(settings.LogLevel)
 	instance, err := start(ctx, settings, events)
 	if err != nil {
@@ -66,11 +61,6 @@
 	}
 }
 
-func limitRuntime(limits nodeconfig.Limits) {
-	runtime.GOMAXPROCS(limits.Cores)
-	debug.SetMemoryLimit(int64(float64(limits.MemoryMB) * memoryPart * (1 << 20)))
-}
-
 // reload takes in what of the settings may change while the instance runs.
 func reload(events *events) {
 	settings, err := nodeconfig.FromEnvironment()
--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -39,7 +39,7 @@
 	if path == "" {
 		return Report{}, fmt.Errorf("name a FILE, or set %s", nodeconfig.EnvironmentVariable)
 	}
-	body, err := readFile(path)
+	body, err := ReadFile(path)
 	if err != nil {
 		return Report{}, err
 	}
@@ -79,7 +79,7 @@
 
 // Configuration checks a whole configuration, as an operator would send it first.
 func Configuration(path string) (Report, error) {
-	body, err := readFile(path)
+	body, err := ReadFile(path)
 	if err != nil {
 		return Report{}, err
 	}
@@ -103,8 +103,8 @@
 		len(read.Services), len(read.Tenants)), nil
 }
 
-// readFile reads a named file, or standard input for "-".
-func readFile(path string) ([]byte, error) {
+// ReadFile reads a file that an operator names on a command line; - is standard input.
+func ReadFile(path string) ([]byte, error) {
 	switch path {
 	case "":
 		return nil, errors.New("name a FILE, or - for standard input")
--- a/internal/check/deploy.go
+++ b/internal/check/deploy.go
@@ -36,7 +36,7 @@
 
 // Deploy checks a deploy file.
 func Deploy(path string) (Report, error) {
-	body, err := readFile(path)
+	body, err := ReadFile(path)
 	if err != nil {
 		return Report{}, err
 	}
--- a/internal/control/placer/gate.go
+++ b/internal/control/placer/gate.go
@@ -16,6 +16,7 @@
 	errRoom    = errors.New("beyond weights_mb")
 	errPlaces  = errors.New("beyond adapter_slots")
 	errAbsent  = errors.New("not there")
+	errHeld    = errors.New("held already")
 	errCeiling = errors.New("beyond the ceiling of loads")
 )
 
@@ -35,9 +36,12 @@
 		return f.mayLoadAdapter(e, order)
 	}
 	model, exists := f.models[order.Model]
-	if !exists || e.find(order.Model) != nil {
+	if !exists {
 		return fmt.Errorf("load %s: %w", order.Model, errAbsent)
 	}
+	if e.find(order.Model) != nil {
+		return fmt.Errorf("load %s: %w", order.Model, errHeld)
+	}
 	if f.room(e) < model.WeightsMB {
 		return errRoom
 	}
--- a/internal/control/placer/order_test.go
+++ b/internal/control/placer/order_test.go
@@ -25,6 +25,12 @@
 	return p, e
 }
 
+// unserved is a router's report of two requests for big, or an adapter of it, that found no endpoint.
+func unserved(adapter string) []protocol.Report {
+	return []protocol.Report{{Node: "r", Sequence: 1, Over: 500 * time.Millisecond,
+		Models: []protocol.ModelDemand{{Service: "lm", Model: "big", Adapter: adapter, Asked: 2, Unserved: 2}}}}
+}
+
 // TestRevisionCountsAnOrderThatAHeartbeatShowsFirst has the heartbeat that shows an adapter arrive with the answer to
 // its order, and before it: the next order must name the revision with that order counted.
 func TestRevisionCountsAnOrderThatAHeartbeatShowsFirst(t *testing.T) {
@@ -67,9 +73,7 @@
 	e.ID, e.Sequence, e.Models = "i-2", 1, nil
 	table := []protocol.Endpoint{e}
 	results := []Result{{ID: out.Orders[0].ID, Outcome: Accepted}}
-	asked := protocol.Report{Node: "r", Sequence: 1, Over: 500 * time.Millisecond,
-		Models: []protocol.ModelDemand{{Service: "lm", Model: "big", Asked: 2, Unserved: 2}}}
-	in := Input{Endpoints: table, Results: results, Reports: []protocol.Report{asked}}
+	in := Input{Endpoints: table, Results: results, Reports: unserved("")}
 	out = p.Step(now.Add(100*time.Millisecond), in)
 	if len(out.Orders) != 0 || len(out.Looks) != 1 || out.Looks[0] != "i-2" {
 		t.Fatalf("orders %+v, looks %+v, want a look at i-2 alone", out.Orders, out.Looks)
@@ -92,8 +96,7 @@
 	now := time.Unix(1e9, 0)
 	p, e := single(t, now)
 	e.Sequence, e.Models = 2, []protocol.HeldModel{{Name: "big", Generation: 1, Adapters: []string{"a1", "a2"}}}
-	asked := []protocol.Report{{Node: "r", Sequence: 1, Over: 500 * time.Millisecond,
-		Models: []protocol.ModelDemand{{Service: "lm", Model: "big", Adapter: "a3", Asked: 2, Unserved: 2}}}}
+	asked := unserved("a3")
 	look := Look{Endpoint: e.ID, Models: e.Models}
 	in := Input{Endpoints: []protocol.Endpoint{e}, Looks: []Look{look}, Reports: asked}
 	out := p.Step(now.Add(50*time.Millisecond), in)
@@ -117,8 +120,7 @@
 	now := time.Unix(1e9, 0)
 	p, e := single(t, now)
 	e.Sequence, e.Models = 2, []protocol.HeldModel{{Name: "big", Generation: 1, Adapters: []string{"a1", "a2"}}}
-	asked := []protocol.Report{{Node: "r", Sequence: 1, Over: 500 * time.Millisecond,
-		Models: []protocol.ModelDemand{{Service: "lm", Model: "big", Adapter: "a3", Asked: 2, Unserved: 2}}}}
+	asked := unserved("a3")
 	table := []protocol.Endpoint{e}
 	p.Step(now.Add(50*time.Millisecond), Input{Endpoints: table, Reports: asked}) // its report is not there yet
 	look := Look{Endpoint: e.ID, Models: e.Models}
@@ -191,8 +193,7 @@
 	first.Models, second.Models, first.Sequence = held, held, 2
 	table := []protocol.Endpoint{first, second}
 	p.Step(now.Add(50*time.Millisecond), Input{Endpoints: table})
-	asked := []protocol.Report{{Node: "r", Sequence: 1, Over: 500 * time.Millisecond,
-		Models: []protocol.ModelDemand{{Service: "lm", Model: "big", Adapter: "a3", Asked: 2, Unserved: 2}}}}
+	asked := unserved("a3")
 	looks := []Look{{Endpoint: "i-1", Models: held}, {Endpoint: "i-2", Models: held}}
 	in := Input{Endpoints: table, Reports: asked, Looks: looks}
 	unloads := 0
--- a/internal/nodeconfig/read_test.go
+++ b/internal/nodeconfig/read_test.go
@@ -214,7 +214,9 @@
 	}
 }
 
-func TestRuntimeLimits(t *testing.T) {
+// keepRuntime has the runtime's limits of before the test back after it.
+func keepRuntime(t *testing.T) {
+	t.Helper()
 	cores := runtime.GOMAXPROCS(0)
 	percent := debug.SetGCPercent(100)
 	memory := debug.SetMemoryLimit(-1)
@@ -223,6 +225,26 @@
 		debug.SetGCPercent(percent)
 		debug.SetMemoryLimit(memory)
 	})
+}
+
+// A settings file may say limits.memory_mb=0.
+func TestMachineLimitsWithoutMemory(t *testing.T) {
+	keepRuntime(t)
+	before := debug.SetMemoryLimit(-1)
+	Limits{}.ApplyMachineLimits()
+	if got := debug.SetMemoryLimit(-1); got != before {
+		t.Errorf("a limit of %d bytes, %d before", got, before)
+	}
+	if got := runtime.GOMAXPROCS(0); got != 1 {
+		t.Errorf("%d processors", got)
+	}
+	if got := debug.SetGCPercent(100); got != 100 {
+		t.Errorf("collections at %d per cent", got)
+	}
+}
+
+func TestRuntimeLimits(t *testing.T) {
+	keepRuntime(t)
 	Limits{Cores: 2, MemoryMB: 100}.ApplyRuntimeLimits()
 	if runtime.GOMAXPROCS(0) != 2 {
 		t.Errorf("%d processors", runtime.GOMAXPROCS(0))
--- a/internal/nodeconfig/runtime.go
+++ b/internal/nodeconfig/runtime.go
@@ -16,10 +16,16 @@
 	mebibyte  = 1 << 20
 )
 
-// ApplyRuntimeLimits makes the Go runtime keep to the machine's cores and memory.
+// ApplyRuntimeLimits makes the Go runtime keep to the machine's cores and memory, and collect seldom.
 func (l Limits) ApplyRuntimeLimits() {
-	runtime.GOMAXPROCS(max(1, l.Cores))
+	l.ApplyMachineLimits()
 	debug.SetGCPercent(collectAt)
+}
+
+// ApplyMachineLimits makes the Go runtime keep to the machine's cores and memory. Without a memory limit there is none: the
+// runtime takes a limit of 0 at its word and collects all the time.
+func (l Limits) ApplyMachineLimits() {
+	runtime.GOMAXPROCS(max(1, l.Cores))
 	if l.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(l.MemoryMB) * mebibyte))
 	}
