Take on only what will end in time, from 2.8 s after SIGTERM

The decider now learns how long whole calls last (mean and mean deviation, for each token of a stream) and refuses at once, from 2.8 s on, what is not expected to end within half of the time left; what has its own deadline before the cut goes on as before.

Tests: TestWhatWillNotEndInTimeIsRefused, TestWhatIsTakenUpAgainMustEndInTime and TestNoStreamIsBegunNearTheEnd fail without endsInTime.

--- a/internal/router/dispatch/closing.go
+++ b/internal/router/dispatch/closing.go
@@ -5,30 +5,64 @@
 	"time"
 )
 
-// The end of the process: from a moment on nothing is held for long. The router may not live until a held request could
-// go, and its client finds another router that does.
+// The end of the process. From a moment on nothing is held for long: the router may not live until a held request could
+// go, and its client finds another router that does. A little later only what will end in time is taken on: whoever has
+// begun to read an answer must have the whole of it.
+const (
+	endHold    = 150 * time.Millisecond // a request is held at most, once the process is about to end
+	endReserve = 2                      // of the time until the end, one part in so many is enough for what is taken on
+	endMargin  = 100 * time.Millisecond // before the end, the deadline of what may last as long as it likes
+)
+
+// closing are the times of Closing, all 0 while the process does not end.
+type closing struct{ holdUntil, chooseFrom, endBy time.Duration }
 
-// endHold is how long a request is held at most, once the process is about to end.
-const endHold = 150 * time.Millisecond
+func (d *Decider) beginClosing(input Closing) {
+	d.closing = closing{holdUntil: max(input.HoldUntil.Sub(d.base), d.now)}
+	if input.ChooseFrom.IsZero() {
+		return
+	}
+	d.closing.chooseFrom = max(input.ChooseFrom.Sub(d.base), d.now)
+	d.closing.endBy = input.EndBy.Sub(d.base)
+}
+
+// endsInTime says whether a request that is taken on now can be expected to end well before the process does, by its own
+// deadline or by what is known of calls like its own.
+func (d *Decider) endsInTime(r *request) bool {
+	c := &d.closing
+	if c.chooseFrom == 0 || d.now < c.chooseFrom || r.deadline <= c.endBy-endMargin {
+		return true
+	}
+	longest, known := d.longest(r)
+	return known && longest <= (c.endBy-d.now)/endReserve
+}
+
+// turnAway refuses a request that would not end in time.
+func (d *Decider) turnAway(r *request) {
+	d.counters.Refused[Leaving]++
+	d.out = append(d.out, Refuse{ID: r.ID, Reason: Leaving, RetryAfter: d.retryAfter(r, 0)})
+}
 
 // heldAtMost bounds a time until which a request is to be held.
 func (d *Decider) heldAtMost(until time.Duration) time.Duration {
-	if d.holdUntil > 0 {
-		return min(until, d.holdUntil)
+	if d.closing.holdUntil > 0 {
+		return min(until, d.closing.holdUntil)
 	}
 	return until
 }
 
 // heldTo is until when the request is held while the process ends.
-func (d *Decider) heldTo(r *request) time.Duration { return max(d.holdUntil, r.arrived+endHold) }
+func (d *Decider) heldTo(r *request) time.Duration {
+	return max(d.closing.holdUntil, r.arrived+endHold)
+}
 
 // close refuses what was held for long, once the time has come.
 func (d *Decider) close() {
 	switch {
-	case d.holdUntil == 0:
+	case d.closing.holdUntil == 0:
 		return
-	case d.now < d.holdUntil:
-		d.wakeBy(d.holdUntil)
+	case d.now < d.closing.holdUntil:
+		d.wakeBy(d.closing.holdUntil)
 		return
 	}
 	for _, e := range slices.Clone(d.schedule.Active) {
--- a/internal/router/dispatch/closing_test.go
+++ b/internal/router/dispatch/closing_test.go
@@ -114,3 +114,99 @@
 		}
 	}
 }
+
+// late is a time at which only what will end in time is taken on; the process ends 4.6 s later.
+const late = 12800
+
+// ending brings a router that has seen streams of 3 s and calls of 40 ms to that time.
+func ending(t *testing.T) *script {
+	s := newScript(t, modelEndpoint("a", 1, "m"), plainEndpoint("b", 1000))
+	for i := range 4 {
+		at := 1000 + 10*i
+		s.step(at)
+		flow, plain := s.request("m"), s.request("")
+		s.step(at, Arrived{flow}, Arrived{plain})
+		s.step(at+40, Finished{ID: plain.ID, Endpoint: "b", Result: Succeeded})
+		s.step(at+3000, FirstByte{ID: flow.ID, Endpoint: "a"}, Finished{ID: flow.ID, Endpoint: "a", Result: Succeeded})
+	}
+	s.step(10000, Closing{HoldUntil: s.time(12300), ChooseFrom: s.time(late), EndBy: s.time(17400)})
+	s.step(late)
+	return s
+}
+
+// What comes long after SIGTERM is taken on only if it will end before the process does: its own deadline sees to that,
+// or calls like it were short. All else is refused at once, with a word to come back soon.
+func TestWhatWillNotEndInTimeIsRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		at    int
+		model string
+		make  func(s *script, r *Request)
+		taken bool
+	}{
+		"a stream before":                  {at: late - 1, model: "m", taken: true},
+		"a stream":                         {at: late, model: "m"},
+		"a short stream":                   {at: late, model: "m", make: func(_ *script, r *Request) { r.OutputTokens = 10 }, taken: true},
+		"a short stream, near the end":     {at: late + 4000, model: "m", make: func(_ *script, r *Request) { r.OutputTokens = 10 }},
+		"a stream that may not be resumed": {at: late, model: "m", make: func(_ *script, r *Request) { r.Repeatable = false }},
+		"a stream with a near deadline": {at: late, model: "m", taken: true,
+			make: func(s *script, r *Request) { r.Deadline = s.time(late + 4000) }},
+		"a stream of an unknown kind": {at: late, taken: false, make: func(s *script, r *Request) {
+			r.Streaming, r.Deadline = true, s.time(late+15000)
+		}},
+		"a short call": {at: late, taken: true, make: func(s *script, r *Request) { r.Deadline = s.time(late + 15000) }},
+		"a short call, near the end": {at: late + 4400, make: func(s *script, r *Request) {
+			r.Deadline = s.time(late + 15000)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := ending(t)
+			if c.at < late {
+				s = newScript(t, modelEndpoint("a", 1, "m"))
+				s.step(10000, Closing{HoldUntil: s.time(12300), ChooseFrom: s.time(late), EndBy: s.time(17400)})
+			}
+			s.step(c.at)
+			r := s.request(c.model)
+			if c.make != nil {
+				c.make(s, &r)
+			}
+			out := s.step(c.at, Arrived{r})
+			if c.taken {
+				s.oneSend(out)
+				return
+			}
+			if no := s.oneRefusal(out); no.Reason != Leaving || no.RetryAfter <= 0 || no.RetryAfter > 100*time.Millisecond {
+				t.Errorf("%+v", no)
+			}
+			if len(s.d.requests) != 0 {
+				t.Errorf("%d requests are left", len(s.d.requests))
+			}
+		})
+	}
+}
+
+// What has waited to be paid until then, or goes once more, is judged anew.
+func TestWhatIsTakenUpAgainMustEndInTime(t *testing.T) {
+	s := ending(t)
+	r := s.request("m")
+	r.OutputTokens = 10
+	s.oneSend(s.step(late, Arrived{r}))
+	if no := s.oneRefusal(s.step(late+4000, Finished{ID: r.ID, Endpoint: "a", Result: Refused, More: true})); no.Reason != Leaving {
+		t.Errorf("%+v", no)
+	}
+	s = newScript(t, modelEndpoint("a", 1, "m"))
+	s.step(10000, Closing{HoldUntil: s.time(12300), ChooseFrom: s.time(late), EndBy: s.time(17400)})
+	s.step(late - 100)
+	r = s.request("m")
+	r.Tenant, r.Charge = "t", 9000
+	if out := s.step(late-100, Arrived{r}); len(refusals(out))+len(sends(out)) > 0 {
+		t.Fatalf("not held for its quota: %v", out)
+	}
+	out := s.step(late, ViewChanged{Quotas: []protocol.QuotaGrant{{Tenant: "t", RatePerS: 9000, Burst: 9000, Credit: 99999,
+		For: time.Minute}}})
+	if no := s.oneRefusal(out); no.Reason != Leaving {
+		t.Errorf("%+v", no)
+	}
+	if list := sends(out); len(list) > 0 {
+		t.Errorf("sent %v", list)
+	}
+}
--- a/internal/router/dispatch/decider.go
+++ b/internal/router/dispatch/decider.go
@@ -38,7 +38,7 @@
 	counters  Counters
 	gone      []*endpoint // scratch
 	sweptAt   time.Duration
-	holdUntil time.Duration // at the end of the process; 0: it does not end
+	closing   closing
 }
 
 // stage is where a request stands.
@@ -171,7 +171,7 @@
 	case ViewChanged:
 		d.view(input)
 	case Closing:
-		d.holdUntil = max(input.HoldUntil.Sub(d.base), d.now)
+		d.beginClosing(input)
 	}
 }
 
@@ -195,6 +195,10 @@
 	r.deadline = asked.Deadline.Sub(d.base)
 	r.rank = rank(asked)
 	r.group = d.serviceNamed(asked.Service).groupNamed(asked.Model)
+	if !d.endsInTime(r) {
+		d.turnAway(r)
+		return
+	}
 	wait, paid := d.charge(r)
 	d.requests[r.ID] = r
 	switch {
@@ -207,6 +211,11 @@
 
 // admit lets in a request that is paid for.
 func (d *Decider) admit(r *request) {
+	if !d.endsInTime(r) { // it has waited to be paid
+		d.turnAway(r)
+		d.forget(r)
+		return
+	}
 	d.countRequest(r.group.service)
 	d.countDemand(r)
 	r.holdUntil = r.patience()
--- a/internal/router/dispatch/ending.go
+++ b/internal/router/dispatch/ending.go
@@ -124,6 +124,8 @@
 		d.refuse(r, BudgetSpent, d.retryAfter(r, 0))
 	case d.now >= r.deadline:
 		d.refuse(r, NoTime, 0)
+	case !r.answering && !d.endsInTime(r):
+		d.refuse(r, Leaving, d.retryAfter(r, 0))
 	default:
 		r.late = false
 		r.holdUntil = d.patienceAgain(r)
--- a/internal/router/dispatch/estimate.go
+++ b/internal/router/dispatch/estimate.go
@@ -270,6 +270,7 @@
 		s.duration = took
 	}
 	s.duration += (took - s.duration) * durationMemory
+	d.lasted(r)
 }
 
 func milliseconds(t time.Duration) float64 { return float64(t) / float64(time.Millisecond) }
--- a/internal/router/dispatch/types.go
+++ b/internal/router/dispatch/types.go
@@ -109,8 +109,13 @@
 }
 
 // Closing: this process ends. From HoldUntil on nothing is held for longer than a moment: what can't be sent is
-// refused, and its client comes back to another router. Only a stream that broke off midway still waits.
-type Closing struct{ HoldUntil time.Time }
+// refused, and its client comes back to another router. Only a stream that broke off midway still waits. From ChooseFrom on
+// only what can be expected to end well before EndBy is taken on, the rest is refused at once.
+type Closing struct {
+	HoldUntil  time.Time
+	ChooseFrom time.Time // zero: whatever comes is taken on
+	EndBy      time.Time
+}
 
 func (Arrived) input()     {}
 func (Withdrawn) input()   {}
--- a/internal/router/dispatch/view.go
+++ b/internal/router/dispatch/view.go
@@ -22,6 +22,7 @@
 	behind    float64 // part of the unanswered calls that go as late ones
 	duration  float64 // mean of a call, ms
 	line      line    // of times to the first byte, over all its groups
+	lengths   lengths // of whole calls, over all its groups
 }
 
 // group is the endpoints that hold one model, or all endpoints of a service without models.
@@ -33,6 +34,7 @@
 	holders  []*holding
 	targets  map[string]*target // by adapter
 	line     line               // of times to the first byte
+	lengths  lengths            // of whole calls
 	prompt   float64            // mean tokens to be read of a prompt
 	kvTokens float64            // mean tokens that a request takes of an endpoint's memory
 	expected []arrival          // loads on their way
--- a/internal/router/node/ending_test.go
+++ b/internal/router/node/ending_test.go
@@ -108,6 +108,35 @@
 	}
 }
 
+// A stream that comes long after SIGTERM would be cut: it is refused at once, reaches no endpoint, and its client's next
+// try goes elsewhere.
+func TestNoStreamIsBegunNearTheEnd(t *testing.T) {
+	const grace = 1600 * time.Millisecond
+	e := model(t, func(c net.Conn, r *http.Request) { t.Errorf("%s reached the endpoint", r.URL.Path) })
+	e.Service = "silent"
+	ctl := newControl(t, protocol.Update{Sequence: 1, Generation: 1, Document: []byte(endingDocument), Full: true,
+		Confirmed: true, Routers: 1, Endpoints: []protocol.Endpoint{e}})
+	r := newRouter(t, ctl)
+	r.settings.Bounds.Grace = grace
+	<-ctl.confirmed
+	client := r.dial()
+	began := time.Now()
+	r.signals <- syscall.SIGTERM
+	course := ending(grace, r.servesOn)
+	until(t, "the choice", func() bool { return time.Since(began) > course.choose+course.choose/50 })
+	asked := time.Now()
+	got := ask(t, client, "/flow/x")
+	if got.StatusCode != http.StatusServiceUnavailable || got.Header.Get("Retry-After") == "" || !got.Close {
+		t.Errorf("%v", got)
+	}
+	if after := time.Since(asked); after > (course.cut-course.choose)/2 {
+		t.Errorf("refused after %v", after)
+	}
+	if err := <-r.ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // Refusals come after the drain and before the cut, that before the end, and the end before the kill, however short the
 // grace is.
 func TestCourseOfTheEnd(t *testing.T) {
@@ -117,9 +146,12 @@
 		if !slices.IsSorted([]time.Duration{0, c.drain, c.close, c.refuse, c.cut, c.end, grace}) || ms > 0 && c.end == grace {
 			t.Errorf("%v: %+v", grace, c)
 		}
+		if !slices.IsSorted([]time.Duration{c.drain, c.choose, min(c.refuse, 3*time.Second)}) {
+			t.Errorf("%v: %+v", grace, c)
+		}
 	}
 	want := course{
-		drain: servesOn, close: 4340 * time.Millisecond, refuse: 6500 * time.Millisecond, cut: 7400 * time.Millisecond,
+		drain: servesOn, choose: 2800 * time.Millisecond, close: 4340 * time.Millisecond, refuse: 6500 * time.Millisecond, cut: 7400 * time.Millisecond,
 		end: 7600 * time.Millisecond,
 	}
 	if c := ending(8*time.Second, servesOn); c != want {
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -135,7 +135,11 @@
 	began := time.Now()
 	course := ending(n.settings.Bounds.Grace, n.servesOn)
 	n.ending.Store(true)
-	n.actor.Close(dispatch.Closing{HoldUntil: began.Add(course.drain)})
+	n.actor.Close(dispatch.Closing{
+		HoldUntil:  began.Add(course.drain),
+		ChooseFrom: began.Add(course.choose),
+		EndBy:      began.Add(course.cut),
+	})
 	n.log.Info().Msg("router.ending")
 	n.pause(course.drain, signals)
 	n.handler.Drain()
