Take an answer without length as whole when its connection closes

An endpoint's answer may have no length and end with its connection; it was refused as one whose end can't be told, so its client got 502 for a run that had succeeded. It is whole where the connection closes and broken where that is reset, cut or silent; the client gets a length or chunks. A stream of that kind that ends within an event has broken off.

--- a/internal/router/call/answer.go
+++ b/internal/router/call/answer.go
@@ -87,7 +87,10 @@
 	return err
 }
 
-// framed says whether the answer itself tells where it ends.
+// Framed says whether the answer itself tells where it ends. Another one is whole where the endpoint closes the connection,
+// and is not where that is reset or falls silent.
+func (a *Answer) Framed() bool { return framed(a.Response) }
+
 func framed(response *http.Response) bool {
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
 }
@@ -104,8 +107,6 @@
 		return ErrUnsigned
 	case success && a.Header.Get(RequestIDHeader) == "":
 		return ErrForeign
-	case !framed(a.Response):
-		return ErrFraming
 	}
 	return nil
 }
@@ -119,7 +120,8 @@
 	return stated && a.StatusCode >= http.StatusBadRequest
 }
 
-// Read reads the body. The error is io.EOF only where the answer ended as its framing says.
+// Read reads the body. The error is io.EOF only where the answer ended as its framing says, or with its connection where
+// that is its framing.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.Body.Read(b)
 	switch {
--- a/internal/router/call/errors.go
+++ b/internal/router/call/errors.go
@@ -23,7 +23,7 @@
 	ErrForeign   = errors.New("answer belongs to another request")
 	ErrEncoded   = errors.New("answer has a content encoding")
 	ErrUnsigned  = errors.New("success without a signature")
-	ErrFraming   = errors.New("end of the answer can't be told")
+	ErrFraming   = errors.New("end of another request's answer can't be told")
 	ErrSwitching = errors.New("endpoint wants to switch protocols")
 	ErrNoStream  = errors.New("answer is no stream")
 )
--- a/internal/router/stream/relay.go
+++ b/internal/router/stream/relay.go
@@ -16,11 +16,13 @@
 // ErrGap says that a second run did not go on where the first had broken off.
 var ErrGap = errors.New("events are missing")
 
-// Source is an endpoint's answer. Its Read gives io.EOF only where the answer ended as its framing says.
+// Source is an endpoint's answer. Its Read gives io.EOF only where the answer ended as its framing says, or with its
+// connection where it has none.
 type Source interface {
 	io.Reader
 	SetReadDeadline(time.Time) error
 	OnSilence(func() time.Time) // asked when a read's deadline has passed: a new one, or zero to let the read fail
+	Framed() bool               // the answer itself tells where it ends
 }
 
 // Client takes what is passed on.
@@ -81,7 +83,7 @@
 			return err
 		}
 		if failed == io.EOF {
-			return r.passRest()
+			return r.passRest(source.Framed())
 		}
 		if passed > 0 {
 			now := time.Now()
@@ -138,10 +140,15 @@
 	return piece[:len(piece)+len(event)]
 }
 
-func (r *Relay) passRest() error {
+// passRest passes on what follows the last whole event. Where only the end of the connection tells the end of the answer, a
+// part of an event says that it broke off.
+func (r *Relay) passRest(framed bool) error {
 	event, ok := r.splitter.Rest()
-	if !ok {
+	switch {
+	case !ok:
 		return nil
+	case !framed:
+		return io.ErrUnexpectedEOF
 	}
 	switch r.sequence.Judge(event.ID) {
 	case Pass:
--- a/internal/router/stream/relay_test.go
+++ b/internal/router/stream/relay_test.go
@@ -34,6 +34,8 @@
 
 func (r *run) OnSilence(func() time.Time) {}
 
+func (r *run) Framed() bool { return true }
+
 // sink is a client that keeps what it was sent.
 type sink struct {
 	bytes.Buffer
@@ -240,3 +242,5 @@
 func (h *halting) SetReadDeadline(time.Time) error { return nil }
 
 func (h *halting) OnSilence(ask func() time.Time) { h.ask = ask }
+
+func (h *halting) Framed() bool { return true }
