--- a/internal/router/call/answer.go
+++ b/internal/router/call/answer.go
@@ -26,7 +26,8 @@
 	ended      bool // the body was read to its end
 }
 
-// Receive reads the head of the answer to the message. An answer to another request that comes late is passed over.
+// Receive reads the head of the answer to the message. An answer to another request that comes late is passed over. On a
+// connection that has served other requests, one that names none may be to any of them.
 func (m *Message) Receive(c *pool.Connection) (*Answer, error) {
 	request := &http.Request{Method: m.Method}
 	a := &Answer{connection: c}
@@ -36,7 +37,11 @@
 			return nil, m.lost(c, err)
 		}
 		a.Response = response
-		if id, stated := response.Header[RequestIDHeader]; !stated || len(id) == 1 && id[0] == m.RequestID {
+		id, stated := response.Header[RequestIDHeader]
+		if !stated && c.Reused {
+			return nil, m.lost(c, ErrForeign)
+		}
+		if !stated || len(id) == 1 && id[0] == m.RequestID {
 			break
 		}
 		a.spoiled = true
@@ -87,7 +92,10 @@
 	return err
 }
 
-// framed says whether the answer itself tells where it ends.
+// Framed says whether the answer itself tells where it ends. Another one is whole where the endpoint closes the connection,
+// and is not where that is reset or falls silent.
+func (a *Answer) Framed() bool { return framed(a.Response) }
+
 func framed(response *http.Response) bool {
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
 }
@@ -104,8 +112,6 @@
 		return ErrUnsigned
 	case success && a.Header.Get(RequestIDHeader) == "":
 		return ErrForeign
-	case !framed(a.Response):
-		return ErrFraming
 	}
 	return nil
 }
@@ -119,7 +125,8 @@
 	return stated && a.StatusCode >= http.StatusBadRequest
 }
 
-// Read reads the body. The error is io.EOF only where the answer ended as its framing says.
+// Read reads the body. The error is io.EOF only where the answer ended as its framing says, or with its connection where
+// that is its framing.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.Body.Read(b)
 	switch {
