--- a/internal/control/changes/api_test.go
+++ b/internal/control/changes/api_test.go
@@ -1,10 +1,12 @@
 package changes
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -144,6 +146,58 @@
 	}
 }
 
+// TestOrderBeyondTheMemoryIsUnclear sends the first change again after so many others that the machine has forgotten
+// it: a refusal would be wrong.
+func TestOrderBeyondTheMemoryIsUnclear(t *testing.T) {
+	s := startSite(t)
+	const first = `{"generation":1,"routes":[],"services":[]}`
+	s.call(t, http.MethodPut, "/-/config", "0", first)
+	generation := 1
+	for answer := http.StatusOK; answer == http.StatusOK && generation < 10_000; generation++ {
+		body := fmt.Sprintf(`{"generation":%d}`, generation+1)
+		command, err := state.NewCommand(http.MethodPatch, int64(generation), []byte(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.double.Propose(t.Context(), command); err != nil {
+			t.Fatal(err)
+		}
+		if generation%512 == 0 {
+			again, _ := s.call(t, http.MethodPut, "/-/config", "0", first)
+			answer = again.StatusCode
+		}
+	}
+	answer, body := s.call(t, http.MethodPut, "/-/config", "0", first)
+	if answer.StatusCode != http.StatusServiceUnavailable || answer.Header.Get("Retry-After") == "" {
+		t.Errorf("after %d changes: %d %s", generation, answer.StatusCode, body)
+	}
+}
+
+// TestBodyCutOnItsWayIsNoRefusal ends a call in the midst of its body: the caller sends the change again.
+func TestBodyCutOnItsWayIsNoRefusal(t *testing.T) {
+	s := startSite(t)
+	connection, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	head := "PUT /-/config HTTP/1.1\r\nHost: x\r\nIf-Match: 0\r\nContent-Length: 900\r\n\r\n"
+	if _, err := io.WriteString(connection, head+version(5, "s")[:40]); err != nil {
+		t.Fatal(err)
+	}
+	if err := connection.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = answer.Body.Close()
+	if answer.StatusCode != http.StatusRequestTimeout {
+		t.Errorf("%d", answer.StatusCode)
+	}
+}
+
 func TestTooLargeConfiguration(t *testing.T) {
 	s := startSite(t)
 	body := `{"generation":5,"note":"` + strings.Repeat("x", 5<<20) + `"}`
--- a/internal/control/changes/changes.go
+++ b/internal/control/changes/changes.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 
@@ -23,6 +24,9 @@
 	return &Configurations{replica: group, machine: machine}
 }
 
+// ErrForgotten means that a change builds on a version so old that it is not known any more whether it was taken.
+var ErrForgotten = errors.New("it builds on a version whose successor is not remembered; it may have been taken")
+
 // Change has a change decided by the chain. After an error it may be decided either way, now or later.
 func (c *Configurations) Change(
 	ctx context.Context, method string, base int64, body []byte,
@@ -39,6 +43,9 @@
 	if err != nil {
 		return api.ChangeResult{}, fmt.Errorf("change of version %d: %w", base, err)
 	}
+	if _, is := result.(state.Forgotten); is {
+		return api.ChangeResult{}, fmt.Errorf("change of version %d: %w", base, ErrForgotten)
+	}
 	return resultOf(result), nil
 }
 
--- a/internal/control/state/machine.go
+++ b/internal/control/state/machine.go
@@ -11,7 +11,8 @@
 
 var _ replica.Machine = (*Machine)(nil)
 
-// remembered is how many of the newest changes are known again when they are sent again.
+// remembered is how many of the newest changes are known again when they are sent again. Of an older one the machine
+// still knows whether it can have been taken: see Forgotten.
 const remembered = 4096
 
 // Version is one version of the configuration that was taken.
@@ -35,7 +36,9 @@
 	document *configuration.Document // nil before the first
 	taken    []takenChange           // oldest first
 	known    map[fingerprint]int64   // the generation that a change in taken made
-	view     atomic.Pointer[View]
+	// forgotten is the generation that the newest change beyond the memory made; 0: none was forgotten.
+	forgotten int64
+	view      atomic.Pointer[View]
 }
 
 type takenChange struct {
@@ -63,7 +66,9 @@
 func (m *Machine) History() []Version { return m.view.Load().History }
 
 // Apply takes a change or refuses it. A change that was taken before is taken again, whatever came since;
-// one that builds on another version than the current one is not looked at.
+// one that builds on another version than the current one is not looked at. A change is refused only where the state
+// proves that it was not taken: on each version one change was taken at most, so one that builds on a version on
+// which a remembered change was taken, or on one that never was current, was not.
 func (m *Machine) Apply(index uint64, command []byte) []byte {
 	return encodeResult(m.apply(index, command))
 }
@@ -78,7 +83,7 @@
 		return Accepted{Generation: generation}
 	}
 	if current := m.generation(); change.IfMatch != current {
-		return VersionMismatch{Current: current}
+		return m.mismatch(change.IfMatch, current)
 	}
 	next, err := m.next(change)
 	if err != nil {
@@ -96,6 +101,15 @@
 	return Accepted{Generation: version.Generation}
 }
 
+// mismatch answers a change on another version than the current one, which the memory does not hold. Every change
+// beyond the memory built on a version below the one that the newest of them made.
+func (m *Machine) mismatch(base, current int64) Result {
+	if base < m.forgotten {
+		return Forgotten{Current: current}
+	}
+	return VersionMismatch{Current: current}
+}
+
 func (m *Machine) generation() int64 {
 	if m.document == nil {
 		return 0
@@ -140,6 +154,7 @@
 	m.known[change.fingerprint] = change.version.Generation
 	if len(m.taken) > remembered {
 		delete(m.known, m.taken[0].fingerprint)
+		m.forgotten = m.taken[0].version.Generation
 		m.taken = m.taken[1:]
 	}
 }
--- a/internal/control/state/result.go
+++ b/internal/control/state/result.go
@@ -9,7 +9,7 @@
 	"raventrestle/internal/configuration"
 )
 
-// Result is what became of a change: Accepted, VersionMismatch or Rejected.
+// Result is what became of a change: Accepted, VersionMismatch, Rejected or Forgotten.
 type Result interface{ isResult() }
 
 // Accepted says that the change was taken, now or before.
@@ -22,6 +22,12 @@
 	Current int64 `cbor:"1,keyasint"`
 }
 
+// Forgotten says that the change builds on a version so old that the machine no longer knows which change was taken
+// on it. It may have been this one: there is no clear answer.
+type Forgotten struct {
+	Current int64 `cbor:"1,keyasint"`
+}
+
 // Rejected says that the change is invalid.
 type Rejected struct {
 	Faults []configuration.Fault `cbor:"1,keyasint"`
@@ -30,15 +36,17 @@
 func (Accepted) isResult()        {}
 func (VersionMismatch) isResult() {}
 func (Rejected) isResult()        {}
+func (Forgotten) isResult()       {}
 
 // mostFaults bounds the faults in a result, and so its size.
 const mostFaults = 50
 
 // resultMessage has one of its members.
 type resultMessage struct {
-	Accepted *Accepted        `cbor:"1,keyasint,omitempty"`
-	Mismatch *VersionMismatch `cbor:"2,keyasint,omitempty"`
-	Rejected *Rejected        `cbor:"3,keyasint,omitempty"`
+	Accepted  *Accepted        `cbor:"1,keyasint,omitempty"`
+	Mismatch  *VersionMismatch `cbor:"2,keyasint,omitempty"`
+	Rejected  *Rejected        `cbor:"3,keyasint,omitempty"`
+	Forgotten *Forgotten       `cbor:"4,keyasint,omitempty"`
 }
 
 func encodeResult(result Result) []byte {
@@ -50,6 +58,8 @@
 		message.Mismatch = &known
 	case Rejected:
 		message.Rejected = &known
+	case Forgotten:
+		message.Forgotten = &known
 	}
 	encoded, err := cbor.Marshal(message)
 	if err != nil {
@@ -73,6 +83,8 @@
 		return *message.Mismatch, nil
 	case message.Rejected != nil:
 		return *message.Rejected, nil
+	case message.Forgotten != nil:
+		return *message.Forgotten, nil
 	}
 	return nil, fmt.Errorf("state: decode result: %w", errNoResult)
 }
--- a/internal/control/state/snapshot.go
+++ b/internal/control/state/snapshot.go
@@ -13,9 +13,10 @@
 const snapshotFormat = 1
 
 type snapshotMessage struct {
-	Format   int             `cbor:"1,keyasint"`
-	Document []byte          `cbor:"2,keyasint,omitempty"` // nothing before the first configuration
-	Taken    []snapshotTaken `cbor:"3,keyasint,omitempty"`
+	Format    int             `cbor:"1,keyasint"`
+	Document  []byte          `cbor:"2,keyasint,omitempty"` // nothing before the first configuration
+	Taken     []snapshotTaken `cbor:"3,keyasint,omitempty"`
+	Forgotten int64           `cbor:"4,keyasint,omitempty"` // made by the newest change that is no longer in Taken
 }
 
 type snapshotTaken struct {
@@ -29,7 +30,11 @@
 
 // Snapshot returns the whole state, for Restore.
 func (m *Machine) Snapshot() []byte {
-	message := snapshotMessage{Format: snapshotFormat, Taken: make([]snapshotTaken, 0, len(m.taken))}
+	message := snapshotMessage{
+		Format:    snapshotFormat,
+		Taken:     make([]snapshotTaken, 0, len(m.taken)),
+		Forgotten: m.forgotten,
+	}
 	if m.document != nil {
 		message.Document = m.document.Encode()
 	}
@@ -62,6 +67,7 @@
 		return fmt.Errorf("state: restore snapshot: %w", err)
 	}
 	m.document, m.taken, m.known = restored.document, restored.taken, restored.known
+	m.forgotten = restored.forgotten
 	m.view.Store(restored.view.Load())
 	return nil
 }
@@ -75,6 +81,7 @@
 		return nil, fmt.Errorf("%w %d", errSnapshotFormat, message.Format)
 	}
 	m := New()
+	m.forgotten = message.Forgotten
 	if len(message.Document) > 0 {
 		document, err := configuration.ParseDocument(message.Document)
 		if err != nil {
