Let a member go only when f+1 others hold everything; restore what may be lost after each repair

Need: a second loss right after a repair or a replacement must leave a majority, and a leaving member must not hold the only copy. Found by a check of the voters after every simulated step, and by losing the oldest disks again as soon as that is borne: - Left() was true as soon as the chain could not spare the member, so with one of three away a second one went with one of the two copies. Now the head's pings tell how many others hold all that was acknowledged before the epoch; Stop waits for f+1 of them, and else says ErrNeeded and why. - A new head took standbys in beside votes whose disks were gone. With 5 machines and f = 2 that left 5 of 6 or 7 votes for good, and no second loss was borne. Votes do not grow while a voter is silent; a standby takes its place. - A wiped machine whose settings named only machines that are gone never found the group. It now answers a message to the member that was at its address before.

--- /dev/null
+++ b/coordination/chain/leave.go
@@ -0,0 +1,63 @@
+package chain
+
+import (
+	"fmt"
+	"time"
+)
+
+// Leave has the node give up the head and leave the chain, where others can go on.
+func (n *Node) Leave(now time.Duration) Output {
+	n.enterStep(now)
+	n.leaving = true
+	return n.finish(now)
+}
+
+// Left tells whether the member's disk may be lost for good at this moment, beside as many others as must be borne.
+func (n *Node) Left() bool { return n.Staying() == "" }
+
+// Staying tells why the member can't go yet; it is empty once it can. It can go when it is outside the chain, so that
+// nothing more is acknowledged with its help, and the head of that view has told that more others than may be lost hold
+// everything that was acknowledged before. Others know the view then, even if nothing more leaves this member.
+func (n *Node) Staying() string {
+	needed := n.config.Faults + 1
+	switch {
+	case n.view.Epoch == 0 || n.config.Mutation.LeaveAtOnce:
+		return "" // it holds nothing
+	case n.isHead():
+		return "no other member of the chain can be the head"
+	case !n.watch.pinged:
+		return fmt.Sprintf("the head of epoch %d has not been heard", n.view.Epoch)
+	case n.inChain():
+		return fmt.Sprintf("the chain needs it: it has %d members, %d are the least, and no voter outside is ready",
+			len(n.view.Chain), n.minimum())
+	case n.watch.copies < needed:
+		return fmt.Sprintf("%d other members are known to hold everything, %d must", n.watch.copies, needed)
+	}
+	return ""
+}
+
+// copiesBeside counts the members beside one outside the chain that stay and hold everything that was acknowledged
+// before this epoch. What is acknowledged in it is held by its whole chain.
+func (n *Node) copiesBeside(now time.Duration, going *peer) int {
+	if !n.whole() || n.refusing {
+		return 0
+	}
+	copies := 0
+	if !n.leaving {
+		copies++
+	}
+	for _, p := range n.peers {
+		if p != going && p.answered && n.live(now, p) && n.holdsBeginning(p) {
+			copies++
+		}
+	}
+	return copies
+}
+
+// holdsBeginning tells whether a member that stays has, on its disk, all that the head held when the epoch began.
+func (n *Node) holdsBeginning(p *peer) bool {
+	if n.config.Mutation.CountLearners {
+		return true
+	}
+	return p.pong.Matched && p.pong.Last >= n.start && !p.pong.Refusing && !p.pong.Leaving
+}
--- a/coordination/chain/message.go
+++ b/coordination/chain/message.go
@@ -58,6 +58,8 @@
 	Version   uint64        `cbor:"7,keyasint"`           // of the table of members
 	Members   []view.Member `cbor:"8,keyasint,omitempty"` // the table, when the receiver lacks it
 	Live      []bool        `cbor:"9,keyasint,omitempty"` // beside Members
+	// Copies is how many others than the receiver hold all that was acknowledged before this epoch, and stay.
+	Copies int `cbor:"20,keyasint,omitempty"`
 }
 
 // Pong answers a ping.
--- a/coordination/chain/node.go
+++ b/coordination/chain/node.go
@@ -307,6 +307,9 @@
 // Whole tells whether the node is in the chain with a log that was made whole in its epoch.
 func (n *Node) Whole() bool { return n.whole() }
 
+// Active returns the newest epoch in whose chain the log was made whole, as it stands on disk.
+func (n *Node) Active() uint64 { return n.kept.active }
+
 // View returns the node's view.
 func (n *Node) View() view.View { return n.view }
 
--- a/coordination/chain/receive.go
+++ b/coordination/chain/receive.go
@@ -8,7 +8,11 @@
 
 // receive sorts a message by its epoch, then hands its body on.
 func (n *Node) receive(now time.Duration, address string, m Message) {
-	if m.From == n.self.Identity || (m.To != "" && m.To != n.self.Identity) {
+	if m.From == n.self.Identity {
+		return
+	}
+	if m.To != "" && m.To != n.self.Identity {
+		n.onMisdirected(now, address)
 		return
 	}
 	switch {
@@ -29,6 +33,16 @@
 	}
 }
 
+// onMisdirected hears a message to the member that was at this address before and has lost its disk. Whoever still
+// looks for that one knows the group, also where none of the seeds is left.
+func (n *Node) onMisdirected(now time.Duration, address string) {
+	if n.view.Epoch > 0 || n.watch.misdirectedAt > 0 && now-n.watch.misdirectedAt < helloEvery {
+		return
+	}
+	n.watch.misdirectedAt = now
+	n.sendTo(address, Message{Hello: &Hello{Member: n.self}})
+}
+
 // sameEpoch refuses messages of other epochs and sees that the one behind learns of the later one.
 func (n *Node) sameEpoch(now time.Duration, address string, m Message) bool {
 	switch {
@@ -149,7 +163,7 @@
 	n.view, n.clear = v, clean
 	n.learnView(now, v)
 	r := record{View: &v}
-	if n.isHead() {
+	if n.isHead() || n.config.Mutation.EarlyWhole && n.inChain() {
 		n.active = v.Epoch
 		r.Active = v.Epoch
 	}
--- a/coordination/chain/watch.go
+++ b/coordination/chain/watch.go
@@ -28,9 +28,11 @@
 	headCommitted  uint64
 	headLast       uint64
 	helloAt        time.Duration
+	misdirectedAt  time.Duration // a message to the former member at this address was last answered
 	previousMayAct time.Duration
 	leaderSince    time.Duration
 	live           []string // as last counted by the head
+	copies         int      // others that hold everything, as the head has told
 }
 
 // table is the head's list of the members, as last told.
@@ -50,6 +52,7 @@
 	n.watch.enteredAt = now
 	n.watch.yielding, n.watch.pinged = false, false
 	n.watch.headCommitted, n.watch.headLast = 0, 0
+	n.watch.copies = 0
 	n.watch.leaderSince = 0
 	n.watch.live = nil
 	for _, p := range n.peers {
@@ -153,7 +156,7 @@
 	p.pingedAt = now
 	ping := Ping{
 		Life: n.life, Sent: now, Echo: p.echoed, Committed: n.committed, Last: n.log.last(),
-		Yield: n.refusing, Version: n.tableVersion,
+		Yield: n.refusing, Version: n.tableVersion, Copies: n.copiesBeside(now, p),
 	}
 	if p.tableHeld != n.tableVersion {
 		ping.Members = n.members()
@@ -216,6 +219,7 @@
 	n.watch.headHeard, n.watch.pinged = now, true
 	n.watch.yielding = ping.Yield
 	n.watch.headCommitted, n.watch.headLast = ping.Committed, ping.Last
+	n.watch.copies = ping.Copies
 	if ping.Echo != n.watch.echo {
 		n.watch.echo, n.watch.echoAt = ping.Echo, now
 	}
--- a/coordination/chain/wish.go
+++ b/coordination/chain/wish.go
@@ -165,8 +165,13 @@
 	return voters < n.targetVoters(now) && n.holdersLive(now) >= grown
 }
 
-// targetVoters is how many voters the live members should have.
+// targetVoters is how many voters the live members should have. While one of the voters is silent there are no more:
+// a standby may have to take its vote, and a vote that nobody uses raises the majority for good.
 func (n *Node) targetVoters(now time.Duration) int {
+	answering := n.countVoters(func(p *peer) bool { return p.answered && n.live(now, p) })
+	if answering < len(n.view.Voters) && len(n.view.Voters) >= n.minimum() {
+		return len(n.view.Voters)
+	}
 	members := 1
 	for _, p := range n.peers {
 		if n.view.Votes(p.member.Identity) || n.live(now, p) && p.answered {
@@ -232,7 +237,7 @@
 
 // wish is what the next view should be, from what this node knows. Others than the head know only who promises.
 func (n *Node) wish(now time.Duration) view.Wish {
-	wish := view.Wish{Faults: n.config.Faults, Target: len(n.view.Voters)}
+	wish := view.Wish{Faults: n.config.Faults, Target: len(n.view.Voters), Planted: n.config.Mutation}
 	if !n.isHead() {
 		return wish
 	}
@@ -252,33 +257,3 @@
 	wish.Standbys = n.standbys(now)
 	return wish
 }
-
-// Leave has the node give up the head and leave the chain, where others can go on.
-func (n *Node) Leave(now time.Duration) Output {
-	n.enterStep(now)
-	n.leaving = true
-	return n.finish(now)
-}
-
-// Left tells whether nothing more is gained by waiting after Leave. The member has heard the head of its view, so
-// that others know the view even if nothing more leaves this member.
-func (n *Node) Left() bool {
-	if n.view.Epoch == 0 {
-		return true
-	}
-	if n.isHead() || !n.watch.pinged {
-		return false
-	}
-	return !n.inChain() || len(n.view.Chain)-1+n.reservesTold() < n.minimum()
-}
-
-// reservesTold counts the voters outside the chain that the head has told to be live.
-func (n *Node) reservesTold() int {
-	count := 0
-	for i, member := range n.table.members {
-		if i < len(n.table.live) && n.table.live[i] && n.view.Votes(member.Identity) && n.view.Place(member.Identity) < 0 {
-			count++
-		}
-	}
-	return count
-}
--- a/coordination/engine/engine.go
+++ b/coordination/engine/engine.go
@@ -382,9 +382,12 @@
 // Leads tells whether the member may act as leader now.
 func (e *Engine) Leads(now time.Duration) bool { return e.node.Leads(now) }
 
-// Left tells whether nothing more is gained by waiting after Leave.
+// Left tells whether the member may go after Leave, even with its disk.
 func (e *Engine) Left() bool { return e.node.Left() }
 
+// Staying tells why the member can't go yet; it is empty once it can.
+func (e *Engine) Staying() string { return e.node.Staying() }
+
 // Node returns the state machine, for checks that look inside.
 func (e *Engine) Node() *chain.Node { return e.node }
 
--- a/coordination/internal/mutation/mutation.go
+++ b/coordination/internal/mutation/mutation.go
@@ -10,4 +10,8 @@
 	VoteAfterWipe bool // a member that lost its disk comes back under its old identity
 	AckAtFaults   bool // a chain one member too short commits
 	AnyHead       bool // the head of a new view is chosen without regard to its log
+	LeaveAtOnce   bool // a leaving member goes before enough others hold everything
+	CountLearners bool // any member that answers counts as one that holds everything
+	AnyVoters     bool // votes change although too few of the new voters hold everything
+	EarlyWhole    bool // a member of the chain counts as whole before its log has reached the epoch's beginning
 }
--- a/coordination/replica/options.go
+++ b/coordination/replica/options.go
@@ -47,6 +47,8 @@
 	ErrUnclear = engine.ErrUnclear
 	// ErrUnavailable says that the command was not sent on, or that the barrier was not answered.
 	ErrUnavailable = errors.New("no member of the group could take the call")
+	// ErrNeeded says that the replica was stopped although the group still needs it: too few others hold everything.
+	ErrNeeded = errors.New("the member is still needed")
 	// ErrStopped says that the replica was stopped.
 	ErrStopped = errors.New("the replica is stopped")
 )
--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -27,7 +27,8 @@
 	fragments fragments // owned by the loop, as all that follows
 	sent      uint64    // messages
 	leaving   bool
-	left      chan struct{} // closed when nothing is gained by waiting after Leave
+	left      chan struct{} // closed when the member may go after Leave
+	staying   atomic.Value  // string: why it may not go yet
 	quit      chan struct{}
 	done      chan struct{} // closed when the loop has ended
 	stopping  atomic.Bool
@@ -113,11 +114,20 @@
 	}
 	r.publish(now)
 	r.answer(effects)
-	if r.leaving && r.engine.Left() {
+	if r.leaving {
+		r.leave()
+	}
+	r.logRefusal(r.engine.Maintain(now))
+}
+
+// leave tells that the member may go, or keeps why it may not.
+func (r *Replica) leave() {
+	why := r.engine.Staying()
+	r.staying.Store(why)
+	if why == "" {
 		r.leaving = false
 		close(r.left)
 	}
-	r.logRefusal(r.engine.Maintain(now))
 }
 
 func (r *Replica) logRefusal(err error) {
@@ -226,7 +236,8 @@
 	select {
 	case <-r.left:
 	case <-ctx.Done():
-		err = &Error{Step: "leave", Peer: r.headAddress(), Err: ctx.Err()}
+		why, _ := r.staying.Load().(string)
+		err = &Error{Step: "leave", Peer: r.headAddress(), Err: fmt.Errorf("%w: %s: %w", ErrNeeded, why, ctx.Err())}
 	}
 	close(r.quit)
 	<-r.done
--- a/coordination/replica/replica_test.go
+++ b/coordination/replica/replica_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -175,6 +176,20 @@
 	}
 }
 
+// With one of three away, a second one is needed, and says why it goes all the same.
+func TestNeededMemberSaysWhy(t *testing.T) {
+	g := newGroup(t, 3)
+	g.propose(0, "one")
+	g.kill(2)
+	g.wait(g.member(0), "two are left", func(s replica.Status) bool { return len(s.View.Chain) == 2 })
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	err := g.member(1).Stop(ctx)
+	if !errors.Is(err, replica.ErrNeeded) || !strings.Contains(err.Error(), "the chain needs it") {
+		t.Errorf("%v", err)
+	}
+}
+
 // A wiped member comes back with a new identity and gets entries of several MiB through a snapshot.
 func TestLargeEntriesReachAWipedMember(t *testing.T) {
 	g := newGroup(t, 3)
--- a/coordination/replica/types.go
+++ b/coordination/replica/types.go
@@ -54,7 +54,8 @@
 	Changed() <-chan struct{}
 	// Deliver takes in a message that a peer's replica sent through its Transport. It does not block.
 	Deliver(fromAddress string, message []byte)
-	// Stop leaves in a planned way: another member becomes head first, where possible within the context.
+	// Stop leaves in a planned way: another member becomes head first, and enough others hold everything that was
+	// acknowledged, where possible within the context. Else it ends all the same, and the error is ErrNeeded and why.
 	Stop(ctx context.Context) error
 }
 
--- a/coordination/simnet/faults.go
+++ b/coordination/simnet/faults.go
@@ -197,6 +197,10 @@
 		}
 		if w.now-since >= catchUp {
 			w.ledger.waiting = false
+			if err := w.bears(w.Faults); err != nil {
+				w.fail("calm for %v: the loss of %d disks is not borne: %v", catchUp, w.Faults, err)
+				return
+			}
 			act()
 			return
 		}
--- a/coordination/simnet/ledger.go
+++ b/coordination/simnet/ledger.go
@@ -120,6 +120,7 @@
 		}
 		leader = m
 	}
+	w.checkMembership()
 }
 
 // machineState is the replicated machine of the tests: all commands in order.
--- a/coordination/simnet/loss_test.go
+++ b/coordination/simnet/loss_test.go
@@ -100,3 +100,25 @@
 		return next
 	})
 }
+
+// A machine that lost its disk finds the group although every seed that its settings name is gone but itself.
+func TestWipedMachineIsFoundWithoutSeeds(t *testing.T) {
+	eachSeed(1, scenarioSeeds, func(seed uint64) {
+		w := sized(seed, size{3, 1}, mutation.Set{})
+		for _, m := range w.machines[:2] {
+			w.untilBorne(catchUp)
+			m.wipe()
+			m.removed = true
+			w.addMachine(len(w.machines), false).start(false)
+		}
+		w.untilBorne(catchUp)
+		last := w.machines[2]
+		last.wipe()
+		w.back(last)
+		_ = w.Run(1500 * time.Millisecond)
+		w.untilBorne(catchUp)
+		if err := w.Finish(); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/coordination/simnet/machine.go
+++ b/coordination/simnet/machine.go
@@ -16,6 +16,7 @@
 	world     *World
 	address   string
 	zone      string
+	seeds     []string // as its settings name them
 	disk      *modeldisk.Disk
 	engine    *engine.Engine
 	state     *machineState
@@ -28,28 +29,46 @@
 	frozen    bool
 	stall     time.Duration // what the syncs of a step take longer
 	removed   bool
+	wiped     bool          // its disk was lost, and it has not started since
+	unsure    bool          // power failed in the midst of a step, and it has not started since
 	former    []*chain.Node // of lives whose disk is gone or not yet read again
 	last      *chain.Node   // of the newest life
 	calls     map[uint64]func(engine.Result)
 	token     uint64
 	downAt    time.Duration
+	bornAt    time.Duration // its present member first started
 	startedAt time.Duration
 	shown     string // of the newest state that was traced
 }
 
-func (w *World) addMachine(number int, _ bool) *machine {
+// addMachine adds a machine. One that comes later is given seeds out of those that are there then, up or not.
+func (w *World) addMachine(number int, founding bool) *machine {
 	m := &machine{
 		world:   w,
 		address: fmt.Sprintf("10.%d.0.%d:7500", number%3, number),
 		zone:    fmt.Sprintf("zone-%d", number%3),
 		disk:    modeldisk.New(),
 	}
+	if !founding {
+		m.seeds = w.listed()
+	}
 	w.machines = append(w.machines, m)
 	return m
 }
 
-// seeds are the addresses of the first machines.
-func (w *World) seeds() []string {
+// listed draws seeds from the operator's list of machines.
+func (w *World) listed() []string {
+	var seeds []string
+	for _, i := range w.random.Perm(len(w.machines)) {
+		if m := w.machines[i]; !m.removed && len(seeds) < w.Seeds {
+			seeds = append(seeds, m.address)
+		}
+	}
+	return seeds
+}
+
+// founders are the addresses of the first machines.
+func (w *World) founders() []string {
 	var seeds []string
 	for _, m := range w.machines[:w.Seeds] {
 		seeds = append(seeds, m.address)
@@ -63,6 +82,9 @@
 		return
 	}
 	w := m.world
+	if m.seeds == nil {
+		m.seeds = w.founders()
+	}
 	m.life++
 	m.startedAt = w.now
 	m.offset = w.between(0, time.Hour)
@@ -72,7 +94,7 @@
 	m.state = newMachineState(m)
 	defer m.powerCut()
 	opened, err := engine.Open(m.local(), engine.Options{
-		Self: view.Member{Address: m.address, Zone: m.zone, Tag: m.address}, Seeds: w.seeds(),
+		Self: view.Member{Address: m.address, Zone: m.zone, Tag: m.address}, Seeds: m.seeds,
 		Bootstrap: bootstrap, Faults: w.Faults, FS: m.disk, Machine: m.state, Random: w.random.Uint64(),
 		CompactBytes: 3000, KeepBytes: 500, SegmentBytes: 2000, Mutation: w.Mutation,
 	})
@@ -84,7 +106,11 @@
 	if m.last != nil {
 		m.former = append(m.former, m.last)
 	}
+	if m.last == nil || m.wiped {
+		m.bornAt = w.now
+	}
 	m.last = opened.Node()
+	m.wiped, m.unsure = false, false
 	w.tracef("%s starts as %s, epoch %d", m.address, m.last.Self().Identity, m.last.Epoch())
 	w.ledger.started(w, m)
 	m.plan(0)
@@ -178,6 +204,7 @@
 	_ = m.engine.Maintain(m.local())
 	m.world.tracef("%s: power held through steps %d to %d", m.address, steps, m.disk.Steps)
 	m.disk.CutAt = 0
+	m.unsure = true
 	m.losePower() // at the latest before anything is sent
 	return true
 }
@@ -191,6 +218,7 @@
 	if _, ok := cause.(modeldisk.PowerCut); !ok {
 		panic(cause)
 	}
+	m.unsure = true
 	m.losePower()
 }
 
@@ -241,6 +269,7 @@
 func (m *machine) wipe() {
 	m.world.tracef("%s loses its disk", m.address)
 	m.down()
+	m.wiped = true
 	m.disk = modeldisk.New()
 }
 
--- a/coordination/view/plan.go
+++ b/coordination/view/plan.go
@@ -1,6 +1,10 @@
 package view
 
-import "slices"
+import (
+	"slices"
+
+	"raventrestle/coordination/internal/mutation"
+)
 
 // Wish is what a proposer would like the next view to be. Plan grants of it what is safe.
 type Wish struct {
@@ -10,6 +14,7 @@
 	Gone     []string // voters that should give up their vote to a standby
 	Standbys []Member // live members outside the voters whose logs are near the head's, best first
 	NotHead  []string // identities that should not be the head where another can
+	Planted  mutation.Set
 }
 
 // Plan makes the next view out of the reports of a majority of the voters. The head is one of those whose log
@@ -84,7 +89,7 @@
 	voters := current.Voters
 	standbys := slices.Clone(wish.Standbys)
 	try := func(changed []Member) {
-		if enoughHolders(current, changed, holders, wish.Faults) {
+		if enoughHolders(current, changed, holders, wish.Faults) || wish.Planted.AnyVoters {
 			voters, standbys = changed, standbys[1:]
 		}
 	}
--- a/coordination/view/view_test.go
+++ b/coordination/view/view_test.go
@@ -192,6 +192,21 @@
 	})
 }
 
+// A standby gets no vote while too few of the voters are known to hold everything.
+func TestVotesWaitForHolders(t *testing.T) {
+	voters := members(3)
+	current := View{Epoch: 5, Voters: voters, Chain: voters[:2]}
+	reports := []Report{{Member: voters[0], Active: 5}, {Member: voters[1], Active: 4}}
+	wish := Wish{Faults: 1, Target: 3, Gone: []string{voters[2].Identity}, Standbys: []Member{member(20)}}
+	if next := Plan(current, reports, wish); next.Votes(member(20).Identity) {
+		t.Errorf("one of %v holds everything", next.Voters)
+	}
+	wish.Planted.AnyVoters = true
+	if next := Plan(current, reports, wish); !next.Votes(member(20).Identity) {
+		t.Error("votes without holders are not found")
+	}
+}
+
 // Every chain that may commit meets every majority of its voters, also after as many lost disks as must be borne.
 func TestCommitMinimum(t *testing.T) {
 	for faults := range 4 {
