Let every member prove since when it knows all that was acknowledged

Cause: a member that was cut off could not tell how old its knowledge was, and nobody asked it.

Change: the head marks time and last index at its pings; a majority's answers prove a mark once its index is applied. Pings tell the followers of the proof and of when their own answer came, from which each places the proof on its own steady clock (chain/contact.go). Status.ConfirmedAt of chain and replica show it. Standbys are pinged as often as voters, so that their proofs are as young.

--- a/coordination/chain/message.go
+++ b/coordination/chain/message.go
@@ -58,6 +58,12 @@
 	Version   uint64        `cbor:"7,keyasint"`           // of the table of members
 	Members   []view.Member `cbor:"8,keyasint,omitempty"` // the table, when the receiver lacks it
 	Live      []bool        `cbor:"9,keyasint,omitempty"` // beside Members
+
+	// For the receiver's contact, all on the head's clock.
+	EchoAt     time.Duration `cbor:"10,keyasint,omitempty"` // when the answer to Echo came
+	EchoNumber uint64        `cbor:"11,keyasint,omitempty"` // Contact of that answer
+	Proof      time.Duration `cbor:"12,keyasint,omitempty"` // moment of the head's newest proof; 0: it has none
+	ProofIndex uint64        `cbor:"13,keyasint,omitempty"` // all acknowledged before Proof is at or below it
 }
 
 // Pong answers a ping.
@@ -72,6 +78,7 @@
 	Refusing  bool          `cbor:"8,keyasint,omitempty"` // its disk refuses writes
 	Leaving   bool          `cbor:"9,keyasint,omitempty"`
 	Version   uint64        `cbor:"10,keyasint"`
+	Contact   uint64        `cbor:"11,keyasint,omitempty"` // number of the receipts among which the ping is
 }
 
 // EpochEnd says up to which index a log holds entries of an epoch.
--- a/coordination/chain/node.go
+++ b/coordination/chain/node.go
@@ -34,6 +34,8 @@
 	tableVersion uint64
 	table        table
 	watch        watch
+	contact      contact
+	contacts     uint64 // numbers given to receipts in this life
 	change       change
 	feed         feed
 	requests     requests
@@ -126,6 +128,7 @@
 // finish runs what follows from any change and hands out the output.
 func (n *Node) finish(now time.Duration) Output {
 	n.watch.wake = now + idleWake
+	n.runContact(now)
 	n.runWatch(now)
 	n.runChange(now)
 	n.runFeed(now)
--- a/coordination/chain/peer.go
+++ b/coordination/chain/peer.go
@@ -18,6 +18,8 @@
 	steadySince time.Duration // start of its unbroken answers
 	confirmed   time.Duration // sending time of the newest ping of this life that it has answered in this epoch
 	echoed      time.Duration // sending time of the newest ping of this life that it has answered
+	echoedAt    time.Duration // that answer came
+	echoNumber  uint64        // Contact of that answer
 	pong        Pong
 	tableHeld   uint64 // version of the table that it holds
 	progressAt  time.Duration
--- a/coordination/chain/receive.go
+++ b/coordination/chain/receive.go
@@ -189,6 +189,7 @@
 		n.learn(now, member)
 	}
 	n.beginWatch(now)
+	n.beginContact()
 	n.requests.resend()
 	n.commitHere()
 }
--- a/coordination/chain/watch.go
+++ b/coordination/chain/watch.go
@@ -134,8 +134,7 @@
 		every := n.timing.Ping
 		switch {
 		case concerned(n.view, p.member.Identity):
-		case n.live(now, p):
-			every *= 2 // nothing is decided by a standby's answers in a hurry
+		case n.live(now, p): // as often as a voter, for a proof of the same age
 		default:
 			every = farPing
 		}
@@ -151,9 +150,12 @@
 
 func (n *Node) ping(now time.Duration, p *peer) {
 	p.pingedAt = now
+	n.mark(now)
+	proof := n.proved(now)
 	ping := Ping{
 		Life: n.life, Sent: now, Echo: p.echoed, Committed: n.committed, Last: n.log.last(),
 		Yield: n.refusing, Version: n.tableVersion,
+		EchoAt: p.echoedAt, EchoNumber: p.echoNumber, Proof: proof.at, ProofIndex: proof.index,
 	}
 	if p.tableHeld != n.tableVersion {
 		ping.Members = n.members()
@@ -223,9 +225,11 @@
 		n.takeTable(now, ping)
 	}
 	n.learnCommitted(ping.Committed)
+	n.onProof(now, ping)
 	pong := Pong{
 		Life: ping.Life, Sent: ping.Sent, Committed: n.committed, Last: n.log.last(), Active: n.active,
 		Matched: n.matched, Refusing: n.refusing, Leaving: n.leaving, Version: n.table.version,
+		Contact: n.contact.number,
 	}
 	if n.wedged() {
 		pong.Promised = n.acceptor.Epoch
@@ -261,7 +265,7 @@
 		p.steadySince = now
 	}
 	p.pong, p.tableHeld = pong, pong.Version
-	p.echoed = max(p.echoed, pong.Sent)
+	n.takeEcho(now, p, pong)
 	if pong.Promised <= n.view.Epoch {
 		p.confirmed = max(p.confirmed, pong.Sent)
 	}
@@ -270,9 +274,30 @@
 	}
 }
 
+// takeEcho notes the newest answer, and has the first of a contact echoed at once.
+func (n *Node) takeEcho(now time.Duration, p *peer, pong Pong) {
+	if pong.Sent <= p.echoed {
+		return
+	}
+	if pong.Contact != p.echoNumber {
+		p.pingedAt = 0
+	}
+	p.echoed, p.echoedAt, p.echoNumber = pong.Sent, now, pong.Contact
+}
+
 // leaseUntil is the end of the lease that a majority of the voters has confirmed.
 func (n *Node) leaseUntil(now time.Duration) time.Duration {
-	if !n.isHead() || !n.whole() || n.wedged() || n.refusing {
+	since := n.confirmedSince(now)
+	if since == 0 {
+		return 0
+	}
+	return since + n.timing.Lease
+}
+
+// confirmedSince is the newest moment at or after which a majority of the voters was asked for all their newest
+// confirmations of this epoch; 0 when there is none.
+func (n *Node) confirmedSince(now time.Duration) time.Duration {
+	if !n.proves() {
 		return 0
 	}
 	var confirmed []time.Duration
@@ -289,7 +314,7 @@
 		return 0
 	}
 	slices.Sort(confirmed)
-	return confirmed[len(confirmed)-n.view.Majority()] + n.timing.Lease
+	return confirmed[len(confirmed)-n.view.Majority()]
 }
 
 // countLease notes the beginning and the end of the own tenure.
@@ -312,7 +337,7 @@
 func (n *Node) Status(now time.Duration) Status {
 	status := Status{
 		Self: n.self, View: n.filled(n.view), Committed: n.committed, PreviousMayAct: n.watch.previousMayAct,
-		Live: n.liveMembers(now),
+		Live: n.liveMembers(now), ConfirmedAt: n.proved(now).at,
 	}
 	if n.Leads(now) {
 		status.Leader = true
--- a/coordination/replica/replica_test.go
+++ b/coordination/replica/replica_test.go
@@ -275,3 +275,24 @@
 		t.Errorf("%d words, want %d", got, callers*calls)
 	}
 }
+
+// Every member proves a fresh contact with the majority, and goes on doing so without a change that it would tell.
+func TestEveryMemberProvesItsContact(t *testing.T) {
+	g := newGroup(t, 4)
+	for i := range 4 {
+		g.propose(i, fmt.Sprint("w", i))
+	}
+	const often = 50 * time.Millisecond
+	for i := range 4 {
+		member := g.member(i)
+		began := time.Now()
+		late := time.After(deadline)
+		for !member.Status().ConfirmedAt.After(began) {
+			select {
+			case <-time.After(often):
+			case <-late:
+				t.Fatalf("member %d: confirmed at %v, asked at %v", i, member.Status().ConfirmedAt, began)
+			}
+		}
+	}
+}
--- a/coordination/replica/status.go
+++ b/coordination/replica/status.go
@@ -60,6 +60,7 @@
 		LeaseUntil:     r.instant(s.LeaseUntil),
 		LeaderSince:    r.instant(s.LeaderSince),
 		PreviousMayAct: r.instant(s.PreviousMayAct),
+		ConfirmedAt:    r.instant(s.ConfirmedAt),
 	}
 }
 
