--- a/coordination/chain/receive.go
+++ b/coordination/chain/receive.go
@@ -203,6 +203,7 @@
 		n.learn(now, member)
 	}
 	n.beginWatch(now)
+	n.beginContact()
 	n.requests.resend()
 	n.commitHere()
 }
