State in every message to a router how old the instance's contact is

Cause: a router believed whoever sent it beacons. A cut-off instance refused a router once, took it at its second try and kept it for 5 s on an old version. Change: the hub takes every router at once and keeps it. Each Update, Beacon and Probed carries a Standing of the step that decided it: epoch, age of the newest contact with a majority, the instance's time, the connection's newest mark. Probes are answered without a subscription, on a connection that keeps its number. The host reads the status, then the configuration, and gives the configuration first, so that no contact is stated above an older generation. Without a contact of the last second no table replaces a router's own; once there is one, those routers get a whole table, and all hear of it at once. While routers lack it, the host looks every 50 ms; without routers, never.

--- a/internal/control/distribution/hub.go
+++ b/internal/control/distribution/hub.go
@@ -5,6 +5,8 @@
 //   - A router gets committed configurations only, and never an older one after a newer one.
 //   - Confirmed is set only after a barrier that began after the router's subscription.
 //   - A connection is never without a byte for longer than the beacon's time while the host runs.
+//   - Every message states how old the instance's newest contact with a majority is. Without a fresh one no router is
+//     sent a table that replaces its own.
 package distribution
 
 import (
@@ -19,13 +21,14 @@
 	// BeaconEvery is how often a router hears from its instance at least.
 	BeaconEvery = 250 * time.Millisecond
 
-	gatherFor      = 4 * time.Millisecond  // ordinary changes wait so long for others
-	flushEvery     = 40 * time.Millisecond // and go no more often than this
-	beaconSlack    = 60 * time.Millisecond
-	confirmWithin  = 3 * time.Second  // a router that is slower is sent away
-	retryFirst     = 10 * time.Second // an isolated instance takes a router at its second try within this time
-	isolatedFor    = 5 * time.Second  // and sends it away again after this
-	forgetAttempts = 30 * time.Second
+	// FreshFor is how long a contact with a majority counts as fresh.
+	FreshFor = time.Second
+
+	gatherFor     = 4 * time.Millisecond  // ordinary changes wait so long for others
+	flushEvery    = 40 * time.Millisecond // and go no more often than this
+	contactEvery  = 50 * time.Millisecond // routers wait for a fresh contact: look for one so often
+	beaconSlack   = 60 * time.Millisecond
+	confirmWithin = 3 * time.Second // a router that is slower is sent away
 )
 
 // ConnectionID names a router's connection within the process; numbers are not used again.
@@ -34,9 +37,10 @@
 // Hub has the subscriptions of one instance. It is not safe for concurrent use.
 type Hub struct {
 	subscribers map[ConnectionID]*subscriber
-	order       []*subscriber        // by connection: what is sent must not depend on the order of a map
-	attempts    map[string]time.Time // newest try of each router that was sent away
-	isolated    bool
+	order       []*subscriber           // by connection: what is sent must not depend on the order of a map
+	marks       map[ConnectionID]uint64 // newest mark of each connection, subscribed or not
+	started     time.Time
+	contact     Contact
 
 	generation int64
 	document   []byte
@@ -56,11 +60,12 @@
 	out Output
 }
 
-// New returns a hub without routers.
-func New() *Hub {
+// New returns a hub without routers. Its messages tell the time since it started.
+func New(started time.Time) *Hub {
 	return &Hub{
 		subscribers: make(map[ConnectionID]*subscriber),
-		attempts:    make(map[string]time.Time),
+		marks:       make(map[ConnectionID]uint64),
+		started:     started,
 		changed:     make(map[string]protocol.Endpoint),
 	}
 }
@@ -78,6 +83,13 @@
 type Confirmed struct {
 	Connection ConnectionID
 	Sequence   uint64
+	Mark       uint64
+}
+
+// Probed: who is on the connection asks for the instance's standing, subscribed or not.
+type Probed struct {
+	Connection ConnectionID
+	Mark       uint64
 }
 
 // Closed: the connection ended.
@@ -95,8 +107,12 @@
 // Members: all control instances that are known.
 type Members struct{ Members []protocol.Member }
 
-// Isolation: whether this instance reaches no majority of the others.
-type Isolation struct{ Isolated bool }
+// Contact: the newest proof that this instance has of a majority of the voters. All versions that were acknowledged
+// anywhere before ConfirmedAt must have been given with Configuration before.
+type Contact struct {
+	Epoch       uint64    // of the instance's view; 0: it is no member yet
+	ConfirmedAt time.Time // zero: there was none
+}
 
 // Granted: quota grants for one router.
 type Granted struct{ Router protocol.RouterGrants }
@@ -116,11 +132,12 @@
 func (Configuration) input() {}
 func (BarrierPassed) input() {}
 func (Members) input()       {}
-func (Isolation) input()     {}
+func (Contact) input()       {}
+func (Probed) input()        {}
 func (Granted) input()       {}
 func (Endpoints) input()     {}
 
-// Send is a message for a router: *protocol.Update or *protocol.Beacon.
+// Send is a message for a router: *protocol.Update, *protocol.Beacon or *protocol.Probed.
 type Send struct {
 	Connection ConnectionID
 	Message    any
@@ -140,8 +157,6 @@
 
 // Reasons for closing a router's connection.
 const (
-	Refused  = "refused"  // an isolated instance sends routers away at their first try
-	Isolated = "isolated" // a router may find a better instance by now
 	Replaced = "replaced" // the router has subscribed again
 	Slow     = "slow"     // it did not confirm in time
 )
@@ -160,18 +175,25 @@
 // Step takes in what happened.
 func (h *Hub) Step(now time.Time, table Table, inputs ...Input) Output {
 	h.out = Output{}
+	stale := !h.fresh(now)
 	for _, in := range inputs {
 		h.take(now, table, in)
 	}
+	if h.fresh(now) {
+		h.completeTables(now, table)
+	}
 	if !h.flushAt.IsZero() && !now.Before(h.flushAt) {
 		h.flush(now)
 	}
 	if len(h.subscribers) > 0 && !now.Before(h.beaconAt) {
 		h.beacons(now)
 	}
+	if h.fresh(now) {
+		h.tellContact(now, stale)
+	}
 	h.out.Floor = h.floor()
 	h.out.Barrier = h.barrier()
-	h.out.WakeAt = h.wakeAt()
+	h.out.WakeAt = h.wakeAt(now)
 	return h.out
 }
 
@@ -182,21 +204,25 @@
 	case Confirmed:
 		if s := h.subscribers[in.Connection]; s != nil {
 			h.confirm(s, in.Sequence)
+			h.noteMark(in.Connection, in.Mark)
 		}
+	case Probed:
+		h.probed(now, in)
 	case Closed:
 		h.forget(in.Connection)
+		delete(h.marks, in.Connection)
 	case Configuration:
 		h.configure(now, in)
 	case BarrierPassed:
 		h.barrierPassed(now, in.Barrier)
 	case Members:
 		h.setMembers(now, in.Members)
-	case Isolation:
-		h.isolate(in.Isolated)
+	case Contact:
+		h.contact = in
 	case Granted:
 		h.grant(now, in.Router)
 	case Endpoints:
-		h.takeEndpoints(now, table, in)
+		h.takeEndpoints(now, in)
 	}
 }
 
@@ -220,10 +246,10 @@
 	h.flushWithin(now, gatherFor)
 }
 
-func (h *Hub) takeEndpoints(now time.Time, table Table, in Endpoints) {
-	h.revision = in.Revision
+func (h *Hub) takeEndpoints(now time.Time, in Endpoints) {
+	h.revision, h.whole = in.Revision, in.Whole
 	if len(h.subscribers) == 0 {
-		h.routers, h.whole = in.Routers, in.Whole
+		h.routers = in.Routers
 		return // whoever subscribes gets the whole table
 	}
 	for _, endpoint := range in.Changed {
@@ -239,18 +265,6 @@
 		h.routers = in.Routers
 		h.tellRouters(now)
 	}
-	if in.Whole && !h.whole {
-		h.becomeWhole(now, table)
-	}
-}
-
-// isolate notes whether this instance reaches a majority. Routers that it took in without one may stay once
-// it does.
-func (h *Hub) isolate(isolated bool) {
-	h.isolated = isolated
-	for _, s := range h.order {
-		s.isolated = s.isolated && isolated
-	}
 }
 
 func (h *Hub) tellRouters(now time.Time) {
@@ -260,11 +274,28 @@
 	h.flushWithin(now, gatherFor)
 }
 
-// becomeWhole has routers that got a part of the table replace theirs.
-func (h *Hub) becomeWhole(now time.Time, table Table) {
-	h.whole = true
-	clear(h.changed)
+// completeTables has routers that got a table for merging replace theirs, once the table is whole.
+func (h *Hub) completeTables(now time.Time, table Table) {
+	if !h.whole {
+		return
+	}
+	behind := 0
+	for _, s := range h.order {
+		if s.merging {
+			behind++
+		}
+	}
+	if behind == 0 {
+		return
+	}
+	if behind == len(h.order) {
+		clear(h.changed) // all is in the table
+	}
 	for _, s := range h.order {
+		if !s.merging {
+			continue
+		}
+		s.merging = false
 		update := h.update(now, s)
 		update.Full, update.Endpoints = true, table(false)
 		h.send(now, s, update)
@@ -320,12 +351,16 @@
 	}
 }
 
-func (h *Hub) wakeAt() time.Time {
+func (h *Hub) wakeAt(now time.Time) time.Time {
 	if len(h.subscribers) == 0 {
 		return time.Time{}
 	}
-	if !h.flushAt.IsZero() && h.flushAt.Before(h.beaconAt) {
-		return h.flushAt
+	wake := h.beaconAt
+	if !h.flushAt.IsZero() && h.flushAt.Before(wake) {
+		wake = h.flushAt
+	}
+	if look := now.Add(contactEvery); !h.fresh(now) && look.Before(wake) {
+		wake = look
 	}
-	return h.beaconAt
+	return wake
 }
--- a/internal/control/distribution/subscriber.go
+++ b/internal/control/distribution/subscriber.go
@@ -14,16 +14,16 @@
 	connection   ConnectionID
 	router       protocol.Subscribe
 	arrival      uint64 // number of its subscription
-	since        time.Time
 	sequence     uint64
 	generation   int64 // newest configuration it has, or was sent
 	told         bool  // Confirmed was sent
 	needsMembers bool
 	needsRouters bool
 	lastSent     time.Time
+	toldStale    bool   // the newest message told no fresh contact
 	waiting      []mark // sent and not confirmed yet, in order
 	confirmed    uint64 // revision of the table that is in force there
-	isolated     bool   // it came while this instance was isolated
+	merging      bool   // its table was for merging: it lacks one that replaces its own
 }
 
 // mark remembers what an update carried.
@@ -54,18 +54,16 @@
 
 // subscribe takes a router in and sends it everything that it lacks.
 func (h *Hub) subscribe(now time.Time, table Table, in Subscribed) {
-	if h.isolated && h.sendAway(now, in) {
-		return
-	}
 	h.replaceEarlier(in)
+	h.noteMark(in.Connection, in.Router.Mark)
+	replaces := h.whole && h.fresh(now)
 	h.arrivals++
 	s := &subscriber{
 		connection: in.Connection,
 		router:     in.Router,
 		arrival:    h.arrivals,
-		since:      now,
 		generation: in.Router.Generation,
-		isolated:   h.isolated,
+		merging:    !replaces,
 	}
 	if len(h.subscribers) == 0 {
 		h.beaconAt = now.Add(BeaconEvery)
@@ -78,28 +76,12 @@
 	h.out.Routers = true
 	h.out.Joined = append(h.out.Joined, in.Router)
 	update := h.update(now, s)
-	update.Full, update.Endpoints = h.whole, table(!h.whole)
+	update.Full, update.Endpoints = replaces, table(!replaces)
 	update.Members = h.members
 	update.Routers = h.routers
 	h.send(now, s, update)
 }
 
-// sendAway refuses a router that may find a better instance: it is taken at its second try.
-func (h *Hub) sendAway(now time.Time, in Subscribed) bool {
-	for node, last := range h.attempts {
-		if now.Sub(last) > forgetAttempts {
-			delete(h.attempts, node)
-		}
-	}
-	last, tried := h.attempts[in.Router.Node]
-	h.attempts[in.Router.Node] = now
-	if tried && now.Sub(last) <= retryFirst {
-		return false
-	}
-	h.close(in.Connection, in.Router.Node, Refused)
-	return true
-}
-
 // replaceEarlier ends an earlier connection of the same router, which it has given up.
 func (h *Hub) replaceEarlier(in Subscribed) {
 	for _, s := range h.order {
@@ -124,12 +106,13 @@
 }
 
 func (h *Hub) close(id ConnectionID, node, reason string) {
+	delete(h.marks, id)
 	h.out.Close = append(h.out.Close, Closing{Connection: id, Node: node, Reason: reason})
 }
 
 // update begins an update with the configuration, where the router's is older.
 func (h *Hub) update(now time.Time, s *subscriber) *protocol.Update {
-	update := &protocol.Update{Generation: h.generation}
+	update := &protocol.Update{Generation: h.generation, Standing: h.standing(now, s.connection)}
 	if h.generation > s.generation {
 		update.Document = h.document
 	}
@@ -147,7 +130,7 @@
 	s.sequence++
 	update.Sequence = s.sequence
 	s.generation = max(s.generation, update.Generation)
-	s.lastSent = now
+	s.lastSent, s.toldStale = now, !h.fresh(now)
 	revision := h.revision
 	if len(h.changed) > 0 && !update.Full {
 		revision = h.sentRevision(s)
@@ -191,17 +174,18 @@
 		case len(s.waiting) > 0 && now.Sub(s.waiting[0].sent) > confirmWithin:
 			h.forget(id)
 			h.close(id, s.router.Node, Slow)
-		case s.isolated && now.Sub(s.since) > isolatedFor, h.isolated && !s.isolated:
-			h.forget(id)
-			h.close(id, s.router.Node, Isolated)
 		case now.Sub(s.lastSent) >= BeaconEvery-beaconSlack:
-			s.lastSent = now
-			h.out.Send = append(h.out.Send, Send{Connection: id,
-				Message: &protocol.Beacon{Sequence: s.sequence, Generation: h.generation}})
+			h.beacon(now, s)
 		}
 	}
 }
 
+func (h *Hub) beacon(now time.Time, s *subscriber) {
+	s.lastSent, s.toldStale = now, !h.fresh(now)
+	message := &protocol.Beacon{Sequence: s.sequence, Generation: h.generation, Standing: h.standing(now, s.connection)}
+	h.out.Send = append(h.out.Send, Send{Connection: s.connection, Message: message})
+}
+
 // floor is the revision that every router has in force.
 func (h *Hub) floor() uint64 {
 	lowest := ^uint64(0)
--- a/internal/control/host/commands.go
+++ b/internal/control/host/commands.go
@@ -131,7 +131,6 @@
 		h.forgetConnection(command.connection)
 	case replicaMoved:
 		h.status.read = time.Time{} // it may be about who is there
-		h.readConfiguration()
 	case barrierEnded:
 		h.endBarrier(command)
 	case heartbeat:
@@ -161,11 +160,16 @@
 	}
 	switch message := in.message.(type) {
 	case *protocol.Subscribe:
-		h.subscribed(in.connection, message)
+		h.news.Hub = append(h.news.Hub,
+			distribution.Subscribed{Connection: h.identify(in.connection), Router: *message})
 	case *protocol.Confirm:
 		if id, known := h.connections[in.connection]; known {
-			h.news.Hub = append(h.news.Hub, distribution.Confirmed{Connection: id, Sequence: message.Sequence})
+			h.news.Hub = append(h.news.Hub,
+				distribution.Confirmed{Connection: id, Sequence: message.Sequence, Mark: message.Mark})
 		}
+	case *protocol.Probe:
+		h.news.Hub = append(h.news.Hub,
+			distribution.Probed{Connection: h.identify(in.connection), Mark: message.Mark})
 	case *protocol.Report:
 		h.reported(message)
 	case *protocol.ReportBatch:
@@ -179,13 +183,15 @@
 	}
 }
 
-func (h *Host) subscribed(connection *transport.Connection, router *protocol.Subscribe) {
-	h.forgetConnection(connection)
+// identify returns the number of a connection. It keeps it for its life: a probe may come before a subscription.
+func (h *Host) identify(connection *transport.Connection) distribution.ConnectionID {
+	if id, known := h.connections[connection]; known {
+		return id
+	}
 	h.nextID++
 	h.connections[connection] = h.nextID
 	h.byID[h.nextID] = connection
-	h.readConfiguration()
-	h.news.Hub = append(h.news.Hub, distribution.Subscribed{Connection: h.nextID, Router: *router})
+	return h.nextID
 }
 
 func (h *Host) forgetConnection(connection *transport.Connection) {
@@ -224,20 +230,10 @@
 	}
 }
 
-func (h *Host) readConfiguration() {
-	generation, document := h.parts.Configurations.Newest()
-	if generation > h.status.generation {
-		h.status.generation = generation
-		packed := protocol.PackDocument(document)
-		h.news.Hub = append(h.news.Hub, distribution.Configuration{Generation: generation, Document: packed})
-	}
-}
-
 func (h *Host) endBarrier(in barrierEnded) {
 	h.barrier = false
 	if !in.passed {
 		return // the next step asks for another where it is still needed
 	}
-	h.readConfiguration()
 	h.news.Hub = append(h.news.Hub, distribution.BarrierPassed{Barrier: in.number})
 }
--- a/internal/control/host/desk.go
+++ b/internal/control/host/desk.go
@@ -19,7 +19,7 @@
 
 // NewDesk returns a desk that knows nothing yet.
 func NewDesk(settings registry.Settings, now time.Time) *Desk {
-	return &Desk{registry: registry.New(settings, now), hub: distribution.New()}
+	return &Desk{registry: registry.New(settings, now), hub: distribution.New(now)}
 }
 
 // News is what happened since the last step.
--- a/internal/control/host/frames_test.go
+++ b/internal/control/host/frames_test.go
@@ -19,7 +19,8 @@
 	updates := []*protocol.Update{
 		{Sequence: 1, Generation: 2, Document: []byte("{}"), Full: true, Endpoints: list,
 			Members: []protocol.Member{{Identity: "m"}}, Routers: 4, Confirmed: true,
-			Quotas: []protocol.QuotaGrant{{Tenant: "t", RatePerS: 5, Burst: 6, For: time.Second}}},
+			Standing: protocol.Standing{Epoch: 3, Known: true, Age: time.Second, At: time.Hour, Mark: 8},
+			Quotas:   []protocol.QuotaGrant{{Tenant: "t", RatePerS: 5, Burst: 6, For: time.Second}}},
 		{Sequence: 2, Endpoints: list},
 		{Sequence: 3},
 	}
--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -19,7 +19,7 @@
 	reportsEvery   = 200 * time.Millisecond // routers' reports go on together
 	lacksEvery     = 4 * time.Millisecond   // the same, while requests wait for quota
 	staleGrant     = 300 * time.Millisecond // one that was held up longer may be somebody else's by now
-	isolatedAfter  = time.Second            // without a majority
+	isolatedAfter  = distribution.FreshFor  // without contact with a majority
 	barrierWithin  = 1500 * time.Millisecond
 	barrierPause   = 200 * time.Millisecond // after one that failed
 	maximumReports = 4096                   // kept while no holder of the placer's role is known
@@ -128,7 +128,7 @@
 		case <-timer.C:
 		}
 		now := time.Now()
-		h.readStatus(now)
+		h.readReplica(now)
 		h.carryOut(ctx, now, h.step(now))
 		h.forwardReports(now)
 		timer.Reset(time.Until(h.wakeAt(now)))
@@ -248,9 +248,7 @@
 	}
 	delete(h.byID, closing.Connection)
 	delete(h.connections, connection)
-	if closing.Reason != distribution.Refused {
-		h.parts.Events.RouterClosed(closing.Node, closing.Reason)
-	}
+	h.parts.Events.RouterClosed(closing.Node, closing.Reason)
 	connection.Close()
 }
 
--- /dev/null
+++ b/internal/control/host/standing_test.go
@@ -0,0 +1,129 @@
+package host
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"raventrestle/coordination/replica"
+	"raventrestle/internal/control/distribution"
+	"raventrestle/internal/control/replicatest"
+	"raventrestle/internal/protocol"
+	"raventrestle/internal/transport"
+)
+
+// busyReplica commits a version whenever its status is read, and its contact covers it.
+type busyReplica struct {
+	*replicatest.Double
+	commit func()
+}
+
+func (b *busyReplica) Status() replica.Status {
+	b.commit()
+	return b.Double.Status()
+}
+
+// TestContactIsGivenAfterWhatItCovers: whatever is in the contact's majority is known to the hub before the contact,
+// and both before what the step takes in.
+func TestContactIsGivenAfterWhatItCovers(t *testing.T) {
+	stand := &standIn{}
+	committed := int64(0)
+	busy := &busyReplica{Double: replicatest.New(nil, replica.Status{View: replica.View{Epoch: 4}})}
+	busy.commit = func() {
+		committed++
+		stand.set(committed, "document")
+	}
+	h := New(Settings{Codec: testCodec()}, Parts{Replica: busy, Configurations: stand, Events: stand})
+	for range 3 {
+		h.news = News{Hub: []distribution.Input{distribution.BarrierPassed{Barrier: 1}}}
+		h.readReplica(time.Now())
+		contact := slices.IndexFunc(h.news.Hub, func(in distribution.Input) bool {
+			is, isContact := in.(distribution.Contact)
+			return isContact && is.Epoch == 4
+		})
+		version := slices.IndexFunc(h.news.Hub, func(in distribution.Input) bool {
+			is, isVersion := in.(distribution.Configuration)
+			return isVersion && is.Generation == committed
+		})
+		passed := slices.Index(h.news.Hub, distribution.Input(distribution.BarrierPassed{Barrier: 1}))
+		if version < 0 || contact < version || passed < contact {
+			t.Fatalf("version at %d, contact at %d, barrier at %d", version, contact, passed)
+		}
+	}
+}
+
+// prober keeps the answers to probes.
+type prober struct {
+	client
+	probed chan *protocol.Probed
+}
+
+func (p *prober) Message(connection *transport.Connection, message any) {
+	if answer, isAnswer := message.(*protocol.Probed); isAnswer {
+		p.probed <- answer
+		return
+	}
+	p.client.Message(connection, message)
+}
+
+// TestProbeThenSubscription: both come on one connection, and the mark of the first is in the answers to both.
+func TestProbeThenSubscription(t *testing.T) {
+	nodes := startNodes(t, 1)
+	nodes[0].stand.set(7, "seven")
+	p := &prober{probed: make(chan *protocol.Probed, 4), client: client{t: t, mute: true,
+		updates: make(chan *protocol.Update, 64), beacons: make(chan *protocol.Beacon, 1), closed: make(chan struct{})}}
+	connection, err := transport.Dial(t.Context(), nodes[0].address, testCodec(), p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(connection.Close)
+	if err := connection.Send(protocol.Probe{Mark: 6}); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case answer := <-p.probed:
+		standing := answer.Standing
+		if answer.Generation != 7 || standing.Mark != 6 || standing.Epoch != 1 || !standing.Known {
+			t.Errorf("%+v", answer)
+		}
+	case <-time.After(patience):
+		t.Fatal("no answer to a probe")
+	}
+	if err := connection.Send(protocol.Subscribe{Node: "r1"}); err != nil {
+		t.Fatal(err)
+	}
+	first := p.await("first", func(u *protocol.Update) bool { return u.Sequence == 1 })
+	if first.Standing.Mark != 6 || !first.Standing.Known {
+		t.Errorf("first: %+v", first.Standing)
+	}
+}
+
+// TestPartedInstanceTellsItsAge: a router stays, and sees the contact's age grow.
+func TestPartedInstanceTellsItsAge(t *testing.T) {
+	nodes := startNodes(t, 1)
+	c := subscribe(t, nodes[0], protocol.Subscribe{Node: "r1"}, false)
+	c.await("first", func(u *protocol.Update) bool { return u.Sequence == 1 })
+	nodes[0].double.Part(true)
+	deadline := time.After(patience)
+	for age := time.Duration(0); age < distribution.FreshFor; {
+		select {
+		case beacon := <-c.beacons:
+			age = beacon.Standing.Age
+		case <-c.closed:
+			t.Fatal("sent away")
+		case <-deadline:
+			t.Fatal("no age over a second was told")
+		}
+	}
+	nodes[0].double.Part(false)
+	for {
+		select {
+		case beacon := <-c.beacons:
+			if beacon.Standing.Known && beacon.Standing.Age < distribution.FreshFor {
+				return
+			}
+		case <-deadline:
+			t.Fatal("no fresh contact was told")
+		}
+	}
+}
--- a/internal/control/host/status.go
+++ b/internal/control/host/status.go
@@ -18,25 +18,52 @@
 	peers      []string
 	members    []protocol.Member
 	generation int64
+	contact    distribution.Contact
 	isolated   bool
-	told       bool      // the desk knows the three above
+	told       bool      // the desk knows peers and isolated
 	apart      time.Time // since when there is no majority; zero: there is one
 	begun      bool      // there was a majority once
 	wakeAt     time.Time
 }
 
-// readStatus tells the desk who can be reached.
-func (h *Host) readStatus(now time.Time) {
+// readReplica tells the desk what the replica knows at the beginning of a step.
+func (h *Host) readReplica(now time.Time) {
+	status := h.parts.Replica.Status()
+	h.readContact(status)
 	if now.Sub(h.status.read) < statusEvery {
 		return
 	}
 	h.status.read = now
-	status := h.parts.Replica.Status()
 	h.status.holder = holderOf(status)
 	h.readPeers(now, status)
 	h.readMembers(status)
 }
 
+// readContact puts what is committed, and the contact that covers it, before all that the step takes in. The
+// configuration is read after the status and given before the contact: nothing that was acknowledged before
+// ConfirmedAt may be missing in a message that states it.
+func (h *Host) readContact(status replica.Status) {
+	later := h.news.Hub
+	h.news.Hub = nil
+	h.readConfiguration()
+	contact := distribution.Contact{Epoch: status.View.Epoch, ConfirmedAt: status.ConfirmedAt}
+	if contact != h.status.contact {
+		h.status.contact = contact
+		h.news.Hub = append(h.news.Hub, contact)
+	}
+	h.news.Hub = append(h.news.Hub, later...)
+}
+
+func (h *Host) readConfiguration() {
+	generation, document := h.parts.Configurations.Newest()
+	if generation <= h.status.generation {
+		return
+	}
+	h.status.generation = generation
+	packed := protocol.PackDocument(document)
+	h.news.Hub = append(h.news.Hub, distribution.Configuration{Generation: generation, Document: packed})
+}
+
 func holderOf(status replica.Status) string {
 	if len(status.View.Chain) == 0 {
 		return ""
@@ -58,9 +85,6 @@
 	if h.status.told && !turned && slices.Equal(peers, h.status.peers) {
 		return
 	}
-	if !h.status.told || turned {
-		h.news.Hub = append(h.news.Hub, distribution.Isolation{Isolated: isolated})
-	}
 	if h.status.told && turned {
 		h.parts.Events.Isolated(isolated, len(status.Live), len(status.View.Voters))
 	}
--- a/internal/control/replicatest/double.go
+++ b/internal/control/replicatest/double.go
@@ -23,6 +23,8 @@
 	refuse  bool
 	stall   bool
 	stopped bool
+	parted  bool
+	contact time.Time     // newest contact with a majority while parted
 	barrier int           // barriers that passed
 	given   time.Duration // to the last proposal
 }
@@ -70,11 +72,32 @@
 	return d.index, nil
 }
 
-// Status returns what SetStatus set.
+// Status returns what SetStatus set, with a contact with a majority at this moment, unless the double is parted.
 func (d *Double) Status() replica.Status {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.status
+	status := d.status
+	status.ConfirmedAt = d.contact
+	if !d.parted {
+		status.ConfirmedAt = time.Now()
+	}
+	return status
+}
+
+// Part has the contact with a majority end at this moment, or be there again.
+func (d *Double) Part(parted bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.parted, d.contact = parted, time.Now()
+	d.signal()
+}
+
+// PartForever has the double be one that never had contact with a majority.
+func (d *Double) PartForever() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.parted, d.contact = true, time.Time{}
+	d.signal()
 }
 
 // SetStatus sets the status and tells of the change.
