Follow a control instance by a pure decider that knows the age of its proof

The logic of subscription.go is now Decider.Step: marks tie an instance's clock to the router's, each statement gives a moment before which the router knows all, and when the newest is older than Limits.Stale all instances are probed at once and one with a fresh contact is followed. One without proof is followed provisionally, never settled with; a lower epoch is refused. The host runs Apply outside its loop.

Change.Document is read by the host; Output tells Follows and Settled. Course gives whole rounds, pauses end at 250 ms. subscription_test.go: the stand-in answers probes, TestCourse works on rounds, all else as before. node_test.go: the stand-in answers probes. Tests of subscription and node pass with -race.

--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -30,7 +30,8 @@
 	reservedDescriptors = 200 // by the platform
 	otherDescriptors    = 64  // listeners, control plane, probes, the runtime
 	leastConnections    = 16
-	bodyPart            = 4 // of the memory, one part in so many for large bodies
+	bodyPart            = 4                      // of the memory, one part in so many for large bodies
+	leastStale          = 750 * time.Millisecond // below it an ordinary pause between two beacons would count
 )
 
 // Node is one router process.
@@ -68,7 +69,7 @@
 	own, _ := netip.ParseAddr(settings.IP) // checked with the settings; it only orders the seeds
 	course := subscription.NewCourse(settings.Zone, own, rand.New(rand.NewPCG(seed, 0)))
 	identity := subscription.Identity{Node: settings.NodeName, Zone: settings.Zone, Incarnation: seed}
-	n.subscription = subscription.New(identity, course, force, n)
+	n.subscription = subscription.New(identity, course, limits(settings), force, n)
 	return n, n.listen()
 }
 
@@ -88,6 +89,12 @@
 	}
 }
 
+// limits are those of the age of what the router goes by: there is as much time again to find another instance and to
+// take what it has.
+func limits(s *nodeconfig.Settings) subscription.Limits {
+	return subscription.Limits{Stale: max(leastStale, min(s.Bounds.Configuration, s.Bounds.Drain)/2)}
+}
+
 // connections is how many clients may be connected: each may have a call out, which needs a connection as well.
 func connections(s *nodeconfig.Settings) int {
 	return max(leastConnections, (s.Limits.MaxFDs-reservedDescriptors-otherDescriptors)/2)
--- a/internal/router/node/node_test.go
+++ b/internal/router/node/node_test.go
@@ -25,8 +25,10 @@
 
 const patience = 10 * time.Second
 
-// control is a stand-in for a control instance: it sends its update to whoever subscribes.
+// control is a stand-in for a control instance: it proves a fresh contact to whoever probes and sends its update to
+// whoever subscribes.
 type control struct {
+	started   time.Time
 	server    *transport.Server
 	update    protocol.Update
 	confirmed chan uint64
@@ -38,7 +40,7 @@
 
 func newControl(t testing.TB, update protocol.Update) *control {
 	t.Helper()
-	c := &control{update: update, confirmed: make(chan uint64, 100), reports: make(chan *protocol.Report, 100)}
+	c := &control{started: time.Now(), update: update, confirmed: make(chan uint64, 100), reports: make(chan *protocol.Report, 100)}
 	server, err := transport.Listen("127.0.0.1:0", protocol.NewCodec(), c)
 	if err != nil {
 		t.Fatal(err)
@@ -50,6 +52,8 @@
 
 func (c *control) Message(conn *transport.Connection, message any) {
 	switch m := message.(type) {
+	case *protocol.Probe:
+		conn.Send(protocol.Probed{Generation: c.update.Generation, Standing: c.standing(m.Mark)})
 	case *protocol.Subscribe:
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
@@ -62,6 +66,10 @@
 	}
 }
 
+func (c *control) standing(mark uint64) protocol.Standing {
+	return protocol.Standing{Epoch: 1, Known: true, At: time.Since(c.started), Mark: mark}
+}
+
 func (c *control) Closed(*transport.Connection, error) {}
 
 func document(generation int) []byte {
--- a/internal/router/subscription/course.go
+++ b/internal/router/subscription/course.go
@@ -12,19 +12,27 @@
 
 const (
 	leastPause = 50 * time.Millisecond // before the second round over all instances
-	mostPause  = 500 * time.Millisecond
+	mostPause  = 250 * time.Millisecond
+
+	ownZone  = 33 // nearness of an instance that is known to be in the own zone: above that of any address
+	farthest = -1 // nearness of the one that comes last
 )
 
-// Course decides which control instance is asked next: those of the own zone first, then the others, shuffled. Once all
-// were tried it pauses, longer with each round.
+// Target is an instance to ask.
+type Target struct {
+	Address  string
+	Nearness int // an answer of a higher one is worth a short wait
+}
+
+// Course decides in which order control instances are asked: those of the own zone first, then the others, shuffled. Once
+// all were tried it pauses, longer with each round.
 type Course struct {
 	zone    string
 	own     netip.Addr
 	random  *rand.Rand
 	seeds   []string
 	members []protocol.Member
-	ahead   []string // of this round
-	last    string   // comes last in this round
+	last    string // comes last in the next round
 	pause   time.Duration
 	started bool
 }
@@ -34,9 +42,13 @@
 	return &Course{zone: zone, own: own, random: random}
 }
 
-// SetSeeds replaces the addresses that the settings name.
-func (c *Course) SetSeeds(seeds []string) {
+// SetSeeds replaces the addresses that the settings name. It says whether they are others than before.
+func (c *Course) SetSeeds(seeds []string) bool {
+	if slices.Equal(c.seeds, seeds) {
+		return false
+	}
 	c.seeds = slices.Clone(seeds)
+	return true
 }
 
 // SetMembers replaces the instances that the control plane names.
@@ -44,63 +56,59 @@
 	c.members = slices.Clone(members)
 }
 
-// Next is the instance to ask, after a pause. It is empty where none is known.
-func (c *Course) Next() (address string, pause time.Duration) {
-	if len(c.ahead) == 0 {
-		c.ahead = c.round()
-		if c.started {
-			c.pause = min(mostPause, max(leastPause, 2*c.pause))
-			pause = c.pause/2 + time.Duration(c.random.Int64N(int64(c.pause/2)))
-		}
+// Pause is the time to wait before the next round: none before the first one, then longer each time.
+func (c *Course) Pause() time.Duration {
+	if !c.started {
 		c.started = true
+		return 0
 	}
-	if len(c.ahead) == 0 {
-		return "", max(pause, leastPause)
-	}
-	address = c.ahead[0]
-	c.ahead = c.ahead[1:]
-	return address, pause
+	c.pause = min(mostPause, max(leastPause, 2*c.pause))
+	return c.pause/2 + time.Duration(c.random.Int64N(int64(c.pause/2)))
 }
 
 // Anew begins a new round without a pause. Last is the instance that is tried last in it: one that did its work for a
 // while and has been left, or empty.
 func (c *Course) Anew(last string) {
 	c.last = last
-	c.ahead = nil
 	c.pause = 0
 	c.started = false
 }
 
-// round lists all instances that are known.
-func (c *Course) round() []string {
-	var near, far []string
+// Postpone has an instance that failed come last in the next round.
+func (c *Course) Postpone(address string) { c.last = address }
+
+// Round lists all instances that are known.
+func (c *Course) Round() []Target {
+	var list []Target
+	add := func(address string, nearness int) {
+		if !slices.ContainsFunc(list, func(t Target) bool { return t.Address == address }) {
+			list = append(list, Target{Address: address, Nearness: nearness})
+		}
+	}
 	for _, member := range c.members {
 		if member.Zone == c.zone {
-			near = append(near, member.Address)
+			add(member.Address, ownZone)
 		} else {
-			far = append(far, member.Address)
+			add(member.Address, 0)
 		}
 	}
-	c.shuffle(near)
-	c.shuffle(far)
-	seeds := slices.Clone(c.seeds)
-	c.shuffle(seeds)
-	slices.SortStableFunc(seeds, func(a, b string) int { return c.nearness(b) - c.nearness(a) })
-	list := append(near, far...)
-	for _, seed := range seeds {
-		if !slices.Contains(list, seed) {
-			list = append(list, seed)
-		}
+	for _, seed := range c.seeds {
+		add(seed, c.nearness(seed))
 	}
-	if at := slices.Index(list, c.last); at >= 0 {
-		list = append(slices.Delete(list, at, at+1), c.last)
+	for i := range list {
+		if list[i].Address == c.last {
+			list[i].Nearness = farthest
+		}
 	}
 	c.last = ""
+	c.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(a, b Target) int { return b.Nearness - a.Nearness })
 	return list
 }
 
-func (c *Course) shuffle(list []string) {
-	c.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+// OwnZone lists the instances that are known to be in the own zone.
+func (c *Course) OwnZone() []Target {
+	return slices.DeleteFunc(c.Round(), func(t Target) bool { return t.Nearness != ownZone })
 }
 
 // nearness guesses which seeds are in the own zone, whose zones nobody has told: addresses of one zone begin alike.
--- a/internal/router/subscription/subscription_test.go
+++ b/internal/router/subscription/subscription_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -18,12 +17,16 @@
 
 const patience = 10 * time.Second
 
-// instance is a stand-in for a control instance. What it gets goes to its channel; the test answers.
+var limits = Limits{Stale: time.Second}
+
+// instance is a stand-in for a control instance. It answers probes with proof of a fresh contact; all else that it gets
+// goes to its channel, and the test answers.
 type instance struct {
-	t      *testing.T
-	server *transport.Server
-	got    chan arrival
-	closed chan struct{}
+	t       *testing.T
+	started time.Time
+	server  *transport.Server
+	got     chan arrival
+	closed  chan struct{}
 }
 
 type arrival struct {
@@ -33,7 +36,7 @@
 
 func newInstance(t *testing.T) *instance {
 	t.Helper()
-	i := &instance{t: t, got: make(chan arrival, 100), closed: make(chan struct{}, 100)}
+	i := &instance{t: t, started: time.Now(), got: make(chan arrival, 100), closed: make(chan struct{}, 100)}
 	server, err := transport.Listen("127.0.0.1:0", protocol.NewCodec(), i)
 	if err != nil {
 		t.Fatal(err)
@@ -43,7 +46,14 @@
 	return i
 }
 
-func (i *instance) Message(c *transport.Connection, message any) { i.got <- arrival{c, message} }
+func (i *instance) Message(c *transport.Connection, message any) {
+	if probe, ok := message.(*protocol.Probe); ok {
+		standing := protocol.Standing{Epoch: 1, Known: true, At: time.Since(i.started), Mark: probe.Mark}
+		c.Send(protocol.Probed{Generation: 4, Standing: standing})
+		return
+	}
+	i.got <- arrival{c, message}
+}
 
 func (i *instance) Closed(*transport.Connection, error) { i.closed <- struct{}{} }
 
@@ -117,7 +127,7 @@
 		w.force.seeds = append(w.force.seeds, i.server.Address())
 	}
 	course := NewCourse("z1", netip.MustParseAddr("127.0.0.1"), rand.New(rand.NewPCG(1, 1)))
-	w.Subscription = New(Identity{Node: "n", Zone: "z1", Incarnation: 7}, course, w.force, w.log)
+	w.Subscription = New(Identity{Node: "n", Zone: "z1", Incarnation: 7}, course, limits, w.force, w.log)
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
 	go w.Run(ctx)
@@ -133,7 +143,10 @@
 	w := start(t, i)
 	w.force.hold = make(chan struct{})
 	c, s := next[*protocol.Subscribe](i)
-	if *s != (protocol.Subscribe{Node: "n", Zone: "z1", Incarnation: 7}) {
+	if s.Mark == 0 {
+		t.Error("no mark")
+	}
+	if s.Mark = 0; *s != (protocol.Subscribe{Node: "n", Zone: "z1", Incarnation: 7}) {
 		t.Errorf("%+v", s)
 	}
 	c.Send(full)
@@ -259,37 +272,39 @@
 func TestCourse(t *testing.T) {
 	c := NewCourse("z2", netip.MustParseAddr("10.2.0.9"), rand.New(rand.NewPCG(1, 2)))
 	c.SetSeeds([]string{"10.1.0.1:1", "10.2.0.1:1", "10.3.0.1:1"})
-	round := func() (list []string, pauses []time.Duration) {
-		for range 3 {
-			address, pause := c.Next()
-			list = append(list, address)
-			pauses = append(pauses, pause)
+	round := func() (list []string, pause time.Duration) {
+		pause = c.Pause()
+		for _, target := range c.Round() {
+			list = append(list, target.Address)
 		}
-		return list, pauses
+		return list, pause
 	}
-	first, pauses := round()
-	if first[0] != "10.2.0.1:1" || slices.Max(pauses) != 0 {
-		t.Errorf("first round %v after %v", first, pauses)
+	first, pause := round()
+	if first[0] != "10.2.0.1:1" || len(first) != 3 || pause != 0 {
+		t.Errorf("first round %v after %v", first, pause)
 	}
 	for last := time.Duration(0); last < mostPause/2; {
-		_, pauses = round()
-		if pauses[0] < last/2 || pauses[0] > mostPause || pauses[1] != 0 {
-			t.Fatalf("pauses %v", pauses)
+		_, pause = round()
+		if pause < last/2 || pause > mostPause {
+			t.Fatalf("pause %v", pause)
 		}
-		last = max(last+1, pauses[0])
+		last = max(last+1, pause)
 	}
 	c.SetMembers([]protocol.Member{
 		{Address: "far", Zone: "z1"}, {Address: "near", Zone: "z2"}, {Address: "far2", Zone: "z3"},
 	})
 	c.Anew("")
-	if list, pauses := round(); list[0] != "near" || pauses[0] != 0 {
-		t.Errorf("with members %v after %v", list, pauses)
+	if list, pause := round(); list[0] != "near" || pause != 0 {
+		t.Errorf("with members %v after %v", list, pause)
 	}
 	if !c.Nearer("far") || c.Nearer("near") {
 		t.Error("the wrong instance is nearer")
 	}
 	c.Anew("near")
-	if list := c.round(); list[len(list)-1] != "near" || len(list) != 6 {
+	if list, _ := round(); list[len(list)-1] != "near" || len(list) != 6 {
 		t.Errorf("the one left comes %v", list)
 	}
+	if list, _ := round(); list[0] != "near" {
+		t.Errorf("the one left comes late twice: %v", list)
+	}
 }
