Answer 503, not 401, 403 or 404, while the router can't prove its configuration new

Options.Fresh says whether the view is known to be young enough: ConfirmedAt no older than three quarters of config_ms. It is asked before the view is loaded, so that a version that comes in between counts. Else the answer is 503 with Retry-After 0.2 and a closed connection: the next try goes to another router.

TestStaleRouterDeniesNothing and TestFreshnessCountsForTheViewThatIsUsed fail without the check and with the order turned round.

--- a/internal/router/ingress/check.go
+++ b/internal/router/ingress/check.go
@@ -13,6 +13,7 @@
 
 const (
 	notReadyPause = 500 * time.Millisecond // told to clients before the first configuration
+	stalePause    = 200 * time.Millisecond // told to clients that a newer configuration may know: other routers may have it
 )
 
 // admitted is a request that passed its checks.
@@ -51,15 +52,28 @@
 	if !ok {
 		return nil, no, false
 	}
-	view = h.view.Load() // the body may have taken its time
+	fresh := h.fresh(time.Now()) // before the view is loaded: a newer one may come in between
+	view = h.view.Load()         // the body may have taken its time
 	a = &admitted{target: target, body: body, arrived: arrived}
 	if status := a.look(view, r); status != 0 {
 		h.bodies.release(body)
-		return nil, refusal{status: status}, false
+		return nil, denial(status, fresh), false
 	}
 	return a, refusal{}, true
 }
 
+// denial refuses a request that the view does not allow. Where the view may be out of date, nobody is told that
+// something is not there: another router may know it.
+func denial(status int, fresh bool) refusal {
+	switch status {
+	case http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound:
+		if !fresh {
+			return refusal{status: http.StatusServiceUnavailable, retryAfter: stalePause, close: true}
+		}
+	}
+	return refusal{status: status}
+}
+
 // malformed finds requests that are not understood in the same way by everyone.
 func malformed(r *http.Request) (refusal, bool) {
 	switch {
--- a/internal/router/ingress/handler.go
+++ b/internal/router/ingress/handler.go
@@ -22,6 +22,7 @@
 	cut        context.CancelFunc
 	bodies     room
 	losses     Losses
+	fresh      func(now time.Time) bool
 
 	leastSilence time.Duration // of an endpoint, before a resumable stream is taken up elsewhere
 }
@@ -38,11 +39,18 @@
 	Dialer     *pool.Dialer
 	Losses     Losses
 	BodyBytes  int64 // memory that large bodies may take, all together
+	// Fresh says whether the view in force is known to be young enough for a refusal of what is not in it; nil: always.
+	// View must hold a version before Fresh counts it.
+	Fresh func(now time.Time) bool
 }
 
 // NewHandler returns a handler that works by the view in force.
 func NewHandler(o Options) *Handler {
 	base, cut := context.WithCancel(context.Background())
+	fresh := o.Fresh
+	if fresh == nil {
+		fresh = func(time.Time) bool { return true }
+	}
 	return &Handler{
 		refusing:     make(chan struct{}),
 		base:         base,
@@ -51,6 +59,7 @@
 		dispatcher:   o.Dispatcher,
 		dialer:       o.Dialer,
 		losses:       o.Losses,
+		fresh:        fresh,
 		bodies:       room{most: o.BodyBytes},
 		leastSilence: leastSilence,
 	}
--- a/internal/router/ingress/refuse_test.go
+++ b/internal/router/ingress/refuse_test.go
@@ -101,6 +101,49 @@
 	}
 }
 
+// A router that can't prove that its configuration is the newest denies nothing: another one may know it.
+func TestStaleRouterDeniesNothing(t *testing.T) {
+	plain := request("POST", "/once/x", "r1", "b")
+	for name, c := range map[string]struct {
+		text         string
+		fresh, stale int
+	}{
+		"unknown path": {request("POST", "/nowhere/x", "r", "b"), 404, 503},
+		"unknown host": {strings.Replace(plain, testHost, "other.example", 1), 404, 503},
+		"unknown key":  {strings.Replace(plain, testKey, "wrong", 1), 401, 503},
+		"no key":       {strings.Replace(plain, "Api-Key: "+testKey+"\r\n", "", 1), 401, 503},
+		"no id":        {strings.Replace(plain, "X-Request-Id: r1\r\n", "", 1), 400, 400},
+		"known":        {plain, 200, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, newEndpoint(t, echo))
+			if got := w.ask(c.text); got.StatusCode != c.fresh {
+				t.Errorf("fresh: %v, want %d", got.Response, c.fresh)
+			}
+			w.stale.Store(true)
+			got := w.ask(c.text)
+			if got.StatusCode != c.stale {
+				t.Errorf("stale: %v, want %d", got.Response, c.stale)
+			}
+			if got.StatusCode == 503 && (got.Header.Get("Retry-After") != "0.2" || !got.Close) {
+				t.Errorf("no other router is asked soon: %v, %v", got.Header, got.Close)
+			}
+		})
+	}
+}
+
+// A version that comes just before the router counts as fresh is the one that a request is looked up in.
+func TestFreshnessCountsForTheViewThatIsUsed(t *testing.T) {
+	w := newWorld(t, newEndpoint(t, echo))
+	w.coming.Store(testView())
+	before := testView()
+	before.Index = &index{}
+	w.holder.Store(before)
+	if got := w.ask(request("POST", "/once/x", "r1", "b")); got.StatusCode != 200 {
+		t.Errorf("denied by a version that was not in force any more: %v", got.Response)
+	}
+}
+
 func TestBeforeTheFirstConfiguration(t *testing.T) {
 	w := newWorld(t)
 	w.holder.view.Store(nil)
--- a/internal/router/ingress/world_test.go
+++ b/internal/router/ingress/world_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -197,6 +198,8 @@
 
 // world is a router's data plane with stand-ins around it.
 type world struct {
+	stale   atomic.Bool          // the router does not know whether its view is the newest
+	coming  atomic.Pointer[View] // a view that comes while that is looked at
 	t       *testing.T
 	double  *double
 	holder  *Holder
@@ -229,6 +232,12 @@
 	w.actor = actor
 	w.handler = NewHandler(Options{
 		View: w.holder, Dispatcher: actor, Dialer: dialer, Losses: noLosses{}, BodyBytes: 4 << 20,
+		Fresh: func(time.Time) bool {
+			if view := w.coming.Load(); view != nil {
+				w.holder.Store(view)
+			}
+			return !w.stale.Load()
+		},
 	})
 	server, err := Listen("127.0.0.1:0", 100, w.handler, io.Discard)
 	if err != nil {
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -64,6 +64,7 @@
 		Dialer:     dialer,
 		Losses:     &losses{log: logger},
 		BodyBytes:  int64(settings.Limits.MemoryMB) << 20 / bodyPart,
+		Fresh:      n.fresh,
 	})
 	force := &force{actor: n.actor, view: view, node: n}
 	own, _ := netip.ParseAddr(settings.IP) // checked with the settings; it only orders the seeds
@@ -95,6 +96,11 @@
 	return subscription.Limits{Stale: max(leastStale, min(s.Bounds.Configuration, s.Bounds.Drain)/2)}
 }
 
+// fresh says whether what is in force here is young enough to tell a client that something is not there.
+func (n *Node) fresh(now time.Time) bool {
+	return now.Sub(n.subscription.ConfirmedAt()) <= max(leastStale, n.settings.Bounds.Configuration*3/4)
+}
+
 // connections is how many clients may be connected: each may have a call out, which needs a connection as well.
 func connections(s *nodeconfig.Settings) int {
 	return max(leastConnections, (s.Limits.MaxFDs-reservedDescriptors-otherDescriptors)/2)
