Check in simulated histories that no member proves too young a contact

Need: ConfirmedAt is only worth what it never claims too much.

Change: after each step the world checks the member's proof: not in the future, not after a majority had promised a later epoch, nothing acknowledged before it unapplied. Clocks of the members run unequally by up to 0.4 in 1000, and messages may come a second time seconds later. What they showed: a member that wasn't heard asked again for entries only after up to 1.6 s, and was fresh again after 1.6 s; it now asks at once when it is heard again. Pings that are nearly due go together. An echo from long before a proof isn't used.

--- a/coordination/chain/contact.go
+++ b/coordination/chain/contact.go
@@ -1,29 +1,30 @@
 package chain
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// Contact is how a member proves how old its knowledge is. A proof is a moment on its own steady clock and an index:
-// a majority of the voters was in this epoch at the moment, and all that was acknowledged anywhere before it is at or
+// contact is how a member proves how old its knowledge is. A proof is a moment on its own steady clock and an index: a
+// majority of the voters was in this epoch at the moment, and all that was acknowledged anywhere before it is at or
 // below the index. It holds once the index is applied here.
 //
-// The head marks, whenever it pings a voter, the time S and the last index L of its log. When a majority of the
-// voters (itself counted while it has promised nothing) has answered pings that were sent at S or later, no later
-// epoch was decided at S: each of them had promised none when it answered. Up to S, therefore, commands came only into
-// the log of this epoch's head, which is whole and syncs each before it passes it on. What was acknowledged before S
-// is at or below L.
+// The head marks, whenever it pings, the time S and the last index L of its log. Once a majority of the voters (the
+// head among them while it has promised nothing) has answered pings that were sent at S or later, no later epoch was
+// decided at S: each of them had promised none when it answered. So until S commands came only into the log of this
+// epoch's head, which is whole and holds each before anybody else does. What was acknowledged before S is at or below L.
 //
-// A follower learns of S and L by a ping, which also tells of the newest answer that the head had from it: to which
+// A follower learns of S and L by a ping. The ping also tells of the newest answer that the head had from it: to which
 // ping (Echo), and at which time H on the head's clock it came (EchoAt). The follower noted its own time R when that
-// ping came, before it answered, so that R lies before H. S lies H-S before H, which is S-H after it when H is earlier:
-// S is at R-(H-S) or later. Only differences of one clock are used; a share of the difference is taken off because two
-// steady clocks may run a little unequally. How long the ping itself was on its way, or how long either process stood
-// still, doesn't matter.
+// ping came, before it answered; so R is before H, and S is at R-(H-S) or later on its own clock. Only the difference of
+// two readings of one clock is used, and a share of it is taken off because two steady clocks may run a little
+// unequally. How long pings are on their way, or how long a process stands still, doesn't matter. An echo from long
+// before S is not used: a member that the head doesn't hear comes to prove nothing.
 //
-// R must be of the first time that the ping came, else a ping that comes twice would move it past H. So receipts are
-// kept under a number that changes with each life of the follower, each epoch, each disk that refuses and each life of
-// the head. Each answer carries it, and an echo counts only with the number under which the receipt was kept; under one
-// number a ping that isn't newer than all before is not noted. What is lost, late or out of order makes a proof only
-// older.
+// R must be of the first time that the ping came, else one that comes twice would move it past H. So receipts are kept
+// under a number that changes with each life of the follower, each epoch, each refusal of its disk and each life of the
+// head. An answer carries the number, an echo counts only with the number of the receipts at hand, and under one number
+// only a ping that is newer than all before is noted. What is lost, late or out of order makes a proof only older.
 type contact struct {
 	number   uint64 // of the receipts
 	headLife uint64 // of the receipts
@@ -52,7 +53,11 @@
 
 // beginContact forgets all proofs, in a new epoch or life or after the node has fallen back to its disk.
 func (n *Node) beginContact() {
-	n.contact = contact{}
+	if n.config.Mutation.ProofKept {
+		n.contact = contact{waiting: n.contact.waiting, held: n.contact.held}
+	} else {
+		n.contact = contact{}
+	}
 	n.renumberContact()
 }
 
@@ -95,13 +100,19 @@
 	}
 }
 
+// ConfirmedAt returns the moment of the newest proof; see Status.
+func (n *Node) ConfirmedAt(now time.Duration) time.Duration { return n.proved(now).at }
+
 // proved returns the newest proof that holds now.
 func (n *Node) proved(now time.Duration) proof {
-	until := now
-	if n.isHead() {
+	until, applied := now, n.applied
+	if n.isHead() && !n.config.Mutation.ProofByClock {
 		until = n.confirmedSince(now)
 	}
-	return n.contact.newest(until, n.applied)
+	if n.config.Mutation.ProofWithoutIndex {
+		applied = math.MaxUint64
+	}
+	return n.contact.newest(until, applied)
 }
 
 // onProof takes in what a ping tells of the head's proof, and notes the ping's receipt.
@@ -111,15 +122,20 @@
 		c.headLife = ping.Life
 		n.renumberContact()
 	}
-	if at, known := c.moment(ping); known {
+	at, known := c.moment(ping, n.timing.Suspect)
+	if n.config.Mutation.ProofAtReceipt {
+		at, known = now-(ping.Sent-ping.Proof), ping.Proof > 0
+	}
+	if known {
 		c.await(proof{at: at, index: ping.ProofIndex})
 	}
 	c.receive(receipt{sent: ping.Sent, at: now})
 }
 
-// moment returns a time on the own clock that isn't after the moment of the head's proof.
-func (c *contact) moment(ping Ping) (time.Duration, bool) {
-	if ping.Proof == 0 || ping.EchoNumber != c.number {
+// moment returns a time on the own clock that isn't after the moment of the head's proof. An echo places no proof that
+// is younger than it by more than the patience.
+func (c *contact) moment(ping Ping, patience time.Duration) (time.Duration, bool) {
+	if ping.Proof == 0 || ping.EchoNumber != c.number || ping.Proof-ping.EchoAt > patience {
 		return 0, false
 	}
 	for _, r := range c.receipts {
--- a/coordination/chain/contact_test.go
+++ b/coordination/chain/contact_test.go
@@ -109,6 +109,47 @@
 	}
 }
 
+// Clocks that run a little unequally don't make an old proof younger than it is.
+func TestOldProofAllowsForUnequalClocks(t *testing.T) {
+	const old = 100 * time.Second
+	f := newFollower(t)
+	sent := time.Hour
+	number := f.ping(sent, Ping{Sent: sent}).Contact
+	told := Ping{Sent: sent + time.Second, Echo: sent, EchoAt: sent, EchoNumber: number, Proof: sent - old}
+	f.ping(sent+time.Second, told)
+	if got, least := f.confirmedAt(sent+time.Second), old/driftShare; got == 0 || got > sent-old-least {
+		t.Errorf("%v is proved by a proof of %v", got, sent-old)
+	}
+}
+
+// An echo from long before the proof places nothing: the head hears this member no more.
+func TestProofLongAfterTheEchoIsNotPlaced(t *testing.T) {
+	f := newFollower(t)
+	sent := time.Minute
+	number := f.ping(sent+testHop, Ping{Sent: sent}).Contact
+	told := Ping{Sent: sent + 3*time.Second, Echo: sent, EchoAt: sent + 2*testHop, EchoNumber: number, Proof: sent + 2*time.Second}
+	f.ping(sent+3*time.Second, told)
+	if got := f.confirmedAt(sent + 3*time.Second); got != 0 {
+		t.Errorf("%v is proved by an echo of %v", got, sent)
+	}
+}
+
+// After a silence a member asks again at once for what it lacks, however often it had asked in vain.
+func TestAsksAgainWhenItIsHeardAgain(t *testing.T) {
+	f := newFollower(t)
+	f.matched = false
+	now := time.Minute
+	for range 40 {
+		f.ping(now, Ping{Sent: now, Echo: time.Second})
+		now += f.timing.Ping
+	}
+	before := f.feed.number
+	f.ping(now, Ping{Sent: now, Echo: now - time.Millisecond})
+	if f.feed.number != before+1 {
+		t.Errorf("%d questions when it is heard again", f.feed.number-before)
+	}
+}
+
 // A proof waits until its index is applied.
 func TestProofWaitsForItsIndex(t *testing.T) {
 	f := newFollower(t)
--- a/coordination/chain/node.go
+++ b/coordination/chain/node.go
@@ -316,5 +316,13 @@
 // Epoch returns the epoch of the node's view, as it stands on disk.
 func (n *Node) Epoch() uint64 { return n.kept.view.Epoch }
 
+// Promised returns the newest epoch that the node has promised to decide, as it stands on disk.
+func (n *Node) Promised() uint64 {
+	if n.kept.acceptor.Promised.Zero() {
+		return 0
+	}
+	return n.kept.acceptor.Epoch
+}
+
 // Self returns the node's own member.
 func (n *Node) Self() view.Member { return n.self }
--- a/coordination/chain/watch.go
+++ b/coordination/chain/watch.go
@@ -129,25 +129,34 @@
 	}
 }
 
+// runPings pings whom it is time for. Who is due soon goes with the others: answers that come together prove a later
+// moment, and the node wakes once.
 func (n *Node) runPings(now time.Duration) {
+	until := now
+	if slices.ContainsFunc(n.peers, func(p *peer) bool { return n.pingDue(now, p) <= now }) {
+		until += n.timing.Ping / 4
+	}
 	for _, p := range n.peers {
-		every := n.timing.Ping
-		switch {
-		case concerned(n.view, p.member.Identity):
-		case n.live(now, p): // as often as a voter, for a proof of the same age
-		default:
-			every = farPing
-		}
-		due := p.pingedAt + every
-		if p.pingedAt == 0 || now >= due {
+		if n.pingDue(now, p) <= until {
 			n.ping(now, p)
-			due = now + every
 		}
-		n.wakeBy(due)
+		n.wakeBy(n.pingDue(now, p))
 		n.wakeBy(p.heardAt + n.timing.Suspect + time.Millisecond)
 	}
 }
 
+// pingDue is when the peer is to be pinged next: outsiders as often as the others while they answer, so that their
+// proofs are as young.
+func (n *Node) pingDue(now time.Duration, p *peer) time.Duration {
+	switch {
+	case p.pingedAt == 0:
+		return now
+	case concerned(n.view, p.member.Identity) || n.live(now, p):
+		return p.pingedAt + n.timing.Ping
+	}
+	return p.pingedAt + farPing
+}
+
 func (n *Node) ping(now time.Duration, p *peer) {
 	p.pingedAt = now
 	n.mark(now)
@@ -215,12 +224,9 @@
 	if m.From != n.view.Head().Identity && !n.config.Mutation.NoEpochCheck {
 		return
 	}
-	n.watch.headHeard, n.watch.pinged = now, true
+	n.hearHead(now, ping.Echo)
 	n.watch.yielding = ping.Yield
 	n.watch.headCommitted, n.watch.headLast = ping.Committed, ping.Last
-	if ping.Echo != n.watch.echo {
-		n.watch.echo, n.watch.echoAt = ping.Echo, now
-	}
 	if len(ping.Members) > 0 {
 		n.takeTable(now, ping)
 	}
@@ -240,6 +246,20 @@
 	}
 }
 
+// hearHead notes that the head is heard and whether it hears this node. After a silence in either direction what was
+// asked for meanwhile is taken for lost.
+func (n *Node) hearHead(now, echo time.Duration) {
+	silent := now-n.watch.headHeard > n.timing.Suspect
+	if echo != n.watch.echo {
+		silent = silent || now-n.watch.echoAt > n.timing.Suspect
+		n.watch.echo, n.watch.echoAt = echo, now
+	}
+	n.watch.headHeard, n.watch.pinged = now, true
+	if silent {
+		n.feed.askedAt, n.feed.tries = 0, 0
+	}
+}
+
 func (n *Node) takeTable(now time.Duration, ping Ping) {
 	n.table = table{version: ping.Version, members: ping.Members, live: ping.Live}
 	before := len(n.peers)
@@ -337,7 +357,7 @@
 func (n *Node) Status(now time.Duration) Status {
 	status := Status{
 		Self: n.self, View: n.filled(n.view), Committed: n.committed, PreviousMayAct: n.watch.previousMayAct,
-		Live: n.liveMembers(now), ConfirmedAt: n.proved(now).at,
+		Live: n.liveMembers(now), ConfirmedAt: n.ConfirmedAt(now),
 	}
 	if n.Leads(now) {
 		status.Leader = true
--- a/coordination/internal/mutation/mutation.go
+++ b/coordination/internal/mutation/mutation.go
@@ -10,4 +10,9 @@
 	VoteAfterWipe bool // a member that lost its disk comes back under its old identity
 	AckAtFaults   bool // a chain one member too short commits
 	AnyHead       bool // the head of a new view is chosen without regard to its log
+
+	ProofAtReceipt    bool // a follower counts the head's proof from the receipt of the ping, not from the echo
+	ProofWithoutIndex bool // a proof holds before its index is applied
+	ProofByClock      bool // the head proves by its own clock, without answers
+	ProofKept         bool // proofs are kept over the end of their epoch
 }
--- a/coordination/simnet/ledger.go
+++ b/coordination/simnet/ledger.go
@@ -17,12 +17,13 @@
 	views     map[uint64]string // by epoch, as first seen
 	ackedAt   time.Duration     // of the newest acknowledgement
 	waiting   bool              // for a calm world, before a disk is lost
+	contacts  contacts
 }
 
 func newLedger() ledger {
 	return ledger{
 		committed: map[uint64]string{}, acked: map[string]uint64{},
-		epochs: map[string]uint64{}, views: map[uint64]string{},
+		epochs: map[string]uint64{}, views: map[uint64]string{}, contacts: newContacts(),
 	}
 }
 
@@ -67,6 +68,7 @@
 	l.acked[command] = index
 	l.newest = max(l.newest, index)
 	l.ackedAt = w.now
+	l.contacts.acknowledged(w.now, index)
 	if l.committed[index] != command {
 		w.fail("%q is acknowledged at %d, where %q stands", command, index, l.committed[index])
 	}
--- a/coordination/simnet/machine.go
+++ b/coordination/simnet/machine.go
@@ -21,6 +21,7 @@
 	state     *machineState
 	life      int
 	offset    time.Duration // of the clock of this life
+	drift     time.Duration // parts of clockParts that it runs too fast
 	inbox     []engine.Input
 	planned   bool          // a step is due
 	wakeAt    time.Duration // of the step that is due, world time
@@ -34,6 +35,7 @@
 	token     uint64
 	downAt    time.Duration
 	startedAt time.Duration
+	epoch     uint64 // of its view after its newest step
 	shown     string // of the newest state that was traced
 }
 
@@ -66,7 +68,8 @@
 	m.life++
 	m.startedAt = w.now
 	m.offset = w.between(0, time.Hour)
-	m.inbox, m.planned, m.frozen, m.busy = nil, false, false, 0
+	m.drift = w.between(-clockDrift, clockDrift)
+	m.inbox, m.planned, m.frozen, m.busy, m.epoch = nil, false, false, 0, 0
 	m.calls = map[uint64]func(engine.Result){}
 	m.disk.NoSync = w.Mutation.NoSync
 	m.state = newMachineState(m)
@@ -90,8 +93,21 @@
 	m.plan(0)
 }
 
+// clockDrift bounds how unequally the clocks run, in parts of clockParts.
+const (
+	clockParts = 1_000_000
+	clockDrift = 400
+)
+
 // local is the time on the machine's clock.
-func (m *machine) local() time.Duration { return m.world.now + m.offset }
+func (m *machine) local() time.Duration {
+	return m.world.now + m.world.now*m.drift/clockParts + m.offset
+}
+
+// moment is the time in the world at which the machine's clock showed that time, rounded down.
+func (m *machine) moment(local time.Duration) time.Duration {
+	return (local-m.offset)*clockParts/(clockParts+m.drift) - 1
+}
 
 // plan sees that a step comes after the delay at the latest.
 func (m *machine) plan(delay time.Duration) {
@@ -149,6 +165,7 @@
 	m.plan(e.Wake() - m.local())
 	m.show()
 	w.check()
+	w.checkContact(m)
 }
 
 // show traces a change of the member's state.
--- a/coordination/simnet/network.go
+++ b/coordination/simnet/network.go
@@ -17,6 +17,9 @@
 	loss float64
 }
 
+// longLate is how late a message may come a second time.
+const longLate = 3 * time.Second
+
 // send brings a message over a link. Messages may overtake each other and come twice.
 func (w *World) send(from *machine, envelope chain.Envelope) {
 	if w.lostOnTheWay(from.address, envelope.Address) {
@@ -26,6 +29,9 @@
 	if w.random.IntN(200) == 0 {
 		w.carry(from.address, envelope)
 	}
+	if w.random.IntN(500) == 0 { // and once more, when much has changed
+		w.after(w.between(0, longLate), func() { w.carry(from.address, envelope) })
+	}
 }
 
 func (w *World) lostOnTheWay(from, to string) bool {
