--- a/coordination/internal/mutation/mutation.go
+++ b/coordination/internal/mutation/mutation.go
@@ -14,4 +14,9 @@
 	CountLearners bool // any member that answers counts as one that holds everything
 	AnyVoters     bool // votes change although too few of the new voters hold everything
 	EarlyWhole    bool // a member of the chain counts as whole before its log has reached the epoch's beginning
+
+	ProofAtReceipt    bool // a follower counts the head's proof from the receipt of the ping, not from the echo
+	ProofWithoutIndex bool // a proof holds before its index is applied
+	ProofByClock      bool // the head proves by its own clock, without answers
+	ProofKept         bool // proofs are kept over the end of their epoch
 }
