--- a/coordination/simnet/ledger.go
+++ b/coordination/simnet/ledger.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"raventrestle/coordination/chain"
+	"raventrestle/coordination/engine"
 )
 
 // ledger is what the world has seen, to check the members against.
@@ -123,16 +124,21 @@
 	w.checkMembership()
 }
 
-// machineState is the replicated machine of the tests: all commands in order.
+// machineState is the replicated machine of the tests: all commands in order, or an embedded machine that takes them.
 type machineState struct {
 	machine  *machine
 	commands []string
 	index    map[string]uint64
 	last     uint64
+	embedded engine.Machine
 }
 
 func newMachineState(m *machine) *machineState {
-	return &machineState{machine: m, index: map[string]uint64{}}
+	s := &machineState{machine: m, index: map[string]uint64{}}
+	if m.world.Replicated != nil {
+		s.embedded = m.world.Replicated()
+	}
+	return s
 }
 
 // Apply implements engine.Machine.
@@ -142,6 +148,9 @@
 		s.machine.world.fail("%s applies %d after %d", s.machine.address, index, s.last)
 	}
 	s.last = index
+	if s.embedded != nil {
+		return s.embedded.Apply(index, command)
+	}
 	if _, twice := s.index[string(command)]; twice {
 		s.machine.world.fail("%s applies %q twice", s.machine.address, command)
 	}
@@ -153,6 +162,9 @@
 // Snapshot implements engine.Machine.
 func (s *machineState) Snapshot() []byte {
 	body := binary.BigEndian.AppendUint64(nil, s.last)
+	if s.embedded != nil {
+		return append(body, s.embedded.Snapshot()...)
+	}
 	for _, command := range s.commands {
 		body = binary.BigEndian.AppendUint64(body, s.index[command])
 		body = binary.BigEndian.AppendUint32(body, uint32(len(command)))
@@ -168,6 +180,9 @@
 	}
 	s.commands, s.index = nil, map[string]uint64{}
 	s.last = binary.BigEndian.Uint64(body)
+	if s.embedded != nil {
+		return s.embedded.Restore(body[8:])
+	}
 	for body = body[8:]; len(body) > 0; {
 		index, length := binary.BigEndian.Uint64(body), binary.BigEndian.Uint32(body[8:])
 		command := string(body[12 : 12+length])
--- a/coordination/simnet/world.go
+++ b/coordination/simnet/world.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"raventrestle/coordination/engine"
 	"raventrestle/coordination/internal/mutation"
 )
 
@@ -20,6 +21,8 @@
 	Delay    time.Duration // one way, at least
 	Sync     time.Duration // of a disk
 	Trace    func(line string)
+	// Replicated makes the machine that a process replicates, where it is not the tests' own.
+	Replicated func() engine.Machine
 }
 
 // World is one simulated history.
