Let a member catch up over a slow link: any answer counts, none is sent twice, large ones leave room

Need: a restarted member must not stay behind for good in a storm of changes, on slow links and disks. Found by giving the simulated links a rate of 10 Mbit/s: - Only the answer to the newest question was taken, and a member asks again after 0.2 to 1.6 s. Now any question of the epoch counts; numbers start at random in each life, so an answer to a former life's question does not. - Each repeated question sent the whole answer again. What may still be on its way (at 1 MiB/s) is not sent again. - Pings waited behind large messages, so their receiver and the head took each other for dead. Large messages now go out in pieces of 64 KiB, two at once, the next as the receiver tells of one.

--- a/coordination/chain/feed.go
+++ b/coordination/chain/feed.go
@@ -5,11 +5,19 @@
 )
 
 // batchBytes bounds the commands in one Append, as far as one entry allows.
-const batchBytes = 1 << 20
+const batchBytes = 256 << 10
+
+// An answer of more than shortAnswer bytes is not given again while it may be on its way over a link of slowLink bytes a
+// second.
+const (
+	shortAnswer = 64 << 10
+	slowLink    = 1 << 20
+)
 
 // feed is the node's own asking for what it lacks.
 type feed struct {
-	number  uint64        // of the newest Fetch
+	number  uint64        // of the newest Fetch; it goes on over epochs and starts at random in each life
+	settled uint64        // those up to here have their answer, or were asked in an earlier epoch
 	askedAt time.Duration // it was sent; 0 when none is out
 	tries   int           // since the last answer
 	lagging time.Duration // since when the head is known to have more
@@ -93,17 +101,50 @@
 	return n.isHead()
 }
 
-// answer sends what follows the newest entry that both logs hold, or the snapshot and what follows it.
+// answer sends what follows the newest entry that both logs hold, or the snapshot and what follows it. What may still be
+// on its way is not sent again: a second one would only get in its way.
 func (n *Node) answer(p *peer, f Fetch) {
 	common := n.log.common(f.Committed, f.Ends)
+	if p.backlog.covers(n.lastStep, common, f.Number) {
+		return
+	}
 	snapshot := common < n.log.base
 	if snapshot {
+		p.backlog.add(n.lastStep, common+1, n.snapshotBytes)
 		common = n.snapshot.Index
 	}
 	p.next = common + 1
 	n.push(p, f.Number, snapshot)
 }
 
+// backlog is what a peer was sent and, over a slow link, does not have yet.
+type backlog struct {
+	from   uint64        // index of the first entry
+	until  time.Duration // all should have arrived
+	number uint64        // of the peer's newest question
+}
+
+func (b *backlog) add(now time.Duration, first uint64, bytes int) {
+	if now >= b.until {
+		b.from, b.until = first, now
+	}
+	b.until += arrival(bytes)
+}
+
+// covers tells whether what follows an entry may still be on its way to the life of the peer that asks for it.
+func (b *backlog) covers(now time.Duration, common, number uint64) bool {
+	const questions = 16 // that one life asks in a row, at most
+	same := number > b.number && number-b.number <= questions
+	b.number = number
+	if !same {
+		b.until = 0
+	}
+	return b.until-now > arrival(shortAnswer) && common+1 >= b.from
+}
+
+// arrival is how long so many bytes take over a slow link.
+func arrival(bytes int) time.Duration { return time.Duration(bytes) * time.Second / slowLink }
+
 // limit is the newest entry that the peer is sent: a standby gets only what is committed.
 func (n *Node) limit(p *peer) uint64 {
 	if n.view.Place(p.member.Identity) >= 0 {
@@ -128,6 +169,7 @@
 			a.Entries = append(a.Entries, entry)
 		}
 	}
+	p.backlog.add(n.lastStep, p.next, bytes)
 	p.next += uint64(len(a.Entries))
 	p.waiting = a.More
 	n.send(p.member, Message{Append: &a})
@@ -161,9 +203,14 @@
 			return
 		}
 	}
-	asked := a.Answer != 0 && a.Answer == n.feed.number
+	// Any question of this epoch will do: until one is answered the log does not change.
+	asked := a.Answer > n.feed.settled && a.Answer <= n.feed.number
+	if n.config.Mutation.NewestAnswer {
+		asked = a.Answer != 0 && a.Answer == n.feed.number
+	}
 	switch {
 	case asked:
+		n.feed.settled = n.feed.number
 		n.feed.askedAt, n.feed.tries = 0, 0
 		if !n.adopt(a) {
 			return
--- a/coordination/chain/node.go
+++ b/coordination/chain/node.go
@@ -15,17 +15,19 @@
 	random *rand.Rand
 	life   uint64 // of this start; also the proposer of its commands
 
-	durable   // as the steps have made it
-	kept      durable
-	refusing  bool // the disk refuses writes: take nothing that must be synced
-	unsaved   bool // Committed or Known differ from the disk's; saved with the next records
-	applied   uint64
-	recent    recent
-	replaced  *appliedState // by a snapshot that is not on disk yet
-	leaving   bool
-	clear     bool // no leader of an epoch before the view's can still believe in its lease
-	lastStep  time.Duration
-	startedAt time.Duration
+	durable  // as the steps have made it
+	kept     durable
+	refusing bool // the disk refuses writes: take nothing that must be synced
+	unsaved  bool // Committed or Known differ from the disk's; saved with the next records
+	applied  uint64
+	recent   recent
+	// snapshotBytes is the size of the newest snapshot on disk.
+	snapshotBytes int
+	replaced      *appliedState // by a snapshot that is not on disk yet
+	leaving       bool
+	clear         bool // no leader of an epoch before the view's can still believe in its lease
+	lastStep      time.Duration
+	startedAt     time.Duration
 
 	matched bool   // the log is a beginning of the upstream member's, checked in this epoch
 	start   uint64 // a log that matches up to here is whole in this epoch
@@ -85,6 +87,7 @@
 		n.watch.previousMayAct = now + n.timing.Lease + leaseMargin
 	}
 	n.requests.next = random.Uint64() >> 1
+	n.feed.number = random.Uint64() >> 1
 	n.begin(now)
 	n.giveGrace(now)
 	return n
@@ -204,6 +207,9 @@
 	n.kept = n.durable
 }
 
+// SnapshotOnDisk tells the size of the newest snapshot on disk.
+func (n *Node) SnapshotOnDisk(bytes int) { n.snapshotBytes = bytes }
+
 // Applied returns how far the node has handed out entries, and the identities to put into a snapshot there.
 func (n *Node) Applied() (SnapshotPoint, []CommandID) {
 	epoch, _ := n.log.epochAt(n.applied)
--- a/coordination/chain/peer.go
+++ b/coordination/chain/peer.go
@@ -30,6 +30,7 @@
 	waiting bool   // it will ask for the rest
 	asked   *Fetch // not yet answered, because this node's own log isn't whole
 	askedAs string // address of the question
+	backlog backlog
 
 	toldAt time.Duration // a view was last told or asked for
 }
--- a/coordination/chain/receive.go
+++ b/coordination/chain/receive.go
@@ -191,10 +191,10 @@
 func (n *Node) begin(now time.Duration) {
 	n.matched = n.whole()
 	n.start = n.log.last()
-	n.feed = feed{}
+	n.feed = feed{number: n.feed.number, settled: n.feed.number}
 	n.change = change{}
 	for _, p := range n.peers {
-		p.next, p.waiting, p.asked = 0, false, nil
+		p.next, p.waiting, p.asked, p.backlog = 0, false, nil, backlog{}
 		p.confirmed, p.pong, p.answered = 0, Pong{}, false
 		p.progressAt = now
 	}
--- a/coordination/chain/requests.go
+++ b/coordination/chain/requests.go
@@ -5,13 +5,15 @@
 	"time"
 )
 
-// A command is sent to the same head again after forwardAgain; a large one, which may still be on its way, after
-// largeAgain.
-const (
-	forwardAgain = 300 * time.Millisecond
-	largeAgain   = 1500 * time.Millisecond
-	largeCommand = 64 << 10
-)
+// forwardAgain is when a command is sent to the same head again; a large one may still be on its way then, and gets more.
+const forwardAgain = 300 * time.Millisecond
+
+func forwardWait(bytes int) time.Duration {
+	if bytes <= shortAnswer {
+		return forwardAgain
+	}
+	return forwardAgain + arrival(bytes)
+}
 
 // openEntries and openBytes bound what the head takes before it is committed.
 const (
@@ -142,10 +144,7 @@
 // runRequests sends what is due.
 func (n *Node) runRequests(now time.Duration) {
 	for _, c := range n.requests.commands {
-		again := forwardAgain
-		if len(c.body) > largeCommand {
-			again = largeAgain
-		}
+		again := forwardWait(len(c.body))
 		due := c.sentAt + again
 		if c.sentAt == 0 || now >= due {
 			n.forward(now, c)
--- a/coordination/chain/wish.go
+++ b/coordination/chain/wish.go
@@ -88,8 +88,8 @@
 		p.progressAt = now
 		return false
 	}
-	if now-p.progressAt < n.timing.Stuck {
-		n.wakeBy(p.progressAt + n.timing.Stuck)
+	if patience := n.timing.Stuck + arrival(n.bytesAfter(p.pong.Last)); now-p.progressAt < patience {
+		n.wakeBy(p.progressAt + patience)
 		return false
 	}
 	if p.flappedAt < p.progressAt {
@@ -98,6 +98,15 @@
 	return true
 }
 
+// bytesAfter counts the commands that follow the index, as far as the log still has them.
+func (n *Node) bytesAfter(index uint64) int {
+	bytes := 0
+	for _, entry := range n.log.after(min(max(index, n.log.base), n.log.last())) {
+		bytes += len(entry.Command)
+	}
+	return bytes
+}
+
 func (n *Node) flapStuck(now time.Duration, p *peer) {
 	if now-p.flappedAt > flapMemory {
 		p.flaps = 1
--- a/coordination/engine/engine.go
+++ b/coordination/engine/engine.go
@@ -128,6 +128,7 @@
 		Faults: options.Faults, Seeds: options.Seeds, Random: options.Random, Timing: options.Timing,
 		Mutation: options.Mutation,
 	})
+	e.node.SnapshotOnDisk(int(e.snapshot))
 	if refused != nil {
 		e.refuse(now, refused)
 	}
@@ -258,7 +259,7 @@
 		e.refuse(now, err)
 		return
 	}
-	e.heldBase, e.snapshot = e.log.Held(), int64(len(out.Install.Snapshot))
+	e.keep(out.Install.Snapshot)
 	snapshot, err := chain.DecodeSnapshot(out.Install.Snapshot)
 	if err == nil {
 		err = e.options.Machine.Restore(snapshot.Machine)
@@ -363,11 +364,17 @@
 	if err := e.log.Checkpoint(snapshot, state.Records()); err != nil {
 		return err
 	}
-	e.heldBase, e.snapshot = e.log.Held(), int64(len(snapshot))
+	e.keep(snapshot)
 	e.node.Checkpointed(state)
 	return nil
 }
 
+// keep notes the sizes right after a checkpoint.
+func (e *Engine) keep(snapshot []byte) {
+	e.heldBase, e.snapshot = e.log.Held(), int64(len(snapshot))
+	e.node.SnapshotOnDisk(len(snapshot))
+}
+
 // Wake returns when the next Step is due.
 func (e *Engine) Wake() time.Duration {
 	if e.node.Refusing() {
--- a/coordination/internal/mutation/mutation.go
+++ b/coordination/internal/mutation/mutation.go
@@ -13,5 +13,6 @@
 	LeaveAtOnce   bool // a leaving member goes before enough others hold everything
 	CountLearners bool // any member that answers counts as one that holds everything
 	AnyVoters     bool // votes change although too few of the new voters hold everything
+	NewestAnswer  bool // only the answer to the newest question is taken
 	EarlyWhole    bool // a member of the chain counts as whole before its log has reached the epoch's beginning
 }
--- a/coordination/replica/fragments.go
+++ b/coordination/replica/fragments.go
@@ -6,11 +6,12 @@
 )
 
 // A message travels whole behind the byte wholeMark, or in fragments: fragmentMark, the message's number, the
-// fragment's place and how many there are.
+// fragment's place and how many there are. Each fragment is answered by receiptMark, number and place.
 const (
 	wholeMark      = 0
 	fragmentMark   = 1
-	fragmentBytes  = 1 << 20
+	receiptMark    = 2
+	fragmentBytes  = 64 << 10
 	fragmentHeader = 1 + 8 + 2 + 2
 	fragmentsOpen  = 4 // messages of one sender that are put together at once
 )
--- a/coordination/replica/replica.go
+++ b/coordination/replica/replica.go
@@ -25,7 +25,8 @@
 	waiters   map[uint64]*waiter // by token, owned by the loop
 	nextToken atomic.Uint64
 	fragments fragments // owned by the loop, as all that follows
-	sent      uint64    // messages
+	outbox    *outbox
+	sent      uint64 // messages
 	leaving   bool
 	left      chan struct{} // closed when the member may go after Leave
 	staying   atomic.Value  // string: why it may not go yet
@@ -63,6 +64,7 @@
 		return nil, fmt.Errorf("replica: %w", err)
 	}
 	r.engine = opened
+	r.outbox = newOutbox(options.Transport.Send)
 	r.changed.Store(newSignal())
 	r.publish(r.now())
 	go r.run()
@@ -107,6 +109,7 @@
 		}
 	}
 	now := r.now()
+	r.outbox.expire(now)
 	effects := r.engine.Step(now, inputs)
 	r.logRefusal(effects.DiskError)
 	for _, envelope := range effects.Messages {
@@ -156,7 +159,16 @@
 
 // message puts a message together and reads it.
 func (r *Replica) message(it item) (engine.Input, bool) {
+	if len(it.message) > 0 && it.message[0] == receiptMark {
+		if number, place, ok := readReceipt(it.message); ok {
+			r.outbox.arrived(r.now(), it.address, number, place)
+		}
+		return engine.Input{}, false
+	}
 	body, err := r.fragments.join(it.address, it.message)
+	if len(it.message) > fragmentHeader && it.message[0] == fragmentMark {
+		r.options.Transport.Send(it.address, receipt(it.message))
+	}
 	if err == nil && body == nil {
 		return engine.Input{}, false // more of it is to come
 	}
@@ -179,9 +191,7 @@
 		return
 	}
 	r.sent++
-	for _, piece := range split(r.sent, body.Bytes()) {
-		r.options.Transport.Send(envelope.Address, piece)
-	}
+	r.outbox.put(r.now(), envelope.Address, r.sent, body.Bytes())
 }
 
 // answer ends the calls that are decided.
--- /dev/null
+++ b/coordination/simnet/catchup_test.go
@@ -0,0 +1,200 @@
+package simnet
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"raventrestle/coordination/engine"
+	"raventrestle/coordination/internal/mutation"
+)
+
+// document is a replicated machine like the configuration: each command replaces it whole.
+type document struct {
+	body    []byte
+	changes uint64
+}
+
+func (d *document) Apply(_ uint64, command []byte) []byte {
+	d.body = command
+	d.changes++
+	return binary.BigEndian.AppendUint64(nil, d.changes)
+}
+
+func (d *document) Snapshot() []byte {
+	return append(binary.BigEndian.AppendUint64(nil, d.changes), d.body...)
+}
+
+func (d *document) Restore(snapshot []byte) error {
+	if len(snapshot) < 8 {
+		return errors.New("short")
+	}
+	d.changes, d.body = binary.BigEndian.Uint64(snapshot), snapshot[8:]
+	return nil
+}
+
+const (
+	slowLink   = 10_000_000 / 8 // bytes a second
+	stormEvery = 60 * time.Millisecond
+)
+
+// storm proposes a change at every interval; one in so many is large.
+func (w *World) storm(every time.Duration, bytes, large, largeEvery int) {
+	number := 0
+	var next func()
+	next = func() {
+		if w.finishing {
+			return
+		}
+		number++
+		size := bytes
+		if largeEvery > 0 && number%largeEvery == 0 {
+			size = large
+		}
+		body := make([]byte, size)
+		copy(body, fmt.Sprintf("change %d", number))
+		w.propose(w.pick(), string(body))
+		w.after(every, next)
+	}
+	next()
+}
+
+// stormy is a group of three under a storm of changes, on links of 10 Mbit/s and logs of the usual sizes.
+func stormy(seed uint64, bytes, large, largeEvery int) *World {
+	w := NewWorld(Setup{
+		Seed: seed, Machines: 3, Seeds: 3, Faults: 1, Rate: slowLink,
+		Sizes:      Sizes{Compact: engine.DefaultCompactBytes, Keep: engine.DefaultKeepBytes, Segment: 4 << 20},
+		Replicated: func() engine.Machine { return &document{} },
+	})
+	_ = w.Run(time.Second)
+	w.storm(stormEvery, bytes, large, largeEvery)
+	_ = w.Run(5 * time.Second)
+	return w
+}
+
+// caughtUp plays until the machine counts again, and returns how long that took.
+func (w *World) caughtUp(m *machine, bound time.Duration) time.Duration {
+	began := w.now
+	for !w.counts(m) && w.now-began < bound && w.failure == nil {
+		_ = w.Run(10 * time.Millisecond)
+	}
+	if !w.counts(m) {
+		w.fail("%s has not caught up in %v: it is at %d of %d", m.address, bound, m.state.last, w.ledger.newest)
+	}
+	return w.now - began
+}
+
+// A member that was away for hundreds of changes, or lost its disk, catches up while they go on.
+func TestCatchesUpInAStorm(t *testing.T) {
+	for name, storm := range map[string]struct {
+		bytes, large, largeEvery int
+		within                   time.Duration
+	}{
+		"small changes":       {2 << 10, 0, 0, 4 * time.Second},
+		"changes of 30 KiB":   {30 << 10, 0, 0, 6 * time.Second},
+		"one in 100 of 1 MiB": {2 << 10, 1 << 20, 100, 8 * time.Second},
+		"one in 250 of 4 MiB": {2 << 10, 4 << 20, 250, 12 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var taken figures
+			eachSeed(1, scenarioSeeds, func(seed uint64) {
+				w := stormy(seed, storm.bytes, storm.large, storm.largeEvery)
+				m := w.pick()
+				if seed%2 == 0 {
+					m.wipe()
+				} else {
+					m.kill()
+				}
+				_ = w.Run(20 * time.Second)
+				m.start(false)
+				if seed%3 == 0 {
+					m.stall = 100 * time.Millisecond
+				}
+				taken.add(w.caughtUp(m, storm.within))
+				if err := w.Finish(); err != nil {
+					t.Error(err)
+				}
+			})
+			taken.check(t, name, storm.within)
+		})
+	}
+}
+
+// diskBytes is what a machine's files take.
+func diskBytes(t *testing.T, m *machine) (bytes int) {
+	t.Helper()
+	names, err := m.disk.List()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range names {
+		body, err := m.disk.Read(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		bytes += len(body)
+	}
+	return bytes
+}
+
+// Over hundreds of changes, one in twenty as large as the log may grow before it is compacted, no disk holds more than the newest states and the log behind them.
+func TestLogStaysSmall(t *testing.T) {
+	const (
+		change  = 256 << 10
+		compact = change
+		keep    = 16 << 10
+		// Two snapshots while one takes the place of the other; the log since the older one, which the newest entry and
+		// what is kept for others may pass; the same begun anew.
+		bound = 2*change + 2*(change+compact+keep)
+	)
+	w := NewWorld(Setup{
+		Seed: 1, Machines: 3, Seeds: 3, Faults: 1,
+		Sizes:      Sizes{Compact: compact, Keep: keep, Segment: compact},
+		Replicated: func() engine.Machine { return &document{} },
+	})
+	_ = w.Run(time.Second)
+	w.storm(stormEvery, 2<<10, change, 20)
+	most := 0
+	for range 240 {
+		_ = w.Run(100 * time.Millisecond)
+		for _, m := range w.machines {
+			most = max(most, diskBytes(t, m))
+		}
+	}
+	t.Logf("%d changes, at most %d bytes on a disk, bound %d", w.ledger.newest, most, bound)
+	if most > bound {
+		t.Errorf("%d bytes on a disk", most)
+	}
+	if err := w.Finish(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Taking only the answer to the newest question leaves a member behind for good, once an answer takes longer than the
+// time after which it asks again.
+func TestLateAnswersAreTaken(t *testing.T) {
+	play := func(planted mutation.Set) error {
+		w := NewWorld(Setup{
+			Seed: 1, Machines: 3, Seeds: 3, Faults: 1, Mutation: planted,
+			Sizes:      Sizes{Compact: engine.DefaultCompactBytes, Keep: engine.DefaultKeepBytes, Segment: 4 << 20},
+			Replicated: func() engine.Machine { return &document{} },
+		})
+		_ = w.Run(time.Second)
+		w.propose(w.head(), string(make([]byte, 400<<10)))
+		_ = w.Run(time.Second)
+		w.Rate = 100 << 10 // 4 s for a snapshot
+		m := w.machines[2]
+		m.wipe()
+		m.start(false)
+		w.caughtUp(m, 20*time.Second)
+		return w.failure
+	}
+	if err := play(mutation.Set{}); err != nil {
+		t.Error(err)
+	}
+	if play(mutation.Set{NewestAnswer: true}) == nil {
+		t.Error("taking only the newest answer is not found")
+	}
+}
--- a/coordination/simnet/machine.go
+++ b/coordination/simnet/machine.go
@@ -96,7 +96,7 @@
 	opened, err := engine.Open(m.local(), engine.Options{
 		Self: view.Member{Address: m.address, Zone: m.zone, Tag: m.address}, Seeds: m.seeds,
 		Bootstrap: bootstrap, Faults: w.Faults, FS: m.disk, Machine: m.state, Random: w.random.Uint64(),
-		CompactBytes: 3000, KeepBytes: 500, SegmentBytes: 2000, Mutation: w.Mutation,
+		CompactBytes: w.Sizes.Compact, KeepBytes: w.Sizes.Keep, SegmentBytes: w.Sizes.Segment, Mutation: w.Mutation,
 	})
 	if err != nil {
 		w.fail("%s does not start: %v", m.address, err)
--- a/coordination/simnet/membership_test.go
+++ b/coordination/simnet/membership_test.go
@@ -135,7 +135,7 @@
 	if w.random.IntN(3) > 0 {
 		w.joinAll()
 		for _, i := range order[1 : 1+s.faults] {
-			w.machines[i].stall = w.between(0, 300*time.Millisecond)
+			w.machines[i].stall = w.between(0, 900*time.Millisecond)
 		}
 		_ = w.Run(w.between(0, time.Second))
 	}
@@ -220,6 +220,9 @@
 	}
 }
 
+// membershipSeeds is within how many histories a planted fault must be found: some need a member that lags just then.
+const membershipSeeds = 300
+
 // Each rule of membership has a planted fault that breaks it; the checks must find every one. (Votes without holders are
 // found by the tests of package view.)
 func TestPlantedFaultsOfMembershipAreFound(t *testing.T) {
@@ -244,13 +247,13 @@
 		"a head without the log": {mutation.Set{AnyHead: true}, size{3, 1}, repair},
 	} {
 		t.Run(name, func(t *testing.T) {
-			for seed := uint64(1); seed <= mutantSeeds; seed++ {
+			for seed := uint64(1); seed <= membershipSeeds; seed++ {
 				if err := mutant.play(seed, mutant.size, mutant.planted); err != nil {
 					t.Logf("found with %v: %v", mutant.size, err)
 					return
 				}
 			}
-			t.Errorf("not found in %d histories", mutantSeeds)
+			t.Errorf("not found in %d histories", membershipSeeds)
 		})
 	}
 }
--- a/coordination/simnet/network.go
+++ b/coordination/simnet/network.go
@@ -13,7 +13,8 @@
 // links holds which directions are cut and how bad the rest is.
 type links struct {
 	cut  map[pair]bool
-	slow time.Duration // added at random to each message
+	free map[pair]time.Duration // when the large messages that were sent before have left
+	slow time.Duration          // added at random to each message
 	loss float64
 }
 
@@ -38,6 +39,7 @@
 		delay += w.between(0, w.links.slow)
 	}
 	message := envelope.Message
+	delay += w.transmission(pair{from, envelope.Address}, message)
 	w.after(delay, func() {
 		if w.links.cut[pair{from, envelope.Address}] {
 			return
@@ -68,4 +70,47 @@
 }
 
 // joinAll heals all links.
-func (w *World) joinAll() { w.links = links{cut: map[pair]bool{}} }
+func (w *World) joinAll() { w.links = links{cut: map[pair]bool{}, free: w.links.free} }
+
+// headBytes is about what a message takes beside its commands.
+const headBytes = 200
+
+// largeBytes is from which size on a message goes out in pieces, as package replica sends it, and windowBytes how much of
+// it is on its way at once: that is all that a small message waits for.
+const (
+	largeBytes  = 64 << 10
+	windowBytes = 128 << 10
+)
+
+// transmission is how long a message takes to leave, behind those before it.
+func (w *World) transmission(link pair, message chain.Message) time.Duration {
+	if w.Rate == 0 {
+		return 0
+	}
+	size := sizeOf(message)
+	waits := max(0, w.links.free[link]-w.now)
+	if size <= largeBytes {
+		return min(waits, w.taking(windowBytes)) + w.taking(size)
+	}
+	took := waits + w.taking(size)
+	w.links.free[link] = w.now + took
+	return took
+}
+
+func (w *World) taking(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / time.Duration(w.Rate)
+}
+
+func sizeOf(message chain.Message) int {
+	size := headBytes
+	if message.Forward != nil {
+		size += len(message.Forward.Command)
+	}
+	if message.Append != nil {
+		size += len(message.Append.Snapshot)
+		for _, entry := range message.Append.Entries {
+			size += headBytes + len(entry.Command)
+		}
+	}
+	return size
+}
--- a/coordination/simnet/world.go
+++ b/coordination/simnet/world.go
@@ -20,11 +20,20 @@
 	Loss     float64       // share of the messages that are lost on healthy links
 	Delay    time.Duration // one way, at least
 	Sync     time.Duration // of a disk
+	Rate     int           // bytes a second from one machine to another; 0: without bound
+	Sizes    Sizes         // of the log; the zero value means small ones, so that short histories compact often
 	Trace    func(line string)
 	// Replicated makes the machine that a process replicates, where it is not the tests' own.
 	Replicated func() engine.Machine
 }
 
+// Sizes are those of engine.Options.
+type Sizes struct {
+	Compact int64
+	Keep    int
+	Segment int64
+}
+
 // World is one simulated history.
 type World struct {
 	Setup
@@ -51,8 +60,11 @@
 	if setup.Sync == 0 {
 		setup.Sync = 5 * time.Millisecond
 	}
+	if setup.Sizes == (Sizes{}) {
+		setup.Sizes = Sizes{Compact: 3000, Keep: 500, Segment: 2000}
+	}
 	w := &World{Setup: setup, random: rand.New(rand.NewPCG(setup.Seed, 77)), now: time.Second}
-	w.links = links{cut: map[pair]bool{}}
+	w.links = links{cut: map[pair]bool{}, free: map[pair]time.Duration{}}
 	w.ledger = newLedger()
 	for i := range setup.Machines {
 		w.addMachine(i, true)
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -72,16 +72,16 @@
 
 var errTooLarge = errors.New("body is too large")
 
-func unpack(body []byte) ([]byte, error) {
+func unpack(body []byte, most int) ([]byte, error) {
 	reader, err := zlib.NewReader(bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("unpack body: %w", err)
 	}
-	unpacked, err := io.ReadAll(io.LimitReader(reader, maxBodyBytes+1))
+	unpacked, err := io.ReadAll(io.LimitReader(reader, int64(most)+1))
 	if err != nil {
 		return nil, fmt.Errorf("unpack body: %w", err)
 	}
-	if len(unpacked) > maxBodyBytes {
+	if len(unpacked) > most {
 		return nil, errTooLarge
 	}
 	return unpacked, nil
@@ -94,7 +94,7 @@
 		return nil, fmt.Errorf("decode command: %w", err)
 	}
 	if change.Zlib {
-		body, err := unpack(change.Body)
+		body, err := unpack(change.Body, maxBodyBytes)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/control/state/machine_test.go
+++ b/internal/control/state/machine_test.go
@@ -121,6 +121,23 @@
 	}
 }
 
+// TestLargeDocumentIsPackedInASnapshot takes a large configuration over a snapshot.
+func TestLargeDocumentIsPackedInASnapshot(t *testing.T) {
+	m := New()
+	apply(t, m, 1, command(t, Replace, 0, put(1, strings.Repeat("long ", packAboveBytes))))
+	snapshot := m.Snapshot()
+	if _, document := m.Current(); len(snapshot) > len(document)/10 {
+		t.Errorf("%d bytes of %d", len(snapshot), len(document))
+	}
+	other := New()
+	if err := other.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	if difference := cmp.Diff(m.View(), other.View()); difference != "" {
+		t.Error(difference)
+	}
+}
+
 func TestBadPackingIsRefused(t *testing.T) {
 	bomb, err := pack(make([]byte, maxBodyBytes+1))
 	if err != nil {
--- a/internal/control/state/snapshot.go
+++ b/internal/control/state/snapshot.go
@@ -12,11 +12,15 @@
 // snapshotFormat is the only one so far.
 const snapshotFormat = 1
 
+// maxDocumentBytes bounds a document that is unpacked. Amendments may make one larger than any body.
+const maxDocumentBytes = 64 << 20
+
 type snapshotMessage struct {
 	Format    int             `cbor:"1,keyasint"`
 	Document  []byte          `cbor:"2,keyasint,omitempty"` // nothing before the first configuration
 	Taken     []snapshotTaken `cbor:"3,keyasint,omitempty"`
 	Forgotten int64           `cbor:"4,keyasint,omitempty"` // made by the newest change that is no longer in Taken
+	Zlib      bool            `cbor:"5,keyasint,omitempty"` // Document is packed
 }
 
 type snapshotTaken struct {
@@ -36,7 +40,7 @@
 		Forgotten: m.forgotten,
 	}
 	if m.document != nil {
-		message.Document = m.document.Encode()
+		message.Document, message.Zlib = packDocument(m.document.Encode())
 	}
 	for i := range m.taken {
 		change := &m.taken[i]
@@ -55,6 +59,18 @@
 	return encoded
 }
 
+// packDocument packs a large document: a snapshot goes to members over their links.
+func packDocument(document []byte) (packed []byte, is bool) {
+	if len(document) <= packAboveBytes {
+		return document, false
+	}
+	packed, err := pack(document)
+	if err != nil || len(packed) >= len(document) {
+		return document, false
+	}
+	return packed, true
+}
+
 var (
 	errSnapshotFormat = errors.New("unknown format")
 	errFingerprint    = errors.New("fingerprint of another length")
@@ -82,6 +98,13 @@
 	}
 	m := New()
 	m.forgotten = message.Forgotten
+	if message.Zlib {
+		document, err := unpack(message.Document, maxDocumentBytes)
+		if err != nil {
+			return nil, err
+		}
+		message.Document = document
+	}
 	if len(message.Document) > 0 {
 		document, err := configuration.ParseDocument(message.Document)
 		if err != nil {
