Hold no request past its deadline where the route's objective is later

A request that came with less time than its route's objective, as a client's later tries do, was held for a load, or while another tried the model, up to the objective: past its deadline. TestNothingIsHeldPastItsDeadline and TestNothingWaitsForATryPastItsDeadline fail without the change.

--- a/internal/router/dispatch/admission.go
+++ b/internal/router/dispatch/admission.go
@@ -49,7 +49,7 @@
 	if r.answering {
 		return min(d.now+brokenHeld, r.deadline)
 	}
-	left := min(r.objective, r.deadline) - d.now
+	left := r.useful() - d.now
 	return d.now + max(time.Duration(heldShare*float64(left)), 0)
 }
 
--- a/internal/router/dispatch/holding_test.go
+++ b/internal/router/dispatch/holding_test.go
@@ -198,3 +198,44 @@
 		t.Errorf("reported %+v", list)
 	}
 }
+
+// A request whose client gives up before its route's objective is held until then at most, though its model is promised, or
+// being tried, a little later.
+func TestNothingIsHeldPastItsDeadline(t *testing.T) {
+	for name, again := range map[string]bool{"first try": false, "further try": true} {
+		t.Run(name, func(t *testing.T) {
+			loads := modelEndpoint("a", 1, "m")
+			loads.Loading = []protocol.Load{{Model: "rare", Within: 450 * time.Millisecond}}
+			s := newScript(t, loads)
+			r := s.request("rare") // objective 500 ms
+			r.Deadline, r.Again = s.time(200), again
+			s.step(0, Arrived{r})
+			at := 0
+			for len(s.d.requests) > 0 {
+				if at = int(s.d.NextWake().Sub(s.zero) / time.Millisecond); at > 210 {
+					t.Fatalf("looked at again after %d ms", at)
+				}
+				s.step(at)
+			}
+		})
+	}
+}
+
+// The same where the model should be there by now and another request tries it.
+func TestNothingWaitsForATryPastItsDeadline(t *testing.T) {
+	loads := modelEndpoint("a", 1, "m")
+	loads.Loading = []protocol.Load{{Model: "rare", Within: 50 * time.Millisecond}}
+	s := newScript(t, loads)
+	first, second := s.request("rare"), s.request("rare")
+	second.Deadline = s.time(300)
+	s.step(0, Arrived{first}, Arrived{second})
+	for at := 1; at <= 310; at++ {
+		s.step(at)
+	}
+	if s.d.requests[second.ID] != nil {
+		t.Error("held past its deadline")
+	}
+	if s.d.requests[first.ID] == nil {
+		t.Error("nobody tries the model: the test shows nothing")
+	}
+}
--- a/internal/router/dispatch/settle.go
+++ b/internal/router/dispatch/settle.go
@@ -25,7 +25,7 @@
 	switch {
 	case how == goesNowhere:
 		d.settleHomeless(r)
-	case how == goesNot && h.tries(r.Adapter) && d.now+lookAgain < d.heldAtMost(r.objective):
+	case how == goesNot && h.tries(r.Adapter) && d.now+lookAgain < d.heldAtMost(r.useful()):
 		r.holdUntil = d.now + lookAgain
 		d.timers.add(r.holdUntil, r)
 	case r.settled >= mostSettled || d.schedule.Busy >= d.schedule.Slots:
@@ -77,6 +77,9 @@
 	return waiting < shortQueue*float64(e.places())
 }
 
+// useful is until when an answer has its full worth, and a client that waits for it.
+func (r *request) useful() time.Duration { return min(r.objective, r.deadline) }
+
 // lastUse is until when an answer may begin: clients give up a stream after a silence.
 func (r *request) lastUse() time.Duration {
 	span := r.objective - r.arrived
@@ -93,7 +96,7 @@
 // settleHomeless decides on a request whose model no endpoint holds.
 func (d *Decider) settleHomeless(r *request) {
 	at, known := r.group.expectedAt(r.Adapter, d.now)
-	limit := r.objective
+	limit := r.useful()
 	if r.Again || r.arrivals > 0 {
 		limit = r.lastUse()
 	}
