Test what a written byte proves, the time that each try is told, Versions, and a client that leaves a long body

Seen to fail: a request of which up to 20 bytes were taken counted as unwritten; each try told 2 s at least; the call of a client that left not ended.

--- a/internal/router/call/call_test.go
+++ b/internal/router/call/call_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -178,3 +179,32 @@
 		}
 	}
 }
+
+// brink is a connection that takes so many bytes and no more.
+type brink struct {
+	net.Conn
+	room int
+}
+
+func (b *brink) Write(p []byte) (int, error) {
+	n := min(len(p), b.room)
+	b.room -= n
+	if n < len(p) {
+		return n, syscall.ECONNRESET
+	}
+	return n, nil
+}
+
+// A request of which the connection took nothing surely has not run; of which it took one byte, it may have.
+func TestOneByteTakenMayHaveRun(t *testing.T) {
+	for _, size := range []int{0, 10, joinedBodyBytes, joinedBodyBytes + 1} {
+		m := NewMessage(parse(t, "POST / HTTP/1.1\r\nHost: a\r\n\r\n"), "/", "id", "", make([]byte, size))
+		for _, room := range []int{0, 1, 20, len(m.head), size} {
+			now := time.Now()
+			err := m.Write(&pool.Connection{Conn: &brink{room: room}}, Try{Deadline: now.Add(time.Minute)}, now)
+			if err == nil || MayHaveRun(err) != (room > 0) {
+				t.Errorf("body of %d, %d bytes taken: %v", size, room, err)
+			}
+		}
+	}
+}
--- a/internal/router/ingress/early_test.go
+++ b/internal/router/ingress/early_test.go
@@ -143,3 +143,24 @@
 		}
 	}
 }
+
+// A client that leaves while a long body is on its way ends the call, and nobody else is asked.
+func TestClientLeavesWhileItsBodyIsWritten(t *testing.T) {
+	body := strings.Repeat("x", longBody)
+	reached := make(chan struct{})
+	e := newHasty(t, func(net.Conn, string) { close(reached) }, false)
+	second := newEndpoint(t, echo)
+	w := newLongWorld(t, &endpoint{address: e.address}, second)
+	client := w.client()
+	client.send(request("POST", "/again/x", "r1", body))
+	<-reached
+	client.Close()
+	left := time.Now()
+	if have := w.double.results(t, 1); time.Since(left) > mostWait || have[0] != dispatch.GivenUp || len(second.requests()) > 0 {
+		t.Errorf("results %v after %v, %d further requests", have, time.Since(left), len(second.requests()))
+	}
+	close(e.goOn)
+	if rest := <-e.rest; len(rest) >= longBody {
+		t.Error("all of it came")
+	}
+}
--- a/internal/router/ingress/pass_test.go
+++ b/internal/router/ingress/pass_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"raventrestle/internal/router/dispatch"
 )
@@ -153,3 +154,64 @@
 		t.Errorf("told %v", told)
 	}
 }
+
+// Each endpoint is told what is left, of the client's time or of the route's, whichever ends first; later ones less.
+func TestEachTryIsToldWhatIsLeft(t *testing.T) {
+	const pause = 30 * time.Millisecond
+	leaves := func(c net.Conn, r *received) bool {
+		time.Sleep(pause) // the time that this endpoint takes
+		return false
+	}
+	for name, c := range map[string]struct {
+		path, line string
+		most       int
+	}{
+		"client's":         {"/again/x", "X-Deadline-Ms: 2000", 2000},
+		"route's":          {"/again/x", "X-Deadline-Ms: 60000", 8000},
+		"none stated":      {"/again/x", "X-None: 1", 8000},
+		"stream":           {"/resumable/x", "X-Deadline-Ms: 3000", 3000},
+		"stated as 4999.5": {"/again/x", "X-Deadline-Ms: 4999.5", 4999},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, second := newEndpoint(t, leaves), newEndpoint(t, echo)
+			w := newWorld(t, first, second)
+			got := w.ask(strings.Replace(request("POST", c.path, "r1", "b"), "X-Deadline-Ms: 5000", c.line, 1))
+			if got.StatusCode != 200 {
+				t.Fatalf("%v", got.Response)
+			}
+			var left [2]int
+			for i, e := range []*endpoint{first, second} {
+				values := e.requests()[0].Header.Values("X-Deadline-Ms")
+				if len(values) != 1 {
+					t.Fatalf("try %d is told %q", i, values)
+				}
+				fmt.Sscan(values[0], &left[i])
+			}
+			if left[0] > c.most || left[0] < c.most-1500 || left[1] > left[0]-int(pause.Milliseconds()) || left[1] <= 0 {
+				t.Errorf("told %d, want %d at most, then %d", left[0], c.most, left[1])
+			}
+		})
+	}
+}
+
+// Versions are the endpoint's word and the client's: both pass, in the head and in an event. Where the weights have
+// another version than the client expects, another endpoint is asked.
+func TestVersionsPass(t *testing.T) {
+	const versioned = "versions: 8\nid: 2\ndata: token 2\n\n"
+	other := newEndpoint(t, func(c net.Conn, r *received) bool {
+		return reply(c, r, "421 Misdirected Request", "", "X-Not-Executed: 1", "Versions: 6")
+	})
+	e := newEndpoint(t, func(c net.Conn, r *received) bool {
+		return success(c, r, event(1)+versioned, "Content-Type: text/event-stream", "Versions: 7")
+	})
+	w := newWorld(t, other, e)
+	got := w.ask(request("POST", "/stream/x", "r1", "b", "Expect-Version: 7"))
+	if got.StatusCode != 200 || got.Header.Get("Versions") != "7" || got.text != event(1)+versioned {
+		t.Errorf("%v %q", got.Response, got.text)
+	}
+	for _, e := range []*endpoint{other, e} {
+		if have := e.requests()[0].Header.Get("Expect-Version"); have != "7" {
+			t.Errorf("an endpoint was told %q", have)
+		}
+	}
+}
