--- a/internal/router/call/answer.go
+++ b/internal/router/call/answer.go
@@ -39,7 +39,7 @@
 		}
 		a.Response = response
 		id, stated := response.Header[RequestIDHeader]
-		if !stated && c.Reused {
+		if c.Reused && (!stated || swallows(response)) {
 			return nil, m.lost(c, ErrForeign)
 		}
 		if !stated || len(id) == 1 && id[0] == m.RequestID {
@@ -59,6 +59,23 @@
 	return a, nil
 }
 
+// swallows says whether the status or a header's value holds the beginning of another answer: what was left of a broken
+// one stands before ours, and what follows is not its own.
+func swallows(response *http.Response) bool {
+	const begin = "HTTP/1.1 "
+	if strings.Contains(response.Status, begin) {
+		return true
+	}
+	for _, values := range response.Header {
+		for _, value := range values {
+			if strings.Contains(value, begin) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (m *Message) lost(c *pool.Connection, err error) error {
 	return &Error{Step: ReadingHead, Peer: c.Endpoint, Written: true, Err: err}
 }
--- a/internal/router/call/call_test.go
+++ b/internal/router/call/call_test.go
@@ -208,3 +208,17 @@
 		}
 	}
 }
+
+// The rest of a broken answer in the place of ours does not turn our answer's headers into its own.
+func TestHalfAnHeadBeforeOurAnswer(t *testing.T) {
+	const broken = "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Half: a"
+	const ours = "HTTP/1.1 500 Failed\r\nX-Request-Id: id\r\nX-Response-Signature: s\r\nContent-Length: 3\r\n\r\nwhy"
+	m := &Message{Method: "GET", RequestID: "id"}
+	for n := range len(broken) + 1 {
+		c, _ := connection(broken[:n] + ours)
+		c.Reused = true
+		if answer, err := m.Receive(c); err == nil && answer.StatusCode != 500 {
+			t.Errorf("%d bytes before ours: %v", n, answer.Response)
+		}
+	}
+}
