--- a/internal/router/call/answer.go
+++ b/internal/router/call/answer.go
@@ -22,8 +22,9 @@
 type Answer struct {
 	*http.Response
 	connection *pool.Connection
-	spoiled    bool // an answer to another request was passed over: nothing more is expected of the connection
-	ended      bool // the body was read to its end
+	spoiled    bool     // an answer to another request was passed over: nothing more is expected of the connection
+	ended      bool     // the body was read to its end
+	writing    *writing // of a request that was not out when the answer began, else nil
 }
 
 // Receive reads the head of the answer to the message. An answer to another request that comes late is passed over. On a
@@ -38,7 +39,7 @@
 		}
 		a.Response = response
 		id, stated := response.Header[RequestIDHeader]
-		if !stated && c.Reused {
+		if c.Reused && (!stated || swallows(response)) {
 			return nil, m.lost(c, ErrForeign)
 		}
 		if !stated || len(id) == 1 && id[0] == m.RequestID {
@@ -58,6 +59,23 @@
 	return a, nil
 }
 
+// swallows says whether the status or a header's value holds the beginning of another answer: what was left of a broken
+// one stands before ours, and what follows is not its own.
+func swallows(response *http.Response) bool {
+	const begin = "HTTP/1.1 "
+	if strings.Contains(response.Status, begin) {
+		return true
+	}
+	for _, values := range response.Header {
+		for _, value := range values {
+			if strings.Contains(value, begin) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (m *Message) lost(c *pool.Connection, err error) error {
 	return &Error{Step: ReadingHead, Peer: c.Endpoint, Written: true, Err: err}
 }
@@ -143,6 +161,9 @@
 	if !a.ended || a.spoiled || a.Close || a.connection.Reader.Buffered() > 0 {
 		return 0
 	}
+	if a.writing != nil && !a.writing.whole() { // the endpoint would take the next request for the rest of this one
+		return 0
+	}
 	return pool.RestFor(a.Header.Get("Keep-Alive"))
 }
 
--- a/internal/router/call/call_test.go
+++ b/internal/router/call/call_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -178,3 +179,46 @@
 		}
 	}
 }
+
+// brink is a connection that takes so many bytes and no more.
+type brink struct {
+	net.Conn
+	room int
+}
+
+func (b *brink) Write(p []byte) (int, error) {
+	n := min(len(p), b.room)
+	b.room -= n
+	if n < len(p) {
+		return n, syscall.ECONNRESET
+	}
+	return n, nil
+}
+
+// A request of which the connection took nothing surely has not run; of which it took one byte, it may have.
+func TestOneByteTakenMayHaveRun(t *testing.T) {
+	for _, size := range []int{0, 10, joinedBodyBytes, joinedBodyBytes + 1} {
+		m := NewMessage(parse(t, "POST / HTTP/1.1\r\nHost: a\r\n\r\n"), "/", "id", "", make([]byte, size))
+		for _, room := range []int{0, 1, 20, len(m.head), size} {
+			now := time.Now()
+			err := m.Write(&pool.Connection{Conn: &brink{room: room}}, Try{Deadline: now.Add(time.Minute)}, now)
+			if err == nil || MayHaveRun(err) != (room > 0) {
+				t.Errorf("body of %d, %d bytes taken: %v", size, room, err)
+			}
+		}
+	}
+}
+
+// The rest of a broken answer in the place of ours does not turn our answer's headers into its own.
+func TestHalfAnHeadBeforeOurAnswer(t *testing.T) {
+	const broken = "HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nX-Half: a"
+	const ours = "HTTP/1.1 500 Failed\r\nX-Request-Id: id\r\nX-Response-Signature: s\r\nContent-Length: 3\r\n\r\nwhy"
+	m := &Message{Method: "GET", RequestID: "id"}
+	for n := range len(broken) + 1 {
+		c, _ := connection(broken[:n] + ours)
+		c.Reused = true
+		if answer, err := m.Receive(c); err == nil && answer.StatusCode != 500 {
+			t.Errorf("%d bytes before ours: %v", n, answer.Response)
+		}
+	}
+}
