Test the decider of a router's subscription in simulated time

A network of simulated instances with clocks that drift, messages that are held up, cuts, restarts and epochs; it checks in every step that ConfirmedAt is no later than a contact that a message which has come was sent after.

Found by them: a mark on a Confirm comes back only with the next beacon, up to 250 ms late, so a probe on the followed connection renews it every 20 s; growing pauses before a return to the own zone were undone by its first update.

--- a/internal/router/subscription/anchor.go
+++ b/internal/router/subscription/anchor.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	markEvery  = 10 * time.Second // an instance that is followed gets a mark so often
+	markEvery  = 20 * time.Second // an instance that is followed gets a mark so often
 	keepAnchor = 30 * time.Second // then a newer one takes its place, also a less exact one: clocks drift
 	mostAnchor = time.Minute      // an instance that returns no mark for so long proves nothing
 	mostMarks  = 8                // that are on their way on one connection
@@ -64,7 +64,7 @@
 	if !s.Known || s.Age < 0 || s.Age > mostAge {
 		return time.Time{}, false
 	}
-	return left.Add(-s.Age), true
+	return left.Add(-s.Age - s.Age/driftPart), true
 }
 
 // earliest is when the instance's clock read 0, or earlier: the clocks may have drifted since the mark.
--- /dev/null
+++ b/internal/router/subscription/anchor_test.go
@@ -0,0 +1,85 @@
+package subscription
+
+import (
+	"testing"
+	"time"
+
+	"raventrestle/internal/protocol"
+)
+
+func TestAnchor(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return begin.Add(d) }
+	standing := func(mark uint64, clock, age time.Duration) protocol.Standing {
+		return protocol.Standing{Epoch: 1, Known: true, Mark: mark, At: clock, Age: age}
+	}
+	const s = time.Second
+	for name, c := range map[string]struct {
+		marks    map[time.Duration]uint64 // when they were sent
+		now      time.Duration
+		standing protocol.Standing
+		want     time.Duration // of the contact, before what drift may amount to
+		proves   bool
+	}{
+		"no mark has come back": {map[time.Duration]uint64{1 * s: 5}, 2 * s, standing(4, 70*s, 0), 0, false},
+		"first mark":            {map[time.Duration]uint64{1 * s: 5}, 2 * s, standing(5, 70*s, s/2), s / 2, true},
+		"late message":          {map[time.Duration]uint64{1 * s: 5}, 9 * s, standing(5, 70*s, 0), 1 * s, true},
+		"no contact":            {map[time.Duration]uint64{1 * s: 5}, 2 * s, protocol.Standing{Mark: 5, At: 70 * s}, 0, false},
+		"negative age":          {map[time.Duration]uint64{1 * s: 5}, 2 * s, standing(5, 70*s, -s), 0, false},
+		"endless age":           {map[time.Duration]uint64{1 * s: 5}, 2 * s, standing(5, 70*s, 1<<62), 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var a anchor
+			for sent, number := range c.marks {
+				a.mark(number, at(sent))
+			}
+			contact, ok := a.take(at(c.now), c.standing)
+			if ok != c.proves {
+				t.Fatalf("proves %v", ok)
+			}
+			allowance := c.now / driftPart * 2
+			if ok && (contact.After(at(c.want)) || contact.Before(at(c.want-allowance))) {
+				t.Errorf("contact %v, want %v", contact.Sub(begin), c.want)
+			}
+		})
+	}
+}
+
+// What comes later is placed by the instance's clock, not by when it came.
+func TestAnchorPlacesLaterMessages(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	var a anchor
+	a.mark(1, begin)
+	a.take(begin.Add(time.Millisecond), protocol.Standing{Known: true, Mark: 1, At: time.Hour})
+	late := protocol.Standing{Known: true, Mark: 1, At: time.Hour + 2*time.Second, Age: time.Second / 2}
+	contact, ok := a.take(begin.Add(10*time.Second), late)
+	if want := begin.Add(1500 * time.Millisecond); !ok || contact.After(want) || want.Sub(contact) > 20*time.Millisecond {
+		t.Errorf("contact %v, %v", contact.Sub(begin), ok)
+	}
+	ahead := protocol.Standing{Known: true, Mark: 1, At: time.Hour + 20*time.Second}
+	if _, ok := a.take(begin.Add(11*time.Second), ahead); ok || a.known || !a.due(begin.Add(11*time.Second)) {
+		t.Error("a message from the future proves something")
+	}
+}
+
+// An exact anchor is kept for some time; then any newer one is taken, and without one nothing is proved.
+func TestAnchorIsReplaced(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	var a anchor
+	a.mark(1, begin)
+	a.take(begin, protocol.Standing{Known: true, Mark: 1, At: 0})
+	a.mark(2, begin.Add(keepAnchor/2))
+	a.take(begin.Add(keepAnchor/2+time.Second), protocol.Standing{Known: true, Mark: 2, At: keepAnchor/2 + time.Second})
+	if !a.zero.Equal(begin) {
+		t.Errorf("an inexact anchor took the place of an exact one: %v", a.zero.Sub(begin))
+	}
+	a.mark(3, begin.Add(keepAnchor))
+	a.take(begin.Add(keepAnchor+time.Second), protocol.Standing{Known: true, Mark: 3, At: keepAnchor + time.Second})
+	if a.zero.Equal(begin) {
+		t.Error("an old anchor was kept")
+	}
+	end := begin.Add(keepAnchor + mostAnchor)
+	if _, ok := a.take(end.Add(time.Second), protocol.Standing{Known: true, Mark: 3, At: keepAnchor + mostAnchor}); ok {
+		t.Error("proof without a newer mark")
+	}
+}
--- a/internal/router/subscription/applying.go
+++ b/internal/router/subscription/applying.go
@@ -74,7 +74,7 @@
 	if f != nil {
 		f.confirmed = done.update.Sequence
 		d.noteNearer(now, f)
-		d.confirm(now, f)
+		d.send(f.id, protocol.Confirm{Sequence: f.confirmed})
 	}
 }
 
@@ -100,7 +100,9 @@
 	switch {
 	case !d.course.Nearer(f.address):
 		f.nearerAt = time.Time{}
-		d.nearer = leastNearer
+		if now.Sub(f.since) >= steadyAfter {
+			d.nearer = leastNearer
+		}
 	case f.nearerAt.IsZero():
 		f.nearerAt = now.Add(d.nearer)
 	}
--- a/internal/router/subscription/decider_test.go
+++ b/internal/router/subscription/decider_test.go
@@ -2,8 +2,7 @@
 
 import (
 	"errors"
-	"math/rand/v2"
-	"net/netip"
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -11,335 +10,501 @@
 	"raventrestle/internal/protocol"
 )
 
-const (
-	stale = time.Second
-	hop   = time.Millisecond // a message's time on its way
-)
-
-// peer is a simulated control instance: what it knows and how it behaves.
-type peer struct {
-	address    string
-	clock      time.Duration // of its own, at the world's begin
-	epoch      uint64
-	contact    time.Time // newest contact with a majority; kept up while !cut
-	cut        bool
-	refuses    bool // connections fail at once
-	gone       bool // nothing answers, not even a refusal
-	old        bool // knows no probes and states nothing
-	generation int64
-	heldUp     time.Duration // its messages come so much later
-	mute       bool          // sends nothing more
-}
-
-// wire is a connection from the decider to a peer.
-type wire struct {
-	id       ConnectionID
-	peer     *peer
-	mark     uint64
-	sequence uint64
-	follows  bool
-	closed   bool
-}
-
-type arriving struct {
-	at    time.Time
-	input Input
+func TestFollowsTheNearestAndIsReady(t *testing.T) {
+	n := newNetwork(t, three...)
+	n.run(100 * time.Millisecond)
+	if n.out.Follows != three[0] || !n.out.Settled || !n.out.Ready {
+		t.Errorf("%+v after %v", n.out, n.events)
+	}
+	if age := n.now.Sub(n.out.ConfirmedAt); age < 0 || age > 100*time.Millisecond {
+		t.Errorf("confirmed %v ago", age)
+	}
 }
 
-// network runs one decider against peers in simulated time.
-type network struct {
-	t        *testing.T
-	begin    time.Time
-	now      time.Time
-	decider  *Decider
-	out      Output
-	peers    map[string]*peer
-	wires    []*wire
-	arriving []arriving
-	beaconAt time.Time
-	events   []Event
-	dials    int
-	probes   int
-	applies  []*Change
-	slow     time.Duration // of Apply
-	seeds    []string
-	moves    []string
+func TestCutOffInstanceIsLeft(t *testing.T) {
+	n := settled(t, three...)
+	cut := n.followed()
+	cut.cut = true
+	if took := n.leaves(cut, 3*stale); took > stale+100*time.Millisecond {
+		t.Errorf("left after %v", took)
+	}
+	n.run(20 * time.Millisecond)
+	if !n.out.Settled || !slices.Equal(n.left(), []error{ErrStale}) {
+		t.Errorf("settled %v, left because of %v", n.out.Settled, n.left())
+	}
 }
 
-func newNetwork(t *testing.T, addresses ...string) *network {
-	t.Helper()
-	begin := time.Unix(1_000_000, 0)
-	course := NewCourse("z1", netip.MustParseAddr("10.1.0.9"), rand.New(rand.NewPCG(1, 1)))
-	n := &network{t: t, begin: begin, now: begin, beaconAt: begin, peers: make(map[string]*peer), seeds: addresses}
-	for i, address := range addresses {
-		n.peers[address] = &peer{address: address, clock: time.Duration(i+1) * time.Hour, epoch: 1, generation: 4}
-	}
-	course.SetSeeds(addresses)
-	n.decider = NewDecider(Identity{Node: "n", Zone: "z1", Incarnation: 7}, course, Limits{Stale: stale})
-	n.step()
-	return n
+// Day lompakko-reitti-cut-5: one instance is cut off, the others restart, and the cut-off one answers first.
+func TestCutOffInstanceThatAnswersFirstIsNotSettledWith(t *testing.T) {
+	n := settled(t, three...)
+	cut := n.others(n.followed())[0]
+	cut.cut = true
+	n.run(10 * time.Second)
+	for _, p := range n.others(cut) {
+		n.stop(p)
+	}
+	last := n.now
+	for range 600 {
+		n.run(time.Millisecond)
+		if n.out.Settled && n.out.Follows == cut.address {
+			t.Fatal("settled with the one that is cut off")
+		}
+	}
+	if n.out.Follows != cut.address {
+		t.Errorf("follows %q, not even provisionally the one that answers", n.out.Follows)
+	}
+	if n.out.ConfirmedAt.After(last) {
+		t.Errorf("confirmed %v after all others had gone", n.out.ConfirmedAt.Sub(last))
+	}
+	for _, p := range n.others(cut) {
+		p.refuses = false
+	}
+	if took := n.leaves(cut, time.Second); took > mostPause+100*time.Millisecond {
+		t.Errorf("left %v after the others came back", took)
+	}
+	n.commit()
+	n.run(50 * time.Millisecond)
+	if !n.out.Settled || n.inForce != n.newest {
+		t.Errorf("settled %v, version %d of %d", n.out.Settled, n.inForce, n.newest)
+	}
 }
 
-// standing is what a peer states now on a connection.
-func (n *network) standing(w *wire) protocol.Standing {
-	p := w.peer
-	if p.old {
-		return protocol.Standing{}
+// A router that starts while only a cut-off instance answers serves by what that has, and neither settles with it nor is
+// ready.
+func TestStartsWithACutOffInstance(t *testing.T) {
+	n := newNetwork(t, three...)
+	cut := n.peers[three[0]]
+	cut.contact, cut.cut = n.begin.Add(-5*time.Second), true
+	for _, p := range n.others(cut) {
+		p.gone = true
+	}
+	n.check = func() {
+		if n.out.Settled || n.out.Ready || !n.out.ConfirmedAt.IsZero() && n.out.ConfirmedAt.After(cut.contact) {
+			t.Fatalf("%+v", n.out)
+		}
 	}
-	if !p.cut {
-		p.contact = n.now
+	n.run(2 * time.Second)
+	if n.out.Follows != cut.address || n.inForce != 4 {
+		t.Errorf("follows %q, version %d in force", n.out.Follows, n.inForce)
 	}
-	s := protocol.Standing{Epoch: p.epoch, At: p.clock + n.now.Sub(n.begin), Mark: w.mark}
-	if !p.contact.IsZero() {
-		s.Known, s.Age = true, n.now.Sub(p.contact)
+	n.check = nil
+	n.peers[three[2]].gone = false
+	n.run(dialTimeout + mostPause + 100*time.Millisecond)
+	if n.out.Follows != three[2] || !n.out.Settled || !n.out.Ready {
+		t.Errorf("%+v after %v", n.out, n.events)
 	}
-	return s
 }
 
-func (n *network) post(w *wire, message any) {
-	if w.peer.mute {
-		return
+// Messages that are held up on their way tell of a past that gets longer, though they come without a pause.
+func TestMessagesHeldUpGiveNoFreshKnowledge(t *testing.T) {
+	for _, alone := range []bool{true, false} {
+		t.Run(fmt.Sprint("alone ", alone), func(t *testing.T) {
+			n := settled(t, three...)
+			slow := n.followed()
+			for _, p := range n.others(slow) {
+				p.gone = alone
+			}
+			for range 25 {
+				slow.heldUp += 200 * time.Millisecond
+				n.run(beacon) // the network checks ConfirmedAt against the times of sending
+			}
+			if age := n.now.Sub(n.out.ConfirmedAt); alone && age < 2*time.Second {
+				t.Errorf("messages are up to %v late, confirmed %v ago", slow.heldUp, age)
+			}
+			if alone != (n.out.Follows == slow.address) || n.out.Settled == alone {
+				t.Errorf("follows %q, settled %v: %v", n.out.Follows, n.out.Settled, n.events)
+			}
+		})
 	}
-	n.arrive(hop+w.peer.heldUp, Received{Connection: w.id, Message: message})
 }
 
-func (n *network) arrive(after time.Duration, in Input) {
-	n.arriving = append(n.arriving, arriving{at: n.now.Add(after), input: in})
-	slices.SortStableFunc(n.arriving, func(a, b arriving) int { return a.at.Compare(b.at) })
+// A connection that was given up changes nothing any more, whatever still comes on it.
+func TestDoubledConnections(t *testing.T) {
+	n := settled(t, three...)
+	first := n.followedWire()
+	first.peer.cut = true
+	n.leaves(first.peer, 2*stale)
+	n.run(time.Second)
+	follows, generation := n.out.Follows, n.inForce
+	late := n.standing(first)
+	late.Epoch, late.Known, late.Age = 9, true, 0
+	n.step(
+		Received{Connection: first.id, Message: &protocol.Update{
+			Sequence: first.sequence + 1, Generation: 9, Document: []byte("nine"), Standing: late,
+		}},
+		Received{Connection: first.id, Message: &protocol.Beacon{Sequence: 77, Generation: 9, Standing: late}},
+		Received{Connection: first.id, Message: &protocol.Probed{Generation: 9, Standing: late}},
+		Opened{Connection: first.id},
+		Ended{Connection: first.id, Err: errors.New("late")},
+		Applied{},
+	)
+	n.run(time.Second)
+	if n.out.Follows != follows || !n.out.Settled || n.inForce != generation {
+		t.Errorf("%+v: %v", n.out, n.events)
+	}
 }
 
-func (n *network) step(inputs ...Input) {
-	n.t.Helper()
-	before := n.out.Follows
-	n.out = n.decider.Step(n.now, inputs...)
-	if !n.out.WakeAt.After(n.now) {
-		n.t.Fatalf("wake at %v, now %v", n.out.WakeAt, n.now)
-	}
-	n.events = append(n.events, n.out.Events...)
-	if n.out.Follows != before {
-		n.moves = append(n.moves, n.out.Follows)
-	}
-	for _, dial := range n.out.Dial {
-		n.dial(dial)
-	}
-	for _, send := range n.out.Send {
-		if w := n.wire(send.Connection); w != nil {
-			n.get(w, send.Message)
-		}
+func TestLowerEpochIsRefused(t *testing.T) {
+	n := newNetwork(t, three...)
+	for _, p := range n.peers {
+		p.epoch = 3
 	}
-	for _, id := range n.out.Close {
-		if w := n.wire(id); w != nil {
-			w.closed = true
-		}
+	n.run(time.Second)
+	last := n.peers[three[2]]
+	last.epoch, last.cut = 2, true
+	for _, p := range n.others(last) {
+		n.stop(p)
 	}
-	if n.out.Apply != nil {
-		n.applies = append(n.applies, n.out.Apply)
-		n.arrive(n.slow, Applied{})
+	n.run(5 * time.Second)
+	if n.out.Follows != "" {
+		t.Errorf("follows %q in an earlier epoch", n.out.Follows)
 	}
-	if n.out.ReadSeeds {
-		n.arrive(0, SeedsRead{Addresses: n.seeds})
+	last.epoch = 3
+	n.run(time.Second)
+	if n.out.Follows != last.address || n.out.Settled {
+		t.Errorf("does not follow %q provisionally in the newest epoch: %+v", last.address, n.out)
 	}
 }
 
-func (n *network) dial(dial Dial) {
-	n.dials++
-	p := n.peers[dial.Address]
-	switch {
-	case p == nil || p.refuses:
-		n.arrive(hop, Ended{Connection: dial.Connection, Err: errors.New("refused")})
-	case !p.gone:
-		n.wires = append(n.wires, &wire{id: dial.Connection, peer: p})
-		n.arrive(hop, Opened{Connection: dial.Connection})
+// Of instances without proof the one in the higher epoch is followed, then the one with the younger contact; the one that is
+// followed is kept where no other is in a higher epoch.
+func TestChoiceWithoutProof(t *testing.T) {
+	n := newNetwork(t, three...)
+	for i, address := range three {
+		p := n.peers[address]
+		p.cut, p.epoch, p.contact = true, 2, n.begin.Add(-time.Duration(10-i)*time.Second)
 	}
-}
-
-func (n *network) wire(id ConnectionID) *wire {
-	for _, w := range n.wires {
-		if w.id == id && !w.closed {
-			return w
-		}
+	n.run(time.Second)
+	if n.out.Follows != three[2] {
+		t.Errorf("follows %q, not the one with the youngest contact", n.out.Follows)
+	}
+	n.peers[three[0]].contact = n.now.Add(-stale)
+	n.run(time.Second)
+	if !slices.Equal(n.moves, []string{three[2]}) {
+		t.Errorf("moves %v though none is in a higher epoch", n.moves)
+	}
+	n.peers[three[1]].epoch = 3
+	n.run(time.Second)
+	if !slices.Equal(n.moves, []string{three[2], three[1]}) || !slices.Contains(n.left(), ErrEpoch) {
+		t.Errorf("moves %v, left because of %v", n.moves, n.left())
 	}
-	return nil
 }
 
-// get is a message that a peer gets.
-func (n *network) get(w *wire, message any) {
-	switch m := message.(type) {
-	case protocol.Probe:
-		n.probes++
-		if w.peer.old {
-			return
-		}
-		w.mark = m.Mark
-		n.post(w, &protocol.Probed{Generation: w.peer.generation, Standing: n.standing(w)})
-	case protocol.Subscribe:
-		w.mark, w.follows = m.Mark, true
-		n.update(w, protocol.Update{Full: !w.peer.cut || w.peer.old, Confirmed: !w.peer.cut}, m.Generation)
-	case protocol.Confirm:
-		w.mark = max(w.mark, m.Mark)
+// With no majority anywhere the instance that is followed is kept, and it is settled with again once it has proof.
+func TestKeepsItsInstanceWhileNobodyHasProof(t *testing.T) {
+	n := settled(t, three...)
+	for _, p := range n.peers {
+		p.cut = true
+	}
+	n.run(20 * time.Second)
+	for _, p := range n.peers {
+		p.cut = false
+	}
+	n.run(beacon + 10*time.Millisecond)
+	if len(n.moves) != 1 || !n.out.Settled || n.decider.search != nil {
+		t.Errorf("moves %v, settled %v", n.moves, n.out.Settled)
 	}
 }
 
-func (n *network) update(w *wire, u protocol.Update, has int64) {
-	w.sequence++
-	u.Sequence, u.Generation, u.Standing = w.sequence, w.peer.generation, n.standing(w)
-	if has < u.Generation {
-		u.Document = []byte("document")
+// Contacts that are all about as old as the limit are no reason to go to and fro.
+func TestAgesAroundTheLimit(t *testing.T) {
+	n := settled(t, three...)
+	for _, p := range n.peers {
+		p.cut = true
+	}
+	for i := range 200 {
+		p := n.peers[three[i%3]]
+		p.contact = n.now.Add(-stale*9/10 + time.Duration(i%7)*stale/100)
+		n.run(100 * time.Millisecond)
+	}
+	if len(n.moves) > 3 {
+		t.Errorf("%d moves in 20 s: %v", len(n.moves), n.moves)
 	}
-	n.post(w, &u)
 }
 
-// run lets time pass.
-func (n *network) run(d time.Duration) {
-	n.t.Helper()
-	for end := n.now.Add(d); ; {
-		next := later(n.now, n.out.WakeAt)
-		if len(n.arriving) > 0 && n.arriving[0].at.Before(next) {
-			next = n.arriving[0].at
-		}
-		if n.beaconAt.Before(next) {
-			next = n.beaconAt
-		}
-		if next.After(end) {
-			n.now = end
-			return
-		}
-		n.now = next
-		n.beacons()
-		var inputs []Input
-		for len(n.arriving) > 0 && !n.arriving[0].at.After(n.now) {
-			inputs = append(inputs, n.arriving[0].input)
-			n.arriving = n.arriving[1:]
-		}
-		n.step(inputs...)
+func TestNoProbesWhileFresh(t *testing.T) {
+	n := settled(t, three...)
+	dials, probes := n.dials, n.probes
+	n.run(10 * time.Minute)
+	marks := int(10 * time.Minute / markEvery) // to the instance that is followed
+	if n.dials != dials || n.probes-probes > marks || len(n.moves) != 1 {
+		t.Errorf("%d dials, %d probes, moves %v", n.dials-dials, n.probes-probes, n.moves)
+	}
+	if age := n.now.Sub(n.out.ConfirmedAt); age > beacon+100*time.Millisecond {
+		t.Errorf("confirmed %v ago: anchors were not kept up", age)
 	}
 }
 
-func (n *network) beacons() {
-	if n.now.Before(n.beaconAt) {
-		return
-	}
-	n.beaconAt = n.now.Add(250 * time.Millisecond)
-	for _, w := range n.wires {
-		if w.follows && !w.closed {
-			n.post(w, &protocol.Beacon{Sequence: w.sequence, Generation: w.peer.generation, Standing: n.standing(w)})
-		}
+func TestProbesAreBounded(t *testing.T) {
+	for name, trouble := range map[string]func(*peer){
+		"cut off":  func(p *peer) { p.cut = true },
+		"refusing": func(p *peer) { p.refuses = true },
+		"gone":     func(p *peer) { p.gone = true },
+		"frozen":   func(p *peer) { p.mute = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var addresses []string
+			for i := range 15 {
+				addresses = append(addresses, fmt.Sprintf("10.%d.0.1:1", i+1))
+			}
+			n := settled(t, addresses...)
+			followed := n.followed()
+			for _, p := range n.peers {
+				trouble(p)
+			}
+			n.hangUp(followed)
+			n.check = func() {
+				if s := n.decider.search; s != nil && s.pending() > mostProbes {
+					t.Fatalf("%d probes at once", s.pending())
+				}
+			}
+			n.run(stale)
+			dials, probes := n.dials, n.probes
+			const seconds = 20
+			n.run(seconds * time.Second)
+			rounds := seconds * time.Second / (125 * time.Millisecond)
+			if most := int(rounds) * len(addresses); n.dials-dials > most || n.probes-probes > most {
+				t.Errorf("%d dials and %d probes in %d s, want %d at most", n.dials-dials, n.probes-probes, seconds, most)
+			}
+			if n.dials+n.probes-dials-probes == 0 {
+				t.Error("nobody is asked")
+			}
+		})
 	}
 }
 
-// restart ends all connections of a peer, and refuses new ones until back.
-func (n *network) stop(p *peer) {
-	p.refuses = true
-	for _, w := range n.wires {
-		if w.peer == p && !w.closed {
-			w.closed = true
-			n.arrive(hop, Ended{Connection: w.id, Err: errors.New("reset")})
-		}
+func TestSilentInstanceIsLeft(t *testing.T) {
+	n := settled(t, three...)
+	silent := n.followed()
+	silent.mute = true
+	if took := n.leaves(silent, 2*time.Second); took > mostSilence+100*time.Millisecond {
+		t.Errorf("left after %v", took)
+	}
+	if !slices.Equal(n.left(), []error{ErrSilent}) {
+		t.Errorf("left because of %v", n.left())
+	}
+	n.run(100 * time.Millisecond)
+	if !n.out.Settled {
+		t.Errorf("not settled: %v", n.events)
 	}
 }
 
-// takes has a peer commit a version and send it to whom it follows.
-func (n *network) commit(p *peer, generation int64) {
-	p.generation = generation
-	for _, w := range n.wires {
-		if w.peer == p && w.follows && !w.closed {
-			n.update(w, protocol.Update{}, generation-1)
-		}
+// The process slept; what the instance sent meanwhile waits, or comes a little later.
+func TestSleptItself(t *testing.T) {
+	for _, waits := range []bool{true, false} {
+		t.Run(fmt.Sprint("messages wait ", waits), func(t *testing.T) {
+			n := settled(t, three...)
+			n.run(10 * time.Millisecond)
+			followed := n.followed()
+			followed.mute = !waits
+			n.frozen = n.now.Add(5 * time.Second)
+			n.run(5*time.Second - time.Millisecond)
+			followed.mute = false
+			n.run(time.Second)
+			if len(n.moves) != 1 || !n.out.Settled {
+				t.Errorf("moves %v, settled %v: %v", n.moves, n.out.Settled, n.events)
+			}
+		})
 	}
 }
 
-func (n *network) followed() *peer {
-	n.t.Helper()
-	p := n.peers[n.out.Follows]
-	if p == nil {
-		n.t.Fatalf("nobody is followed at %v: %v", n.now.Sub(n.begin), n.events)
+func TestInstanceThatKeepsAConfigurationBack(t *testing.T) {
+	n := settled(t, three...)
+	behind := n.followed()
+	behind.generation = 5
+	n.newest = 5
+	for _, p := range n.others(behind) {
+		p.generation = 5
+	}
+	n.run(beacon + mostBehind + 10*time.Millisecond)
+	if !slices.Equal(n.left(), []error{ErrBehind}) {
+		t.Errorf("left because of %v", n.left())
+	}
+	n.run(50 * time.Millisecond)
+	if n.inForce != 5 || n.out.Follows == behind.address {
+		t.Errorf("version %d from %q", n.inForce, n.out.Follows)
 	}
-	return p
 }
 
-func (n *network) others(p *peer) []*peer {
-	var others []*peer
-	for _, address := range n.seeds {
-		if n.peers[address] != p {
-			others = append(others, n.peers[address])
-		}
+func TestWhatIsMissingOrCannotBeUsedMovesOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		amiss func(n *network, w *wire)
+		want  error
+	}{
+		"gap":      {func(n *network, w *wire) { w.sequence++; n.update(w, protocol.Update{}, 4) }, ErrSequence},
+		"repeated": {func(n *network, w *wire) { w.sequence--; n.update(w, protocol.Update{}, 4) }, ErrSequence},
+		"beacon of others": {func(n *network, w *wire) {
+			n.post(w, &protocol.Beacon{Sequence: w.sequence + 1, Generation: 4, Standing: n.standing(w)})
+		}, ErrSequence},
+		"document": {func(n *network, w *wire) { n.refuse = ErrDocument; n.commit() }, ErrDocument},
+		"epoch":    {func(n *network, w *wire) { w.peer.epoch = 0 }, ErrEpoch},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := settled(t, three...)
+			w := n.followedWire()
+			c.amiss(n, w)
+			n.leaves(w.peer, beacon+10*time.Millisecond)
+			n.refuse = nil
+			if !slices.Equal(n.left(), []error{c.want}) {
+				t.Errorf("left because of %v", n.left())
+			}
+			n.run(2 * mostPause)
+			if !n.out.Settled || n.out.Follows == w.peer.address {
+				t.Errorf("%+v", n.out)
+			}
+		})
 	}
-	return others
 }
 
-func (n *network) left() (reasons []error) {
-	for _, event := range n.events {
-		if e, ok := event.(Left); ok {
-			reasons = append(reasons, e.Err)
-		}
+// A change that takes long is not the instance's silence, and counts only once it is in force.
+func TestSlowApply(t *testing.T) {
+	n := settled(t, three...)
+	followed := n.followed()
+	n.slow = 2500 * time.Millisecond
+	n.commit()
+	n.commit()
+	acknowledged := n.now
+	confirms := len(followed.confirms)
+	n.run(n.slow)
+	if len(followed.confirms) != confirms || n.out.ConfirmedAt.After(acknowledged) {
+		t.Errorf("confirms %v, confirmed at %v", followed.confirms, n.out.ConfirmedAt.Sub(acknowledged))
+	}
+	n.run(n.slow + 10*time.Millisecond)
+	if len(n.moves) != 1 || !n.out.Settled || !slices.Equal(followed.confirms[confirms:], []uint64{2, 3}) {
+		t.Errorf("moves %v, settled %v, confirms %v", n.moves, n.out.Settled, followed.confirms)
+	}
+	if age := n.now.Sub(n.out.ConfirmedAt); n.inForce != 6 || age > beacon+100*time.Millisecond {
+		t.Errorf("version %d, confirmed %v ago", n.inForce, age)
 	}
-	return reasons
 }
 
-var three = []string{"10.1.0.1:1", "10.2.0.1:1", "10.3.0.1:1"}
-
-func TestFollowsTheNearestAndIsReady(t *testing.T) {
+// The router goes back to its own zone once somebody there has proof, and asks for that more and more rarely.
+func TestNearerInstance(t *testing.T) {
 	n := newNetwork(t, three...)
-	n.run(100 * time.Millisecond)
-	if n.out.Follows != three[0] || !n.out.Settled || !n.out.Ready {
-		t.Errorf("%+v after %v", n.out, n.events)
-	}
-	if age := n.now.Sub(n.out.ConfirmedAt); age < 0 || age > 100*time.Millisecond {
-		t.Errorf("confirmed %v ago", age)
+	near := n.peers[three[0]]
+	near.refuses = true
+	n.run(time.Second)
+	var members []protocol.Member
+	for i, address := range three {
+		members = append(members, protocol.Member{Address: address, Zone: fmt.Sprint("z", i+1)})
+	}
+	n.update(n.followedWire(), protocol.Update{Members: members}, 4)
+	dials := n.dials
+	n.run(3 * time.Minute)
+	if looked := n.dials - dials; looked < 3 || looked > 8 || len(n.moves) != 1 {
+		t.Errorf("%d looks in 3 minutes, moves %v", looked, n.moves)
+	}
+	near.refuses, near.cut = false, true
+	n.run(2 * mostNearer)
+	if len(n.moves) != 1 {
+		t.Errorf("moves %v, the last one without proof", n.moves)
+	}
+	near.cut = false
+	n.run(mostNearer + time.Second)
+	if n.out.Follows != near.address || !n.out.Settled || !slices.Equal(n.left(), []error{ErrNearer}) {
+		t.Errorf("follows %q, left because of %v", n.out.Follows, n.left())
 	}
 }
 
-func TestCutOffInstanceIsLeft(t *testing.T) {
+// An instance of the own zone that ends soon after each return is returned to more and more rarely.
+func TestNearerInstanceThatKeepsEnding(t *testing.T) {
 	n := newNetwork(t, three...)
-	n.run(3 * time.Second)
-	cut := n.followed()
-	cut.cut = true
-	at := n.now
-	for n.out.Follows == cut.address && n.now.Sub(at) < 3*stale {
-		n.run(time.Millisecond)
+	near := n.peers[three[0]]
+	near.refuses = true
+	n.run(time.Second)
+	members := []protocol.Member{{Address: three[0], Zone: "z1"}, {Address: three[1], Zone: "z2"}}
+	n.update(n.followedWire(), protocol.Update{Members: members}, 4)
+	returns := 0
+	for range 360 {
+		near.refuses = false
+		n.run(500 * time.Millisecond)
+		if n.out.Follows == near.address {
+			returns++
+			n.stop(near)
+			n.run(500 * time.Millisecond)
+		}
 	}
-	if took := n.now.Sub(at); took > stale+100*time.Millisecond {
-		t.Errorf("left after %v", took)
+	if returns < 3 || returns > 8 {
+		t.Errorf("%d returns in 3 minutes", returns)
 	}
-	n.run(100 * time.Millisecond)
-	if !n.out.Settled || !slices.Contains(n.left(), ErrStale) {
-		t.Errorf("settled %v, left because of %v", n.out.Settled, n.left())
+}
+
+// While the nearest instance is slow to answer, it is waited for a little, and no more.
+func TestWaitsALittleForTheOwnZone(t *testing.T) {
+	for late, want := range map[time.Duration]string{15 * time.Millisecond: three[0], 60 * time.Millisecond: three[1]} {
+		n := newNetwork(t, three[0], three[1])
+		n.peers[three[0]].heldUp = late
+		n.run(100 * time.Millisecond)
+		if n.out.Follows != want {
+			t.Errorf("nearest %v late: follows %q", late, n.out.Follows)
+		}
 	}
 }
 
-// Day lompakko-reitti-cut-5: one instance is cut off, the others restart, and the cut-off one answers first.
-func TestCutOffInstanceThatAnswersFirstIsNotSettledWith(t *testing.T) {
+func TestReportsWaitWhileNobodyIsFollowed(t *testing.T) {
 	n := newNetwork(t, three...)
-	n.run(3 * time.Second)
-	away := n.followed()
-	cut := n.others(away)[0]
-	cut.cut = true
-	n.run(10 * time.Second)
-	for _, p := range n.others(cut) {
-		n.stop(p)
+	for i := range mostReports + 2 {
+		n.step(Demand{Report: protocol.Report{Over: time.Duration(i)}})
 	}
-	for range 600 {
-		n.run(time.Millisecond)
-		if n.out.Settled {
-			t.Fatalf("settled with %s", n.out.Follows)
+	n.run(100 * time.Millisecond)
+	n.step(Demand{Report: protocol.Report{Over: 100}})
+	n.run(10 * time.Millisecond)
+	reports := n.followed().reports
+	if len(reports) != mostReports+1 {
+		t.Fatalf("%d reports", len(reports))
+	}
+	for i, report := range reports[:mostReports] {
+		if report.Over != time.Duration(i+2) || report.Sequence != uint64(i+1) || report.Node != "n" || report.Incarnation != 7 {
+			t.Errorf("report %d: %+v", i, report)
 		}
 	}
-	if n.out.Follows != cut.address {
-		t.Errorf("follows %q, not even provisionally the one that answers", n.out.Follows)
+}
+
+// Instances of an older program state nothing and answer no probes: the router works with them, provisionally.
+func TestOlderInstances(t *testing.T) {
+	n := newNetwork(t, three...)
+	for _, p := range n.peers {
+		p.old = true
 	}
-	if n.now.Sub(n.out.ConfirmedAt) < 600*time.Millisecond {
-		t.Errorf("confirmed at %v, now %v", n.out.ConfirmedAt, n.now)
+	n.run(time.Second)
+	if !n.out.Ready || n.out.Settled || !n.out.ConfirmedAt.IsZero() || n.inForce != 4 {
+		t.Errorf("%+v", n.out)
 	}
-	for _, p := range n.others(cut) {
-		p.refuses = false
+	n.run(10 * time.Second)
+	if len(n.moves) != 1 {
+		t.Errorf("moves %v", n.moves)
 	}
-	n.run(350 * time.Millisecond)
-	if n.out.Follows == cut.address || !n.out.Settled {
-		t.Errorf("still with %q after the others are back: %v", n.out.Follows, n.events)
+	newer := n.others(n.followed())[0]
+	newer.old = false
+	n.run(time.Second)
+	if n.out.Follows != newer.address || !n.out.Settled {
+		t.Errorf("%+v", n.out)
 	}
-	n.commit(n.followed(), 5)
+}
+
+// A configuration never goes back, and an older one confirmed as the newest makes nobody ready.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	n := settled(t, three...)
+	w := n.followedWire()
+	w.peer.generation = 3
+	n.update(w, protocol.Update{Confirmed: true}, 0)
 	n.run(10 * time.Millisecond)
-	if last := n.applies[len(n.applies)-1]; last.Generation != 5 {
-		t.Errorf("last change %+v", last)
+	if last := n.applies[len(n.applies)-1]; last.Document != nil {
+		t.Errorf("%+v was asked for", last)
+	}
+}
+
+func TestSeedsAreReadAnew(t *testing.T) {
+	n := newNetwork(t, three...)
+	n.seeds = nil
+	for _, p := range n.peers {
+		p.refuses = true
+	}
+	n.run(time.Second)
+	n.peers["10.9.0.1:1"] = &peer{address: "10.9.0.1:1", epoch: 1, generation: 4}
+	n.seeds = []string{"10.9.0.1:1"}
+	n.run(mostPause + 100*time.Millisecond)
+	if n.out.Follows != "10.9.0.1:1" {
+		t.Errorf("follows %q", n.out.Follows)
 	}
 }
--- a/internal/router/subscription/following.go
+++ b/internal/router/subscription/following.go
@@ -142,22 +142,13 @@
 	}
 }
 
-// markAgain sends a mark where no other message has carried one for long.
+// markAgain sends a mark to the instance that is followed, where none has gone for long. A probe brings it back at once.
 func (d *Decider) markAgain(now time.Time) {
-	if f := d.followed; f != nil && f.confirmed != 0 && f.anchor.due(now) {
-		d.confirm(now, f)
+	if f := d.followed; f != nil && f.states && f.anchor.due(now) {
+		d.send(f.id, protocol.Probe{Mark: d.mark(now, &f.link)})
 	}
 }
 
-// confirm says which update is in force; it carries a mark where one is due.
-func (d *Decider) confirm(now time.Time, f *following) {
-	message := protocol.Confirm{Sequence: f.confirmed}
-	if f.anchor.due(now) {
-		message.Mark = d.mark(now, &f.link)
-	}
-	d.send(f.id, message)
-}
-
 func (d *Decider) followingWakes(next *wake, f *following) {
 	next.add(f.silentAt)
 	next.add(f.behindAt)
@@ -167,7 +158,7 @@
 	if d.search == nil {
 		next.add(f.nearerAt)
 	}
-	if f.confirmed != 0 {
+	if f.states {
 		next.add(f.anchor.dueAt())
 	}
 }
