Leave an instance whose first update is lost

Sequences now begin at 1, as the hub's do, and a beacon before that names a gap (TestFirstUpdateIsMissing fails without this).

--- a/internal/router/subscription/applying.go
+++ b/internal/router/subscription/applying.go
@@ -15,7 +15,7 @@
 
 // update takes the next update of the instance that is followed.
 func (d *Decider) update(now time.Time, f *following, u *protocol.Update) {
-	if f.received != 0 && u.Sequence != f.received+1 {
+	if u.Sequence != f.received+1 {
 		d.leave(now, ErrSequence)
 		return
 	}
--- a/internal/router/subscription/decider_test.go
+++ b/internal/router/subscription/decider_test.go
@@ -356,6 +356,22 @@
 	}
 }
 
+// An instance whose first update is lost, while its beacons come, is left as well.
+func TestFirstUpdateIsMissing(t *testing.T) {
+	n := newNetwork(t, three...)
+	for n.out.Follows == "" {
+		n.run(time.Millisecond)
+	}
+	first := n.peers[n.out.Follows]
+	first.mute = true
+	n.run(10 * time.Millisecond)
+	first.mute = false
+	n.run(beacon + 2*mostPause)
+	if n.out.Follows == first.address || !n.out.Ready {
+		t.Errorf("%+v after %v", n.out, n.events)
+	}
+}
+
 // A change that takes long is not the instance's silence, and counts only once it is in force.
 func TestSlowApply(t *testing.T) {
 	n := settled(t, three...)
--- a/internal/router/subscription/following.go
+++ b/internal/router/subscription/following.go
@@ -84,7 +84,7 @@
 	case *protocol.Update:
 		d.update(now, f, m)
 	case *protocol.Beacon:
-		if f.received != 0 && m.Sequence != f.received {
+		if m.Sequence != f.received {
 			d.leave(now, ErrSequence)
 			return
 		}
--- a/internal/router/subscription/property_test.go
+++ b/internal/router/subscription/property_test.go
@@ -129,7 +129,7 @@
 func heal(n *network) {
 	n.slow = 0
 	for _, p := range n.peers {
-		healPeer(n, p)
 		p.refuses, p.gone, p.mute, p.heldUp, p.heldDown = false, false, false, 0, 0
+		healPeer(n, p)
 	}
 }
