--- /dev/null
+++ b/coordination/replica/status_test.go
@@ -0,0 +1,20 @@
+package replica
+
+import (
+	"testing"
+	"time"
+)
+
+// A newer proof comes with each ping and is no change that anybody waits for.
+func TestNewerProofIsNoChange(t *testing.T) {
+	before := Status{Committed: 1}
+	after := before
+	after.ConfirmedAt = time.Now()
+	if differs(before, after) {
+		t.Error("a newer proof counts as a change")
+	}
+	after.Committed = 2
+	if !differs(before, after) {
+		t.Error("a newer commit doesn't count as a change")
+	}
+}
