Acknowledge farewells only with contact since the call; isolated by contact

Cause: an instance that was cut off less than a second ago acknowledged drains and ends that no router of the others had heard of, and called itself isolated by who answered pings instead of by what it can prove. Change: an instance is isolated without a contact with a majority (Status.ConfirmedAt) of the last second. The host gives the contact to hub and registry at each step. A draining call or a DELETE is acknowledged once it is settled, or its 600 ms are up, and the contact is from after the call; after 800 ms without one, or when the instance becomes isolated, the answer is 503. That holds for repeated calls too. The contact is looked for every 30 ms while a call waits for it, and only then. Heartbeats at an isolated instance are noted and answered with 503, as before.

The simulated world proves contacts late and checks each acknowledgement against them and its time. The tests of isolated instances say so by contact, no longer by Peers.Isolated or the live members, and are otherwise as they were. The test of a whole group of processes needs a replica that tells ConfirmedAt.

--- a/internal/control/host/check_test.go
+++ b/internal/control/host/check_test.go
@@ -14,6 +14,9 @@
 	if call.state == protocol.Ready {
 		return
 	}
+	if took := w.now.Sub(call.at); took > registry.ContactWithin+worldStep {
+		w.fault("%s answered at %d after %v", call.endpoint.id, n, took)
+	}
 	if answer.Refused {
 		w.refused++
 		call.endpoint.beatAt = w.now // it asks another
@@ -22,6 +25,9 @@
 		}
 		return
 	}
+	if w.instances[n].contact.Before(call.at) {
+		w.fault("%s acknowledged at %d, without contact with a majority since it called", call.endpoint.id, n)
+	}
 	if !answer.Settled {
 		w.unsettled++
 		return
--- a/internal/control/host/commands.go
+++ b/internal/control/host/commands.go
@@ -15,7 +15,7 @@
 // Errors of calls to the host.
 var (
 	ErrStopped  = errors.New("instance stops")
-	ErrIsolated = errors.New("instance reaches no majority of the others")
+	ErrIsolated = errors.New("instance has no contact with a majority of the others")
 )
 
 // The commands of the queue.
--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -19,7 +19,7 @@
 	reportsEvery   = 200 * time.Millisecond // routers' reports go on together
 	lacksEvery     = 4 * time.Millisecond   // the same, while requests wait for quota
 	staleGrant     = 300 * time.Millisecond // one that was held up longer may be somebody else's by now
-	isolatedAfter  = distribution.FreshFor  // without contact with a majority
+	isolatedAfter  = registry.IsolatedAfter // without contact with a majority
 	barrierWithin  = 1500 * time.Millisecond
 	barrierPause   = 200 * time.Millisecond // after one that failed
 	maximumReports = 4096                   // kept while no holder of the placer's role is known
--- a/internal/control/host/host_test.go
+++ b/internal/control/host/host_test.go
@@ -296,9 +296,7 @@
 func TestIsolatedInstanceRefuses(t *testing.T) {
 	nodes := startNodes(t, 3)
 	call(t, nodes[0], beat("e1", 1, protocol.Ready))
-	status := nodes[0].double.Status()
-	status.Live = status.Live[:1]
-	nodes[0].double.SetStatus(status)
+	nodes[0].double.Part(true)
 	deadline := time.Now().Add(patience)
 	for sequence := uint64(2); ; sequence++ {
 		err := nodes[0].host.Heartbeat(t.Context(), beat("e1", sequence, protocol.Ready))
--- a/internal/control/host/status.go
+++ b/internal/control/host/status.go
@@ -20,9 +20,7 @@
 	generation int64
 	contact    distribution.Contact
 	isolated   bool
-	told       bool      // the desk knows peers and isolated
-	apart      time.Time // since when there is no majority; zero: there is one
-	begun      bool      // there was a majority once
+	told       bool // the desk knows peers and isolated
 	wakeAt     time.Time
 }
 
@@ -30,12 +28,13 @@
 func (h *Host) readReplica(now time.Time) {
 	status := h.parts.Replica.Status()
 	h.readContact(status)
-	if now.Sub(h.status.read) < statusEvery {
+	isolated := h.isolated(now)
+	if isolated == h.status.isolated && now.Sub(h.status.read) < statusEvery {
 		return
 	}
 	h.status.read = now
 	h.status.holder = holderOf(status)
-	h.readPeers(now, status)
+	h.readPeers(status, isolated)
 	h.readMembers(status)
 }
 
@@ -43,15 +42,17 @@
 // configuration is read after the status and given before the contact: nothing that was acknowledged before
 // ConfirmedAt may be missing in a message that states it.
 func (h *Host) readContact(status replica.Status) {
-	later := h.news.Hub
-	h.news.Hub = nil
+	later := h.news
+	h.news = News{}
 	h.readConfiguration()
 	contact := distribution.Contact{Epoch: status.View.Epoch, ConfirmedAt: status.ConfirmedAt}
 	if contact != h.status.contact {
 		h.status.contact = contact
 		h.news.Hub = append(h.news.Hub, contact)
+		h.news.Registry = append(h.news.Registry, registry.Contact{ConfirmedAt: contact.ConfirmedAt})
 	}
-	h.news.Hub = append(h.news.Hub, later...)
+	h.news.Hub = append(h.news.Hub, later.Hub...)
+	h.news.Registry = append(h.news.Registry, later.Registry...)
 }
 
 func (h *Host) readConfiguration() {
@@ -64,6 +65,12 @@
 	h.news.Hub = append(h.news.Hub, distribution.Configuration{Generation: generation, Document: packed})
 }
 
+// isolated says whether this instance has had no contact with a majority of the voters for some time, or never.
+func (h *Host) isolated(now time.Time) bool {
+	confirmedAt := h.status.contact.ConfirmedAt
+	return confirmedAt.IsZero() || now.Sub(confirmedAt) > isolatedAfter
+}
+
 func holderOf(status replica.Status) string {
 	if len(status.View.Chain) == 0 {
 		return ""
@@ -71,7 +78,7 @@
 	return status.View.Chain[0].Address
 }
 
-func (h *Host) readPeers(now time.Time, status replica.Status) {
+func (h *Host) readPeers(status replica.Status, isolated bool) {
 	peers := make([]string, 0, len(status.Live))
 	for _, member := range status.Live {
 		if member.Address != h.settings.Origin.Address {
@@ -80,7 +87,6 @@
 	}
 	slices.Sort(peers)
 	peers = slices.Compact(peers)
-	isolated := h.isolated(now, status)
 	turned := isolated != h.status.isolated
 	if h.status.told && !turned && slices.Equal(peers, h.status.peers) {
 		return
@@ -90,35 +96,7 @@
 	}
 	h.status.told = true
 	h.status.peers, h.status.isolated = peers, isolated
-	h.news.Registry = append(h.news.Registry, registry.Peers{Reachable: peers, Isolated: isolated})
-}
-
-// isolated says whether this instance has reached no majority of the voters for some time, or never has.
-func (h *Host) isolated(now time.Time, status replica.Status) bool {
-	if majority(status) {
-		h.status.apart = time.Time{}
-		h.status.begun = true
-		return false
-	}
-	if h.status.apart.IsZero() {
-		h.status.apart = now
-	}
-	return !h.status.begun || now.Sub(h.status.apart) > isolatedAfter
-}
-
-func majority(status replica.Status) bool {
-	live := make(map[string]bool, len(status.Live))
-	for _, member := range status.Live {
-		live[member.Identity] = true
-	}
-	live[status.Self.Identity] = true
-	reached := 0
-	for _, voter := range status.View.Voters {
-		if live[voter.Identity] {
-			reached++
-		}
-	}
-	return 2*reached > len(status.View.Voters)
+	h.news.Registry = append(h.news.Registry, registry.Peers{Reachable: peers})
 }
 
 // readMembers gathers all instances that are known, for the routers.
--- a/internal/control/host/world_test.go
+++ b/internal/control/host/world_test.go
@@ -39,6 +39,9 @@
 	wakeAt  time.Time
 	reach   []string
 	contact time.Time // newest contact with a majority
+
+	proving  time.Time // of the contact that will be proved next, if it lasts; zero: none
+	provenAt time.Time
 }
 
 type router struct {
@@ -63,6 +66,7 @@
 }
 
 type asked struct {
+	at       time.Time
 	endpoint *endpoint
 	instance int
 	state    protocol.EndpointState
@@ -78,6 +82,7 @@
 const (
 	worldStep      = 5 * time.Millisecond
 	worldHeartbeat = 1200 * time.Millisecond
+	worldProof     = 250 * time.Millisecond // a contact is proved within so long
 )
 
 func newWorld(seed uint64, instances, routers, endpoints int) *world {
@@ -115,7 +120,8 @@
 		Origin:    protocol.Origin{Address: i.address, Incarnation: w.next},
 		Heartbeat: worldHeartbeat,
 	}, w.now)
-	i.reach, i.wakeAt, i.contact = nil, w.now, time.Time{}
+	i.reach, i.wakeAt = nil, w.now
+	i.contact, i.proving = time.Time{}, time.Time{}
 	w.tellReach(n)
 	for _, r := range w.routers {
 		if r.home == n {
@@ -175,17 +181,24 @@
 
 func (w *world) tellReach(n int) {
 	i := w.instances[n]
-	isolated := 2*(len(i.reach)+1) <= len(w.instances)
-	w.step(n, News{Registry: []registry.Input{registry.Peers{Reachable: i.reach, Isolated: isolated}}})
+	w.step(n, News{Registry: []registry.Input{registry.Peers{Reachable: i.reach}}})
 }
 
-// confirm notes contact with a majority, as the replica would, at the time of a step.
-func (w *world) confirm(n int) distribution.Contact {
+// confirm notes contact with a majority, as the replica would: it proves a moment that is some time ago.
+func (w *world) confirm(n int) time.Time {
 	i := w.instances[n]
-	if 2*(len(w.reachable(n))+1) > len(w.instances) {
-		i.contact = w.now
+	if 2*(len(w.reachable(n))+1) <= len(w.instances) {
+		i.proving = time.Time{}
+		return i.contact
+	}
+	if i.proving.IsZero() {
+		i.proving = w.now
+		i.provenAt = w.now.Add(time.Duration(w.random.Int64N(int64(worldProof))))
+	}
+	if !w.now.Before(i.provenAt) {
+		i.contact, i.proving = i.proving, time.Time{}
 	}
-	return distribution.Contact{Epoch: 1, ConfirmedAt: i.contact}
+	return i.contact
 }
 
 func (w *world) arrive() {
@@ -208,7 +221,9 @@
 func (w *world) step(n int, news News) {
 	i := w.instances[n]
 	desk := i.desk
-	news.Hub = append([]distribution.Input{w.confirm(n)}, news.Hub...)
+	contact := w.confirm(n)
+	news.Hub = append([]distribution.Input{distribution.Contact{Epoch: 1, ConfirmedAt: contact}}, news.Hub...)
+	news.Registry = append([]registry.Input{registry.Contact{ConfirmedAt: contact}}, news.Registry...)
 	orders := desk.Step(w.now, news)
 	i.wakeAt = orders.WakeAt
 	for _, closing := range orders.Close {
@@ -344,7 +359,7 @@
 	w.later(worldStep, most, func() {
 		w.tickets++
 		n := w.random.IntN(len(w.instances))
-		w.asked[w.tickets] = asked{endpoint: e, instance: n, state: told.State}
+		w.asked[w.tickets] = asked{at: w.now, endpoint: e, instance: n, state: told.State}
 		w.step(n, News{Registry: []registry.Input{registry.Heartbeat{Ticket: w.tickets, Endpoint: told}}})
 	})
 }
@@ -368,6 +383,6 @@
 func (w *world) sayLeft(e *endpoint) {
 	w.tickets++
 	n := w.random.IntN(len(w.instances))
-	w.asked[w.tickets] = asked{endpoint: e, instance: n, state: protocol.Gone}
+	w.asked[w.tickets] = asked{at: w.now, endpoint: e, instance: n, state: protocol.Gone}
 	w.step(n, News{Registry: []registry.Input{registry.Leave{Ticket: w.tickets, ID: e.id}}})
 }
--- a/internal/control/registry/beats.go
+++ b/internal/control/registry/beats.go
@@ -21,11 +21,11 @@
 		}
 	}
 	leaves := e.left || e.endpoint.State == protocol.Draining
-	if told.State == protocol.Draining && leaves && !e.settled {
+	if told.State == protocol.Draining && leaves {
 		r.await(now, in.Ticket, e)
 		return
 	}
-	r.acknowledge(in.Ticket, true)
+	r.acknowledge(in.Ticket, Acknowledge{Settled: true, Refused: r.isolated(now)})
 }
 
 // late says that something newer of the endpoint is known. The same sequence again is a repeated call, unless the
@@ -54,10 +54,6 @@
 		r.markLeft(now, e)
 		r.tellPeers(now, e, urgentChange)
 	}
-	if e.settled {
-		r.acknowledge(in.Ticket, true)
-		return
-	}
 	r.await(now, in.Ticket, e)
 }
 
@@ -84,7 +80,8 @@
 	}
 }
 
-func (r *Registry) acknowledge(ticket uint64, settled bool) {
-	r.out.Acknowledge = append(r.out.Acknowledge,
-		Acknowledge{Ticket: ticket, Settled: settled && !r.isolated, Refused: r.isolated})
+func (r *Registry) acknowledge(ticket uint64, answer Acknowledge) {
+	answer.Ticket = ticket
+	answer.Settled = answer.Settled && !answer.Refused
+	r.out.Acknowledge = append(r.out.Acknowledge, answer)
 }
--- a/internal/control/registry/entry.go
+++ b/internal/control/registry/entry.go
@@ -171,6 +171,13 @@
 	return own
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/internal/control/registry/exchange.go
+++ b/internal/control/registry/exchange.go
@@ -20,13 +20,13 @@
 	case *protocol.RegistryDigest:
 		r.takeDigest(now, content)
 	case *protocol.LoadingTable:
-		r.contact(now, content.Origin)
+		r.sender(now, content.Origin)
 		r.takeLoading(now, content)
 	}
 }
 
 func (r *Registry) takeDelta(now time.Time, delta *protocol.RegistryDelta) {
-	p := r.contact(now, delta.Origin)
+	p := r.sender(now, delta.Origin)
 	for i := range delta.Records {
 		r.merge(now, p, &delta.Records[i])
 	}
@@ -104,7 +104,7 @@
 }
 
 func (r *Registry) takeConfirm(now time.Time, confirm *protocol.RegistryConfirm) {
-	p := r.contact(now, confirm.Origin)
+	p := r.sender(now, confirm.Origin)
 	if confirm.For != r.settings.Origin.Incarnation {
 		return
 	}
@@ -135,7 +135,7 @@
 
 // takeSummary answers with what the sender lacks, and asks for what is lacking here.
 func (r *Registry) takeSummary(now time.Time, summary *protocol.RegistrySummary) {
-	p := r.contact(now, summary.Origin)
+	p := r.sender(now, summary.Origin)
 	delta := &protocol.RegistryDelta{Origin: r.settings.Origin, Whole: r.whole && !summary.Answer}
 	known := make(map[string]protocol.RecordVersion, len(summary.Versions))
 	for _, version := range summary.Versions {
@@ -210,7 +210,7 @@
 }
 
 func (r *Registry) takeDigest(now time.Time, digest *protocol.RegistryDigest) {
-	p := r.contact(now, digest.Origin)
+	p := r.sender(now, digest.Origin)
 	for _, hash := range digest.Alive {
 		if e := r.byHash[hash]; e != nil {
 			r.revive(now, e)
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -72,7 +72,6 @@
 
 // setPeers takes in who can be reached. Contact made anew begins with a full exchange.
 func (r *Registry) setPeers(now time.Time, in Peers) {
-	r.isolated = in.Isolated
 	reachable := make(map[string]bool, len(in.Reachable))
 	for _, address := range in.Reachable {
 		if address == r.settings.Origin.Address {
@@ -141,8 +140,8 @@
 	r.flushWithin(now, wait)
 }
 
-// contact notes the sender of a message. One that restarted knows nothing any more.
-func (r *Registry) contact(now time.Time, origin protocol.Origin) *peer {
+// sender notes the sender of a message. One that restarted knows nothing any more.
+func (r *Registry) sender(now time.Time, origin protocol.Origin) *peer {
 	p := r.peer(origin.Address, now)
 	if p.incarnation == origin.Incarnation {
 		return p
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -5,6 +5,8 @@
 //   - The record with the highest sequence of an endpoint wins; one that left never comes back.
 //   - A draining or leaving endpoint is acknowledged as settled only when every connected router, here and at
 //     the reachable instances, has confirmed it.
+//   - A draining or leaving endpoint is acknowledged only by an instance that has had contact with a majority of the
+//     voters since the call arrived.
 //   - An endpoint is silent only when no reachable instance has heard it within the allowed time.
 package registry
 
@@ -22,12 +24,17 @@
 	// SettleWithin bounds the wait of a draining endpoint for its acknowledgement: it asks another instance
 	// after a second.
 	SettleWithin = 600 * time.Millisecond
+	// ContactWithin bounds its wait for contact with a majority: without one, it is to ask another instance.
+	ContactWithin = 800 * time.Millisecond
+	// IsolatedAfter is how long an instance believes in its newest contact with a majority.
+	IsolatedAfter = time.Second
 
 	wholeBeats       = 2                      // every living endpoint has called somewhere by then
 	loadingEvery     = 5 * time.Second        // the orders under way are told again
 	flushEvery       = 50 * time.Millisecond  // deltas with ordinary changes to other instances
 	tableLasts       = 400 * time.Millisecond // a table without changes is not made anew
 	tickEvery        = time.Second
+	contactEvery     = 30 * time.Millisecond  // a call waits for contact with a majority: look for it so often
 	settleRetry      = 250 * time.Millisecond // a settling record that is not confirmed is sent once more
 	silenceMargin    = 400 * time.Millisecond
 	silentBeats      = 3                // heartbeats that may be missing
@@ -74,8 +81,8 @@
 	owed      []owed
 	routers   routerCount
 	whole     bool
-	isolated  bool
-	floor     uint64 // every connected router has confirmed this revision
+	contact   time.Time // newest contact with a majority of the voters; zero: there was none
+	floor     uint64    // every connected router has confirmed this revision
 	revision  uint64
 	changed   map[string]struct{}
 	urgent    bool
@@ -131,12 +138,12 @@
 type Message struct{ Content any }
 
 // Peers: the other instances that can be reached now, by the addresses of their transports.
-type Peers struct {
-	Reachable []string
-	// Isolated: this instance reaches no majority. It notes what endpoints say, but does not acknowledge it,
-	// so that they ask where it takes effect.
-	Isolated bool
-}
+type Peers struct{ Reachable []string }
+
+// Contact: the newest moment at which this instance had contact with a majority of the voters; zero: there was none.
+// An instance without one of late notes what endpoints say, but does not acknowledge it, so that they ask where it
+// takes effect.
+type Contact struct{ ConfirmedAt time.Time }
 
 // Routers: the routers connected here, by NameHash, sorted.
 type Routers struct{ Connected []uint32 }
@@ -154,6 +161,7 @@
 func (Leave) input()            {}
 func (Message) input()          {}
 func (Peers) input()            {}
+func (Contact) input()          {}
 func (Routers) input()          {}
 func (RoutersConfirmed) input() {}
 func (RouterReport) input()     {}
@@ -163,7 +171,7 @@
 type Acknowledge struct {
 	Ticket  uint64
 	Settled bool // in force at every connected router; false: the time was up
-	Refused bool // this instance reaches no majority: the endpoint is to ask another
+	Refused bool // this instance has no contact with a majority: the endpoint is to ask another
 }
 
 // Send is a message for another instance.
@@ -220,6 +228,8 @@
 		r.message(now, in.Content)
 	case Peers:
 		r.setPeers(now, in)
+	case Contact:
+		r.contact = in.ConfirmedAt
 	case Routers:
 		r.routers.own = in.Connected
 		for _, p := range r.order {
@@ -298,8 +308,8 @@
 		wake = r.flushAt
 	}
 	for _, p := range r.pending {
-		if p.retryAt.Before(wake) {
-			wake = p.retryAt
+		if p.wakeAt.Before(wake) {
+			wake = p.wakeAt
 		}
 	}
 	return wake
--- a/internal/control/registry/registry_test.go
+++ b/internal/control/registry/registry_test.go
@@ -19,6 +19,7 @@
 	now    time.Time
 	ticket uint64
 	out    Output
+	parted time.Time // its newest contact with a majority; zero: now
 }
 
 // newTable returns a registry that is old enough to judge, without other instances or routers.
@@ -43,10 +44,18 @@
 }
 
 func (x *table) step(inputs ...Input) Output {
-	x.out = x.Step(x.now, inputs...)
+	x.out = x.Step(x.now, append([]Input{Contact{ConfirmedAt: x.contactAt()}}, inputs...)...)
 	return x.out
 }
 
+// contactAt is of the newest contact with a majority.
+func (x *table) contactAt() time.Time {
+	if x.parted.IsZero() {
+		return x.now
+	}
+	return x.parted
+}
+
 func beat(id string, sequence uint64, state protocol.EndpointState) protocol.Endpoint {
 	return protocol.Endpoint{ID: id, Service: "s", Address: id + ":1", State: state, Sequence: sequence}
 }
@@ -214,7 +223,7 @@
 
 func TestIsolatedOrYoungInstanceRefusesFarewells(t *testing.T) {
 	x := newTable(t)
-	x.step(Peers{Isolated: true})
+	x.parted = x.now.Add(-IsolatedAfter - time.Millisecond)
 	for _, out := range []Output{x.beat(beat("e", 1, protocol.Ready)), x.beat(beat("e", 2, protocol.Draining)),
 		x.leave("e")} {
 		if len(out.Acknowledge) != 1 || !out.Acknowledge[0].Refused {
--- a/internal/control/registry/settle.go
+++ b/internal/control/registry/settle.go
@@ -10,12 +10,16 @@
 type pending struct {
 	ticket    uint64
 	id        string
-	until     time.Time
+	asked     time.Time
 	retryAt   time.Time         // when records whose effect is not confirmed are sent once more
+	wakeAt    time.Time         // when to look at it again, without news
 	carried   map[string]uint64 // by instance: the delta that carried the record there
 	confirmed map[string]bool   // by instance
 }
 
+// until is when the wait for routers and other instances ends.
+func (p *pending) until() time.Time { return p.asked.Add(SettleWithin) }
+
 // owed is a delta whose sender waits until it is in force at the routers connected here.
 type owed struct {
 	to       string
@@ -27,51 +31,73 @@
 // await keeps the call until the endpoint's state is in force everywhere, or the time is up.
 func (r *Registry) await(now time.Time, ticket uint64, e *entry) {
 	if r.unfit(now) {
-		r.out.Acknowledge = append(r.out.Acknowledge, Acknowledge{Ticket: ticket, Refused: true})
+		r.acknowledge(ticket, Acknowledge{Refused: true})
 		return
 	}
 	p := &pending{
 		ticket:    ticket,
 		id:        e.endpoint.ID,
-		until:     now.Add(SettleWithin),
+		asked:     now,
 		retryAt:   now.Add(settleRetry),
 		carried:   make(map[string]uint64),
 		confirmed: make(map[string]bool),
 	}
 	r.pending[ticket] = p
+	if e.settled {
+		return
+	}
 	for _, other := range r.order {
 		other.settle[p.id] = struct{}{}
 	}
 	r.flushWithin(now, urgentChange)
 }
 
-// unfit says that this instance can't know who has to be told of an endpoint's end: it reaches no majority, or
-// has only just begun to hear from the others.
-func (r *Registry) unfit(now time.Time) bool { return r.isolated || now.Sub(r.started) < unfitFor }
+// isolated says whether this instance has had no contact with a majority of the voters for some time, or never.
+func (r *Registry) isolated(now time.Time) bool {
+	return r.contact.IsZero() || now.Sub(r.contact) > IsolatedAfter
+}
+
+// unfit says that this instance can't know who has to be told of an endpoint's end: it has no contact with a
+// majority, or has only just begun to hear from the others.
+func (r *Registry) unfit(now time.Time) bool { return r.isolated(now) || now.Sub(r.started) < unfitFor }
 
 // settle acknowledges what is in force everywhere by now. It runs after changes have their revisions.
 func (r *Registry) settle(now time.Time) {
 	for _, ticket := range slices.Sorted(maps.Keys(r.pending)) {
 		p := r.pending[ticket]
-		settled := !r.isolated && r.inForce(p)
-		if !settled && !r.isolated && now.Before(p.until) {
+		settled := r.inForce(p)
+		switch {
+		case r.isolated(now):
+			r.answer(p, Acknowledge{Refused: true})
+		case !settled && now.Before(p.until()):
 			r.askOnceMore(now, p)
-			continue
-		}
-		delete(r.pending, ticket)
-		if e := r.entries[p.id]; e != nil && settled {
-			e.settled = true
+		case !r.contact.Before(p.asked):
+			r.answer(p, Acknowledge{Settled: settled})
+		case now.Before(p.asked.Add(ContactWithin)):
+			p.wakeAt = earlier(now.Add(contactEvery), p.asked.Add(ContactWithin))
+		default:
+			r.answer(p, Acknowledge{Refused: true})
 		}
-		r.acknowledge(ticket, settled)
 	}
 }
 
+// answer ends the wait of a call.
+func (r *Registry) answer(p *pending, answer Acknowledge) {
+	delete(r.pending, p.ticket)
+	if e := r.entries[p.id]; e != nil && answer.Settled {
+		e.settled = true
+	}
+	r.acknowledge(p.ticket, answer)
+}
+
 // askOnceMore sends the record again where a message may have been lost.
 func (r *Registry) askOnceMore(now time.Time, p *pending) {
+	p.wakeAt = earlier(p.retryAt, p.until())
 	if now.Before(p.retryAt) {
 		return
 	}
-	p.retryAt = p.until
+	p.retryAt = p.until()
+	p.wakeAt = p.until()
 	for address, other := range r.peers {
 		if other.reachable && !p.confirmed[address] {
 			other.settle[p.id] = struct{}{}
@@ -82,7 +108,7 @@
 
 func (r *Registry) inForce(p *pending) bool {
 	e := r.entries[p.id]
-	if e == nil {
+	if e == nil || e.settled {
 		return true
 	}
 	if r.floor < e.revision {
