Tell the age of what is read, and refuse only what was decided

Cause: history, endpoints and models were told by an instance that was cut off as if they were of now; a body that broke off or came too slowly was answered with 400, at which the operator ends; `config put` without -onto built on what /-/members said, which asks nobody. Change: /-/history, /-/endpoints and /-/models carry as_of_ms, the age of the newest contact with a majority, and are 503 where none is known. /-/members shows it too; the commands print it, and warn above a table older than 1 s. A body that did not arrive whole is 408 when it came too slowly, else 503 with Retry-After. `config put` asks for the newest version as `config get` does.

The test of the command that builds on the newest version now serves /-/config instead of /-/members.

--- a/cmd/raventrestle-control/client.go
+++ b/cmd/raventrestle-control/client.go
@@ -93,11 +93,22 @@
 		return nil, fmt.Errorf("%s %s: read the answer: %w", method, path, err)
 	}
 	if answer.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("%s %s: %s: %s", method, path, answer.Status, reasonIn(text))
+		return nil, &refusedError{call: method + " " + path, status: answer.StatusCode, reason: reasonIn(text)}
 	}
 	return text, nil
 }
 
+// refusedError is an answer other than 200.
+type refusedError struct {
+	call   string
+	status int
+	reason string
+}
+
+func (r *refusedError) Error() string {
+	return fmt.Sprintf("%s: %d %s: %s", r.call, r.status, http.StatusText(r.status), r.reason)
+}
+
 func withMethod(ask *sling.Sling, method, path string) *sling.Sling {
 	switch method {
 	case http.MethodPut:
--- a/cmd/raventrestle-control/commands_test.go
+++ b/cmd/raventrestle-control/commands_test.go
@@ -36,7 +36,10 @@
 		contains []string
 	}{
 		{printMembers, `{"epoch":4,"members":[{"control":"10.0.0.1:1","place":1,"live":true},{"control":"10.0.0.2:1"}]}`,
-			[]string{"epoch 4", "head\t10.0.0.1:1", "-\t10.0.0.2:1"}},
+			[]string{"epoch 4", "head\t10.0.0.1:1", "-\t10.0.0.2:1", "no contact with a majority known"}},
+		{printMembers, `{"epoch":4,"as_of_ms":21000}`, []string{"contact with a majority 21000 ms ago"}},
+		{printEndpoints, `{"as_of_ms":21000,"endpoints":[]}`, []string{"OLD: contact with a majority 21000 ms ago"}},
+		{printModels, `{"as_of_ms":21000,"models":[]}`, []string{"OLD: contact with a majority 21000 ms ago"}},
 		{printEndpoints, `{"endpoints":[{"id":"i-1","state":"ready","models":[{"name":"m","adapters":["a1"]}],` +
 			`"loading":[{"model":"n"},{"model":"m","adapter":"a2","unload":true}]}]}`,
 			[]string{"i-1", "m m/a1 +n -m/a2"}},
@@ -60,8 +63,8 @@
 func TestConfigChangeBuildsOnTheNewest(t *testing.T) {
 	var ifMatch, body string
 	instance := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/-/members" {
-			_, _ = w.Write([]byte(`{"generation":7}`))
+		if r.Method == http.MethodGet && r.URL.Path == configPath {
+			_, _ = w.Write([]byte(`{"generation":7,"routes":[]}`))
 			return
 		}
 		ifMatch = r.Header.Get("If-Match")
@@ -85,6 +88,25 @@
 	}
 }
 
+// TestFirstConfigBuildsOnNothing has put find out that there is no version yet, and not from an instance that can't tell.
+func TestFirstConfigBuildsOnNothing(t *testing.T) {
+	status := http.StatusNotFound
+	instance := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(`{"error":"told"}`))
+	}))
+	defer instance.Close()
+	command := &configCommand{}
+	command.control = instance.Listener.Addr().String()
+	if version, err := command.newest(t.Context()); err != nil || version != 0 {
+		t.Errorf("version %d, %v", version, err)
+	}
+	status = http.StatusServiceUnavailable
+	if _, err := command.newest(t.Context()); err == nil || !strings.Contains(err.Error(), "told") {
+		t.Errorf("%v", err)
+	}
+}
+
 func TestRefusalNamesItsReason(t *testing.T) {
 	instance := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusPreconditionFailed)
--- a/cmd/raventrestle-control/config.go
+++ b/cmd/raventrestle-control/config.go
@@ -105,17 +105,23 @@
 	})
 }
 
-// newest asks for the newest version; 0 before the first.
+// newest asks for the newest version, which the chain is asked for; 0 before the first.
 func (c *configCommand) newest(ctx context.Context) (int64, error) {
-	text, err := c.call(ctx, http.MethodGet, "/-/members", -1, nil)
+	text, err := c.call(ctx, http.MethodGet, configPath, -1, nil)
+	var refused *refusedError
+	if errors.As(err, &refused) && refused.status == http.StatusNotFound {
+		return 0, nil
+	}
 	if err != nil {
 		return 0, err
 	}
-	var group groupView
-	if err := json.Unmarshal(text, &group); err != nil {
+	var newest struct {
+		Generation int64 `json:"generation"`
+	}
+	if err := json.Unmarshal(text, &newest); err != nil {
 		return 0, fmt.Errorf("answer can't be read: %w", err)
 	}
-	return group.Generation, nil
+	return newest.Generation, nil
 }
 
 func (c *configCommand) history(ctx context.Context) error {
@@ -125,11 +131,13 @@
 	}
 	return c.show(text, func(w io.Writer) error {
 		var told struct {
+			AsOfMS   int64             `json:"as_of_ms"`
 			Versions []api.VersionView `json:"versions"`
 		}
 		if err := json.Unmarshal(text, &told); err != nil {
 			return fmt.Errorf("answer can't be read: %w", err)
 		}
+		warnOld(w, told.AsOfMS)
 		fmt.Fprintln(w, "GENERATION\tINDEX\tBY\tBYTES")
 		for _, version := range told.Versions {
 			fmt.Fprintf(w, "%d\t%d\t%s\t%d\n", version.Generation, version.Index, version.Method, version.Bytes)
--- a/cmd/raventrestle-control/status.go
+++ b/cmd/raventrestle-control/status.go
@@ -27,6 +27,7 @@
 	Generation int64        `json:"generation"`
 	Leader     bool         `json:"leader"`
 	LeaseMS    int64        `json:"lease_ms,omitempty"` // that is left
+	AsOfMS     *int64       `json:"as_of_ms,omitempty"` // since the newest contact with a majority; nil: none is known
 	Members    []memberView `json:"members"`
 }
 
@@ -46,6 +47,10 @@
 		if status.Leader {
 			view.LeaseMS = max(0, time.Until(status.LeaseUntil)).Milliseconds()
 		}
+		if !status.ConfirmedAt.IsZero() {
+			age := max(0, time.Since(status.ConfirmedAt)).Milliseconds()
+			view.AsOfMS = &age
+		}
 		return view
 	}
 }
--- a/cmd/raventrestle-control/tables.go
+++ b/cmd/raventrestle-control/tables.go
@@ -14,6 +14,9 @@
 	"raventrestle/internal/control/api"
 )
 
+// oldMS is the age, in milliseconds, above which people are warned of what they read.
+const oldMS = 1000
+
 // tableCommand prints one of an instance's tables.
 type tableCommand struct {
 	client
@@ -50,7 +53,8 @@
 	if err := json.Unmarshal(text, &group); err != nil {
 		return fmt.Errorf("answer can't be read: %w", err)
 	}
-	fmt.Fprintf(w, "epoch %d, committed %d, generation %d\n", group.Epoch, group.Committed, group.Generation)
+	fmt.Fprintf(w, "epoch %d, committed %d, generation %d, %s\n", group.Epoch, group.Committed, group.Generation,
+		contactText(group.AsOfMS))
 	fmt.Fprintln(w, "PLACE\tCONTROL\tADDRESS\tZONE\tLIVE\tVOTER\tIDENTITY")
 	for _, member := range group.Members {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%v\t%v\t%s\n", placeName(member.Place), member.Control, member.Address,
@@ -59,6 +63,21 @@
 	return nil
 }
 
+// contactText says how old an instance's newest contact with a majority is.
+func contactText(ageMS *int64) string {
+	if ageMS == nil {
+		return "no contact with a majority known"
+	}
+	return fmt.Sprintf("contact with a majority %d ms ago", *ageMS)
+}
+
+// warnOld says above a table that it is old, where it is.
+func warnOld(w io.Writer, ageMS int64) {
+	if ageMS > oldMS {
+		fmt.Fprintf(w, "OLD: %s\n", contactText(&ageMS))
+	}
+}
+
 // placeName names a place in the chain.
 func placeName(place int) string {
 	switch place {
@@ -72,11 +91,13 @@
 
 func printEndpoints(w io.Writer, text []byte) error {
 	var told struct {
+		AsOfMS    int64              `json:"as_of_ms"`
 		Endpoints []api.EndpointView `json:"endpoints"`
 	}
 	if err := json.Unmarshal(text, &told); err != nil {
 		return fmt.Errorf("answer can't be read: %w", err)
 	}
+	warnOld(w, told.AsOfMS)
 	fmt.Fprintln(w, "BACKEND\tID\tADDRESS\tZONE\tSTATE\tSLOTS\tSEQ\tMODELS")
 	for _, e := range told.Endpoints {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n", e.Service, e.ID, e.Address, e.Zone, e.State, e.Slots,
@@ -105,11 +126,13 @@
 
 func printModels(w io.Writer, text []byte) error {
 	var told struct {
+		AsOfMS int64           `json:"as_of_ms"`
 		Models []api.ModelView `json:"models"`
 	}
 	if err := json.Unmarshal(text, &told); err != nil {
 		return fmt.Errorf("answer can't be read: %w", err)
 	}
+	warnOld(w, told.AsOfMS)
 	fmt.Fprintln(w, "BACKEND\tMODEL\tHELD BY\tLOADING AT")
 	for _, model := range told.Models {
 		var holders []string
--- a/internal/control/api/config.go
+++ b/internal/control/api/config.go
@@ -75,7 +75,7 @@
 	case tooLarge(err):
 		fail(w, http.StatusRequestEntityTooLarge, "configuration is over "+byteCount(maximumConfigBytes))
 	case err != nil:
-		fail(w, http.StatusBadRequest, "body can't be read whole: "+err.Error())
+		failRead(w, err)
 	case !json.Valid(body):
 		fail(w, http.StatusBadRequest, "body: not valid JSON")
 	default:
--- a/internal/control/api/instances.go
+++ b/internal/control/api/instances.go
@@ -40,7 +40,7 @@
 		fail(w, http.StatusRequestEntityTooLarge, "heartbeat is over "+byteCount(maximumHeartbeatBytes))
 		return
 	case err != nil:
-		fail(w, http.StatusBadRequest, "body can't be read: "+err.Error())
+		failRead(w, err)
 		return
 	}
 	endpoint, err := readHeartbeat(r.PathValue("id"), body)
--- a/internal/control/api/server.go
+++ b/internal/control/api/server.go
@@ -58,6 +58,9 @@
 	Read(ctx context.Context) (generation int64, document []byte, err error)
 	// History returns the versions that were taken, oldest first, as far as they are known here.
 	History() []VersionView
+	// ConfirmedAt returns the newest moment of which this instance knows all that was acknowledged anywhere before;
+	// zero: it knows of none.
+	ConfirmedAt() time.Time
 }
 
 // Status gives people a view of the group; the value is shown as JSON.
@@ -121,6 +124,16 @@
 	_, _ = w.Write(body) // a caller that has gone asks again
 }
 
+// failRead answers a call whose body did not arrive whole. Nothing was decided by it: the caller may send it again.
+func failRead(w http.ResponseWriter, err error) {
+	var slow net.Error
+	if errors.As(err, &slow) && slow.Timeout() {
+		fail(w, http.StatusRequestTimeout, "body did not arrive in time")
+		return
+	}
+	fail(w, http.StatusServiceUnavailable, "body did not arrive whole: "+err.Error())
+}
+
 // tooLarge says whether a body was cut off at its bound.
 func tooLarge(err error) bool {
 	var bound *http.MaxBytesError
--- a/internal/control/api/views.go
+++ b/internal/control/api/views.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"net/http"
 	"slices"
+	"time"
 
 	"raventrestle/internal/protocol"
 )
@@ -54,12 +55,27 @@
 	Bytes      int    `json:"bytes"` // of the whole configuration
 }
 
+// asOf returns the age in milliseconds of the newest moment of which this instance knows everything. It is asked
+// before what it covers is read. An instance that knows of none has answered so.
+func (a *API) asOf(w http.ResponseWriter) (age int64, ok bool) {
+	confirmedAt := a.configurations.ConfirmedAt()
+	if confirmedAt.IsZero() {
+		fail(w, http.StatusServiceUnavailable, "instance has had no contact with a majority of the others yet")
+		return 0, false
+	}
+	return max(0, time.Since(confirmedAt).Milliseconds()), true
+}
+
 func (a *API) getHistory(w http.ResponseWriter, _ *http.Request) {
+	age, known := a.asOf(w)
+	if !known {
+		return
+	}
 	versions := a.configurations.History()
 	if versions == nil {
 		versions = []VersionView{}
 	}
-	answer(w, http.StatusOK, map[string]any{"versions": versions})
+	answer(w, http.StatusOK, map[string]any{"as_of_ms": age, "versions": versions})
 }
 
 func stateName(state protocol.EndpointState) string {
@@ -79,7 +95,7 @@
 }
 
 func (a *API) getEndpoints(w http.ResponseWriter, r *http.Request) {
-	endpoints, ok := a.table(w, r)
+	age, endpoints, ok := a.table(w, r)
 	if !ok {
 		return
 	}
@@ -87,20 +103,24 @@
 	for i := range endpoints {
 		views[i] = viewOf(&endpoints[i])
 	}
-	answer(w, http.StatusOK, map[string]any{"endpoints": views})
+	answer(w, http.StatusOK, map[string]any{"as_of_ms": age, "endpoints": views})
 }
 
-func (a *API) table(w http.ResponseWriter, r *http.Request) ([]protocol.Endpoint, bool) {
+func (a *API) table(w http.ResponseWriter, r *http.Request) (age int64, endpoints []protocol.Endpoint, ok bool) {
+	age, known := a.asOf(w)
+	if !known {
+		return 0, nil, false
+	}
 	view, err := a.instances.View(r.Context())
 	if err != nil {
 		fail(w, http.StatusServiceUnavailable, err.Error())
-		return nil, false
+		return 0, nil, false
 	}
-	endpoints := slices.Clone(view.Endpoints) // the table is everybody's
+	endpoints = slices.Clone(view.Endpoints) // the table is everybody's
 	slices.SortFunc(endpoints, func(a, b protocol.Endpoint) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
 	})
-	return endpoints, true
+	return age, endpoints, true
 }
 
 func viewOf(e *protocol.Endpoint) EndpointView {
@@ -121,11 +141,11 @@
 }
 
 func (a *API) getModels(w http.ResponseWriter, r *http.Request) {
-	endpoints, ok := a.table(w, r)
+	age, endpoints, ok := a.table(w, r)
 	if !ok {
 		return
 	}
-	answer(w, http.StatusOK, map[string]any{"models": modelViews(endpoints)})
+	answer(w, http.StatusOK, map[string]any{"as_of_ms": age, "models": modelViews(endpoints)})
 }
 
 // modelViews turns the table of endpoints into one of models.
