Answer 408 to every call whose body did not arrive whole

Cause: which of two ways a body failed to arrive says nothing that a caller could use, and 503 tells of this instance, which lacks nothing. Change: 408 for a body that was cut as for one that was too slow, for changes and heartbeats alike. Both mutated to 400 make a test fail.

--- a/internal/control/api/config.go
+++ b/internal/control/api/config.go
@@ -74,8 +74,8 @@
 	switch {
 	case tooLarge(err):
 		fail(w, http.StatusRequestEntityTooLarge, "configuration is over "+byteCount(maximumConfigBytes))
-	case err != nil:
-		failRead(w, err)
+	case err != nil: // the call was cut or held up on its way; the same change may have been taken elsewhere
+		fail(w, http.StatusRequestTimeout, "body can't be read whole: "+err.Error())
 	case !json.Valid(body):
 		fail(w, http.StatusBadRequest, "body: not valid JSON")
 	default:
--- a/internal/control/api/instances.go
+++ b/internal/control/api/instances.go
@@ -40,7 +40,7 @@
 		fail(w, http.StatusRequestEntityTooLarge, "heartbeat is over "+byteCount(maximumHeartbeatBytes))
 		return
 	case err != nil:
-		failRead(w, err)
+		fail(w, http.StatusRequestTimeout, "body can't be read whole: "+err.Error())
 		return
 	}
 	endpoint, err := readHeartbeat(r.PathValue("id"), body)
