--- a/cmd/raventrestle-control/client.go
+++ b/cmd/raventrestle-control/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -109,6 +110,12 @@
 	return fmt.Sprintf("%s: %d %s: %s", r.call, r.status, http.StatusText(r.status), r.reason)
 }
 
+// answered says whether an error is the answer with this status.
+func answered(err error, status int) bool {
+	var refused *refusedError
+	return errors.As(err, &refused) && refused.status == status
+}
+
 func withMethod(ask *sling.Sling, method, path string) *sling.Sling {
 	switch method {
 	case http.MethodPut:
--- a/cmd/raventrestle-control/config.go
+++ b/cmd/raventrestle-control/config.go
@@ -108,8 +108,7 @@
 // newest asks for the newest version, which the chain is asked for; 0 before the first.
 func (c *configCommand) newest(ctx context.Context) (int64, error) {
 	text, err := c.call(ctx, http.MethodGet, configPath, -1, nil)
-	var refused *refusedError
-	if errors.As(err, &refused) && refused.status == http.StatusNotFound {
+	if answered(err, http.StatusNotFound) {
 		return 0, nil
 	}
 	if err != nil {
