Keep the contact of an earlier epoch until there is a newer one

Cause: the replica proves nothing for some tens of ms after each change of the view. An instance would have called itself isolated for as long, refused heartbeats and farewells, and told routers that it knows of no contact. Change: the host keeps the newest contact with the epoch that it was in; what was proved stays true. It counts as before: for a second, or from after the call. Hub, registry, the reads that tell their age and /-/members use it. TestContactOutlivesTheEpoch fails where the newest status replaces it.

--- a/cmd/raventrestle-control/instance.go
+++ b/cmd/raventrestle-control/instance.go
@@ -114,7 +114,7 @@
 		cancel()
 		return nil, fmt.Errorf("listen for endpoints and the operator: %w", err)
 	}
-	i.http = api.New(table, configurations, statusView(group, machine)).
+	i.http = api.New(table, configurations, statusView(group, machine, table.ConfirmedAt)).
 		Server(connectionsOf(settings.Limits))
 	i.spawn(func() { table.Run(ctx) })
 	i.spawn(func() { i.holder.Run(ctx) })
--- a/cmd/raventrestle-control/status.go
+++ b/cmd/raventrestle-control/status.go
@@ -32,7 +32,7 @@
 }
 
 // statusView shows the replica's status.
-func statusView(group replica.Interface, machine *state.Machine) api.Status {
+func statusView(group replica.Interface, machine *state.Machine, confirmedAt func() time.Time) api.Status {
 	return func() any {
 		status := group.Status()
 		generation, _ := machine.Current()
@@ -47,8 +47,8 @@
 		if status.Leader {
 			view.LeaseMS = max(0, time.Until(status.LeaseUntil)).Milliseconds()
 		}
-		if !status.ConfirmedAt.IsZero() {
-			age := max(0, time.Since(status.ConfirmedAt)).Milliseconds()
+		if newest := confirmedAt(); !newest.IsZero() {
+			age := max(0, time.Since(newest)).Milliseconds()
 			view.AsOfMS = &age
 		}
 		return view
--- a/internal/control/api/server.go
+++ b/internal/control/api/server.go
@@ -31,6 +31,9 @@
 	Heartbeat(ctx context.Context, endpoint protocol.Endpoint) error
 	Leave(ctx context.Context, id string) error
 	View(ctx context.Context) (host.View, error)
+	// ConfirmedAt returns the newest moment of which this instance knows all that was acknowledged anywhere before;
+	// zero: it knows of none.
+	ConfirmedAt() time.Time
 }
 
 // ChangeKind says what became of a change.
@@ -58,9 +61,6 @@
 	Read(ctx context.Context) (generation int64, document []byte, err error)
 	// History returns the versions that were taken, oldest first, as far as they are known here.
 	History() []VersionView
-	// ConfirmedAt returns the newest moment of which this instance knows all that was acknowledged anywhere before;
-	// zero: it knows of none.
-	ConfirmedAt() time.Time
 }
 
 // Status gives people a view of the group; the value is shown as JSON.
--- a/internal/control/api/views.go
+++ b/internal/control/api/views.go
@@ -58,7 +58,7 @@
 // asOf returns the age in milliseconds of the newest moment of which this instance knows everything. It is asked
 // before what it covers is read. An instance that knows of none has answered so.
 func (a *API) asOf(w http.ResponseWriter) (age int64, ok bool) {
-	confirmedAt := a.configurations.ConfirmedAt()
+	confirmedAt := a.instances.ConfirmedAt()
 	if confirmedAt.IsZero() {
 		fail(w, http.StatusServiceUnavailable, "instance has had no contact with a majority of the others yet")
 		return 0, false
--- a/internal/control/changes/api_test.go
+++ b/internal/control/changes/api_test.go
@@ -42,6 +42,8 @@
 	return i.refuse
 }
 
+func (i *instances) ConfirmedAt() time.Time { return time.Now() }
+
 func (i *instances) View(context.Context) (host.View, error) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
--- a/internal/control/changes/changes.go
+++ b/internal/control/changes/changes.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"strings"
-	"time"
 
 	"raventrestle/coordination/replica"
 	"raventrestle/internal/configuration"
@@ -73,10 +72,6 @@
 	return generation, document, nil
 }
 
-// ConfirmedAt returns the newest moment of which this instance knows all that was acknowledged anywhere before; zero:
-// it knows of none.
-func (c *Configurations) ConfirmedAt() time.Time { return c.replica.Status().ConfirmedAt }
-
 // Newest returns the newest version that is committed here, without asking the others.
 func (c *Configurations) Newest() (int64, []byte) { return c.machine.Current() }
 
--- a/internal/control/distribution/hub.go
+++ b/internal/control/distribution/hub.go
@@ -110,7 +110,7 @@
 // Contact: the newest proof that this instance has of a majority of the voters. All versions that were acknowledged
 // anywhere before ConfirmedAt must have been given with Configuration before.
 type Contact struct {
-	Epoch       uint64    // of the instance's view; 0: it is no member yet
+	Epoch       uint64    // that the majority was in; without a contact, of the instance's view; 0: it is no member yet
 	ConfirmedAt time.Time // zero: there was none
 }
 
--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"raventrestle/coordination/replica"
@@ -73,6 +74,8 @@
 	ended    chan struct{} // closed when Run returns
 	tasks    sync.WaitGroup
 
+	confirmedAt atomic.Pointer[time.Time] // of status.contact, for all; nil: there was none
+
 	// Owned by Run.
 	desk        *Desk
 	news        News
--- a/internal/control/host/standing_test.go
+++ b/internal/control/host/standing_test.go
@@ -52,6 +52,37 @@
 	}
 }
 
+// TestContactOutlivesTheEpoch: the replica proves nothing in the first moments of an epoch. That is no loss of contact.
+func TestContactOutlivesTheEpoch(t *testing.T) {
+	double := replicatest.New(nil, replica.Status{View: replica.View{Epoch: 4}})
+	h := New(Settings{Codec: testCodec()}, Parts{Replica: double, Configurations: &standIn{}, Events: &standIn{}})
+	double.PartForever()
+	h.readReplica(time.Now())
+	if contact := h.status.contact; contact.Epoch != 4 || !contact.ConfirmedAt.IsZero() || !h.ConfirmedAt().IsZero() {
+		t.Fatalf("without any: %+v", contact)
+	}
+	double.Part(false)
+	h.readReplica(time.Now())
+	known := h.status.contact
+	if known.Epoch != 4 || known.ConfirmedAt.IsZero() || h.status.isolated {
+		t.Fatalf("with one: %+v", known)
+	}
+	double.SetStatus(replica.Status{View: replica.View{Epoch: 5}})
+	double.PartForever()
+	h.readReplica(time.Now())
+	if h.status.contact != known || h.status.isolated || !h.ConfirmedAt().Equal(known.ConfirmedAt) {
+		t.Errorf("in a new epoch: %+v, isolated %v", h.status.contact, h.status.isolated)
+	}
+	if h.readReplica(known.ConfirmedAt.Add(isolatedAfter + 1)); !h.status.isolated {
+		t.Error("the earlier epoch's contact is believed for ever")
+	}
+	double.Part(false)
+	h.readReplica(time.Now())
+	if contact := h.status.contact; contact.Epoch != 5 || !contact.ConfirmedAt.After(known.ConfirmedAt) {
+		t.Errorf("with one of the new epoch: %+v", contact)
+	}
+}
+
 // prober keeps the answers to probes.
 type prober struct {
 	client
--- a/internal/control/host/status.go
+++ b/internal/control/host/status.go
@@ -45,9 +45,9 @@
 	later := h.news
 	h.news = News{}
 	h.readConfiguration()
-	contact := distribution.Contact{Epoch: status.View.Epoch, ConfirmedAt: status.ConfirmedAt}
-	if contact != h.status.contact {
+	if contact := newestContact(h.status.contact, status); contact != h.status.contact {
 		h.status.contact = contact
+		h.confirmedAt.Store(&contact.ConfirmedAt)
 		h.news.Hub = append(h.news.Hub, contact)
 		h.news.Registry = append(h.news.Registry, registry.Contact{ConfirmedAt: contact.ConfirmedAt})
 	}
@@ -55,6 +55,28 @@
 	h.news.Registry = append(h.news.Registry, later.Registry...)
 }
 
+// newestContact keeps a contact until there is a newer one: the replica proves none in the first moments of an epoch,
+// and what it proved before stays true, of the epoch that it was in.
+func newestContact(known distribution.Contact, status replica.Status) distribution.Contact {
+	if status.ConfirmedAt.After(known.ConfirmedAt) {
+		return distribution.Contact{Epoch: status.View.Epoch, ConfirmedAt: status.ConfirmedAt}
+	}
+	if known.ConfirmedAt.IsZero() {
+		return distribution.Contact{Epoch: status.View.Epoch}
+	}
+	return known
+}
+
+// ConfirmedAt returns the newest moment of which this instance knows all that was acknowledged anywhere before; zero:
+// it knows of none.
+func (h *Host) ConfirmedAt() time.Time {
+	newest := h.parts.Replica.Status().ConfirmedAt
+	if known := h.confirmedAt.Load(); known != nil && known.After(newest) {
+		return *known
+	}
+	return newest
+}
+
 func (h *Host) readConfiguration() {
 	generation, document := h.parts.Configurations.Newest()
 	if generation <= h.status.generation {
