Ask the followed instance for newer proof before all others are asked

An instance's contact may be 0.45 s old where all is well, and a beacon comes up to 0.31 s later; a short hiccup on top began a search over all instances.

--- a/internal/router/subscription/decider_test.go
+++ b/internal/router/subscription/decider_test.go
@@ -235,6 +235,20 @@
 	}
 }
 
+// An instance whose proof is often nearly too old between two beacons is asked itself, before any other is.
+func TestAsksItsInstanceFirst(t *testing.T) {
+	n := settled(t, three...)
+	n.followed().lag = 760 * time.Millisecond
+	dials, probes := n.dials, n.probes
+	n.run(20 * time.Second)
+	if n.dials != dials || len(n.moves) != 1 || !n.out.Settled {
+		t.Errorf("%d dials, moves %v, settled %v", n.dials-dials, n.moves, n.out.Settled)
+	}
+	if asked := n.probes - probes; asked > 20*int(time.Second/leastPause) {
+		t.Errorf("asked %d times in 20 s", asked)
+	}
+}
+
 func TestProbesAreBounded(t *testing.T) {
 	for name, trouble := range map[string]func(*peer){
 		"cut off":  func(p *peer) { p.cut = true },
--- a/internal/router/subscription/following.go
+++ b/internal/router/subscription/following.go
@@ -12,6 +12,7 @@
 	steadyAfter = 2 * time.Second        // an instance followed for so long works
 	leastNearer = 3 * time.Second        // before one of the own zone is looked for
 	mostNearer  = time.Minute
+	earlyPart   = 8 // of Limits.Stale, by which the instance that is followed is asked before all others are
 )
 
 // following is the instance that the router takes updates from.
@@ -21,6 +22,7 @@
 	heard      bool      // something has come
 	proved     bool      // it has been fresh
 	asked      bool      // a probe is out on its connection
+	askAt      time.Time // it is not asked early again before
 	received   uint64    // sequence of the last update, 0 before the first
 	confirmed  uint64    // sequence of the last update in force, 0 before the first
 	generation int64     // newest configuration that it has sent
@@ -137,11 +139,21 @@
 	if d.search != nil && !d.search.near {
 		d.endSearch()
 	}
+	d.askEarly(now, f)
 	if d.search == nil && !f.nearerAt.IsZero() && !now.Before(f.nearerAt) {
 		d.lookNear(now)
 	}
 }
 
+// askEarly asks the instance that is followed for newer proof, shortly before others would be asked.
+func (d *Decider) askEarly(now time.Time, f *following) {
+	if now.Before(f.contactAt.Add(d.limits.Stale-d.limits.Stale/earlyPart)) || now.Before(f.askAt) {
+		return
+	}
+	f.askAt = now.Add(leastPause)
+	d.askFollowed(now)
+}
+
 // markAgain sends a mark to the instance that is followed, where none has gone for long. A probe brings it back at once.
 func (d *Decider) markAgain(now time.Time) {
 	if f := d.followed; f != nil && f.states && f.anchor.due(now) {
@@ -154,6 +166,7 @@
 	next.add(f.behindAt)
 	if !f.contactAt.IsZero() {
 		next.add(f.contactAt.Add(d.limits.Stale))
+		next.add(later(f.askAt, f.contactAt.Add(d.limits.Stale-d.limits.Stale/earlyPart)))
 	}
 	if d.search == nil {
 		next.add(f.nearerAt)
--- a/internal/router/subscription/network_test.go
+++ b/internal/router/subscription/network_test.go
@@ -30,6 +30,7 @@
 	drift      time.Duration // by which its clock gains in each second
 	epoch      uint64
 	contact    time.Time     // newest contact with a majority; kept up unless cut or behind
+	lag        time.Duration // its contact is always so much older
 	cut        bool          // from the majority, not from the router
 	refuses    bool          // connections fail at once
 	gone       bool          // connections are never made
@@ -122,7 +123,7 @@
 // touch keeps a peer's contact up.
 func (n *network) touch(p *peer) {
 	if !p.cut && p.generation == n.newest {
-		p.contact = n.now
+		p.contact = later(p.contact, n.now.Add(-p.lag))
 	}
 }
 
