--- a/internal/router/node/node_test.go
+++ b/internal/router/node/node_test.go
@@ -280,6 +280,22 @@
 	}
 }
 
+// A router tells a client that something is not there only while control instances prove that it has the newest version.
+func TestDeniesOnlyWhileInTouch(t *testing.T) {
+	e := model(t, answers)
+	ctl := newControl(t, protocol.Update{
+		Sequence: 1, Generation: 3, Document: document(3), Full: true, Confirmed: true, Endpoints: []protocol.Endpoint{e},
+	})
+	r := newRouter(t, ctl)
+	<-ctl.confirmed
+	until(t, "a 404", func() bool { return ask(t, r.dial(), "/nowhere/x").StatusCode == 404 })
+	ctl.server.Close()
+	until(t, "a 503 in its place", func() bool { return ask(t, r.dial(), "/nowhere/x").StatusCode == 503 })
+	if got := ask(t, r.dial(), "/once/x"); got.StatusCode != 200 {
+		t.Errorf("what it knows: %v", got)
+	}
+}
+
 // Demand goes up to the control plane.
 func TestReports(t *testing.T) {
 	e := model(t, answers)
