Prefer a contact that stays fresh for a while over a nearer one that is nearly too old

Three control processes and a router on loopback, the head frozen: the router moved to an instance whose proof was 0.99 s old and two milliseconds later to another.

--- a/internal/router/subscription/choosing.go
+++ b/internal/router/subscription/choosing.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	nearWait         = 30 * time.Millisecond  // for a nearer instance, once another one has proved a fresh contact
+	nearWait         = 30 * time.Millisecond  // for a better instance, once another one has proved a fresh contact
 	provisionalAfter = 350 * time.Millisecond // of search, an instance without proof is followed while others don't answer
-	newerPart        = 4                      // of Limits.Stale, by which a contact must be newer for a change of instance
+	newerPart        = 4                      // of Limits.Stale: a contact newer by so much is worth a change of instance
 )
 
 // choose moves to the best instance that has answered, if it is better than the one that is followed.
@@ -17,7 +17,7 @@
 		if s.provedAt.IsZero() {
 			s.provedAt = now
 		}
-		if !d.awaited(s, best) || !now.Before(s.provedAt.Add(nearWait)) {
+		if !d.awaited(now, s, best) || !now.Before(s.provedAt.Add(nearWait)) {
 			d.move(now, s, best)
 		}
 		return
@@ -33,43 +33,60 @@
 	}
 }
 
-// bestProved is the nearest instance that has proved a fresh contact and is worth leaving the present one for.
+// bestProved is the best instance that has proved a fresh contact and is worth leaving the present one for.
 func (d *Decider) bestProved(now time.Time, s *search) *probe {
 	var best *probe
 	for _, p := range s.probes {
-		if p.state == dialling || p.epoch < d.epoch || !d.fresh(now, &p.link) || !d.better(s, p) {
+		if p.state == dialling || p.epoch < d.epoch || !d.fresh(now, &p.link) || !d.better(now, s, p) {
 			continue
 		}
-		if best == nil || p.nearness > best.nearness ||
-			p.nearness == best.nearness && p.contactAt.After(best.contactAt) {
+		if best == nil || d.compareProved(now, p, best) > 0 {
 			best = p
 		}
 	}
 	return best
 }
 
+// compareProved compares by whether the contact is young, then by nearness, then by age.
+func (d *Decider) compareProved(now time.Time, a, b *probe) int {
+	young := 0
+	if d.young(now, a) != d.young(now, b) {
+		young = a.contactAt.Compare(b.contactAt)
+	}
+	return cmp.Or(young, cmp.Compare(a.nearness, b.nearness), a.contactAt.Compare(b.contactAt))
+}
+
 // better says whether an instance with proof is worth leaving the present one for.
-func (d *Decider) better(s *search, p *probe) bool {
+func (d *Decider) better(now time.Time, s *search, p *probe) bool {
 	f := d.followed
-	if f == nil || s.near || f.contactAt.IsZero() || f.epoch < p.epoch {
+	switch {
+	case s.near:
+		return d.young(now, p)
+	case f == nil || f.contactAt.IsZero() || f.epoch < p.epoch:
 		return true
 	}
 	return p.contactAt.Sub(f.contactAt) >= d.limits.Stale/newerPart
 }
 
 // awaited says whether an answer is out that might be preferred.
-func (d *Decider) awaited(s *search, best *probe) bool {
+func (d *Decider) awaited(now time.Time, s *search, best *probe) bool {
 	if d.followed != nil && d.followed.asked && !s.near {
 		return true
 	}
+	young := d.young(now, best)
 	for _, p := range s.probes {
-		if p.state != answered && p.nearness > best.nearness {
+		if p.state != answered && (!young || p.nearness > best.nearness) {
 			return true
 		}
 	}
 	return false
 }
 
+// young says whether a contact will stay fresh for a while.
+func (d *Decider) young(now time.Time, p *probe) bool {
+	return now.Before(p.contactAt.Add(d.limits.Stale - d.limits.Stale/newerPart))
+}
+
 // move follows an instance that has proved a fresh contact and ends the search.
 func (d *Decider) move(now time.Time, s *search, p *probe) {
 	err := ErrStale
--- a/internal/router/subscription/decider_test.go
+++ b/internal/router/subscription/decider_test.go
@@ -225,6 +225,11 @@
 func TestNoProbesWhileFresh(t *testing.T) {
 	n := settled(t, three...)
 	dials, probes := n.dials, n.probes
+	n.check = func() {
+		if sent := n.now.Sub(n.decider.followed.anchor.sentAt); sent > 30*time.Second {
+			t.Fatalf("the last mark was sent %v ago", sent)
+		}
+	}
 	n.run(10 * time.Minute)
 	marks := int(10 * time.Minute / markEvery) // to the instance that is followed
 	if n.dials != dials || n.probes-probes > marks || len(n.moves) != 1 {
@@ -429,7 +434,12 @@
 	if len(n.moves) != 1 {
 		t.Errorf("moves %v, the last one without proof", n.moves)
 	}
-	near.cut = false
+	near.cut, near.lag = false, stale*9/10
+	n.run(2 * mostNearer)
+	if len(n.moves) != 1 {
+		t.Errorf("moves %v, the last one by a proof that is nearly too old", n.moves)
+	}
+	near.lag = 0
 	n.run(mostNearer + time.Second)
 	if n.out.Follows != near.address || !n.out.Settled || !slices.Equal(n.left(), []error{ErrNearer}) {
 		t.Errorf("follows %q, left because of %v", n.out.Follows, n.left())
@@ -471,6 +481,17 @@
 	}
 }
 
+// An instance whose contact is nearly too old is not moved to while another one may answer with a younger one.
+func TestWaitsALittleForYoungerProof(t *testing.T) {
+	n := newNetwork(t, three[0], three[1])
+	n.peers[three[0]].lag = stale * 95 / 100
+	n.peers[three[1]].heldUp = 10 * time.Millisecond
+	n.run(time.Second)
+	if !slices.Equal(n.moves, three[1:2]) || !n.out.Settled {
+		t.Errorf("moves %v, settled %v", n.moves, n.out.Settled)
+	}
+}
+
 func TestReportsWaitWhileNobodyIsFollowed(t *testing.T) {
 	n := newNetwork(t, three...)
 	for i := range mostReports + 2 {
