--- a/internal/router/dispatch/closing_test.go
+++ b/internal/router/dispatch/closing_test.go
@@ -210,3 +210,35 @@
 		t.Errorf("sent %v", list)
 	}
 }
+
+// On days at random: whatever a router has taken on late is over, or at its own deadline, when the process ends; and short
+// calls are still taken.
+func TestWhatIsTakenLateEndsInTime(t *testing.T) {
+	taken := uint64(0)
+	for seed := range uint64(6) {
+		rng := rand.New(rand.NewPCG(seed, 39))
+		w := newWorld(t, seed, 3)
+		w.usual(0.5 + 1.5*rng.Float64())
+		const choose, endBy = 5 * time.Second, 9600 * time.Millisecond
+		w.at(2*time.Second, func(w *world) {
+			w.inputs[1] = append(w.inputs[1], Closing{
+				HoldUntil: w.zero.Add(choose - 500*time.Millisecond), ChooseFrom: w.zero.Add(choose), EndBy: w.zero.Add(endBy),
+			})
+		})
+		w.play(choose)
+		before := w.routers[1].counters.Sent
+		w.play(endBy)
+		taken += w.routers[1].counters.Sent - before
+		for _, r := range w.routers[1].requests {
+			if r.arrived+w.routers[1].base.Sub(w.zero) >= choose && r.stage == sent && r.deadline > w.routers[1].closing.endBy {
+				t.Errorf("seed %d: request %d of %s is cut", seed, r.ID, r.Service)
+			}
+		}
+		w.play(endBy + 5*time.Second)
+		w.finish()
+	}
+	if taken == 0 {
+		t.Error("nothing was taken late")
+	}
+	t.Logf("%d taken late", taken)
+}
--- a/internal/router/dispatch/world_test.go
+++ b/internal/router/dispatch/world_test.go
@@ -278,7 +278,7 @@
 	prompt := int(float64(k.prompt) * min(spread, 3))
 	r := Request{ID: w.nextID, Service: "lm", Model: k.model, Adapter: k.adapter, PromptTokens: prompt,
 		OutputTokens: int(float64(k.output) * (0.2 + 1.6*w.rng.Float64())), Tenant: k.tenant, RoutePriority: k.rank,
-		Repeatable: k.repeatable, MaxEndpoints: 2, Arrived: w.clock(), Objective: w.clock().Add(k.objective),
+		Streaming: k.model != "", Repeatable: k.repeatable, MaxEndpoints: 2, Arrived: w.clock(), Objective: w.clock().Add(k.objective),
 		Deadline: w.clock().Add(k.within)}
 	if k.model == "" {
 		r.Service, r.PromptTokens, r.MaxEndpoints = "app", 0, 1
