--- a/internal/router/ingress/answer.go
+++ b/internal/router/ingress/answer.go
@@ -19,7 +19,7 @@
 	wholeBytes     = 64 << 10 // an answer up to this size is read whole before the client gets any of it
 	firstBodyBytes = 2 << 10
 	copyBytes      = 16 << 10
-	writeMargin    = 400 * time.Millisecond // for a client to take what came until its deadline
+	writeMargin    = 300 * time.Millisecond // for a client to take what came until its deadline
 )
 
 // whole is an answer that was read to its end.
