--- a/coordination/simnet/world.go
+++ b/coordination/simnet/world.go
@@ -1,7 +1,6 @@
 package simnet
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -25,10 +24,8 @@
 // World is one simulated history.
 type World struct {
 	Setup
+	*Timeline
 	random    *rand.Rand
-	now       time.Duration
-	events    events
-	sequence  uint64
 	machines  []*machine
 	links     links
 	ledger    ledger
@@ -48,7 +45,7 @@
 	if setup.Sync == 0 {
 		setup.Sync = 5 * time.Millisecond
 	}
-	w := &World{Setup: setup, random: rand.New(rand.NewPCG(setup.Seed, 77)), now: time.Second}
+	w := &World{Setup: setup, random: rand.New(rand.NewPCG(setup.Seed, 77)), Timeline: NewTimeline(time.Second)}
 	w.links = links{cut: map[pair]bool{}}
 	w.ledger = newLedger()
 	for i := range setup.Machines {
@@ -79,44 +76,10 @@
 	}
 }
 
-type event struct {
-	at       time.Duration
-	sequence uint64
-	run      func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].sequence < e[j].sequence
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-// Push implements heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(event)) }
-
-// Pop implements heap.Interface.
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
-func (w *World) after(delay time.Duration, run func()) {
-	w.sequence++
-	heap.Push(&w.events, event{at: w.now + delay, sequence: w.sequence, run: run})
-}
-
 // Run plays for that long or until a rule is broken.
 func (w *World) Run(length time.Duration) error {
-	end := w.now + length
-	for len(w.events) > 0 && w.events[0].at <= end && w.failure == nil {
-		next := heap.Pop(&w.events).(event)
-		w.now = next.at
-		next.run()
-	}
-	w.now = max(w.now, end)
+	w.RunUntil(w.now+length, func() bool { return w.failure != nil })
 	return w.failure
 }
+
+func (w *World) after(delay time.Duration, run func()) { w.After(delay, run) }
