Play the control side and routers together in a seeded world, a first skeleton

Engines, desks, tenures and a stand-in for the router's decider on one network of ordered streams; rules on acknowledgements, claims, drains and holders. Its histories fail on this build, as they must: the routers' stand-in settles with whoever answers first, and instances state no age.

--- /dev/null
+++ b/internal/systemsim/believer.go
@@ -0,0 +1,142 @@
+package systemsim
+
+import (
+	"errors"
+	"time"
+
+	"raventrestle/internal/configuration"
+	"raventrestle/internal/protocol"
+	"raventrestle/internal/router/dispatch"
+	"raventrestle/internal/router/subscription"
+)
+
+var errEnded = errors.New("the connection has ended")
+
+const (
+	believerSilence = 750 * time.Millisecond
+	believerPause   = 100 * time.Millisecond
+)
+
+// believer is a router that settles with whoever answers first and never asks how old that is: as routers did before
+// ages were stated. The checks must find it.
+type believer struct {
+	router      *router
+	addresses   []string
+	next        int
+	connection  subscription.ConnectionID // zero: none
+	heard       time.Time
+	dialAt      time.Time
+	sequence    uint64
+	generation  int64
+	applying    bool
+	waiting     []*protocol.Update
+	out         subscription.Output
+	now         time.Time
+	connections subscription.ConnectionID
+}
+
+func newBeliever(r *router) *believer {
+	b := &believer{router: r, addresses: r.world.seedAddresses()}
+	r.world.random.Shuffle(len(b.addresses), func(i, j int) {
+		b.addresses[i], b.addresses[j] = b.addresses[j], b.addresses[i]
+	})
+	return b
+}
+
+// Step implements decider.
+func (b *believer) Step(now time.Time, inputs ...subscription.Input) subscription.Output {
+	b.out, b.now = subscription.Output{}, now
+	for _, input := range inputs {
+		b.take(input)
+	}
+	switch {
+	case b.connection == 0 && !now.Before(b.dialAt):
+		b.dial()
+	case b.connection != 0 && now.Sub(b.heard) > believerSilence:
+		b.leave()
+	}
+	b.applyNext()
+	b.out.WakeAt = now.Add(believerPause)
+	b.out.Ready = b.generation > 0
+	return b.out
+}
+
+func (b *believer) dial() {
+	b.connections++
+	b.connection = b.connections
+	b.heard, b.sequence = b.now, 0
+	b.out.Dial = append(b.out.Dial,
+		subscription.Dial{Connection: b.connection, Address: b.addresses[b.next%len(b.addresses)]})
+	b.next++
+}
+
+func (b *believer) leave() {
+	b.out.Close = append(b.out.Close, b.connection)
+	b.connection, b.waiting = 0, nil
+	b.dialAt = b.now.Add(believerPause / 2)
+}
+
+func (b *believer) take(input subscription.Input) {
+	switch in := input.(type) {
+	case subscription.Opened:
+		b.send(in.Connection, protocol.Subscribe{Node: b.router.address, Zone: zoneName(b.router.zone),
+			Incarnation: uint64(b.router.life), Generation: b.generation, Ready: b.generation > 0})
+	case subscription.Ended:
+		if in.Connection == b.connection {
+			b.leave()
+		}
+	case subscription.Received:
+		if in.Connection != b.connection {
+			return
+		}
+		b.heard = b.now
+		if update, isUpdate := in.Message.(*protocol.Update); isUpdate {
+			b.waiting = append(b.waiting, update)
+		}
+	case subscription.Applied:
+		b.applying = false
+		if b.connection != 0 {
+			b.send(b.connection, protocol.Confirm{Sequence: b.sequence})
+		}
+	}
+}
+
+func (b *believer) send(to subscription.ConnectionID, message any) {
+	b.out.Send = append(b.out.Send, subscription.Send{Connection: to, Message: message})
+}
+
+func (b *believer) applyNext() {
+	if b.applying || len(b.waiting) == 0 {
+		return
+	}
+	update := b.waiting[0]
+	b.waiting = b.waiting[1:]
+	b.sequence = update.Sequence
+	b.learn(update.Members)
+	change := &dispatch.ViewChanged{Full: update.Full, Endpoints: update.Endpoints, Routers: update.Routers}
+	if update.Generation > b.generation && len(update.Document) > 0 {
+		document, err := protocol.UnpackDocument(update.Document)
+		if err == nil {
+			change.Configuration, err = configuration.Parse(document)
+		}
+		if err != nil {
+			b.leave()
+			return
+		}
+		b.generation = update.Generation
+	}
+	b.applying = true
+	b.out.Apply = change
+}
+
+func (b *believer) learn(members []protocol.Member) {
+	for _, member := range members {
+		known := false
+		for _, address := range b.addresses {
+			known = known || address == member.Address
+		}
+		if !known {
+			b.addresses = append(b.addresses, member.Address)
+		}
+	}
+}
--- /dev/null
+++ b/internal/systemsim/desk.go
@@ -0,0 +1,265 @@
+package systemsim
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"raventrestle/coordination/engine"
+	"raventrestle/coordination/replica"
+	"raventrestle/internal/control/distribution"
+	"raventrestle/internal/control/host"
+	"raventrestle/internal/control/registry"
+	"raventrestle/internal/protocol"
+)
+
+// Times of the host's loop, as those of package host.
+const (
+	statusEvery   = 100 * time.Millisecond
+	isolatedAfter = time.Second
+)
+
+// desk does what package host does around its Desk: it reads the replica's status, then the configuration, runs
+// barriers and keeps the calls of endpoints until they may be answered.
+type desk struct {
+	owner       *instance
+	desk        *host.Desk
+	news        host.News
+	connections map[*stream]distribution.ConnectionID
+	byID        map[distribution.ConnectionID]*stream
+	nextID      distribution.ConnectionID
+	tickets     map[uint64]func(registry.Acknowledge)
+	nextTicket  uint64
+	barrier     bool
+	due         time.Duration
+
+	statusRead time.Duration
+	generation int64
+	peers      []string
+	members    []protocol.Member
+	isolated   bool
+	told       bool
+	begun      bool
+	apart      time.Duration
+}
+
+func newDesk(i *instance) desk {
+	return desk{
+		owner:       i,
+		desk:        host.NewDesk(registry.Settings{Origin: i.origin(), Heartbeat: heartbeatEvery}, i.clock()),
+		connections: make(map[*stream]distribution.ConnectionID),
+		byID:        make(map[distribution.ConnectionID]*stream),
+		tickets:     make(map[uint64]func(registry.Acknowledge)),
+	}
+}
+
+// wake has the host's loop run after the delay at the latest.
+func (d *desk) wake(delay time.Duration) {
+	now := d.owner.world.Now()
+	at := now + max(0, delay)
+	if d.due > now && d.due <= at {
+		return
+	}
+	d.due = at
+	d.owner.after(at-now, func() {
+		if d.due == at {
+			d.due = 0
+			d.run()
+		}
+	})
+}
+
+// soon is how long a command waits in the host's queue.
+func (d *desk) soon() { d.wake(d.owner.world.between(10*time.Microsecond, 500*time.Microsecond)) }
+
+func (d *desk) run() {
+	d.owner.world.steps++
+	d.readStatus()
+	news := d.news
+	d.news = host.News{}
+	now := d.owner.clock()
+	orders := d.desk.Step(now, news)
+	d.carryOut(orders)
+	d.wake(orders.WakeAt.Sub(now))
+}
+
+func (d *desk) carryOut(orders host.Orders) {
+	for _, message := range orders.Routers {
+		if s := d.byID[message.Connection]; s != nil {
+			s.endOf(&d.owner.process).send(message.Message)
+		}
+	}
+	for _, message := range orders.Peers {
+		d.owner.mesh.send(message.To, d.owner.stamp(message.Message))
+	}
+	for _, closing := range orders.Close {
+		s := d.byID[closing.Connection]
+		if s == nil {
+			continue
+		}
+		d.owner.world.tracef("%s sends %s away: %s", d.owner.address, closing.Node, closing.Reason)
+		delete(d.byID, closing.Connection)
+		delete(d.connections, s)
+		s.endOf(&d.owner.process).close()
+	}
+	for _, answer := range orders.Acknowledge {
+		if waiting := d.tickets[answer.Ticket]; waiting != nil {
+			delete(d.tickets, answer.Ticket)
+			waiting(answer)
+		}
+	}
+	if orders.Barrier != 0 && !d.barrier {
+		d.runBarrier(orders.Barrier)
+	}
+}
+
+func (d *desk) runBarrier(number uint64) {
+	d.barrier = true
+	ended := func(passed bool) {
+		d.barrier = false
+		if passed {
+			d.readConfiguration()
+			d.news.Hub = append(d.news.Hub, distribution.BarrierPassed{Barrier: number})
+		}
+		d.soon()
+	}
+	d.owner.ask(engine.Input{Barrier: true}, barrierWithin, func(result engine.Result) {
+		if result.Err == nil {
+			ended(true)
+			return
+		}
+		d.owner.after(barrierPause, func() { ended(false) })
+	})
+}
+
+func (d *desk) replicaMoved() {
+	d.statusRead = 0
+	d.readConfiguration()
+	d.soon()
+}
+
+func (d *desk) arrived(s *stream, message any) {
+	switch message := message.(type) {
+	case *protocol.Subscribe:
+		d.forget(s)
+		d.nextID++
+		d.connections[s], d.byID[d.nextID] = d.nextID, s
+		d.readConfiguration()
+		d.news.Hub = append(d.news.Hub, distribution.Subscribed{Connection: d.nextID, Router: *message})
+	case *protocol.Confirm:
+		if id, known := d.connections[s]; known {
+			d.news.Hub = append(d.news.Hub, distribution.Confirmed{Connection: id, Sequence: message.Sequence})
+		}
+	case *protocol.Report:
+		return
+	default:
+		d.news.Registry = append(d.news.Registry, registry.Message{Content: message})
+	}
+	d.soon()
+}
+
+func (d *desk) forget(s *stream) {
+	id, known := d.connections[s]
+	if !known {
+		return
+	}
+	delete(d.connections, s)
+	delete(d.byID, id)
+	d.news.Hub = append(d.news.Hub, distribution.Closed{Connection: id})
+	d.soon()
+}
+
+func (d *desk) readConfiguration() {
+	generation, document := d.owner.newest()
+	if generation > d.generation {
+		d.generation = generation
+		d.news.Hub = append(d.news.Hub,
+			distribution.Configuration{Generation: generation, Document: protocol.PackDocument(document)})
+	}
+}
+
+// heartbeat and leave are endpoints' calls.
+func (d *desk) heartbeat(told protocol.Endpoint, answer func(bool)) {
+	d.news.Registry = append(d.news.Registry, registry.Heartbeat{Ticket: d.ticket(answer), Endpoint: told})
+	d.soon()
+}
+
+func (d *desk) leave(id string, answer func(bool)) {
+	d.news.Registry = append(d.news.Registry, registry.Leave{Ticket: d.ticket(answer), ID: id})
+	d.soon()
+}
+
+func (d *desk) ticket(answer func(bool)) uint64 {
+	d.nextTicket++
+	d.tickets[d.nextTicket] = func(a registry.Acknowledge) { answer(!a.Refused) }
+	return d.nextTicket
+}
+
+// readStatus tells the desk who can be reached.
+func (d *desk) readStatus() {
+	now := d.owner.world.Now()
+	if d.statusRead > 0 && now-d.statusRead < statusEvery {
+		return
+	}
+	d.statusRead = now
+	status := d.owner.currentStatus()
+	var peers []string
+	for _, member := range status.Live {
+		if member.Address != d.owner.address {
+			peers = append(peers, member.Address)
+		}
+	}
+	slices.Sort(peers)
+	peers = slices.Compact(peers)
+	isolated := d.isIsolated(now, status)
+	turned := isolated != d.isolated
+	if !d.told || turned {
+		d.news.Hub = append(d.news.Hub, distribution.Isolation{Isolated: isolated})
+	}
+	if !d.told || turned || !slices.Equal(peers, d.peers) {
+		d.news.Registry = append(d.news.Registry, registry.Peers{Reachable: peers, Isolated: isolated})
+	}
+	d.told, d.peers, d.isolated = true, peers, isolated
+	d.readMembers(status)
+}
+
+func (d *desk) isIsolated(now time.Duration, status replica.Status) bool {
+	live := make(map[string]bool)
+	for _, member := range append(slices.Clone(status.Live), status.Self) {
+		live[member.Identity] = true
+	}
+	reached := 0
+	for _, voter := range status.View.Voters {
+		if live[voter.Identity] {
+			reached++
+		}
+	}
+	if 2*reached > len(status.View.Voters) {
+		d.apart, d.begun = 0, true
+		return false
+	}
+	if d.apart == 0 {
+		d.apart = now
+	}
+	return !d.begun || now-d.apart > isolatedAfter
+}
+
+func (d *desk) readMembers(status replica.Status) {
+	known := make(map[string]protocol.Member)
+	for _, members := range [][]replica.Member{status.View.Voters, status.View.Chain, status.Live, {status.Self}} {
+		for _, member := range members {
+			known[member.Identity] = protocol.Member{
+				Identity: member.Identity, Address: member.Address, Control: member.Tag, Zone: member.Zone,
+			}
+		}
+	}
+	var members []protocol.Member
+	for _, member := range known {
+		members = append(members, member)
+	}
+	slices.SortFunc(members, func(a, b protocol.Member) int { return cmp.Compare(a.Identity, b.Identity) })
+	if !slices.Equal(members, d.members) {
+		d.members = members
+		d.news.Hub = append(d.news.Hub, distribution.Members{Members: members})
+	}
+}
--- /dev/null
+++ b/internal/systemsim/history.go
@@ -0,0 +1,64 @@
+package systemsim
+
+import "time"
+
+// Times of a history.
+const (
+	settling   = 4 * time.Second
+	troubled   = 25 * time.Second
+	recovering = 7 * time.Second // after all has healed
+)
+
+// Play plays the history of a seed and returns the world and what was broken first.
+func Play(seed uint64, mutant Mutant, trace func(string)) (*World, error) {
+	w := NewWorld(Setup{
+		Seed: seed, Instances: 3 + int(seed%3), Routers: 4, Endpoints: 4, Operators: 2, Mutant: mutant, Trace: trace,
+	})
+	if err := w.Run(settling); err != nil {
+		return w, err
+	}
+	w.faults(w.Now() + troubled)
+	if err := w.Run(troubled); err != nil {
+		return w, err
+	}
+	return w, w.Finish()
+}
+
+// Finish heals everything and checks that all processes come to what was acknowledged.
+func (w *World) Finish() error {
+	w.quiet = true
+	w.heal()
+	if err := w.Run(recovering); err != nil {
+		return err
+	}
+	newest := w.truth.newestBefore(never)
+	for _, r := range w.routers {
+		if r.generation < newest {
+			w.fail(ruleReadBack, "%s has version %d at the end, %d was acknowledged", r.address, r.generation, newest)
+		}
+	}
+	for _, i := range w.instances {
+		w.readBack(i, newest)
+	}
+	return w.Run(time.Second)
+}
+
+// readBack checks that an instance gives the newest version at the end.
+func (w *World) readBack(i *instance, newest int64) {
+	answered := false
+	i.read(func(result any) {
+		answer, _ := result.(changeAnswer)
+		answered = answer.code == codeTaken
+		if answered && answer.generation < newest {
+			w.fail(ruleReadBack, "%s reads version %d, %d was acknowledged", i.address, answer.generation, newest)
+		}
+		if view := i.machine.View(); view.Configuration != nil {
+			w.checkContent(i.address, view.Configuration)
+		}
+	})
+	w.After(900*time.Millisecond, func() {
+		if !answered {
+			w.fail(ruleReadBack, "%s does not answer at the end", i.address)
+		}
+	})
+}
--- /dev/null
+++ b/internal/systemsim/history_test.go
@@ -0,0 +1,70 @@
+package systemsim
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+var (
+	firstSeed = flag.Uint64("first-seed", 1, "the first seed that is played")
+	seedCount = flag.Int("seeds", seedsPlayed, "how many seeds are played")
+	traced    = flag.Bool("trace", false, "tell what happens in the histories")
+)
+
+// players is how many histories are played at once.
+const players = 4
+
+// eachSeed plays seeds from first on, some at once.
+func eachSeed(first uint64, count int, play func(seed uint64)) {
+	var next atomic.Int64
+	var group sync.WaitGroup
+	for range players {
+		group.Go(func() {
+			for at := next.Add(1) - 1; at < int64(count); at = next.Add(1) - 1 {
+				play(first + uint64(at))
+			}
+		})
+	}
+	group.Wait()
+}
+
+func tracer(seed uint64) func(string) {
+	if !*traced {
+		return nil
+	}
+	return func(line string) { fmt.Println(seed, line) }
+}
+
+func TestHistories(t *testing.T) {
+	var steps, acks, drains atomic.Int64
+	var lock sync.Mutex
+	rules := map[string]int{}
+	eachSeed(*firstSeed, *seedCount, func(seed uint64) {
+		w, err := Play(seed, NoMutant, tracer(seed))
+		if err != nil {
+			t.Error(err)
+			var broken *Broken
+			if errors.As(err, &broken) {
+				lock.Lock()
+				rules[broken.Rule]++
+				lock.Unlock()
+			}
+		}
+		steps.Add(int64(w.steps))
+		acks.Add(int64(len(w.truth.acks)))
+		drains.Add(int64(len(w.truth.drained)))
+	})
+	t.Logf("%d histories, %d steps, %d acknowledgements of versions, %d of endpoints' ends, broken: %v",
+		*seedCount, steps.Load(), acks.Load(), drains.Load(), rules)
+}
+
+func TestMain(m *testing.M) {
+	debug.SetGCPercent(400) // histories are many small things of short life
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/systemsim/instance.go
@@ -0,0 +1,360 @@
+package systemsim
+
+import (
+	"fmt"
+	"time"
+
+	"raventrestle/coordination/chain"
+	"raventrestle/coordination/engine"
+	"raventrestle/coordination/replica"
+	"raventrestle/coordination/view"
+	"raventrestle/coordination/wal/modeldisk"
+	"raventrestle/internal/control/roles"
+	"raventrestle/internal/control/state"
+	"raventrestle/internal/protocol"
+)
+
+// Times of an instance's process.
+const (
+	syncTime      = 5 * time.Millisecond
+	decideWithin  = 800 * time.Millisecond
+	barrierWithin = 1500 * time.Millisecond
+	barrierPause  = 200 * time.Millisecond
+	roleEvery     = 50 * time.Millisecond
+	readyGrace    = 2 * time.Second // until an instance without a majority acknowledges no heartbeat of a ready endpoint
+)
+
+// instance is one control instance: a replica with its disk, the desk for routers and endpoints, and the roles.
+type instance struct {
+	process
+	disk    *modeldisk.Disk
+	engine  *engine.Engine
+	machine *state.Machine
+	status  replica.Status // as the replica published it last
+	tenure  *roles.Tenure
+	turn    roles.Turn
+	desk    desk
+	mesh    mesh
+
+	inbox []engine.Input
+	due   time.Duration // of the planned step, world time; zero: none is planned
+	busy  time.Duration // until then the replica waits for its disk
+	stall time.Duration // what a step's syncs take longer
+	calls map[uint64]func(engine.Result)
+	token uint64
+
+	major      bool          // it reaches more than half of all instances
+	apartSince time.Duration // since when it reaches no majority of the voters; never: it does
+}
+
+// replicaMessage is a message between replicas.
+type replicaMessage struct {
+	from    string
+	content chain.Message
+}
+
+func newInstance(w *World, number int) *instance {
+	i := &instance{disk: modeldisk.New(), apartSince: never}
+	i.process = process{
+		world: w, address: fmt.Sprintf("10.%d.0.%d:7500", number%zones, number), zone: number % zones,
+		takes: i.take, opened: i.streamOpened, ended: i.streamEnded,
+	}
+	i.thawed = func() { i.plan(0) }
+	return i
+}
+
+func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone) }
+
+// zones that machines are spread over.
+const zones = 3
+
+func (w *World) seedAddresses() []string {
+	var list []string
+	for _, i := range w.instances[:min(seeds, len(w.instances))] {
+		list = append(list, i.address)
+	}
+	return list
+}
+
+// start starts the process on the disk as it is.
+func (i *instance) start(bootstrap bool) {
+	w := i.world
+	if i.running || w.failure != nil {
+		return
+	}
+	i.begin()
+	i.inbox, i.due, i.busy = nil, 0, 0
+	i.calls = make(map[uint64]func(engine.Result))
+	i.machine = state.New()
+	opened, err := engine.Open(i.local(), engine.Options{
+		Self:  view.Member{Address: i.address, Zone: zoneName(i.zone), Tag: i.address},
+		Seeds: w.seedAddresses(), Bootstrap: bootstrap, Faults: faults, FS: i.disk, Machine: i.machine,
+		Random: w.random.Uint64(), CompactBytes: 6000, KeepBytes: 1000, SegmentBytes: 4000,
+	})
+	if err != nil {
+		w.fail("start", "%s does not start: %v", i.address, err)
+		return
+	}
+	i.engine = opened
+	i.status = statusOf(opened.Status(i.local()))
+	i.tenure, i.turn = roles.NewTenure(lease, i.clock()), roles.Turn{}
+	i.mesh = newMesh(i)
+	i.desk = newDesk(i)
+	i.plan(0)
+	i.desk.wake(0)
+	i.watchRoles()
+}
+
+func (i *instance) down(power bool) {
+	if !i.running {
+		return
+	}
+	i.end(power)
+	i.engine = nil
+}
+
+// kill ends the process; the files stand.
+func (i *instance) kill() {
+	if i.running {
+		i.world.tracef("%s is killed", i.address)
+		i.down(true)
+		i.disk = i.disk.Kill()
+	}
+}
+
+// losePower ends the process; the disk keeps what was synced and some of the rest.
+func (i *instance) losePower() {
+	if i.running {
+		i.world.tracef("%s loses power", i.address)
+		i.down(false)
+		i.disk = i.disk.Lose(i.world.random)
+	}
+}
+
+// wipe ends the process and empties the disk.
+func (i *instance) wipe() {
+	i.world.tracef("%s loses its disk", i.address)
+	i.down(true)
+	i.disk = modeldisk.New()
+}
+
+// plan sees that the replica's next step comes after the delay at the latest.
+func (i *instance) plan(delay time.Duration) {
+	at := max(i.world.Now()+delay, i.busy)
+	if i.due > i.world.Now() && i.due <= at {
+		return
+	}
+	i.due = at
+	i.after(at-i.world.Now(), func() {
+		if i.due == at {
+			i.due = 0
+			i.step()
+		}
+	})
+}
+
+func (i *instance) put(input engine.Input) {
+	i.inbox = append(i.inbox, input)
+	i.plan(0)
+}
+
+// step lets the replica work. What follows from it leaves once its disk is done.
+func (i *instance) step() {
+	w := i.world
+	w.steps++
+	inputs, syncs := i.inbox, i.disk.Syncs
+	i.inbox = nil
+	now := i.local()
+	effects := i.engine.Step(now, inputs)
+	status := statusOf(i.engine.Status(now))
+	took := time.Duration(i.disk.Syncs-syncs) * syncTime
+	if took > 0 {
+		took += i.stall
+	}
+	i.busy = w.Now() + took
+	i.after(took, func() { i.carryOut(effects, status) })
+	syncs = i.disk.Syncs
+	_ = i.engine.Maintain(now) // a disk that refuses is told of by the engine
+	i.busy += time.Duration(i.disk.Syncs-syncs) * syncTime
+	i.plan(i.engine.Wake() - now)
+}
+
+func (i *instance) carryOut(effects engine.Effects, status replica.Status) {
+	for _, envelope := range effects.Messages {
+		i.mesh.send(envelope.Address, replicaMessage{from: i.address, content: envelope.Message})
+	}
+	i.publish(status)
+	for _, result := range effects.Results {
+		i.finish(result)
+	}
+	for _, withdrawn := range effects.Withdrawn {
+		i.finish(engine.Result{Token: withdrawn.Token, Err: engine.ErrUnclear})
+	}
+}
+
+func (i *instance) finish(result engine.Result) {
+	if done := i.calls[result.Token]; done != nil {
+		delete(i.calls, result.Token)
+		done(result)
+	}
+}
+
+// publish shows the newest status to the rest of the process.
+func (i *instance) publish(status replica.Status) {
+	before := i.status
+	i.status = status
+	i.world.checkInstance(i)
+	moved := before.View.Epoch != status.View.Epoch || before.Committed != status.Committed ||
+		before.Leader != status.Leader || len(before.Live) != len(status.Live)
+	if moved {
+		i.desk.replicaMoved()
+		i.lookAtRole()
+	}
+}
+
+// ask has the replica work on a call and gives it up after a time.
+func (i *instance) ask(input engine.Input, within time.Duration, done func(engine.Result)) {
+	i.token++
+	token := i.token
+	input.Token = token
+	i.calls[token] = done
+	i.put(input)
+	i.after(within, func() {
+		if i.calls[token] != nil {
+			i.put(engine.Input{Token: token, Withdraw: true})
+		}
+	})
+}
+
+// take takes what came on a stream.
+func (i *instance) take(s *stream, message any) {
+	if m, isReplica := message.(replicaMessage); isReplica {
+		i.put(engine.Input{Message: &m.content, Address: m.from})
+		return
+	}
+	i.desk.arrived(s, message)
+}
+
+func (i *instance) streamOpened(s *stream) { i.mesh.opened(s) }
+
+func (i *instance) streamEnded(s *stream) {
+	i.mesh.ended(s)
+	i.desk.forget(s)
+}
+
+// newest is the committed configuration as this instance has it.
+func (i *instance) newest() (int64, []byte) { return i.machine.Current() }
+
+// watchRoles looks at the role as its holder's loop does: now and then, and when the replica's status moves.
+func (i *instance) watchRoles() {
+	i.lookAtRole()
+	i.after(roleEvery, i.watchRoles)
+}
+
+// lookAtRole stands in for the holder of the roles: it notes that it acts whenever it may.
+func (i *instance) lookAtRole() {
+	i.turn = i.tenure.Step(i.clock(), i.currentStatus())
+	if i.turn.Acts {
+		i.world.acted(i)
+	}
+}
+
+// currentStatus is the published status, with the lease looked at now.
+func (i *instance) currentStatus() replica.Status {
+	status := i.status
+	if status.Leader && !i.clock().Before(status.LeaseUntil) {
+		status.Leader = false
+	}
+	return status
+}
+
+// acts tells whether the instance may act in a role at this moment.
+func (i *instance) acts() bool {
+	return i.running && !i.frozen && i.turn.Acts && i.currentStatus().Leader
+}
+
+// change carries out an operator's call.
+func (i *instance) change(o *order, answer func(any)) {
+	w, came := i.world, i.world.Now()
+	command, err := state.NewCommand(state.Replace, o.base, o.body)
+	if err != nil {
+		w.fail(ruleRefused, "order %s: %v", o.name, err)
+		return
+	}
+	i.ask(engine.Input{Command: command}, decideWithin, func(result engine.Result) {
+		decided, err := state.DecodeResult(result.Value)
+		if result.Err != nil || err != nil {
+			answer(changeAnswer{code: codeUnavailable})
+			return
+		}
+		w.checkAnswered(i, came, 0, "order "+o.name)
+		switch decided := decided.(type) {
+		case state.Accepted:
+			w.acknowledged(i, o, decided.Generation)
+			answer(changeAnswer{code: codeTaken, generation: decided.Generation})
+		case state.VersionMismatch:
+			w.refused(i, o, codeMismatch)
+			answer(changeAnswer{code: codeMismatch, generation: decided.Current})
+		default:
+			w.refused(i, o, codeBad)
+			answer(changeAnswer{code: codeBad})
+		}
+	})
+}
+
+// read carries out an operator's call for the newest version.
+func (i *instance) read(answer func(any)) {
+	i.ask(engine.Input{Barrier: true}, decideWithin, func(result engine.Result) {
+		if result.Err != nil {
+			answer(changeAnswer{code: codeUnavailable})
+			return
+		}
+		generation, _ := i.newest()
+		answer(changeAnswer{code: codeTaken, generation: generation})
+	})
+}
+
+// heartbeat and left carry out endpoints' calls.
+func (i *instance) heartbeat(told protocol.Endpoint, answer func(any)) {
+	came, grace := i.world.Now(), time.Duration(0)
+	if told.State == protocol.Ready {
+		grace = readyGrace
+	}
+	i.desk.heartbeat(told, func(taken bool) {
+		if taken {
+			i.world.checkAnswered(i, came, grace, "a heartbeat of "+told.ID)
+		}
+		answer(taken)
+	})
+}
+
+func (i *instance) left(id string, answer func(any)) {
+	came := i.world.Now()
+	i.desk.leave(id, func(taken bool) {
+		if taken {
+			i.world.checkAnswered(i, came, 0, "the end of "+id)
+		}
+		answer(taken)
+	})
+}
+
+func statusOf(s chain.Status) replica.Status {
+	return replica.Status{
+		Self: s.Self, View: s.View, Committed: s.Committed, Live: s.Live, Leader: s.Leader,
+		LeaseUntil: instant(s.LeaseUntil), LeaderSince: instant(s.LeaderSince),
+		PreviousMayAct: instant(s.PreviousMayAct),
+	}
+}
+
+// stamp puts the sender and its clock into a message for another instance.
+func (i *instance) stamp(message any) any {
+	if stamped, isStamped := message.(protocol.FromPeer); isStamped {
+		*stamped.Sender() = i.origin()
+		stamped.Sender().At = i.world.Now() - i.began
+	}
+	return message
+}
+
+func (i *instance) origin() protocol.Origin {
+	return protocol.Origin{Address: i.address, Incarnation: uint64(i.life)}
+}
--- /dev/null
+++ b/internal/systemsim/mutant.go
@@ -0,0 +1,48 @@
+package systemsim
+
+import (
+	"math"
+
+	"raventrestle/internal/protocol"
+)
+
+// Mutant is a fault that is planted to see that the checks find it.
+type Mutant string
+
+// The planted faults.
+const (
+	NoMutant            Mutant = ""
+	SettleFirst         Mutant = "router settles with whoever answers first"
+	BelieveBeacons      Mutant = "router believes every beacon"
+	StampFresh          Mutant = "instance states the age 0 always"
+	DrainWithoutContact Mutant = "drain acknowledged without contact"
+)
+
+// newDecider returns what decides for a router.
+func (w *World) newDecider(r *router) decider {
+	return newBeliever(r)
+}
+
+// heard is a message as the router's decider gets it. Each router gets a copy, as from the wire.
+func (w *World) heard(message any) any {
+	believe := func(s *protocol.Standing) {
+		if w.Mutant == BelieveBeacons {
+			s.Known, s.Age, s.Epoch = true, 0, math.MaxInt64
+		}
+	}
+	switch m := message.(type) {
+	case *protocol.Update:
+		c := *m
+		believe(&c.Standing)
+		return &c
+	case *protocol.Beacon:
+		c := *m
+		believe(&c.Standing)
+		return &c
+	case *protocol.Probed:
+		c := *m
+		believe(&c.Standing)
+		return &c
+	}
+	return message
+}
--- /dev/null
+++ b/internal/systemsim/race_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package systemsim
+
+// The race detector makes histories ten times as slow and finds nothing in them: one goroutine plays each.
+const seedsPlayed = 40
--- /dev/null
+++ b/internal/systemsim/router.go
@@ -0,0 +1,193 @@
+package systemsim
+
+import (
+	"fmt"
+	"time"
+
+	"raventrestle/internal/protocol"
+	"raventrestle/internal/router/dispatch"
+	"raventrestle/internal/router/subscription"
+)
+
+const dialPatience = 350 * time.Millisecond
+
+// decider is what decides for a router whom it follows; *subscription.Decider is one.
+type decider interface {
+	Step(now time.Time, inputs ...subscription.Input) subscription.Output
+}
+
+// router is one router: its decider, its connections, and what is in force.
+type router struct {
+	process
+	decider decider
+	inputs  []subscription.Input
+	due     time.Duration
+	streams map[subscription.ConnectionID]*stream
+	ids     map[*stream]subscription.ConnectionID
+
+	table       table
+	generation  int64
+	confirmedAt time.Duration // world time; zero: none
+	ready       bool
+
+	pathSince time.Duration // since when it reaches every instance that reaches a majority; never: it does not
+}
+
+func newRouter(w *World, number int) *router {
+	r := &router{pathSince: never}
+	r.process = process{
+		world: w, address: fmt.Sprintf("10.%d.1.%d:7500", number%zones, number), zone: number % zones,
+		takes: r.take, opened: r.streamOpened, ended: r.streamEnded,
+	}
+	r.thawed = func() { r.wake(0) }
+	return r
+}
+
+func (r *router) start() {
+	if r.running || r.world.failure != nil {
+		return
+	}
+	r.begin()
+	r.decider = r.world.newDecider(r)
+	r.inputs, r.due = nil, 0
+	r.streams = make(map[subscription.ConnectionID]*stream)
+	r.ids = make(map[*stream]subscription.ConnectionID)
+	r.table = newTable()
+	r.generation, r.confirmedAt, r.ready = 0, 0, false
+	r.wake(0)
+}
+
+func (r *router) kill() {
+	if r.running {
+		r.world.tracef("%s is killed", r.address)
+		r.end(true)
+	}
+}
+
+// wake has the decider step after the delay at the latest.
+func (r *router) wake(delay time.Duration) {
+	now := r.world.Now()
+	at := now + max(0, delay)
+	if r.due > now && r.due <= at {
+		return
+	}
+	r.due = at
+	r.after(at-now, func() {
+		if r.due == at {
+			r.due = 0
+			r.step()
+		}
+	})
+}
+
+func (r *router) put(input subscription.Input) {
+	r.inputs = append(r.inputs, input)
+	r.wake(r.world.between(10*time.Microsecond, 300*time.Microsecond))
+}
+
+func (r *router) step() {
+	w := r.world
+	w.steps++
+	inputs := r.inputs
+	r.inputs = nil
+	out := r.decider.Step(r.clock(), inputs...)
+	for _, dial := range out.Dial {
+		r.dial(dial)
+	}
+	for _, send := range out.Send {
+		if s := r.streams[send.Connection]; s != nil {
+			s.endOf(&r.process).send(carried(send.Message))
+		}
+	}
+	for _, id := range out.Close {
+		if s := r.streams[id]; s != nil {
+			delete(r.streams, id)
+			delete(r.ids, s)
+			s.endOf(&r.process).close()
+		}
+	}
+	if out.Apply != nil {
+		change := out.Apply
+		r.after(w.between(50*time.Microsecond, 2*time.Millisecond), func() { r.apply(change) })
+	}
+	if out.ReadSeeds {
+		r.put(subscription.SeedsRead{Addresses: w.seedAddresses()})
+	}
+	for _, event := range out.Events {
+		w.tracef("%s: %T%+v", r.address, event, event)
+	}
+	r.ready = out.Ready
+	r.claim(out.ConfirmedAt)
+	if !out.WakeAt.IsZero() {
+		r.wake(out.WakeAt.Sub(r.clock()))
+	}
+}
+
+// claim takes in what the router believes to have in force.
+func (r *router) claim(confirmedAt time.Time) {
+	if confirmedAt.IsZero() {
+		return
+	}
+	r.confirmedAt = r.worldTime(confirmedAt)
+	r.world.checkClaim(r.address, r.confirmedAt, r.generation)
+}
+
+func (r *router) dial(dial subscription.Dial) {
+	to := r.world.instanceAt(dial.Address)
+	if to == nil {
+		r.put(subscription.Ended{Connection: dial.Connection})
+		return
+	}
+	s := r.world.network.dial(&r.process, &to.process, dialPatience)
+	r.streams[dial.Connection], r.ids[s] = s, dial.Connection
+}
+
+// carried is a message as it comes out at the other end.
+func carried(message any) any {
+	switch m := message.(type) {
+	case protocol.Subscribe:
+		return &m
+	case protocol.Confirm:
+		return &m
+	case protocol.Probe:
+		return &m
+	case protocol.Report:
+		return &m
+	}
+	return message
+}
+
+func (r *router) take(s *stream, message any) {
+	if id, known := r.ids[s]; known {
+		r.put(subscription.Received{Connection: id, Message: r.world.heard(message)})
+	}
+}
+
+func (r *router) streamOpened(s *stream) {
+	if id, known := r.ids[s]; known {
+		r.put(subscription.Opened{Connection: id})
+	}
+}
+
+func (r *router) streamEnded(s *stream) {
+	if id, known := r.ids[s]; known {
+		delete(r.ids, s)
+		delete(r.streams, id)
+		r.put(subscription.Ended{Connection: id, Err: errEnded})
+	}
+}
+
+// apply puts a change in force.
+func (r *router) apply(change *dispatch.ViewChanged) {
+	if change.Configuration != nil {
+		generation := change.Configuration.Generation
+		if generation < r.generation {
+			r.world.fail("monotone", "%s goes back from version %d to %d", r.address, r.generation, generation)
+		}
+		r.world.checkContent(r.address, change.Configuration)
+		r.generation = generation
+		r.world.tracef("%s has version %d in force", r.address, generation)
+	}
+	r.table.take(change)
+	r.put(subscription.Applied{})
+}
--- /dev/null
+++ b/internal/systemsim/truth.go
@@ -0,0 +1,305 @@
+package systemsim
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"raventrestle/internal/configuration"
+)
+
+// never is later than all times of a history.
+const never = time.Duration(math.MaxInt64)
+
+// The rules, as a broken one is told.
+const (
+	ruleConfirmed = "confirmed age"
+	ruleStale     = "staleness"
+	ruleMonotone  = "monotone versions"
+	ruleOneBase   = "one change on a base"
+	ruleRefused   = "acknowledged order refused"
+	ruleContent   = "content of a version"
+	ruleDrain     = "drain bound"
+	ruleHolder    = "one holder"
+	ruleMajority  = "no majority, no answer"
+	ruleReadBack  = "read back"
+)
+
+// truth is what really happened, to hold the processes against.
+type truth struct {
+	acks     []ack            // of versions, in the order of time
+	byBase   map[int64]*order // acknowledged
+	byNumber map[int64]*order
+	drained  map[string]time.Duration // by endpoint: when its draining or leaving was acknowledged to it
+	acts     []act
+	epoch    uint64        // newest that any instance has entered
+	major    time.Duration // since when more than half of the instances run and are connected; never: they are not
+}
+
+// ack: a version's acknowledgement has left an instance; newest is the highest so far.
+type ack struct {
+	at     time.Duration
+	newest int64
+}
+
+// act: an instance has acted in the single roles.
+type act struct {
+	at time.Duration
+	by *instance
+}
+
+func newTruth() truth {
+	return truth{byBase: make(map[int64]*order), byNumber: make(map[int64]*order),
+		drained: make(map[string]time.Duration), major: never}
+}
+
+// newestBefore is the highest version whose acknowledgement left an instance before a time.
+func (t *truth) newestBefore(at time.Duration) int64 {
+	for i := len(t.acks) - 1; i >= 0; i-- {
+		if t.acks[i].at < at {
+			return t.acks[i].newest
+		}
+	}
+	return 0
+}
+
+// acknowledged notes that an instance acknowledges an order.
+func (w *World) acknowledged(i *instance, o *order, generation int64) {
+	t := &w.truth
+	w.tracef("%s acknowledges version %d on %d of %s", i.address, generation, o.base, o.name)
+	if generation != o.generation {
+		w.fail(ruleContent, "order %s for version %d is acknowledged as %d", o.name, o.generation, generation)
+	}
+	if other := t.byBase[o.base]; other != nil && other != o {
+		w.fail(ruleOneBase, "%s and %s on version %d are both acknowledged", other.name, o.name, o.base)
+	}
+	if other := t.byNumber[generation]; other != nil && other != o {
+		w.fail(ruleOneBase, "%s and %s are both acknowledged as version %d", other.name, o.name, generation)
+	}
+	o.acknowledged = true
+	t.byBase[o.base], t.byNumber[generation] = o, o
+	newest := generation
+	if len(t.acks) > 0 {
+		newest = max(newest, t.acks[len(t.acks)-1].newest)
+	}
+	t.acks = append(t.acks, ack{at: w.Now(), newest: newest})
+}
+
+// refused checks a refusal of an order, which was valid when it was made.
+func (w *World) refused(i *instance, o *order, code answerCode) {
+	if o.acknowledged {
+		w.fail(ruleRefused, "%s refuses %s (%d), which was acknowledged", i.address, o.name, code)
+	}
+	if code == codeBad {
+		w.fail(ruleRefused, "%s refuses the valid order %s on %d", i.address, o.name, o.base)
+	}
+}
+
+// checkAnswered: an instance has answered a call that came at a time with more than 503.
+func (w *World) checkAnswered(i *instance, came time.Duration, grace time.Duration, what string) {
+	if i.apartSince != never && came >= i.apartSince+grace {
+		w.fail(ruleMajority, "%s answers %s, out of touch with a majority for %v",
+			i.address, what, w.Now()-i.apartSince)
+	}
+}
+
+// checkClaim holds what a process believes to be confirmed against the truth.
+func (w *World) checkClaim(who string, confirmedAt time.Duration, generation int64) {
+	if confirmedAt > w.Now() {
+		w.fail(ruleConfirmed, "%s has a proof of %v from now", who, confirmedAt-w.Now())
+	}
+	if newest := w.truth.newestBefore(confirmedAt); newest > generation {
+		w.fail(ruleConfirmed, "%s has version %d and a proof of %.3f s, before which %d was acknowledged",
+			who, generation, confirmedAt.Seconds(), newest)
+	}
+}
+
+// checkContent holds the content of a version against the order that was acknowledged.
+func (w *World) checkContent(who string, content *configuration.Configuration) {
+	o := w.truth.byNumber[content.Generation]
+	if o != nil && (len(content.Services) != 1 || content.Services[0].Name != o.name) {
+		w.fail(ruleContent, "%s has another version %d than %s", who, content.Generation, o.name)
+	}
+}
+
+// checkInstance looks at what the replica has just published.
+func (w *World) checkInstance(i *instance) {
+	if epoch := i.status.View.Epoch; epoch > w.truth.epoch {
+		w.truth.epoch = epoch
+		w.observe()
+	}
+	if i.status.ConfirmedAt.IsZero() {
+		return
+	}
+	confirmed := i.worldTime(i.status.ConfirmedAt)
+	generation, _ := i.newest()
+	w.checkClaim(i.address, confirmed, generation)
+	if i.apartSince != never && confirmed > i.apartSince {
+		w.fail(ruleMajority, "%s has a proof of %.3f s, out of touch with a majority since %.3f s",
+			i.address, confirmed.Seconds(), i.apartSince.Seconds())
+	}
+}
+
+// acted notes that an instance acts in the single roles.
+func (w *World) acted(by *instance) {
+	for _, other := range w.instances {
+		if other != by && other.acts() {
+			w.fail(ruleHolder, "%s acts beside %s", by.address, other.address)
+		}
+	}
+	acts := w.truth.acts
+	if last := len(acts) - 1; last >= 0 && acts[last].by == by {
+		acts[last].at = w.Now()
+		return
+	}
+	for _, earlier := range acts {
+		if earlier.by == by && w.Now()-earlier.at < lease {
+			w.fail(ruleHolder, "%s acts %v after its last act, another one between", by.address, w.Now()-earlier.at)
+		}
+	}
+	w.tracef("%s acts", by.address)
+	w.truth.acts = append(acts, act{at: w.Now(), by: by})
+}
+
+// checkRouters holds each router against what must be in force there by now.
+func (w *World) checkRouters() {
+	now := w.Now()
+	for _, r := range w.routers {
+		if !r.running || r.frozen {
+			continue
+		}
+		inTouch := w.inTouch(r)
+		if newest := w.truth.newestBefore(now - configBound); inTouch && r.generation < newest {
+			w.fail(ruleStale, "%s has version %d in force, %d was acknowledged over %v ago",
+				r.address, r.generation, newest, configBound)
+		}
+		w.checkOuter(r)
+		if !inTouch {
+			continue
+		}
+		for _, e := range w.endpoints {
+			if at, drained := w.truth.drained[e.id]; drained && now > at+drainBound && r.table.eligible(e.id) {
+				w.fail(ruleDrain, "%s sends to %s, acknowledged as leaving %v ago", r.address, e.id, now-at)
+			}
+		}
+	}
+}
+
+// checkOuter: trouble among the instances stretches the bound, as long as more than half of them are connected.
+func (w *World) checkOuter(r *router) {
+	const stretched = configBound + partitionBound
+	since := max(r.trouble, r.pathSince, w.truth.major, w.network.badAt)
+	if since == never || w.Now()-since < stretched {
+		return
+	}
+	if newest := w.truth.newestBefore(w.Now() - stretched); r.generation < newest {
+		w.fail(ruleStale, "%s has version %d in force, %d was acknowledged over %v ago",
+			r.address, r.generation, newest, stretched)
+	}
+}
+
+// inTouch tells whether a router is bound by the rules with a time bound.
+func (w *World) inTouch(r *router) bool {
+	since := max(r.trouble, r.pathSince, w.network.badAt, w.coreTrouble())
+	return since != never && w.Now()-since >= liveness && w.truth.major != never
+}
+
+// coreTrouble is when the instances and their links were disturbed last.
+func (w *World) coreTrouble() time.Duration {
+	at := w.network.coreAt
+	for _, i := range w.instances {
+		at = max(at, i.trouble)
+	}
+	return at
+}
+
+// observe works out anew who reaches whom.
+func (w *World) observe() {
+	now := w.Now()
+	majors := 0
+	for _, i := range w.instances {
+		i.major = w.reachesMajority(i)
+		if i.major {
+			majors++
+		}
+		i.apartSince = since(i.apartSince, now, w.apart(i))
+	}
+	w.truth.major = since(w.truth.major, now, majors > 0)
+	for _, r := range w.routers {
+		r.pathSince = since(r.pathSince, now, w.reachesAll(r))
+	}
+}
+
+// since keeps the time from which on something holds.
+func since(former, now time.Duration, holds bool) time.Duration {
+	switch {
+	case !holds:
+		return never
+	case former == never:
+		return now
+	}
+	return former
+}
+
+func (i *instance) up() bool { return i.running && !i.frozen }
+
+// reachesMajority tells whether the instance has paths to more than half of all instances.
+func (w *World) reachesMajority(i *instance) bool {
+	reached := 0
+	for _, other := range w.instances {
+		if i.up() && other.up() && w.network.path(&i.process, &other.process) {
+			reached++
+		}
+	}
+	return 2*reached > len(w.instances)
+}
+
+func (w *World) reachesAll(r *router) bool {
+	if !r.running || r.frozen {
+		return false
+	}
+	return !slices.ContainsFunc(w.instances, func(i *instance) bool {
+		return i.major && !w.network.path(&r.process, &i.process)
+	})
+}
+
+// apart tells whether messages can't go from the instance to a majority of the voters and back, by any detour.
+func (w *World) apart(i *instance) bool {
+	if !i.up() {
+		return false
+	}
+	newest := i
+	for _, other := range w.instances {
+		if other.status.View.Epoch > newest.status.View.Epoch {
+			newest = other
+		}
+	}
+	voters := newest.status.View.Voters
+	there := w.spread(i, func(a, b *instance) bool { return w.network.passes(&a.process, &b.process) })
+	back := w.spread(i, func(a, b *instance) bool { return w.network.passes(&b.process, &a.process) })
+	reached := 0
+	for _, voter := range voters {
+		other := w.instanceAt(voter.Address)
+		if other != nil && there[other] && back[other] {
+			reached++
+		}
+	}
+	return len(voters) > 0 && 2*reached <= len(voters)
+}
+
+// spread gathers who is reached from one instance over others.
+func (w *World) spread(from *instance, passes func(a, b *instance) bool) map[*instance]bool {
+	reached := map[*instance]bool{from: true}
+	list := []*instance{from}
+	for len(list) > 0 {
+		at := list[0]
+		list = list[1:]
+		for _, other := range w.instances {
+			if !reached[other] && other.up() && passes(at, other) {
+				reached[other] = true
+				list = append(list, other)
+			}
+		}
+	}
+	return reached
+}
