--- a/internal/systemsim/instance.go
+++ b/internal/systemsim/instance.go
@@ -115,7 +115,7 @@
 
 // kill ends the process; the files stand.
 func (i *instance) kill() {
-	if i.running {
+	if i.running && !i.world.quiet {
 		i.world.tracef("%s is killed", i.address)
 		i.down(true)
 		i.disk = i.disk.Kill()
