--- a/internal/systemsim/instance.go
+++ b/internal/systemsim/instance.go
@@ -44,7 +44,8 @@
 	token uint64
 
 	major      bool          // it reaches more than half of all instances
-	apartSince time.Duration // since when it reaches no majority of the voters; never: it does
+	apartSince time.Duration // since when it has no way to a majority of the voters and back; never: it has
+	deafSince  time.Duration // since when it hears no majority of the voters; never: it does
 }
 
 // replicaMessage is a message between replicas.
@@ -54,7 +55,7 @@
 }
 
 func newInstance(w *World, number int) *instance {
-	i := &instance{disk: modeldisk.New(), apartSince: never}
+	i := &instance{disk: modeldisk.New(), apartSince: never, deafSince: never}
 	i.process = process{
 		world: w, address: fmt.Sprintf("10.%d.0.%d:7500", number%zones, number), zone: number % zones,
 		takes: i.take, opened: i.streamOpened, ended: i.streamEnded,
@@ -342,7 +343,7 @@
 	return replica.Status{
 		Self: s.Self, View: s.View, Committed: s.Committed, Live: s.Live, Leader: s.Leader,
 		LeaseUntil: instant(s.LeaseUntil), LeaderSince: instant(s.LeaderSince),
-		PreviousMayAct: instant(s.PreviousMayAct),
+		PreviousMayAct: instant(s.PreviousMayAct), ConfirmedAt: instant(s.ConfirmedAt),
 	}
 }
 
--- a/internal/systemsim/process.go
+++ b/internal/systemsim/process.go
@@ -17,6 +17,7 @@
 	powered bool
 	frozen  bool
 	offset  time.Duration // of the clock of this life
+	drift   time.Duration // parts of a million by which it runs faster
 	began   time.Duration // world time
 	trouble time.Duration // newest start, end, freeze or thaw
 	backlog []func()      // what waits while it is frozen
@@ -28,6 +29,7 @@
 	p.life++
 	p.running, p.powered, p.frozen = true, true, false
 	p.offset = w.between(time.Second, time.Hour)
+	p.drift = w.between(-mostDrift, mostDrift)
 	p.began, p.trouble = w.Now(), w.Now()
 	p.backlog, p.streams = nil, nil
 	w.tracef("%s starts", p.address)
@@ -72,10 +74,24 @@
 	p.thawed()
 }
 
-// local is the time on the process's steady clock, in two forms.
-func (p *process) local() time.Duration                { return p.world.Now() + p.offset }
-func (p *process) clock() time.Time                    { return instant(p.local()) }
-func (p *process) worldTime(t time.Time) time.Duration { return t.Sub(clockBase) - p.offset }
+// local is the time on the process's steady clock, which runs a little faster or slower than the world's.
+func (p *process) local() time.Duration {
+	now := p.world.Now()
+	return p.offset + now + now*p.drift/million
+}
+
+func (p *process) clock() time.Time { return instant(p.local()) }
+
+// worldTime turns a time of the process's clock back.
+func (p *process) worldTime(t time.Time) time.Duration {
+	return (t.Sub(clockBase) - p.offset) * million / (million + p.drift)
+}
+
+const (
+	million   = 1_000_000
+	mostDrift = 200                   // parts of a million
+	rounding  = 10 * time.Microsecond // of times that were turned back
+)
 
 // clockBase is the zero of all steady clocks.
 var clockBase = time.Unix(1_000_000, 0)
