--- a/internal/systemsim/instance.go
+++ b/internal/systemsim/instance.go
@@ -45,7 +45,7 @@
 
 	major      bool          // it reaches more than half of all instances
 	apartSince time.Duration // since when it has no way to a majority of the voters and back; never: it has
-	deafSince  time.Duration // since when it hears no majority of the voters; never: it does
+	deafSince  time.Duration // since when no other instance is heard; never: one is
 }
 
 // replicaMessage is a message between replicas.
