--- a/internal/systemsim/callers.go
+++ b/internal/systemsim/callers.go
@@ -44,7 +44,8 @@
 // caller is a machine beside the world's processes that calls instances.
 type caller struct {
 	process
-	first *instance // asked first, if set
+	first      *instance // asked first, if set
+	isOperator bool
 }
 
 func newCaller(w *World, name string, zone int) caller {
@@ -68,6 +69,7 @@
 
 func (w *World) addOperator(number int) {
 	o := &operator{caller: newCaller(w, fmt.Sprintf("operator-%d", number), number%zones)}
+	o.isOperator = true
 	w.callers = append(w.callers, &o.caller)
 	w.After(w.between(500*time.Millisecond, 1500*time.Millisecond), o.next)
 }
--- a/internal/systemsim/faults.go
+++ b/internal/systemsim/faults.go
@@ -1,6 +1,10 @@
 package systemsim
 
-import "time"
+import (
+	"time"
+
+	"raventrestle/coordination/engine"
+)
 
 // Shape says what a cut of one instance takes away.
 type Shape string
@@ -69,13 +73,15 @@
 	return heal
 }
 
-// lure has all callers and a third of the routers' peers ask an instance first.
+// lure has endpoints and a third of the operators ask an instance first.
 func (w *World) lure(x *instance) {
 	w.tracef("callers ask %s first", x.address)
-	for _, c := range w.callers {
+	for n, c := range w.callers {
+		if c.isOperator && n%3 > 0 {
+			continue
+		}
 		c.first = x
 	}
-	w.lured = x
 }
 
 // faults has troubles begin and end at random until a time.
@@ -83,7 +89,7 @@
 	kinds := []func(){
 		w.cutOne, w.cutOne, w.cutOne, w.cutAndRestart, w.cutAndRestart, w.cutAndLure, w.cutLinks, w.cutRouter,
 		w.killOne, w.killSome, w.killAll, w.freezeOne, w.freezeOne, w.powerOne, w.powerAll, w.loseDisk, w.loseDisk,
-		w.killRouter, w.freezeRouter, w.badLinks, w.stallDisk,
+		w.killRouter, w.freezeRouter, w.badLinks, w.stallDisk, w.fillDisk, w.leaveOne,
 	}
 	var next func()
 	next = func() {
@@ -271,11 +277,42 @@
 	})
 }
 
+func (w *World) fillDisk() {
+	i := w.pick()
+	w.tracef("%s: disk full", i.address)
+	i.disk.Refuse, i.trouble = true, w.Now()
+	w.After(w.between(100*time.Millisecond, 3*time.Second), func() {
+		i.disk.Refuse, i.trouble = false, w.Now()
+	})
+}
+
+// leaveOne stops an instance in the planned way and starts it again.
+func (w *World) leaveOne() {
+	i := w.headOrAny()
+	if !i.up() {
+		return
+	}
+	w.tracef("%s leaves", i.address)
+	i.trouble = w.Now()
+	i.put(engine.Input{Leave: true})
+	asked := w.Now()
+	var wait func()
+	wait = func() {
+		if i.engine.Left() && i.busy <= w.Now() || w.Now()-asked > time.Second {
+			i.kill()
+			i.back()
+			return
+		}
+		i.after(10*time.Millisecond, wait)
+	}
+	i.after(10*time.Millisecond, wait)
+}
+
 // loseDisk takes one disk, once all instances have been well for long enough to bear that.
 func (w *World) loseDisk() {
 	const catchUp = 4 * time.Second
 	for _, i := range w.instances {
-		if !i.up() || i.stall > 0 {
+		if !i.up() || i.stall > 0 || i.disk.Refuse {
 			return
 		}
 	}
@@ -307,7 +344,7 @@
 		c.first = nil
 	}
 	for _, i := range w.instances {
-		i.stall = 0
+		i.stall, i.disk.Refuse = 0, false
 		i.thaw()
 		i.start(false)
 	}
--- a/internal/systemsim/history_test.go
+++ b/internal/systemsim/history_test.go
@@ -15,6 +15,7 @@
 var (
 	firstSeed = flag.Uint64("first-seed", 1, "the first seed that is played")
 	seedCount = flag.Int("seeds", seedsPlayed, "how many seeds are played")
+	measured  = flag.Int("measured", 20, "over how many seeds times are measured")
 	rules     = flag.String("rules", "", "the rules that are looked at, with commas; all if empty")
 	traced    = flag.Bool("tell", false, "tell what happens in the histories")
 )
--- a/internal/systemsim/world.go
+++ b/internal/systemsim/world.go
@@ -45,7 +45,6 @@
 	callers   []*caller // operators and endpoints
 	quiet     bool      // nothing new is called for
 	heals     []func()  // of the cuts that were made
-	lured     *instance // callers and some routers ask it first
 	truth     truth
 	steps     int
 	failure   error
