Tell routers of an endpoint that left with a sequence above all others

Cause: heartbeats that change nothing are not told to other instances, so the instance that an endpoint tells of its end may know an older sequence than a router that has heard of it elsewhere. That router dropped the news as old, confirmed the update, and kept sending to the endpoint after its end was acknowledged, without end. Change: what left is told to routers with the highest sequence; an ID never comes back. The new test fails without it (sequence 2 is told).

--- a/internal/control/registry/entry.go
+++ b/internal/control/registry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"slices"
 	"time"
 
@@ -60,10 +61,17 @@
 	return digest.Sum64()
 }
 
+// finalSequence is above all that a router may have heard of an endpoint elsewhere: heartbeats that change nothing
+// are not told to other instances, so the one that is asked to let an endpoint go may know an older sequence.
+const finalSequence = math.MaxUint64
+
 // view is the endpoint as routers get it.
 func (r *Registry) view(now time.Time, e *entry) protocol.Endpoint {
 	shown := e.endpoint
 	switch {
+	case e.left:
+		return protocol.Endpoint{ID: shown.ID, Service: shown.Service, Address: shown.Address,
+			Sequence: finalSequence, State: protocol.Gone}
 	case e.gone:
 		return protocol.Endpoint{ID: shown.ID, Service: shown.Service, Address: shown.Address,
 			Sequence: shown.Sequence, State: protocol.Gone}
--- a/internal/control/registry/registry_test.go
+++ b/internal/control/registry/registry_test.go
@@ -294,3 +294,20 @@
 		t.Errorf("when it is done: %+v", out.Changed)
 	}
 }
+
+// TestLeavingCountsAboveNewerHeartbeatsElsewhere: a router drops news whose sequence is below one that it knows, and
+// may have that from an instance that the endpoint called later.
+func TestLeavingCountsAboveNewerHeartbeatsElsewhere(t *testing.T) {
+	x := newTable(t)
+	x.beat(beat("e", 2, protocol.Ready))
+	const heardElsewhere = 1 << 40
+	out := x.leave("e")
+	if len(out.Changed) != 1 || out.Changed[0].State != protocol.Gone || out.Changed[0].Sequence <= heardElsewhere {
+		t.Errorf("routers are told %+v", out.Changed)
+	}
+	for _, shown := range x.EndpointsAndGone(x.now) {
+		if shown.ID == "e" && shown.Sequence <= heardElsewhere {
+			t.Errorf("a router that subscribes is told %+v", shown)
+		}
+	}
+}
