Take no silent endpoint that is unknown here from an instance that was cut off

Change: an instance whose table is whole takes an endpoint that it does not know only if its newest heartbeat is younger than what makes one silent. One that has just started takes what the others have kept, as before. The new test fails without it.

--- a/internal/control/registry/exchange.go
+++ b/internal/control/registry/exchange.go
@@ -52,7 +52,7 @@
 	case told.State == protocol.Gone:
 		r.mergeLeft(now, from, e, told)
 		return
-	case e == nil && record.Age > dropAfter:
+	case e == nil && record.Age > r.newsLasts():
 		return
 	case e == nil:
 		e = r.insert(told.ID)
@@ -68,6 +68,15 @@
 	}
 }
 
+// newsLasts is how old the newest heartbeat of an endpoint may be that is unknown here. Once the table is whole, one
+// that lives would have called since: its end was told to an instance that has restarted, or was forgotten here.
+func (r *Registry) newsLasts() time.Duration {
+	if r.whole {
+		return r.silentAfter()
+	}
+	return dropAfter
+}
+
 func (r *Registry) mergeLeft(now time.Time, from *peer, e *entry, told protocol.Endpoint) {
 	if e == nil {
 		e = r.insert(told.ID)
--- a/internal/control/registry/registry_test.go
+++ b/internal/control/registry/registry_test.go
@@ -311,3 +311,22 @@
 		}
 	}
 }
+
+// TestEndpointThatIsUnknownHereAndSilentThereStaysAway: an instance that was cut off tells of an endpoint whose end was
+// told to the others before they restarted.
+func TestEndpointThatIsUnknownHereAndSilentThereStaysAway(t *testing.T) {
+	x := newTable(t)
+	tell := func(id string, age time.Duration) {
+		x.step(Message{Content: &protocol.RegistryDelta{
+			Origin:  protocol.Origin{Address: "other", Incarnation: 1},
+			Records: []protocol.Record{{Endpoint: beat(id, 1, protocol.Ready), Age: age}},
+		}})
+	}
+	tell("silent", x.silentAfter()+time.Millisecond)
+	x.want("silent", protocol.Gone)
+	tell("heard", x.silentAfter()-time.Second)
+	x.want("heard", protocol.Ready)
+	x.whole = false // after a start, what others have kept is all there is
+	tell("kept", x.silentAfter()+time.Millisecond)
+	x.want("kept", protocol.Ready)
+}
