--- a/internal/systemsim/desk.go
+++ b/internal/systemsim/desk.go
@@ -74,7 +74,7 @@
 func (d *desk) soon() { d.wake(d.owner.world.between(10*time.Microsecond, 500*time.Microsecond)) }
 
 func (d *desk) run() {
-	d.owner.world.steps++
+	d.owner.countStep()
 	d.readReplica()
 	news := d.news
 	d.news = host.News{}
--- a/internal/systemsim/instance.go
+++ b/internal/systemsim/instance.go
@@ -162,7 +162,7 @@
 // step lets the replica work. What follows from it leaves once its disk is done.
 func (i *instance) step() {
 	w := i.world
-	w.steps++
+	i.countStep()
 	inputs, syncs := i.inbox, i.disk.Syncs
 	i.inbox = nil
 	now := i.local()
--- a/internal/systemsim/process.go
+++ b/internal/systemsim/process.go
@@ -21,6 +21,8 @@
 	began   time.Duration // world time
 	trouble time.Duration // newest start, end, freeze or thaw
 	backlog []func()      // what waits while it is frozen
+	stepsAt time.Duration // begin of the span in which steps are counted
+	steps   int
 	streams []*stream     // that it has an end of
 }
 
@@ -119,3 +121,23 @@
 		run()
 	}
 }
+
+// mostSteps is how often a process may step within stepSpan. One that asks to be woken at once, again and again, would
+// stop the world's time.
+const (
+	mostSteps = 20_000
+	stepSpan  = 100 * time.Millisecond
+)
+
+// countStep notes a step of one of the process's loops.
+func (p *process) countStep() {
+	w := p.world
+	w.steps++
+	p.steps++
+	if w.Now()-p.stepsAt > stepSpan {
+		p.stepsAt, p.steps = w.Now(), 0
+	}
+	if p.steps > mostSteps {
+		w.fail(ruleBusy, "%s has stepped %d times in %v", p.address, p.steps, w.Now()-p.stepsAt)
+	}
+}
--- a/internal/systemsim/router.go
+++ b/internal/systemsim/router.go
@@ -87,7 +87,7 @@
 
 func (r *router) step() {
 	w := r.world
-	w.steps++
+	r.countStep()
 	inputs := r.inputs
 	r.inputs = nil
 	out := r.decider.Step(r.clock(), inputs...)
--- a/internal/systemsim/truth.go
+++ b/internal/systemsim/truth.go
@@ -25,6 +25,7 @@
 	ruleMajority  = "no majority, no answer"
 	ruleReadBack  = "read back"
 	ruleFresh     = "fresh proof"
+	ruleBusy      = "busy loop"
 )
 
 // truth is what really happened, to hold the processes against.
