--- a/internal/systemsim/process.go
+++ b/internal/systemsim/process.go
@@ -23,7 +23,7 @@
 	backlog []func()      // what waits while it is frozen
 	stepsAt time.Duration // begin of the span in which steps are counted
 	steps   int
-	streams []*stream     // that it has an end of
+	streams []*stream // that it has an end of
 }
 
 func (p *process) begin() {
