--- a/internal/systemsim/mutant.go
+++ b/internal/systemsim/mutant.go
@@ -2,8 +2,11 @@
 
 import (
 	"math"
+	"math/rand/v2"
+	"net/netip"
 
 	"raventrestle/internal/protocol"
+	"raventrestle/internal/router/subscription"
 )
 
 // Mutant is a fault that is planted to see that the checks find it.
@@ -20,7 +23,15 @@
 
 // newDecider returns what decides for a router.
 func (w *World) newDecider(r *router) decider {
-	return newBeliever(r)
+	if w.Mutant == SettleFirst {
+		return newBeliever(r)
+	}
+	identity := subscription.Identity{Node: r.address, Zone: zoneName(r.zone), Incarnation: uint64(r.life)}
+	own := netip.MustParseAddrPort(r.address).Addr()
+	random := rand.New(rand.NewPCG(w.random.Uint64(), uint64(r.life)))
+	course := subscription.NewCourse(identity.Zone, own, random)
+	course.SetSeeds(w.seedAddresses())
+	return subscription.NewDecider(identity, course, subscription.Limits{Stale: min(configBound, drainBound) / 2})
 }
 
 // heard is a message as the router's decider gets it. Each router gets a copy, as from the wire.
