--- a/internal/systemsim/process.go
+++ b/internal/systemsim/process.go
@@ -68,12 +68,14 @@
 	p.world.tracef("%s thaws", p.address)
 	p.frozen, p.trouble = false, p.world.Now()
 	p.world.network.changed()
-	waiting := p.backlog
+	waiting, life := p.backlog, p.life
 	p.backlog = nil
 	for _, run := range waiting {
 		run()
 	}
-	p.thawed()
+	if p.life == life {
+		p.thawed()
+	}
 }
 
 // local is the time on the process's steady clock, which runs a little faster or slower than the world's.
