--- a/internal/systemsim/desk.go
+++ b/internal/systemsim/desk.go
@@ -15,8 +15,7 @@
 
 // Times of the host's loop, as those of package host.
 const (
-	statusEvery   = 100 * time.Millisecond
-	isolatedAfter = distribution.FreshFor
+	statusEvery = 100 * time.Millisecond
 )
 
 // desk does what package host does around its Desk: it reads the replica's status, then the configuration, runs
@@ -38,10 +37,7 @@
 	generation int64
 	peers      []string
 	members    []protocol.Member
-	isolated   bool
 	told       bool
-	begun      bool
-	apart      time.Duration
 }
 
 func newDesk(i *instance) desk {
@@ -213,27 +209,33 @@
 		return
 	}
 	d.statusRead = now
-	d.readPeers(now, status)
+	d.readPeers(status)
 	d.readMembers(status)
 }
 
 // readContact puts what is committed, and the contact that covers it, before all that the step takes in.
 func (d *desk) readContact(status replica.Status) {
-	later := d.news.Hub
-	d.news.Hub = nil
+	later := d.news
+	d.news = host.News{}
 	d.readConfiguration()
 	contact := distribution.Contact{Epoch: status.View.Epoch, ConfirmedAt: status.ConfirmedAt}
 	if d.owner.world.Mutant == StampFresh {
 		contact.ConfirmedAt = d.owner.clock()
 	}
+	forDrains := registry.Contact{ConfirmedAt: contact.ConfirmedAt}
+	if d.owner.world.Mutant == DrainWithoutContact {
+		forDrains.ConfirmedAt = d.owner.clock()
+	}
 	if contact != d.contact {
 		d.contact = contact
 		d.news.Hub = append(d.news.Hub, contact)
 	}
-	d.news.Hub = append(d.news.Hub, later...)
+	d.news.Registry = append(d.news.Registry, forDrains)
+	d.news.Hub = append(d.news.Hub, later.Hub...)
+	d.news.Registry = append(d.news.Registry, later.Registry...)
 }
 
-func (d *desk) readPeers(now time.Duration, status replica.Status) {
+func (d *desk) readPeers(status replica.Status) {
 	var peers []string
 	for _, member := range status.Live {
 		if member.Address != d.owner.address {
@@ -242,33 +244,10 @@
 	}
 	slices.Sort(peers)
 	peers = slices.Compact(peers)
-	isolated := d.isIsolated(now, status)
-	turned := isolated != d.isolated
-	if !d.told || turned || !slices.Equal(peers, d.peers) {
-		d.news.Registry = append(d.news.Registry, registry.Peers{Reachable: peers, Isolated: isolated})
-	}
-	d.told, d.peers, d.isolated = true, peers, isolated
-}
-
-func (d *desk) isIsolated(now time.Duration, status replica.Status) bool {
-	live := make(map[string]bool)
-	for _, member := range append(slices.Clone(status.Live), status.Self) {
-		live[member.Identity] = true
-	}
-	reached := 0
-	for _, voter := range status.View.Voters {
-		if live[voter.Identity] {
-			reached++
-		}
-	}
-	if 2*reached > len(status.View.Voters) {
-		d.apart, d.begun = 0, true
-		return false
-	}
-	if d.apart == 0 {
-		d.apart = now
+	if !d.told || !slices.Equal(peers, d.peers) {
+		d.news.Registry = append(d.news.Registry, registry.Peers{Reachable: peers})
 	}
-	return !d.begun || now-d.apart > isolatedAfter
+	d.told, d.peers = true, peers
 }
 
 func (d *desk) readMembers(status replica.Status) {
