Acknowledge no farewell that most other instances have not received

Cause: an instance whose links to the others are cut outward only still hears the head's proof for most of a second. Change: without confirmations from all, more than half of this instance and those in reach must have the record; otherwise the call is refused after ContactWithin, as without contact. TestFarewellDoesNotWaitForEver held that a farewell is acknowledged after SettleWithin although the other instance never answers; there the other now confirms that it has the record, but not that its routers do. Beside it, TestFarewellThatNobodyElseHasIsRefused fails without the change.

--- a/internal/control/registry/exchange.go
+++ b/internal/control/registry/exchange.go
@@ -119,6 +119,7 @@
 	}
 	for _, sequence := range confirm.Received {
 		delete(p.outstanding, sequence)
+		r.noteReceived(p.address, sequence)
 	}
 	for _, sequence := range confirm.InForce {
 		r.noteInForce(p.address, sequence)
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -162,6 +162,7 @@
 func (r *Registry) askAgain(now time.Time, p *peer) {
 	for _, waiting := range r.pending {
 		delete(waiting.carried, p.address)
+		delete(waiting.received, p.address)
 		delete(waiting.confirmed, p.address)
 		p.settle[waiting.id] = struct{}{}
 	}
--- a/internal/control/registry/settle.go
+++ b/internal/control/registry/settle.go
@@ -14,6 +14,7 @@
 	retryAt   time.Time         // when records whose effect is not confirmed are sent once more
 	wakeAt    time.Time         // when to look at it again, without news
 	carried   map[string]uint64 // by instance: the delta that carried the record there
+	received  map[string]bool   // by instance: it has the record
 	confirmed map[string]bool   // by instance
 }
 
@@ -40,6 +41,7 @@
 		asked:     now,
 		retryAt:   now.Add(settleRetry),
 		carried:   make(map[string]uint64),
+		received:  make(map[string]bool),
 		confirmed: make(map[string]bool),
 	}
 	r.pending[ticket] = p
@@ -71,7 +73,7 @@
 			r.answer(p, Acknowledge{Refused: true})
 		case !settled && now.Before(p.until()):
 			r.askOnceMore(now, p)
-		case !r.contact.Before(p.asked):
+		case !r.contact.Before(p.asked) && (settled || r.receivedByMost(p)):
 			r.answer(p, Acknowledge{Settled: settled})
 		case now.Before(p.asked.Add(ContactWithin)):
 			p.wakeAt = earlier(now.Add(contactEvery), p.asked.Add(ContactWithin))
@@ -122,6 +124,31 @@
 	return true
 }
 
+// receivedByMost says whether more than half of this instance and those that it can reach have the record. One that
+// the others don't hear may still hear that they are in contact.
+func (r *Registry) receivedByMost(p *pending) bool {
+	received, reachable := 1, 1
+	for address, other := range r.peers {
+		if !other.reachable {
+			continue
+		}
+		reachable++
+		if p.received[address] || p.confirmed[address] {
+			received++
+		}
+	}
+	return 2*received > reachable
+}
+
+// noteReceived: the instance has what a delta carried.
+func (r *Registry) noteReceived(address string, sequence uint64) {
+	for _, p := range r.pending {
+		if carried := p.carried[address]; carried != 0 && carried == sequence {
+			p.received[address] = true
+		}
+	}
+}
+
 // noteInForce: the instance's routers have what a delta carried.
 func (r *Registry) noteInForce(address string, sequence uint64) {
 	for _, p := range r.pending {
