Doubt silent endpoints after time without contact, until every living one has called

Cause: an endpoint says that it ends while one instance is cut off; those that know of it restart. Its table also counted as whole, and made those of the restarted ones whole. Change: without contact, and for two heartbeats after it is back, silent endpoints are told to nobody and shown in no table; then those that nobody has heard are given up. After more than silentAfter without contact the table is whole only once these two heartbeats have passed. That moment no longer waits for the next tick of a second. A new epoch without proof is no loss of contact.

--- /dev/null
+++ b/internal/control/registry/doubt_test.go
@@ -0,0 +1,152 @@
+package registry
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"raventrestle/internal/protocol"
+)
+
+// apart lets the instance be without contact for a while; endpoints that are named go on calling it.
+func (x *table) apart(span time.Duration, calling ...string) {
+	x.parted = x.now
+	for end := x.now.Add(span); x.now.Before(end); {
+		x.wait(time.Second)
+		for _, id := range calling {
+			x.beat(beat(id, x.ticket, protocol.Ready))
+		}
+	}
+}
+
+func (x *table) shows(id string) bool {
+	return slices.ContainsFunc(x.EndpointsAndGone(x.now), func(e protocol.Endpoint) bool {
+		return e.ID == id && e.State != protocol.Gone
+	})
+}
+
+// tells says whether another instance that knows nothing would be told of an endpoint.
+func (x *table) tells(id string) bool {
+	out := x.step(Message{Content: &protocol.RegistrySummary{
+		Origin: protocol.Origin{Address: "other", Incarnation: 1}, Answer: true}})
+	for _, sent := range out.Send {
+		delta, isDelta := sent.Message.(*protocol.RegistryDelta)
+		if isDelta && slices.ContainsFunc(delta.Records, func(r protocol.Record) bool { return r.Endpoint.ID == id }) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestReunitedInstanceGivesUpWhoIsNotHeard: endpoints may have said elsewhere that they end.
+func TestReunitedInstanceGivesUpWhoIsNotHeard(t *testing.T) {
+	x := newTable(t)
+	x.beat(beat("left", 1, protocol.Ready))
+	x.beat(beat("lives", 2, protocol.Ready))
+	x.apart(6*time.Second, "lives")
+	if x.shows("left") || x.tells("left") {
+		t.Error("told of, without contact and unheard")
+	}
+	if !x.shows("lives") || !x.tells("lives") {
+		t.Error("not told of, though it calls")
+	}
+	x.parted = time.Time{}
+	x.step()
+	if x.shows("left") || x.tells("left") || x.whole {
+		t.Error("no doubt is left with the first contact")
+	}
+	x.wait(x.allCalled() / 2)
+	x.beat(beat("lives", x.ticket, protocol.Ready))
+	x.wait(x.allCalled() / 2)
+	x.want("left", protocol.Gone)
+	x.want("lives", protocol.Ready)
+	if !x.whole || x.doubtful(x.now) {
+		t.Error("doubts remain")
+	}
+	x.beat(beat("left", x.ticket, protocol.Ready))
+	x.want("left", protocol.Ready)
+}
+
+// TestEndpointHeardElsewhereOutlivesTheDoubt: the others tell who has called them.
+func TestEndpointHeardElsewhereOutlivesTheDoubt(t *testing.T) {
+	x := newTable(t)
+	x.step(Peers{Reachable: []string{"other"}})
+	x.beat(beat("e", 1, protocol.Ready))
+	x.apart(6 * time.Second)
+	x.parted = time.Time{}
+	x.step(Message{Content: &protocol.RegistryDigest{
+		Origin: protocol.Origin{Address: "other", Incarnation: 1}, Alive: []uint32{NameHash("e")}}})
+	if !x.shows("e") {
+		t.Error("still kept back")
+	}
+	x.wait(x.allCalled())
+	x.want("e", protocol.Ready)
+}
+
+// TestSilentEndpointIsKeptWithContact: one that can't reach the control plane serves on.
+func TestSilentEndpointIsKeptWithContact(t *testing.T) {
+	x := newTable(t)
+	x.beat(beat("e", 1, protocol.Ready))
+	x.wait(x.silentAfter() + x.allCalled() + time.Second)
+	x.want("e", protocol.Silent)
+	if !x.shows("e") || !x.tells("e") {
+		t.Error("kept back without a doubt")
+	}
+}
+
+// TestNewEpochIsNoLossOfContact: there is no proof in it yet.
+func TestNewEpochIsNoLossOfContact(t *testing.T) {
+	x := newTable(t)
+	out := x.Step(x.now, Contact{}, Heartbeat{Ticket: 77, Endpoint: beat("e", 1, protocol.Ready)})
+	if !acknowledged(out) {
+		t.Errorf("%+v", out)
+	}
+}
+
+// TestTableIsWholeInTime: routers wait for it, so it does not wait for the next tick.
+func TestTableIsWholeInTime(t *testing.T) {
+	settings := Settings{Origin: protocol.Origin{Address: "self", Incarnation: 1}, Heartbeat: heartbeatEvery}
+	x := &table{t: t, Registry: New(settings, begin), now: begin}
+	x.step()
+	for !x.whole {
+		x.now = x.wakeAt()
+		x.step()
+	}
+	if took := x.now.Sub(begin); took != x.allCalled() {
+		t.Errorf("whole after %v, want %v", took, x.allCalled())
+	}
+}
+
+// TestDoubtfulSilenceIsNoNews: a router that has dropped the endpoint would take it for one that is there; that it is
+// given up is news all the same.
+func TestDoubtfulSilenceIsNoNews(t *testing.T) {
+	x := newTable(t)
+	x.beat(beat("e", 1, protocol.Ready))
+	x.parted = x.now
+	var told []protocol.EndpointState
+	for end := x.now.Add(dropAfter + 3*time.Second); x.now.Before(end); {
+		x.now = x.wakeAt()
+		for _, changed := range x.step().Changed {
+			told = append(told, changed.State)
+		}
+	}
+	if !slices.Equal(told, []protocol.EndpointState{protocol.Gone}) {
+		t.Errorf("routers are told the states %v", told)
+	}
+}
+
+// TestHintsOfSilentEndpointsAreKeptBack: what it heard while the others were out of reach is old by now.
+func TestHintsOfSilentEndpointsAreKeptBack(t *testing.T) {
+	x := newTable(t)
+	x.step(Peers{Reachable: []string{"other"}})
+	x.step(Peers{})
+	x.beat(beat("e", 1, protocol.Ready))
+	x.apart(6 * time.Second)
+	x.parted = time.Time{}
+	x.step(Peers{Reachable: []string{"other"}})
+	for _, sent := range x.out.Send {
+		if delta, isDelta := sent.Message.(*protocol.RegistryDelta); isDelta && len(delta.Records) > 0 {
+			t.Errorf("tells of %+v", delta.Records)
+		}
+	}
+}
--- a/internal/control/registry/exchange.go
+++ b/internal/control/registry/exchange.go
@@ -171,7 +171,7 @@
 	switch {
 	case e.left:
 		return !version.Gone
-	case e.gone, now.Sub(e.heard) > dropAfter, version.Gone:
+	case e.gone, now.Sub(e.heard) > dropAfter, version.Gone, r.dubious(now, e):
 		return false
 	case !present:
 		return true
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -211,8 +211,8 @@
 	ids := make([]string, 0, len(p.dirty))
 	for _, id := range slices.Sorted(maps.Keys(p.dirty)) {
 		e := r.entries[id]
-		if e == nil || e.gone && !e.left {
-			continue // given up here: the others judge for themselves
+		if e == nil || e.gone && !e.left || r.dubious(now, e) {
+			continue // given up here, or to be: the others judge for themselves
 		}
 		ids = append(ids, id)
 		delta.Records = append(delta.Records, r.record(now, e))
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -81,6 +81,9 @@
 	owed      []owed
 	routers   routerCount
 	whole     bool
+	wholeFrom time.Time // endpoints' calls count from then on until the table is whole
+	doubted   bool      // the last step was in doubt
+	reunited  time.Time // contact with a majority came back, and doubts remain; zero: none do
 	contact   time.Time // newest contact with a majority of the voters; zero: there was none
 	floor     uint64    // every connected router has confirmed this revision
 	revision  uint64
@@ -101,6 +104,7 @@
 	return &Registry{
 		settings:  settings,
 		started:   now,
+		wholeFrom: now,
 		lastTick:  now,
 		nextTick:  now.Add(tickEvery),
 		lastStep:  now,
@@ -203,6 +207,7 @@
 	if !now.Before(r.nextTick) {
 		r.tick(now)
 	}
+	r.judgeDoubt(now)
 	r.collectChanges(now)
 	r.settle(now)
 	r.payOwed(now)
@@ -229,7 +234,7 @@
 	case Peers:
 		r.setPeers(now, in)
 	case Contact:
-		r.contact = in.ConfirmedAt
+		r.takeContact(now, in)
 	case Routers:
 		r.routers.own = in.Connected
 		for _, p := range r.order {
@@ -265,6 +270,9 @@
 	for _, id := range slices.Sorted(maps.Keys(r.changed)) {
 		e := r.entries[id]
 		e.revision = r.revision
+		if r.dubious(now, e) {
+			continue
+		}
 		r.out.Changed = append(r.out.Changed, r.view(now, e))
 	}
 	r.out.Urgent = r.urgent
@@ -291,7 +299,7 @@
 func (r *Registry) views(now time.Time, shown func(e *entry) bool) []protocol.Endpoint {
 	table := make([]protocol.Endpoint, 0, len(r.entries))
 	for _, e := range r.entries {
-		if shown(e) {
+		if shown(e) && !r.dubious(now, e) {
 			table = append(table, r.view(now, e))
 		}
 	}
@@ -307,6 +315,9 @@
 	if !r.flushAt.IsZero() && r.flushAt.Before(wake) {
 		wake = r.flushAt
 	}
+	if ends := r.doubtEnds(); !ends.IsZero() && ends.Before(wake) {
+		wake = ends
+	}
 	for _, p := range r.pending {
 		if p.wakeAt.Before(wake) {
 			wake = p.wakeAt
--- a/internal/control/registry/silence.go
+++ b/internal/control/registry/silence.go
@@ -6,9 +6,6 @@
 func (r *Registry) tick(now time.Time) {
 	r.nextTick = now.Add(tickEvery)
 	r.lastTick = now
-	if !r.whole && now.Sub(r.started) > wholeBeats*r.settings.Heartbeat+silenceMargin {
-		r.whole = true // every endpoint that lives has called an instance by now
-	}
 	r.judgeSilence(now)
 	r.forgetLoading(now)
 	r.repeatLoading(now)
