--- a/cmd/raventrestle-control/status.go
+++ b/cmd/raventrestle-control/status.go
@@ -27,11 +27,12 @@
 	Generation int64        `json:"generation"`
 	Leader     bool         `json:"leader"`
 	LeaseMS    int64        `json:"lease_ms,omitempty"` // that is left
+	AsOfMS     *int64       `json:"as_of_ms,omitempty"` // since the newest contact with a majority; nil: none is known
 	Members    []memberView `json:"members"`
 }
 
 // statusView shows the replica's status.
-func statusView(group replica.Interface, machine *state.Machine) api.Status {
+func statusView(group replica.Interface, machine *state.Machine, confirmedAt func() time.Time) api.Status {
 	return func() any {
 		status := group.Status()
 		generation, _ := machine.Current()
@@ -46,6 +47,10 @@
 		if status.Leader {
 			view.LeaseMS = max(0, time.Until(status.LeaseUntil)).Milliseconds()
 		}
+		if newest := confirmedAt(); !newest.IsZero() {
+			age := max(0, time.Since(newest)).Milliseconds()
+			view.AsOfMS = &age
+		}
 		return view
 	}
 }
--- a/internal/control/api/server.go
+++ b/internal/control/api/server.go
@@ -31,6 +31,9 @@
 	Heartbeat(ctx context.Context, endpoint protocol.Endpoint) error
 	Leave(ctx context.Context, id string) error
 	View(ctx context.Context) (host.View, error)
+	// ConfirmedAt returns the newest moment of which this instance knows all that was acknowledged anywhere before;
+	// zero: it knows of none.
+	ConfirmedAt() time.Time
 }
 
 // ChangeKind says what became of a change.
