--- a/internal/systemsim/truth.go
+++ b/internal/systemsim/truth.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -39,7 +40,7 @@
 	epoch      uint64        // newest that any instance has entered
 	looks      int           // at routers in touch
 	looksApart int           // of these, while an instance was out of touch with a majority
-	major      time.Duration // since when more than half of the instances run and are connected; never: they are not
+	major      time.Duration // since when the instances are stable; never: they are not
 }
 
 // ack: a version's acknowledgement has left an instance; newest is the highest so far.
@@ -265,18 +266,14 @@
 // observe works out anew who reaches whom.
 func (w *World) observe() {
 	now := w.Now()
-	majors := 0
 	for _, i := range w.instances {
 		i.major = w.reachesMajority(i)
-		if i.major {
-			majors++
-		}
 		r := w.reachOf(i)
 		i.apartSince = since(i.apartSince, now, i.running && !r.majority)
 		i.cutSince = since(i.cutSince, now, i.running && !r.majority && !r.chain)
 		i.deafSince = since(i.deafSince, now, i.running && !r.anybody)
 	}
-	w.truth.major = since(w.truth.major, now, majors > 0)
+	w.truth.major = since(w.truth.major, now, w.stable())
 	for _, r := range w.routers {
 		r.pathSince = since(r.pathSince, now, w.reachesAll(r))
 	}
@@ -324,29 +321,67 @@
 }
 
 func (w *World) reachOf(i *instance) reach {
-	newest := i
-	for _, other := range w.instances {
-		if other.status.View.Epoch > newest.status.View.Epoch {
-			newest = other
-		}
-	}
 	there := w.spread(i, func(a, b *instance) bool { return w.network.passes(&a.process, &b.process) })
 	back := w.spread(i, func(a, b *instance) bool { return w.network.passes(&b.process, &a.process) })
-	count := func(members []view.Member) int {
-		reached := 0
-		for _, member := range members {
-			if other := w.instanceAt(member.Address); other != nil && there[other] && back[other] {
-				reached++
+	both := func(other *instance) bool { return there[other] && back[other] }
+	newest := w.newestView()
+	return reach{
+		majority: w.isMajority(newest.Voters, both),
+		chain:    w.countMembers(newest.Chain, both) == len(newest.Chain),
+		anybody:  len(back) > 1 || len(newest.Voters) < 2,
+	}
+}
+
+// newestView is the view of the highest epoch that any instance has told of.
+func (w *World) newestView() view.View {
+	newest := w.instances[0]
+	for _, i := range w.instances {
+		if i.status.View.Epoch > newest.status.View.Epoch {
+			newest = i
+		}
+	}
+	return newest.status.View
+}
+
+// countMembers counts the members whose present process holds. One that has lost its disk is none any more.
+func (w *World) countMembers(members []view.Member, holds func(i *instance) bool) int {
+	count := 0
+	for _, member := range members {
+		if i := w.instanceAt(member.Address); i != nil && i.status.Self.Identity == member.Identity && holds(i) {
+			count++
+		}
+	}
+	return count
+}
+
+func (w *World) isMajority(voters []view.Member, holds func(i *instance) bool) bool {
+	return len(voters) == 0 || 2*w.countMembers(voters, holds) > len(voters)
+}
+
+// stable tells whether more than half of the instances run and are all connected with each other, a majority of the
+// voters among them: a disk that was lost takes a while to be made up for.
+func (w *World) stable() bool {
+	for set := range 1 << len(w.instances) {
+		if 2*bits.OnesCount(uint(set)) > len(w.instances) && w.connected(set) {
+			in := func(i *instance) bool { return set&(1<<slices.Index(w.instances, i)) != 0 }
+			if w.isMajority(w.newestView().Voters, in) {
+				return true
 			}
 		}
-		return reached
 	}
-	voters, chain := newest.status.View.Voters, newest.status.View.Chain
-	return reach{
-		majority: 2*count(voters) > len(voters) || len(voters) == 0,
-		chain:    count(chain) == len(chain),
-		anybody:  len(back) > 1 || len(voters) < 2,
+	return false
+}
+
+func (w *World) connected(set int) bool {
+	for n, a := range w.instances {
+		for m, b := range w.instances {
+			both := set&(1<<n) != 0 && set&(1<<m) != 0
+			if both && (!a.up() || !b.up() || !w.network.path(&a.process, &b.process)) {
+				return false
+			}
+		}
 	}
+	return true
 }
 
 // spread gathers who is reached from one instance over others.
