Tell other instances after a time without contact only of endpoints heard since

Cause: an instance was frozen for 2.4 s; meanwhile an endpoint left and all others restarted. Change: while it doubts its table, an instance tells the others of no endpoint that nobody has heard since it has contact again, and does not call its table whole; what lives calls them. It gives up the rest after a heartbeat, a digest and a margin, also those not silent yet. What routers reach is told to routers once the doubts end.

--- a/internal/control/registry/doubt_test.go
+++ b/internal/control/registry/doubt_test.go
@@ -150,3 +150,57 @@
 		}
 	}
 }
+
+// TestReunitedInstanceTellsOthersOfThoseItHearsOnly: after a short time without contact nobody is silent yet, but the
+// others may have restarted, and would keep an endpoint that has left for as long as a silent one.
+func TestReunitedInstanceTellsOthersOfThoseItHearsOnly(t *testing.T) {
+	x := newTable(t)
+	x.beat(beat("left", 1, protocol.Ready))
+	x.beat(beat("lives", 2, protocol.Ready))
+	x.apart(2 * time.Second)
+	x.parted = time.Time{}
+	x.step()
+	if x.tells("left") || x.tellsWhole() {
+		t.Error("the others are told of one that nobody has heard since, or that nobody is missing")
+	}
+	if !x.shows("left") {
+		t.Error("routers lose one that may live")
+	}
+	x.beat(beat("lives", x.ticket, protocol.Ready))
+	if !x.tells("lives") {
+		t.Error("the others are not told of one that has called since")
+	}
+	x.wait(x.allHeard())
+	x.want("left", protocol.Gone)
+	x.want("lives", protocol.Ready)
+	if !x.tellsWhole() {
+		t.Error("the table is not told to be whole after the doubts")
+	}
+}
+
+func (x *table) tellsWhole() bool {
+	out := x.step(Message{Content: &protocol.RegistrySummary{Origin: protocol.Origin{Address: "other", Incarnation: 1}}})
+	return slices.ContainsFunc(out.Send, func(sent Send) bool {
+		delta, isDelta := sent.Message.(*protocol.RegistryDelta)
+		return isDelta && delta.Whole
+	})
+}
+
+// TestEndpointThatRoutersReachIsToldOnceDoubtsEnd: it is silent, but there.
+func TestEndpointThatRoutersReachIsToldOnceDoubtsEnd(t *testing.T) {
+	x := newTable(t)
+	x.beat(beat("e", 1, protocol.Ready))
+	x.apart(6 * time.Second)
+	x.parted = time.Time{}
+	x.step()
+	x.wait(time.Second)
+	x.step(RouterReport{Reached: []string{"e"}})
+	told := false
+	for x.doubtful(x.now) {
+		x.now = x.wakeAt()
+		told = slices.ContainsFunc(x.step().Changed, func(e protocol.Endpoint) bool { return e.State == protocol.Silent })
+	}
+	if !told || !x.shows("e") {
+		t.Errorf("told: %v, shown: %v", told, x.shows("e"))
+	}
+}
