--- a/internal/systemsim/faults.go
+++ b/internal/systemsim/faults.go
@@ -111,16 +111,11 @@
 
 // head is the head of the newest view that is known, or any instance.
 func (w *World) head() *instance {
-	newest := w.instances[0]
-	for _, i := range w.instances {
-		if i.status.View.Epoch > newest.status.View.Epoch {
-			newest = i
-		}
-	}
-	if len(newest.status.View.Chain) == 0 {
-		return newest
+	chain := w.newestView().Chain
+	if len(chain) == 0 {
+		return w.pick()
 	}
-	return w.instanceAt(newest.status.View.Chain[0].Address)
+	return w.instanceAt(chain[0].Address)
 }
 
 // headOrAny is the head in two of three cases.
--- a/internal/systemsim/history_test.go
+++ b/internal/systemsim/history_test.go
@@ -13,11 +13,12 @@
 )
 
 var (
-	firstSeed = flag.Uint64("first-seed", 1, "the first seed that is played")
-	seedCount = flag.Int("seeds", seedsPlayed, "how many seeds are played")
-	measured  = flag.Int("measured", measuredSeeds, "over how many seeds times are measured")
-	rules     = flag.String("rules", "", "the rules that are looked at, with commas; all if empty")
-	traced    = flag.Bool("tell", false, "tell what happens in the histories")
+	firstSeed   = flag.Uint64("first-seed", 1, "the first seed that is played")
+	seedCount   = flag.Int("seeds", seedsPlayed, "how many seeds are played")
+	courseCount = flag.Int("course-seeds", courseSeeds, "how often each course is played")
+	measured    = flag.Int("measured", measuredSeeds, "over how many seeds times are measured")
+	rules       = flag.String("rules", "", "the rules that are looked at, with commas; all if empty")
+	traced      = flag.Bool("tell", false, "tell what happens in the histories")
 )
 
 // players is how many histories are played at once.
--- /dev/null
+++ b/internal/systemsim/reach.go
@@ -0,0 +1,162 @@
+package systemsim
+
+import (
+	"math/bits"
+	"slices"
+	"time"
+
+	"raventrestle/coordination/view"
+)
+
+// inTouch tells whether a router is bound by the rules with a time bound.
+func (w *World) inTouch(r *router) bool {
+	since := max(r.trouble, r.pathSince, w.network.badAt, w.coreTrouble())
+	return since != never && w.Now()-since >= liveness && w.truth.major != never
+}
+
+// coreTrouble is when the instances and their links were disturbed last.
+func (w *World) coreTrouble() time.Duration {
+	at := w.network.coreAt
+	for _, i := range w.instances {
+		at = max(at, i.trouble)
+	}
+	return at
+}
+
+// observe works out anew who reaches whom.
+func (w *World) observe() {
+	now := w.Now()
+	for _, i := range w.instances {
+		i.major = w.reachesMajority(i)
+		r := w.reachOf(i)
+		i.apartSince = since(i.apartSince, now, i.running && !r.majority)
+		i.cutSince = since(i.cutSince, now, i.running && !r.majority && !r.chain)
+		i.deafSince = since(i.deafSince, now, i.running && !r.anybody)
+	}
+	w.truth.major = since(w.truth.major, now, w.stable())
+	for _, r := range w.routers {
+		r.pathSince = since(r.pathSince, now, w.reachesAll(r))
+	}
+}
+
+// since keeps the time from which on something holds.
+func since(former, now time.Duration, holds bool) time.Duration {
+	switch {
+	case !holds:
+		return never
+	case former == never:
+		return now
+	}
+	return former
+}
+
+func (i *instance) up() bool { return i.running && !i.frozen }
+
+// reachesMajority tells whether the instance has paths to more than half of all instances.
+func (w *World) reachesMajority(i *instance) bool {
+	reached := 0
+	for _, other := range w.instances {
+		if i.up() && other.up() && w.network.path(&i.process, &other.process) {
+			reached++
+		}
+	}
+	return 2*reached > len(w.instances)
+}
+
+func (w *World) reachesAll(r *router) bool {
+	if !r.running || r.frozen {
+		return false
+	}
+	return !slices.ContainsFunc(w.instances, func(i *instance) bool {
+		return i.major && !w.network.path(&r.process, &i.process)
+	})
+}
+
+// reach is which part of the group messages can go to and come back from, by any detour. A frozen process counts: it
+// answers once it thaws.
+type reach struct {
+	majority bool // of the voters
+	chain    bool // all its members: they alone commit, whatever the other voters do
+	anybody  bool // is heard
+}
+
+func (w *World) reachOf(i *instance) reach {
+	there := w.spread(i, func(a, b *instance) bool { return w.network.passes(&a.process, &b.process) })
+	back := w.spread(i, func(a, b *instance) bool { return w.network.passes(&b.process, &a.process) })
+	both := func(other *instance) bool { return there[other] && back[other] }
+	newest := w.newestView()
+	return reach{
+		majority: w.isMajority(newest.Voters, both),
+		chain:    w.countMembers(newest.Chain, both) == len(newest.Chain),
+		anybody:  len(back) > 1 || len(newest.Voters) < 2,
+	}
+}
+
+// newestView is the view of the highest epoch that any instance has told of.
+func (w *World) newestView() view.View {
+	newest := w.instances[0]
+	for _, i := range w.instances {
+		if i.status.View.Epoch > newest.status.View.Epoch {
+			newest = i
+		}
+	}
+	return newest.status.View
+}
+
+// countMembers counts the members whose present process holds. One that has lost its disk is none any more.
+func (w *World) countMembers(members []view.Member, holds func(i *instance) bool) int {
+	count := 0
+	for _, member := range members {
+		if i := w.instanceAt(member.Address); i != nil && i.status.Self.Identity == member.Identity && holds(i) {
+			count++
+		}
+	}
+	return count
+}
+
+func (w *World) isMajority(voters []view.Member, holds func(i *instance) bool) bool {
+	return len(voters) == 0 || 2*w.countMembers(voters, holds) > len(voters)
+}
+
+// stable tells whether more than half of the instances run and are all connected with each other, a majority of the
+// voters among them: a disk that was lost takes a while to be made up for.
+func (w *World) stable() bool {
+	for set := range 1 << len(w.instances) {
+		if 2*bits.OnesCount(uint(set)) > len(w.instances) && w.connected(set) {
+			in := func(i *instance) bool { return set&(1<<slices.Index(w.instances, i)) != 0 }
+			if w.isMajority(w.newestView().Voters, in) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (w *World) connected(set int) bool {
+	for n, a := range w.instances {
+		for m, b := range w.instances {
+			both := set&(1<<n) != 0 && set&(1<<m) != 0
+			if both && (!a.up() || !b.up() || !w.network.path(&a.process, &b.process)) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// spread gathers who is reached from one instance over others.
+func (w *World) spread(from *instance, passes func(a, b *instance) bool) map[*instance]bool {
+	reached := map[*instance]bool{from: true}
+	list := []*instance{from}
+	for len(list) > 0 {
+		at := list[0]
+		list = list[1:]
+		for _, other := range w.instances {
+			if !reached[other] && other.running && passes(at, other) {
+				reached[other] = true
+				list = append(list, other)
+			}
+		}
+	}
+	return reached
+}
--- a/internal/systemsim/scenario_test.go
+++ b/internal/systemsim/scenario_test.go
@@ -81,7 +81,7 @@
 func TestCourses(t *testing.T) {
 	for name, c := range courses {
 		t.Run(name, func(t *testing.T) {
-			eachSeed(*firstSeed, courseSeeds, func(seed uint64) {
+			eachSeed(*firstSeed, *courseCount, func(seed uint64) {
 				if err := c.play(seed, NoMutant); err != nil {
 					t.Error(err)
 				}
@@ -97,7 +97,7 @@
 		if c.shape == FromAll || c.shape == Alone {
 			continue
 		}
-		eachSeed(*firstSeed, courseSeeds, func(seed uint64) {
+		eachSeed(*firstSeed, *courseCount, func(seed uint64) {
 			if err := c.play(seed, SettleFirst); err == nil {
 				t.Errorf("%s, seed %d: nothing is broken", name, seed)
 			}
