--- a/internal/systemsim/network.go
+++ b/internal/systemsim/network.go
@@ -68,6 +68,9 @@
 	return n.cuts[pair{from, to}] == 0 && from.powered && to.powered
 }
 
+// linked tells whether nothing but an end's own state keeps packets from passing.
+func (n *network) linked(from, to *process) bool { return n.cuts[pair{from, to}] == 0 }
+
 // path tells whether packets pass in both directions.
 func (n *network) path(a, b *process) bool { return a == b || n.passes(a, b) && n.passes(b, a) }
 
