Bound how long a repeated question goes unanswered; let what overtook a large change be asked for at once

Now the time counts from the first question for that entry. - Small entries overtake a large one and are dropped; the member then waited up to 1.6 s before it asked for them, and was put out of the chain as stuck. An entry that comes by itself now makes the open question out of date. A command that is forwarded is sent again only after the time of three hops. Tests: TestLargeChangesDisturbNobody; TestCatchesUpInAStorm also plays 100 KiB every 60 ms with 2% lost.

--- a/coordination/chain/feed.go
+++ b/coordination/chain/feed.go
@@ -105,41 +105,45 @@
 // on its way is not sent again: a second one would only get in its way.
 func (n *Node) answer(p *peer, f Fetch) {
 	common := n.log.common(f.Committed, f.Ends)
-	if p.backlog.covers(n.lastStep, common, f.Number) {
+	if n.underWay(p, common, f.Number) {
 		return
 	}
-	snapshot := common < n.log.base
+	asked, snapshot, bytes := common, common < n.log.base, 0
 	if snapshot {
-		p.backlog.add(n.lastStep, common+1, n.snapshotBytes)
-		common = n.snapshot.Index
+		common, bytes = n.snapshot.Index, n.snapshotBytes
 	}
 	p.next = common + 1
-	n.push(p, f.Number, snapshot)
+	bytes += n.push(p, f.Number, snapshot)
+	p.backlog.common, p.backlog.until = asked, n.lastStep+arrival(bytes)
 }
 
-// backlog is what a peer was sent and, over a slow link, does not have yet.
+// backlog is the newest question of a peer, and how long its answer may be on its way over a slow link.
 type backlog struct {
-	from   uint64        // index of the first entry
-	until  time.Duration // all should have arrived
-	number uint64        // of the peer's newest question
+	common uint64 // what follows this entry was asked for
+	number uint64 // of the question; 0: there was none in this epoch
+	until  time.Duration
 }
 
-func (b *backlog) add(now time.Duration, first uint64, bytes int) {
-	if now >= b.until {
-		b.from, b.until = first, now
-	}
-	b.until += arrival(bytes)
-}
-
-// covers tells whether what follows an entry may still be on its way to the life of the peer that asks for it.
-func (b *backlog) covers(now time.Duration, common, number uint64) bool {
+// underWay tells whether what a peer asks for was sent to the life of it that asks, and may still be on its way. It is
+// so for a bounded time after the peer has first asked for it, whatever else is sent meanwhile.
+func (n *Node) underWay(p *peer, common, number uint64) bool {
 	const questions = 16 // that one life asks in a row, at most
-	same := number > b.number && number-b.number <= questions
-	b.number = number
-	if !same {
-		b.until = 0
+	before := p.backlog
+	sameLife := before.number > 0 && number > before.number && number-before.number <= questions
+	p.backlog.number = number
+	if sameLife && common == before.common {
+		return n.lastStep < before.until
 	}
-	return b.until-now > arrival(shortAnswer) && common+1 >= b.from
+	p.backlog.common, p.backlog.until = common, 0
+	bytes := 0
+	if p.next > common+1 {
+		bytes = n.bytesAfter(common) - n.bytesAfter(p.next-1)
+	}
+	if !sameLife || bytes <= shortAnswer {
+		return false
+	}
+	p.backlog.until = n.lastStep + arrival(bytes)
+	return true
 }
 
 // arrival is how long so many bytes take over a slow link.
@@ -153,10 +157,9 @@
 	return n.committed
 }
 
-// push sends the peer the next entries.
-func (n *Node) push(p *peer, answer uint64, snapshot bool) {
+// push sends the peer the next entries, and returns how many bytes of commands they have.
+func (n *Node) push(p *peer, answer uint64, snapshot bool) (bytes int) {
 	a := Append{Answer: answer, Previous: p.next - 1, Committed: n.committed, Start: n.start}
-	bytes := 0
 	if snapshot {
 		a.More = n.limit(p) >= p.next // by itself it is large enough
 	} else if n.limit(p) >= p.next && p.next > n.log.base {
@@ -169,11 +172,14 @@
 			a.Entries = append(a.Entries, entry)
 		}
 	}
-	p.backlog.add(n.lastStep, p.next, bytes)
+	if bytes > shortAnswer && p.backlog.common == a.Previous { // it has asked for this before there was anything
+		p.backlog.until = n.lastStep + arrival(bytes)
+	}
 	p.next += uint64(len(a.Entries))
 	p.waiting = a.More
 	n.send(p.member, Message{Append: &a})
 	n.out.Messages[len(n.out.Messages)-1].AttachSnapshot = snapshot
+	return bytes
 }
 
 // pushAll sends new entries to everybody downstream that keeps up. One that has not asked since this node's start
@@ -223,7 +229,9 @@
 		}
 		return
 	}
-	n.take(a)
+	if n.take(a) && !asked {
+		n.feed.askedAt, n.feed.tries = 0, 0 // an open question is out of date: what was small has overtaken what has come now
+	}
 	n.becomeWhole(a)
 	n.learnCommitted(a.Committed)
 	if a.More && asked {
@@ -254,18 +262,20 @@
 	return true
 }
 
-// take appends the entries that follow the log.
-func (n *Node) take(a Append) {
+// take appends the entries that follow the log, and tells whether there were any.
+func (n *Node) take(a Append) (grown bool) {
 	for i := range a.Entries {
 		entry := a.Entries[i]
 		if entry.Index != n.log.last()+1 {
 			continue
 		}
+		grown = true
 		n.log.append(entry)
 		if !n.refusing {
 			n.persist(record{Entry: &entry})
 		}
 	}
+	return grown
 }
 
 // becomeWhole notes that the log has reached the beginning of the epoch.
--- a/coordination/chain/requests.go
+++ b/coordination/chain/requests.go
@@ -5,14 +5,15 @@
 	"time"
 )
 
-// forwardAgain is when a command is sent to the same head again; a large one may still be on its way then, and gets more.
+// forwardAgain is when a command is sent to the same head again; a large one, which may still be on its way there or down
+// the chain then, gets more.
 const forwardAgain = 300 * time.Millisecond
 
 func forwardWait(bytes int) time.Duration {
 	if bytes <= shortAnswer {
 		return forwardAgain
 	}
-	return forwardAgain + arrival(bytes)
+	return forwardAgain + 3*arrival(bytes)
 }
 
 // openEntries and openBytes bound what the head takes before it is committed.
