--- a/coordination/simnet/catchup_test.go
+++ b/coordination/simnet/catchup_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -151,6 +152,48 @@
 	})
 }
 
+// slowHistory plays all faults on links of 10 Mbit/s, with commands of up to 300 KiB among small ones.
+func slowHistory(seed uint64) (*World, error) {
+	setup := setupOf(seed)
+	setup.Rate, setup.Sizes = slowLink, Sizes{Compact: 200 << 10, Keep: 20 << 10, Segment: 100 << 10}
+	w := NewWorld(setup)
+	_ = w.Run(settling)
+	var next func()
+	next = func() {
+		if w.finishing {
+			return
+		}
+		w.commands++
+		size := w.random.IntN(3 << 10)
+		if w.commands%20 == 0 {
+			size = w.random.IntN(300 << 10)
+		}
+		w.propose(w.pick(), fmt.Sprintf("c%d %*s", w.commands, size, ""))
+		w.after(w.between(5*time.Millisecond, 200*time.Millisecond), next)
+	}
+	next()
+	w.faults(w.now + troubled)
+	if err := w.Run(troubled); err != nil {
+		return w, err
+	}
+	return w, w.Finish()
+}
+
+// Everything holds on slow links too. SLOW_SEEDS plays more.
+func TestHistoriesOnSlowLinks(t *testing.T) {
+	count := environment(t, "SLOW_SEEDS", 2*scenarioSeeds)
+	var steps, acked atomic.Int64
+	eachSeed(1, count, func(seed uint64) {
+		w, err := slowHistory(seed)
+		if err != nil {
+			t.Error(err)
+		}
+		steps.Add(int64(w.steps))
+		acked.Add(int64(len(w.ledger.acked)))
+	})
+	t.Logf("%d histories, %d steps, %d commands acknowledged", count, steps.Load(), acked.Load())
+}
+
 // diskBytes is what a machine's files take.
 func diskBytes(t *testing.T, m *machine) (bytes int) {
 	t.Helper()
--- a/coordination/simnet/membership_test.go
+++ b/coordination/simnet/membership_test.go
@@ -62,12 +62,15 @@
 	}
 }
 
+// membershipSeeds is how often each of these scenarios is played; MEMBERSHIP_SEEDS plays more.
+func membershipSeeds(t *testing.T) int { return environment(t, "MEMBERSHIP_SEEDS", scenarioSeeds) }
+
 // A group bears its losses from soon after its start on.
 func TestLossesAreBorneSoonAfterTheStart(t *testing.T) {
 	for _, s := range sizes() {
 		t.Run(s.String(), func(t *testing.T) {
 			var taken figures
-			eachSeed(1, scenarioSeeds, func(seed uint64) {
+			eachSeed(1, membershipSeeds(t), func(seed uint64) {
 				w := NewWorld(Setup{Seed: seed, Machines: s.machines, Seeds: 3, Faults: s.faults})
 				_ = w.Run(300 * time.Millisecond) // all have started
 				w.clients(w.now+time.Hour, 5*time.Millisecond, 60*time.Millisecond)
@@ -106,7 +109,7 @@
 	for _, s := range sizes() {
 		t.Run(s.String(), func(t *testing.T) {
 			var taken figures
-			eachSeed(1, scenarioSeeds, func(seed uint64) {
+			eachSeed(1, membershipSeeds(t), func(seed uint64) {
 				took, err := repairs(seed, s, mutation.Set{})
 				if err != nil {
 					t.Error(err)
@@ -169,7 +172,7 @@
 	for _, s := range sizes() {
 		t.Run(s.String(), func(t *testing.T) {
 			var left, stayed figures
-			eachSeed(1, 3*scenarioSeeds, func(seed uint64) {
+			eachSeed(1, 3*membershipSeeds(t), func(seed uint64) {
 				gone, err := leaveForGood(seed, s, mutation.Set{})
 				if err != nil {
 					t.Error(err)
--- a/internal/control/roles/fencing_test.go
+++ b/internal/control/roles/fencing_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -195,8 +197,16 @@
 	return f.failure
 }
 
+// TestOrdersAreFencedOnTheSimulatedChain plays FENCING_SEEDS seeds.
 func TestOrdersAreFencedOnTheSimulatedChain(t *testing.T) {
-	const seeds = 12
+	seeds := uint64(12)
+	if text := os.Getenv("FENCING_SEEDS"); text != "" {
+		more, err := strconv.ParseUint(text, 10, 32)
+		if err != nil {
+			t.Fatal(err)
+		}
+		seeds = more
+	}
 	orders, handed := 0, 0
 	for seed := uint64(1); seed <= seeds; seed++ {
 		f := &fencing{}
@@ -207,7 +217,7 @@
 		handed += f.handed
 	}
 	t.Logf("%d histories, %d orders, %d changes of holder", seeds, orders, handed)
-	if handed < seeds {
+	if handed < int(seeds) {
 		t.Error("the role hardly ever changes")
 	}
 }
