Ask again only after a pause for what the neighbour lacks too; ignore a question that comes late

Need: found by counting questions in a storm with changes of 4 MiB. A doubled question that came late was taken for one of a new life, and the large answer was sent again. Test: TestLargeChangesDisturbNobody bounds the questions (seen to fail without the pause).

--- a/coordination/chain/feed.go
+++ b/coordination/chain/feed.go
@@ -20,6 +20,7 @@
 	settled uint64        // those up to here have their answer, or were asked in an earlier epoch
 	askedAt time.Duration // it was sent; 0 when none is out
 	tries   int           // since the last answer
+	pause   time.Duration // nothing is asked before: the last answer had nothing
 	lagging time.Duration // since when the head is known to have more
 }
 
@@ -31,7 +32,11 @@
 	if !n.lacking(now) {
 		return
 	}
-	if again := n.feed.askedAt + n.fetchAgain(); n.feed.askedAt > 0 && now < again {
+	again := n.feed.pause
+	if n.feed.askedAt > 0 {
+		again = max(again, n.feed.askedAt+n.fetchAgain())
+	}
+	if now < again {
 		n.wakeBy(again)
 		return
 	}
@@ -127,8 +132,11 @@
 // underWay tells whether what a peer asks for was sent to the life of it that asks, and may still be on its way. It is
 // so for a bounded time after the peer has first asked for it, whatever else is sent meanwhile.
 func (n *Node) underWay(p *peer, common, number uint64) bool {
-	const questions = 16 // that one life asks in a row, at most
+	const questions = 1 << 16 // that one life asks in an epoch, about; another one begins at random
 	before := p.backlog
+	if number <= before.number && before.number-number <= questions {
+		return true // it comes late; a newer one is answered
+	}
 	sameLife := before.number > 0 && number > before.number && number-before.number <= questions
 	p.backlog.number = number
 	if sameLife && common == before.common {
@@ -229,9 +237,7 @@
 		}
 		return
 	}
-	if n.take(a) && !asked {
-		n.feed.askedAt, n.feed.tries = 0, 0 // an open question is out of date: what was small has overtaken what has come now
-	}
+	n.noteTaken(now, asked, n.take(a))
 	n.becomeWhole(a)
 	n.learnCommitted(a.Committed)
 	if a.More && asked {
@@ -240,6 +246,19 @@
 	n.pushAll()
 }
 
+// noteTaken says when to ask next. Where an answer had nothing, the upstream member lacks it itself. Where entries came
+// by themselves, an open question is out of date: what was small has overtaken what has come now.
+func (n *Node) noteTaken(now time.Duration, asked, grown bool) {
+	switch {
+	case grown && !asked:
+		n.feed.askedAt, n.feed.tries, n.feed.pause = 0, 0, 0
+	case asked && !grown:
+		n.feed.pause = now + n.timing.Retry
+	case grown:
+		n.feed.pause = 0
+	}
+}
+
 // adopt makes the log a beginning of the upstream member's, once in an epoch: what that one does not hold was
 // never committed. From then on the log only grows.
 func (n *Node) adopt(a Append) bool {
--- a/coordination/simnet/catchup_test.go
+++ b/coordination/simnet/catchup_test.go
@@ -137,12 +137,15 @@
 }
 
 // A change of 4 MiB takes 3.4 s over each of these links, and all that follows it waits. Nobody is taken for dead or
-// stuck meanwhile.
+// stuck meanwhile, and nobody asks again and again for what its neighbour lacks too.
 func TestLargeChangesDisturbNobody(t *testing.T) {
 	eachSeed(1, scenarioSeeds, func(seed uint64) {
 		w := stormy(seed, weather{2 << 10, 4 << 20, 200, slowLink, 0})
-		before, acknowledged := w.newestView().Epoch, w.ledger.newest
+		before, acknowledged, asked := w.newestView().Epoch, w.ledger.newest, w.questions
 		_ = w.Run(36 * time.Second)
+		if w.questions > asked+200 {
+			t.Errorf("seed %d: %d questions", seed, w.questions-asked)
+		}
 		if after := w.newestView().Epoch; after != before {
 			t.Errorf("seed %d: epoch %d has become %d", seed, before, after)
 		}
--- a/coordination/simnet/network.go
+++ b/coordination/simnet/network.go
@@ -21,6 +21,9 @@
 // send brings a message over a link. Messages may overtake each other and come twice; a large one that takes its time
 // does not, because that would be a link at half its rate.
 func (w *World) send(from *machine, envelope chain.Envelope) {
+	if envelope.Message.Fetch != nil {
+		w.questions++
+	}
 	if w.lostOnTheWay(from.address, envelope.Address) {
 		return
 	}
--- a/coordination/simnet/world.go
+++ b/coordination/simnet/world.go
@@ -45,6 +45,7 @@
 	links     links
 	ledger    ledger
 	steps     int
+	questions int  // sent by members that lack entries
 	commands  int  // proposed by clients
 	finishing bool // clients have stopped
 	failure   error
