Test that a question that comes again is not answered again

Cause: a link may bring a Fetch twice. The second copy was answered whole once more, and 4 MiB more on a link of 10 Mbit/s kept the successor from all that is new until it was put out as stuck. Change: the test. Without the mend it fails ("question 1000 is answered again").

--- /dev/null
+++ b/coordination/chain/feed_test.go
@@ -0,0 +1,67 @@
+package chain
+
+import (
+	"testing"
+	"time"
+
+	"raventrestle/coordination/view"
+)
+
+// answersIn counts the answers to questions that a step gives.
+func answersIn(out Output) (answers int) {
+	for _, envelope := range out.Messages {
+		if a := envelope.Message.Append; a != nil && a.Answer != 0 {
+			answers++
+		}
+	}
+	return answers
+}
+
+// upstream is a head with one large entry, and its successor, which has nothing.
+type upstream struct {
+	t    *testing.T
+	head *Node
+	asks view.Member
+}
+
+func newUpstream(t *testing.T) upstream {
+	t.Helper()
+	u := upstream{t: t, head: founder(t, 0)}
+	u.asks = u.head.View().Chain[1]
+	u.head.Propose(time.Second, make([]byte, 1<<20))
+	u.head.Persisted()
+	return u
+}
+
+// ask has the successor ask for everything, and returns how many answers it gets.
+func (u upstream) ask(at time.Duration, number uint64) int {
+	u.t.Helper()
+	out := u.head.Receive(at, u.asks.Address,
+		Message{From: u.asks.Identity, Epoch: 1, Fetch: &Fetch{Number: number}})
+	u.head.Persisted()
+	return answersIn(out)
+}
+
+// A question that comes a second time, also after newer ones, is not answered a second time: with large entries the
+// second answer would keep a slow link from all that is new.
+func TestQuestionThatComesAgainIsNotAnswered(t *testing.T) {
+	const first = 1000
+	u := newUpstream(t)
+	at := 2 * time.Second
+	if u.ask(at, first) != 1 {
+		t.Fatal("the first question is not answered")
+	}
+	at += 3 * time.Second // the answer was lost
+	if u.ask(at, first+1) != 1 {
+		t.Fatal("the second question is not answered")
+	}
+	at += 3 * time.Second
+	for _, number := range []uint64{first, first + 1} {
+		if u.ask(at, number) != 0 {
+			t.Errorf("question %d is answered again", number)
+		}
+	}
+	if u.ask(at, first+2) != 1 {
+		t.Error("the third question is not answered")
+	}
+}
