Know an old copy of a question also after many newer ones

Cause: a question more than 16 numbers back counted as that of another life. Members ask far more often than that within the 3 s in which a copy may be late, so a late copy was answered with everything, and the next question of the life that really asks was then new too. A second 4 MiB on its way kept the successor behind until it was put out. Change: 2^20 numbers; two lives begin at random ones of 2^63. Test: TestOldCopyIsNoOtherLife; without the change an old copy is answered, and so is the next question.

--- a/coordination/chain/feed.go
+++ b/coordination/chain/feed.go
@@ -127,7 +127,7 @@
 // underWay tells whether what a peer asks for was sent to the life of it that asks, and may still be on its way. It is
 // so for a bounded time after the peer has first asked for it, whatever else is sent meanwhile.
 func (n *Node) underWay(p *peer, common, number uint64) bool {
-	const questions = 16 // that one life asks in a row, at most
+	const questions = 1 << 20 // more than are asked while a copy is on its way; two lives are farther apart, nearly always
 	before := p.backlog
 	if before.number > 0 && number <= before.number && before.number-number <= questions {
 		return true // it came before, or a newer one did: that one has its answer
--- a/coordination/chain/feed_test.go
+++ b/coordination/chain/feed_test.go
@@ -65,3 +65,28 @@
 		t.Error("the third question is not answered")
 	}
 }
+
+// A copy that comes after many newer questions is known for one too; it is not taken for the question of another life,
+// which would be answered at once, and so would the next one of the life that asks.
+func TestOldCopyIsNoOtherLife(t *testing.T) {
+	const first, newest = 1000, 1400
+	u := newUpstream(t)
+	at := 2 * time.Second
+	for number := uint64(first); number < newest; number++ {
+		u.ask(at, number)
+		at += 10 * time.Millisecond
+	}
+	at += 3 * time.Second
+	if u.ask(at, newest) != 1 {
+		t.Fatal("the newest question is not answered")
+	}
+	if u.ask(at, first) != 0 {
+		t.Error("an old copy is answered")
+	}
+	if u.ask(at, newest+1) != 0 {
+		t.Error("what is on its way is sent again after an old copy")
+	}
+	if u.ask(at, 1<<40) != 1 {
+		t.Error("another life is not answered")
+	}
+}
