Rest after an answer that brought nothing

Cause: a member whose upstream member lacks the same large entry was answered with nothing, and asked again in the same step: a question each 2 ms for seconds, 600 and more for one change of 4 MiB. Change: after such an answer it waits as long as before it repeats a lost question. What comes meanwhile is sent unasked. Test: TestNothingIsFollowedByARest; without the change it asks again at once.

--- a/coordination/chain/feed.go
+++ b/coordination/chain/feed.go
@@ -20,6 +20,7 @@
 	settled uint64        // those up to here have their answer, or were asked in an earlier epoch
 	askedAt time.Duration // it was sent; 0 when none is out
 	tries   int           // since the last answer
+	restsBy time.Duration // until then nothing is asked: the newest answer brought nothing
 	lagging time.Duration // since when the head is known to have more
 }
 
@@ -31,6 +32,10 @@
 	if !n.lacking(now) {
 		return
 	}
+	if now < n.feed.restsBy {
+		n.wakeBy(n.feed.restsBy)
+		return
+	}
 	if again := n.feed.askedAt + n.fetchAgain(); n.feed.askedAt > 0 && now < again {
 		n.wakeBy(again)
 		return
@@ -232,8 +237,11 @@
 		}
 		return
 	}
-	if n.take(a) && !asked {
+	switch grown := n.take(a); {
+	case grown && !asked:
 		n.feed.askedAt, n.feed.tries = 0, 0 // an open question is out of date: what was small has overtaken what has come now
+	case !grown && asked && !a.More && len(a.Snapshot) == 0:
+		n.feed.restsBy = now + n.timing.Retry // the upstream member has no more itself, and sends what comes unasked
 	}
 	n.becomeWhole(a)
 	n.learnCommitted(a.Committed)
--- a/coordination/chain/feed_test.go
+++ b/coordination/chain/feed_test.go
@@ -7,6 +7,16 @@
 	"raventrestle/coordination/view"
 )
 
+// fetchesIn lists the questions that a step asks.
+func fetchesIn(out Output) (fetches []Fetch) {
+	for _, envelope := range out.Messages {
+		if envelope.Message.Fetch != nil {
+			fetches = append(fetches, *envelope.Message.Fetch)
+		}
+	}
+	return fetches
+}
+
 // answersIn counts the answers to questions that a step gives.
 func answersIn(out Output) (answers int) {
 	for _, envelope := range out.Messages {
@@ -90,3 +100,59 @@
 		t.Error("another life is not answered")
 	}
 }
+
+// lagging is a member of the chain that a head tells of entries which it lacks.
+type lagging struct {
+	t    *testing.T
+	node *Node
+	head view.Member
+	at   time.Duration
+}
+
+// receive hands a message of the head to the member, and returns what it asks for then.
+func (f *lagging) receive(m Message) []Fetch {
+	m.From, m.Epoch = f.head.Identity, 1
+	out := f.node.Receive(f.at, f.head.Address, m)
+	f.node.Persisted()
+	return fetchesIn(out)
+}
+
+// ping tells of entries that the member lacks, some time later.
+func (f *lagging) ping() []Fetch {
+	f.at += 50 * time.Millisecond
+	return f.receive(Message{Ping: &Ping{Life: 1, Sent: f.at, Last: 5}})
+}
+
+// answer has the member ask, and answers that there is nothing. It returns what is asked for at once.
+func (f *lagging) answer() []Fetch {
+	f.t.Helper()
+	for until := f.at + time.Second; f.at < until; {
+		if asked := f.ping(); len(asked) > 0 {
+			return f.receive(Message{Append: &Append{Answer: asked[0].Number}})
+		}
+	}
+	f.t.Fatal("the member does not ask for what it lacks")
+	return nil
+}
+
+// A member whose upstream member has nothing more itself doesn't ask again at once, and does some time later.
+func TestNothingIsFollowedByARest(t *testing.T) {
+	n := founder(t, 1)
+	f := &lagging{t: t, node: n, head: n.View().Head(), at: time.Second}
+	f.answer() // now it is whole, and asks because it lags
+	if again := f.answer(); len(again) > 0 {
+		t.Errorf("asks again at once: %+v", again)
+	}
+	answered := f.at
+	if n.Wake() > answered+n.timing.Retry {
+		t.Errorf("answered at %v, wakes at %v", answered, n.Wake())
+	}
+	for f.at < answered+n.timing.Retry-50*time.Millisecond {
+		if again := f.ping(); len(again) > 0 {
+			t.Errorf("asks again after %v: %+v", f.at-answered, again)
+		}
+	}
+	if len(f.ping()) != 1 {
+		t.Error("does not ask again after the rest")
+	}
+}
