--- a/coordination/simnet/catchup_test.go
+++ b/coordination/simnet/catchup_test.go
@@ -137,9 +137,9 @@
 }
 
 // A change of 4 MiB takes 3.4 s over each of these links, and all that follows it waits. Nobody is taken for dead or
-// stuck meanwhile.
+// stuck meanwhile. SLOW_SEEDS plays more.
 func TestLargeChangesDisturbNobody(t *testing.T) {
-	eachSeed(1, scenarioSeeds, func(seed uint64) {
+	eachSeed(1, environment(t, "SLOW_SEEDS", scenarioSeeds), func(seed uint64) {
 		w := stormy(seed, weather{2 << 10, 4 << 20, 200, slowLink, 0})
 		before, acknowledged := w.newestView().Epoch, w.ledger.newest
 		_ = w.Run(36 * time.Second)
