--- a/internal/systemsim/scenario_test.go
+++ b/internal/systemsim/scenario_test.go
@@ -211,3 +211,27 @@
 		})
 	}
 }
+
+// mostCalmFarewell is how long the end of an endpoint may wait for its acknowledgement while nothing is wrong. The
+// endpoint asks elsewhere after a second.
+const mostCalmFarewell = 700 * time.Millisecond
+
+// TestCalmFarewells: proofs and other instances' receipts must not make endpoints wait where nothing is wrong.
+func TestCalmFarewells(t *testing.T) {
+	var taken figures
+	eachSeed(*firstSeed, *measured, func(seed uint64) {
+		w := NewWorld(SetupOf(seed))
+		if err := w.Run(settling + troubled); err != nil {
+			t.Error(err)
+		}
+		for _, e := range w.endpoints {
+			if at, drained := w.truth.drained[e.id]; drained {
+				taken.add(at - e.since)
+			}
+		}
+	})
+	taken.log(t, "from an endpoint's end to its acknowledgement in calm times")
+	if len(taken.list) > 0 && taken.list[len(taken.list)-1] > mostCalmFarewell {
+		t.Errorf("the longest is above %v", mostCalmFarewell)
+	}
+}
