Let an instance that is needed wait for nearly all of its grace before it goes

Need: a member that is told to end goes only when f+1 others hold everything. It waited 2 s, whatever grace_s is, and a repair takes up to catch_up_s: it could go as one of the last copies with seconds of grace left.

--- a/cmd/raventrestle-control/instance.go
+++ b/cmd/raventrestle-control/instance.go
@@ -27,8 +27,7 @@
 )
 
 const (
-	handOverWithin = 2 * time.Second
-	answerWithin   = 700 * time.Millisecond // calls under way at the end
+	answerWithin = 700 * time.Millisecond // calls under way at the end
 
 	reservedFiles    = 200 // of the descriptors
 	leastConnections = 256
@@ -44,6 +43,8 @@
 	cancel  context.CancelFunc
 	tasks   sync.WaitGroup
 	failed  chan error
+
+	handOver time.Duration // that it may wait at its end for others to hold what it holds
 }
 
 // gate hands what arrives to the host, once there is one.
@@ -84,7 +85,8 @@
 	}
 	origin := protocol.Origin{Address: self, Incarnation: incarnation}
 	entrance := &gate{}
-	i := &instance{cancel: cancel, failed: make(chan error, 1), mesh: transport.NewMesh(codec, self, entrance)}
+	i := &instance{cancel: cancel, failed: make(chan error, 1), mesh: transport.NewMesh(codec, self, entrance),
+		handOver: handOverTime(settings.Bounds.Grace)}
 	machine := state.New()
 	group, err := openReplica(settings, self, replicaTransport{mesh: i.mesh, self: self}, machine, events)
 	if err != nil {
@@ -157,7 +159,7 @@
 // stop hands the roles over, answers what is under way and ends.
 func (i *instance) stop(ctx context.Context) error {
 	i.holder.Stop()
-	handOver, cancel := context.WithTimeout(ctx, handOverWithin)
+	handOver, cancel := context.WithTimeout(ctx, i.handOver)
 	defer cancel()
 	stopped := i.replica.Stop(handOver)
 	answer, cancelAnswer := context.WithTimeout(ctx, answerWithin)
