--- a/internal/control/registry/doubt.go
+++ b/internal/control/registry/doubt.go
@@ -11,12 +11,12 @@
 // takeContact notes the newest contact with a majority. There is none yet in a new epoch: what was proved in one before
 // holds on.
 func (r *Registry) takeContact(now time.Time, in Contact) {
-	former := r.contact
+	former := later(r.contact, r.started)
 	wasIsolated := r.isolated(now)
 	if !in.ConfirmedAt.IsZero() {
 		r.contact = in.ConfirmedAt
 	}
-	if former.IsZero() || !wasIsolated || r.isolated(now) {
+	if now.Sub(former) <= IsolatedAfter || !wasIsolated || r.isolated(now) {
 		return
 	}
 	r.reunited = now
--- a/internal/control/registry/doubt_test.go
+++ b/internal/control/registry/doubt_test.go
@@ -204,3 +204,21 @@
 		t.Errorf("told: %v, shown: %v", told, x.shows("e"))
 	}
 }
+
+// TestFirstContactThatComesLateLeavesDoubtsToo: a process may start while it is cut off, and hear endpoints.
+func TestFirstContactThatComesLateLeavesDoubtsToo(t *testing.T) {
+	settings := Settings{Origin: protocol.Origin{Address: "self", Incarnation: 1}, Heartbeat: heartbeatEvery}
+	x := &table{t: t, Registry: New(settings, begin), now: begin}
+	step := func(inputs ...Input) { x.Step(x.now, append([]Input{Contact{}}, inputs...)...) }
+	step(Heartbeat{Ticket: 1, Endpoint: beat("e", 1, protocol.Ready)})
+	for range 6 {
+		x.now = x.now.Add(time.Second)
+		step()
+	}
+	x.step()
+	if x.shows("e") || x.whole {
+		t.Error("no doubt is left with the first contact")
+	}
+	x.wait(x.allHeard())
+	x.want("e", protocol.Gone)
+}
