--- a/internal/systemsim/faults.go
+++ b/internal/systemsim/faults.go
@@ -96,7 +96,9 @@
 		if w.Now() >= until {
 			return
 		}
-		kinds[w.random.IntN(len(kinds))]()
+		if w.Now() >= w.repaired {
+			kinds[w.random.IntN(len(kinds))]()
+		}
 		pause := w.between(50*time.Millisecond, 2*time.Second)
 		if w.oneIn(2) {
 			pause = w.between(3*time.Second, 8*time.Second)
@@ -310,9 +312,11 @@
 	i.after(10*time.Millisecond, wait)
 }
 
+// catchUp is how long after the loss of a disk the next fault may come: more at a time than one need not be borne.
+const catchUp = 4 * time.Second
+
 // loseDisk takes one disk, once all instances have been well for long enough to bear that.
 func (w *World) loseDisk() {
-	const catchUp = 4 * time.Second
 	for _, i := range w.instances {
 		if !i.up() || i.stall > 0 || i.disk.Refuse {
 			return
@@ -322,6 +326,7 @@
 		return
 	}
 	i := w.headOrAny()
+	w.repaired = w.Now() + catchUp
 	i.wipe()
 	i.back()
 	if w.oneIn(2) {
--- a/internal/systemsim/world.go
+++ b/internal/systemsim/world.go
@@ -42,10 +42,11 @@
 	instances []*instance
 	routers   []*router
 	endpoints []*endpoint
-	callers   []*caller // operators and endpoints
-	quiet     bool      // nothing new is called for
-	heals     []func()  // of the cuts that were made
-	linkCut   bool      // a single link is cut
+	callers   []*caller     // operators and endpoints
+	quiet     bool          // nothing new is called for
+	heals     []func()      // of the cuts that were made
+	repaired  time.Duration // no fault begins before: a lost disk is made up for
+	linkCut   bool          // a single link is cut
 	truth     truth
 	steps     int
 	failure   error
