--- a/internal/control/registry/doubt.go
+++ b/internal/control/registry/doubt.go
@@ -34,13 +34,21 @@
 }
 
 // keptBack says whether the other instances are not to be told of an endpoint: if it lives, it calls them.
-func (r *Registry) keptBack(now time.Time, e *entry) bool { return r.dubious(now, e) || r.unheard(e) }
+func (r *Registry) keptBack(now time.Time, e *entry) bool {
+	return r.dubious(now, e) || r.unheard(e) || r.isolated(now) && r.overdue(now, e)
+}
 
 // unheard says whether nobody has heard an endpoint since this instance has contact again.
 func (r *Registry) unheard(e *entry) bool {
 	return !e.gone && later(e.heard, e.reached).Before(r.reunited)
 }
 
+// overdue says whether an endpoint has missed a heartbeat. Without contact it may have called elsewhere, to say that it
+// ends; those who heard that may have restarted since.
+func (r *Registry) overdue(now time.Time, e *entry) bool {
+	return !e.gone && now.Sub(later(e.heard, e.reached)) > r.settings.Heartbeat+silenceMargin
+}
+
 // allHeard is how long it takes until an instance with contact has heard of every living endpoint.
 func (r *Registry) allHeard() time.Duration { return r.settings.Heartbeat + tickEvery + silenceMargin }
 
--- a/internal/control/registry/doubt_test.go
+++ b/internal/control/registry/doubt_test.go
@@ -222,3 +222,21 @@
 	x.wait(x.allHeard())
 	x.want("e", protocol.Gone)
 }
+
+// TestInstanceWithoutContactTellsOthersOfThoseItHearsOnly: an instance that restarts may be the first to be reached, before
+// there is a majority again, and has forgotten whose end it was told.
+func TestInstanceWithoutContactTellsOthersOfThoseItHearsOnly(t *testing.T) {
+	x := newTable(t)
+	x.beat(beat("left", 1, protocol.Ready))
+	x.beat(beat("lives", 2, protocol.Ready))
+	x.apart(3*time.Second, "lives")
+	if !x.isolated(x.now) {
+		t.Fatal("it has contact")
+	}
+	if x.tells("left") {
+		t.Error("the others are told of one that was not heard for longer than a heartbeat")
+	}
+	if !x.tells("lives") {
+		t.Error("the others are not told of one that calls")
+	}
+}
