Put back the bounds of two tests that had been moved

Cause: let a client that does not read be ended after 0.9 s instead of 0.8 s, and let a member be back after 8 s instead of 6 s in a storm of 30 KiB changes, both against a busy machine or a slower state in between; a bound is not to be moved for that. Change: 0.8 s and 6 s again. Result: TestClientThatDoesNotRead passes 15 of 15 with -race; the storm takes 3.23 s at most in its 8 histories (simulated time, the same in three runs).

--- a/coordination/simnet/catchup_test.go
+++ b/coordination/simnet/catchup_test.go
@@ -103,7 +103,7 @@
 		within time.Duration
 	}{
 		{"small changes", weather{2 << 10, 0, 0, slowLink, 0}, 20 * time.Second, 4 * time.Second},
-		{"changes of 30 KiB", weather{30 << 10, 0, 0, slowLink, 0}, 20 * time.Second, 8 * time.Second},
+		{"changes of 30 KiB", weather{30 << 10, 0, 0, slowLink, 0}, 20 * time.Second, 6 * time.Second},
 		{"one in 100 of 1 MiB", weather{2 << 10, 1 << 20, 100, slowLink, 0}, 20 * time.Second, 8 * time.Second},
 		{"one in 250 of 4 MiB", weather{2 << 10, 4 << 20, 250, slowLink, 0}, 20 * time.Second, 12 * time.Second},
 		{
--- a/internal/router/ingress/leave_test.go
+++ b/internal/router/ingress/leave_test.go
@@ -152,7 +152,7 @@
 	c.send(request("POST", "/short/x", "r1", "b")) // 60 ms
 	select {
 	case at := <-ended:
-		if after := at.Sub(began); after > 900*time.Millisecond {
+		if after := at.Sub(began); after > 800*time.Millisecond {
 			t.Errorf("ended after %v", after)
 		}
 	case <-time.After(patience):
