--- a/internal/control/registry/exchange.go
+++ b/internal/control/registry/exchange.go
@@ -146,7 +146,7 @@
 // takeSummary answers with what the sender lacks, and asks for what is lacking here.
 func (r *Registry) takeSummary(now time.Time, summary *protocol.RegistrySummary) {
 	p := r.sender(now, summary.Origin)
-	delta := &protocol.RegistryDelta{Origin: r.settings.Origin, Whole: r.whole && !summary.Answer && !r.doubtful(now)}
+	delta := &protocol.RegistryDelta{Origin: r.settings.Origin, Whole: r.whole && !summary.Answer && !r.maybeStale(now)}
 	known := make(map[string]protocol.RecordVersion, len(summary.Versions))
 	for _, version := range summary.Versions {
 		known[version.ID] = version
@@ -171,7 +171,7 @@
 	switch {
 	case e.left:
 		return !version.Gone
-	case e.gone, now.Sub(e.heard) > dropAfter, version.Gone, r.keptBack(now, e):
+	case e.gone, now.Sub(e.heard) > dropAfter, version.Gone, r.withheld(now, e):
 		return false
 	case !present:
 		return true
--- a/internal/control/registry/peers.go
+++ b/internal/control/registry/peers.go
@@ -211,7 +211,7 @@
 	ids := make([]string, 0, len(p.dirty))
 	for _, id := range slices.Sorted(maps.Keys(p.dirty)) {
 		e := r.entries[id]
-		if e == nil || e.gone && !e.left || r.keptBack(now, e) {
+		if e == nil || e.gone && !e.left || r.withheld(now, e) {
 			continue // given up here, or to be: the others judge for themselves
 		}
 		ids = append(ids, id)
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -68,29 +68,29 @@
 	nextTick time.Time
 	lastStep time.Time
 
-	entries   map[string]*entry
-	byHash    map[uint32]*entry
-	byAddress map[string]*entry // newest of each address
-	heardHere map[uint32]struct{}
-	loading   loadingTable
-	ownLoads  *protocol.LoadingTable // of this instance's placer; nil: another's is in force
-	loadsTold time.Time              // to all instances
-	peers     map[string]*peer
-	order     []*peer             // by address: what is decided must not depend on the order of a map
-	pending   map[uint64]*pending // by ticket
-	owed      []owed
-	routers   routerCount
-	whole     bool
-	wholeFrom time.Time // endpoints' calls count from then on until the table is whole
-	doubted   bool      // the last step was in doubt
-	reunited  time.Time // contact with a majority came back, and doubts remain; zero: none do
-	contact   time.Time // newest contact with a majority of the voters; zero: there was none
-	floor     uint64    // every connected router has confirmed this revision
-	revision  uint64
-	changed   map[string]struct{}
-	urgent    bool
-	flushAt   time.Time // for deltas to other instances; zero: none are due
-	flushedAt time.Time
+	entries    map[string]*entry
+	byHash     map[uint32]*entry
+	byAddress  map[string]*entry // newest of each address
+	heardHere  map[uint32]struct{}
+	loading    loadingTable
+	ownLoads   *protocol.LoadingTable // of this instance's placer; nil: another's is in force
+	loadsTold  time.Time              // to all instances
+	peers      map[string]*peer
+	order      []*peer             // by address: what is decided must not depend on the order of a map
+	pending    map[uint64]*pending // by ticket
+	owed       []owed
+	routers    routerCount
+	whole      bool
+	wholeFrom  time.Time // endpoints' calls count from then on until the table is whole
+	wasStale   bool      // the table was stale in the last step
+	rejoinedAt time.Time // contact with a majority came back, and the table may still be stale; zero: it is not
+	contact    time.Time // newest contact with a majority of the voters; zero: there was none
+	floor      uint64    // every connected router has confirmed this revision
+	revision   uint64
+	changed    map[string]struct{}
+	urgent     bool
+	flushAt    time.Time // for deltas to other instances; zero: none are due
+	flushedAt  time.Time
 
 	cached   []protocol.Endpoint // the whole table at a revision
 	cachedAt time.Time
@@ -207,7 +207,7 @@
 	if !now.Before(r.nextTick) {
 		r.tick(now)
 	}
-	r.judgeDoubt(now)
+	r.judgeStale(now)
 	r.collectChanges(now)
 	r.settle(now)
 	r.payOwed(now)
@@ -270,7 +270,7 @@
 	for _, id := range slices.Sorted(maps.Keys(r.changed)) {
 		e := r.entries[id]
 		e.revision = r.revision
-		if r.dubious(now, e) {
+		if r.silentWhileStale(now, e) {
 			continue
 		}
 		r.out.Changed = append(r.out.Changed, r.view(now, e))
@@ -299,7 +299,7 @@
 func (r *Registry) views(now time.Time, shown func(e *entry) bool) []protocol.Endpoint {
 	table := make([]protocol.Endpoint, 0, len(r.entries))
 	for _, e := range r.entries {
-		if shown(e) && !r.dubious(now, e) {
+		if shown(e) && !r.silentWhileStale(now, e) {
 			table = append(table, r.view(now, e))
 		}
 	}
@@ -315,7 +315,7 @@
 	if !r.flushAt.IsZero() && r.flushAt.Before(wake) {
 		wake = r.flushAt
 	}
-	if ends := r.doubtEnds(); !ends.IsZero() && ends.Before(wake) {
+	if ends := r.staleEnds(); !ends.IsZero() && ends.Before(wake) {
 		wake = ends
 	}
 	for _, p := range r.pending {
--- a/internal/control/registry/doubt_test.go
+++ b/internal/control/registry/rejoin_test.go
@@ -53,22 +53,22 @@
 	x.parted = time.Time{}
 	x.step()
 	if x.shows("left") || x.tells("left") || x.whole {
-		t.Error("no doubt is left with the first contact")
+		t.Error("the table is not taken for stale with the first contact")
 	}
 	x.wait(x.allCalled() / 2)
 	x.beat(beat("lives", x.ticket, protocol.Ready))
 	x.wait(x.allCalled() / 2)
 	x.want("left", protocol.Gone)
 	x.want("lives", protocol.Ready)
-	if !x.whole || x.doubtful(x.now) {
-		t.Error("doubts remain")
+	if !x.whole || x.maybeStale(x.now) {
+		t.Error("it is still taken for stale")
 	}
 	x.beat(beat("left", x.ticket, protocol.Ready))
 	x.want("left", protocol.Ready)
 }
 
-// TestEndpointHeardElsewhereOutlivesTheDoubt: the others tell who has called them.
-func TestEndpointHeardElsewhereOutlivesTheDoubt(t *testing.T) {
+// TestEndpointHeardElsewhereOutlivesTheStaleTable: the others tell who has called them.
+func TestEndpointHeardElsewhereOutlivesTheStaleTable(t *testing.T) {
 	x := newTable(t)
 	x.step(Peers{Reachable: []string{"other"}})
 	x.beat(beat("e", 1, protocol.Ready))
@@ -90,7 +90,7 @@
 	x.wait(x.silentAfter() + x.allCalled() + time.Second)
 	x.want("e", protocol.Silent)
 	if !x.shows("e") || !x.tells("e") {
-		t.Error("kept back without a doubt")
+		t.Error("withheld though the table is fresh")
 	}
 }
 
@@ -117,9 +117,9 @@
 	}
 }
 
-// TestDoubtfulSilenceIsNoNews: a router that has dropped the endpoint would take it for one that is there; that it is
+// TestSilenceWhileStaleIsNoNews: a router that has dropped the endpoint would take it for one that is there; that it is
 // given up is news all the same.
-func TestDoubtfulSilenceIsNoNews(t *testing.T) {
+func TestSilenceWhileStaleIsNoNews(t *testing.T) {
 	x := newTable(t)
 	x.beat(beat("e", 1, protocol.Ready))
 	x.parted = x.now
@@ -174,7 +174,7 @@
 	x.want("left", protocol.Gone)
 	x.want("lives", protocol.Ready)
 	if !x.tellsWhole() {
-		t.Error("the table is not told to be whole after the doubts")
+		t.Error("the table is not told to be whole once it is fresh")
 	}
 }
 
@@ -186,8 +186,8 @@
 	})
 }
 
-// TestEndpointThatRoutersReachIsToldOnceDoubtsEnd: it is silent, but there.
-func TestEndpointThatRoutersReachIsToldOnceDoubtsEnd(t *testing.T) {
+// TestEndpointThatRoutersReachIsToldOnceTheTableIsFresh: it is silent, but there.
+func TestEndpointThatRoutersReachIsToldOnceTheTableIsFresh(t *testing.T) {
 	x := newTable(t)
 	x.beat(beat("e", 1, protocol.Ready))
 	x.apart(6 * time.Second)
@@ -196,7 +196,7 @@
 	x.wait(time.Second)
 	x.step(RouterReport{Reached: []string{"e"}})
 	told := false
-	for x.doubtful(x.now) {
+	for x.maybeStale(x.now) {
 		x.now = x.wakeAt()
 		told = slices.ContainsFunc(x.step().Changed, func(e protocol.Endpoint) bool { return e.State == protocol.Silent })
 	}
@@ -205,8 +205,8 @@
 	}
 }
 
-// TestFirstContactThatComesLateLeavesDoubtsToo: a process may start while it is cut off, and hear endpoints.
-func TestFirstContactThatComesLateLeavesDoubtsToo(t *testing.T) {
+// TestFirstContactThatComesLateLeavesAStaleTableToo: a process may start while it is cut off, and hear endpoints.
+func TestFirstContactThatComesLateLeavesAStaleTableToo(t *testing.T) {
 	settings := Settings{Origin: protocol.Origin{Address: "self", Incarnation: 1}, Heartbeat: heartbeatEvery}
 	x := &table{t: t, Registry: New(settings, begin), now: begin}
 	step := func(inputs ...Input) { x.Step(x.now, append([]Input{Contact{}}, inputs...)...) }
@@ -217,7 +217,7 @@
 	}
 	x.step()
 	if x.shows("e") || x.whole {
-		t.Error("no doubt is left with the first contact")
+		t.Error("the table is not taken for stale with the first contact")
 	}
 	x.wait(x.allHeard())
 	x.want("e", protocol.Gone)
--- a/internal/router/call/ask.go
+++ b/internal/router/call/ask.go
@@ -6,9 +6,6 @@
 	"raventrestle/internal/router/pool"
 )
 
-// longAgo is a deadline that has passed.
-var longAgo = time.Unix(1, 0)
-
 // Ask sends the request on a connection and reads the head of the answer. A long request is written while the answer is
 // awaited: an endpoint may answer before it has read the whole.
 func (m *Message) Ask(c *pool.Connection, try Try, now time.Time) (*Answer, error) {
@@ -48,7 +45,7 @@
 
 // stop ends the writing where it stands. The connection is of no more use then.
 func (w *writing) stop() error {
-	_ = w.connection.Conn.SetWriteDeadline(longAgo) // fails where the connection is closed, and writing with it
+	_ = w.connection.Conn.SetWriteDeadline(time.Unix(1, 0)) // long past; fails where the connection is closed, and writing with it
 	<-w.ended
 	return w.err
 }
