--- a/internal/control/placer/config.go
+++ b/internal/control/placer/config.go
@@ -12,6 +12,8 @@
 
 	LoadCost  float64 // cost of a load, in requests of middle priority
 	OrderCost float64 // cost of an order, in the same unit
+
+	Without Mechanism // switched off, for tests and trials
 }
 
 // Defaults of Config.
--- a/internal/control/placer/eviction.go
+++ b/internal/control/placer/eviction.go
@@ -119,8 +119,8 @@
 	if d == nil {
 		return 0
 	}
-	rate := m.projectedRate * d.value * (valueAt(m.fairLevel) - valueAt(m.fairLevelWithout(e)))
-	if len(m.replicas) == 2 {
+	rate := m.projectedRate * d.value * (m.value.at(m.fairLevel) - m.value.at(m.fairLevelWithout(e)))
+	if len(m.replicas) == 2 && p.uses(Redundancy) {
 		rate += redundancyShare * m.projectedRate * d.value
 	}
 	sum := planningHorizonS * rate
@@ -141,6 +141,9 @@
 // much.
 func (p *Placer) lastReplicaLoss(now time.Time, m *modelPlacement) float64 {
 	if m.demand == nil || m.demand.lastRequestAt.IsZero() {
+		if !p.uses(DormantValue) {
+			return 0
+		}
 		return dormantModelValue * math.Exp(-now.Sub(p.startedAt).Seconds()/dormantTimeConstant.Seconds())
 	}
 	return planningHorizonS * math.Max(m.projectedRate, m.longTermRate) * (missLoss*m.demand.value + p.config.LoadCost)
--- a/internal/control/placer/score.go
+++ b/internal/control/placer/score.go
@@ -41,7 +41,9 @@
 	cost := p.config.LoadCost + p.config.OrderCost*float64(1+len(c.evictions))
 	score := c.gain - c.loss - cost - minNetGain
 	score -= delayLossPerS * p.loadTime(f, c.endpoint, c.placement.model).Seconds() * (1 + waitingRequests(c.placement))
-	score += f.packingScore(c)
+	if p.uses(Packing) {
+		score += f.packingScore(c)
+	}
 	return score
 }
 
@@ -49,18 +51,18 @@
 // endpoints by other models, sorted.
 func (p *Placer) gain(now time.Time, m *modelPlacement, e *endpoint, utilizations []float64) float64 {
 	d := m.demand
-	valueAfter := valueAt(fairLevelWith(utilizations, e.utilization, m.offeredLoad))
+	valueAfter := m.value.at(fairLevelWith(utilizations, e.utilization, m.offeredLoad))
 	if len(m.replicas) == 0 {
 		weight := 1.0
-		if !d.waitingSince.IsZero() {
+		if p.uses(WaitingGrowth) && !d.waitingSince.IsZero() {
 			weight += waitingGrowthPerS * now.Sub(d.waitingSince).Seconds()
 		}
 		waiting := waitingRequests(m) * d.value * weight
 		return waiting + planningHorizonS*math.Max(m.projectedRate, m.longTermRate)*(missLoss*d.value+p.config.LoadCost)*valueAfter
 	}
-	rate := m.projectedRate * d.value * (valueAfter - valueAt(m.fairLevel))
+	rate := m.projectedRate * d.value * (valueAfter - m.value.at(m.fairLevel))
 	sum := planningHorizonS * (rate + p.redundancyGain(m) + m.adapterGain)
-	if !m.hasReplicaInZone(e.Zone) {
+	if p.uses(ZoneSpread) && !m.hasReplicaInZone(e.Zone) {
 		sum += zoneBonus
 	}
 	return sum
@@ -68,7 +70,7 @@
 
 // redundancyGain is the value a second of a second replica, against the loss of the first.
 func (p *Placer) redundancyGain(m *modelPlacement) float64 {
-	if len(m.replicas) != 1 {
+	if len(m.replicas) != 1 || !p.uses(Redundancy) {
 		return 0
 	}
 	return redundancyShare * m.projectedRate * m.demand.value
