Order a model's endpoints by size only when a request needs it

Cause: each residency that came or went sorted its group; a group of all 2,900 endpoints made one endpoint's change cost 352 us. Change: the order is marked stale and made when a request with a known size is to be sent.

--- a/internal/router/dispatch/choice.go
+++ b/internal/router/dispatch/choice.go
@@ -44,6 +44,9 @@
 	parts, shared := r.sharedPrefix()
 	preferred := d.rendezvousChoice(r, parts)
 	r.sizes = r.group.service.promptSizes.interval(r.PromptTokens)
+	if r.sizes != allSizes {
+		r.group.orderBySize()
+	}
 	for _, res := range r.group.residencies {
 		if !d.eligible(res, r) {
 			continue
--- a/internal/router/dispatch/residency.go
+++ b/internal/router/dispatch/residency.go
@@ -53,7 +53,7 @@
 		res = &residency{group: g, endpoint: e}
 		e.residencies = append(e.residencies, res)
 		g.residencies = append(g.residencies, res)
-		g.orderBySize()
+		g.sizeOrderStale = true
 	}
 	if newer || len(res.unverified) == 0 {
 		res.adapters = adapters
@@ -77,7 +77,7 @@
 func (d *Decider) removeResidency(e *endpoint, res *residency) {
 	e.residencies = remove(e.residencies, res)
 	res.group.residencies = remove(res.group.residencies, res)
-	res.group.orderBySize()
+	res.group.sizeOrderStale = true
 	res.group.version++
 }
 
--- a/internal/router/dispatch/service.go
+++ b/internal/router/dispatch/service.go
@@ -42,6 +42,7 @@
 	lastResortAt       time.Duration // when an ejected endpoint was last probed for want of others
 	version            int           // rises when a slot may have become free
 	unassigned         []*request    // in order of arrival
+	sizeOrderStale     bool          // residencies have come or gone since orderBySize
 }
 
 // ensureService returns the service of this name, creating it if needed.
--- a/internal/router/dispatch/size_position.go
+++ b/internal/router/dispatch/size_position.go
@@ -55,10 +55,13 @@
 // sizeInterval is a part of all tokens, from 0 to 1, in the order of the sizes of the prompts that have them.
 type sizeInterval struct{ from, to float64 }
 
+// allSizes is the interval of a prompt of which nothing is known: it meets each other one.
+var allSizes = sizeInterval{0, 1}
+
 // interval returns the part of all tokens that is in prompts about as large as one of so many tokens; all of it while too little is known.
 func (s *sizeDistribution) interval(tokens int) sizeInterval {
 	if s.count < minSizeObservation || tokens <= 0 {
-		return sizeInterval{0, 1}
+		return allSizes
 	}
 	at := sizeBucket(tokens)
 	below := 0.0
@@ -68,8 +71,13 @@
 	return sizeInterval{below / s.total, (below + s.tokens[at]) / s.total}
 }
 
-// orderBySize gives each residency of the group its interval of sizes.
+// orderBySize gives each residency of the group its interval of sizes, if residencies have come or gone. It is called when a request
+// needs the order: tables bring many changes at once, and a group of all endpoints may never be asked.
 func (g *modelGroup) orderBySize() {
+	if !g.sizeOrderStale {
+		return
+	}
+	g.sizeOrderStale = false
 	ordered := slices.Clone(g.residencies)
 	slices.SortFunc(ordered, func(a, b *residency) int {
 		return cmp.Compare(mixHash(a.endpoint.hash^sizeSeed), mixHash(b.endpoint.hash^sizeSeed))
--- a/internal/router/dispatch/size_position_test.go
+++ b/internal/router/dispatch/size_position_test.go
@@ -123,6 +123,7 @@
 		g.residencies = append(g.residencies, &residency{group: &g, endpoint: &endpoint{hash: stringHash(fmt.Sprint("e", i))}})
 	}
 	for len(g.residencies) > 0 {
+		g.sizeOrderStale = true
 		g.orderBySize()
 		sum := 0.0
 		for _, res := range g.residencies {
