Take the placer's knowledge of pauses out again: it was worth nothing

What stays of it is Config.Without of the placer, by which tests and trials switch single mechanisms off.

--- a/internal/control/placer/demand.go
+++ b/internal/control/placer/demand.go
@@ -52,7 +52,6 @@
 type demand struct {
 	fastRate, slowRate, longRate decayingRate // requests, over the three time constants
 	tokenRate                    decayingRate // tokens of prompts and answers, over slowTimeConstant
-	prefillRate                  decayingRate // ms of prefill of the requests sent, over slowTimeConstant
 	value                        float64      // of a request; one of middle priority has 1
 	unmet                        float64      // requests that no replica served, decaying over unmetTimeConstant
 	waiting, running             int          // requests queued at routers, and in flight at endpoints
@@ -79,7 +78,6 @@
 	d.fastRate.decay(fast)
 	d.slowRate.decay(slow)
 	d.tokenRate.decay(slow)
-	d.prefillRate.decay(slow)
 	d.longRate.decay(long)
 	d.unmet *= unmet
 	for _, adapter := range d.adapters {
@@ -94,7 +92,6 @@
 	d.slowRate.add(requests)
 	d.longRate.add(requests)
 	d.tokenRate.add(float64(row.Tokens))
-	d.prefillRate.add(row.PrefillMS)
 	d.unmet += float64(row.Unserved)
 	if row.Requests > 0 || row.Unserved > 0 {
 		d.lastRequestAt = now
--- a/internal/control/placer/eviction.go
+++ b/internal/control/placer/eviction.go
@@ -119,7 +119,7 @@
 	if d == nil {
 		return 0
 	}
-	rate := m.projectedRate * d.value * (m.value.at(m.fairLevel) - m.value.at(m.fairLevelWithout(e)))
+	rate := m.projectedRate * d.value * (valueAt(m.fairLevel) - valueAt(m.fairLevelWithout(e)))
 	if len(m.replicas) == 2 && p.uses(Redundancy) {
 		rate += redundancyShare * m.projectedRate * d.value
 	}
--- a/internal/control/placer/filter.go
+++ b/internal/control/placer/filter.go
@@ -14,7 +14,7 @@
 	if onlyUrgent {
 		return false
 	}
-	highest := m.projectedRate*m.demand.value*(1-m.value.at(m.fairLevel)) + p.redundancyGain(m) + m.adapterGain
+	highest := m.projectedRate*m.demand.value*(1-valueAt(m.fairLevel)) + p.redundancyGain(m) + m.adapterGain
 	return highest*planningHorizonS+zoneBonus+packingBonus > p.config.LoadCost+p.config.OrderCost+minNetGain
 }
 
--- a/internal/control/placer/fleet.go
+++ b/internal/control/placer/fleet.go
@@ -17,7 +17,6 @@
 	endpoints        map[string]*endpoint           // by ID
 	sortedEndpoints  []*endpoint                    // by ID
 	maxModelMB       float64                        // of the largest model: the most that an unknown order may load
-	eventGapTarget   time.Duration                  // shortest of its routes, between two events of a stream; 0: none
 	secondsPerToken  float64                        // endpoint time of one token, learned over all models
 	decidedAt        time.Time                      // time of the last decision
 	adapterEvictedAt map[adapterKey]time.Time       // when adapters were last evicted
@@ -32,9 +31,7 @@
 			continue
 		}
 		configured[service.Name] = true
-		f := p.fleetOf(service.Name)
-		f.configure(service.Engine)
-		f.eventGapTarget = shortestEventGapTarget(next.Routes, service.Name)
+		p.fleetOf(service.Name).configure(service.Engine)
 		if loadsPerSecond == 0 || service.Engine.LoadsPerSecond < loadsPerSecond {
 			loadsPerSecond = service.Engine.LoadsPerSecond
 		}
@@ -47,24 +44,6 @@
 	p.loadLimiter.setRate(loadsPerSecond, p.config.LoadRateFactor, p.config.LoadRateWindow)
 }
 
-// shortestEventGapTarget returns the shortest target for the gap between two events, of all routes to the service; 0 without
-// any.
-func shortestEventGapTarget(routes []configuration.Route, service string) time.Duration {
-	shortest := time.Duration(0)
-	for i := range routes {
-		route := &routes[i]
-		toService := func(part configuration.Split) bool { return part.Backend == service }
-		if route.Backend != service && !slices.ContainsFunc(route.TrafficSplit, toService) {
-			continue
-		}
-		target := time.Duration(route.EventGapTargetMS) * time.Millisecond
-		if target > 0 && (shortest == 0 || target < shortest) {
-			shortest = target
-		}
-	}
-	return shortest
-}
-
 // fleetOf returns the service's fleet, a new one if there is none.
 func (p *Placer) fleetOf(service string) *fleet {
 	f := p.fleets[service]
--- a/internal/control/placer/mechanism.go
+++ b/internal/control/placer/mechanism.go
@@ -6,13 +6,12 @@
 
 // Mechanisms that can be switched off.
 const (
-	PauseReduction Mechanism = 1 << iota // replicas are added so that fewer streams pause
-	DemandTrend                          // rates are extrapolated to the end of a load
-	Redundancy                           // a second replica has a value of its own
-	Packing                              // endpoints whose memory is filled well are preferred
-	ZoneSpread                           // the first replica in a zone has a value of its own
-	DormantValue                         // models that nobody has asked for yet are kept
-	WaitingGrowth                        // requests that wait longer for a first replica weigh more
+	DemandTrend   Mechanism = 1 << iota // rates are extrapolated to the end of a load
+	Redundancy                          // a second replica has a value of its own
+	Packing                             // endpoints whose memory is filled well are preferred
+	ZoneSpread                          // the first replica in a zone has a value of its own
+	DormantValue                        // models that nobody has asked for yet are kept
+	WaitingGrowth                       // requests that wait longer for a first replica weigh more
 )
 
 // uses reports whether the placer uses a mechanism.
--- a/internal/control/placer/placement_table.go
+++ b/internal/control/placer/placement_table.go
@@ -23,7 +23,6 @@
 	replicas      []replica
 	fairLevel     float64 // utilization of the endpoints that take its requests; infinite without replicas
 
-	value         *loadValue
 	unloadStalled bool    // an unload that frees memory for the model waits for running requests
 	adapterGain   float64 // value a second of the adapter slots that one more replica brings
 }
@@ -34,10 +33,9 @@
 	byModel    map[string]*modelPlacement
 
 	// Of the choice under way; see beginChoice.
-	serving           map[string]int                 // number of endpoints that serve a model now
-	evictable         map[*endpoint][]evictableModel // found when first asked for
-	onlyIdleEvictions bool                           // no model with running requests may be evicted
-	storeLoadAllowed  bool                           // the load rate limit allows one more load
+	serving          map[string]int                 // number of endpoints that serve a model now
+	evictable        map[*endpoint][]evictableModel // found when first asked for
+	storeLoadAllowed bool                           // the load rate limit allows one more load
 }
 
 // newPlacementTable makes the table of what is known now: expected demand, replicas, and the utilization of endpoints
@@ -58,17 +56,9 @@
 		}
 	}
 	table.distributeLoads()
-	table.setValue(&loadValue{})
 	return table
 }
 
-// setValue sets by what the requests of all models gain from a lower utilization.
-func (t *placementTable) setValue(value *loadValue) {
-	for _, m := range t.placements {
-		m.value = value
-	}
-}
-
 // expectedDemand returns a model's placement without replicas.
 func (p *Placer) expectedDemand(f *fleet, model string, observed time.Duration) *modelPlacement {
 	m := &modelPlacement{model: model, demand: p.demand.models[f.name][model], longTermRate: initialRate}
--- a/internal/control/placer/schedule.go
+++ b/internal/control/placer/schedule.go
@@ -30,44 +30,12 @@
 			break
 		}
 	}
-	if !onlyUrgent && p.uses(PauseReduction) {
-		p.reducePauses(now, f, table, out)
-	}
 	p.placeAdapters(now, f, table, false, out)
 	if !onlyUrgent || p.demand.observedSince.IsZero() {
 		p.fillFreeSlots(now, f, table, out)
 	}
 }
 
-// pauseLoadShare is the share of the loads that the store can have under way at its rate, from which on no load begins that
-// would only lower the number of paused streams.
-const pauseLoadShare = 0.25
-
-// reducePauses begins changes that let fewer streams pause, at the models' lasting rates. They take only what no running
-// request uses, and leave most of the store's rate to models that are asked for and have no replica.
-func (p *Placer) reducePauses(now time.Time, f *fleet, table *placementTable, out *Output) {
-	table.setValue(newLoadValue(p.prefillLoadOf(f, table, p.demand.observedFor(now))))
-	table.onlyIdleEvictions = true
-	for _, m := range table.placements {
-		m.projectedRate = min(m.projectedRate, m.longTermRate)
-	}
-	limit := int(pauseLoadShare * f.engine.LoadsPerSecond * f.meanLoadSeconds())
-	for f.loadsUnderWay() < max(limit, 1) {
-		if !p.beginBestPlan(now, f, table, false, out) {
-			return
-		}
-	}
-}
-
-// meanLoadSeconds is the mean time of a load from the store, over the configured models.
-func (f *fleet) meanLoadSeconds() float64 {
-	sum := 0.0
-	for name := range f.models {
-		sum += f.models[name].LoadTimeSeconds
-	}
-	return sum / float64(max(1, len(f.models)))
-}
-
 // beginBestPlan binds the change with the highest score, of all models and endpoints. It reports false if there is
 // none.
 func (p *Placer) beginBestPlan(now time.Time, f *fleet, table *placementTable, onlyUrgent bool, out *Output) bool {
@@ -104,7 +72,7 @@
 		if highest <= 0 || best != nil && highest <= best.score || !p.chooseEvictions(now, f, table, c) {
 			continue
 		}
-		if (m.unloadStalled || table.onlyIdleEvictions) && table.evictsRunningRequests(c) {
+		if m.unloadStalled && table.evictsRunningRequests(c) {
 			continue // one replica in use that is evicted for the model is enough
 		}
 		c.score = p.score(f, c)
--- a/internal/control/placer/score.go
+++ b/internal/control/placer/score.go
@@ -51,7 +51,7 @@
 // endpoints by other models, sorted.
 func (p *Placer) gain(now time.Time, m *modelPlacement, e *endpoint, utilizations []float64) float64 {
 	d := m.demand
-	valueAfter := m.value.at(fairLevelWith(utilizations, e.utilization, m.offeredLoad))
+	valueAfter := valueAt(fairLevelWith(utilizations, e.utilization, m.offeredLoad))
 	if len(m.replicas) == 0 {
 		weight := 1.0
 		if p.uses(WaitingGrowth) && !d.waitingSince.IsZero() {
@@ -60,7 +60,7 @@
 		waiting := waitingRequests(m) * d.value * weight
 		return waiting + planningHorizonS*math.Max(m.projectedRate, m.longTermRate)*(missLoss*d.value+p.config.LoadCost)*valueAfter
 	}
-	rate := m.projectedRate * d.value * (valueAfter - m.value.at(m.fairLevel))
+	rate := m.projectedRate * d.value * (valueAfter - valueAt(m.fairLevel))
 	sum := planningHorizonS * (rate + p.redundancyGain(m) + m.adapterGain)
 	if p.uses(ZoneSpread) && !m.hasReplicaInZone(e.Zone) {
 		sum += zoneBonus
--- a/internal/control/placer/value.go
+++ b/internal/control/placer/value.go
@@ -5,6 +5,21 @@
 	"time"
 )
 
+// Value of being served, by the utilization of the endpoints that serve.
+const (
+	latenessLoss  = 0.6 // share of its value that a late answer loses
+	latenessSlope = 5.0 // latency target in times of one prefill: how steeply lateness grows as the utilization nears 1
+	overloadValue = 0.4 // share of the value that is left at utilization 1, where every answer is late
+)
+
+// valueAt is the share of their value that requests earn at endpoints of the given utilization.
+func valueAt(utilization float64) float64 {
+	if utilization < 1 {
+		return 1 - latenessLoss*utilization*math.Exp(-latenessSlope*(1-utilization))
+	}
+	return overloadValue / utilization
+}
+
 // How the endpoint time of a token is estimated. Routers report how many requests run; an engine that is in prefill
 // for the share u of its time has x = r·u/(1-u) requests running, where r is the number of prompts that it could read
 // in the time in which it puts out one answer undisturbed. Hence u = x/(x+r).
--- a/internal/protocol/demand.go
+++ b/internal/protocol/demand.go
@@ -40,9 +40,6 @@
 
 	// Value is the sum, over Requests, of 10 less the request's priority, each at least 1.
 	Value int64 `cbor:"9,keyasint,omitempty"`
-
-	// PrefillMS is the time, in ms, that endpoints are expected to take for the prefill of what was sent in the window.
-	PrefillMS float64 `cbor:"10,keyasint,omitempty"`
 }
 
 // TenantDemand is what one tenant asked for in a report's window, in the tenant's unit (requests or tokens).
--- a/internal/protocol/golden_test.go
+++ b/internal/protocol/golden_test.go
@@ -111,7 +111,6 @@
 		Models: []ModelDemand{{
 			Service: text(11), Model: text(12), Adapter: text(13), Requests: number(14), Unserved: number(15),
 			Queued: number(16), InFlight: number(17), Tokens: int64(number(18)), Value: int64(number(19)),
-			PrefillMS: float64(number(20)) + 0.5,
 		}},
 		Tenants: []TenantDemand{{
 			Tenant: text(21), Requested: float64(number(22)) + 0.5, Admitted: float64(number(23)) + 0.5,
@@ -131,21 +130,11 @@
 		{"32 settle", &RegistryDelta{InForceAckRequested: true}},
 		{"32 whole", &RegistryDelta{FromCompleteTable: true}},
 	}
-	for i, state := range []EndpointState{Ready, Draining, Unresponsive, Departed} {
+	for _, state := range []EndpointState{Ready, Draining, Unresponsive, Departed} {
 		messages = append(messages, goldenMessage{
-			line: fmt.Sprintf("2 state %d", i), message: &Update{Endpoints: []Endpoint{{State: state}}},
+			line: fmt.Sprintf("2 state %d", len(messages)-4), message: &Update{Endpoints: []Endpoint{{State: state}}},
 		})
 	}
-	for _, filled := range filledMessages() { // as written by builds without PrefillMS
-		switch message := filled.message.(type) {
-		case *Report:
-			message.Models[0].PrefillMS = 0
-			messages = append(messages, goldenMessage{line: filled.line + " before PrefillMS", message: message})
-		case *ReportBatch:
-			message.Reports[0].Models[0].PrefillMS = 0
-			messages = append(messages, goldenMessage{line: filled.line + " before PrefillMS", message: message})
-		}
-	}
 	for _, filled := range filledMessages() {
 		empty := reflect.New(reflect.TypeOf(filled.message).Elem())
 		messages = append(messages, goldenMessage{line: filled.line + " empty", message: empty.Interface()})
--- a/internal/router/dispatch/demand.go
+++ b/internal/router/dispatch/demand.go
@@ -128,7 +128,7 @@
 	for _, t := range state.active {
 		t.counts.Queued, t.counts.InFlight = t.queued, t.inFlight
 		report.Models = append(report.Models, t.counts)
-		t.counts.Requests, t.counts.Unserved, t.counts.Tokens, t.counts.Value, t.counts.PrefillMS = 0, 0, 0, 0, 0
+		t.counts.Requests, t.counts.Unserved, t.counts.Tokens, t.counts.Value = 0, 0, 0, 0
 		if t.listed = t.queued+t.inFlight > 0; t.listed {
 			active = append(active, t)
 		}
--- a/internal/router/dispatch/estimate.go
+++ b/internal/router/dispatch/estimate.go
@@ -124,7 +124,6 @@
 	used, waiting := d.load(e)
 	r.uncontended = !r.pastTarget && used+waiting+1 <= e.capacity(g.meanKVTokens)
 	d.addBacklog(e, r)
-	r.target.counts.PrefillMS += float64(r.prefillTokens) / 1000 * g.msPerThousandTokens()
 	g.meanPrefillTokens += (float64(r.prefillTokens) - g.meanPrefillTokens) * prefillSmoothing
 	g.meanKVTokens += (float64(r.PromptTokens) + float64(r.OutputTokens)/2 - g.meanKVTokens) * prefillSmoothing
 }
