--- a/internal/router/dispatch/choice.go
+++ b/internal/router/dispatch/choice.go
@@ -15,7 +15,7 @@
 	rendezvousHitProbability = 0.9 // that the endpoint of the rendezvous hash has the shared parts, though this router didn't send them
 	relaxedFraction          = 0.4 // of the time left until the target: time below it has a lower cost
 	relaxedTimeCost          = 0.4
-	cacheMissCost            = 1.0   // of tokens that some endpoint has cached, in times of their prefill
+	cacheMissCost            = 3.0   // of tokens that some endpoint has cached, in times of their prefill
 	utilizationCostMS        = 400.0 // of an endpoint's last slot
 	sizeMismatchCostMS       = 300.0 // of an endpoint that prefers prompts of the other end of all sizes
 	crossZoneCostMS          = 1.0   // of an endpoint in another zone
