--- a/internal/router/node/events.go
+++ b/internal/router/node/events.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"strings"
 	"sync"
 	"time"
 
@@ -56,21 +55,25 @@
 // outcomeLog logs what became of requests.
 type outcomeLog struct{ log *log.Logger }
 
-// record logs a summary, by cause where requests were late and by reason where they were rejected.
+// record logs a summary: by cause how many requests were late, by reason how many were rejected.
 func (l *outcomeLog) record(summary dispatch.Summary) {
-	outcomes := &summary.Outcomes
-	event := l.log.Info().Dur("window", summary.Window).Uint64("served", outcomes.Served).Uint64("failed", outcomes.Failed)
-	for cause, count := range outcomes.Late {
-		if count > 0 {
-			event.Uint64("late_"+dispatch.LateCause(cause).String(), count)
-		}
-	}
-	for reason, count := range outcomes.Rejected {
-		if count > 0 {
-			event.Uint64("rejected_"+strings.ReplaceAll(dispatch.Reason(reason).String(), " ", "_"), count)
-		}
-	}
-	event.Msg("requests.summary")
+	late, rejected := &summary.Outcomes.Late, &summary.Outcomes.Rejected
+	l.log.Info().
+		Dur("window", summary.Window).
+		Uint64("served", summary.Outcomes.Served).
+		Uint64("failed", summary.Outcomes.Failed).
+		Uint64("late_retry", late[dispatch.LateByRetry]).
+		Uint64("late_load", late[dispatch.LateByLoad]).
+		Uint64("late_queue", late[dispatch.LateByQueue]).
+		Uint64("late_endpoint", late[dispatch.LateByEndpoint]).
+		Uint64("late_gap", late[dispatch.LateByGap]).
+		Uint64("rejected_quota", rejected[dispatch.QuotaExceeded]).
+		Uint64("rejected_target", rejected[dispatch.TargetUnreachable]).
+		Uint64("rejected_no_endpoint", rejected[dispatch.NoEndpoint]).
+		Uint64("rejected_retry_budget", rejected[dispatch.RetryBudgetExhausted]).
+		Uint64("rejected_attempts", rejected[dispatch.AttemptsExhausted]).
+		Uint64("rejected_shutdown", rejected[dispatch.ShuttingDown]).
+		Msg("requests.summary")
 }
 
 // httpErrorLog logs the lines that net/http writes about single connections.
