--- a/coordination/chain/discovery.go
+++ b/coordination/chain/discovery.go
@@ -42,8 +42,8 @@
 func (n *Node) introduceToHead(now time.Duration, address string) {
 	listed := func(member view.Member) bool { return member.Identity == n.self.Identity }
 	at := slices.IndexFunc(n.membership.members, listed)
-	if at < 0 || n.membership.members[at] == n.self {
-		return
+	if at < 0 || n.membership.members[at] == n.self || n.self.Zone+n.self.Tag == "" {
+		return // nothing to tell: a description without zone and tag replaces none, see learnMember
 	}
 	if n.detector.helloSentAt > 0 && now < n.detector.helloSentAt+helloInterval {
 		return
--- a/coordination/chain/node_test.go
+++ b/coordination/chain/node_test.go
@@ -170,3 +170,23 @@
 		}
 	}
 }
+
+// A member without zone and tag has nothing to tell: the head would go on listing it as before.
+func TestMemberWithoutDescriptionStaysSilent(t *testing.T) {
+	state, founds := Bootstrap(view.Member{Address: testSeeds[1]}, testSeeds)
+	if !founds {
+		t.Fatal("got no founder for the second seed, want one")
+	}
+	n := New(time.Second, state, Config{FaultTolerance: 1, Seeds: testSeeds, RandomSeed: 2})
+	head := n.View().Chain[0]
+	listed := n.self
+	listed.Zone = "former"
+	out := n.Receive(2*time.Second, head.Address, Message{From: head.Identity, Epoch: 1, Heartbeat: &Heartbeat{
+		Incarnation: 1, SentAt: 2 * time.Second, MembershipVersion: 1, Members: []view.Member{head, listed}, Live: []bool{true, true},
+	}})
+	for _, envelope := range out.Messages {
+		if envelope.Message.Hello != nil {
+			t.Errorf("sent %+v, want no description", envelope.Message.Hello)
+		}
+	}
+}
--- a/internal/router/dispatch/admission.go
+++ b/internal/router/dispatch/admission.go
@@ -14,7 +14,6 @@
 	d.counters.Arrived++
 	if d.namesUnknownModel(asked) {
 		d.counters.Rejected[NoEndpoint]++
-		d.outcomes.counted.Rejected[NoEndpoint]++
 		d.outputs = append(d.outputs, Reject{ID: asked.ID, Reason: NoEndpoint, RetryAfter: unknownModelRetryAfter})
 		return
 	}
@@ -50,7 +49,7 @@
 	}
 	d.countRequest(r.group.service)
 	d.countDemand(r)
-	r.group.service.promptSizes.add(r.PromptTokens)
+	r.group.service.promptSizes.add(r.prefillBeyond(0))
 	r.queueDeadline = r.initialQueueDeadline()
 	d.timers.add(r.queueDeadline, r)
 	d.assign(r)
@@ -86,7 +85,6 @@
 		d.countUnserved(r)
 	}
 	d.counters.Rejected[reason]++
-	d.outcomes.counted.Rejected[reason]++
 	if t := d.tenants[r.Tenant]; t != nil && reason == QuotaExceeded && !r.quotaPreempted {
 		t.denials.record(r, d.now)
 	}
--- a/internal/router/dispatch/choice.go
+++ b/internal/router/dispatch/choice.go
@@ -43,7 +43,7 @@
 	lowestCost := math.Inf(1)
 	parts, shared := r.sharedPrefix()
 	preferred := d.rendezvousChoice(r, parts)
-	r.sizes = r.group.service.promptSizes.interval(r.PromptTokens)
+	r.sizes = r.group.service.promptSizes.interval(r.prefillBeyond(0))
 	if r.sizes != allSizes {
 		r.group.orderBySize()
 	}
--- a/internal/router/dispatch/doc.go
+++ b/internal/router/dispatch/doc.go
@@ -15,7 +15,7 @@
 // # Choice of an endpoint
 //
 // Endpoints that have the model are compared by the expected time to the first byte, what their prefix cache is expected to hold of the
-// prompt, their utilization, zone and health (choice.go). Estimates are learned from the router's own calls (estimate.go).
+// prompt, the sizes of prompts that they prefer (size_intervals.go), their utilization, zone and health (choice.go). Estimates are learned from the router's own calls (estimate.go).
 //
 // # Health, retries, quota, shutdown
 //
--- a/internal/router/dispatch/input.go
+++ b/internal/router/dispatch/input.go
@@ -59,13 +59,7 @@
 	Result     Result
 	NeedsRetry bool
 	Load       *AdvertisedLoad // from X-Instance-Load, nil without
-	Stream     StreamTimes     // of a complete stream
-}
-
-// StreamTimes says how the events of a complete stream followed each other. Zero: not known.
-type StreamTimes struct {
-	DecodeInterval time.Duration // between two events while the endpoint prefilled nothing
-	LongestGap     time.Duration // between two events, over all endpoints
+	LongestGap time.Duration   // between two events of a complete stream, over all its attempts
 }
 
 // AdvertisedLoad is the load that an endpoint stated in an answer: requests that execute, requests that wait, and its slots.
--- a/internal/router/dispatch/outcome.go
+++ b/internal/router/dispatch/outcome.go
@@ -61,7 +61,7 @@
 
 // outcomeLog is what was counted, and what of it was passed on.
 type outcomeLog struct {
-	counted, emitted Outcomes
+	counted, emitted Outcomes // rejections are those of Counters
 	emittedAt        time.Duration
 }
 
@@ -73,20 +73,20 @@
 		return
 	}
 	counted.Served++
-	if cause, late := d.lateCause(r, input.Stream); late {
+	if cause, late := d.lateCause(r, input.LongestGap); late {
 		counted.Late[cause]++
 	}
 }
 
 // lateCause returns why a served request was late, and whether it was.
-func (d *Decider) lateCause(r *request, times StreamTimes) (LateCause, bool) {
+func (d *Decider) lateCause(r *request, longestGap time.Duration) (LateCause, bool) {
 	answered := r.firstByteAt
 	if !r.Streaming || answered == 0 {
 		answered = d.now
 	}
 	switch {
 	case answered <= r.latencyTarget:
-		return LateByGap, r.EventGapTarget > 0 && times.LongestGap > r.EventGapTarget
+		return LateByGap, r.EventGapTarget > 0 && longestGap > r.EventGapTarget
 	case r.deliveries > 1:
 		return LateByRetry, true
 	case r.sentAt-r.arrived <= answered-r.sentAt:
@@ -103,11 +103,13 @@
 	if d.now-log.emittedAt < outcomeInterval {
 		return
 	}
-	since := log.counted.minus(log.emitted)
+	counted := log.counted
+	counted.Rejected = d.counters.Rejected
+	since := counted.minus(log.emitted)
 	onlyInTime := Outcomes{Served: since.Served}
 	if since == onlyInTime {
 		return
 	}
 	d.outputs = append(d.outputs, Summary{Window: d.now - log.emittedAt, Outcomes: since})
-	log.emitted, log.emittedAt = log.counted, d.now
+	log.emitted, log.emittedAt = counted, d.now
 }
--- a/internal/router/dispatch/outcome_test.go
+++ b/internal/router/dispatch/outcome_test.go
@@ -47,9 +47,9 @@
 				send = s.oneSend(s.step(50, AttemptFinished{ID: r.ID, Endpoint: send.Endpoint, Result: Rejected, NeedsRetry: true}))
 			}
 			s.step(c.firstEventMS, FirstByteReceived{ID: r.ID, Endpoint: send.Endpoint})
-			s.step(9000, AttemptFinished{ID: r.ID, Endpoint: send.Endpoint, Stream: StreamTimes{
+			s.step(9000, AttemptFinished{ID: r.ID, Endpoint: send.Endpoint,
 				LongestGap: time.Duration(c.longestGapMS) * time.Millisecond,
-			}})
+			})
 			want := Outcomes{Served: 1}
 			if c.want != inTime {
 				want.Late[c.want] = 1
@@ -70,7 +70,7 @@
 		r.EventGapTarget = 300 * time.Millisecond
 		send := s.oneSend(s.step(at, RequestArrived{r}))
 		s.step(at+10, FirstByteReceived{ID: r.ID, Endpoint: send.Endpoint})
-		finished := AttemptFinished{ID: r.ID, Endpoint: send.Endpoint, Stream: StreamTimes{LongestGap: gap}}
+		finished := AttemptFinished{ID: r.ID, Endpoint: send.Endpoint, LongestGap: gap}
 		for _, output := range s.step(at+20, finished) {
 			if summary, ok := output.(Summary); ok {
 				summaries = append(summaries, summary)
@@ -103,3 +103,23 @@
 		seen[name] = true
 	}
 }
+
+// Rejections of each kind are in the summary, also those that never reached a queue.
+func TestSummaryCountsEachRejection(t *testing.T) {
+	s := newScript(t, modelEndpoint("a", 1, "m"))
+	s.step(11000, ShutdownStarted{
+		QueueDeadline: s.time(11000), SelectiveAdmissionFrom: s.time(11000), ShutdownDeadline: s.time(11001),
+	})
+	unknown := s.request("unknown")
+	late := s.request("m")
+	late.ArrivedAt, late.LatencyTarget, late.Deadline = s.time(11000), s.time(11500), s.time(26000)
+	var got *Summary
+	for _, output := range s.step(11001, RequestArrived{unknown}, RequestArrived{late}) {
+		if summary, ok := output.(Summary); ok {
+			got = &summary
+		}
+	}
+	if got == nil || got.Outcomes.Rejected[NoEndpoint] != 1 || got.Outcomes.Rejected[ShuttingDown] != 1 {
+		t.Errorf("got %+v, want one rejection for an unknown model and one for the shutdown", got)
+	}
+}
--- a/internal/router/dispatch/simulated_calls_test.go
+++ b/internal/router/dispatch/simulated_calls_test.go
@@ -49,7 +49,7 @@
 	c.call = nil
 	w.passToRouter(c, AttemptFinished{
 		ID: c.request.ID, Endpoint: call.server.row.ID, Result: result, NeedsRetry: more,
-		Load: call.server.load(), Stream: StreamTimes{LongestGap: c.longestGap},
+		Load: call.server.load(), LongestGap: c.longestGap,
 	})
 }
 
--- a/internal/router/dispatcher/command.go
+++ b/internal/router/dispatcher/command.go
@@ -132,7 +132,7 @@
 		Result:     o.Result,
 		NeedsRetry: o.NeedsRetry,
 		Load:       o.Load,
-		Stream:     o.Stream,
+		LongestGap: o.LongestGap,
 	})
 	p.inFlight = nil
 	if !o.NeedsRetry {
--- a/internal/router/dispatcher/ticket.go
+++ b/internal/router/dispatcher/ticket.go
@@ -84,9 +84,9 @@
 	NeedsRetry          bool // the request asks for another endpoint; Wait returns the decision
 	FirstByteUnreported bool // the first byte has come, and ReportFirstByte was not called
 	Load                *dispatch.AdvertisedLoad
-	Stream              dispatch.StreamTimes // of a complete stream
-	Connection          *pool.Connection     // one that may serve another attempt, nil for none
-	IdleTimeout         time.Duration        // how long it may stay idle
+	LongestGap          time.Duration    // between two events of a complete stream
+	Connection          *pool.Connection // one that may serve another attempt, nil for none
+	IdleTimeout         time.Duration    // how long it may stay idle
 }
 
 // FinishAttempt ends the attempt that the last decision asked for.
--- a/internal/router/ingress/event_stream.go
+++ b/internal/router/ingress/event_stream.go
@@ -46,20 +46,11 @@
 		p.writeHead(answer, "") // a stream without events
 	}
 	outcome := connection.release(answer, dispatch.Succeeded)
-	outcome.Stream = streamTimes(p.relay.EventTimes())
+	outcome.LongestGap = p.relay.LongestGap()
 	p.finishAttempt(outcome)
 	return true
 }
 
-// streamTimes returns what the dispatcher learns from the times of a complete stream's events.
-func streamTimes(times *stream.EventTimes) dispatch.StreamTimes {
-	decode, known := times.DecodeInterval()
-	if !known {
-		decode = 0
-	}
-	return dispatch.StreamTimes{DecodeInterval: decode, LongestGap: times.Longest}
-}
-
 // streamFailed handles a stream that did not come to its end.
 func (p *proxiedRequest) streamFailed(err error) (answered bool) {
 	var clientError *stream.ClientError
--- a/internal/router/ingress/event_stream_test.go
+++ b/internal/router/ingress/event_stream_test.go
@@ -222,6 +222,9 @@
 	if have := w.decider.results(t, 1); have[0] != dispatch.Succeeded {
 		t.Errorf("got results %v, want succeeded", have)
 	}
+	if gap := w.decider.finished[0].LongestGap; gap < w.handler.minEventGapTimeout {
+		t.Errorf("told the decider of a longest gap of %v, want the stall of %v at least", gap, w.handler.minEventGapTimeout)
+	}
 }
 
 // Streams of events with a length, one of them without any event.
--- a/internal/router/stream/relay.go
+++ b/internal/router/stream/relay.go
@@ -55,7 +55,7 @@
 	started    bool // the current run has passed an event on
 	events     int  // since the last call of Progress
 	progressAt time.Time
-	times      EventTimes
+	gaps       eventGaps
 }
 
 // NewRelay returns the relay of one answer; stride is the step of event ids (see NewSequence).
@@ -66,14 +66,13 @@
 // LastID returns the id of the last event that was passed on, empty for none.
 func (r *Relay) LastID() string { return r.sequence.LastID() }
 
-// EventTimes returns what the times of the events so far say.
-func (r *Relay) EventTimes() *EventTimes { return &r.times }
+// LongestGap returns the longest time between two events that were passed on, over all runs.
+func (r *Relay) LongestGap() time.Duration { return r.gaps.longest }
 
 // Run passes the events of one run on. It returns nil once the answer is complete. After any error but a ClientError
 // and ErrGap another run may continue.
 func (r *Relay) Run(source Source, limits Limits) error {
 	r.started = false
-	r.times.beginRun()
 	r.splitter.Reset()
 	r.sequence.Resume()
 	deadline := gapDeadline{source: source, limits: limits}
@@ -92,7 +91,7 @@
 		}
 		if passed > 0 {
 			now := time.Now()
-			r.times.received(now, passed)
+			r.gaps.received(now)
 			if err := r.flush(passed, now); err != nil {
 				return err
 			}
