Count the gap before an event that comes with the end of its stream

Cause: the relay noted the time of events only if the answer went on. Change: events are noted before the end is looked at.

--- a/internal/router/dispatch/outcome_test.go
+++ b/internal/router/dispatch/outcome_test.go
@@ -47,9 +47,8 @@
 				send = s.oneSend(s.step(50, AttemptFinished{ID: r.ID, Endpoint: send.Endpoint, Result: Rejected, NeedsRetry: true}))
 			}
 			s.step(c.firstEventMS, FirstByteReceived{ID: r.ID, Endpoint: send.Endpoint})
-			s.step(9000, AttemptFinished{ID: r.ID, Endpoint: send.Endpoint,
-				LongestGap: time.Duration(c.longestGapMS) * time.Millisecond,
-			})
+			gap := time.Duration(c.longestGapMS) * time.Millisecond
+			s.step(9000, AttemptFinished{ID: r.ID, Endpoint: send.Endpoint, LongestGap: gap})
 			want := Outcomes{Served: 1}
 			if c.want != inTime {
 				want.Late[c.want] = 1
--- a/internal/router/stream/relay.go
+++ b/internal/router/stream/relay.go
@@ -86,12 +86,14 @@
 		if err != nil {
 			return err
 		}
+		now := time.Now()
+		if passed > 0 {
+			r.gaps.received(now)
+		}
 		if failed == io.EOF { //nolint:errorlint // Source returns io.EOF itself at the end; a wrapped one is a failure
 			return r.passRemainder(source.Framed())
 		}
 		if passed > 0 {
-			now := time.Now()
-			r.gaps.received(now)
 			if err := r.flush(passed, now); err != nil {
 				return err
 			}
