--- a/cmd/raventrestle-control/commands_test.go
+++ b/cmd/raventrestle-control/commands_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -65,6 +66,42 @@
 	}
 }
 
+// TestQuotaSumsOverHolders asks one instance for the table and each live holder for what it issued; a holder that does not
+// answer is shown, and makes the command fail.
+func TestQuotaSumsOverHolders(t *testing.T) {
+	holders := ""
+	answer := func(part, issued int) *httptest.Server {
+		return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = fmt.Fprintf(w, `{"sequence":7,"shares":60,"holders":[%s],"usable":0.5,"tenants":[`+
+				`{"tenant":"t","rate_per_s":100,"allowance":900,"part":%d,"issued":%d},{"tenant":"u","part":1}]}`, holders, part, issued)
+		}))
+	}
+	one, two := answer(400, 100), answer(400, 60)
+	defer one.Close()
+	defer two.Close()
+	holders = fmt.Sprintf(`{"identity":"a","control":%q,"live":true,"shares":30},{"identity":"b","control":%q,"live":true,"shares":30}`,
+		one.Listener.Addr(), two.Listener.Addr())
+	var out bytes.Buffer
+	command := &quotaCommand{tenant: "t"}
+	command.control, command.output = one.Listener.Addr().String(), &out
+	if err := command.run(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []string{"table 7, 60 shares", "a", "0.500", "900        800       160     20%"} {
+		if !strings.Contains(out.String(), part) {
+			t.Errorf("got %s, want %q in it", out.String(), part)
+		}
+	}
+	if strings.Contains(out.String(), "\nu ") {
+		t.Errorf("got %s, want tenant t alone", out.String())
+	}
+	two.Close()
+	out.Reset()
+	if err := command.run(t.Context()); err == nil || !strings.Contains(out.String(), "connection refused") {
+		t.Errorf("got %v and %s, want an error and why b did not answer", err, out.String())
+	}
+}
+
 // TestConfigChangeBuildsOnTheNewestVersion sends a change without -onto.
 func TestConfigChangeBuildsOnTheNewestVersion(t *testing.T) {
 	var ifMatch, body string
--- a/cmd/raventrestle-control/events.go
+++ b/cmd/raventrestle-control/events.go
@@ -44,6 +44,12 @@
 	// eventOrderCompleted: epoch, endpoint, model, adapter, unload, reason, outcome (see outcomeName), error.
 	eventOrderCompleted = "order.completed"
 
+	// eventSharesProposed: sequence (of the table of shares), error. The leader gives shares of the limits to an instance that
+	// came, or takes them from one that is gone.
+	eventSharesProposed = "quota.shares_proposed"
+	// eventQuotaRecordFailed (warning): error. Without records this instance issues no credit; others do.
+	eventQuotaRecordFailed = "quota.record_failed"
+
 	// eventReplicaPrefix is followed by the name of an event of the replicated group (replica.Config.RecordEvent):
 	// view_changed, leadership_changed, disk_write_failed, log_close_failed, message_undecodable, message_not_encodable.
 	eventReplicaPrefix = "replica."
@@ -120,6 +126,14 @@
 		Str("outcome", outcomeName(outcome)).Err(err).Msg("")
 }
 
+// SharesProposed implements roles.EventRecorder.
+func (e *eventLog) SharesProposed(sequence uint64, err error) {
+	e.info(eventSharesProposed).Uint64("sequence", sequence).Err(err).Msg("")
+}
+
+// RecordFailed implements quotahost.EventRecorder.
+func (e *eventLog) RecordFailed(err error) { e.warn(eventQuotaRecordFailed).Err(err).Msg("") }
+
 // outcomeName names an order's outcome in the log.
 func outcomeName(outcome placer.Outcome) string {
 	switch outcome {
--- a/cmd/raventrestle-control/events_test.go
+++ b/cmd/raventrestle-control/events_test.go
@@ -66,6 +66,14 @@
 			`{"level":"info","event":"order.completed","epoch":4,"endpoint":"i-1","model":"m","adapter":"a1","unload":true,` +
 				`"reason":"why","outcome":"already_applied","error":"failure"}`,
 		},
+		{
+			"quota.shares_proposed", func(e *eventLog) { e.SharesProposed(5, failure) },
+			`{"level":"info","event":"quota.shares_proposed","sequence":5,"error":"failure"}`,
+		},
+		{
+			"quota.record_failed", func(e *eventLog) { e.RecordFailed(failure) },
+			`{"level":"warn","event":"quota.record_failed","error":"failure"}`,
+		},
 		{
 			"replica.", func(e *eventLog) { e.replicaEvent("view_changed", "epoch", 4, "head", "10.0.0.1:7500") },
 			`{"level":"info","event":"replica.view_changed","epoch":"4","head":"10.0.0.1:7500"}`,
--- a/cmd/raventrestle-control/instance.go
+++ b/cmd/raventrestle-control/instance.go
@@ -13,13 +13,19 @@
 	"raventrestle/internal/control/api"
 	"raventrestle/internal/control/configstore"
 	"raventrestle/internal/control/host"
+	"raventrestle/internal/control/quotahost"
 	"raventrestle/internal/control/roles"
+	"raventrestle/internal/control/shares"
 	"raventrestle/internal/control/state"
 	"raventrestle/internal/nodeconfig"
 	"raventrestle/internal/protocol"
 	"raventrestle/internal/transport"
 )
 
+// quotaRecordTimeout is the longest time that the record of issued credit gets at the end. Without it the next process of
+// this instance issues nothing for its first window.
+const quotaRecordTimeout = 300 * time.Millisecond
+
 // shutdownTimeout is the longest time that calls in flight get at the end.
 const shutdownTimeout = 700 * time.Millisecond
 
@@ -28,6 +34,7 @@
 type instance struct {
 	replica replica.Interface
 	leader  *roles.Leader
+	quotas  *quotahost.Host
 	mesh    *transport.Mesh   // to peers
 	peers   *transport.Server // from peers and routers
 	http    *api.Server
@@ -76,13 +83,21 @@
 	controlHost := host.New(host.Config{Origin: origin, Heartbeat: config.HeartbeatInterval, Codec: codec}, host.Dependencies{
 		Replica: i.replica, Configurations: store, Mesh: i.mesh, Roles: reports, Events: events,
 	})
-	i.leader = roles.New(roles.Config{NodeName: config.NodeName, Lease: config.Bounds.LeaseTTL}, roles.Dependencies{
+	i.leader = roles.New(roles.Config{
+		NodeName: config.NodeName, Lease: config.Bounds.LeaseTTL, HolderLease: shares.HolderLease(config.Bounds.PartitionAllowance),
+	}, roles.Dependencies{
 		Replica: i.replica, Host: controlHost, Configurations: store, Events: events,
-		NewPlacer:    func(quiet time.Duration) roles.Placer { return newPlacer(config, quiet) },
-		NewAllocator: func(quiet time.Duration) roles.Allocator { return newAllocator(config, quiet) },
+		NewPlacer: func(quiet time.Duration) roles.Placer { return newPlacer(config, quiet) },
+	})
+	i.quotas, err = newQuotaHost(config, origin, quotahost.Dependencies{
+		Replica: i.replica, Replicated: store, ConfirmedAt: controlHost.ConfirmedAt, Mesh: i.mesh, Events: events,
 	})
+	if err != nil {
+		return err
+	}
 	reports.leader = i.leader
 	handler.host.Store(controlHost)
+	handler.quotas.Store(i.quotas)
 	i.peers, err = transport.Listen(self, codec, handler)
 	if err != nil {
 		return err
@@ -91,10 +106,12 @@
 	if err != nil {
 		return fmt.Errorf("listen for endpoints and the operator: %w", err)
 	}
-	i.http = api.New(controlHost, store, statusView(i.replica, machine, controlHost.ConfirmedAt)).
+	i.http = api.New(controlHost, store, statusView(i.replica, machine, controlHost.ConfirmedAt),
+		quotaView(i.replica, machine, controlHost.ConfirmedAt, i.quotas)).
 		Server(maxConnections(config.Limits))
 	i.spawn(func() { controlHost.Run(ctx) })
 	i.spawn(func() { i.leader.Run(ctx) })
+	i.spawn(func() { i.quotas.Run(ctx) })
 	i.spawn(func() { i.serve(listener) })
 	events.started(config.NodeName, self, config.ControlAddress, config.Bootstrap)
 	return nil
@@ -123,6 +140,13 @@
 	}
 }
 
+// stopQuotas has the record of issued credit written. From then on routers are passed on to other instances' credit.
+func (i *instance) stopQuotas(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, quotaRecordTimeout)
+	defer cancel()
+	i.quotas.Stop(ctx)
+}
+
 // stop ends the instance: it steps down, hands the group's state over, answers the calls in flight and waits for its tasks.
 // The connections to routers and peers are closed without waiting for their goroutines, since the process ends. The error
 // says why the group still needs this instance's disk.
@@ -131,6 +155,7 @@
 	handover, cancelHandover := context.WithTimeout(ctx, i.handoverTimeout)
 	defer cancelHandover()
 	stopped := i.replica.Stop(handover)
+	i.stopQuotas(ctx)
 	shutdown, cancelShutdown := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancelShutdown()
 	if err := i.http.Shutdown(shutdown); err != nil {
--- a/cmd/raventrestle-control/main.go
+++ b/cmd/raventrestle-control/main.go
@@ -1,5 +1,5 @@
 // Raventrestle-control is the control plane: it replicates the operator's configuration among the core machines, registers
-// endpoints, sends both to the routers, places models and divides quotas. Its verb "run" is an instance; the others are
+// endpoints, sends both to the routers, places models and issues credit for the tenants' limits. Its verb "run" is an instance; the others are
 // commands for people, which ask an instance over HTTP or check files.
 package main
 
@@ -22,6 +22,7 @@
 	commander.Register(&buildinfo.Command{Program: "raventrestle-control"}, "")
 	commander.Register(&check.Command{Program: "raventrestle-control"}, "")
 	commander.Register(&configCommand{}, "")
+	commander.Register(&quotaCommand{}, "")
 	for _, table := range tableCommands() {
 		commander.Register(table, "")
 	}
--- a/cmd/raventrestle-control/wiring.go
+++ b/cmd/raventrestle-control/wiring.go
@@ -13,7 +13,9 @@
 	"raventrestle/internal/control/host"
 	"raventrestle/internal/control/placer"
 	"raventrestle/internal/control/quota"
+	"raventrestle/internal/control/quotahost"
 	"raventrestle/internal/control/roles"
+	"raventrestle/internal/control/shares"
 	"raventrestle/internal/nodeconfig"
 	"raventrestle/internal/protocol"
 	"raventrestle/internal/transport"
@@ -32,10 +34,16 @@
 
 // deferredHandler passes messages to the host once there is one: the mesh has to exist before the host, and the host
 // before messages can be handled. Earlier messages are dropped; their senders repeat what matters.
-type deferredHandler struct{ host atomic.Pointer[host.Host] }
+type deferredHandler struct {
+	host   atomic.Pointer[host.Host]
+	quotas atomic.Pointer[quotahost.Host]
+}
 
 // Message implements transport.Handler.
 func (d *deferredHandler) Message(c *transport.Connection, message any) {
+	if quotas := d.quotas.Load(); quotas != nil && quotas.Message(c, message) {
+		return
+	}
 	if h := d.host.Load(); h != nil {
 		h.Message(c, message)
 	}
@@ -120,12 +128,21 @@
 	})
 }
 
-// newAllocator returns a quota allocator for a leadership before which no other leader has granted for the time quiet.
-func newAllocator(config *nodeconfig.Config, quiet time.Duration) *quota.Allocator {
-	return quota.New(quota.Config{
-		Window:            config.Bounds.QuotaWindow,
-		OvershootFraction: config.Bounds.QuotaOverrunRatio,
-		OvershootSlack:    config.Bounds.QuotaSlack,
-		IdleBefore:        quiet,
-	})
+// newQuotaHost returns the holder of this instance's shares of the tenants' limits.
+func newQuotaHost(
+	config *nodeconfig.Config, origin protocol.Origin, dependencies quotahost.Dependencies,
+) (*quotahost.Host, error) {
+	return quotahost.New(quotahost.Config{
+		Directory: config.DataDir,
+		Holder: quota.Config{
+			Identity:          dependencies.Replica.Status().Self.Identity,
+			Address:           origin.Address,
+			Incarnation:       origin.Incarnation,
+			Zone:              config.Zone,
+			HolderLease:       shares.HolderLease(config.Bounds.PartitionAllowance),
+			Window:            config.Bounds.QuotaWindow,
+			OvershootFraction: config.Bounds.QuotaOverrunRatio,
+			OvershootSlack:    config.Bounds.QuotaSlack,
+		},
+	}, dependencies)
 }
--- a/internal/control/api/api.go
+++ b/internal/control/api/api.go
@@ -57,20 +57,25 @@
 // Status returns a view of the replicated group, which is shown as JSON.
 type Status func() any
 
+// Quotas returns how this instance divides tenants' limits. An error means that it stops, or the context has ended.
+type Quotas func(ctx context.Context) (QuotaView, error)
+
 // API serves the interface. It is safe for concurrent use.
 type API struct {
 	instances      Instances
 	configurations Configurations
 	status         Status
+	quotas         Quotas
 	largeChanges   chan struct{} // semaphore: an element for each large change in memory
 }
 
 // New returns an API. Handler or Server makes it answer requests.
-func New(instances Instances, configurations Configurations, status Status) *API {
+func New(instances Instances, configurations Configurations, status Status, quotas Quotas) *API {
 	return &API{
 		instances:      instances,
 		configurations: configurations,
 		status:         status,
+		quotas:         quotas,
 		largeChanges:   make(chan struct{}, maxLargeChanges),
 	}
 }
@@ -87,6 +92,7 @@
 	routes.Handle("GET /-/members", handler(a.getMembers))
 	routes.Handle("GET /-/endpoints", handler(a.getEndpoints))
 	routes.Handle("GET /-/models", handler(a.getModels))
+	routes.Handle("GET /-/quota", handler(a.getQuota))
 	return routes
 }
 
--- a/internal/control/api/tables.go
+++ b/internal/control/api/tables.go
@@ -56,6 +56,38 @@
 	Bytes      int    `json:"bytes"` // of the complete configuration
 }
 
+// QuotaView says how tenants' limits are divided, and what the answering instance has issued of them.
+type QuotaView struct {
+	AsOfMS   int64             `json:"as_of_ms"`
+	Sequence uint64            `json:"sequence"` // of the table of shares
+	Shares   int               `json:"shares"`   // that each limit is divided into
+	Holders  []HolderView      `json:"holders"`
+	Instance string            `json:"instance"` // identity of the answering one
+	Usable   float64           `json:"usable"`   // fraction of each limit that it may issue now
+	Tenants  []TenantQuotaView `json:"tenants"`
+}
+
+// HolderView is an instance that can hold shares, or the lack of one.
+type HolderView struct {
+	Identity string `json:"identity"` // "": nobody
+	Control  string `json:"control,omitempty"`
+	Live     bool   `json:"live"`
+	Shares   int    `json:"shares"`
+}
+
+// TenantQuotaView is one limit at the answering instance. Amounts are in the tenant's unit.
+type TenantQuotaView struct {
+	Tenant        string  `json:"tenant"`
+	RatePerSecond float64 `json:"rate_per_s"`
+	Burst         float64 `json:"burst"`
+	Allowance     float64 `json:"allowance"` // of a window, at all routers
+	Part          float64 `json:"part"`      // of it that this instance may issue
+	Issued        float64 `json:"issued"`    // by this instance in the newest window, and a little before it
+	Granted       float64 `json:"granted"`   // by this instance since its start
+	Denied        float64 `json:"denied"`    // asked of this instance and to be had nowhere, since its start
+	Waiting       int     `json:"waiting"`   // requests for credit that wait now
+}
+
 // tableAge returns the age in milliseconds of the newest moment of which this instance has everything. It has to be
 // called before the table is read, so that the table is not older than it states. The error is ErrNoQuorumContact.
 func (a *API) tableAge() (int64, error) {
@@ -110,6 +142,16 @@
 	return nil
 }
 
+// getQuota shows how limits are divided and used. It answers without contact with a majority too: shares hold without one.
+func (a *API) getQuota(w http.ResponseWriter, r *http.Request) error {
+	view, err := a.quotas(r.Context())
+	if err != nil {
+		return &UnavailableError{Err: err}
+	}
+	writeJSON(w, http.StatusOK, view)
+	return nil
+}
+
 // readEndpoints returns the endpoints by service and ID, and the age of the table.
 func (a *API) readEndpoints(ctx context.Context) (age int64, endpoints []protocol.Endpoint, err error) {
 	age, err = a.tableAge()
--- a/internal/control/controller/connections.go
+++ b/internal/control/controller/connections.go
@@ -53,10 +53,6 @@
 
 // receive takes in a message of a router or of another instance.
 func (c *Controller) receive(now time.Time, in MessageReceived) {
-	var delay time.Duration
-	if fromPeer, isPeer := in.Message.(protocol.PeerMessage); isPeer {
-		delay = c.delays.observe(now.Sub(c.started), fromPeer.Sender())
-	}
 	switch message := in.Message.(type) {
 	case *protocol.Subscribe:
 		// A probe may have come before on the same connection.
@@ -71,10 +67,7 @@
 		c.queueReport(message)
 	case *protocol.ReportBatch:
 		c.out.Reports = append(c.out.Reports, message)
-	case *protocol.GrantBatch:
-		if delay <= maxGrantDelay {
-			c.grantHere(message.Routers)
-		}
+	case *protocol.GrantBatch: // of an earlier build's leader
 	default:
 		c.toRegistry(registry.PeerMessage{Content: in.Message})
 	}
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -34,8 +34,6 @@
 	replica     replicaView
 	barrier     barrierState
 	reports     reportQueue
-	delays      queueingDelays
-	grantEpoch  uint64 // newest epoch whose grants were passed on
 
 	// Of the step in progress.
 	registryInputs []registry.Input
@@ -53,7 +51,6 @@
 		hub:         distribution.New(started),
 		connections: newConnectionTable(),
 		calls:       newPendingCalls(),
-		delays:      newQueueingDelays(),
 	}
 }
 
@@ -87,8 +84,6 @@
 		c.toRegistry(registry.Deregister{RequestID: c.calls.add(event.Caller), ID: event.ID})
 	case LoadingChanged:
 		c.toRegistry(registry.LocalLoading{Table: event.Table})
-	case GrantsIssued:
-		c.distributeGrants(now, event.Batches)
 	}
 }
 
@@ -152,7 +147,6 @@
 func (c *Controller) collectSubscriptions(out distribution.Output) {
 	c.collectMessages(out)
 	c.out.Subscribed = out.Subscribed
-	c.reports.confirmed = append(c.reports.confirmed, out.GrantsConfirmed...)
 }
 
 // collectMessages puts the hub's messages and closings into the output.
--- a/internal/control/controller/doc.go
+++ b/internal/control/controller/doc.go
@@ -1,6 +1,6 @@
 // Package controller is the pure core of a control instance's soft state. It joins the registry of endpoints (package
 // registry) with the routers' subscriptions (package distribution) and translates between them and the outside: the
-// replica's status, connections, waiting calls, barriers, routers' reports and quota grants.
+// replica's status, connections, waiting calls, barriers and routers' reports.
 //
 // A Controller starts no goroutine, does no I/O and reads no clock. Package host runs it in the process, package
 // systemsim in a simulated system; both only carry out the Output of its steps, so that the simulation proves the code
@@ -13,5 +13,4 @@
 //   - Output is carried out in the order of its fields: messages first, answers to endpoints last. An endpoint is
 //     answered only after everything that its answer relies on has been sent.
 //   - At most one barrier is in flight; a failed one is repeated no sooner than barrierBackoff later.
-//   - Grants of an earlier leader never follow those of a later one (TestGrantsOfAnEarlierLeaderAreDropped).
 package controller
--- a/internal/control/controller/input.go
+++ b/internal/control/controller/input.go
@@ -84,12 +84,6 @@
 // LoadingChanged is an event: the placer of this instance has a new table of model loads in progress.
 type LoadingChanged struct{ Table protocol.LoadingTable }
 
-// GrantsIssued is an event: the quota allocator of this instance granted quota to routers. Batches are keyed by the
-// transport address of the instance that has the routers.
-type GrantsIssued struct {
-	Batches map[string][]protocol.RouterGrants
-}
-
 func (MessageReceived) event()        {}
 func (ConnectionClosed) event()       {}
 func (ReplicaChanged) event()         {}
@@ -97,4 +91,3 @@
 func (HeartbeatReceived) event()      {}
 func (DeregistrationReceived) event() {}
 func (LoadingChanged) event()         {}
-func (GrantsIssued) event()           {}
--- a/internal/control/controller/reports.go
+++ b/internal/control/controller/reports.go
@@ -8,28 +8,22 @@
 )
 
 const (
-	reportInterval        = 200 * time.Millisecond // between batches to the leader of the singleton roles
-	starvedReportInterval = 4 * time.Millisecond   // the same, while requests wait for quota
-	maxPendingReports     = 4096                   // kept while no leader is known
+	reportInterval    = 200 * time.Millisecond // between batches to the leader of the singleton roles
+	maxPendingReports = 4096                   // kept while no leader is known
 )
 
-// reportQueue gathers what the routers connected here report and confirm, for the leader of the singleton roles.
+// reportQueue gathers what the routers connected here report, for the leader of the singleton roles.
 type reportQueue struct {
-	reports   []protocol.Report
-	confirmed []protocol.GrantAck
-	starved   bool      // a report says that requests wait for quota
-	sentAt    time.Time // of the newest batch
+	reports []protocol.Report
+	sentAt  time.Time // of the newest batch
 }
 
-func (q *reportQueue) empty() bool { return len(q.reports)+len(q.confirmed) == 0 }
+func (q *reportQueue) empty() bool { return len(q.reports) == 0 }
 
 // dueAt is when the next batch is to be sent; zero: there is nothing to send.
 func (q *reportQueue) dueAt() time.Time {
-	switch {
-	case q.empty():
+	if q.empty() {
 		return time.Time{}
-	case q.starved:
-		return q.sentAt.Add(starvedReportInterval)
 	}
 	return q.sentAt.Add(reportInterval)
 }
@@ -37,7 +31,6 @@
 // keepNewest drops what can't be kept any longer without a leader.
 func (q *reportQueue) keepNewest() {
 	q.reports = q.reports[max(0, len(q.reports)-maxPendingReports):]
-	q.confirmed = nil
 }
 
 // queueReport keeps a router's report for the leader and gives the registry what it says of endpoints.
@@ -45,7 +38,6 @@
 	if len(report.Unreachable)+len(report.Reachable) > 0 {
 		c.toRegistry(registry.RouterReport{Unreachable: report.Unreachable, Reached: report.Reachable})
 	}
-	c.reports.starved = c.reports.starved || report.HasShortfall()
 	c.reports.reports = append(c.reports.reports, *report)
 }
 
@@ -56,14 +48,14 @@
 	if queue.empty() || now.Before(queue.dueAt()) {
 		return
 	}
-	queue.sentAt, queue.starved = now, false
+	queue.sentAt = now
 	leader := c.replica.leader
 	if leader == "" {
 		queue.keepNewest()
 		return
 	}
-	batch := &protocol.ReportBatch{Origin: c.config.Origin, Reports: queue.reports, GrantAcks: queue.confirmed}
-	queue.reports, queue.confirmed = nil, nil
+	batch := &protocol.ReportBatch{Origin: c.config.Origin, Reports: queue.reports}
+	queue.reports = nil
 	if leader == c.config.Origin.Address {
 		c.out.Reports = append(c.out.Reports, batch)
 		return
--- a/internal/control/distribution/confirmations.go
+++ b/internal/control/distribution/confirmations.go
@@ -1,17 +1,12 @@
 package distribution
 
-import (
-	"time"
-
-	"raventrestle/internal/protocol"
-)
+import "time"
 
 // sentUpdate is what an update carried that the router has not confirmed yet.
 type sentUpdate struct {
 	sequence uint64
 	revision uint64 // of the table of endpoints that is in force with it
 	sentAt   time.Time
-	grants   *protocol.RouterGrants // nil: none
 }
 
 // confirm takes in that an update is in force, and with it all before.
@@ -20,15 +15,6 @@
 		confirmed := s.unconfirmed[0]
 		s.unconfirmed = s.unconfirmed[1:]
 		s.confirmedRevision = confirmed.revision
-		if confirmed.grants == nil {
-			continue
-		}
-		h.out.GrantsConfirmed = append(h.out.GrantsConfirmed, protocol.GrantAck{
-			Node:        s.router.Node,
-			Incarnation: s.router.Incarnation,
-			Epoch:       confirmed.grants.Epoch,
-			Batch:       confirmed.grants.Batch,
-		})
 	}
 }
 
--- a/internal/control/distribution/hub.go
+++ b/internal/control/distribution/hub.go
@@ -91,8 +91,6 @@
 		h.setMembers(now, in.Members)
 	case QuorumContact:
 		h.contact = in
-	case GrantIssued:
-		h.sendGrant(now, in.Router)
 	case Endpoints:
 		h.changeEndpoints(now, in)
 	}
--- a/internal/control/distribution/input.go
+++ b/internal/control/distribution/input.go
@@ -53,9 +53,6 @@
 	ConfirmedAt time.Time // zero: there was none
 }
 
-// GrantIssued is an input: quota grants for one router.
-type GrantIssued struct{ Router protocol.RouterGrants }
-
 // Endpoints is an input: what the registry has of endpoints and routers.
 type Endpoints struct {
 	Changed     []protocol.Endpoint
@@ -73,7 +70,6 @@
 func (Members) input()          {}
 func (QuorumContact) input()    {}
 func (Probed) input()           {}
-func (GrantIssued) input()      {}
 func (Endpoints) input()        {}
 
 // Table gives the table of endpoints; the hub asks for it where a router needs all of it. With tombstones a router may
--- a/internal/control/distribution/output.go
+++ b/internal/control/distribution/output.go
@@ -14,7 +14,6 @@
 	StartBarrier         uint64               // start a barrier now, then give BarrierPassed with it; 0: none is needed
 	Subscribed           []protocol.Subscribe // routers that were taken in
 	RoutersChanged       bool                 // the set of subscribed routers changed: see Connected
-	GrantsConfirmed      []protocol.GrantAck  // by routers
 	WakeAt               time.Time            // Step again then at the latest; zero: at the next input
 }
 
--- a/internal/control/distribution/updates.go
+++ b/internal/control/distribution/updates.go
@@ -101,7 +101,7 @@
 
 // newUpdate begins an update with the configuration, members and router count, where the router lacks them.
 func (h *Hub) newUpdate(now time.Time, s *subscriber) *protocol.Update {
-	update := &protocol.Update{Generation: h.generation, Freshness: h.freshnessProof(now, s.connection)}
+	update := &protocol.Update{Generation: h.generation, Freshness: h.freshnessProof(now, s.connection), IssuesCredit: true}
 	if h.generation > s.generation {
 		update.Document = h.document
 	}
@@ -129,19 +129,6 @@
 	h.out.Messages = append(h.out.Messages, Message{Connection: s.connection, Content: update})
 }
 
-// sendGrant sends quota grants to the router's process that they were issued to.
-func (h *Hub) sendGrant(now time.Time, router protocol.RouterGrants) {
-	for _, s := range h.sorted {
-		if s.router.Node != router.Node || s.router.Incarnation != router.Incarnation {
-			continue
-		}
-		update := h.newUpdate(now, s)
-		update.Quotas = router.Grants
-		h.send(now, s, update)
-		s.unconfirmed[len(s.unconfirmed)-1].grants = &router
-	}
-}
-
 // sendSnapshots has routers whose table was sent for merging replace it, once the instance's own is complete.
 func (h *Hub) sendSnapshots(now time.Time, table Table) {
 	if !h.complete {
--- a/internal/control/host/commands.go
+++ b/internal/control/host/commands.go
@@ -93,11 +93,6 @@
 	h.post(context.Background(), controller.LoadingChanged{Table: table})
 }
 
-// DistributeGrants sends quota grants to the instances that have the routers. Batches are keyed by transport address.
-func (h *Host) DistributeGrants(batches map[string][]protocol.RouterGrants) {
-	h.post(context.Background(), controller.GrantsIssued{Batches: batches})
-}
-
 // View is the soft state for people and for the singleton roles. It has nothing to do with the group's view (package view).
 type View struct {
 	Endpoints   []protocol.Endpoint
--- a/internal/control/host/update_encoder.go
+++ b/internal/control/host/update_encoder.go
@@ -21,6 +21,7 @@
 	Quotas              []protocol.QuotaGrant   `cbor:"8,keyasint,omitempty"`
 	GenerationConfirmed bool                    `cbor:"9,keyasint,omitempty"`
 	Freshness           protocol.FreshnessProof `cbor:"10,keyasint,omitzero"`
+	IssuesCredit        bool                    `cbor:"11,keyasint,omitempty"`
 }
 
 // updateEncoder encodes updates as frames. A list of endpoints is encoded once, however many routers get it in a row.
@@ -49,7 +50,7 @@
 	return e.codec.EncodeAs(protocol.KindUpdate, encodedUpdate{
 		Sequence: u.Sequence, Generation: u.Generation, Document: u.Document, Snapshot: u.Snapshot, Endpoints: endpoints,
 		Members: u.Members, RouterCount: u.RouterCount, Quotas: u.Quotas, GenerationConfirmed: u.GenerationConfirmed,
-		Freshness: u.Freshness,
+		Freshness: u.Freshness, IssuesCredit: u.IssuesCredit,
 	})
 }
 
--- a/internal/control/host/update_encoder_test.go
+++ b/internal/control/host/update_encoder_test.go
@@ -25,7 +25,8 @@
 			Freshness: protocol.FreshnessProof{
 				Epoch: 3, HasMajorityContact: true, MajorityContactAge: time.Second, SentAt: time.Hour, EchoedSequence: 8,
 			},
-			Quotas: []protocol.QuotaGrant{{Tenant: "t", RatePerSecond: 5, Burst: 6, TTL: time.Second}},
+			Quotas:       []protocol.QuotaGrant{{Tenant: "t", RatePerSecond: 5, Burst: 6, TTL: time.Second}},
+			IssuesCredit: true,
 		},
 		{Sequence: 2, Endpoints: list},
 		{Sequence: 3},
--- a/internal/control/quota/doc.go
+++ b/internal/control/quota/doc.go
@@ -1,24 +1,34 @@
-// Package quota divides each tenant's rate limit among the routers.
+// Package quota issues credit for tenants' limits. Routers spend nothing but credit, and a small reserved part of each limit.
 //
-// The allocator is a pure state machine: Step takes the routers that are connected, their reports of demand and spending and
-// their confirmations, and returns the grants to be sent. The host does all communication. One instance acts at a time,
-// the leader of the singleton roles (internal/control/roles); it inherits no state from the leader before it.
+// Each control instance is a holder of some of the equal shares of every limit (package shares). It issues credit for its shares to
+// the routers that follow it, by need: a router asks when requests wait, or when credit for expected ones runs low. What
+// the shares of one holder lack it asks for at others, one after the other, until the request can be served. No leader takes part,
+// so limits hold and tenants are served whoever leads, and while nobody does.
 //
-// # Model
+// # Invariant
 //
-// A router has a token bucket for each tenant. Without a grant it refills the bucket at the floor, an even part of
-// protocol.UngrantedRateShare of the tenant's rate, and its depth is an even part of the burst. A grant replaces both for
-// a limited time: the floor plus an extra rate, and another depth. Beyond its bucket a router may incur a debt: an even
-// part of protocol.OverdraftShare of the tolerance. Routers that report a shortfall (what their waiting requests lack)
-// are granted credit as well: tokens added once, spent first, and lost when the grant ends.
+// In no window of Config.Window does a tenant spend more than the rule QUOTA allows, whichever messages are lost and
+// however routers and holders are partitioned, suspended, killed and started again. For every tenant:
 //
-// Extra rate, depth and credit are divided max-min fairly or in proportion to averaged demand (division.go, fair.go). How
-// much there is to divide follows from the invariant.
+//	a holder's issues in each interval of Config.Window + protocol.CreditTTL  <=  its shares / shares.Count of the issuable part
+//	a router's spending of its reserve in each window                         <=  an even part of protocol.ReservedShare
+//	issuable part + reserved part                                             <=  what the rule allows (allowance.go)
 //
-// # Invariant
+// Credit is spent within CreditTTL of its issue or not at all, so what is spent in a window was issued in the interval that begins
+// CreditTTL before it. Issues are counted from when they are decided, whether or not they arrive.
 //
-// In no window of Config.Window does a tenant spend more than the rule QUOTA allows, whichever messages are lost and
-// however routers and instances are partitioned, provided that a grant that arrives later than
-// Config.DeliveryTimeout after it was sent is never applied. headroom.go states how it is kept; TestNoWindowExceedsItsAllowance
-// checks it with simulated routers.
+//   - One holder never issues for a share within an interval of another one: ownership.go, package shares.
+//   - A holder that was killed knows what it issued: a record on its disk says so, with a headroom for what it may issue
+//     before the next record. Nothing is issued beyond the headroom of a record that is synced (recorder.go).
+//   - A holder without a usable record issues nothing in its first interval, unless its disk was empty.
+//
+// # Liveness
+//
+// While holders reach each other and have their shares, no request is refused as long as what is issued in the interval, the
+// request included, stays within the issuable part: a request may be paid by several holders.
+//
+// # Parts
+//
+// Holder is a pure state machine: Step takes in what happened and returns messages and records to be written; package
+// quotahost does I/O. An ask (ask.go) is a request for credit until its answer. issuance.go counts what was issued.
 package quota
--- a/internal/control/roles/inbox.go
+++ b/internal/control/roles/inbox.go
@@ -89,18 +89,6 @@
 	return i.generation
 }
 
-// requestsWait reports whether a router has reported requests that wait for quota.
-func (i *inbox) requestsWait() bool {
-	i.mutex.Lock()
-	defer i.mutex.Unlock()
-	for _, batch := range i.arrivals.reports {
-		if batch.HasShortfall() {
-			return true
-		}
-	}
-	return false
-}
-
 func (i *inbox) stepDown() {
 	i.mutex.Lock()
 	i.steppedDown = true
--- a/internal/control/roles/leader.go
+++ b/internal/control/roles/leader.go
@@ -9,7 +9,7 @@
 	"raventrestle/internal/configuration"
 	"raventrestle/internal/control/host"
 	"raventrestle/internal/control/placer"
-	"raventrestle/internal/control/quota"
+	"raventrestle/internal/control/shares"
 	"raventrestle/internal/protocol"
 )
 
@@ -21,28 +21,22 @@
 	Step(now time.Time, in placer.Input) placer.Output
 }
 
-// Allocator divides tenants' limits; *quota.Allocator is one.
-type Allocator interface {
-	Step(now time.Time, in quota.Input) quota.Output
-}
-
 // Host is the instance's soft state that the roles work on; *host.Host is one.
 type Host interface {
 	// View returns the endpoints, ordered by ID, and the number of routers.
 	View(ctx context.Context) (host.View, error)
 	// PublishLoading publishes the orders in progress to all instances. It does not block.
 	PublishLoading(table protocol.LoadingTable)
-	// DistributeGrants sends grants to routers, by the address of the instance that each is connected to. It does not block.
-	DistributeGrants(batches map[string][]protocol.RouterGrants)
 }
 
-// Configurations gives the newest committed configuration, nil before the first.
+// Configurations gives what is committed.
 type Configurations interface {
-	Current() *configuration.Configuration
+	Current() *configuration.Configuration // newest; nil before the first
+	Shares() shares.Table                  // of the tenants' limits
 }
 
-// EventRecorder records the roles' events in the log, one line each. OrderCompleted is called by several goroutines at a
-// time.
+// EventRecorder records the roles' events in the log, one line each. OrderCompleted and SharesProposed are called by several
+// goroutines at a time.
 type EventRecorder interface {
 	// LeadershipBegan records that this instance begins to act, and how long after it might have.
 	LeadershipBegan(epoch uint64, late time.Duration)
@@ -50,12 +44,16 @@
 	LeadershipEnded(epoch uint64)
 	// OrderCompleted records an order and its outcome; err says why there was no response.
 	OrderCompleted(epoch uint64, order placer.Order, outcome placer.Outcome, err error)
+	// SharesProposed records that shares of the limits were given or taken; err says why that may have failed.
+	SharesProposed(sequence uint64, err error)
 }
 
 // Config is fixed at the start of the process.
 type Config struct {
 	NodeName string        // of this instance, in orders
 	Lease    time.Duration // lease_ms
+	// HolderLease is shares.HolderLease of the deployment.
+	HolderLease time.Duration
 }
 
 // Dependencies are the collaborators of a Leader. All are required.
@@ -63,8 +61,7 @@
 	Replica        replica.Interface
 	Host           Host
 	Configurations Configurations
-	NewPlacer      func(idleFor time.Duration) Placer    // no leader has sent an order for so long
-	NewAllocator   func(idleFor time.Duration) Allocator // no leader has sent a grant for so long
+	NewPlacer      func(idleFor time.Duration) Placer // no leader has sent an order for so long
 	Events         EventRecorder
 }
 
@@ -83,9 +80,8 @@
 	recovery      recoveryDetector
 	schedule      schedule
 	placement     *placement                   // nil before this instance first leads
-	allocation    *allocation                  // nil before this instance first leads
+	assigner      *shares.Assigner             // observes also while this instance does not lead
 	configuration *configuration.Configuration // newest, that the placement has
-	routerCount   int                          // of all instances, in the newest view; 0: unknown
 }
 
 // New makes a Leader; Run starts it.
@@ -95,13 +91,14 @@
 		dependencies: dependencies,
 		inbox:        newInbox(),
 		leadership:   NewLeadership(config.Lease, time.Now()),
+		assigner:     shares.NewAssigner(config.HolderLease),
 	}
 	l.client = NewEndpointClient(config.NodeName, config.Lease, l.leaseHeld)
 	return l
 }
 
 // leaseHeld reports whether this instance may act in an epoch at this very moment. It is asked again right before each
-// order and grant is sent, because the process may have been suspended since the step that decided on it.
+// order is sent, because the process may have been suspended since the step that decided on it.
 func (l *Leader) leaseHeld(epoch uint64) bool {
 	if l.inbox.hasSteppedDown() {
 		return false
@@ -110,7 +107,7 @@
 	return status.IsLeader && status.View.Epoch == epoch && time.Now().Add(leaseSafetyMargin).Before(status.LeaseExpiry)
 }
 
-// StepDown ends all orders and grants for good: the process is about to hand the roles over.
+// StepDown ends all orders for good: the process is about to hand the roles over.
 func (l *Leader) StepDown() { l.inbox.stepDown() }
 
 // HandleReports takes what an instance's routers reported. It does not block.
@@ -126,11 +123,11 @@
 		changed := l.dependencies.Replica.Changed() // before the status is read, so that no change is missed
 		now := time.Now()
 		l.observeStatus(now)
-		if l.current.MayAct && !now.Before(l.mayStepFrom()) {
+		if l.current.MayAct && !now.Before(l.schedule.nextStep) {
 			l.step(ctx, now)
 		}
 		if l.current.Leads && !l.current.MayAct {
-			l.learn(ctx, now)
+			l.learn(now)
 		}
 		timer.Reset(l.timeToNextStep(now))
 		select {
@@ -143,8 +140,6 @@
 	}
 }
 
-func (l *Leader) mayStepFrom() time.Time { return l.schedule.mayStepFrom(l.inbox.requestsWait()) }
-
 // timeToNextStep is how long to wait while nothing arrives.
 func (l *Leader) timeToNextStep(now time.Time) time.Duration {
 	if !l.current.Leads {
@@ -157,10 +152,10 @@
 	if l.placement.inspections.hasNext() {
 		wait = 0
 	}
-	if due := l.schedule.wakeAt; !due.IsZero() {
+	if due := l.schedule.placerWakeAt; !due.IsZero() {
 		wait = min(wait, due.Sub(now))
 	}
-	return max(wait, l.mayStepFrom().Sub(now), 0)
+	return max(wait, l.schedule.nextStep.Sub(now), 0)
 }
 
 // observeStatus decides from the replica's status what this instance may do, and records when it begins and ceases to
@@ -168,6 +163,7 @@
 func (l *Leader) observeStatus(now time.Time) {
 	status := l.dependencies.Replica.Status()
 	l.recovery.observe(now, status)
+	l.assigner.Observe(now, l.assignerInput(status))
 	before := l.current
 	l.current = l.leadership.Step(now, status)
 	if l.inbox.hasSteppedDown() {
@@ -189,62 +185,49 @@
 	}
 }
 
-// prepare makes ready for the roles. Where no other instance can have acted in between, placer and allocator continue with
-// what they know; else they are replaced by new ones.
+// prepare makes ready for the roles. Where no other instance can have acted in between, the placer continues with
+// what it knows; else it is replaced by a new one.
 func (l *Leader) prepare() {
 	if l.placement != nil && l.current.Epoch-l.endedEpoch <= 1 {
 		return
 	}
 	l.placement = newPlacement(l.dependencies.NewPlacer(l.current.IdleFor))
-	l.allocation = newAllocation(l.dependencies.NewAllocator(l.current.IdleFor))
 	l.configuration = nil
 	l.inbox.nextGeneration()
 }
 
-// step has the placer and the allocator decide, and starts to carry out what they decided.
+// step has the placer and the assigner decide, and starts to carry out what they decided.
 func (l *Leader) step(ctx context.Context, now time.Time) {
-	arrived := l.inbox.take()
-	reports := l.gather(now, arrived)
+	l.gather(now, l.inbox.take())
 	if !now.Before(l.schedule.nextPlacement) {
 		l.place(ctx, now)
 		l.schedule.placerWakeAt = latest(l.schedule.placerWakeAt, l.schedule.nextPlacement)
 	}
 	l.startInspections(ctx)
-	l.schedule.wakeAt = l.schedule.placerWakeAt
-	allocatorBegan := time.Now()
-	l.allocate(now, quota.Input{
-		Reports:       reports,
-		Confirmations: confirmations(arrived.reports, l.current.Epoch),
-	})
-	l.schedule.stepped(now, allocatorBegan, time.Now())
+	l.assignShares(ctx, now)
+	l.schedule.stepped(now)
 }
 
 // learn takes in what is reported before this instance may act.
-func (l *Leader) learn(ctx context.Context, now time.Time) {
+func (l *Leader) learn(now time.Time) {
 	if now.Before(l.schedule.nextStep) {
 		return
 	}
 	l.schedule.nextStep = now.Add(minStepInterval)
-	if l.routerCount == 0 {
-		view, err := l.view(ctx)
-		if err != nil {
-			return // the next step retries
-		}
-		l.routerCount = view.RouterCount
-	}
-	reports := l.gather(now, l.inbox.take())
-	l.allocate(now, quota.Input{Reports: reports, ObserveOnly: true})
+	l.gather(now, l.inbox.take())
 }
 
-// gather takes in what has arrived, and a new configuration. It returns the routers' reports.
-func (l *Leader) gather(now time.Time, arrived arrivals) []protocol.Report {
-	reports := l.allocation.observe(now, arrived.reports)
+// gather takes in what has arrived, and a new configuration.
+func (l *Leader) gather(now time.Time, arrived arrivals) {
 	if newest := l.dependencies.Configurations.Current(); newest != nil && newest != l.configuration {
 		l.configuration = newest
 		l.placement.configure(newest)
 	}
+	var reports []protocol.Report
+	for _, batch := range arrived.reports {
+		reports = append(reports, batch.Reports...)
+	}
 	l.placement.gather(now, arrived, reports)
-	return reports
 }
 
 // place has the placer decide and sends its orders.
@@ -254,7 +237,6 @@
 		return // the host stops or is behind: the next step retries
 	}
 	began := time.Now() // after the wait for the view, which the placer did not cause
-	l.routerCount = view.RouterCount
 	out := l.placement.step(now, view.Endpoints, l.recovery.recovering(now))
 	l.sendOrders(ctx, out.Orders)
 	if table, changed := l.placement.loads.table(now, l.current.Epoch); changed {
@@ -263,17 +245,6 @@
 	l.schedule.placed(began, time.Now(), out.WakeAt)
 }
 
-// allocate has the allocator decide and sends its grants.
-func (l *Leader) allocate(now time.Time, in quota.Input) {
-	out, stepped := l.allocation.step(now, l.configuration, l.routerCount, in)
-	if len(out.Batches) > 0 && l.leaseHeld(l.current.Epoch) {
-		l.dependencies.Host.DistributeGrants(l.allocation.routers.byInstance(out.Batches, l.current.Epoch))
-	}
-	if stepped && out.WakeAt.Before(l.schedule.wakeAt) {
-		l.schedule.wakeAt = out.WakeAt
-	}
-}
-
 func (l *Leader) view(ctx context.Context) (host.View, error) {
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
--- a/internal/control/roles/leadership.go
+++ b/internal/control/roles/leadership.go
@@ -34,7 +34,7 @@
 // LeadershipOutput says what this instance may do now.
 type LeadershipOutput struct {
 	Leads       bool // it is the head with a lease: it gathers what the roles need
-	MayAct      bool // it may send orders and grants
+	MayAct      bool // it may send orders
 	Epoch       uint64
 	ActsFrom    time.Time     // when it may act, while it leads
 	LeaseExpiry time.Time     // when its lease ends, unless it is renewed
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -8,6 +8,8 @@
 	"net/http"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"raventrestle/internal/control/shares"
 )
 
 // Methods of a change.
@@ -27,6 +29,32 @@
 	Compressed bool   `cbor:"4,keyasint,omitempty"` // Body is compressed (zlib)
 }
 
+// commandMessage is the encoded form of all commands: a ChangeConfiguration, or one of the others. Builds that know only the former
+// reject the others.
+type commandMessage struct {
+	ChangeConfiguration
+	Registration *shares.Registration `cbor:"5,keyasint,omitempty"`
+	Assignment   *shares.Assignment   `cbor:"6,keyasint,omitempty"`
+}
+
+// NewRegistration returns the encoded command that lists an instance among those that can hold shares of limits.
+func NewRegistration(identity string) ([]byte, error) {
+	return encodeSharesCommand(commandMessage{Registration: &shares.Registration{Identity: identity}})
+}
+
+// NewAssignment returns the encoded command that divides the limits among the holders.
+func NewAssignment(assignment shares.Assignment) ([]byte, error) {
+	return encodeSharesCommand(commandMessage{Assignment: &assignment})
+}
+
+func encodeSharesCommand(change commandMessage) ([]byte, error) {
+	encoded, err := cbor.Marshal(change)
+	if err != nil {
+		return nil, fmt.Errorf("state: encode change of shares: %w", err)
+	}
+	return encoded, nil
+}
+
 // NewCommand returns the encoded command of a change. Large bodies are compressed, because every member writes the
 // command to its disk and sends it to its successor, which may be in another zone.
 func NewCommand(method string, ifMatch int64, body []byte) ([]byte, error) {
@@ -49,10 +77,10 @@
 
 var errTooLarge = errors.New("body is too large")
 
-// decodeCommand returns the change with its body decompressed.
-func decodeCommand(command []byte) (*ChangeConfiguration, error) {
-	var change ChangeConfiguration
-	if err := cbor.Unmarshal(command, &change); err != nil {
+// decodeCommand returns the command with the body of its change decompressed.
+func decodeCommand(encoded []byte) (*commandMessage, error) {
+	var change commandMessage
+	if err := cbor.Unmarshal(encoded, &change); err != nil {
 		return nil, fmt.Errorf("decode command: %w", err)
 	}
 	if change.Compressed {
--- a/internal/control/state/machine.go
+++ b/internal/control/state/machine.go
@@ -7,6 +7,7 @@
 
 	"raventrestle/coordination/replica"
 	"raventrestle/internal/configuration"
+	"raventrestle/internal/control/shares"
 )
 
 var _ replica.StateMachine = (*Machine)(nil)
@@ -25,6 +26,7 @@
 	Document      []byte                       // the complete configuration as JSON
 	Configuration *configuration.Configuration // nil: there is none yet
 	History       []Version                    // the newest maxRememberedChanges versions, oldest first
+	Shares        shares.Table                 // which instance holds which shares of the tenants' limits
 }
 
 // Machine is the replicated state machine. One goroutine, the replica's, calls Apply, Snapshot and Restore; View, Current
@@ -32,6 +34,7 @@
 type Machine struct {
 	document *configuration.Document // nil before the first configuration
 	log      changeLog
+	shares   shares.Table
 	view     atomic.Pointer[View]
 }
 
@@ -54,6 +57,9 @@
 // History returns the newest versions, oldest first. The slice must not be modified.
 func (m *Machine) History() []Version { return m.view.Load().History }
 
+// Shares returns which instance holds which shares of the tenants' limits.
+func (m *Machine) Shares() shares.Table { return m.view.Load().Shares }
+
 // Apply implements replica.Machine: it accepts or rejects the change of an encoded command and returns the encoded Result.
 //
 // A change that was accepted before is accepted again, whatever came since. One that builds on another version than the
@@ -63,10 +69,14 @@
 }
 
 func (m *Machine) apply(index uint64, command []byte) Result {
-	change, err := decodeCommand(command)
+	decoded, err := decodeCommand(command)
 	if err != nil {
 		return rejection(err)
 	}
+	if decoded.Registration != nil || decoded.Assignment != nil {
+		return m.changeShares(decoded)
+	}
+	change := &decoded.ChangeConfiguration
 	identity := change.fingerprint()
 	if generation, accepted := m.log.lookup(identity); accepted {
 		return Accepted{Generation: generation}
@@ -93,6 +103,27 @@
 	return Accepted{Generation: version.Generation}
 }
 
+// changeShares applies a command that concerns the shares of limits. The generation of the configuration stays.
+func (m *Machine) changeShares(change *commandMessage) Result {
+	next, applied := m.shares, true
+	if change.Registration != nil {
+		next = next.Register(*change.Registration)
+	}
+	if change.Assignment != nil {
+		next, applied = next.Assign(*change.Assignment)
+	}
+	if !applied {
+		return VersionMismatch{Current: int64(m.shares.Sequence)}
+	}
+	if next.Sequence != m.shares.Sequence {
+		m.shares = next
+		view := *m.view.Load()
+		view.Shares = next
+		m.view.Store(&view)
+	}
+	return Accepted{Generation: int64(m.shares.Sequence)}
+}
+
 func (m *Machine) generation() int64 {
 	if m.document == nil {
 		return 0
@@ -136,7 +167,7 @@
 // change.
 func (m *Machine) publish() {
 	former := m.view.Load().History
-	view := &View{History: former}
+	view := &View{History: former, Shares: m.shares}
 	if count := len(m.log.changes); count > 0 {
 		view.History = append(former, m.log.changes[count-1].version)
 		view.History = view.History[max(0, len(view.History)-maxRememberedChanges):]
--- a/internal/control/state/snapshot.go
+++ b/internal/control/state/snapshot.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"raventrestle/internal/configuration"
+	"raventrestle/internal/control/shares"
 )
 
 // snapshotFormat is the only format of snapshots so far.
@@ -23,6 +24,7 @@
 	Changes             []snapshotChange `cbor:"3,keyasint,omitempty"` // those of the change log, oldest first
 	ForgottenGeneration int64            `cbor:"4,keyasint,omitempty"` // as in changeLog
 	Compressed          bool             `cbor:"5,keyasint,omitempty"` // Document is compressed (zlib)
+	Shares              *shares.Table    `cbor:"6,keyasint,omitempty"` // nil: Sequence is 0, or the build knew none
 }
 
 // snapshotChange is the encoded form of an acceptedChange: an array, because there are thousands of them.
@@ -42,6 +44,9 @@
 		Changes:             make([]snapshotChange, 0, len(m.log.changes)),
 		ForgottenGeneration: m.log.forgottenGeneration,
 	}
+	if m.shares.Sequence > 0 {
+		message.Shares = &m.shares
+	}
 	if m.document != nil {
 		message.Document, message.Compressed = compressDocument(m.document.Encode())
 	}
@@ -87,7 +92,7 @@
 	if err != nil {
 		return fmt.Errorf("state: restore snapshot: %w", err)
 	}
-	m.document, m.log = restored.document, restored.log
+	m.document, m.log, m.shares = restored.document, restored.log, restored.shares
 	m.view.Store(restored.view.Load())
 	return nil
 }
@@ -102,6 +107,9 @@
 	}
 	m := New()
 	m.log.forgottenGeneration = message.ForgottenGeneration
+	if message.Shares != nil {
+		m.shares = *message.Shares
+	}
 	document, err := message.document()
 	if err != nil {
 		return nil, err
--- a/internal/protocol/demand.go
+++ b/internal/protocol/demand.go
@@ -2,14 +2,14 @@
 
 import "time"
 
-// Report is a router's account of the demand that it saw since its last report, for the placer and the quota allocator.
+// Report is a router's account of the demand that it saw since its last report, for the placer.
 type Report struct {
 	Node        string         `cbor:"1,keyasint"` // the router's node_name
 	Incarnation uint64         `cbor:"2,keyasint"` // of the router's process, as in Subscribe
 	Sequence    uint64         `cbor:"3,keyasint"` // rises with each report of an incarnation
 	Window      time.Duration  `cbor:"4,keyasint"` // the time that the counts cover
 	Models      []ModelDemand  `cbor:"5,keyasint,omitempty"`
-	Tenants     []TenantDemand `cbor:"6,keyasint,omitempty"`
+	Tenants     []TenantDemand `cbor:"6,keyasint,omitempty"` // of earlier builds
 
 	// What the router's calls show of endpoints, for the registry: IDs of those whose calls fail, and of those that are
 	// Unresponsive and whose calls succeed.
@@ -17,16 +17,6 @@
 	Reachable   []string `cbor:"8,keyasint,omitempty"`
 }
 
-// HasShortfall reports whether requests wait at the router for a tenant's quota.
-func (r *Report) HasShortfall() bool {
-	for i := range r.Tenants {
-		if r.Tenants[i].Shortfall > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // ModelDemand counts the requests for one model, or for one of its adapters, in a report's window.
 type ModelDemand struct {
 	Service  string `cbor:"1,keyasint"`
@@ -41,12 +31,3 @@
 	// Value is the sum, over Requests, of 10 less the request's priority, each at least 1.
 	Value int64 `cbor:"9,keyasint,omitempty"`
 }
-
-// TenantDemand is what one tenant asked for in a report's window, in the tenant's unit (requests or tokens).
-type TenantDemand struct {
-	Tenant          string  `cbor:"1,keyasint"`
-	Requested       float64 `cbor:"2,keyasint"`
-	Admitted        float64 `cbor:"3,keyasint"`
-	Shortfall       float64 `cbor:"4,keyasint,omitempty"` // what waiting requests lack now, to be lent as QuotaGrant.Credit
-	RemainingCredit float64 `cbor:"5,keyasint,omitempty"` // of credits granted before
-}
--- a/internal/protocol/kinds.go
+++ b/internal/protocol/kinds.go
@@ -12,6 +12,9 @@
 	KindReplica    byte = 6
 	KindProbe      byte = 7
 	KindProbeReply byte = 8
+
+	KindCreditRequest byte = 9
+	KindCreditGrant   byte = 10
 )
 
 // Kinds of the messages between control instances.
@@ -22,7 +25,11 @@
 	KindRegistryDigest  byte = 35
 	KindLoadingTable    byte = 36
 	KindReportBatch     byte = 37
-	KindGrantBatch      byte = 38
+	KindGrantBatch      byte = 38 // of earlier builds
+
+	KindPeerCreditRequest byte = 39
+	KindPeerCreditGrant   byte = 40
+	KindPeerCreditReturn  byte = 41
 )
 
 // Registrar accepts message kinds with a prototype of each. *transport.Codec is one.
@@ -42,6 +49,8 @@
 	codec.Register(KindReplica, ReplicaMessage{})
 	codec.Register(KindProbe, Probe{})
 	codec.Register(KindProbeReply, ProbeReply{})
+	codec.Register(KindCreditRequest, CreditRequest{})
+	codec.Register(KindCreditGrant, CreditGrant{})
 	return codec
 }
 
@@ -54,6 +63,9 @@
 	codec.Register(KindLoadingTable, LoadingTable{})
 	codec.Register(KindReportBatch, ReportBatch{})
 	codec.Register(KindGrantBatch, GrantBatch{})
+	codec.Register(KindPeerCreditRequest, PeerCreditRequest{})
+	codec.Register(KindPeerCreditGrant, PeerCreditGrant{})
+	codec.Register(KindPeerCreditReturn, PeerCreditReturn{})
 }
 
 // ReplicaMessage is the envelope of a message between members of the replicated group (package coordination/replica),
--- a/internal/protocol/quota.go
+++ b/internal/protocol/quota.go
@@ -2,39 +2,69 @@
 
 import "time"
 
-// How routers share a tenant's limit without a valid grant. The quota allocator reserves these shares, and routers
-// must not spend more.
+// How routers share the tenants' limits. Control instances and routers must agree on these values.
 const (
-	// UngrantedRateShare is the share of the tenant's rate that all routers without a grant may spend together, divided
-	// evenly among them.
-	UngrantedRateShare = 0.5
-	// OverdraftShare is the share of the tolerance (quota_over of what a window allows, plus quota_slack) by which the
-	// token buckets of all routers together may go below zero, divided evenly among them.
-	OverdraftShare = 0.5
+	// CreditTTL is how long a router may spend credit, from when it sent the request for it: whoever issued the credit
+	// did so later, so that it is spent within CreditTTL of its issue.
+	CreditTTL = 300 * time.Millisecond
+	// ReservedShare is the share of what a window allows that is never issued as credit: each router has an even part of
+	// it, for when it reaches no control instance.
+	ReservedShare = 0.03
 )
 
-// QuotaGrant is a router's share of a tenant's limit, in the tenant's unit (requests or tokens): a token bucket.
-type QuotaGrant struct {
-	Tenant        string        `cbor:"1,keyasint"`
-	RatePerSecond float64       `cbor:"2,keyasint"`
-	Burst         float64       `cbor:"3,keyasint"`           // capacity of the bucket
-	TTL           time.Duration `cbor:"4,keyasint"`           // the grant ends so long after its arrival
-	Credit        float64       `cbor:"5,keyasint,omitempty"` // added to the bucket at once, for requests that wait for it
+// CreditRequest asks the followed control instance for credit of a tenant's limit.
+type CreditRequest struct {
+	ID      uint64  `cbor:"1,keyasint"` // rises with each request of the router's process
+	Tenant  string  `cbor:"2,keyasint"`
+	Amount  float64 `cbor:"3,keyasint"`           // in the tenant's unit
+	Waiting float64 `cbor:"4,keyasint,omitempty"` // the part that requests wait for; the rest is for expected ones
+	Minimum float64 `cbor:"5,keyasint,omitempty"` // less than this would serve no request that waits
+	Rank    int     `cbor:"6,keyasint,omitempty"` // of the most urgent request that waits; 0 is the most urgent
 }
 
-// RouterGrants are the quota grants of one router.
-type RouterGrants struct {
-	Node        string       `cbor:"1,keyasint"` // the router's node_name
-	Incarnation uint64       `cbor:"2,keyasint"` // of the router's process
-	Grants      []QuotaGrant `cbor:"3,keyasint"`
-	Epoch       uint64       `cbor:"4,keyasint"` // of the leader that granted
-	Batch       uint64       `cbor:"5,keyasint"` // number of these grants, for GrantAck
+// CreditGrant answers a CreditRequest.
+type CreditGrant struct {
+	ID     uint64  `cbor:"1,keyasint"` // of the request
+	Tenant string  `cbor:"2,keyasint"`
+	Amount float64 `cbor:"3,keyasint,omitempty"` // 0: the limit leaves nothing now
+
+	// RetryAfter is when what was not granted may be, if less than Waiting was granted.
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+// PeerCreditRequest asks another control instance for what the sender's shares lack.
+type PeerCreditRequest struct {
+	Origin Origin  `cbor:"1,keyasint"`
+	ID     uint64  `cbor:"2,keyasint"` // rises with each request of the sender's process
+	Tenant string  `cbor:"3,keyasint"`
+	Amount float64 `cbor:"4,keyasint"`
+	Rank   int     `cbor:"5,keyasint,omitempty"`
+}
+
+// PeerCreditGrant answers a PeerCreditRequest.
+type PeerCreditGrant struct {
+	Origin     Origin        `cbor:"1,keyasint"`
+	ID         uint64        `cbor:"2,keyasint"` // of the request
+	Tenant     string        `cbor:"6,keyasint"`
+	Amount     float64       `cbor:"3,keyasint,omitempty"`
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"` // when the rest may be granted, if less was
+	Cell       int64         `cbor:"5,keyasint,omitempty"` // where the sender counts Amount, for PeerCreditReturn
 }
 
-// GrantAck says that a router has the grants of a batch in force.
-type GrantAck struct {
-	Node        string `cbor:"1,keyasint"`
-	Incarnation uint64 `cbor:"2,keyasint"`
-	Epoch       uint64 `cbor:"3,keyasint"` // of the grants
-	Batch       uint64 `cbor:"4,keyasint"`
+// PeerCreditReturn gives back what a PeerCreditGrant brought and no router got: it came too late, or was too little.
+type PeerCreditReturn struct {
+	Origin      Origin  `cbor:"1,keyasint"`
+	Tenant      string  `cbor:"2,keyasint"`
+	Amount      float64 `cbor:"3,keyasint"`
+	Cell        int64   `cbor:"4,keyasint"`
+	Incarnation uint64  `cbor:"5,keyasint"` // of the process that granted; another one ignores the message
 }
+
+// Sender implements PeerMessage.
+func (r *PeerCreditRequest) Sender() *Origin { return &r.Origin }
+
+// Sender implements PeerMessage.
+func (g *PeerCreditGrant) Sender() *Origin { return &g.Origin }
+
+// Sender implements PeerMessage.
+func (r *PeerCreditReturn) Sender() *Origin { return &r.Origin }
--- a/internal/protocol/subscription.go
+++ b/internal/protocol/subscription.go
@@ -26,13 +26,16 @@
 
 	Members     []Member     `cbor:"6,keyasint,omitempty"` // all control instances known; nil: unchanged
 	RouterCount int          `cbor:"7,keyasint,omitempty"` // routers that share the tenants' limits; 0: unchanged
-	Quotas      []QuotaGrant `cbor:"8,keyasint,omitempty"`
+	Quotas      []QuotaGrant `cbor:"8,keyasint,omitempty"` // of earlier builds
 
 	// GenerationConfirmed says that a barrier through the chain, after this router subscribed, found no newer
 	// configuration than Generation.
 	GenerationConfirmed bool `cbor:"9,keyasint,omitempty"`
 
 	Freshness FreshnessProof `cbor:"10,keyasint,omitzero"`
+
+	// IssuesCredit says that the instance answers CreditRequest. Earlier builds would close the connection.
+	IssuesCredit bool `cbor:"11,keyasint,omitempty"`
 }
 
 // UpdateAck acknowledges an update, and all before it, once it is in force at the router.
--- a/internal/router/dispatch/admission.go
+++ b/internal/router/dispatch/admission.go
@@ -30,13 +30,12 @@
 		d.rejectForShutdown(r)
 		return
 	}
-	wait, paid := d.charge(r)
 	d.requests[r.ID] = r
 	switch {
-	case paid:
+	case d.pay(r):
 		d.admit(r)
-	case r.quotaPreempted || !d.queueForQuota(r):
-		d.reject(r, QuotaExceeded, wait)
+	case !d.queueForQuota(r):
+		d.rejectForQuota(r)
 	}
 }
 
@@ -85,9 +84,6 @@
 		d.countUnserved(r)
 	}
 	d.counters.Rejected[reason]++
-	if t := d.tenants[r.Tenant]; t != nil && reason == QuotaExceeded && !r.quotaPreempted {
-		t.denials.record(r, d.now)
-	}
 	d.outputs = append(d.outputs, Reject{ID: r.ID, Reason: reason, RetryAfter: after})
 	if reason != QuotaExceeded && reason != NoEndpoint {
 		r.group.service.fairness.record(r, false)
--- a/internal/router/dispatch/decider.go
+++ b/internal/router/dispatch/decider.go
@@ -32,6 +32,10 @@
 	timers           timers
 	unassignedGroups []*modelGroup // those with unassigned requests
 	demand           demand
+
+	creditAskers      []*tenant // whose need for credit is looked at in this step
+	lastCreditRequest uint64
+
 	predictionErrors PredictionErrors
 	suspects         []*endpoint // failing, or without heartbeats: to be reported
 	tombstones       tombstones
@@ -77,6 +81,7 @@
 	d.schedule.Tick(d.now)
 	d.expirePrefixes()
 	d.runTimers()
+	d.emitCreditRequests()
 	d.dispatch()
 	d.flushQueuesAtShutdown()
 	d.emitReport()
@@ -121,6 +126,8 @@
 		d.onAttemptFinished(input)
 	case ViewChanged:
 		d.applyView(input)
+	case CreditGranted:
+		d.onCredit(input.Grant)
 	case ShutdownStarted:
 		d.startShutdown(input)
 	}
--- a/internal/router/dispatch/demand.go
+++ b/internal/router/dispatch/demand.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -13,11 +12,10 @@
 // flight, or had at the last report.
 
 const (
-	minUrgentReportInterval    = 50 * time.Millisecond
-	minShortfallReportInterval = 10 * time.Millisecond // of reports of requests that wait for quota
-	repeatShortageInterval     = time.Second           // between urgent reports of the same shortage
-	maxValue                   = 10
-	minValue                   = 1
+	minUrgentReportInterval = 50 * time.Millisecond
+	repeatShortageInterval  = time.Second // between urgent reports of the same shortage
+	maxValue                = 10
+	minValue                = 1
 )
 
 // demandTarget is what requests ask for: a model, or an adapter of it.
@@ -30,12 +28,11 @@
 
 // demand is the state of the next report.
 type demand struct {
-	active         []*demandTarget
-	dirty          bool
-	urgent         bool // to be sent after minUrgentReportInterval
-	quotaShortfall bool // requests wait for it
-	lastReportAt   time.Duration
-	sequence       uint64
+	active       []*demandTarget
+	dirty        bool
+	urgent       bool // to be sent after minUrgentReportInterval
+	lastReportAt time.Duration
+	sequence     uint64
 }
 
 // noteDemandChanged notes that there is something to report.
@@ -47,12 +44,6 @@
 	d.demand.urgent = true
 }
 
-// reportQuotaShortfall asks for a report because requests wait for quota.
-func (d *Decider) reportQuotaShortfall() {
-	d.demand.dirty = true
-	d.demand.quotaShortfall = true
-}
-
 // reportModelShortage notes that no endpoint has what a request needs. It is reported at once if that is new.
 func (d *Decider) reportModelShortage(t *demandTarget) {
 	if t.shortageReportedAt == 0 || d.now-t.shortageReportedAt >= repeatShortageInterval {
@@ -102,9 +93,6 @@
 	if state.urgent {
 		due = state.lastReportAt + minUrgentReportInterval
 	}
-	if state.quotaShortfall {
-		due = state.lastReportAt + minShortfallReportInterval
-	}
 	if d.now < due {
 		d.wakeBy(due)
 		return
@@ -112,7 +100,6 @@
 	d.outputs = append(d.outputs, Report{d.buildReport()})
 	state.dirty = false
 	state.urgent = false
-	state.quotaShortfall = false
 	state.lastReportAt = d.now
 }
 
@@ -134,26 +121,10 @@
 		}
 	}
 	state.active = active
-	report.Tenants = d.tenantDemand()
 	report.Unreachable, report.Reachable = d.reachability()
 	return report
 }
 
-// tenantDemand returns the demand of all tenants with any, by name.
-func (d *Decider) tenantDemand() []protocol.TenantDemand {
-	var list []protocol.TenantDemand
-	for _, t := range d.tenants {
-		shortfall := d.quotaShortfall(t)
-		if t.requested == 0 && t.admitted == 0 && shortfall == 0 {
-			continue
-		}
-		list = append(list, protocol.TenantDemand{Tenant: t.name, Requested: t.requested, Admitted: t.admitted, Shortfall: shortfall})
-		t.requested, t.admitted = 0, 0
-	}
-	slices.SortFunc(list, func(a, b protocol.TenantDemand) int { return cmp.Compare(a.Tenant, b.Tenant) })
-	return list
-}
-
 // reachability returns the endpoints whose calls fail, and those without heartbeats whose calls succeed.
 func (d *Decider) reachability() (failing, reached []string) {
 	d.suspects = slices.DeleteFunc(d.suspects, func(e *endpoint) bool { return !d.updateSuspect(e) })
--- a/internal/router/dispatch/doc.go
+++ b/internal/router/dispatch/doc.go
@@ -15,12 +15,14 @@
 // # Choice of an endpoint
 //
 // Endpoints that have the model are compared by the expected time to the first byte, what their prefix cache is expected to hold of the
-// prompt, the sizes of prompts that they prefer (size_intervals.go), their utilization, zone and health (choice.go). Estimates are learned from the router's own calls (estimate.go).
+// prompt, the sizes of prompts that they prefer (size_intervals.go), their utilization, zone and health (choice.go). Estimates are learned
+// from the router's own calls (estimate.go).
 //
 // # Health, retries, quota, shutdown
 //
 // Endpoints are ejected after failures of this router's own calls and readmitted by probes (health.go, health_probe.go). Retries are
-// limited by a retry budget per service (retry_budget.go), requests by their tenant's quota (quota.go). At the end of the process
+// limited by a retry budget per service (retry_budget.go), requests by credit of their tenant's quota (quota.go, quota_queue.go,
+// credit_request.go). At the end of the process
 // queues are flushed and only what can finish in time is admitted (shutdown.go).
 //
 // # Units
--- a/internal/router/dispatch/input.go
+++ b/internal/router/dispatch/input.go
@@ -65,12 +65,14 @@
 // AdvertisedLoad is the load that an endpoint stated in an answer: requests that execute, requests that wait, and its slots.
 type AdvertisedLoad struct{ Running, Waiting, Slots int }
 
-// ViewChanged carries what the control plane sent: endpoints, a configuration, quota grants or the number of routers.
+// CreditGranted carries a control instance's answer to a RequestCredit.
+type CreditGranted struct{ Grant *protocol.CreditGrant }
+
+// ViewChanged carries what the control plane sent: endpoints, a configuration or the number of routers.
 type ViewChanged struct {
 	Configuration *configuration.Configuration // nil: unchanged
 	Full          bool                         // Endpoints is the complete table; what it lacks has departed
 	Endpoints     []protocol.Endpoint
-	Quotas        []protocol.QuotaGrant
 	RouterCount   int // 0: unchanged
 }
 
@@ -97,4 +99,6 @@
 
 func (ViewChanged) input() {}
 
+func (CreditGranted) input() {}
+
 func (ShutdownStarted) input() {}
--- a/internal/router/dispatch/mechanism.go
+++ b/internal/router/dispatch/mechanism.go
@@ -14,7 +14,6 @@
 	Exploration                             // requests are sent against the estimates, to correct them
 	FairnessPriority                        // requests of ranks that are served too seldom get another Priority
 	ZonePreference                          // endpoints of other zones cost more
-	QuotaPreemption                         // less urgent requests leave quota for more urgent ones
 	LoadAnticipation                        // models are expected to be loaded before an endpoint says so
 )
 
--- a/internal/router/dispatch/output.go
+++ b/internal/router/dispatch/output.go
@@ -65,6 +65,9 @@
 	Endpoint string
 }
 
+// RequestCredit asks the followed control instance for credit. The answer comes as CreditGranted, or not at all.
+type RequestCredit struct{ Request protocol.CreditRequest }
+
 // Summary says what became of the requests that ended within the window. There is none while all are served in time.
 type Summary struct {
 	Window   time.Duration
@@ -82,4 +85,6 @@
 
 func (Report) output() {}
 
+func (RequestCredit) output() {}
+
 func (Summary) output() {}
--- a/internal/router/dispatch/request.go
+++ b/internal/router/dispatch/request.go
@@ -91,11 +91,11 @@
 	deliveries         int // attempts that reached an endpoint
 	mayHaveExecuted    bool
 
-	charged        float64 // quota, to be refunded if it surely did not execute
-	quotaPreempted bool    // rejected in favour of more urgent requests of its tenant
-	awaitingQuota  bool
-	budgetSlice    int64 // of the retry budget, from which its last retry was taken
-	budgetSpent    bool  // the last attempt was a retry
+	charged         float64       // quota, to be refunded if it surely did not execute
+	creditExpiresAt time.Duration // of the credit that paid it; 0: the reserve did
+	awaitingQuota   bool
+	budgetSlice     int64 // of the retry budget, from which its last retry was taken
+	budgetSpent     bool  // the last attempt was a retry
 }
 
 // rank is the request's order in a queue: its tenant's priority before its route's.
--- a/internal/router/dispatch/simulation_rules_test.go
+++ b/internal/router/dispatch/simulation_rules_test.go
@@ -34,6 +34,8 @@
 			w.t.Fatalf("request %d rejected after its client left, want no output", o.ID)
 		}
 		w.reject(w.clients[i][o.ID], o)
+	case RequestCredit:
+		w.answerCredit(i, o.Request)
 	case Report:
 		if w.loading != nil {
 			w.placeOnDemand(o.Report)
@@ -114,6 +116,16 @@
 	}
 }
 
+// answerCredit has the control instances answer after a moment; one answer in 30 is lost.
+func (w *simulation) answerCredit(router int, asked protocol.CreditRequest) {
+	if w.unissued || w.rng.IntN(30) == 0 {
+		return
+	}
+	grant := w.issuer.answer(w.now, w.routers[router].config, w.config.Tenants, asked)
+	delay := time.Duration(1+w.rng.IntN(8)) * time.Millisecond
+	w.delayedCredit = append(w.delayedCredit, delayedCredit{w.now + delay, router, grant})
+}
+
 func (w *simulation) reject(c *simulatedClient, o Reject) {
 	if c.endCount > 0 || c.call != nil {
 		w.t.Fatalf("request %d rejected after its end or while in flight, want one end", o.ID)
--- a/internal/router/dispatch/view.go
+++ b/internal/router/dispatch/view.go
@@ -9,7 +9,7 @@
 	"raventrestle/internal/protocol"
 )
 
-// What the control plane sends: endpoints, configuration and grants. The group's view (package view) is another thing.
+// What the control plane sends: endpoints and configuration. The group's view (package view) is another thing.
 
 // applyView applies what the control plane sent.
 func (d *Decider) applyView(change ViewChanged) {
@@ -19,20 +19,12 @@
 	if change.Configuration != nil {
 		d.applyConfiguration(change.Configuration)
 	}
-	for i := range change.Quotas {
-		d.applyGrant(change.Quotas[i])
-	}
 	if change.Full {
 		d.removeUnlisted(change.Endpoints)
 	}
 	for i := range change.Endpoints {
 		d.updateEndpoint(&change.Endpoints[i])
 	}
-	for i := range change.Quotas {
-		if t := d.tenants[change.Quotas[i].Tenant]; t != nil {
-			d.admitAffordable(t)
-		}
-	}
 }
 
 // applyConfiguration applies a new configuration.
--- a/internal/router/dispatcher/actor.go
+++ b/internal/router/dispatcher/actor.go
@@ -43,6 +43,7 @@
 // Reports takes what the decider reports. The actor's goroutine calls the functions: they must not block.
 type Reports struct {
 	Demand   func(protocol.Report)
+	Credit   func(protocol.CreditRequest)
 	Outcomes func(dispatch.Summary)
 }
 
@@ -87,6 +88,11 @@
 	}
 }
 
+// CreditGranted passes a control instance's answer to a request for credit on.
+func (a *Actor) CreditGranted(grant *protocol.CreditGrant) {
+	a.post(command{kind: passInput, input: dispatch.CreditGranted{Grant: grant}})
+}
+
 // BeginShutdown tells the decider that the process is going to end.
 func (a *Actor) BeginShutdown(shutdown dispatch.ShutdownStarted) {
 	a.post(command{kind: passInput, input: shutdown})
--- a/internal/router/dispatcher/output.go
+++ b/internal/router/dispatcher/output.go
@@ -19,6 +19,8 @@
 		}
 	case dispatch.Report:
 		a.reports.Demand(o.Report)
+	case dispatch.RequestCredit:
+		a.reports.Credit(o.Request)
 	case dispatch.Summary:
 		a.reports.Outcomes(o)
 	}
--- a/internal/router/node/node.go
+++ b/internal/router/node/node.go
@@ -50,6 +50,7 @@
 	idle := pool.NewIdle(dialer, maxClientConnections(config)-deciderConfig.Slots)
 	n.dispatcher = dispatcher.New(dispatch.New(deciderConfig), idle, dispatcher.Reports{
 		Demand:   n.sendReport,
+		Credit:   n.requestCredit,
 		Outcomes: (&outcomeLog{log: logger}).record,
 	})
 	view := &ingress.CurrentView{}
@@ -94,6 +95,9 @@
 // sendReport sends a report of demand to the control plane. The dispatcher calls it; it does not block.
 func (n *Node) sendReport(report protocol.Report) { n.subscription.Report(report) }
 
+// requestCredit sends a request for credit to the control plane. The dispatcher calls it; it does not block.
+func (n *Node) requestCredit(request protocol.CreditRequest) { n.subscription.RequestCredit(request) }
+
 // Run serves until SIGTERM or SIGINT, or until a listener fails. SIGHUP reloads the seeds.
 func (n *Node) Run(signals <-chan os.Signal) error {
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/router/node/updates.go
+++ b/internal/router/node/updates.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"raventrestle/internal/configuration"
+	"raventrestle/internal/protocol"
 	"raventrestle/internal/router/dispatch"
 	"raventrestle/internal/router/dispatcher"
 	"raventrestle/internal/router/ingress"
@@ -40,5 +41,8 @@
 	return nil
 }
 
+// CreditGranted passes the answer to a request for credit to the dispatcher.
+func (a *updateApplier) CreditGranted(grant *protocol.CreditGrant) { a.dispatcher.CreditGranted(grant) }
+
 // ReadSeeds returns the seeds that the settings file names now.
 func (a *updateApplier) ReadSeeds() []string { return a.readSeeds() }
--- a/internal/router/subscription/connection.go
+++ b/internal/router/subscription/connection.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"raventrestle/internal/protocol"
 	"raventrestle/internal/transport"
 )
 
@@ -18,6 +19,7 @@
 type connection struct {
 	id        ConnectionID
 	inputs    chan<- Input
+	granted   func(*protocol.CreditGrant)
 	ctx       context.Context // done once Run has given the connection up and takes none of its inputs
 	stop      context.CancelFunc
 	opened    chan struct{} // closed once ConnectionOpened is queued
@@ -26,7 +28,7 @@
 
 // dial starts to establish a connection. The outcome comes as an input.
 func (s *Subscription) dial(ctx context.Context, dial Dial) {
-	c := &connection{id: dial.Connection, inputs: s.inputs, opened: make(chan struct{})}
+	c := &connection{id: dial.Connection, inputs: s.inputs, granted: s.applier.CreditGranted, opened: make(chan struct{})}
 	c.ctx, c.stop = context.WithCancel(ctx)
 	s.connections[c.id] = c
 	s.running.Go(func() { c.dial(dial.Address, s.codec) })
@@ -54,8 +56,13 @@
 	}
 }
 
-// Message passes a message to Run. It blocks the transport's goroutine while Run is behind, and so the sender.
+// Message passes a message to Run. It blocks the transport's goroutine while Run is behind, and so the sender. Credit goes
+// where it is spent at once: nothing about the subscription depends on it.
 func (c *connection) Message(_ *transport.Connection, message any) {
+	if grant, isCredit := message.(*protocol.CreditGrant); isCredit {
+		c.granted(grant)
+		return
+	}
 	if c.awaitOpened() {
 		c.input(MessageReceived{Connection: c.id, Message: message})
 	}
--- a/internal/router/subscription/decider.go
+++ b/internal/router/subscription/decider.go
@@ -110,6 +110,8 @@
 		d.seedsRead(in.Addresses)
 	case DemandReported:
 		d.demandReported(in.Report)
+	case CreditRequested:
+		d.creditRequested(in.Request)
 	}
 }
 
@@ -158,6 +160,13 @@
 	d.queuedReports = append(d.queuedReports, report)
 }
 
+// creditRequested sends a request for credit to the followed instance, if that answers such requests.
+func (d *Decider) creditRequested(request protocol.CreditRequest) {
+	if d.followed != nil && d.followed.issuesCredit {
+		d.send(d.followed.id, request)
+	}
+}
+
 func (d *Decider) sendReport(report protocol.Report) {
 	d.lastReport++
 	report.Node = d.config.Node
--- a/internal/router/subscription/followed.go
+++ b/internal/router/subscription/followed.go
@@ -19,6 +19,7 @@
 	instanceConnection
 	unresponsiveAt    time.Time // it is left then, unless a message comes
 	responded         bool      // a message has come
+	issuesCredit      bool      // it answers requests for credit
 	wasTrusted        bool      // it has been trusted since the last search
 	probeInFlight     bool
 	nextEarlyProbeAt  time.Time // no early probe is sent before
@@ -88,6 +89,7 @@
 	f.responded = true
 	switch m := message.(type) {
 	case *protocol.Update:
+		f.issuesCredit = m.IssuesCredit
 		d.updateReceived(now, f, m)
 	case *protocol.Beacon:
 		if m.Sequence != f.lastUpdate {
--- a/internal/router/subscription/subscription.go
+++ b/internal/router/subscription/subscription.go
@@ -24,6 +24,8 @@
 	ParseConfiguration(document []byte) (*configuration.Configuration, error)
 	// Apply returns once the change is in effect.
 	Apply(ctx context.Context, view dispatch.ViewChanged) error
+	// CreditGranted takes the answer to a request for credit. It does not block, and may be called by any goroutine.
+	CreditGranted(grant *protocol.CreditGrant)
 	// ReadSeeds reads the settings again: which instances to ask while no other is known.
 	ReadSeeds() []string
 }
@@ -54,6 +56,7 @@
 	inputs      chan Input
 	seeds       chan []string
 	reports     chan protocol.Report
+	credit      chan protocol.CreditRequest
 	connections map[ConnectionID]*connection
 	running     sync.WaitGroup // dials, and the change that is being applied
 
@@ -72,6 +75,7 @@
 		inputs:      make(chan Input, maxQueuedInputs),
 		seeds:       make(chan []string, 1),
 		reports:     make(chan protocol.Report, maxQueuedReports),
+		credit:      make(chan protocol.CreditRequest, maxQueuedInputs),
 		connections: make(map[ConnectionID]*connection),
 	}
 }
@@ -116,6 +120,15 @@
 	}
 }
 
+// RequestCredit asks the followed instance for credit. It never blocks: while this process is behind, requests are dropped, and
+// asked again by who needs them.
+func (s *Subscription) RequestCredit(request protocol.CreditRequest) {
+	select {
+	case s.credit <- request:
+	default:
+	}
+}
+
 // Run follows one instance after the other until the context ends. It returns once its goroutines have ended.
 func (s *Subscription) Run(ctx context.Context) {
 	defer s.running.Wait()
@@ -149,12 +162,16 @@
 		inputs = append(inputs, SeedsRead{Addresses: seeds})
 	case report := <-s.reports:
 		inputs = append(inputs, DemandReported{Report: report})
+	case request := <-s.credit:
+		inputs = append(inputs, CreditRequested{Request: request})
 	case <-timer:
 	}
 	for len(inputs) < maxQueuedInputs {
 		select {
 		case in := <-s.inputs:
 			inputs = append(inputs, in)
+		case request := <-s.credit:
+			inputs = append(inputs, CreditRequested{Request: request})
 		default:
 			return inputs, ctx.Err() == nil
 		}
--- a/internal/router/subscription/subscription_test.go
+++ b/internal/router/subscription/subscription_test.go
@@ -88,6 +88,7 @@
 	seeds   []string
 	mutex   sync.Mutex
 	views   []dispatch.ViewChanged
+	grants  []*protocol.CreditGrant
 	release chan struct{} // if set, Apply waits for it
 }
 
@@ -110,6 +111,12 @@
 
 func (f *recordingApplier) ReadSeeds() []string { return f.seeds }
 
+func (f *recordingApplier) CreditGranted(grant *protocol.CreditGrant) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.grants = append(f.grants, grant)
+}
+
 func (f *recordingApplier) lastView() dispatch.ViewChanged {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/router/subscription/types.go
+++ b/internal/router/subscription/types.go
@@ -40,12 +40,16 @@
 // DemandReported carries a report of this router's demand for the control plane.
 type DemandReported struct{ Report protocol.Report }
 
+// CreditRequested carries a request for credit for the followed instance.
+type CreditRequested struct{ Request protocol.CreditRequest }
+
 func (ConnectionOpened) input() {}
 func (ConnectionClosed) input() {}
 func (MessageReceived) input()  {}
 func (ChangeApplied) input()    {}
 func (SeedsRead) input()        {}
 func (DemandReported) input()   {}
+func (CreditRequested) input()  {}
 
 // Dial requests a connection to an instance.
 type Dial struct {
--- a/internal/router/subscription/updates.go
+++ b/internal/router/subscription/updates.go
@@ -41,7 +41,7 @@
 // changeOf is what an update changes. A configuration never goes back.
 func (d *Decider) changeOf(u *protocol.Update) *Change {
 	change := &Change{
-		View: dispatch.ViewChanged{Full: u.Snapshot, Endpoints: u.Endpoints, Quotas: u.Quotas, RouterCount: u.RouterCount},
+		View: dispatch.ViewChanged{Full: u.Snapshot, Endpoints: u.Endpoints, RouterCount: u.RouterCount},
 	}
 	if u.Generation > d.applied.generation && len(u.Document) > 0 {
 		change.Generation, change.Document = u.Generation, u.Document
--- a/internal/sizetest/sizetest.go
+++ b/internal/sizetest/sizetest.go
@@ -34,7 +34,6 @@
 	Tenants           = 200
 	ModelsPerEndpoint = 3  // in its memory
 	RowsPerReport     = 10 // models and adapters in one report
-	TenantsPerReport  = 5
 )
 
 const (
@@ -162,11 +161,5 @@
 			Model:   ModelName(model), Requests: 1, InFlight: 2, Tokens: 1400, Value: 9,
 		})
 	}
-	for i := range TenantsPerReport {
-		report.Tenants = append(report.Tenants, protocol.TenantDemand{
-			Tenant:    TenantName((router + i) % Tenants),
-			Requested: 2800, Admitted: 2800,
-		})
-	}
 	return report
 }
