Let a successor use a lost holder's shares at once, by copies of its record at its peers

Cause: the shares of a holder that was wiped or replaced rested for its lease and an interval, 15 to 23 s. Change: a holder issues only what a record allows that its disk and a peer's have synced; a successor asks all instances that may have acknowledged one for the newest and counts it as its own issues (quota/takeover.go). Peers acknowledge no record with lost shares. The leader gives shares on after 1 s of silence, to settled holders; the table names former owners and holders. A client's last try waits for credit for 0.4 of its patience, no longer.

--- a/internal/control/quota/ask.go
+++ b/internal/control/quota/ask.go
@@ -98,6 +98,7 @@
 	if a.waiting < a.amount { // for expected requests, only while there is plenty
 		a.amount = math.Max(a.waiting, math.Min(a.amount, left*aheadFraction))
 	}
+	t.largest = math.Max(t.largest, a.amount)
 	if wanted := math.Min(a.amount, left); wanted > t.record.available() && !h.stopping {
 		t.record.awaited += wanted
 		h.recorder.awaited = true
@@ -135,9 +136,9 @@
 	h.lastRequest++
 	a.peerRequest, a.awaitedPeer = h.lastRequest, peer
 	a.asked = append(a.asked, peer)
-	h.out.PeerMessages = append(h.out.PeerMessages, PeerMessage{Address: peer, Message: &protocol.PeerCreditRequest{
+	h.send(peer, &protocol.PeerCreditRequest{
 		Origin: h.origin(now), ID: a.peerRequest, Tenant: a.tenant, Amount: a.lacking(), Rank: a.rank,
-	}})
+	})
 	h.await(a, awaitingPeer, now.Add(peerTimeout))
 }
 
@@ -250,9 +251,9 @@
 		}})
 		return
 	}
-	h.out.PeerMessages = append(h.out.PeerMessages, PeerMessage{Address: a.peer, Message: &protocol.PeerCreditGrant{
+	h.send(a.peer, &protocol.PeerCreditGrant{
 		Origin: h.origin(now), ID: a.id, Tenant: a.tenant, Amount: total, RetryAfter: a.retryAfter, Cell: a.ownCell,
-	}})
+	})
 }
 
 // takeBack undoes what was issued for an ask, here and by peers: nobody got it.
@@ -270,9 +271,9 @@
 	if grant.Amount <= 0 {
 		return
 	}
-	h.out.PeerMessages = append(h.out.PeerMessages, PeerMessage{Address: grant.Origin.Address, Message: &protocol.PeerCreditReturn{
+	h.send(grant.Origin.Address, &protocol.PeerCreditReturn{
 		Origin: h.origin(now), Tenant: grant.Tenant, Amount: grant.Amount, Cell: grant.Cell, Incarnation: grant.Origin.Incarnation,
-	}})
+	})
 }
 
 // peerReturned takes back what this process issued to a peer.
--- a/internal/control/quota/config.go
+++ b/internal/control/quota/config.go
@@ -29,8 +29,8 @@
 	withheldShare = 0.01                   // of a window's allowance, never spent: routers may not agree on their number
 	cellLength    = 100 * time.Millisecond // resolution of the count of issues
 
-	peerTimeout   = 30 * time.Millisecond  // of a request to a peer
-	askTimeout    = 70 * time.Millisecond  // of an ask with all its requests to peers
+	peerTimeout   = 40 * time.Millisecond  // of a request to a peer
+	askTimeout    = 90 * time.Millisecond  // of an ask with all its requests to peers
 	minPeerPause  = 50 * time.Millisecond  // a peer that did not answer in time is not asked for so long, then twice as long
 	maxPeerPause  = time.Second            // and at most for so long
 	exhaustedTime = cellLength             // a peer that granted less than was asked is not asked again for that tenant
--- a/internal/control/quota/doc.go
+++ b/internal/control/quota/doc.go
@@ -17,9 +17,10 @@
 // Credit is spent within CreditTTL of its issue or not at all, so what is spent in a window was issued in the interval that begins
 // CreditTTL before it. Issues are counted from when they are decided, whether or not they arrive.
 //
-//   - One holder never issues for a share within an interval of another one: ownership.go, package shares.
+//   - A holder that is given another one's shares counts what that one issued as its own, or rests until it has left all windows:
+//     ownership.go, takeover.go.
 //   - A holder that was killed knows what it issued: a record on its disk says so, with a headroom for what it may issue
-//     before the next record. Nothing is issued beyond the headroom of a record that is synced (recorder.go).
+//     before the next record. Nothing is issued beyond the headroom of a record that is synced here and at a peer (recorder.go).
 //   - A holder without a usable record issues nothing in its first interval, unless its disk was empty.
 //
 // # Liveness
--- a/internal/control/quota/holder.go
+++ b/internal/control/quota/holder.go
@@ -22,9 +22,14 @@
 	configuration *configuration.Configuration // that limits are from
 	configured    bool                         // there is a configuration
 	limits        map[string]Limit             // of the tenants that have one
-	table         uint64                       // sequence of the table of shares that ownership has
+	table         shares.Table                 // that ownership has
 	hasTable      bool
-	confirmedAt   time.Time // everything that was acknowledged before is applied here
+	confirmedAt   time.Time            // everything that was acknowledged before is applied here
+	registered    map[string]time.Time // when each holder was last seen in a table
+	takeovers     []*takeover
+	ended         map[string]bool      // former holders whose leases had ended by the record of an earlier process
+	copies        map[string]*PeerCopy // newest records of other holders, by identity
+	copiesLost    bool
 
 	nearPeers, farPeers []Peer             // in this zone and in others, by address
 	silent              map[string]silence // peers that did not answer, by address
@@ -39,8 +44,9 @@
 
 // Peer is another instance that may hold shares.
 type Peer struct {
-	Address string // of its transport
-	Zone    string
+	Identity string // of its disk
+	Address  string // of its transport
+	Zone     string
 }
 
 // silence is how a peer that does not answer is left alone.
@@ -61,7 +67,8 @@
 	Events        []Event // since the last step, in the order in which they happened
 }
 
-// Event is something that happened: one of RouterAsked, PeerMessageReceived, RecordWritten and ShutdownBegan.
+// Event is something that happened: one of RouterAsked, PeerMessageReceived, RecordWritten, CopyKept and
+// ShutdownBegan.
 type Event interface{ event() }
 
 // RouterAsked is an event: a router asks for credit.
@@ -70,7 +77,7 @@
 	Request    *protocol.CreditRequest
 }
 
-// PeerMessageReceived is an event: a *protocol.PeerCreditRequest, PeerCreditGrant or PeerCreditReturn came.
+// PeerMessageReceived is an event: a message of quota.go of package protocol came from another instance.
 type PeerMessageReceived struct{ Message protocol.PeerMessage }
 
 // ShutdownBegan is an event: this process is about to end. It issues nothing any more, and writes a last record.
@@ -80,13 +87,15 @@
 func (PeerMessageReceived) event() {}
 func (RecordWritten) event()       {}
 func (ShutdownBegan) event()       {}
+func (CopyKept) event()            {}
 
 // Output is what the host carries out.
 type Output struct {
 	RouterGrants []RouterGrant
 	PeerMessages []PeerMessage
-	Record       *Record   // to be written and synced, then RecordWritten; nil: none
-	WakeAt       time.Time // when the next step is due, if nothing happens before; zero: never
+	Record       *Record     // to be written and synced, then RecordWritten; nil: none
+	Copies       []*PeerCopy // to be written and synced each, then CopyKept
+	WakeAt       time.Time   // when the next step is due, if nothing happens before; zero: never
 }
 
 // RouterGrant is an answer to a router.
@@ -104,24 +113,38 @@
 // sweepInterval is how often tenants without issues are forgotten.
 const sweepInterval = 5 * time.Second
 
-// New returns a holder. Earlier is the newest record of an earlier process of this instance, nil if there is none that can
-// be read; fresh says that no earlier process has issued anything, because its disk was empty.
-func New(config Config, now time.Time, earlier *Record, fresh bool) *Holder {
+// New returns a holder that goes on from what an earlier process of this instance left.
+func New(config Config, now time.Time, former Former) *Holder {
 	config = config.withDefaults()
+	earlier, fresh := former.Record, former.Fresh
 	if earlier != nil && earlier.Identity != config.Identity {
 		earlier, fresh = nil, false
 	}
 	h := &Holder{
-		config:    config,
-		started:   now,
-		ownership: newOwnership(config.Identity, config.interval(), now, earlier, fresh),
-		limits:    make(map[string]Limit),
-		silent:    make(map[string]silence),
-		tenants:   make(map[string]*tenant),
-		sweptAt:   now,
+		config:     config,
+		started:    now,
+		ownership:  newOwnership(config, now, earlier, fresh),
+		registered: make(map[string]time.Time),
+		ended:      make(map[string]bool),
+		copies:     make(map[string]*PeerCopy),
+		copiesLost: former.CopiesLost,
+		limits:     make(map[string]Limit),
+		silent:     make(map[string]silence),
+		tenants:    make(map[string]*tenant),
+		sweptAt:    now,
+	}
+	for _, kept := range former.Copies {
+		h.copies[kept.Record.Identity] = kept
+	}
+	if earlier == nil && !fresh {
+		h.recorder.sequence = unknownSequence
 	}
 	if earlier != nil {
-		h.recorder.sequence = earlier.Sequence
+		for _, holder := range earlier.Ended {
+			h.ended[holder] = true
+		}
+		// A record after this one may have reached peers and not the disk.
+		h.recorder.sequence = earlier.Sequence + recordSequenceGap
 		for _, recorded := range earlier.Tenants {
 			h.tenant(now, recorded.Name).issued.restore(recorded.Issued, recorded.Headroom)
 		}
@@ -136,6 +159,8 @@
 	for _, event := range in.Events {
 		h.handle(now, event)
 	}
+	h.continueTakeovers(now)
+	h.failUnacknowledgedRecord(now)
 	h.resumeAsks(now, func(a *ask) bool { return !now.Before(a.stageUntil) })
 	h.sweep(now)
 	h.beginRecord(now)
@@ -155,9 +180,19 @@
 			h.peerGranted(now, message)
 		case *protocol.PeerCreditReturn:
 			h.peerReturned(now, message)
+		case *protocol.PeerRecord:
+			h.peerRecorded(message)
+		case *protocol.PeerRecordAck:
+			h.recordAcknowledged(now, message)
+		case *protocol.PeerCopyRequest:
+			h.peerAskedForCopy(now, message)
+		case *protocol.PeerCopy:
+			h.copyReceived(now, message)
 		}
 	case RecordWritten:
 		h.recordWritten(now, event)
+	case CopyKept:
+		h.copyKept(now, event)
 	case ShutdownBegan:
 		h.shutDown(now)
 	}
@@ -179,11 +214,8 @@
 	if in.Configuration != h.configuration {
 		h.configure(in.Configuration)
 	}
-	if !h.hasTable || in.Table.Sequence != h.table {
-		h.hasTable, h.table = true, in.Table.Sequence
-		h.ownership.observe(now, in.Table)
-	}
 	h.observePeers(in.Peers)
+	h.observeTable(now, in.Table)
 }
 
 func (h *Holder) configure(newest *configuration.Configuration) {
@@ -253,9 +285,24 @@
 	return slices.ContainsFunc(h.asks, func(a *ask) bool { return a.tenant == tenant })
 }
 
-// wakeAt is when the next ask or record is due.
+// send sends a message to another instance.
+func (h *Holder) send(address string, message protocol.PeerMessage) {
+	h.out.PeerMessages = append(h.out.PeerMessages, PeerMessage{Address: address, Message: message})
+}
+
+// wakeAt is when the next ask, record or request for a copy is due.
 func (h *Holder) wakeAt() time.Time {
 	wake := h.recordDueAt()
+	for _, t := range h.takeovers {
+		if retry := t.askedAt.Add(takeoverRetryInterval); wake.IsZero() || retry.Before(wake) {
+			wake = retry
+		}
+	}
+	if len(h.table.Former) > h.recorder.ended { // so that the record says when their leases have ended
+		if check := h.sweptAt.Add(sweepInterval); wake.IsZero() || check.Before(wake) {
+			wake = check
+		}
+	}
 	for _, a := range h.asks {
 		if wake.IsZero() || a.stageUntil.Before(wake) {
 			wake = a.stageUntil
--- a/internal/control/quota/ownership.go
+++ b/internal/control/quota/ownership.go
@@ -6,33 +6,41 @@
 	"raventrestle/internal/control/shares"
 )
 
+// leaseMargin is added to the holder lease where a former owner may go on issuing until its lease ends.
+const leaseMargin = 500 * time.Millisecond
+
 // ownership says which shares this instance may issue credit for, and from when.
 //
-// A share that was given to this instance has belonged to another one until a moment before, or to an earlier process of
-// this one whose issues are unknown: it is usable after a whole interval in which nobody issued credit for it. It is usable at
-// once if nobody has owned it before, or if the record of the earlier process says that it was usable then.
+// A share that was given to this instance has belonged to another one until a moment before. It is usable as soon as that
+// one's issues are known (takeover.go), else once its lease has ended and a whole interval has passed. A share that an
+// earlier process of this instance had is usable at once by that one's record, else after a whole interval.
 type ownership struct {
 	identity string
-	interval time.Duration // of bounded issues, with a cell
+	rest     time.Duration // a whole interval
+	lease    time.Duration
 	started  time.Time
 	recorded map[int]uint64 // shares usable by the record of an earlier process, and their shares.Share.Since
 	hasPast  bool           // an earlier process of this instance may have issued credit
 	owned    map[int]ownedShare
+	lost     map[int]time.Time // usable shares that were taken from this instance, and when
 }
 
 type ownedShare struct {
 	since      uint64 // as in shares.Share
+	previous   string // as in shares.Share
 	usableFrom time.Time
 }
 
-func newOwnership(identity string, interval time.Duration, now time.Time, earlier *Record, fresh bool) ownership {
+func newOwnership(config Config, now time.Time, earlier *Record, fresh bool) ownership {
 	o := ownership{
-		identity: identity,
-		interval: interval + cellLength,
+		identity: config.Identity,
+		rest:     config.interval() + cellLength,
+		lease:    config.HolderLease,
 		started:  now,
 		recorded: make(map[int]uint64),
 		hasPast:  !fresh,
 		owned:    make(map[int]ownedShare),
+		lost:     make(map[int]time.Time),
 	}
 	if earlier != nil {
 		for _, share := range earlier.Shares {
@@ -42,18 +50,28 @@
 	return o
 }
 
-// observe takes in the table.
-func (o *ownership) observe(now time.Time, table shares.Table) {
+// observe takes in the table, and returns which shares were given to this instance by another one, by their former owner.
+func (o *ownership) observe(now time.Time, table shares.Table) (given map[string][]int) {
+	given = make(map[string][]int)
 	for i, share := range table.Shares {
-		if share.Owner != o.identity {
+		known, owned := o.owned[i]
+		switch {
+		case share.Owner != o.identity:
+			if owned && !now.Before(known.usableFrom) {
+				o.lost[i] = now
+			}
 			delete(o.owned, i)
 			continue
-		}
-		if known, owned := o.owned[i]; owned && known.since == share.Since {
+		case owned && known.since == share.Since:
 			continue
 		}
-		o.owned[i] = ownedShare{since: share.Since, usableFrom: o.usableFrom(now, i, share)}
+		from := o.usableFrom(now, i, share)
+		o.owned[i] = ownedShare{since: share.Since, previous: share.Previous, usableFrom: from}
+		if share.Previous != "" && now.Before(from) {
+			given[share.Previous] = append(given[share.Previous], i)
+		}
 	}
+	return given
 }
 
 func (o *ownership) usableFrom(now time.Time, index int, share shares.Share) time.Time {
@@ -61,12 +79,20 @@
 	switch {
 	case recorded && since == share.Since:
 		return now
-	case share.First && !o.hasPast:
+	case share.Previous == "" && !o.hasPast:
 		return now
-	case share.First:
-		return o.started.Add(o.interval)
+	case share.Previous == "" || share.Previous == o.identity:
+		return o.started.Add(o.rest)
+	}
+	return now.Add(o.lease + leaseMargin + o.rest)
+}
+
+// takeOver makes a share usable at once: its former owner's issues are counted here now.
+func (o *ownership) takeOver(now time.Time, index int) {
+	if share, owned := o.owned[index]; owned && now.Before(share.usableFrom) {
+		share.usableFrom = now
+		o.owned[index] = share
 	}
-	return now.Add(o.interval)
 }
 
 // usable returns the fraction of every limit that this instance may issue credit for.
@@ -90,3 +116,16 @@
 	}
 	return usable
 }
+
+// issuedFor lists the shares that this instance may have issued credit for in the newest interval.
+func (o *ownership) issuedFor(now time.Time) []RecordedShare {
+	list := o.record(now)
+	for i, at := range o.lost {
+		if now.Sub(at) > o.rest {
+			delete(o.lost, i)
+			continue
+		}
+		list = append(list, RecordedShare{Index: i})
+	}
+	return list
+}
--- a/internal/control/quota/record.go
+++ b/internal/control/quota/record.go
@@ -17,6 +17,7 @@
 	Identity string           `cbor:"2,keyasint"`
 	Shares   []RecordedShare  `cbor:"3,keyasint,omitempty"` // that were usable
 	Tenants  []RecordedTenant `cbor:"4,keyasint,omitempty"` // with issues in the interval, or headroom
+	Ended    []string         `cbor:"5,keyasint,omitempty"` // former holders whose leases have ended
 }
 
 // RecordedShare is a share that was usable.
--- a/internal/control/quota/tenant.go
+++ b/internal/control/quota/tenant.go
@@ -10,6 +10,7 @@
 	name    string
 	issued  issuance
 	record  headroom
+	largest float64 // newest large ask: it decays with each record
 	denial  denial
 	peers   map[string]time.Time // by address: not to be asked again for this tenant before
 	askedOf int                  // requests to peers so far: they are asked by turns
--- a/internal/control/quotahost/host.go
+++ b/internal/control/quotahost/host.go
@@ -77,7 +77,9 @@
 	writing bool          // of Run
 	last    bool          // of Run: no record follows the one that shutting down makes
 
-	registering bool // of Run: a registration is under way
+	registering  bool              // of Run: a registration is under way
+	queuedCopies []*quota.PeerCopy // of Run: to be written after those that are being written
+	copying      bool              // of Run
 }
 
 type viewRequest struct{ answer chan quota.View }
@@ -87,7 +89,7 @@
 
 // New reads what an earlier process of this instance has recorded and returns a host; Run starts it.
 func New(config Config, dependencies Dependencies) (*Host, error) {
-	records, earlier, fresh, err := openRecordFile(config.Directory)
+	records, former, err := openRecordFile(config.Directory)
 	if err != nil {
 		return nil, err
 	}
@@ -97,7 +99,7 @@
 		queue:        make(chan any, queueCapacity),
 		ended:        make(chan struct{}),
 		stopped:      make(chan struct{}),
-		holder:       quota.New(config.Holder, time.Now(), earlier, fresh),
+		holder:       quota.New(config.Holder, time.Now(), former),
 		records:      records,
 	}, nil
 }
@@ -107,12 +109,9 @@
 	switch message := message.(type) {
 	case *protocol.CreditRequest:
 		h.post(context.Background(), quota.RouterAsked{Connection: c, Request: message})
-	case *protocol.PeerCreditRequest:
-		h.post(context.Background(), quota.PeerMessageReceived{Message: message})
-	case *protocol.PeerCreditGrant:
-		h.post(context.Background(), quota.PeerMessageReceived{Message: message})
-	case *protocol.PeerCreditReturn:
-		h.post(context.Background(), quota.PeerMessageReceived{Message: message})
+	case *protocol.PeerCreditRequest, *protocol.PeerCreditGrant, *protocol.PeerCreditReturn,
+		*protocol.PeerRecord, *protocol.PeerRecordAck, *protocol.PeerCopyRequest, *protocol.PeerCopy:
+		h.post(context.Background(), quota.PeerMessageReceived{Message: message.(protocol.PeerMessage)})
 	default:
 		return false
 	}
@@ -200,6 +199,8 @@
 			h.dependencies.Events.RecordFailed(command.result.Err)
 		}
 		h.pending = append(h.pending, command.result)
+	case copiesWritten:
+		h.copying = false
 	case registrationEnded:
 		h.registering = false
 	case stopRequest:
@@ -238,7 +239,7 @@
 	peers := make([]quota.Peer, 0, len(status.LiveMembers))
 	for _, member := range status.LiveMembers {
 		if table.HasHolder(member.Identity) {
-			peers = append(peers, quota.Peer{Address: member.Address, Zone: member.Zone})
+			peers = append(peers, quota.Peer{Identity: member.Identity, Address: member.Address, Zone: member.Zone})
 		}
 	}
 	return peers
@@ -255,7 +256,42 @@
 	if output.Record != nil {
 		h.queued = output.Record
 	}
+	h.queuedCopies = append(h.queuedCopies, output.Copies...)
 	h.writeQueued(ctx)
+	h.writeCopies(ctx)
+}
+
+// writeCopies begins to write the newest copies of other holders' records, unless some are being written.
+func (h *Host) writeCopies(ctx context.Context) {
+	if h.copying || len(h.queuedCopies) == 0 {
+		return
+	}
+	copies := newestCopies(h.queuedCopies)
+	h.queuedCopies, h.copying = nil, true
+	h.tasks.Go(func() {
+		for _, kept := range copies {
+			h.post(ctx, quota.CopyKept{Copy: kept, Err: writeCopy(h.config.Directory, kept)})
+		}
+		h.post(ctx, copiesWritten{})
+	})
+}
+
+// copiesWritten is a command: the goroutine that wrote copies has ended.
+type copiesWritten struct{}
+
+// newestCopies leaves out copies that were superseded before they were written.
+func newestCopies(copies []*quota.PeerCopy) []*quota.PeerCopy {
+	newest := make(map[string]int) // in kept, by identity
+	var kept []*quota.PeerCopy
+	for _, c := range copies {
+		if at, known := newest[c.Record.Identity]; known {
+			kept[at] = c
+			continue
+		}
+		newest[c.Record.Identity] = len(kept)
+		kept = append(kept, c)
+	}
+	return kept
 }
 
 // writeQueued begins to write the newest record, unless one is being written.
--- a/internal/control/roles/assignment.go
+++ b/internal/control/roles/assignment.go
@@ -38,18 +38,10 @@
 	return shares.AssignerInput{
 		Table:   l.dependencies.Configurations.Shares(),
 		Members: append(identities(status.View.Voters), identities(status.View.Chain)...),
-		Live:    instances(status.LiveMembers),
+		Live:    identities(status.LiveMembers),
 	}
 }
 
-func instances(members []replica.Member) []shares.Instance {
-	list := make([]shares.Instance, len(members))
-	for i, member := range members {
-		list[i] = shares.Instance{Identity: member.Identity, Address: member.Address}
-	}
-	return list
-}
-
 func identities(members []replica.Member) []string {
 	names := make([]string, len(members))
 	for i, member := range members {
--- a/internal/control/shares/assigner.go
+++ b/internal/control/shares/assigner.go
@@ -6,60 +6,47 @@
 )
 
 const (
-	// goneTimeout is how long a holder must have been gone before its shares are taken from it. One that restarts is
-	// back sooner, and can go on with its shares after a window, or at once if it has its record.
-	goneTimeout = 8 * time.Second
-	// releaseMargin is added to the lease between taking a share from its holder and giving it to the next.
-	releaseMargin = 500 * time.Millisecond
+	// goneTimeout is how long a holder must have been gone before its shares are taken from it. It gets as many back when
+	// it returns.
+	goneTimeout = time.Second
 	// firstAssignmentDelay is how long the first assignment waits for live instances that have not registered yet.
 	firstAssignmentDelay = 2 * time.Second
+	// settleMargin is added to the lease until an instance counts as settled.
+	settleMargin = time.Second
 	// proposalTimeout is how long an assignment may be under way before the next is proposed.
 	proposalTimeout = 2 * time.Second
-	// maxMovedShares bounds the shares that are taken from live holders at a time: until they are given on nobody issues
-	// credit for them.
-	maxMovedShares = Count / 12
+	// balanceInterval and maxMovedShares bound how fast shares are taken from live holders.
+	balanceInterval = 2 * time.Second
+	maxMovedShares  = Count / 3
 )
 
 // Assigner decides which assignment the leader proposes. It is pure and not safe for concurrent use. Each instance has one that
-// observes all the time, so that a new leader knows since when holders are gone and shares are without an owner.
+// observes all the time, so that a new leader knows since when holders are gone.
 type Assigner struct {
-	lease        time.Duration // HolderLease
-	startedAt    time.Time
-	proposedAt   time.Time
-	proposed     uint64               // sequence of the newest proposal
-	goneSince    map[string]time.Time // holders that are not live
-	addresses    map[string]string    // of all instances that were live, by identity
-	ended        map[string]bool      // holders at whose address another one runs now
-	releasedFrom map[int]release      // shares without an owner
-}
-
-// release is when a share was first seen without an owner.
-type release struct {
-	since uint64 // as in Share
-	at    time.Time
+	startedAt  time.Time
+	proposedAt time.Time
+	proposed   uint64               // sequence of the newest proposal
+	balancedAt time.Time            // when shares were taken from live holders last
+	goneSince  map[string]time.Time // holders that are not live
+	liveSince  map[string]time.Time // since when each instance has been live, or silent for a moment only
+	settleTime time.Duration
 }
 
 // AssignerInput is what an instance knows at a step.
 type AssignerInput struct {
 	Table   Table    // as applied here
 	Members []string // identities of the view's voters and of the chain's members
-	Live    []Instance
+	Live    []string // identities of the instances heard from lately
 }
 
-// Instance is an instance that was heard from lately.
-type Instance struct {
-	Identity string // of its disk
-	Address  string // of its transport
-}
-
-// NewAssigner returns an assigner that has observed nothing.
+// NewAssigner returns an assigner that has observed nothing; lease is HolderLease of the deployment. An instance that has run for
+// less than its lease may have to wait for that before it can use another one's shares (package quota), so they go to others if
+// possible.
 func NewAssigner(lease time.Duration) *Assigner {
 	return &Assigner{
-		lease:        lease,
-		goneSince:    make(map[string]time.Time),
-		addresses:    make(map[string]string),
-		ended:        make(map[string]bool),
-		releasedFrom: make(map[int]release),
+		goneSince:  make(map[string]time.Time),
+		liveSince:  make(map[string]time.Time),
+		settleTime: lease + settleMargin,
 	}
 }
 
@@ -72,56 +59,39 @@
 	if a.proposed > in.Table.Sequence && now.Sub(a.proposedAt) < proposalTimeout {
 		return nil
 	}
-	owners := a.decide(now, in)
+	owners, remaining := a.decide(now, in), a.remaining(now, in)
+	if owners == nil && len(remaining) < len(in.Table.Holders) && len(in.Table.Shares) > 0 {
+		owners = currentOwners(in.Table) // who is gone is dropped also if it owns nothing: a successor would ask it
+	}
 	if owners == nil {
 		return nil
 	}
 	a.proposed, a.proposedAt = in.Table.Sequence+1, now
-	return &Assignment{Sequence: in.Table.Sequence + 1, Holders: a.remaining(now, in), Owners: owners}
+	return &Assignment{Sequence: in.Table.Sequence + 1, Holders: remaining, Owners: owners}
 }
 
-// Observe notes which holders are gone and which shares are without an owner. All instances call it when something changed.
+// Observe notes which holders are gone. All instances call it when something changed.
 func (a *Assigner) Observe(now time.Time, in AssignerInput) {
-	a.observeAddresses(in.Live)
+	for _, instance := range in.Live {
+		if _, noted := a.liveSince[instance]; !noted {
+			a.liveSince[instance] = now
+		}
+	}
 	for _, holder := range in.Table.Holders {
-		if slices.ContainsFunc(in.Live, func(i Instance) bool { return i.Identity == holder }) {
+		if slices.Contains(in.Live, holder) {
 			delete(a.goneSince, holder)
-		} else if _, noted := a.goneSince[holder]; !noted {
+		} else if since, noted := a.goneSince[holder]; !noted {
 			a.goneSince[holder] = now
-		}
-	}
-	for i, share := range in.Table.Shares {
-		noted, isNoted := a.releasedFrom[i]
-		switch {
-		case share.Owner != "":
-			delete(a.releasedFrom, i)
-		case !isNoted || noted.since != share.Since:
-			a.releasedFrom[i] = release{since: share.Since, at: now}
+		} else if now.Sub(since) >= goneTimeout {
+			delete(a.liveSince, holder) // it settles anew; a moment's silence is none of it
 		}
 	}
 }
 
-// observeAddresses notes which holders have surely ended: two processes can't listen at one address, so one with a new identity
-// there, on an empty disk, follows the end of the former.
-func (a *Assigner) observeAddresses(live []Instance) {
-	for _, instance := range live {
-		if _, known := a.addresses[instance.Identity]; known {
-			continue
-		}
-		for former, address := range a.addresses {
-			if address == instance.Address {
-				a.ended[former] = true
-			}
-		}
-		a.addresses[instance.Identity] = instance.Address
-	}
-}
-
-// isGone reports whether a holder loses its shares: it has ended for good, has been gone for long, or has been replaced in the
-// group.
+// isGone reports whether a holder loses its shares: it has been gone for a while, or has been replaced in the group.
 func (a *Assigner) isGone(now time.Time, in AssignerInput, holder string) bool {
 	since, gone := a.goneSince[holder]
-	return gone && (a.ended[holder] || now.Sub(since) >= goneTimeout || !slices.Contains(in.Members, holder))
+	return gone && (now.Sub(since) >= goneTimeout || !slices.Contains(in.Members, holder))
 }
 
 // remaining returns the registered holders without those that are gone.
@@ -137,6 +107,28 @@
 	})
 }
 
+// settled returns those candidates that have been live for long.
+func (a *Assigner) settled(now time.Time, candidates []string) []string {
+	return slices.DeleteFunc(slices.Clone(candidates), func(holder string) bool {
+		since, live := a.liveSince[holder]
+		return !live || now.Sub(since) < a.settleTime
+	})
+}
+
+// owning returns those candidates that own a share already.
+func owning(owners, candidates []string) []string {
+	return slices.DeleteFunc(slices.Clone(candidates), func(holder string) bool { return !slices.Contains(owners, holder) })
+}
+
+func firstNonEmpty(lists ...[]string) []string {
+	for _, list := range lists {
+		if len(list) > 0 {
+			return list
+		}
+	}
+	return nil
+}
+
 // decide returns the owners of all shares after the next assignment, nil if nothing is to change.
 func (a *Assigner) decide(now time.Time, in AssignerInput) []string {
 	candidates := a.candidates(in)
@@ -147,22 +139,16 @@
 		if len(candidates) < len(in.Live) && now.Sub(a.startedAt) < firstAssignmentDelay {
 			return nil
 		}
-		return give(make([]string, Count), candidates, func(int) bool { return true })
+		return give(make([]string, Count), candidates, func(string) bool { return true })
 	}
-	owners := make([]string, Count)
-	for i, share := range in.Table.Shares {
-		owners[i] = share.Owner
-	}
-	given := give(owners, candidates, func(i int) bool {
-		return a.ended[owners[i]] || owners[i] == "" && now.Sub(a.releasedFrom[i].at) >= a.lease+releaseMargin
+	owners := currentOwners(in.Table)
+	settled := a.settled(now, candidates)
+	given := give(owners, firstNonEmpty(settled, owning(owners, candidates), candidates), func(owner string) bool {
+		return owner == "" || a.isGone(now, in, owner) || !in.Table.HasHolder(owner)
 	})
-	for i, owner := range given {
-		if owner != "" && a.isGone(now, in, owner) {
-			given[i] = ""
-		}
-	}
-	if slices.Equal(given, owners) {
-		given = balance(given, candidates)
+	if len(settled) > 0 && slices.Equal(given, owners) && now.Sub(a.balancedAt) >= balanceInterval {
+		given = balance(given, settled)
+		a.balancedAt = now
 	}
 	if slices.Equal(given, owners) {
 		return nil
@@ -170,12 +156,12 @@
 	return given
 }
 
-// give returns the owners with the shares that may be given spread evenly: each goes to the candidate with the fewest.
-func give(owners, candidates []string, mayGive func(share int) bool) []string {
+// give returns the owners with the shares of some owners spread evenly: each goes to the candidate with the fewest.
+func give(owners, candidates []string, isGiven func(owner string) bool) []string {
 	given := slices.Clone(owners)
 	owned := countOwned(owners)
-	for i := range given {
-		if !mayGive(i) {
+	for i, owner := range owners {
+		if !isGiven(owner) {
 			continue
 		}
 		given[i] = slices.MinFunc(candidates, func(x, y string) int { return owned[x] - owned[y] })
@@ -184,30 +170,32 @@
 	return given
 }
 
-// balance takes shares from the holders with the most while some candidate has notably fewer than an even part, and no share
-// is without an owner already.
+// balance gives shares of the holders with the most to candidates that have notably fewer than an even part.
 func balance(owners, candidates []string) []string {
 	owned := countOwned(owners)
-	if owned[""] > 0 {
-		return owners
-	}
 	balanced := slices.Clone(owners)
 	even := Count / len(candidates)
-	missing := 0
-	for _, holder := range candidates {
-		missing += max(0, even-owned[holder])
-	}
-	for range min(missing, maxMovedShares) {
+	for range maxMovedShares {
 		richest := slices.MaxFunc(candidates, func(x, y string) int { return owned[x] - owned[y] })
-		if owned[richest] <= even {
+		poorest := slices.MinFunc(candidates, func(x, y string) int { return owned[x] - owned[y] })
+		if owned[poorest] >= even || owned[richest] <= even {
 			break
 		}
-		balanced[slices.Index(balanced, richest)] = ""
+		balanced[slices.Index(balanced, richest)] = poorest
 		owned[richest]--
+		owned[poorest]++
 	}
 	return balanced
 }
 
+func currentOwners(table Table) []string {
+	owners := make([]string, Count)
+	for i, share := range table.Shares {
+		owners[i] = share.Owner
+	}
+	return owners
+}
+
 func countOwned(owners []string) map[string]int {
 	owned := make(map[string]int)
 	for _, owner := range owners {
--- a/internal/protocol/golden_test.go
+++ b/internal/protocol/golden_test.go
@@ -81,6 +81,10 @@
 		{"39", &PeerCreditRequest{Origin: origin, ID: 3902, Tenant: "tenant-3903", Amount: 3904.5, Rank: 3905}},
 		{"40", &PeerCreditGrant{Origin: origin, ID: 4002, Amount: 4003.5, RetryAfter: 4004, Cell: 4005, Tenant: "tenant-4006"}},
 		{"41", &PeerCreditReturn{Origin: origin, Tenant: "tenant-4102", Amount: 4103.5, Cell: 4104, Incarnation: 4105}},
+		{"42", &PeerRecord{Origin: origin, Identity: "identity-4202", Sequence: 4203, Record: []byte{0x42, 0x04}}},
+		{"43", &PeerRecordAck{Origin: origin, Sequence: 4302}},
+		{"44", &PeerCopyRequest{Origin: origin, Owner: "owner-4402", Table: 4403}},
+		{"45", &PeerCopy{Origin: origin, Identity: "identity-4502", Owner: "owner-4503", Table: 4504, Record: []byte{0x45, 0x05}}},
 	}
 }
 
--- a/internal/protocol/kinds.go
+++ b/internal/protocol/kinds.go
@@ -30,6 +30,10 @@
 	KindPeerCreditRequest byte = 39
 	KindPeerCreditGrant   byte = 40
 	KindPeerCreditReturn  byte = 41
+	KindPeerRecord        byte = 42
+	KindPeerRecordAck     byte = 43
+	KindPeerCopyRequest   byte = 44
+	KindPeerCopy          byte = 45
 )
 
 // Registrar accepts message kinds with a prototype of each. *transport.Codec is one.
@@ -66,6 +70,10 @@
 	codec.Register(KindPeerCreditRequest, PeerCreditRequest{})
 	codec.Register(KindPeerCreditGrant, PeerCreditGrant{})
 	codec.Register(KindPeerCreditReturn, PeerCreditReturn{})
+	codec.Register(KindPeerRecord, PeerRecord{})
+	codec.Register(KindPeerRecordAck, PeerRecordAck{})
+	codec.Register(KindPeerCopyRequest, PeerCopyRequest{})
+	codec.Register(KindPeerCopy, PeerCopy{})
 }
 
 // ReplicaMessage is the envelope of a message between members of the replicated group (package coordination/replica),
--- a/internal/protocol/quota.go
+++ b/internal/protocol/quota.go
@@ -68,3 +68,46 @@
 
 // Sender implements PeerMessage.
 func (r *PeerCreditReturn) Sender() *Origin { return &r.Origin }
+
+// PeerRecord carries a holder's newest record of what it issued and may issue. The holder issues nothing of it before one
+// peer has acknowledged it.
+type PeerRecord struct {
+	Origin   Origin `cbor:"1,keyasint"`
+	Identity string `cbor:"2,keyasint"` // of the holder
+	Sequence uint64 `cbor:"3,keyasint"` // of the record
+	Record   []byte `cbor:"4,keyasint"` // as quota.Record.Encode returns it
+}
+
+// PeerRecordAck says that the sender keeps a record. One that lists a share which the holder has lost is not acknowledged.
+type PeerRecordAck struct {
+	Origin   Origin `cbor:"1,keyasint"`
+	Sequence uint64 `cbor:"2,keyasint"`
+}
+
+// PeerCopyRequest asks for the newest record of a holder whose shares the sender was given.
+type PeerCopyRequest struct {
+	Origin Origin `cbor:"1,keyasint"`
+	Owner  string `cbor:"2,keyasint"` // identity of the holder
+	Table  uint64 `cbor:"3,keyasint"` // the answer must be of an instance that has this table of shares, or a later one
+}
+
+// PeerCopy answers a PeerCopyRequest.
+type PeerCopy struct {
+	Origin   Origin `cbor:"1,keyasint"`
+	Identity string `cbor:"2,keyasint"` // of the sender
+	Owner    string `cbor:"3,keyasint"`
+	Table    uint64 `cbor:"4,keyasint"`           // of the request
+	Record   []byte `cbor:"5,keyasint,omitempty"` // empty: it has none
+}
+
+// Sender implements PeerMessage.
+func (r *PeerRecord) Sender() *Origin { return &r.Origin }
+
+// Sender implements PeerMessage.
+func (a *PeerRecordAck) Sender() *Origin { return &a.Origin }
+
+// Sender implements PeerMessage.
+func (r *PeerCopyRequest) Sender() *Origin { return &r.Origin }
+
+// Sender implements PeerMessage.
+func (c *PeerCopy) Sender() *Origin { return &c.Origin }
--- a/internal/router/dispatch/deadline.go
+++ b/internal/router/dispatch/deadline.go
@@ -90,10 +90,13 @@
 
 // usefulDeadline returns until when an answer may begin: clients give up a stream without events.
 func (r *request) usefulDeadline() time.Duration {
+	return r.arrived + time.Duration(usefulFraction*float64(r.patience()))
+}
+
+// patience returns how long the client waits for an answer to begin.
+func (r *request) patience() time.Duration {
 	target := r.latencyTarget - r.arrived
-	end := r.arrived + max(minClientIdleTimeout, clientIdleTimeoutFactor*target)
-	end = min(end, r.deadline)
-	return r.arrived + time.Duration(usefulFraction*float64(end-r.arrived))
+	return min(max(minClientIdleTimeout, clientIdleTimeoutFactor*target), r.deadline-r.arrived)
 }
 
 // canRetryInTime reports whether the client may retry in time: a third of the time left is enough.
--- a/internal/router/dispatch/quota_queue.go
+++ b/internal/router/dispatch/quota_queue.go
@@ -12,7 +12,7 @@
 	quotaQueueFraction = 0.22 // of the latency target that a request waits for an answer: a quarter, less the way back
 	minQuotaQueueTime  = 40 * time.Millisecond
 	maxQuotaQueueTime  = 1500 * time.Millisecond
-	lastTryFraction    = 0.4                    // of the time until the deadline that a client's retry waits: it will not come again
+	lastTryFraction    = 0.4                    // of its client's patience that a retry waits: it will not come again
 	maxLastTryTime     = 3 * time.Second        // and at most for so long
 	longQuotaRetry     = time.Second            // Retry-After where no instance has answered
 	maxRefusalTime     = 100 * time.Millisecond // in which what was refused is refused again at once
@@ -63,7 +63,7 @@
 // quotaDeadline returns until when the request waits for credit.
 func (r *request) quotaDeadline() time.Duration {
 	if r.ClientRetry {
-		return r.arrived + min(time.Duration(lastTryFraction*float64(r.deadline-r.arrived)), maxLastTryTime)
+		return r.arrived + min(time.Duration(lastTryFraction*float64(r.patience())), maxLastTryTime)
 	}
 	wait := time.Duration(quotaQueueFraction * float64(r.latencyTarget-r.arrived))
 	wait = min(max(wait, minQuotaQueueTime), maxQuotaQueueTime, (r.deadline-r.arrived)/2)
