--- /dev/null
+++ b/internal/control/quota/size_test.go
@@ -0,0 +1,61 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"raventrestle/internal/control/shares"
+	"raventrestle/internal/protocol"
+	"raventrestle/internal/sizetest"
+)
+
+const (
+	instancesAtSize = 15
+	// asksPerStep is how many requests for credit come to one of the instances in 10 ms, if each request of a client needs
+	// one: 14,000 a second at all of them.
+	asksPerStep = 14000 / instancesAtSize / 100
+)
+
+// BenchmarkStepAtSize is one of 100 steps in a second of one of 15 holders, with its part of the routers' requests for credit,
+// one for each request of a client. A record is written at once. The time includes drawing the requests.
+func BenchmarkStepAtSize(b *testing.B) {
+	random := rand.New(rand.NewPCG(1, 1))
+	configuration := sizetest.Configuration()
+	names := make([]string, instancesAtSize)
+	owners := make([]string, shares.Count)
+	for i := range names {
+		names[i] = sizetest.RouterName(i)
+	}
+	for i := range owners {
+		owners[i] = names[i%instancesAtSize]
+	}
+	table, _ := shares.Table{}.Assign(shares.Assignment{Sequence: 1, Holders: names[:1], Owners: owners})
+	now := testStart
+	h := New(Config{Identity: names[0], Address: names[0], OvershootFraction: 0.1, OvershootSlack: 11000}, now, Former{Fresh: true})
+	id := uint64(0)
+	step := func() {
+		now = now.Add(10 * time.Millisecond)
+		in := Input{Configuration: configuration, Table: table, ConfirmedAt: now}
+		for range asksPerStep {
+			id++
+			tenant := configuration.Tenants[int(random.Float64()*random.Float64()*float64(len(configuration.Tenants)))].Name
+			in.Events = append(in.Events, RouterAsked{Connection: "r", Request: &protocol.CreditRequest{
+				ID: id, Tenant: tenant, Amount: 1400, Waiting: 1400, Minimum: 1400,
+			}})
+		}
+		out := h.Step(now, in)
+		if out.Record != nil {
+			h.Step(now, Input{Configuration: configuration, Table: table, ConfirmedAt: now, Events: []Event{
+				RecordWritten{Sequence: out.Record.Sequence},
+			}})
+		}
+	}
+	for range 1000 {
+		step()
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		step()
+	}
+}
--- a/internal/router/dispatch/benchmark_test.go
+++ b/internal/router/dispatch/benchmark_test.go
@@ -108,3 +108,19 @@
 	}
 	b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "heap-B")
 }
+
+// BenchmarkPayFromCredit is the quota's part of a request's decision while credit is at hand.
+func BenchmarkPayFromCredit(b *testing.B) {
+	d := New(Config{QuotaOvershootFraction: 0.1, QuotaOvershootSlack: 11000})
+	d.configureTenants(testConfiguration().Tenants)
+	t := d.tenants["t"]
+	r := &request{Request: Request{Tenant: "t", Charge: 1400}}
+	b.ReportAllocs()
+	for b.Loop() {
+		t.credits = append(t.credits[:0], credit{amount: 1e9, expiresAt: time.Hour})
+		if !d.pay(r) {
+			b.Fatal("not paid, want credit at hand")
+		}
+		d.emitCreditRequests()
+	}
+}
