Keep copies of holders' records in two files by turns, so that a torn one costs nothing

Cause: a copy was one file, replaced in place.

Change: own records and copies share one kind of file pair; a torn newest file leaves the one before, which alone may have been acknowledged.

--- a/internal/control/quota/size_test.go
+++ b/internal/control/quota/size_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
+	"raventrestle/internal/configuration"
 	"raventrestle/internal/control/shares"
 	"raventrestle/internal/protocol"
 	"raventrestle/internal/sizetest"
@@ -59,3 +61,21 @@
 		step()
 	}
 }
+
+// BenchmarkStepWithIdleTenants is a step of a holder of 10,000 tenants of which none has asked for credit.
+func BenchmarkStepWithIdleTenants(b *testing.B) {
+	const idleTenants = 10000
+	limits := make([]configuration.Tenant, idleTenants)
+	for i := range limits {
+		limits[i] = configuration.Tenant{Name: "idle-" + strconv.Itoa(i), RatePerSecond: 1000, Burst: 1000}
+	}
+	now := testStart
+	h := New(Config{Identity: "a", Address: "a", OvershootFraction: 0.1}, now, Former{Fresh: true})
+	in := Input{Configuration: &configuration.Configuration{Tenants: limits}, Table: tableOf("a")}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(10 * time.Millisecond)
+		in.ConfirmedAt = now
+		h.Step(now, in)
+	}
+}
--- a/internal/control/quotahost/host.go
+++ b/internal/control/quotahost/host.go
@@ -72,7 +72,7 @@
 	pending []quota.Event
 
 	// Owned by the goroutine that writes a record; at most one runs.
-	records *recordFile
+	records *recordStore
 	queued  *quota.Record // of Run: to be written after the one that is being written
 	writing bool          // of Run
 	last    bool          // of Run: no record follows the one that shutting down makes
@@ -89,7 +89,7 @@
 
 // New reads what an earlier process of this instance has recorded and returns a host; Run starts it.
 func New(config Config, dependencies Dependencies) (*Host, error) {
-	records, former, err := openRecordFile(config.Directory)
+	records, former, err := openRecordStore(config.Directory)
 	if err != nil {
 		return nil, err
 	}
@@ -270,7 +270,7 @@
 	h.queuedCopies, h.copying = nil, true
 	h.tasks.Go(func() {
 		for _, kept := range copies {
-			h.post(ctx, quota.CopyKept{Copy: kept, Err: writeCopy(h.config.Directory, kept)})
+			h.post(ctx, quota.CopyKept{Copy: kept, Err: h.records.writeCopy(kept)})
 		}
 		h.post(ctx, copiesWritten{})
 	})
@@ -302,7 +302,7 @@
 	record, last := h.queued, h.last
 	h.queued, h.writing = nil, true
 	h.tasks.Go(func() {
-		err := h.records.write(record)
+		err := h.records.writeOwn(record)
 		if last {
 			close(h.stopped)
 		}
