--- a/internal/control/quota/issuance.go
+++ b/internal/control/quota/issuance.go
@@ -61,16 +61,6 @@
 	return sum
 }
 
-// oldest returns what was issued in the oldest cells: it leaves the interval next.
-func (s *issuance) oldest(cells int64) float64 {
-	count := int64(len(s.cells))
-	sum := 0.0
-	for n := range min(cells, count) {
-		sum += s.cells[s.at(s.newest-count+1+n)]
-	}
-	return sum
-}
-
 // untilFreed returns how long it takes until an amount has left the interval, if nothing is issued meanwhile; the whole
 // interval if there is not as much.
 func (s *issuance) untilFreed(amount float64) time.Duration {
--- a/internal/control/quota/recorder.go
+++ b/internal/control/quota/recorder.go
@@ -105,8 +105,7 @@
 	record := &Record{Sequence: h.recorder.sequence, Identity: h.config.Identity, Shares: h.ownership.record(now), Ended: h.endedHolders(now)}
 	h.recorder.synced, h.recorder.acked, h.recorder.ended = false, !h.needsAck(), len(record.Ended)
 	for _, t := range h.tenants {
-		wanted := t.issued.since(headroomCells) + awaitedHeadroomTimes*t.record.awaited + t.largest
-		wanted = math.Ceil(math.Min(wanted, h.issuableSoon(now, t)))
+		wanted := math.Ceil(t.issued.since(headroomCells) + awaitedHeadroomTimes*t.record.awaited + t.largest)
 		t.largest *= largestAskDecay
 		if last || t.issued.sum <= 0 && t.record.awaited == 0 {
 			wanted = 0
@@ -121,12 +120,6 @@
 	return record
 }
 
-// issuableSoon returns what this holder's shares can have left of a tenant's limit in the next second. More headroom would be
-// useless here, and a successor would have to count it.
-func (h *Holder) issuableSoon(now time.Time, t *tenant) float64 {
-	return math.Max(0, h.part(now, h.limits[t.name])-t.issued.sum) + t.issued.oldest(headroomCells)
-}
-
 // recordWritten takes in that a record is synced.
 func (h *Holder) recordWritten(now time.Time, written RecordWritten) {
 	if written.Sequence != h.recorder.sequence || !h.recorder.writing {
--- a/internal/control/quota/takeover_test.go
+++ b/internal/control/quota/takeover_test.go
@@ -124,27 +124,3 @@
 		}
 	}
 }
-
-// TestHeadroomIsWhatSharesCanHaveLeft: many requests that wait, each for nearly all that is left, don't add up in the record, whose
-// headroom a successor or this holder after a restart has to count as issued.
-func TestHeadroomIsWhatSharesCanHaveLeft(t *testing.T) {
-	d := newDriver(t, "a", nil, true, tableOf("a"))
-	d.heldBack = true
-	limit := d.holder.config.issuable(Limit{RatePerSecond: 1000, Burst: 1000})
-	var asks []Event
-	for id := range uint64(10) {
-		asks = append(asks, routerAsk(id+1, limit*0.9))
-	}
-	out := d.step(0, asks...)
-	if out.Record == nil {
-		t.Fatal("no record is made for requests that wait for one")
-	}
-	if got := out.Record.Tenants[0].Headroom; float64(got) > math.Ceil(limit) {
-		t.Errorf("headroom %d, want %v at most: all that can be issued", got, limit)
-	}
-	d.heldBack = false
-	out = d.step(time.Millisecond, RecordWritten{Sequence: out.Record.Sequence})
-	if len(out.RouterGrants) == 0 || out.RouterGrants[0].Grant.Amount != limit*0.9 {
-		t.Errorf("answers %+v, want %v for the first", out.RouterGrants, limit*0.9)
-	}
-}
