Make no record after the one that shutting down makes

Cause: found by reading the change once more. A holder that had issued in the last second made another record after its last one, as its headroom was used up; the host closed its channel for the end of the last record again and the process panicked, if it went on for 50 ms or so after the stop of credit.

Change: beginRecord makes none once the holder stops.

Result: TestNoRecordFollowsTheLast (six records for two) and TestStoppedHostGoesOnUntilItsContextEnds (close of closed channel) fail without it and pass with it.

--- a/internal/control/quota/holder_test.go
+++ b/internal/control/quota/holder_test.go
@@ -89,3 +89,17 @@
 		t.Errorf("granted %v, want %v, the rest of the limit", got, limit-4000)
 	}
 }
+
+// TestNoRecordFollowsTheLast: the host ends with the record that shutting down makes.
+func TestNoRecordFollowsTheLast(t *testing.T) {
+	d := newDriver(t, "a", nil, true, tableOf("a"))
+	d.granted(d.step(0, routerAsk(1, 4000)))
+	last := d.holder.recorder.sequence + 1
+	d.step(time.Millisecond, ShutdownBegan{})
+	for id := range uint64(8) { // while what it issued still counts as recent
+		d.step(100*time.Millisecond, routerAsk(id+2, 100))
+	}
+	if got := d.holder.recorder.sequence; got != last {
+		t.Errorf("made record %d, want %d to be the last", got, last)
+	}
+}
--- a/internal/control/quota/recorder.go
+++ b/internal/control/quota/recorder.go
@@ -75,15 +75,15 @@
 	return later(h.recorder.begunAt.Add(minRecordInterval), h.recorder.retryAt)
 }
 
-// beginRecord makes a record if asks wait for one, or if some tenant's headroom is low.
+// beginRecord makes a record if asks wait for one, or if some tenant's headroom is low. None follows the one that shutDown made.
 func (h *Holder) beginRecord(now time.Time) {
-	if h.recorder.writing || now.Before(h.recorder.retryAt) {
+	if h.stopping || h.recorder.writing || now.Before(h.recorder.retryAt) {
 		return
 	}
 	awaited := h.recorder.awaited && now.Sub(h.recorder.begunAt) >= minRecordInterval
 	due := h.headroomIsLow() || len(h.endedHolders(now)) > h.recorder.ended
 	if awaited || now.Sub(h.recorder.begunAt) >= renewRecordInterval && due {
-		h.out.Record = h.newRecord(now, h.stopping)
+		h.out.Record = h.newRecord(now, false)
 	}
 }
 
--- a/internal/control/quotahost/host_test.go
+++ b/internal/control/quotahost/host_test.go
@@ -341,3 +341,20 @@
 		t.Fatalf("read copies %v, want %v", got, want)
 	}
 }
+
+// TestStoppedHostGoesOnUntilItsContextEnds: it steps on while the rest of the instance stops.
+func TestStoppedHostGoesOnUntilItsContextEnds(t *testing.T) {
+	i := startInstance(t, t.TempDir(), state.New())
+	i.assign(t)
+	r := connect(t, i)
+	if got := r.ask(1000); got != 1000 {
+		t.Fatalf("granted %v, want 1000", got)
+	}
+	i.host.Stop(t.Context())
+	for range 4 {
+		if got := r.ask(100); got != 0 {
+			t.Errorf("granted %v after the stop, want nothing", got)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
