Share one command queue between the hosts of control, and name quota's parts as the field does

Cause: control/host and quotahost each had the same code to post and drain commands; quota had names of withdrawn words and a PeerCopy beside the message of that name.

Change: package commandqueue, used by both hosts; RecordCopy, peerBackoff, partitionUntil and others. No behaviour changed, and stored data and messages did not.

--- a/internal/control/host/commands.go
+++ b/internal/control/host/commands.go
@@ -32,30 +32,18 @@
 	}
 }
 
-// post queues a command. It waits while the queue is full, and says whether the command was queued.
-func (h *Host) post(ctx context.Context, command any) bool {
-	select {
-	case h.queue <- command:
-		return true
-	case <-h.ended:
-		return false
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Message takes what arrives on a connection; the host is a transport.Handler.
 func (h *Host) Message(c *transport.Connection, message any) {
 	if body, isReplica := message.(*protocol.ReplicaMessage); isReplica {
 		h.dependencies.Replica.Deliver(body.From, body.Body)
 		return
 	}
-	h.post(context.Background(), controller.MessageReceived{Connection: c, Message: message})
+	h.queue.Post(context.Background(), controller.MessageReceived{Connection: c, Message: message})
 }
 
 // Closed takes in that a connection ended.
 func (h *Host) Closed(c *transport.Connection, _ error) {
-	h.post(context.Background(), controller.ConnectionClosed{Connection: c})
+	h.queue.Post(context.Background(), controller.ConnectionClosed{Connection: c})
 }
 
 // Heartbeat takes in an endpoint's state and returns once the endpoint may be answered. The error is ErrRejected where
@@ -72,7 +60,7 @@
 }
 
 func (h *Host) await(ctx context.Context, event controller.Event, answer <-chan registry.Reply) error {
-	if !h.post(ctx, event) {
+	if !h.queue.Post(ctx, event) {
 		return ErrStopped
 	}
 	select {
@@ -81,7 +69,7 @@
 			return ErrRejected
 		}
 		return nil
-	case <-h.ended:
+	case <-h.queue.Ended():
 		return ErrStopped
 	case <-ctx.Done():
 		return fmt.Errorf("wait for acknowledgement: %w", ctx.Err())
@@ -90,7 +78,7 @@
 
 // PublishLoading gives routers and other instances the placer's model loads that are in progress.
 func (h *Host) PublishLoading(table protocol.LoadingTable) {
-	h.post(context.Background(), controller.LoadingChanged{Table: table})
+	h.queue.Post(context.Background(), controller.LoadingChanged{Table: table})
 }
 
 // View is the soft state for people and for the singleton roles. It has nothing to do with the group's view (package view).
@@ -105,13 +93,13 @@
 // View returns the soft state as the newest step left it. The error is ErrStopped or wraps the context's.
 func (h *Host) View(ctx context.Context) (View, error) {
 	answer := make(chan View, 1)
-	if !h.post(ctx, viewRequest{answer: answer}) {
+	if !h.queue.Post(ctx, viewRequest{answer: answer}) {
 		return View{}, ErrStopped
 	}
 	select {
 	case view := <-answer:
 		return view, nil
-	case <-h.ended:
+	case <-h.queue.Ended():
 		return View{}, ErrStopped
 	case <-ctx.Done():
 		return View{}, fmt.Errorf("wait for the table: %w", ctx.Err())
--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"raventrestle/coordination/replica"
+	"raventrestle/internal/control/commandqueue"
 	"raventrestle/internal/control/controller"
 	"raventrestle/internal/control/registry"
 	"raventrestle/internal/protocol"
@@ -58,8 +59,7 @@
 type Host struct {
 	config       Config
 	dependencies Dependencies
-	queue        chan any      // commands: see commands.go
-	ended        chan struct{} // closed when Run returns
+	queue        *commandqueue.Queue // commands: see commands.go
 	tasks        sync.WaitGroup
 
 	// confirmedAt is controller.ConfirmedAt of the newest step, for all goroutines; nil: there was no step.
@@ -78,8 +78,7 @@
 	return &Host{
 		config:       config,
 		dependencies: dependencies,
-		queue:        make(chan any, queueCapacity),
-		ended:        make(chan struct{}),
+		queue:        commandqueue.New(queueCapacity),
 		controller:   controller.New(controller.Config{Origin: config.Origin}, endpoints, now),
 		encoder:      updateEncoder{codec: config.Codec},
 	}
@@ -88,7 +87,7 @@
 // Run works through the queue until the context ends, and awaits the goroutines that it started.
 func (h *Host) Run(ctx context.Context) {
 	defer h.tasks.Wait()
-	defer close(h.ended)
+	defer h.queue.End()
 	h.tasks.Add(1)
 	go h.watchReplica(ctx)
 	timer := time.NewTimer(0)
@@ -97,9 +96,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case command := <-h.queue:
+		case command := <-h.queue.Commands():
 			h.handle(command)
-			h.handleQueued()
+			h.queue.Drain(maxStepCommands, h.handle)
 		case <-timer.C:
 		}
 		output := h.step(time.Now())
@@ -108,18 +107,6 @@
 	}
 }
 
-// handleQueued empties the queue as far as one step should go.
-func (h *Host) handleQueued() {
-	for range maxStepCommands {
-		select {
-		case command := <-h.queue:
-			h.handle(command)
-		default:
-			return
-		}
-	}
-}
-
 // step has the controller take in the events so far.
 func (h *Host) step(now time.Time) controller.Output {
 	events := h.pendingEvents
@@ -154,7 +141,7 @@
 	defer h.tasks.Done()
 	for {
 		changed := h.dependencies.Replica.Changed()
-		if !h.post(ctx, controller.ReplicaChanged{}) {
+		if !h.queue.Post(ctx, controller.ReplicaChanged{}) {
 			return
 		}
 		select {
@@ -171,5 +158,5 @@
 	bounded, cancel := context.WithTimeout(ctx, controller.BarrierTimeout)
 	defer cancel()
 	_, err := h.dependencies.Replica.Barrier(bounded)
-	h.post(ctx, controller.BarrierFinished{Number: number, Succeeded: err == nil})
+	h.queue.Post(ctx, controller.BarrierFinished{Number: number, Succeeded: err == nil})
 }
--- a/internal/control/quota/ask.go
+++ b/internal/control/quota/ask.go
@@ -148,7 +148,7 @@
 	for _, group := range [][]Peer{h.nearPeers, h.farPeers} {
 		for i := range group {
 			peer := group[(i+t.askedOf)%len(group)]
-			if t.mayAsk(now, peer.Address) && !now.Before(h.silent[peer.Address].until) && !slices.Contains(a.asked, peer.Address) {
+			if t.mayAsk(now, peer.Address) && !now.Before(h.peerBackoffs[peer.Address].until) && !slices.Contains(a.asked, peer.Address) {
 				return peer.Address, true
 			}
 		}
@@ -169,7 +169,7 @@
 
 // peerGranted takes in a peer's answer.
 func (h *Holder) peerGranted(now time.Time, grant *protocol.PeerCreditGrant) {
-	delete(h.silent, grant.Origin.Address)
+	delete(h.peerBackoffs, grant.Origin.Address)
 	at := slices.IndexFunc(h.asks, func(a *ask) bool { return a.stage == awaitingPeer && a.peerRequest == grant.ID })
 	if !validAmount(grant.Amount) {
 		return
@@ -201,7 +201,7 @@
 // resume goes on with an ask whose record is synced, or whose wait is over.
 func (h *Holder) resume(now time.Time, a *ask) {
 	if a.stage == awaitingPeer {
-		h.noteSilent(now, a.awaitedPeer)
+		h.backOff(now, a.awaitedPeer)
 		h.proceed(now, a)
 		return
 	}
@@ -211,14 +211,14 @@
 	h.proceed(now, a)
 }
 
-// noteSilent leaves a peer alone that did not answer in time, the longer the more often in a row.
-func (h *Holder) noteSilent(now time.Time, peer string) {
-	noted := h.silent[peer]
+// backOff leaves a peer alone that did not answer in time, the longer the more often in a row.
+func (h *Holder) backOff(now time.Time, peer string) {
+	noted := h.peerBackoffs[peer]
 	if now.Before(noted.until) {
 		return // of another ask, sent before
 	}
-	pause := min(max(2*noted.pause, minPeerPause), maxPeerPause)
-	h.silent[peer] = silence{pause: pause, until: now.Add(pause)}
+	interval := min(max(2*noted.interval, minPeerBackoff), maxPeerBackoff)
+	h.peerBackoffs[peer] = peerBackoff{interval: interval, until: now.Add(interval)}
 }
 
 func (h *Holder) dropAnswered() {
--- a/internal/control/quota/config.go
+++ b/internal/control/quota/config.go
@@ -29,13 +29,13 @@
 	withheldShare = 0.01                   // of a window's allowance, never spent: routers may not agree on their number
 	cellLength    = 100 * time.Millisecond // resolution of the count of issues
 
-	peerTimeout   = 40 * time.Millisecond  // of a request to a peer
-	askTimeout    = 90 * time.Millisecond  // of an ask with all its requests to peers
-	minPeerPause  = 50 * time.Millisecond  // a peer that did not answer in time is not asked for so long, then twice as long
-	maxPeerPause  = time.Second            // and at most for so long
-	exhaustedTime = cellLength             // a peer that granted less than was asked is not asked again for that tenant
-	maxRetryAfter = 2 * time.Second        // of refusals
-	minRetryAfter = 100 * time.Millisecond // of refusals
+	peerTimeout    = 40 * time.Millisecond  // of a request to a peer
+	askTimeout     = 90 * time.Millisecond  // of an ask with all its requests to peers
+	minPeerBackoff = 50 * time.Millisecond  // a peer that did not answer in time is not asked for so long, then twice as long
+	maxPeerBackoff = time.Second            // and at most for so long
+	exhaustedTime  = cellLength             // a peer that granted less than was asked is not asked again for that tenant
+	maxRetryAfter  = 2 * time.Second        // of refusals
+	minRetryAfter  = 100 * time.Millisecond // of refusals
 
 	// aheadFraction is the part of what is left of this holder's own shares that credit for expected requests may take.
 	aheadFraction = 0.25
--- a/internal/control/quota/holder.go
+++ b/internal/control/quota/holder.go
@@ -27,12 +27,12 @@
 	confirmedAt   time.Time            // everything that was acknowledged before is applied here
 	registered    map[string]time.Time // when each holder was last seen in a table
 	takeovers     []*takeover
-	ended         map[string]bool      // former holders whose leases had ended by the record of an earlier process
-	copies        map[string]*PeerCopy // newest records of other holders, by identity
+	ended         map[string]bool        // former holders whose leases had ended by the record of an earlier process
+	copies        map[string]*RecordCopy // newest records of other holders, by identity
 	copiesLost    bool
 
-	nearPeers, farPeers []Peer             // in this zone and in others, by address
-	silent              map[string]silence // peers that did not answer, by address
+	nearPeers, farPeers []Peer                 // in this zone and in others, by address
+	peerBackoffs        map[string]peerBackoff // peers that did not answer, by address
 
 	tenants     map[string]*tenant // those with issues in the interval, or with asks
 	asks        []*ask             // that wait, in order of arrival
@@ -49,10 +49,10 @@
 	Zone     string
 }
 
-// silence is how a peer that does not answer is left alone.
-type silence struct {
-	pause time.Duration
-	until time.Time
+// peerBackoff is how a peer that does not answer is left alone.
+type peerBackoff struct {
+	interval time.Duration
+	until    time.Time
 }
 
 // Connection is the host's handle of a router's connection. The holder hands it back.
@@ -93,9 +93,9 @@
 type Output struct {
 	RouterGrants []RouterGrant
 	PeerMessages []PeerMessage
-	Record       *Record     // to be written and synced, then RecordWritten; nil: none
-	Copies       []*PeerCopy // to be written and synced each, then CopyKept
-	WakeAt       time.Time   // when the next step is due, if nothing happens before; zero: never
+	Record       *Record       // to be written and synced, then RecordWritten; nil: none
+	Copies       []*RecordCopy // to be written and synced each, then CopyKept
+	WakeAt       time.Time     // when the next step is due, if nothing happens before; zero: never
 }
 
 // RouterGrant is an answer to a router.
@@ -121,17 +121,17 @@
 		earlier, fresh = nil, false
 	}
 	h := &Holder{
-		config:     config,
-		started:    now,
-		ownership:  newOwnership(config, now, earlier, fresh),
-		registered: make(map[string]time.Time),
-		ended:      make(map[string]bool),
-		copies:     make(map[string]*PeerCopy),
-		copiesLost: former.CopiesLost,
-		limits:     make(map[string]Limit),
-		silent:     make(map[string]silence),
-		tenants:    make(map[string]*tenant),
-		sweptAt:    now,
+		config:       config,
+		started:      now,
+		ownership:    newOwnership(config, now, earlier, fresh),
+		registered:   make(map[string]time.Time),
+		ended:        make(map[string]bool),
+		copies:       make(map[string]*RecordCopy),
+		copiesLost:   former.CopiesLost,
+		limits:       make(map[string]Limit),
+		peerBackoffs: make(map[string]peerBackoff),
+		tenants:      make(map[string]*tenant),
+		sweptAt:      now,
 	}
 	for _, kept := range former.Copies {
 		h.copies[kept.Record.Identity] = kept
--- a/internal/control/quota/model_test.go
+++ b/internal/control/quota/model_test.go
@@ -50,21 +50,21 @@
 
 // modelHolder is a control instance with its disk.
 type modelHolder struct {
-	name        string
-	holder      *Holder              // nil: the process is down
-	process     int                  // rises with each start
-	disk        *Record              // synced
-	inFlight    *Record              // being written
-	copies      map[string]*PeerCopy // synced
-	copying     []*PeerCopy          // being written
-	fresh       bool
-	cutUntil    time.Duration // from the majority: nothing is applied or confirmed
-	cutID       int           // of the cut; those of one cut reach each other
-	frozenUntil time.Duration
-	pending     []Event
-	confirmedAt time.Time
-	table       shares.Table // as applied here
-	wake        time.Time
+	name           string
+	holder         *Holder                // nil: the process is down
+	process        int                    // rises with each start
+	disk           *Record                // synced
+	inFlight       *Record                // being written
+	copies         map[string]*RecordCopy // synced
+	copying        []*RecordCopy          // being written
+	fresh          bool
+	partitionUntil time.Duration // from the majority: nothing is applied or confirmed
+	partitionID    int           // of the cut; those of one cut reach each other
+	frozenUntil    time.Duration
+	pending        []Event
+	confirmedAt    time.Time
+	table          shares.Table // as applied here
+	wake           time.Time
 }
 
 // modelRouter asks for credit and spends it.
@@ -96,7 +96,7 @@
 	for i := range holders {
 		name := fmt.Sprintf("h%d", i)
 		w.table = w.table.Register(shares.Registration{Identity: name})
-		w.holders = append(w.holders, &modelHolder{name: name, fresh: true, copies: map[string]*PeerCopy{}})
+		w.holders = append(w.holders, &modelHolder{name: name, fresh: true, copies: map[string]*RecordCopy{}})
 	}
 	for i := range routers {
 		w.routers = append(w.routers, &modelRouter{follows: i % holders, asked: map[uint64]*modelRequest{}})
@@ -160,15 +160,15 @@
 	h.holder, h.copying = nil, nil
 }
 
-func (w *world) reachable(h *modelHolder) bool { return h.holder != nil && w.now >= h.cutUntil }
+func (w *world) reachable(h *modelHolder) bool { return h.holder != nil && w.now >= h.partitionUntil }
 
 // connected reports whether two holders reach each other.
 func (w *world) connected(a, b *modelHolder) bool {
 	if a.holder == nil || b.holder == nil {
 		return false
 	}
-	aCut, bCut := w.now < a.cutUntil, w.now < b.cutUntil
-	return !aCut && !bCut || aCut && bCut && a.cutID == b.cutID
+	aPartitioned, bPartitioned := w.now < a.partitionUntil, w.now < b.partitionUntil
+	return !aPartitioned && !bPartitioned || aPartitioned && bPartitioned && a.partitionID == b.partitionID
 }
 
 func (w *world) usableNow(h *modelHolder) bool { return h.holder != nil && w.now >= h.frozenUntil }
@@ -283,14 +283,14 @@
 }
 
 // keep syncs a copy of another holder's record a moment later.
-func (w *world) keep(h *modelHolder, kept *PeerCopy) {
+func (w *world) keep(h *modelHolder, kept *RecordCopy) {
 	h.copying = append(h.copying, kept)
 	process := h.process
 	w.after(time.Duration(1+w.random.IntN(4))*time.Millisecond, func() {
 		if h.holder == nil || h.process != process {
 			return
 		}
-		h.copying = slices.DeleteFunc(h.copying, func(c *PeerCopy) bool { return c == kept })
+		h.copying = slices.DeleteFunc(h.copying, func(c *RecordCopy) bool { return c == kept })
 		if before := h.copies[kept.Record.Identity]; before == nil || before.Record.Sequence < kept.Record.Sequence {
 			h.copies[kept.Record.Identity] = kept
 		}
--- a/internal/control/quota/recorder.go
+++ b/internal/control/quota/recorder.go
@@ -155,10 +155,10 @@
 }
 
 // endRecord puts the headroom of a record in force, or gives the record up, and goes on with the asks that waited for it.
-func (h *Holder) endRecord(now time.Time, inForce bool, pause time.Duration) {
+func (h *Holder) endRecord(now time.Time, inForce bool, backoff time.Duration) {
 	h.recorder.writing = false
 	if !inForce {
-		h.recorder.retryAt = now.Add(pause)
+		h.recorder.retryAt = now.Add(backoff)
 	}
 	for _, t := range h.tenants {
 		if !t.record.writing {
--- a/internal/control/quota/rules_test.go
+++ b/internal/control/quota/rules_test.go
@@ -44,7 +44,7 @@
 				together, id := w.holders[rapid.IntRange(0, holders-1).Draw(t, "cut together")], w.random.Int()
 				w.after(moment("cut at"), func() {
 					for _, cut := range []*modelHolder{h, together} {
-						cut.cutUntil, cut.cutID = w.now+length, id
+						cut.partitionUntil, cut.partitionID = w.now+length, id
 					}
 				})
 			case 2:
--- a/internal/control/quota/takeover.go
+++ b/internal/control/quota/takeover.go
@@ -38,8 +38,8 @@
 	askedAt time.Time
 }
 
-// PeerCopy is the newest record of another holder.
-type PeerCopy struct {
+// RecordCopy is the newest record of another holder.
+type RecordCopy struct {
 	Record  *Record
 	Encoded []byte // as Record.Encode returned it
 	ReplyTo string // address of the holder's process that waits for the acknowledgement
@@ -47,7 +47,7 @@
 
 // CopyKept is an event: a copy that Output.Copies named is synced, or Err says why not.
 type CopyKept struct {
-	Copy *PeerCopy
+	Copy *RecordCopy
 	Err  error
 }
 
@@ -55,7 +55,7 @@
 type Former struct {
 	Record *Record // newest of what it issued; nil: there is none that can be read
 	Fresh  bool    // no earlier process has issued anything: the disk was empty
-	Copies []*PeerCopy
+	Copies []*RecordCopy
 	// CopiesLost says that some copy can't be read: this instance can't say what other holders had issued.
 	CopiesLost bool
 }
@@ -121,7 +121,7 @@
 	if kept := h.copies[message.Identity]; kept != nil && kept.Record.Sequence > record.Sequence {
 		return
 	}
-	kept := &PeerCopy{Record: record, Encoded: message.Record, ReplyTo: message.Origin.Address}
+	kept := &RecordCopy{Record: record, Encoded: message.Record, ReplyTo: message.Origin.Address}
 	h.copies[message.Identity] = kept
 	h.out.Copies = append(h.out.Copies, kept)
 }
--- a/internal/control/quotahost/host.go
+++ b/internal/control/quotahost/host.go
@@ -9,6 +9,7 @@
 
 	"raventrestle/coordination/replica"
 	"raventrestle/internal/configuration"
+	"raventrestle/internal/control/commandqueue"
 	"raventrestle/internal/control/quota"
 	"raventrestle/internal/control/shares"
 	"raventrestle/internal/control/state"
@@ -62,9 +63,8 @@
 type Host struct {
 	config       Config
 	dependencies Dependencies
-	queue        chan any      // commands: quota.Event and viewRequest
-	ended        chan struct{} // closed when Run returns
-	stopped      chan struct{} // closed once the last record is written, or could not be
+	queue        *commandqueue.Queue // commands: quota.Event and viewRequest
+	stopped      chan struct{}       // closed once the last record is written, or could not be
 	tasks        sync.WaitGroup
 
 	// Owned by Run.
@@ -77,9 +77,9 @@
 	writing bool          // of Run
 	last    bool          // of Run: no record follows the one that shutting down makes
 
-	registering  bool              // of Run: a registration is under way
-	queuedCopies []*quota.PeerCopy // of Run: to be written after those that are being written
-	copying      bool              // of Run
+	registering  bool                // of Run: a registration is under way
+	queuedCopies []*quota.RecordCopy // of Run: to be written after those that are being written
+	copying      bool                // of Run
 }
 
 type viewRequest struct{ answer chan quota.View }
@@ -96,8 +96,7 @@
 	return &Host{
 		config:       config,
 		dependencies: dependencies,
-		queue:        make(chan any, queueCapacity),
-		ended:        make(chan struct{}),
+		queue:        commandqueue.New(queueCapacity),
 		stopped:      make(chan struct{}),
 		holder:       quota.New(config.Holder, time.Now(), former),
 		records:      records,
@@ -108,10 +107,10 @@
 func (h *Host) Message(c *transport.Connection, message any) bool {
 	switch message := message.(type) {
 	case *protocol.CreditRequest:
-		h.post(context.Background(), quota.RouterAsked{Connection: c, Request: message})
+		h.queue.Post(context.Background(), quota.RouterAsked{Connection: c, Request: message})
 	case *protocol.PeerCreditRequest, *protocol.PeerCreditGrant, *protocol.PeerCreditReturn,
 		*protocol.PeerRecord, *protocol.PeerRecordAck, *protocol.PeerCopyRequest, *protocol.PeerCopy:
-		h.post(context.Background(), quota.PeerMessageReceived{Message: message.(protocol.PeerMessage)})
+		h.queue.Post(context.Background(), quota.PeerMessageReceived{Message: message.(protocol.PeerMessage)})
 	default:
 		return false
 	}
@@ -121,13 +120,13 @@
 // View returns the state of the limits here. The error is ErrStopped or wraps the context's.
 func (h *Host) View(ctx context.Context) (quota.View, error) {
 	answer := make(chan quota.View, 1)
-	if !h.post(ctx, viewRequest{answer: answer}) {
+	if !h.queue.Post(ctx, viewRequest{answer: answer}) {
 		return quota.View{}, ErrStopped
 	}
 	select {
 	case view := <-answer:
 		return view, nil
-	case <-h.ended:
+	case <-h.queue.Ended():
 		return quota.View{}, ErrStopped
 	case <-ctx.Done():
 		return quota.View{}, fmt.Errorf("wait for the limits: %w", ctx.Err())
@@ -136,32 +135,20 @@
 
 // Stop ends all issues and returns once the last record is written, or the context ends.
 func (h *Host) Stop(ctx context.Context) {
-	if !h.post(ctx, stopRequest{}) {
+	if !h.queue.Post(ctx, stopRequest{}) {
 		return
 	}
 	select {
 	case <-h.stopped:
-	case <-h.ended:
+	case <-h.queue.Ended():
 	case <-ctx.Done():
 	}
 }
 
-// post queues a command. It waits while the queue is full, and says whether the command was queued.
-func (h *Host) post(ctx context.Context, command any) bool {
-	select {
-	case h.queue <- command:
-		return true
-	case <-h.ended:
-		return false
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Run works through the queue until the context ends, and awaits the goroutines that it started.
 func (h *Host) Run(ctx context.Context) {
 	defer h.tasks.Wait()
-	defer close(h.ended)
+	defer h.queue.End()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	changed := h.dependencies.Replica.Changed()
@@ -169,9 +156,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case command := <-h.queue:
+		case command := <-h.queue.Commands():
 			h.handle(command)
-			h.handleQueued()
+			h.queue.Drain(maxStepEvents, h.handle)
 		case <-changed: // shares may have changed: from now on they count as given to this instance
 			changed = h.dependencies.Replica.Changed()
 		case <-timer.C:
@@ -209,18 +196,6 @@
 	}
 }
 
-// handleQueued empties the queue as far as one step should go.
-func (h *Host) handleQueued() {
-	for range maxStepEvents {
-		select {
-		case command := <-h.queue:
-			h.handle(command)
-		default:
-			return
-		}
-	}
-}
-
 func (h *Host) step(now time.Time) quota.Output {
 	events := h.pending
 	h.pending = nil
@@ -270,9 +245,9 @@
 	h.queuedCopies, h.copying = nil, true
 	h.tasks.Go(func() {
 		for _, kept := range copies {
-			h.post(ctx, quota.CopyKept{Copy: kept, Err: h.records.writeCopy(kept)})
+			h.queue.Post(ctx, quota.CopyKept{Copy: kept, Err: h.records.writeCopy(kept)})
 		}
-		h.post(ctx, copiesWritten{})
+		h.queue.Post(ctx, copiesWritten{})
 	})
 }
 
@@ -280,9 +255,9 @@
 type copiesWritten struct{}
 
 // newestCopies leaves out copies that were superseded before they were written.
-func newestCopies(copies []*quota.PeerCopy) []*quota.PeerCopy {
+func newestCopies(copies []*quota.RecordCopy) []*quota.RecordCopy {
 	newest := make(map[string]int) // in kept, by identity
-	var kept []*quota.PeerCopy
+	var kept []*quota.RecordCopy
 	for _, c := range copies {
 		if at, known := newest[c.Record.Identity]; known {
 			kept[at] = c
@@ -306,7 +281,7 @@
 		if last {
 			close(h.stopped)
 		}
-		h.post(ctx, recordWritten{result: quota.RecordWritten{Sequence: record.Sequence, Err: err}})
+		h.queue.Post(ctx, recordWritten{result: quota.RecordWritten{Sequence: record.Sequence, Err: err}})
 	})
 }
 
@@ -321,7 +296,7 @@
 	h.registering = true
 	h.tasks.Go(func() {
 		h.register(ctx)
-		h.post(ctx, registrationEnded{})
+		h.queue.Post(ctx, registrationEnded{})
 	})
 }
 
--- a/internal/control/quotahost/host_test.go
+++ b/internal/control/quotahost/host_test.go
@@ -320,7 +320,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := store.writeCopy(&quota.PeerCopy{Record: record, Encoded: encoded}); err != nil {
+		if err := store.writeCopy(&quota.RecordCopy{Record: record, Encoded: encoded}); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/control/quotahost/recordfile.go
+++ b/internal/control/quotahost/recordfile.go
@@ -94,7 +94,7 @@
 }
 
 // readCopies reads the copies of other holders' records. Lost says that some holder's can't be read in either file.
-func (s *recordStore) readCopies() (copies []*quota.PeerCopy, lost bool, err error) {
+func (s *recordStore) readCopies() (copies []*quota.RecordCopy, lost bool, err error) {
 	paths, err := filepath.Glob(filepath.Join(s.directory, copyPrefix+"*-[01]"))
 	if err != nil {
 		return nil, false, fmt.Errorf("list the copies of records of quotas: %w", err)
@@ -114,13 +114,13 @@
 			lost = true
 			continue
 		}
-		copies = append(copies, &quota.PeerCopy{Record: stored.newest, Encoded: stored.encoded})
+		copies = append(copies, &quota.RecordCopy{Record: stored.newest, Encoded: stored.encoded})
 	}
 	return copies, lost, nil
 }
 
 // writeCopy replaces the copy of a holder's record and syncs it.
-func (s *recordStore) writeCopy(kept *quota.PeerCopy) error {
+func (s *recordStore) writeCopy(kept *quota.RecordCopy) error {
 	name := copyPrefix + strconv.FormatUint(xxhash.Sum64String(kept.Record.Identity), 16)
 	file := s.copies[name]
 	if file == nil {
