Review, case 3: a raised limit on heads does not reach connections that are kept

Cause: replaceServer starts a new http.Server for new connections when max_header_bytes changes; connections accepted before stay with the old one and its limit, and net/http answers 431 to heads that the configuration in force allows.

The rig's clients send X-Token-Usage without a model too, if a scenario asks for it.

--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -60,6 +60,8 @@
 	request.Header["Api-Key"] = []string{"key-of-the-first"}
 	if call.model != "" {
 		request.Header["X-Model"] = []string{call.model}
+	}
+	if call.usage != "" {
 		request.Header["X-Token-Usage"] = []string{call.usage}
 	}
 	c.record.line("client sends %s to %s%s model %q", call.id, router, call.path, call.model)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]func(s *system, r *record, trouble bool) (broken bool, err error){
 	"surplus":   playSurplus,
 	"forgotten": playForgotten,
+	"raised":    playRaised,
 }
 
 func main() { os.Exit(run()) }
