--- a/review/rig/raised.go
+++ b/review/rig/raised.go
@@ -39,6 +39,7 @@
 	request.Header["X-Deadline-Ms"] = []string{"1000"}
 	request.Header["Api-Key"] = []string{"key-of-the-first"}
 	request.Header["X-Note"] = []string{strings.Repeat("n", headerBytes)}
+	k.record.line("client sends %s to %s (header of %d bytes)", id, k.router, headerBytes)
 	response, err := k.client.Do(request)
 	if err != nil {
 		k.record.line("client gets no answer to %s: %v", id, err)
