Review rig: end restarted processes too, and all of them on SIGTERM

Cause: a router that was started again while the case ended stayed behind; a SIGTERM of the script left all processes. Change: each started process is recorded, none is started after the end; SIGTERM and SIGINT end all and exit with 2.

--- a/review/_rig-2/main.go
+++ b/review/_rig-2/main.go
@@ -8,7 +8,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -46,6 +48,14 @@
 		os.Exit(2)
 	})
 	defer watchdog.Stop()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		w.note("the case was ended from outside")
+		w.close()
+		os.Exit(2)
+	}()
 	err = play(w)
 	switch {
 	case err == nil:
--- a/review/_rig-2/world.go
+++ b/review/_rig-2/world.go
@@ -36,6 +36,8 @@
 	controls  []*process
 	routers   []*process
 	endpoints []*endpoint
+	started   []*process // all that were started, also those that have ended
+	closed    bool       // nothing is started any more
 }
 
 // process is one of the project's programs.
@@ -212,9 +214,15 @@
 	p.cmd = exec.Command(filepath.Join(w.programs, program), "run")
 	p.cmd.Env = append(os.Environ(), "RAVENTRESTLE_SETTINGS="+path)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.closed {
+		return nil, fmt.Errorf("the case has ended")
+	}
 	if err := p.cmd.Start(); err != nil {
 		return nil, err
 	}
+	w.started = append(w.started, p)
 	go func() { _ = p.cmd.Wait(); close(p.ended) }()
 	return p, nil
 }
@@ -227,8 +235,12 @@
 	<-p.ended
 }
 
+// close ends all processes and waits for their end. It may be called twice.
 func (w *world) close() {
-	for _, p := range append(append([]*process{}, w.controls...), w.routers...) {
+	w.mutex.Lock()
+	w.closed = true
+	w.mutex.Unlock()
+	for _, p := range w.started {
 		p.signal(syscall.SIGKILL)
 		<-p.ended
 	}
