Make recorded decisions play alike on arm64 and x86-64

Cause: TestDecisionsAreAsRecorded (dispatch, placer) failed on arm64 in last digits, for two reasons. The compiler fuses multiplications with additions there, and math.Exp and math.Exp2 are computed by another method on each architecture.

The placer's test worlds draw their adapters without math.Pow.

--- a/check.sh
+++ b/check.sh
@@ -80,6 +80,9 @@
 	[ -z "$drawn" ] || go test "$@" $drawn -rapid.nofailfile -rapid.seed="$rapid_seed"
 }
 
+# Recorded decisions are compared bit by bit, so that tests run without the fused multiplication that other compilers use.
+[ "$(go env GOARCH)" = amd64 ] || export GOFLAGS="$(go env GOFLAGS) -gcflags=all=-d=fmahash=qn"
+
 tab=$(printf '\t')
 bad=$(gofmt -l .)
 [ -z "$bad" ] || { echo "not formatted: $bad"; exit 1; }
--- a/internal/control/placer/demand.go
+++ b/internal/control/placer/demand.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"raventrestle/internal/portablemath"
 	"raventrestle/internal/protocol"
 )
 
@@ -39,7 +40,7 @@
 
 // rate returns the events per second after an observation of the given length.
 func (r *decayingRate) rate(observed, timeConstant time.Duration) float64 {
-	weight := timeConstant.Seconds() * (1 - math.Exp(-observed.Seconds()/timeConstant.Seconds()))
+	weight := timeConstant.Seconds() * (1 - portablemath.Exp(-observed.Seconds()/timeConstant.Seconds()))
 	if weight <= 0 {
 		return 0
 	}
@@ -114,7 +115,7 @@
 // initialRate.
 func (d *demand) longTermRate(observed time.Duration) float64 {
 	const priorSeconds = 1 / initialRate
-	weight := longTimeConstant.Seconds() * (1 - math.Exp(-observed.Seconds()/longTimeConstant.Seconds()))
+	weight := longTimeConstant.Seconds() * (1 - portablemath.Exp(-observed.Seconds()/longTimeConstant.Seconds()))
 	return (d.longRate.sum + 1) / (weight + priorSeconds)
 }
 
--- a/internal/control/placer/demand_table.go
+++ b/internal/control/placer/demand_table.go
@@ -1,9 +1,9 @@
 package placer
 
 import (
-	"math"
 	"time"
 
+	"raventrestle/internal/portablemath"
 	"raventrestle/internal/protocol"
 )
 
@@ -93,7 +93,7 @@
 	if isFirst || elapsed <= 0 {
 		return
 	}
-	factor := func(timeConstant time.Duration) float64 { return math.Exp(-elapsed / timeConstant.Seconds()) }
+	factor := func(timeConstant time.Duration) float64 { return portablemath.Exp(-elapsed / timeConstant.Seconds()) }
 	fast, slow, long := factor(fastTimeConstant), factor(slowTimeConstant), factor(longTimeConstant)
 	unmet := factor(unmetTimeConstant)
 	for _, models := range t.models {
--- a/internal/control/placer/eviction.go
+++ b/internal/control/placer/eviction.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"raventrestle/internal/portablemath"
 )
 
 // Constants for choosing the models to evict. Losses are in requests of middle priority, as in score.go.
@@ -144,7 +146,7 @@
 		if !p.uses(DormantValue) {
 			return 0
 		}
-		return dormantModelValue * math.Exp(-now.Sub(p.startedAt).Seconds()/dormantTimeConstant.Seconds())
+		return dormantModelValue * portablemath.Exp(-now.Sub(p.startedAt).Seconds()/dormantTimeConstant.Seconds())
 	}
 	return planningHorizonS * math.Max(m.projectedRate, m.longTermRate) * (missLoss*m.demand.value + p.config.LoadCost)
 }
--- a/internal/control/placer/golden_clients_test.go
+++ b/internal/control/placer/golden_clients_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"raventrestle/internal/configuration"
+	"raventrestle/internal/portablemath"
 	"raventrestle/internal/protocol"
 )
 
@@ -49,7 +50,7 @@
 }
 
 func (f *goldenFleet) poisson(mean float64) int {
-	limit, product, n := math.Exp(-mean), f.random.Float64(), 0
+	limit, product, n := portablemath.Exp(-mean), f.random.Float64(), 0
 	for product > limit {
 		n++
 		product *= f.random.Float64()
@@ -89,7 +90,8 @@
 func (f *goldenFleet) addRequest(s goldenService, model configuration.Model) {
 	key := goldenKey{router: f.random.IntN(goldenRouters), service: s.name, model: model.Name}
 	if model.AdapterCount > 0 && f.chance(0.5) {
-		key.adapter = fmt.Sprintf("a%d", 1+int(float64(model.AdapterCount)*math.Pow(f.random.Float64(), 1.5)))
+		share := f.random.Float64()
+		key.adapter = fmt.Sprintf("a%d", 1+int(float64(model.AdapterCount)*math.Sqrt(share)*share))
 	}
 	d := f.demand[key]
 	if d == nil {
--- a/internal/control/placer/value.go
+++ b/internal/control/placer/value.go
@@ -1,8 +1,9 @@
 package placer
 
 import (
-	"math"
 	"time"
+
+	"raventrestle/internal/portablemath"
 )
 
 // Constants of the value of a served request, which depends on the utilization of the endpoints that serve it.
@@ -15,7 +16,7 @@
 // valueAt returns the share of their value that requests earn at endpoints of the given utilization.
 func valueAt(utilization float64) float64 {
 	if utilization < 1 {
-		return 1 - latenessLoss*utilization*math.Exp(-latenessSlope*(1-utilization))
+		return 1 - latenessLoss*utilization*portablemath.Exp(-latenessSlope*(1-utilization))
 	}
 	return overloadValue / utilization
 }
@@ -51,7 +52,7 @@
 	observed := p.demand.observedFor(now)
 	promptsPerAnswer := promptsPerSlot * float64(max(1, f.engine.Slots))
 	running := f.runningPerEndpoint(table)
-	weight := 1 - math.Exp(-elapsed.Seconds()/learningTimeConstant.Seconds())
+	weight := 1 - portablemath.Exp(-elapsed.Seconds()/learningTimeConstant.Seconds())
 	totalUtilization, totalTokens := 0.0, 0.0
 	for _, m := range table.placements {
 		d := m.demand
--- a/internal/control/placer/world_clients_test.go
+++ b/internal/control/placer/world_clients_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"raventrestle/internal/portablemath"
 	"raventrestle/internal/protocol"
 )
 
@@ -62,7 +64,7 @@
 
 // poisson draws from a Poisson distribution with Knuth's algorithm.
 func (w *world) poisson(mean float64) int {
-	limit, product := math.Exp(-mean), w.random.Float64()
+	limit, product := portablemath.Exp(-mean), w.random.Float64()
 	n := 0
 	for product > limit {
 		n++
@@ -76,7 +78,7 @@
 	r := w.random
 	model := 0
 	if class.rare {
-		model = w.shape.rotatingModels + int(float64(len(w.shape.models)-w.shape.rotatingModels)*math.Pow(r.Float64(), 1.2))
+		model = w.shape.rotatingModels + int(float64(len(w.shape.models)-w.shape.rotatingModels)*skewedShare(r))
 	} else {
 		draw := r.Float64()
 		for model < len(shares)-1 && draw >= shares[model] {
@@ -85,14 +87,14 @@
 		}
 	}
 	size := func(mean float64) float64 {
-		return mean * math.Exp(class.spread*r.NormFloat64()-class.spread*class.spread/2)
+		return mean * portablemath.Exp(class.spread*r.NormFloat64()-class.spread*class.spread/2)
 	}
 	req := &request{
 		class: class, model: model, arrived: w.now, router: r.IntN(w.shape.routers),
 		promptTokens: math.Max(20, size(class.promptTokens)), outputTokens: math.Max(4, size(class.outputTokens)),
 	}
 	if count := w.shape.models[model].configuration.AdapterCount; count > 0 && r.Float64() < class.adapterShare {
-		req.adapter = fmt.Sprintf("a%d", 1+int(float64(count)*math.Pow(r.Float64(), 1.2)))
+		req.adapter = fmt.Sprintf("a%d", 1+int(float64(count)*skewedShare(r)))
 	}
 	name := w.shape.models[model].configuration.Name
 	w.requestTimes[name] = append(w.requestTimes[name], w.now)
@@ -205,3 +207,8 @@
 func compareDemandRows(a, b [2]string) int {
 	return cmp.Or(cmp.Compare(a[0], b[0]), cmp.Compare(a[1], b[1]))
 }
+
+// skewedShare draws a number in [0, 1) that is more often small.
+func skewedShare(r *rand.Rand) float64 {
+	return portablemath.Exp(1.2 * portablemath.Log(r.Float64()))
+}
--- a/internal/router/dispatch/credit_request.go
+++ b/internal/router/dispatch/credit_request.go
@@ -2,10 +2,10 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
+	"raventrestle/internal/portablemath"
 	"raventrestle/internal/protocol"
 )
 
@@ -37,13 +37,13 @@
 
 // add counts a request with the given charge.
 func (r *demandRate) add(charge float64, now time.Duration) {
-	decay := math.Exp(-(now - r.updatedAt).Seconds() / demandTimeConstant.Seconds())
+	decay := portablemath.Exp(-(now - r.updatedAt).Seconds() / demandTimeConstant.Seconds())
 	r.amount, r.requests, r.updatedAt = r.amount*decay+charge, r.requests*decay+1, now
 }
 
 // advanceAmount returns how much credit the tenant should have available for expected requests; 0 if it has few.
 func (r *demandRate) advanceAmount(now time.Duration) float64 {
-	part := math.Exp(-(now-r.updatedAt).Seconds()/demandTimeConstant.Seconds()) * creditAdvanceTime.Seconds() / demandTimeConstant.Seconds()
+	part := portablemath.Exp(-(now-r.updatedAt).Seconds()/demandTimeConstant.Seconds()) * creditAdvanceTime.Seconds() / demandTimeConstant.Seconds()
 	if r.requests*part < minAdvanceRequests {
 		return 0
 	}
--- a/internal/router/dispatch/estimate.go
+++ b/internal/router/dispatch/estimate.go
@@ -1,8 +1,9 @@
 package dispatch
 
 import (
-	"math"
 	"time"
+
+	"raventrestle/internal/portablemath"
 )
 
 // Estimates of the time to the first byte, learned from this router's own calls: a linear regression per model over
@@ -47,7 +48,7 @@
 	if !e.advertised.known {
 		return expected, 0
 	}
-	weight := math.Exp(-float64(d.now-e.advertised.receivedAt) / float64(advertisedLoadTimeConstant))
+	weight := portablemath.Exp(-float64(d.now-e.advertised.receivedAt) / float64(advertisedLoadTimeConstant))
 	running = weight*float64(e.advertised.running) + (1-weight)*expected
 	waiting = weight * float64(e.advertised.waiting)
 	return running, waiting
--- a/internal/router/dispatch/prediction_error.go
+++ b/internal/router/dispatch/prediction_error.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+
+	"raventrestle/internal/portablemath"
 )
 
 // PredictionErrors describes the accuracy of the predictions of the time to the first byte. Ratios are the observed
@@ -26,7 +28,7 @@
 	p.Count++
 	p.sumAbs += math.Abs(predicted - observed)
 	p.sumTotal += predicted
-	bucket := int(math.Log2(max(observed, 0.01)/max(predicted, 0.01))/errorBucketSize) + errorBuckets/2
+	bucket := int(portablemath.Log2(max(observed, 0.01)/max(predicted, 0.01))/errorBucketSize) + errorBuckets/2
 	p.buckets[min(max(bucket, 0), errorBuckets-1)]++
 }
 
@@ -50,7 +52,7 @@
 	for i, n := range p.buckets {
 		sum += n
 		if float64(sum) >= target {
-			return math.Exp2(float64(i-errorBuckets/2) * errorBucketSize)
+			return portablemath.Exp2(float64(i-errorBuckets/2) * errorBucketSize)
 		}
 	}
 	return math.Inf(1)
--- a/internal/router/dispatch/regression.go
+++ b/internal/router/dispatch/regression.go
@@ -1,8 +1,9 @@
 package dispatch
 
 import (
-	"math"
 	"time"
+
+	"raventrestle/internal/portablemath"
 )
 
 // Estimators with exponential decay: a linear regression, and the slowness of an endpoint.
@@ -35,7 +36,7 @@
 	if now-l.decayedAt < regressionDecayInterval {
 		return
 	}
-	f := math.Exp(-float64(now-l.decayedAt) / float64(regressionTimeConstant))
+	f := portablemath.Exp(-float64(now-l.decayedAt) / float64(regressionTimeConstant))
 	l.n, l.x, l.y, l.xx, l.xy, l.decayedAt = l.n*f, l.x*f, l.y*f, l.xx*f, l.xy*f, now
 }
 
@@ -75,22 +76,22 @@
 	if s.logarithm == 0 {
 		return 0
 	}
-	return s.logarithm * math.Exp(-float64(now-s.updatedAt)/float64(slownessTimeConstant))
+	return s.logarithm * portablemath.Exp(-float64(now-s.updatedAt)/float64(slownessTimeConstant))
 }
 
 // factor returns how many times slower the endpoint is than its peers, without deviations that may be random.
 func (s *slowness) factor(now time.Duration) float64 {
 	value := s.current(now)
 	if value > 0 {
-		return math.Exp(max(value-slownessNoise, 0))
+		return portablemath.Exp(max(value-slownessNoise, 0))
 	}
-	return math.Exp(min(value+slownessNoise, 0))
+	return portablemath.Exp(min(value+slownessNoise, 0))
 }
 
 // add records the ratio of an observed to its predicted time.
 func (s *slowness) add(now time.Duration, ratio float64) {
 	value := s.current(now)
-	value += (math.Log(ratio) - value) * slownessSmoothing
+	value += (portablemath.Log(ratio) - value) * slownessSmoothing
 	s.logarithm = min(max(value, -1), maxLogSlowness)
 	s.updatedAt = now
 }
--- a/internal/router/dispatch/simulation_test.go
+++ b/internal/router/dispatch/simulation_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
 	"raventrestle/internal/configuration"
+	"raventrestle/internal/portablemath"
 	"raventrestle/internal/protocol"
 )
 
@@ -291,7 +291,7 @@
 }
 
 func (w *simulation) poisson(mean float64) int {
-	n, p := 0, math.Exp(-mean)
+	n, p := 0, portablemath.Exp(-mean)
 	for u := w.rng.Float64(); u > p; n++ {
 		u *= w.rng.Float64()
 	}
@@ -302,7 +302,7 @@
 func (w *simulation) sendRequest(k *requestKind, clientRetries int, previous *simulatedClient) {
 	w.nextID++
 	c := &simulatedClient{kind: k, router: w.rng.IntN(len(w.routers)), executedOn: map[string]bool{}}
-	spread := math.Exp(w.rng.NormFloat64()*0.7 - 0.245)
+	spread := portablemath.Exp(w.rng.NormFloat64()*0.7 - 0.245)
 	prompt := int(float64(k.prompt) * min(spread, 3))
 	r := Request{
 		ID: w.nextID, Service: "lm", Model: k.model, Adapter: k.adapter, PromptTokens: prompt,
