Bound how long repeated failures keep a member out of the chain

Cause: each failure doubled the time before a member is admitted again, up to 8 s, twice catch_up_s. Meanwhile the chain had two members; when one lost its disk, the head could neither commit nor change the view, and the lost vote was never passed on. The next lost disk left one of three votes. bounds.catch_up_s was read and used by nothing.

Change: a chain that cannot commit without another member admits one after the plain window; otherwise the window has a bound, half of bounds.catch_up_s.

--- a/cmd/raventrestle-control/instance_test.go
+++ b/cmd/raventrestle-control/instance_test.go
@@ -219,3 +219,12 @@
 	defer cancel()
 	_ = running.stop(ctx) // no other instance can take over
 }
+
+// Guards against review/4: the time for which repeated failures kept a member out of the chain was twice catch_up_s.
+func TestRepeatedFailuresDelayAdmissionWithinCatchUp(t *testing.T) {
+	for _, catchUp := range []time.Duration{time.Second, 4 * time.Second, 20 * time.Second} {
+		if got := replicaTiming(catchUp).MaxAdmissionWindow; got <= 0 || got > catchUp/2 {
+			t.Errorf("catch_up_s %v: a member may be kept out for %v, want at most half", catchUp, got)
+		}
+	}
+}
--- a/cmd/raventrestle-control/wiring.go
+++ b/cmd/raventrestle-control/wiring.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"raventrestle/coordination/chain"
 	"raventrestle/coordination/replica"
 	"raventrestle/internal/control/host"
 	"raventrestle/internal/control/placer"
@@ -89,10 +90,19 @@
 		Directory:      config.DataDir,
 		Transport:      transport,
 		StateMachine:   machine,
+		Timing:         replicaTiming(config.Bounds.CatchUpTimeout),
 		RecordEvent:    events.replicaEvent,
 	})
 }
 
+// replicaTiming returns the timing of a group in which a member that has returned may count as lost for catchUp. After
+// half of it the member may be admitted, whatever it did before; the rest is for its restart and the view change.
+func replicaTiming(catchUp time.Duration) chain.Timing {
+	timing := chain.DefaultTiming()
+	timing.MaxAdmissionWindow = catchUp / 2
+	return timing
+}
+
 // seedAddresses returns the transport addresses of the seeds, of which the settings give the control addresses: all
 // instances use the same port, the first ephemeral one.
 func seedAddresses(config *nodeconfig.Config) ([]string, error) {
--- a/coordination/chain/config.go
+++ b/coordination/chain/config.go
@@ -22,6 +22,7 @@
 	PreVoteTimeout      time.Duration // time without contact to the head after which a voter grants a pre-vote
 	LeaseTTL            time.Duration // how long a majority's confirmation is valid after the heartbeat was sent
 	AdmissionWindow     time.Duration // time of uninterrupted answers before a member is admitted to the chain
+	MaxAdmissionWindow  time.Duration // bound of that time after repeated failures; it delays the tolerance of the next loss
 	VoterReplaceTimeout time.Duration // time without an answer after which a voter's vote may be given to a learner
 	ProgressTimeout     time.Duration // time without progress, while the predecessor is ahead, before a removal
 	GraceWindow         time.Duration // time after a start in which no member is suspected
@@ -40,6 +41,7 @@
 		PreVoteTimeout:      450 * time.Millisecond,
 		LeaseTTL:            900 * time.Millisecond,
 		AdmissionWindow:     500 * time.Millisecond,
+		MaxAdmissionWindow:  2000 * time.Millisecond,
 		VoterReplaceTimeout: 1200 * time.Millisecond,
 		ProgressTimeout:     800 * time.Millisecond,
 		GraceWindow:         1000 * time.Millisecond,
--- a/coordination/chain/node_test.go
+++ b/coordination/chain/node_test.go
@@ -191,3 +191,23 @@
 		}
 	}
 }
+
+// Guards against review/4: a member that had failed repeatedly was kept out of the chain while the chain could not commit
+// without it.
+func TestRepeatedFailuresDelayAdmissionOnlyWhileTheChainCanCommit(t *testing.T) {
+	const flaps = 5
+	n := newFounder(t, 0)
+	voters := n.View().Voters
+	now := time.Minute
+	n.view = view.View{Epoch: 2, Chain: voters[:2], Voters: voters}
+	other, flapping := n.findPeer(voters[1].Identity), n.findPeer(voters[2].Identity)
+	flapping.flaps, flapping.flappedAt = flaps, now-time.Second
+	other.heardAt, other.replied, other.lastReply = now, true, HeartbeatReply{CompleteEpoch: 2, LastIndex: n.log.lastIndex()}
+	if got, want := n.admissionWindow(now, flapping), n.timing.MaxAdmissionWindow; got != want {
+		t.Errorf("window after %d failures is %v, want %v", flaps, got, want)
+	}
+	other.heardAt = now - n.timing.SuspectTimeout - time.Millisecond
+	if got, want := n.admissionWindow(now, flapping), n.timing.AdmissionWindow; got != want {
+		t.Errorf("window while the chain is too short is %v, want %v", got, want)
+	}
+}
--- a/coordination/chain/reconfiguration.go
+++ b/coordination/chain/reconfiguration.go
@@ -15,7 +15,8 @@
 //   - The head starts a view change to remove a member only if the remaining chain, filled up with voters that can be
 //     admitted, is long enough to commit.
 //   - A learner is admitted only after it has answered without interruption for some time and has nearly all committed
-//     entries. Each recent failure after the first doubles that time.
+//     entries. Each recent failure after the first doubles that time, up to a bound, as long as the chain can commit
+//     without the learner.
 //   - The voters change only while enough members have everything that was committed.
 
 // maxAdmissionLag is how many committed entries a member may lack when it is admitted.
@@ -28,15 +29,8 @@
 
 // reconfigurationNeeded reports whether the head should start a view change.
 func (n *Node) reconfigurationNeeded(now time.Duration) bool {
-	remaining := 0
-	removing := false
-	for _, member := range n.view.Chain {
-		if n.shouldRemove(now, member.Identity) {
-			removing = true
-		} else {
-			remaining++
-		}
-	}
+	remaining := n.countRemaining(now)
+	removing := remaining < len(n.view.Chain)
 	if removing && remaining+len(n.admissibleVoters(now)) >= n.minChainLength() {
 		return true
 	}
@@ -51,6 +45,17 @@
 	return n.shouldAdmit(now)
 }
 
+// countRemaining counts the members of the chain that should stay in it, and records the failures of the others.
+func (n *Node) countRemaining(now time.Duration) int {
+	remaining := 0
+	for _, member := range n.view.Chain {
+		if !n.shouldRemove(now, member.Identity) {
+			remaining++
+		}
+	}
+	return remaining
+}
+
 // shouldRemove reports whether a member should leave the chain, and records its failures.
 func (n *Node) shouldRemove(now time.Duration, identity string) bool {
 	if identity == n.self.Identity {
@@ -148,10 +153,7 @@
 	if p.lastReply.LastIndex+maxAdmissionLag < n.commitIndex || p.steadySince == 0 {
 		return false
 	}
-	window := n.timing.AdmissionWindow
-	if p.flaps > 1 && now-p.flappedAt < flapWindow {
-		window <<= p.flaps - 1
-	}
+	window := n.admissionWindow(now, p)
 	if now-p.steadySince < window {
 		n.wakeBy(p.steadySince + window)
 		return false
@@ -159,6 +161,17 @@
 	return true
 }
 
+// admissionWindow returns how long a member must have answered without interruption before it is admitted. A chain that
+// cannot commit without another member does not wait longer for one that has failed repeatedly: its further failure
+// would cost less than the wait.
+func (n *Node) admissionWindow(now time.Duration, p *peer) time.Duration {
+	window := n.timing.AdmissionWindow
+	if p.flaps <= 1 || now-p.flappedAt >= flapWindow || n.countRemaining(now) < n.minChainLength() {
+		return window
+	}
+	return max(window, min(window<<(p.flaps-1), n.timing.MaxAdmissionWindow))
+}
+
 // admissibleVoters returns the voters outside the chain that can be admitted to it.
 func (n *Node) admissibleVoters(now time.Duration) []view.Member {
 	var admissible []view.Member
