Never send a request twice on one connection to an endpoint

Cause: an answer is told by X-Request-Id, which all attempts of a request share. The second attempt went out on the connection of the first one, and the late copy of the first answer was taken for the second one's. The same happens to a client that sends its request again to the same router.

--- a/internal/router/call/message.go
+++ b/internal/router/call/message.go
@@ -146,6 +146,7 @@
 		b = appendHeader(b, LastEventHeader, last)
 	}
 	b = append(b, "\r\n"...)
+	c.RecordRequest(m.RequestID)
 	written, err := m.send(c, b)
 	if err != nil {
 		return &Error{Step: Writing, Peer: c.Endpoint, Written: written > 0, Err: err}
--- a/internal/router/ingress/attempt.go
+++ b/internal/router/ingress/attempt.go
@@ -23,7 +23,7 @@
 func (p *proxiedRequest) attempt(decision dispatcher.Decision) (answered bool) {
 	p.send = decision.Send
 	if c := decision.Connection; c != nil {
-		if c.Reusable() {
+		if c.Reusable() && !c.HasSent(p.message.RequestID) {
 			return p.attemptOn(c)
 		}
 		p.handler.dialer.Discard(c)
--- a/internal/router/pool/connection.go
+++ b/internal/router/pool/connection.go
@@ -44,6 +44,7 @@
 	// if that is zero, or if OnReadTimeout is nil.
 	OnReadTimeout func() time.Time
 
+	sent          sentRequests
 	expiresAt     time.Time
 	headBytesLeft int // of the answer being read; negative: no limit now
 }
@@ -149,5 +150,12 @@
 	return open && quiet
 }
 
+// RecordRequest records that a request is being sent on the connection.
+func (c *Connection) RecordRequest(requestID string) { c.sent.add(requestID) }
+
+// HasSent reports whether the request was sent on the connection before. It must not be sent on it again: a surplus copy
+// of the earlier answer, which may arrive late, has the same id as the answer to come.
+func (c *Connection) HasSent(requestID string) bool { return c.sent.contains(requestID) }
+
 // ExpiresAt returns until when an idle connection may be used again.
 func (c *Connection) ExpiresAt() time.Time { return c.expiresAt }
