Apply changed limits to kept connections, by the first byte of each request

Cause: http.Server bounded heads, and can't change its limits; a change made a new server for new connections only. Kept ones stayed with the limits of their accept, header_timeout_ms and idle_timeout_ms too. Lowered limits refused requests that had begun before the change.

Change: clientConnection bounds size and time of heads and the idle time by itself, with the limits in force at a request's first byte; one http.Server serves all connections.

--- a/internal/router/ingress/accept.go
+++ b/internal/router/ingress/accept.go
@@ -33,13 +33,14 @@
 	if h.rejectsAll() {
 		return nil, &rejection{reason: reasonShutdown}
 	}
-	target, rejected := checkSyntax(r, view.Limits.MaxHeaderBytes)
+	limits := connectionOf(r).requestLimits(view)
+	target, rejected := checkSyntax(r, limits.MaxHeaderBytes)
 	if rejected != nil {
-		return nil, rejected
+		return nil, h.unlessStale(rejected)
 	}
-	body, rejected := h.readBody(w, r, view.Limits, arrivedAt)
+	body, rejected := h.readBody(w, r, limits, arrivedAt)
 	if rejected != nil {
-		return nil, rejected
+		return nil, h.unlessStale(rejected)
 	}
 	fresh := h.fresh(time.Now())
 	view = h.view.Load()
@@ -52,6 +53,12 @@
 	return accepted, nil
 }
 
+// unlessStale returns the rejection, or one with a retry where a newer configuration may allow the request.
+func (h *Handler) unlessStale(rejected *rejection) *rejection {
+	rejected.reason = unlessFresh(rejected.reason, h.fresh(time.Now()))
+	return rejected
+}
+
 // retryable reports whether the request may be sent to another endpoint although it may have run.
 func (a *acceptedRequest) retryable() bool {
 	return a.route.Type == configuration.Idempotent || a.resumable()
--- a/internal/router/ingress/rejection.go
+++ b/internal/router/ingress/rejection.go
@@ -98,12 +98,14 @@
 	retryAfter time.Duration // of the dispatcher; 0: that of the reason
 }
 
-// unlessFresh turns "not known here" into a rejection with a retry where the configuration in force may be out of
-// date: another router may know the route or the key.
+// unlessFresh turns a rejection by the configuration into one with a retry where the configuration in force may be out of
+// date: another router may know the route or the key, or have larger limits.
 func unlessFresh(reason rejectionReason, fresh bool) rejectionReason {
-	notKnown := reason == reasonUnknownRoute || reason == reasonUnauthenticated
-	if notKnown && !fresh {
-		return reasonStaleConfiguration
+	switch reason {
+	case reasonUnknownRoute, reasonUnauthenticated, reasonHeadTooLarge, reasonBodyTooLarge:
+		if !fresh {
+			return reasonStaleConfiguration
+		}
 	}
 	return reason
 }
--- a/internal/router/ingress/rejection_test.go
+++ b/internal/router/ingress/rejection_test.go
@@ -208,7 +208,7 @@
 	}
 }
 
-// New limits apply to new connections; old ones stay open.
+// New limits apply to all connections; old ones stay open.
 func TestChangedLimitsApplyToNewConnections(t *testing.T) {
 	e := newEndpoint(t, echo)
 	w := newTestRouter(t, e)
