Soak of the whole system with real processes: raventrestle-lab soak

Change: raventrestle-lab soak starts control instances, routers and stand-ins, draws series of faults within the declared tolerance by a seed, keeps clients on open connections until they are closed, changes the limits, and checks TWICE, REFUSED, LOST, DENIED, CONFIG, DRAIN and RECOVER. Stand-ins tell what they run and may have slow models; the number of routers of the example system is an option. check.sh plays three seeds of 12 s.

--- a/check.sh
+++ b/check.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Checks format, vet, the linter, both builds, how they are linked and what a clean machine needs for them, and tests.
+# Checks format, vet, the linter, both builds, how they are linked and what a clean machine needs for them, plays a short soak
+# with real processes, and runs the tests.
 #
 # A test that is known to fail is listed in KNOWN-RED.txt, one line each, fields divided by tabs: test name, the go test
 # command that shows the failure (with its seed), what was seen, issue.
@@ -10,6 +11,7 @@
 
 max_policy_line=110 # characters
 rapid_seed=1 # of the property tests' cases: the same ones each time; property-tests.sh draws others
+soak_seeds='1 2 3' # of the soak with real processes: one for each kind of faults
 known_red=KNOWN-RED.txt
 known_red_time=120s    # a known failure may be one that hangs
 
@@ -97,6 +99,9 @@
 	need_c_library target/raventrestle-control
 	bin/raventrestle-control check -deploy deploy/system.toml
 	bin/raventrestle-lab system --once
+	for seed in $soak_seeds; do
+		bin/raventrestle-lab soak --seed "$seed" --for 12s
+	done
 	deploy/clean-build-check
 fi
 
--- a/cmd/raventrestle-lab/main.go
+++ b/cmd/raventrestle-lab/main.go
@@ -42,7 +42,7 @@
 		SilenceErrors: true, SilenceUsage: true,
 	}
 	c.AddCommand(run(), scenarioCommands(), reportCommand(), compareCommand(), experimentCommand(), shrinkCommand(), replayCommand(),
-		rig(), double(), cost(), demo(), systemCommand(), upgradeCommand(), daysCommand())
+		rig(), double(), cost(), demo(), systemCommand(), upgradeCommand(), soakCommand(), daysCommand())
 	return c
 }
 
--- a/cmd/raventrestle-lab/system.go
+++ b/cmd/raventrestle-lab/system.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"fmt"
 	"log/slog"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -72,3 +74,42 @@
 	}
 	return c
 }
+
+// soakCommand plays series of faults that overlap on the whole system, and checks the rules.
+func soakCommand() *cobra.Command {
+	var o system.SoakOptions
+	c := &cobra.Command{
+		Use: "soak", Args: cobra.NoArgs,
+		Short: "Run the system under overlapping faults, restarts and changes, and check what clients and operator see",
+		RunE: func(c *cobra.Command, _ []string) error {
+			if o.Duration <= 0 || o.Routers < 1 || o.Routers > maxSoakRouters {
+				return fmt.Errorf("want --for above 0 and --routers from 1 to %d", maxSoakRouters)
+			}
+			if o.Programs == "" {
+				own, err := os.Executable()
+				if err != nil {
+					return &failure{err}
+				}
+				o.Programs = filepath.Dir(own)
+			}
+			o.Log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelWarn}))
+			o.Out = c.OutOrStdout()
+			if err := system.RunSoak(c.Context(), o); err != nil {
+				return &failure{err}
+			}
+			return nil
+		},
+	}
+	f := c.Flags()
+	f.StringVar(&o.Programs, "programs", "", "folder with raventrestle-control and raventrestle-router (default: this program's)")
+	f.StringVar(&o.Dir, "dir", "", "folder for settings, data and logs (default: the system's for temporary files)")
+	f.BoolVar(&o.Keep, "keep", false, "keep settings, data and logs")
+	f.Uint64Var(&o.Seed, "seed", 1, "draws faults, requests and changes")
+	f.DurationVar(&o.Duration, "for", 20*time.Second, "length of the faults")
+	f.IntVar(&o.Routers, "routers", 2, "number of routers")
+	f.BoolVar(&o.JSON, "json", false, "print the summary as JSON")
+	return c
+}
+
+// maxSoakRouters keeps a run to a few hundred processes.
+const maxSoakRouters = 200
--- a/internal/lab/standin/request.go
+++ b/internal/lab/standin/request.go
@@ -72,6 +72,9 @@
 		return
 	}
 	defer e.releaseSlot()
+	if e.options.OnRun != nil {
+		e.options.OnRun(id)
+	}
 	w.Header().Set(headerID, id)
 	w.Header().Set(headerSignature, e.options.ID+"."+id)
 	w.Header().Set(headerServedBy, e.options.ID)
@@ -133,7 +136,11 @@
 		deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
 	}
 	flusher := http.NewResponseController(w)
-	ticker := time.NewTicker(e.options.EventInterval)
+	interval := e.options.EventInterval
+	if slower, ok := e.options.EventIntervals[model]; ok {
+		interval = slower
+	}
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for number := lastEvent + 1; number <= e.options.EventsPerStream; number++ {
 		select {
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -23,9 +23,11 @@
 	Slots             int
 	Models            []string // loaded at the start
 	LoadTime          time.Duration
-	EventInterval     time.Duration // time between two events of a stream
-	EventsPerStream   int           // number of events of a stream
+	EventInterval     time.Duration            // time between two events of a stream
+	EventIntervals    map[string]time.Duration // the same of single models
+	EventsPerStream   int                      // number of events of a stream
 	HeartbeatInterval time.Duration
+	OnRun             func(requestID string) // called when a request begins to run; may be nil
 	Log               *slog.Logger
 }
 
--- a/internal/lab/system/places.go
+++ b/internal/lab/system/places.go
@@ -69,7 +69,7 @@
 func zoneOf(number int) string { return []string{"north", "east", "south"}[number%instances] }
 
 // common is what all settings files have.
-func (w *world) common(name, ip string, number int) string {
+func (w *world) common(name, ip string, number int, bootstrap bool) string {
 	var seeds []string
 	for instance := range instances {
 		seeds = append(seeds, w.places.control(instance))
@@ -80,7 +80,7 @@
 region=loopback
 ephemeral_ports=%d,%d
 seeds=%s
-bootstrap=true
+bootstrap=%t
 limits.cores=1
 limits.memory_mb=256
 limits.max_fds=1024
@@ -88,22 +88,27 @@
 fault_tolerance.machines=1
 bounds.grace_s=%d
 `, name, ip, zoneOf(number), w.places.first+portInternal, w.places.first+portInternal+portsInternal-1,
-		strings.Join(seeds, ","), heartbeat.Milliseconds(), graceSeconds)
+		strings.Join(seeds, ","), bootstrap, heartbeat.Milliseconds(), w.graceSeconds)
 }
 
-func (w *world) controlSettings(number int) string {
+// controlSettings returns the settings file of a control instance. Bootstrap is true only at the first start of all.
+func (w *world) controlSettings(number int, bootstrap bool) string {
 	name := fmt.Sprintf("control-%d", number+1)
-	return w.common(name, fmt.Sprintf("%s%d", controlNet, number+1), number) + fmt.Sprintf(`role=control
+	return w.common(name, fmt.Sprintf("%s%d", controlNet, number+1), number, bootstrap) + fmt.Sprintf(`role=control
 serves=control_plane
 counts_for_quorum=true
 listen.control=%s
 data_dir=%s
-`, w.places.control(number), w.file(name+".data"))
+`, w.places.control(number), w.dataDirectory(number))
+}
+
+func (w *world) dataDirectory(number int) string {
+	return w.file(fmt.Sprintf("control-%d.data", number+1))
 }
 
 func (w *world) routerSettings(number int) string {
 	name := fmt.Sprintf("router-%d", number+1)
-	return w.common(name, fmt.Sprintf("%s%d", routerNet, number+1), number) + fmt.Sprintf(`role=router
+	return w.common(name, fmt.Sprintf("%s%d", routerNet, number+1), number, true) + fmt.Sprintf(`role=router
 serves=edge
 listen.front=%s
 listen.readiness=%s
--- a/internal/lab/system/system.go
+++ b/internal/lab/system/system.go
@@ -16,16 +16,16 @@
 )
 
 const (
-	instances    = 3
-	routers      = 2
-	startTimeout = 20 * time.Second
-	stopTimeout  = 12 * time.Second
-	heartbeat    = 500 * time.Millisecond
-	eventEvery   = 15 * time.Millisecond
-	eventsEach   = 12
-	loadTime     = 800 * time.Millisecond
-	slots        = 16
-	graceSeconds = 4
+	instances         = 3
+	usualRouters      = 2
+	startTimeout      = 20 * time.Second
+	stopTimeout       = 12 * time.Second
+	heartbeat         = 500 * time.Millisecond
+	eventEvery        = 15 * time.Millisecond
+	eventsEach        = 12
+	loadTime          = 800 * time.Millisecond
+	slots             = 16
+	usualGraceSeconds = 4
 )
 
 // Options of a run.
@@ -33,11 +33,19 @@
 	Programs string // folder with raventrestle-control and raventrestle-router
 	Dir      string // for the folder of the run
 	Keep     bool   // the folder
+	Routers  int    // how many; 0: two
 	Stay     bool   // until the context ends
 	Out      io.Writer
 	Log      *slog.Logger
 }
 
+func (o Options) routerCount() int {
+	if o.Routers > 0 {
+		return o.Routers
+	}
+	return usualRouters
+}
+
 // world is what runs.
 type world struct {
 	options   Options
@@ -46,6 +54,10 @@
 	controls  []*process
 	routers   []*process
 	endpoints []*standin.Endpoint
+
+	graceSeconds   int
+	eventIntervals map[string]time.Duration         // of models that are not as fast as the others
+	onRun          func(endpoint, requestID string) // called when an endpoint begins to run a request; may be nil
 }
 
 // Run starts everything, plays requests, tells what was served, and ends everything.
@@ -73,7 +85,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("folder of the run: %w", err)
 	}
-	return &world{options: options, directory: folder}, nil
+	return &world{options: options, directory: folder, graceSeconds: usualGraceSeconds}, nil
 }
 
 // start brings up all processes and endpoints and the first configuration.
@@ -90,7 +102,7 @@
 			return err
 		}
 	}
-	for number := range routers {
+	for number := range w.options.routerCount() {
 		if err := w.startRouter(number); err != nil {
 			return err
 		}
@@ -102,12 +114,12 @@
 		return err
 	}
 	w.printf("configuration 1 is taken after %d ms", time.Since(began).Milliseconds())
-	for number := range routers {
+	for number := range w.options.routerCount() {
 		if err := w.awaitReady(ctx, number); err != nil {
 			return err
 		}
 	}
-	w.printf("%d control instances, %d routers and %d endpoints are up after %d ms", instances, routers,
+	w.printf("%d control instances, %d routers and %d endpoints are up after %d ms", instances, w.options.routerCount(),
 		len(w.endpoints), time.Since(began).Milliseconds())
 	return nil
 }
@@ -121,7 +133,7 @@
 }
 
 func (w *world) launchControl(number int) (*process, error) {
-	return startProcess(w, "raventrestle-control", fmt.Sprintf("control-%d", number+1), w.controlSettings(number))
+	return startProcess(w, "raventrestle-control", fmt.Sprintf("control-%d", number+1), w.controlSettings(number, true))
 }
 
 func (w *world) startRouter(number int) error {
@@ -164,7 +176,13 @@
 		EventInterval:     eventEvery,
 		EventsPerStream:   eventsEach,
 		HeartbeatInterval: heartbeat,
-		Log:               w.options.Log,
+		EventIntervals:    w.eventIntervals,
+		OnRun: func(requestID string) {
+			if w.onRun != nil {
+				w.onRun(fmt.Sprintf("i-%d", number+1), requestID)
+			}
+		},
+		Log: w.options.Log,
 	})
 	if err == nil {
 		w.endpoints = append(w.endpoints, endpoint)
@@ -188,6 +206,9 @@
 	return errors.Join(err, os.RemoveAll(w.directory))
 }
 
+// grace is how long a process has from SIGTERM until SIGKILL.
+func (w *world) grace() time.Duration { return time.Duration(w.graceSeconds) * time.Second }
+
 func (w *world) printf(format string, arguments ...any) {
 	_, _ = fmt.Fprintf(w.options.Out, format+"\n", arguments...) // nobody listens any more otherwise
 }
--- a/internal/lab/system/system_test.go
+++ b/internal/lab/system/system_test.go
@@ -10,9 +10,9 @@
 
 // What the run writes for the programs is what they take.
 func TestSettingsAreGood(t *testing.T) {
-	w := &world{directory: t.TempDir(), places: places{first: firstPort}}
+	w := &world{directory: t.TempDir(), places: places{first: firstPort}, graceSeconds: usualGraceSeconds}
 	for number := range instances {
-		settings, err := nodeconfig.Parse("control", []byte(w.controlSettings(number)))
+		settings, err := nodeconfig.Parse("control", []byte(w.controlSettings(number, true)))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -20,7 +20,7 @@
 			t.Errorf("%+v", settings)
 		}
 	}
-	for number := range routers {
+	for number := range usualRouters {
 		settings, err := nodeconfig.Parse("router", []byte(w.routerSettings(number)))
 		if err != nil {
 			t.Fatal(err)
--- a/internal/lab/system/upgrade.go
+++ b/internal/lab/system/upgrade.go
@@ -63,7 +63,7 @@
 		if err := w.replaceAll(ctx, programs); err != nil {
 			return err
 		}
-		w.printf("all %d processes run %s after %.1f s", instances+routers, programs, time.Since(began).Seconds())
+		w.printf("all %d processes run %s after %.1f s", instances+w.options.routerCount(), programs, time.Since(began).Seconds())
 	}
 	return nil
 }
@@ -76,7 +76,7 @@
 			return err
 		}
 	}
-	for number := range routers {
+	for number := range w.options.routerCount() {
 		if err := w.replaceRouter(ctx, number); err != nil {
 			return err
 		}
--- a/internal/lab/system/upgrade_load.go
+++ b/internal/lab/system/upgrade_load.go
@@ -61,7 +61,7 @@
 	defer cancel()
 	var last string
 	for attempt := 0; ; attempt++ {
-		one.router = (client + number + attempt) % routers
+		one.router = (client + number + attempt) % l.world.options.routerCount()
 		if ready(ctx, l.world.places.readiness(one.router)) == nil {
 			got, err := l.world.send(ctx, client*1_000_000+number*10+attempt%10, one)
 			if l.note(one, got, err) {
@@ -110,15 +110,29 @@
 		if !l.change(number, version, text) {
 			return
 		}
-		l.mutex.Lock()
-		l.acknowledged = version
-		l.changes++
-		l.longest = max(l.longest, time.Since(began))
-		l.mutex.Unlock()
+		l.noteChange(version, time.Since(began))
 		l.read(ctx, number, version)
 	}
 }
 
+// noteChange counts an acknowledged change.
+func (l *load) noteChange(version int64, took time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.acknowledged = version
+	l.changes++
+	l.longest = max(l.longest, took)
+}
+
+// takeStale returns what was found wrong since the last call.
+func (l *load) takeStale() []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	stale := l.stale
+	l.stale = nil
+	return stale
+}
+
 // changedConfiguration carries its version in a setting, too, so that a mixture of two versions would be seen.
 func changedConfiguration(version int64) *configuration.Configuration {
 	changed := firstConfiguration()
@@ -131,7 +145,11 @@
 
 // change sends the same change to one instance after the other until it is acknowledged.
 func (l *load) change(number int, version int64, text []byte) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), replaceTimeout)
+	return l.changeWithin(replaceTimeout, number, version, text)
+}
+
+func (l *load) changeWithin(timeout time.Duration, number int, version int64, text []byte) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	for attempt := 0; ; attempt++ {
 		err := l.world.put(ctx, l.world.places.control((number+attempt)%instances), version-1, text)
@@ -166,8 +184,10 @@
 }
 
 // readBack asks each instance for the configuration once all is over, until it answers.
-func (l *load) readBack(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, finalReadTimeout)
+func (l *load) readBack(ctx context.Context) error { return l.readBackWithin(ctx, finalReadTimeout) }
+
+func (l *load) readBackWithin(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for instance := range instances {
 		var got configuration.Configuration
