Soak: excuse an answer that ends at the deadline which its request stated

The trace: its first attempt was sent at 5.765 s (it ended at 10.441 after 4.676 s), the request has 8 s, and the second attempt ended at 13.766 s, 1 ms after the deadline. The checker excused it only where the client's own timer was first; router and client end it within the same millisecond.

Change: an attempt knows the deadline that it stated; one that ends at it, less the millisecond that the router rounds off, has expired. What ends earlier counts as before: a test with 10 ms left requires LOST.

Result: "cut by the router at the deadline" fails on the checker before (LOST).

--- a/internal/lab/system/soak_checker.go
+++ b/internal/lab/system/soak_checker.go
@@ -1,9 +1,7 @@
 package system
 
 import (
-	"errors"
 	"fmt"
-	"os"
 	"sync"
 	"time"
 )
@@ -109,7 +107,7 @@
 		k.unanswered++
 		k.journal.add("%s at %s ends without an answer after %s: status %d, %v", r.id, name, a.endedAt.Sub(a.sentAt).Round(time.Millisecond),
 			a.status, a.err)
-		if inTouch && !longAtExit && !errors.Is(a.err, os.ErrDeadlineExceeded) { // the client's own deadline excuses it
+		if inTouch && !longAtExit && !a.expired() {
 			record.suspects = append(record.suspects, suspect{a, planned})
 		}
 	case a.status/100 == 4 && !a.signed && inTouch:
--- a/internal/lab/system/soak_client.go
+++ b/internal/lab/system/soak_client.go
@@ -3,20 +3,25 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 )
 
 const (
-	soakDeadline    = 8 * time.Second // that a client gives one request, all attempts included
-	dialTimeout     = time.Second
-	clientPause     = 60 * time.Millisecond // at most, between two requests of a client
-	retryPause      = 30 * time.Millisecond
+	soakDeadline = 8 * time.Second // that a client gives one request, all attempts included
+	dialTimeout  = time.Second
+	clientPause  = 60 * time.Millisecond // at most, between two requests of a client
+	retryPause   = 30 * time.Millisecond
+
+	deadlineRounding = time.Millisecond // routers tell endpoints the time left in whole milliseconds
+
 	largeHeadChance = 0.2
 	slowChance      = 0.06 // of a request for slowModel
 	streamChance    = 0.45
@@ -41,6 +46,7 @@
 type attemptResult struct {
 	router   int
 	sentAt   time.Time // of its last byte
+	deadline time.Time // that it stated
 	endedAt  time.Time
 	status   int  // 0: no head of an answer
 	complete bool // the answer was read to its end
@@ -59,6 +65,12 @@
 	return false
 }
 
+// expired reports whether the attempt ended because its deadline was reached: the client, the router or the endpoint may
+// see that first.
+func (a *attemptResult) expired() bool {
+	return errors.Is(a.err, os.ErrDeadlineExceeded) || !a.endedAt.Before(a.deadline.Add(-deadlineRounding))
+}
+
 // served reports whether the attempt brought a complete answer of an endpoint.
 func (a *attemptResult) served(r *soakRequest) bool {
 	return a.status == http.StatusOK && a.complete && a.signed && (r.mayRunOnce() || a.events == eventsEach)
@@ -132,7 +144,9 @@
 		return result, false
 	}
 	runsBefore := c.soak.checker.runCount(r.id)
-	if _, err := io.WriteString(c.conn, c.text(r, deadline)); err != nil {
+	timeLeft := max(time.Millisecond, time.Until(deadline).Truncate(time.Millisecond))
+	result.deadline = time.Now().Add(timeLeft)
+	if _, err := io.WriteString(c.conn, c.text(r, timeLeft)); err != nil {
 		c.disconnect() // the router closed the connection before the request was sent
 		return result, false
 	}
@@ -162,11 +176,11 @@
 }
 
 // text returns the request as it is sent.
-func (c *soakClient) text(r *soakRequest, deadline time.Time) string {
+func (c *soakClient) text(r *soakRequest, timeLeft time.Duration) string {
 	const body = "a text"
 	var b strings.Builder
 	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nApi-Key: %s\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n",
-		r.path, host, r.id, tenantKey, max(1, time.Until(deadline).Milliseconds()), len(body))
+		r.path, host, r.id, tenantKey, timeLeft.Milliseconds(), len(body))
 	if r.model != "" {
 		fmt.Fprintf(&b, "X-Model: %s\r\nX-Token-Usage: 120,%d\r\nX-Prefix-Hash: 5c1e07a2:80,e4402b7d:40\r\n", r.model, eventsEach)
 	}
--- a/internal/lab/system/soak_test.go
+++ b/internal/lab/system/soak_test.go
@@ -33,11 +33,16 @@
 	now := time.Now()
 	good := attemptResult{sentAt: now, endedAt: now, status: 200, complete: true, signed: true, ran: true}
 	refused := attemptResult{sentAt: now, endedAt: now, status: 503, complete: true}
-	cut := attemptResult{sentAt: now, endedAt: now.Add(time.Second), status: 200, signed: true, ran: true, err: errors.New("cut")}
+	cut := attemptResult{
+		sentAt: now, deadline: now.Add(soakDeadline), endedAt: now.Add(time.Second), status: 200, signed: true, ran: true, err: errors.New("cut"),
+	}
 	expired := cut
 	expired.err = os.ErrDeadlineExceeded
-	crossed := attemptResult{sentAt: now, endedAt: now.Add(time.Millisecond), err: io.EOF}
-	late := attemptResult{sentAt: now, endedAt: now.Add(time.Second), err: io.EOF}
+	early, atDeadline := cut, cut
+	early.deadline = cut.endedAt.Add(10 * time.Millisecond)
+	atDeadline.deadline = cut.endedAt.Add(deadlineRounding / 2)
+	crossed := attemptResult{sentAt: now, deadline: now.Add(soakDeadline), endedAt: now.Add(time.Millisecond), err: io.EOF}
+	late := attemptResult{sentAt: now, deadline: now.Add(soakDeadline), endedAt: now.Add(time.Second), err: io.EOF}
 	denied := attemptResult{sentAt: now, endedAt: now, status: 431, complete: true}
 	for name, c := range map[string]struct {
 		broken string
@@ -58,9 +63,11 @@
 			s.terminated(now.Add(-3100 * time.Millisecond))
 			s.record("r", "m", 1, longerBy(cut, 4*time.Second))
 		}},
-		"out of time":                     {"", func(s *soak) { s.terminated(now.Add(-4 * time.Second)); s.record("r", "m", 1, expired) }},
-		"crossed a close":                 {"", func(s *soak) { s.terminated(now.Add(-time.Second)); s.record("r", "", 0, crossed) }},
-		"read, and closed without answer": {"LOST", func(s *soak) { s.terminated(now.Add(-time.Second)); s.record("r", "", 0, late) }},
+		"out of time":                       {"", func(s *soak) { s.terminated(now.Add(-4 * time.Second)); s.record("r", "m", 1, expired) }},
+		"cut by the router at the deadline": {"", func(s *soak) { s.terminated(now.Add(-time.Second)); s.record("r", "m", 1, atDeadline) }},
+		"cut shortly before the deadline":   {"LOST", func(s *soak) { s.terminated(now.Add(-time.Second)); s.record("r", "m", 1, early) }},
+		"crossed a close":                   {"", func(s *soak) { s.terminated(now.Add(-time.Second)); s.record("r", "", 0, crossed) }},
+		"read, and closed without answer":   {"LOST", func(s *soak) { s.terminated(now.Add(-time.Second)); s.record("r", "", 0, late) }},
 		"cut around SIGTERM, after trouble": {"", func(s *soak) {
 			s.terminated(now.Add(-time.Second))
 			s.unplanned("control-1")
