Commit the ends of endpoints to the replicated state before acknowledging them

Cause: that an endpoint drains or has deregistered was known in memory alone, at control instances and routers. When all end at once, nothing knows it.

Change: an end is a command of the replicated state (package departures). The controller asks for its commitment beside the wait for routers and accepts the call only with both. Each step gives the registry the committed ends before the proof of contact that covers them. systemsim: late heartbeats, a fault that ends all instances and routers, a wrong time of day, instances that forget ends as a mutant. Ids of endpoints are bounded. One simulated world of the controller's tests commits proposals.

--- a/cmd/raventrestle-control/instance_test.go
+++ b/cmd/raventrestle-control/instance_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -20,25 +21,25 @@
 
 // group is three instances on loopback, each with an address of its own and the same ports.
 type group struct {
-	t         *testing.T
+	t         testing.TB
 	settings  []*nodeconfig.Config
 	instances []*instance
 }
 
-func freePort(t *testing.T) int {
-	t.Helper()
+func freePort(tb testing.TB) int {
+	tb.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
 	return listener.Addr().(*net.TCPAddr).Port
 }
 
-func startGroup(t *testing.T) *group {
-	t.Helper()
-	g := &group{t: t}
-	control, internal := freePort(t), freePort(t)
+func startGroup(tb testing.TB) *group {
+	tb.Helper()
+	g := &group{t: tb}
+	control, internal := freePort(tb), freePort(tb)
 	var seeds []string
 	for n := range 3 {
 		seeds = append(seeds, fmt.Sprintf("127.0.0.%d:%d", 21+n, control))
@@ -47,14 +48,14 @@
 		ip, _, _ := net.SplitHostPort(seed)
 		g.settings = append(g.settings, &nodeconfig.Config{
 			NodeName: fmt.Sprintf("core-%d", n+1), IP: ip, Zone: fmt.Sprintf("z%d", n+1), ControlAddress: seed,
-			FirstEphemeralPort: internal, Seeds: seeds, Bootstrap: true, DataDir: t.TempDir(),
+			FirstEphemeralPort: internal, Seeds: seeds, Bootstrap: true, DataDir: tb.TempDir(),
 			HeartbeatInterval: 300 * time.Millisecond, LogLevel: "error", FaultToleranceMachines: 1,
 			Bounds: nodeconfig.Bounds{LeaseTTL: 300 * time.Millisecond},
 		})
 		g.instances = append(g.instances, nil)
 		g.start(n)
 	}
-	t.Cleanup(func() {
+	tb.Cleanup(func() {
 		for n := range g.instances {
 			g.stop(n, 0)
 		}
@@ -169,8 +170,11 @@
 }
 
 func endpointBody(state string, sequence int) string {
-	return fmt.Sprintf(`{"backend":"s","address":"127.0.0.9:8080","zone":"z1","slots":4,"state":%q,"seq":%d}`,
-		state, sequence)
+	return endpointBodyAt("127.0.0.9", state, sequence)
+}
+
+func endpointBodyAt(host, state string, sequence int) string {
+	return fmt.Sprintf(`{"backend":"s","address":"%s:8080","zone":"z1","slots":4,"state":%q,"seq":%d}`, host, state, sequence)
 }
 
 // TestGroupServesAndSurvivesItsHead sends a configuration and an endpoint to one instance, wants a router of another one to
@@ -220,6 +224,60 @@
 	_ = running.stop(ctx) // no other instance can take over
 }
 
+// Guards against review/2: an acknowledged deregistration was kept in memory alone, so that after the end of all processes
+// a heartbeat from before it brought the endpoint back. The endpoint that goes on must be known again.
+func TestDeregistrationOutlivesAllProcesses(t *testing.T) {
+	g := startGroup(t)
+	g.call(0, http.MethodPut, "/-/config", "0", document(5), http.StatusOK)
+	for _, id := range []string{"gone", "stays"} {
+		g.call(0, http.MethodPut, "/-/instances/"+id, "", endpointBodyAt(id, "ready", 1), http.StatusOK)
+	}
+	g.call(0, http.MethodDelete, "/-/instances/gone", "", "", http.StatusOK)
+	for n := range g.instances {
+		g.stop(n, 0)
+	}
+	for n := range g.instances {
+		g.settings[n].Bootstrap = false
+		g.start(n)
+	}
+	for _, id := range []string{"gone", "stays"} {
+		g.call(1, http.MethodPut, "/-/instances/"+id, "", endpointBodyAt(id, "ready", 2), http.StatusOK)
+	}
+	follower := g.subscribe(2, "r1")
+	confirmed := false
+	shown := map[string]protocol.EndpointState{}
+	follower.await(t, "a confirmed version with the endpoint that stays", func(u *protocol.Update) bool {
+		for _, endpoint := range u.Endpoints {
+			shown[endpoint.ID] = endpoint.State
+		}
+		confirmed = confirmed || u.GenerationConfirmed
+		_, known := shown["stays"]
+		return known && confirmed
+	})
+	if state, known := shown["gone"]; known && state != protocol.Departed {
+		t.Errorf("a router is shown the deregistered endpoint in state %d, want it departed or not at all", state)
+	}
+}
+
+// BenchmarkDeregistration deregisters endpoints at a group of three instances on this machine's disk. The largest of 100
+// is its p99.
+func BenchmarkDeregistration(b *testing.B) {
+	g := startGroup(b)
+	g.call(0, http.MethodDelete, "/-/instances/first", "", "", http.StatusOK)
+	var durations []time.Duration
+	for number := 0; b.Loop(); number++ {
+		began := time.Now()
+		status, text := g.once(number%3, http.MethodDelete, fmt.Sprintf("/-/instances/e%d", number), "", "")
+		if status != http.StatusOK {
+			b.Fatalf("deregistration %d: %d %s", number, status, text)
+		}
+		durations = append(durations, time.Since(began))
+	}
+	slices.Sort(durations)
+	b.ReportMetric(float64(durations[len(durations)/2].Microseconds())/1000, "p50-ms")
+	b.ReportMetric(float64(durations[(len(durations)-1)*99/100].Microseconds())/1000, "p99-ms")
+}
+
 // Guards against review/4: the time for which repeated failures kept a member out of the chain was twice catch_up_s.
 func TestRepeatedFailuresDelayAdmissionWithinCatchUp(t *testing.T) {
 	for _, catchUp := range []time.Duration{time.Second, 4 * time.Second, 20 * time.Second} {
--- a/internal/control/api/instances.go
+++ b/internal/control/api/instances.go
@@ -30,7 +30,11 @@
 	stateDeparted     = "gone"
 )
 
-const maxWarmUp = time.Hour
+const (
+	maxWarmUp = time.Hour
+	// maxEndpointIDBytes bounds what the end of an endpoint takes of the replicated state.
+	maxEndpointIDBytes = 256
+)
 
 // putInstance takes in a heartbeat. One that reports draining is answered once every connected router has confirmed that
 // it does not choose the endpoint any more, or after registry.DrainAckTimeout once a majority of the reachable instances
@@ -53,7 +57,11 @@
 
 // deleteInstance deregisters an endpoint.
 func (a *API) deleteInstance(w http.ResponseWriter, r *http.Request) error {
-	if err := a.instances.Deregister(r.Context(), r.PathValue("id")); err != nil {
+	id := r.PathValue("id")
+	if err := checkEndpointID(id); err != nil {
+		return err
+	}
+	if err := a.instances.Deregister(r.Context(), id); err != nil {
 		return &UnavailableError{Err: err}
 	}
 	writeBody(w, http.StatusOK, []byte("{}"))
@@ -62,6 +70,9 @@
 
 // parseHeartbeat returns the endpoint that a heartbeat describes. The error wraps ErrMalformed and names the field.
 func parseHeartbeat(id string, body []byte) (protocol.Endpoint, error) {
+	if err := checkEndpointID(id); err != nil {
+		return protocol.Endpoint{}, err
+	}
 	var report heartbeat
 	if err := json.Unmarshal(body, &report); err != nil {
 		return protocol.Endpoint{}, fmt.Errorf("heartbeat of %s: %w: %w", id, ErrMalformed, err)
@@ -87,6 +98,13 @@
 	return endpoint, nil
 }
 
+func checkEndpointID(id string) error {
+	if len(id) > maxEndpointIDBytes {
+		return fmt.Errorf("id: %w: %d bytes, at most %d are allowed", ErrMalformed, len(id), maxEndpointIDBytes)
+	}
+	return nil
+}
+
 func (h *heartbeat) check() error {
 	switch {
 	case h.Service == "":
--- a/internal/control/api/status_test.go
+++ b/internal/control/api/status_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -214,6 +215,22 @@
 	}
 }
 
+// An id that is too long is refused by name, because the end of an endpoint is kept in the replicated state; the longest
+// one is accepted.
+func TestEndpointIDsAreBounded(t *testing.T) {
+	longest := strings.Repeat("i", maxEndpointIDBytes)
+	for id, want := range map[string]int{longest: http.StatusOK, longest + "i": http.StatusBadRequest} {
+		for _, method := range []string{http.MethodPut, http.MethodDelete} {
+			f := &fakeControlPlane{}
+			response := f.serve(t, method, "/-/instances/"+id, strings.NewReader(drainingHeartbeat))
+			wantStatus(t, fmt.Sprintf("%s with an id of %d bytes", method, len(id)), response, want)
+			if want == http.StatusBadRequest && !strings.Contains(response.Body.String(), "id: ") {
+				t.Errorf("%s: got %q, want the field named", method, response.Body)
+			}
+		}
+	}
+}
+
 // TestQuotaKeepsItsKeys pins what tools read, and that a stopping instance answers 503.
 func TestQuotaKeepsItsKeys(t *testing.T) {
 	f := &fakeControlPlane{}
--- a/internal/control/configstore/store.go
+++ b/internal/control/configstore/store.go
@@ -12,6 +12,7 @@
 	"raventrestle/coordination/replica"
 	"raventrestle/internal/configuration"
 	"raventrestle/internal/control/api"
+	"raventrestle/internal/control/departures"
 	"raventrestle/internal/control/shares"
 	"raventrestle/internal/control/state"
 )
@@ -99,6 +100,9 @@
 // Shares returns which instance holds which shares of the tenants' limits, as committed here.
 func (s *Store) Shares() shares.Table { return s.machine.Shares() }
 
+// Departures returns which endpoints have announced their end, as committed here.
+func (s *Store) Departures() departures.Table { return s.machine.Departures() }
+
 // Current returns the same version parsed; nil before the first. It must not be changed.
 func (s *Store) Current() *configuration.Configuration {
 	return s.machine.View().Configuration
--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -36,6 +36,7 @@
 	reports     reportQueue
 
 	// Of the step in progress.
+	timeOfDay      time.Time
 	registryInputs []registry.Input
 	hubInputs      []distribution.Input
 	out            Output
@@ -57,6 +58,8 @@
 // Step takes in what happened and returns what is to be done. Times of successive steps must not decrease.
 func (c *Controller) Step(now time.Time, input Input) Output {
 	c.registryInputs, c.hubInputs, c.out = nil, nil, Output{}
+	c.timeOfDay = input.TimeOfDay
+	c.observeDepartures(now, input.Replicated.Departures)
 	c.observeCommitted(input.Replicated)
 	for _, event := range input.Events {
 		c.apply(now, event)
@@ -79,9 +82,11 @@
 	case BarrierFinished:
 		c.finishBarrier(now, event)
 	case HeartbeatReceived:
-		c.toRegistry(registry.Heartbeat{RequestID: c.calls.add(event.Caller), Endpoint: event.Endpoint})
+		c.heartbeatReceived(event)
 	case DeregistrationReceived:
-		c.toRegistry(registry.Deregister{RequestID: c.calls.add(event.Caller), ID: event.ID})
+		c.deregistrationReceived(event)
+	case DepartureRecorded:
+		c.finishRecord(event)
 	case LoadingChanged:
 		c.toRegistry(registry.LocalLoading{Table: event.Table})
 	}
@@ -132,15 +137,20 @@
 
 // advertise has the hub send the registry's changes to the routers.
 func (c *Controller) advertise(now time.Time, out registry.Output) distribution.Output {
-	sent := c.hub.Step(now, c.tableAt(now), distribution.Endpoints{
+	sent := c.hub.Step(now, c.tableAt(now), changedEndpoints(out))
+	c.collectMessages(sent)
+	return sent
+}
+
+// changedEndpoints returns what the hub takes in of the registry's output.
+func changedEndpoints(out registry.Output) distribution.Endpoints {
+	return distribution.Endpoints{
 		Changed:     out.Changed,
 		Revision:    out.Revision,
 		Urgent:      out.Urgent,
 		RouterCount: out.RouterCount,
 		Complete:    out.Complete,
-	})
-	c.collectMessages(sent)
-	return sent
+	}
 }
 
 // collectSubscriptions puts what the hub decided into the output.
@@ -172,9 +182,9 @@
 	for _, message := range out.Send {
 		c.sendPeer(now, message.To, message.Message)
 	}
-	for _, acknowledgement := range out.Replies {
-		if caller, waits := c.calls.remove(acknowledgement.RequestID); waits {
-			c.out.Answers = append(c.out.Answers, Answer{Caller: caller, Result: acknowledgement})
+	for _, reply := range out.Replies {
+		if answer, answered := c.calls.replied(reply); answered {
+			c.out.Answers = append(c.out.Answers, answer)
 		}
 	}
 }
--- a/internal/control/controller/doc.go
+++ b/internal/control/controller/doc.go
@@ -9,6 +9,9 @@
 // Invariants:
 //   - The newest committed configuration is given to the subscriptions before the contact with a majority that covers
 //     it, and both before the events of the step (TestContactIsGivenAfterWhatItCovers).
+//   - Departures that are committed are given to the registry, and what they change to the subscriptions, before the
+//     contact that covers them (TestDeparturesAreGivenBeforeTheContact). An endpoint's end is accepted only once it is
+//     committed (TestAnEndIsAcceptedOnceItIsRecorded).
 //   - What is known to be confirmed by a majority never moves back (TestContactOutlivesTheEpoch).
 //   - Output is carried out in the order of its fields: messages first, answers to endpoints last. An endpoint is
 //     answered only after everything that its answer relies on has been sent.
--- a/internal/control/controller/input.go
+++ b/internal/control/controller/input.go
@@ -1,7 +1,10 @@
 package controller
 
 import (
+	"time"
+
 	"raventrestle/coordination/replica"
+	"raventrestle/internal/control/departures"
 	"raventrestle/internal/protocol"
 )
 
@@ -18,6 +21,10 @@
 	// confirms must have been given everything that the barrier covers.
 	Replicated ReplicatedState
 	Events     []Event // since the last step, in the order in which they happened
+
+	// TimeOfDay dates departures. It may differ between machines and jump by seconds; nothing shorter than minutes depends
+	// on it.
+	TimeOfDay time.Time
 }
 
 // ReplicatedState is what the instance's replica knows at one moment.
@@ -25,6 +32,7 @@
 	Status     replica.Status
 	Generation int64  // of the newest committed configuration; 0: there is none
 	Document   []byte // of that configuration; must not be changed any more
+	Departures departures.Table
 }
 
 // StatusReader gives the status of the instance's replica.
@@ -32,17 +40,20 @@
 	Status() replica.Status
 }
 
-// Configurations gives the committed configuration.
+// Configurations gives the committed state.
 type Configurations interface {
 	// Newest returns the newest committed version, or 0 and nil. The document must not be changed.
 	Newest() (generation int64, document []byte)
+	// Departures returns which endpoints have announced their end.
+	Departures() departures.Table
 }
 
-// ReadReplicatedState reads the status first and then the configuration: so the configuration has everything that
-// was acknowledged anywhere before the status' ConfirmedAt.
+// ReadReplicatedState reads the status first and then the committed state: so the state has everything that was
+// acknowledged anywhere before the status' ConfirmedAt.
 func ReadReplicatedState(member StatusReader, configurations Configurations) ReplicatedState {
 	state := ReplicatedState{Status: member.Status()}
 	state.Generation, state.Document = configurations.Newest()
+	state.Departures = configurations.Departures()
 	return state
 }
 
@@ -81,6 +92,13 @@
 	ID     string
 }
 
+// DepartureRecorded is an event: the proposal of Output.Proposals for a call has ended. It succeeded if the departure is
+// committed.
+type DepartureRecorded struct {
+	RequestID uint64
+	Succeeded bool
+}
+
 // LoadingChanged is an event: the placer of this instance has a new table of model loads in progress.
 type LoadingChanged struct{ Table protocol.LoadingTable }
 
@@ -90,4 +108,5 @@
 func (BarrierFinished) event()        {}
 func (HeartbeatReceived) event()      {}
 func (DeregistrationReceived) event() {}
+func (DepartureRecorded) event()      {}
 func (LoadingChanged) event()         {}
--- a/internal/control/controller/output.go
+++ b/internal/control/controller/output.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"raventrestle/internal/control/departures"
 	"raventrestle/internal/control/registry"
 	"raventrestle/internal/protocol"
 )
@@ -17,8 +18,9 @@
 	Subscribed     []protocol.Subscribe    // routers that were taken in, for the log
 	Close          []Closing
 	Answers        []Answer
-	StartBarrier   uint64    // start a barrier with BarrierTimeout, then give BarrierFinished; 0: start none
-	WakeAt         time.Time // Step again then at the latest; never before the time of the step
+	Proposals      []Proposal // have each committed within RecordTimeout, then give DepartureRecorded
+	StartBarrier   uint64     // start a barrier with BarrierTimeout, then give BarrierFinished; 0: start none
+	WakeAt         time.Time  // Step again then at the latest; never before the time of the step
 }
 
 // RouterMessage is a message for a router.
@@ -38,6 +40,14 @@
 type Answer struct {
 	Caller Caller
 	Result registry.Reply
+	// Unrecorded says that the call is rejected because the endpoint's end could not be committed in time.
+	Unrecorded bool
+}
+
+// Proposal asks for the commitment of a departure, for which a call waits.
+type Proposal struct {
+	RequestID uint64
+	Departure departures.Departure
 }
 
 // QuorumChange says that the instance lost its contact with a majority of the voters, or regained it.
--- a/internal/control/controller/replica.go
+++ b/internal/control/controller/replica.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"raventrestle/coordination/replica"
+	"raventrestle/internal/control/departures"
 	"raventrestle/internal/control/distribution"
 	"raventrestle/internal/control/registry"
 	"raventrestle/internal/protocol"
@@ -24,6 +25,7 @@
 	peersGiven bool      // the registry has peers
 	members    []protocol.Member
 	generation int64
+	departures departures.Table
 	contact    distribution.QuorumContact
 	quorumLost bool
 }
--- a/internal/control/controller/replica_test.go
+++ b/internal/control/controller/replica_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"raventrestle/coordination/replica"
+	"raventrestle/internal/control/departures"
 	"raventrestle/internal/control/distribution"
 	"raventrestle/internal/control/registry"
 	"raventrestle/internal/protocol"
@@ -43,6 +44,10 @@
 
 func (b *busyReplica) Newest() (int64, []byte) { return b.committed, []byte("document") }
 
+func (b *busyReplica) Departures() departures.Table {
+	return departures.Table{}.Record(departures.Departure{ID: "left", Deregistered: true, RecordedAt: b.now.UnixMilli()})
+}
+
 // TestContactIsGivenAfterWhatItCovers: whatever a contact with a majority covers is given to the hub before the
 // contact, and both before the events of the step.
 func TestContactIsGivenAfterWhatItCovers(t *testing.T) {
--- a/internal/control/controller/world_test.go
+++ b/internal/control/controller/world_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"raventrestle/coordination/replica"
+	"raventrestle/internal/control/departures"
 	"raventrestle/internal/control/registry"
 	"raventrestle/internal/protocol"
 )
@@ -24,7 +25,8 @@
 	loss        float64         // share of the messages between instances that are lost
 	calm        bool            // no call is late any more
 	tickets     uint64
-	calls       map[uint64]call // that wait for their answers
+	calls       map[uint64]call  // that wait for their answers
+	departures  departures.Table // as committed
 	faults      []string
 	inForce     int // answers to drains and deregistrations, by result
 	notInForce  int
@@ -37,8 +39,9 @@
 	address    string
 	controller *Controller
 	wakeAt     time.Time
-	reach      []string  // other instances, as it noticed last
-	contact    time.Time // newest contact with a majority
+	departures departures.Table // as its replica has applied them
+	reach      []string         // other instances, as it noticed last
+	contact    time.Time        // newest contact with a majority
 
 	proving  time.Time // of the contact that will be proved next, if it lasts; zero: none
 	provenAt time.Time
@@ -166,7 +169,7 @@
 // confirm notes contact with a majority, as the replica would: it proves a moment that is some time ago.
 func (w *world) confirm(n int) time.Time {
 	i := w.instances[n]
-	if 2*(len(w.reachable(n))+1) <= len(w.instances) {
+	if !w.hasMajority(n) {
 		i.proving = time.Time{}
 		return i.contact
 	}
@@ -200,7 +203,9 @@
 func (w *world) step(n int, events ...Event) {
 	i := w.instances[n]
 	controller := i.controller
-	output := controller.Step(w.now, Input{Replicated: ReplicatedState{Status: w.status(n)}, Events: events})
+	replicated := ReplicatedState{Status: w.status(n)}
+	replicated.Departures = w.appliedDepartures(n)
+	output := controller.Step(w.now, Input{Replicated: replicated, Events: events, TimeOfDay: w.now})
 	i.wakeAt = output.WakeAt
 	for _, closing := range output.Close {
 		for _, r := range w.routers {
@@ -218,6 +223,9 @@
 	for _, answer := range output.Answers {
 		w.acknowledged(n, answer)
 	}
+	for _, proposal := range output.Proposals {
+		w.propose(n, controller, proposal)
+	}
 	if output.StartBarrier != 0 {
 		number := output.StartBarrier
 		w.later(time.Millisecond, 10*time.Millisecond, func() {
@@ -228,6 +236,36 @@
 	}
 }
 
+// appliedDepartures returns what the replica of an instance has applied: all that is committed, while it has a majority.
+func (w *world) appliedDepartures(n int) departures.Table {
+	i := w.instances[n]
+	if w.hasMajority(n) {
+		i.departures = w.departures
+	}
+	return i.departures
+}
+
+func (w *world) hasMajority(n int) bool { return 2*(len(w.reachable(n))+1) > len(w.instances) }
+
+// propose commits a departure, unless the instance has no majority.
+func (w *world) propose(n int, controller *Controller, proposal Proposal) {
+	finish := func(succeeded bool) func() {
+		return func() {
+			if succeeded {
+				w.departures = w.departures.Record(proposal.Departure)
+			}
+			if w.instances[n].controller == controller {
+				w.step(n, DepartureRecorded{RequestID: proposal.RequestID, Succeeded: succeeded})
+			}
+		}
+	}
+	if w.hasMajority(n) {
+		w.later(time.Millisecond, 50*time.Millisecond, finish(true))
+		return
+	}
+	w.later(RecordTimeout-time.Millisecond, RecordTimeout, finish(false))
+}
+
 func (w *world) toPeer(from int, message registry.Send) {
 	if w.random.Float64() < w.loss {
 		return
--- a/internal/control/host/commands.go
+++ b/internal/control/host/commands.go
@@ -7,15 +7,17 @@
 	"time"
 
 	"raventrestle/internal/control/controller"
-	"raventrestle/internal/control/registry"
 	"raventrestle/internal/protocol"
 	"raventrestle/internal/transport"
 )
 
-// Errors of calls to the host. ErrRejected means that the registry rejects an endpoint's request: the quorum is lost, or, for a drain, the instance has only started or could not confirm it in time (registry.Reply.Rejected).
+// Errors of calls to the host. ErrRejected means that the registry rejects an endpoint's request: the quorum is lost, or,
+// for a drain, the instance has only started or could not confirm it in time (registry.Reply.Rejected). ErrUnrecorded
+// means that an endpoint's end could not be committed in time (controller.Answer.Unrecorded).
 var (
-	ErrStopped  = errors.New("instance stops")
-	ErrRejected = errors.New("instance has no contact with a majority of the others")
+	ErrStopped    = errors.New("instance stops")
+	ErrRejected   = errors.New("instance has no contact with a majority of the others")
+	ErrUnrecorded = errors.New("the endpoint's end could not be recorded in time")
 )
 
 // viewRequest asks for the soft state as the newest step left it. All other commands of the queue are events of the
@@ -49,23 +51,26 @@
 // Heartbeat takes in an endpoint's state and returns once the endpoint may be answered. The error is ErrRejected where
 // another instance is to be asked, ErrStopped, or wraps the context's.
 func (h *Host) Heartbeat(ctx context.Context, endpoint protocol.Endpoint) error {
-	answer := make(chan registry.Reply, 1)
+	answer := make(chan controller.Answer, 1)
 	return h.await(ctx, controller.HeartbeatReceived{Caller: answer, Endpoint: endpoint}, answer)
 }
 
 // Deregister takes in an endpoint's end and returns once the endpoint may be answered, with the errors of Heartbeat.
 func (h *Host) Deregister(ctx context.Context, id string) error {
-	answer := make(chan registry.Reply, 1)
+	answer := make(chan controller.Answer, 1)
 	return h.await(ctx, controller.DeregistrationReceived{Caller: answer, ID: id}, answer)
 }
 
-func (h *Host) await(ctx context.Context, event controller.Event, answer <-chan registry.Reply) error {
+func (h *Host) await(ctx context.Context, event controller.Event, answers <-chan controller.Answer) error {
 	if !h.queue.Post(ctx, event) {
 		return ErrStopped
 	}
 	select {
-	case result := <-answer:
-		if result.Rejected {
+	case answer := <-answers:
+		switch {
+		case answer.Unrecorded:
+			return ErrUnrecorded
+		case answer.Result.Rejected:
 			return ErrRejected
 		}
 		return nil
--- a/internal/control/host/freshness_proof_test.go
+++ b/internal/control/host/freshness_proof_test.go
@@ -8,6 +8,7 @@
 	"raventrestle/internal/control/distribution"
 	"raventrestle/internal/control/registry"
 	"raventrestle/internal/control/replicatest"
+	"raventrestle/internal/control/state"
 	"raventrestle/internal/protocol"
 	"raventrestle/internal/transport"
 )
@@ -16,7 +17,7 @@
 // before stays true, for all who ask the host.
 func TestConfirmedMomentOutlivesTheEpoch(t *testing.T) {
 	double := replicatest.New(nil, replica.Status{View: replica.View{Epoch: 4}})
-	fake := &fakeDependencies{}
+	fake := &fakeDependencies{machine: state.New()}
 	h := New(Config{Codec: testCodec()}, Dependencies{Replica: double, Configurations: fake, Events: fake})
 	double.NeverReachMajority()
 	h.step(time.Now())
--- a/internal/control/host/host.go
+++ b/internal/control/host/host.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,7 +12,9 @@
 	"raventrestle/coordination/replica"
 	"raventrestle/internal/control/commandqueue"
 	"raventrestle/internal/control/controller"
+	"raventrestle/internal/control/departures"
 	"raventrestle/internal/control/registry"
+	"raventrestle/internal/control/state"
 	"raventrestle/internal/protocol"
 	"raventrestle/internal/transport"
 )
@@ -114,6 +117,7 @@
 	output := h.controller.Step(now, controller.Input{
 		Replicated: controller.ReadReplicatedState(h.dependencies.Replica, h.dependencies.Configurations),
 		Events:     events,
+		TimeOfDay:  now,
 	})
 	h.publishConfirmedAt()
 	return output
@@ -160,3 +164,24 @@
 	_, err := h.dependencies.Replica.Barrier(bounded)
 	h.queue.Post(ctx, controller.BarrierFinished{Number: number, Succeeded: err == nil})
 }
+
+// recordDeparture has the group commit a departure and gives the controller the result.
+func (h *Host) recordDeparture(ctx context.Context, proposal controller.Proposal) {
+	defer h.tasks.Done()
+	bounded, cancel := context.WithTimeout(ctx, controller.RecordTimeout)
+	defer cancel()
+	err := h.commit(bounded, proposal.Departure)
+	h.queue.Post(ctx, controller.DepartureRecorded{RequestID: proposal.RequestID, Succeeded: err == nil})
+}
+
+func (h *Host) commit(ctx context.Context, departure departures.Departure) error {
+	command, err := state.NewDeparture(departure)
+	if err != nil {
+		return err
+	}
+	encoded, err := h.dependencies.Replica.Propose(ctx, command)
+	if err != nil {
+		return fmt.Errorf("record the end of %s: %w", departure.ID, err)
+	}
+	return state.CheckRecorded(encoded)
+}
--- a/internal/control/host/host_test.go
+++ b/internal/control/host/host_test.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"raventrestle/coordination/replica"
+	"raventrestle/internal/control/departures"
 	"raventrestle/internal/control/replicatest"
+	"raventrestle/internal/control/state"
 	"raventrestle/internal/protocol"
 	"raventrestle/internal/transport"
 )
@@ -21,6 +23,7 @@
 	generation int64
 	document   []byte
 	reports    chan protocol.Report
+	machine    *state.Machine // that the replica applies departures to
 }
 
 func (f *fakeDependencies) Newest() (int64, []byte) {
@@ -29,6 +32,8 @@
 	return f.generation, f.document
 }
 
+func (f *fakeDependencies) Departures() departures.Table { return f.machine.Departures() }
+
 func (f *fakeDependencies) set(generation int64, document string) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -77,7 +82,7 @@
 		members = append(members, replica.Member{Identity: n.address, Address: n.address, Zone: "z"})
 	}
 	for n, self := range nodes {
-		self.replica = replicatest.New(nil, replica.Status{
+		self.replica = replicatest.New(self.fake.machine, replica.Status{
 			Self:        members[n],
 			View:        replica.View{Epoch: 1, Chain: members, Voters: members},
 			LiveMembers: members,
@@ -105,7 +110,7 @@
 	}
 	t.Cleanup(func() { _ = server.Close() })
 	return &node{
-		address: server.Address(), handler: handler, fake: &fakeDependencies{reports: make(chan protocol.Report, 16)},
+		address: server.Address(), handler: handler, fake: &fakeDependencies{reports: make(chan protocol.Report, 16), machine: state.New()},
 	}
 }
 
@@ -323,3 +328,30 @@
 		}
 	}
 }
+
+// An end is acknowledged only once the group has committed it, and one that can't be committed is refused by name.
+func TestEndsAreRecordedBeforeTheyAreAcknowledged(t *testing.T) {
+	nodes := startNodes(t, 1)
+	call(t, nodes[0], endpointAs("e1", 1, protocol.Ready))
+	call(t, nodes[0], endpointAs("e1", 2, protocol.Draining)) // the instance has run for long enough once it accepts this
+	if !nodes[0].fake.Departures().Covers(departures.Departure{ID: "e1", Sequence: 2}) {
+		t.Errorf("acknowledged with %+v recorded, want the draining of e1", nodes[0].fake.Departures())
+	}
+	nodes[0].replica.SetRejecting(true)
+	if err := nodes[0].host.Deregister(t.Context(), "e1"); !errors.Is(err, ErrUnrecorded) {
+		t.Errorf("without a commitment: got %v, want %v", err, ErrUnrecorded)
+	}
+	nodes[0].replica.SetRejecting(false)
+	nodes[0].replica.SetStalled(true)
+	began := time.Now()
+	if err := nodes[0].host.Deregister(t.Context(), "e1"); !errors.Is(err, ErrUnrecorded) {
+		t.Errorf("with a disk that stalls: got %v after %v, want %v", err, time.Since(began), ErrUnrecorded)
+	}
+	nodes[0].replica.SetStalled(false)
+	if err := nodes[0].host.Deregister(t.Context(), "e1"); err != nil {
+		t.Errorf("once commitments are possible again: got %v", err)
+	}
+	if !nodes[0].fake.Departures().Covers(departures.Departure{ID: "e1", Deregistered: true}) {
+		t.Errorf("acknowledged with %+v recorded, want the deregistration of e1", nodes[0].fake.Departures())
+	}
+}
--- a/internal/control/host/output.go
+++ b/internal/control/host/output.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"raventrestle/internal/control/controller"
-	"raventrestle/internal/control/registry"
 	"raventrestle/internal/protocol"
 	"raventrestle/internal/transport"
 )
@@ -31,7 +30,11 @@
 		closing.Connection.(*transport.Connection).Close()
 	}
 	for _, answer := range output.Answers {
-		answer.Caller.(chan registry.Reply) <- answer.Result // buffered: it doesn't block
+		answer.Caller.(chan controller.Answer) <- answer // buffered: it doesn't block
+	}
+	for _, proposal := range output.Proposals {
+		h.tasks.Add(1)
+		go h.recordDeparture(ctx, proposal)
 	}
 	if output.StartBarrier != 0 {
 		h.tasks.Add(1)
--- a/internal/control/registry/input.go
+++ b/internal/control/registry/input.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"raventrestle/internal/control/departures"
 	"raventrestle/internal/protocol"
 )
 
@@ -21,6 +22,16 @@
 	ID        string
 }
 
+// RecordedDepartures are departures that have been committed, in their order: at this instance, at others, or before all
+// processes were started.
+type RecordedDepartures struct{ Departures []RecordedDeparture }
+
+// RecordedDeparture is a committed departure and how long ago the endpoint announced it, by the time of day.
+type RecordedDeparture struct {
+	departures.Departure
+	Age time.Duration
+}
+
 // PeerMessage is a registry message of another instance, as a pointer to its type in package protocol.
 type PeerMessage struct{ Content any }
 
@@ -48,12 +59,13 @@
 // LocalLoading is a new table of the orders in flight, made by the placer of this instance.
 type LocalLoading struct{ Table protocol.LoadingTable }
 
-func (Heartbeat) input()        {}
-func (Deregister) input()       {}
-func (PeerMessage) input()      {}
-func (Peers) input()            {}
-func (QuorumContact) input()    {}
-func (Routers) input()          {}
-func (RoutersConfirmed) input() {}
-func (RouterReport) input()     {}
-func (LocalLoading) input()     {}
+func (Heartbeat) input()          {}
+func (Deregister) input()         {}
+func (RecordedDepartures) input() {}
+func (PeerMessage) input()        {}
+func (Peers) input()              {}
+func (QuorumContact) input()      {}
+func (Routers) input()            {}
+func (RoutersConfirmed) input()   {}
+func (RouterReport) input()       {}
+func (LocalLoading) input()       {}
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -87,6 +87,8 @@
 		r.handleHeartbeat(now, in)
 	case Deregister:
 		r.handleDeregister(now, in)
+	case RecordedDepartures:
+		r.handleRecordedDepartures(now, in)
 	case PeerMessage:
 		r.handlePeerMessage(now, in.Content)
 	case Peers:
--- a/internal/control/registry/tombstone.go
+++ b/internal/control/registry/tombstone.go
@@ -29,11 +29,14 @@
 
 // expireTombstone removes a tombstone after its time.
 func (r *Registry) expireTombstone(now time.Time, e *entry) {
-	ttl := evictedTombstoneTTL
-	if e.deregistered {
-		ttl = deregisteredTombstoneTTL
-	}
-	if now.Sub(e.tombstoneSince) > ttl {
+	if now.Sub(e.tombstoneSince) > tombstoneTTL(e.deregistered) {
 		r.table.remove(e)
 	}
 }
+
+func tombstoneTTL(deregistered bool) time.Duration {
+	if deregistered {
+		return deregisteredTombstoneTTL
+	}
+	return evictedTombstoneTTL
+}
--- a/internal/control/state/command.go
+++ b/internal/control/state/command.go
@@ -9,6 +9,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"raventrestle/internal/control/departures"
 	"raventrestle/internal/control/shares"
 )
 
@@ -33,24 +34,30 @@
 // reject the others.
 type commandMessage struct {
 	ChangeConfiguration
-	Registration *shares.Registration `cbor:"5,keyasint,omitempty"`
-	Assignment   *shares.Assignment   `cbor:"6,keyasint,omitempty"`
+	Registration *shares.Registration  `cbor:"5,keyasint,omitempty"`
+	Assignment   *shares.Assignment    `cbor:"6,keyasint,omitempty"`
+	Departure    *departures.Departure `cbor:"7,keyasint,omitempty"`
 }
 
 // NewRegistration returns the encoded command that lists an instance among those that can hold shares of limits.
 func NewRegistration(identity string) ([]byte, error) {
-	return encodeSharesCommand(commandMessage{Registration: &shares.Registration{Identity: identity}})
+	return encodeCommand(commandMessage{Registration: &shares.Registration{Identity: identity}})
 }
 
 // NewAssignment returns the encoded command that divides the limits among the holders.
 func NewAssignment(assignment shares.Assignment) ([]byte, error) {
-	return encodeSharesCommand(commandMessage{Assignment: &assignment})
+	return encodeCommand(commandMessage{Assignment: &assignment})
 }
 
-func encodeSharesCommand(change commandMessage) ([]byte, error) {
-	encoded, err := cbor.Marshal(change)
+// NewDeparture returns the encoded command that records that an endpoint has announced its end.
+func NewDeparture(departure departures.Departure) ([]byte, error) {
+	return encodeCommand(commandMessage{Departure: &departure})
+}
+
+func encodeCommand(command commandMessage) ([]byte, error) {
+	encoded, err := cbor.Marshal(command)
 	if err != nil {
-		return nil, fmt.Errorf("state: encode change of shares: %w", err)
+		return nil, fmt.Errorf("state: encode command: %w", err)
 	}
 	return encoded, nil
 }
--- a/internal/control/state/machine.go
+++ b/internal/control/state/machine.go
@@ -7,6 +7,7 @@
 
 	"raventrestle/coordination/replica"
 	"raventrestle/internal/configuration"
+	"raventrestle/internal/control/departures"
 	"raventrestle/internal/control/shares"
 )
 
@@ -27,15 +28,17 @@
 	Configuration *configuration.Configuration // nil: there is none yet
 	History       []Version                    // the newest maxRememberedChanges versions, oldest first
 	Shares        shares.Table                 // which instance holds which shares of the tenants' limits
+	Departures    departures.Table             // which endpoints have announced their end
 }
 
 // Machine is the replicated state machine. One goroutine, the replica's, calls Apply, Snapshot and Restore; View, Current
 // and History may be called by any goroutine at any time.
 type Machine struct {
-	document *configuration.Document // nil before the first configuration
-	log      changeLog
-	shares   shares.Table
-	view     atomic.Pointer[View]
+	document   *configuration.Document // nil before the first configuration
+	log        changeLog
+	shares     shares.Table
+	departures departures.Table
+	view       atomic.Pointer[View]
 }
 
 // New returns the state before the first configuration.
@@ -60,6 +63,9 @@
 // Shares returns which instance holds which shares of the tenants' limits.
 func (m *Machine) Shares() shares.Table { return m.view.Load().Shares }
 
+// Departures returns which endpoints have announced their end.
+func (m *Machine) Departures() departures.Table { return m.view.Load().Departures }
+
 // Apply implements replica.Machine: it accepts or rejects the change of an encoded command and returns the encoded Result.
 //
 // A change that was accepted before is accepted again, whatever came since. One that builds on another version than the
@@ -76,6 +82,9 @@
 	if decoded.Registration != nil || decoded.Assignment != nil {
 		return m.changeShares(decoded)
 	}
+	if decoded.Departure != nil {
+		return m.recordDeparture(*decoded.Departure)
+	}
 	change := &decoded.ChangeConfiguration
 	identity := change.fingerprint()
 	if generation, accepted := m.log.lookup(identity); accepted {
@@ -124,6 +133,18 @@
 	return Accepted{Generation: int64(m.shares.Sequence)}
 }
 
+// recordDeparture applies the command that an endpoint has announced its end. The generation of the configuration stays.
+func (m *Machine) recordDeparture(departure departures.Departure) Result {
+	next := m.departures.Record(departure)
+	if next.Sequence != m.departures.Sequence {
+		m.departures = next
+		view := *m.view.Load()
+		view.Departures = next
+		m.view.Store(&view)
+	}
+	return Accepted{Generation: int64(next.Sequence)}
+}
+
 func (m *Machine) generation() int64 {
 	if m.document == nil {
 		return 0
@@ -167,7 +188,7 @@
 // change.
 func (m *Machine) publish() {
 	former := m.view.Load().History
-	view := &View{History: former, Shares: m.shares}
+	view := &View{History: former, Shares: m.shares, Departures: m.departures}
 	if count := len(m.log.changes); count > 0 {
 		view.History = append(former, m.log.changes[count-1].version)
 		view.History = view.History[max(0, len(view.History)-maxRememberedChanges):]
--- a/internal/control/state/result.go
+++ b/internal/control/state/result.go
@@ -89,6 +89,21 @@
 	return nil, fmt.Errorf("state: decode result: %w", errNoResult)
 }
 
+var errNotRecorded = errors.New("departure is not recorded")
+
+// CheckRecorded returns nil if Machine.Apply returned that a departure is recorded. Members of builds that know no
+// departures reject them.
+func CheckRecorded(encoded []byte) error {
+	result, err := DecodeResult(encoded)
+	if err != nil {
+		return err
+	}
+	if _, accepted := result.(Accepted); !accepted {
+		return fmt.Errorf("state: %w: %T", errNotRecorded, result)
+	}
+	return nil
+}
+
 // rejection returns the result of a change that failed: the faults of an invalid configuration, or else the error itself
 // as the only fault.
 func rejection(err error) Rejected {
--- a/internal/control/state/snapshot.go
+++ b/internal/control/state/snapshot.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"raventrestle/internal/configuration"
+	"raventrestle/internal/control/departures"
 	"raventrestle/internal/control/shares"
 )
 
@@ -19,12 +20,13 @@
 
 // snapshotMessage is the encoded form of the complete state.
 type snapshotMessage struct {
-	Format              int              `cbor:"1,keyasint"`
-	Document            []byte           `cbor:"2,keyasint,omitempty"` // empty before the first configuration
-	Changes             []snapshotChange `cbor:"3,keyasint,omitempty"` // those of the change log, oldest first
-	ForgottenGeneration int64            `cbor:"4,keyasint,omitempty"` // as in changeLog
-	Compressed          bool             `cbor:"5,keyasint,omitempty"` // Document is compressed (zlib)
-	Shares              *shares.Table    `cbor:"6,keyasint,omitempty"` // nil: Sequence is 0, or the build knew none
+	Format              int               `cbor:"1,keyasint"`
+	Document            []byte            `cbor:"2,keyasint,omitempty"` // empty before the first configuration
+	Changes             []snapshotChange  `cbor:"3,keyasint,omitempty"` // those of the change log, oldest first
+	ForgottenGeneration int64             `cbor:"4,keyasint,omitempty"` // as in changeLog
+	Compressed          bool              `cbor:"5,keyasint,omitempty"` // Document is compressed (zlib)
+	Shares              *shares.Table     `cbor:"6,keyasint,omitempty"` // nil: Sequence is 0, or the build knew none
+	Departures          *departures.Table `cbor:"7,keyasint,omitempty"` // nil: as for Shares
 }
 
 // snapshotChange is the encoded form of an acceptedChange: an array, because there are thousands of them.
@@ -47,6 +49,9 @@
 	if m.shares.Sequence > 0 {
 		message.Shares = &m.shares
 	}
+	if m.departures.Sequence > 0 {
+		message.Departures = &m.departures
+	}
 	if m.document != nil {
 		message.Document, message.Compressed = compressDocument(m.document.Encode())
 	}
@@ -92,7 +97,8 @@
 	if err != nil {
 		return fmt.Errorf("state: restore snapshot: %w", err)
 	}
-	m.document, m.log, m.shares = restored.document, restored.log, restored.shares
+	m.document, m.log = restored.document, restored.log
+	m.shares, m.departures = restored.shares, restored.departures
 	m.view.Store(restored.view.Load())
 	return nil
 }
@@ -110,6 +116,9 @@
 	if message.Shares != nil {
 		m.shares = *message.Shares
 	}
+	if message.Departures != nil {
+		m.departures = *message.Departures
+	}
 	document, err := message.document()
 	if err != nil {
 		return nil, err
--- a/internal/systemsim/client.go
+++ b/internal/systemsim/client.go
@@ -9,6 +9,11 @@
 	maxRetryBackoff = 400 * time.Millisecond
 	maxAttempts     = 10
 	drainTimeout    = 6 * time.Second // an endpoint whose drain nobody acknowledges deregisters then
+
+	lateHeartbeatRatio = 8 // one in so many heartbeats arrives once more, late
+	lateAtEndRatio     = 2 // in one of so many deregistrations a heartbeat from before arrives after it
+	minLateness        = 500 * time.Millisecond
+	maxLateness        = 6 * time.Second
 )
 
 // client is a machine that calls instances: an operator's or an endpoint's.
--- a/internal/systemsim/endpoint.go
+++ b/internal/systemsim/endpoint.go
@@ -16,6 +16,8 @@
 	ended       bool // it sends no heartbeats any more
 	attempts    int  // since the newest accepted call
 	endingSince time.Duration
+	since       time.Duration     // when it was started
+	newestReady protocol.Endpoint // its newest heartbeat in state ready
 }
 
 func (w *World) addEndpoint() {
@@ -23,6 +25,7 @@
 	e := &endpoint{
 		client: newClient(w, fmt.Sprintf("10.%d.2.%d:8080", number%zones, number), number%zones),
 		id:     fmt.Sprintf("e%d", number),
+		since:  w.Now(),
 	}
 	w.endpoints = append(w.endpoints, e)
 	w.clients = append(w.clients, &e.client)
@@ -41,6 +44,12 @@
 		ID: e.id, Service: "s", Address: e.address, Zone: zoneName(e.zone), State: e.state,
 		Sequence: e.sequence, Slots: 4,
 	}
+	if reported.State == protocol.Ready {
+		e.newestReady = reported
+	}
+	if w.oneIn(lateHeartbeatRatio) {
+		e.sendLate(reported, w.between(minLateness, maxLateness))
+	}
 	to := e.target(e.attempts)
 	e.attempts++
 	ask := func(answer func(any)) { to.heartbeat(reported, answer) }
@@ -63,6 +72,16 @@
 	})
 }
 
+// sendLate has a copy of a heartbeat arrive later at any instance, whatever has become of the endpoint.
+func (e *endpoint) sendLate(reported protocol.Endpoint, lateness time.Duration) {
+	w := e.world
+	w.After(lateness, func() {
+		to := e.target(1)
+		ask := func(answer func(any)) { to.heartbeat(reported, answer) }
+		w.network.call(&e.process, &to.process, callTimeout, ask, func(any) {})
+	})
+}
+
 // end ends the endpoint: it drains, or deregisters at once, or crashes. Another one takes its place.
 func (e *endpoint) end() {
 	w := e.world
@@ -105,6 +124,9 @@
 	w := e.world
 	to := e.target(e.attempts)
 	e.attempts++
+	if w.oneIn(lateAtEndRatio) {
+		e.sendLate(e.newestReady, w.between(0, maxLateness))
+	}
 	ask := func(answer func(any)) { to.deregister(e.id, answer) }
 	w.network.call(&e.process, &to.process, callTimeout, ask, func(result any) {
 		accepted, _ := result.(bool)
--- a/internal/systemsim/faults.go
+++ b/internal/systemsim/faults.go
@@ -8,7 +8,7 @@
 		w.partitionOne, w.partitionOne, w.partitionOne, w.partitionAndRestart, w.partitionAndRestart,
 		w.partitionPreferred, w.partitionLink, w.partitionRouter,
 		w.crashOne, w.crashSome, w.crashAll, w.freezeOne, w.freezeOne,
-		w.losePowerOne, w.losePowerAll, w.loseDisk, w.loseDisk,
+		w.losePowerOne, w.losePowerAll, w.endEverything, w.endEverything, w.loseDisk, w.loseDisk,
 		w.crashRouter, w.freezeRouter, w.degradeLinks, w.slowDisk, w.fillDisk, w.shutDownOne,
 	}
 	var next func()
--- a/internal/systemsim/host.go
+++ b/internal/systemsim/host.go
@@ -6,7 +6,9 @@
 	"raventrestle/coordination/engine"
 	"raventrestle/coordination/replica"
 	"raventrestle/internal/control/controller"
+	"raventrestle/internal/control/departures"
 	"raventrestle/internal/control/registry"
+	"raventrestle/internal/control/state"
 	"raventrestle/internal/protocol"
 )
 
@@ -53,10 +55,11 @@
 	events := h.events
 	h.events = nil
 	now := h.owner.clock()
-	state := replicatedState{h.owner}
+	replicated := replicatedState{h.owner}
 	output := h.controller.Step(now, controller.Input{
-		Replicated: controller.ReadReplicatedState(state, state),
+		Replicated: controller.ReadReplicatedState(replicated, replicated),
 		Events:     events,
+		TimeOfDay:  h.owner.timeOfDay(),
 	})
 	h.carryOut(output)
 	h.scheduleStep(output.WakeAt.Sub(now))
@@ -80,11 +83,27 @@
 	for _, answer := range output.Answers {
 		answer.Caller.(waitingCall)(!answer.Result.Rejected)
 	}
+	for _, proposal := range output.Proposals {
+		h.recordDeparture(proposal)
+	}
 	if output.StartBarrier != 0 {
 		h.startBarrier(output.StartBarrier)
 	}
 }
 
+// recordDeparture has the group commit a departure and posts the result.
+func (h *host) recordDeparture(proposal controller.Proposal) {
+	command, err := state.NewDeparture(proposal.Departure)
+	if err != nil {
+		h.owner.world.fail(ruleDrain, "departure of %s: %v", proposal.Departure.ID, err)
+		return
+	}
+	h.owner.submit(engine.Input{Command: command}, controller.RecordTimeout, func(result engine.Result) {
+		succeeded := result.Err == nil && state.CheckRecorded(result.Value) == nil
+		h.post(controller.DepartureRecorded{RequestID: proposal.RequestID, Succeeded: succeeded})
+	})
+}
+
 // waitingCall ends an endpoint's call; it takes whether the instance accepted it.
 type waitingCall func(accepted bool)
 
@@ -115,3 +134,8 @@
 
 // Newest implements controller.Configurations.
 func (s replicatedState) Newest() (generation int64, document []byte) { return s.owner.newest() }
+
+// Departures implements controller.Configurations.
+func (s replicatedState) Departures() departures.Table {
+	return s.owner.world.mutateDepartures(s.owner.machine.Departures())
+}
--- a/internal/systemsim/instance.go
+++ b/internal/systemsim/instance.go
@@ -19,6 +19,7 @@
 	syncDuration    = 5 * time.Millisecond
 	proposalTimeout = 800 * time.Millisecond
 	roleInterval    = 50 * time.Millisecond
+	maxClockError   = 5 * time.Second // of an instance's time of day
 	readyGrace      = 2 * time.Second // an isolated instance acknowledges heartbeats of ready endpoints no longer
 )
 
@@ -34,6 +35,7 @@
 	role       roles.LeadershipOutput
 	host       host
 	mesh       mesh
+	clockError time.Duration // of the time of day; drawn at each start
 
 	inbox     []engine.Input
 	stepAt    time.Duration                  // virtual time of the planned step; zero: none is planned
@@ -58,6 +60,9 @@
 	return i
 }
 
+// timeOfDay returns what the machine takes for the time of day.
+func (i *instance) timeOfDay() time.Time { return instant(i.world.Now() + i.clockError) }
+
 // zoneName returns the name of a zone, from 0 on.
 func zoneName(zone int) string { return fmt.Sprintf("zone-%d", zone) }
 
@@ -90,6 +95,7 @@
 		return
 	}
 	i.begin()
+	i.clockError = w.between(-maxClockError, maxClockError)
 	i.inbox, i.stepAt, i.busyUntil = nil, 0, 0
 	i.calls = make(map[uint64]func(engine.Result))
 	i.machine = state.New()
--- a/internal/systemsim/machine_faults.go
+++ b/internal/systemsim/machine_faults.go
@@ -60,6 +60,37 @@
 	}
 }
 
+// endEverything ends all instances and routers within a millisecond and starts them again.
+func (w *World) endEverything() {
+	power := w.oneIn(2)
+	w.endInstances(power)
+	w.endRouters()
+}
+
+// endInstances has all instances lose power, or kills them, within a millisecond, and starts them again.
+func (w *World) endInstances(power bool) {
+	for _, i := range w.instances {
+		w.After(w.between(0, time.Millisecond), func() {
+			if power {
+				i.losePower()
+			} else {
+				i.crash()
+			}
+			i.restartSoon()
+		})
+	}
+}
+
+// endRouters kills all routers within a millisecond and starts them again.
+func (w *World) endRouters() {
+	for _, r := range w.routers {
+		w.After(w.between(0, time.Millisecond), func() {
+			r.crash()
+			w.After(w.between(20*time.Millisecond, time.Second), r.start)
+		})
+	}
+}
+
 func (w *World) freezeOne() {
 	i := w.headOrAny()
 	i.freeze()
--- a/internal/systemsim/model.go
+++ b/internal/systemsim/model.go
@@ -107,5 +107,8 @@
 	if _, before := w.model.drained[e.id]; !before {
 		w.tracef("the drain of %s is acknowledged", e.id)
 		w.model.drained[e.id] = w.Now()
+		if w.observeDrain != nil {
+			w.observeDrain(e)
+		}
 	}
 }
--- a/internal/systemsim/mutant.go
+++ b/internal/systemsim/mutant.go
@@ -8,6 +8,7 @@
 
 	"raventrestle/coordination/replica"
 	"raventrestle/internal/control/controller"
+	"raventrestle/internal/control/departures"
 	"raventrestle/internal/control/registry"
 	"raventrestle/internal/protocol"
 	"raventrestle/internal/router/subscription"
@@ -23,6 +24,7 @@
 	TrustAllBeacons     Mutant = "router trusts all beacons"
 	StampFresh          Mutant = "instance always states a fresh contact"
 	DrainWithoutContact Mutant = "instance acknowledges drains without contact"
+	ForgetDepartures    Mutant = "instance forgets the ends of endpoints when it restarts"
 )
 
 // newDecider returns the decider of a router.
@@ -72,6 +74,14 @@
 	return status
 }
 
+// mutateDepartures returns the committed departures as the controller reads them.
+func (w *World) mutateDepartures(committed departures.Table) departures.Table {
+	if w.Mutant == ForgetDepartures {
+		return departures.Table{}
+	}
+	return committed
+}
+
 // mutateRegistry returns the registry as the controller uses it.
 func (w *World) mutateRegistry(endpoints *registry.Registry) controller.EndpointRegistry {
 	if w.Mutant == DrainWithoutContact {
--- a/internal/systemsim/scenario_test.go
+++ b/internal/systemsim/scenario_test.go
@@ -207,7 +207,7 @@
 
 // TestMutantsAreFound simulates histories with mutants: each must break a rule.
 func TestMutantsAreFound(t *testing.T) {
-	for _, mutant := range []Mutant{FollowFirst, TrustAllBeacons, StampFresh, DrainWithoutContact} {
+	for _, mutant := range []Mutant{FollowFirst, TrustAllBeacons, StampFresh, DrainWithoutContact, ForgetDepartures} {
 		t.Run(string(mutant), func(t *testing.T) {
 			for seed := *firstSeed; seed < *firstSeed+mutantSeeds; seed++ {
 				if _, err := simulated(seed, mutant); err != nil {
--- a/internal/systemsim/world.go
+++ b/internal/systemsim/world.go
@@ -42,11 +42,12 @@
 	instances       []*instance
 	routers         []*router
 	endpoints       []*endpoint
-	clients         []*client     // operators and endpoints
-	finishing       bool          // clients begin nothing new
-	healPartitions  []func()      // one for each partition so far
-	noFaultBefore   time.Duration // no fault begins before: a lost disk is being replaced
-	linkPartitioned bool          // see partitionLink
+	clients         []*client       // operators and endpoints
+	finishing       bool            // clients begin nothing new
+	healPartitions  []func()        // one for each partition so far
+	observeDrain    func(*endpoint) // called when an endpoint's end is acknowledged to it; nil: by nobody
+	noFaultBefore   time.Duration   // no fault begins before: a lost disk is being replaced
+	linkPartitioned bool            // see partitionLink
 	model           model
 	steps           int
 	failure         error
