Expect nothing of a hardly seen kind of call while a router ends

A call that names no model, of a service with under three calls seen at this router, was expected to meet its route's latency target. A target states what is wanted: a call that lasts longer is broken off at the exit (LOST).

Result: TestCallsThatNameNoModelFinishBeforeShutdown fails before ("0 samples: admitted a call of 3000ms 2900ms before the exit"). A test beside it holds that known calls are admitted.

--- a/internal/router/dispatch/duration.go
+++ b/internal/router/dispatch/duration.go
@@ -66,15 +66,12 @@
 	r.group.durationBounds.forRequest(r).add(milliseconds(d.now-r.sentAt) / r.workUnits())
 }
 
-// maxExpectedDuration returns the maximum duration expected of a call of the request; false while nothing is known of
-// its model's calls. Calls that name no model are expected to meet their latency target while nothing is known.
+// maxExpectedDuration returns the maximum duration expected of a call of the request; false while too little is known of
+// such calls. A latency target is no expectation: it states what is wanted, not what happens.
 func (d *Decider) maxExpectedDuration(r *request) (time.Duration, bool) {
 	upper, known := r.group.durationBounds.forRequest(r).upperBound()
-	switch {
-	case known:
-		return time.Duration(upper * r.workUnits() * float64(time.Millisecond)), true
-	case r.Streaming || r.Model != "":
+	if !known {
 		return 0, false
 	}
-	return r.latencyTarget - r.arrived, true
+	return time.Duration(upper * r.workUnits() * float64(time.Millisecond)), true
 }
--- a/internal/router/dispatch/shutdown_test.go
+++ b/internal/router/dispatch/shutdown_test.go
@@ -342,3 +342,49 @@
 		t.Errorf("rejected with %+v, want ShuttingDown", rejection)
 	}
 }
+
+// Guards against the same fault as review/5 where a call names no model: while a router had seen under three of them, it
+// expected them to meet their latency target, and broke off at its exit those that did not.
+func TestCallsThatNameNoModelFinishBeforeShutdown(t *testing.T) {
+	const lastsMS, targetMS = 3000, 400
+	for samples := range 6 {
+		admitted := 0
+		for elapsed := 0; elapsed < remainingMS; elapsed += 100 {
+			s := newScript(t, plainEndpoint("b", 1000))
+			for range samples {
+				r := s.request("")
+				s.oneSend(s.step(s.nowMS, RequestArrived{r}))
+				s.step(s.nowMS+lastsMS, AttemptFinished{ID: r.ID, Endpoint: "b", Result: Succeeded})
+			}
+			s.step(s.nowMS, ShutdownStarted{
+				QueueDeadline: s.time(s.nowMS), SelectiveAdmissionFrom: s.time(s.nowMS), ShutdownDeadline: s.time(s.nowMS + 3*remainingMS),
+			})
+			s.step(s.nowMS + 2*remainingMS + elapsed)
+			r := s.request("")
+			r.LatencyTarget, r.Deadline = s.time(s.nowMS+targetMS), s.time(s.nowMS+5*remainingMS)
+			if len(sends(s.step(s.nowMS, RequestArrived{r}))) == 0 {
+				continue
+			}
+			admitted++
+			if elapsed+lastsMS > remainingMS {
+				t.Errorf("%d samples: admitted a call of %dms %dms before the exit", samples, lastsMS, remainingMS-elapsed)
+			}
+		}
+		if samples < minDurationSamples && admitted > 0 {
+			t.Errorf("%d samples: admitted %d calls, want none", samples, admitted)
+		}
+	}
+}
+
+// A call that names no model is admitted once its kind is known to end in half of the time left.
+func TestKnownCallsThatNameNoModelAreAdmittedDuringShutdown(t *testing.T) {
+	const minRemainingMS = 600 // the estimate for four calls is above their duration
+	for elapsed := 0; elapsed <= remainingMS-minRemainingMS; elapsed += 100 {
+		s := newScriptAtSelectiveAdmission(t)
+		r := s.request("")
+		r.Deadline = s.time(selectiveAdmissionAt + 15000)
+		if out := s.step(selectiveAdmissionAt+elapsed, RequestArrived{r}); len(sends(out)) != 1 {
+			t.Errorf("%dms before the exit: got %v for a call of 40ms, want it admitted", remainingMS-elapsed, out)
+		}
+	}
+}
