Let only the registry's tick wait for the beacons, not what is due between

Known failure: TestAcknowledgedIsInForceEverywhere, "e5 answered at 0 after 855ms", 805 allowed.

Cause: mergeWakes puts off the registry's tick to the hub's next beacons, up to 0.25 s, if the tick is what is due next. What was due after the tick and before the beacons, here the end of an endpoint's wait, was put off with it.

Change: the registry's output says when the first thing beside the tick is due (DeadlineAt, in place of WakeDeferrable); the tick waits only if that is not before the beacons.

--- a/internal/control/controller/controller.go
+++ b/internal/control/controller/controller.go
@@ -207,14 +207,14 @@
 	return hashes
 }
 
-// mergeWakes lets the registry's tick wait for the hub's beacons where nobody waits for it.
+// mergeWakes lets the registry's tick wait for the hub's beacons, unless anything else is due at the registry before them.
 func mergeWakes(hub time.Time, out registry.Output) time.Time {
 	switch {
 	case hub.IsZero():
 		return out.WakeAt
-	case out.WakeDeferrable && out.WakeAt.Before(hub) && hub.Sub(out.WakeAt) <= distribution.BeaconInterval:
+	case hub.Before(out.WakeAt):
 		return hub
-	case out.WakeAt.Before(hub):
+	case !out.DeadlineAt.IsZero() && out.DeadlineAt.Before(hub), hub.Sub(out.WakeAt) > distribution.BeaconInterval:
 		return out.WakeAt
 	}
 	return hub
--- a/internal/control/registry/drain_ack_test.go
+++ b/internal/control/registry/drain_ack_test.go
@@ -32,9 +32,9 @@
 			if out := drain(x, 2); len(out.Replies) != 0 {
 				t.Fatalf("replies with a contact from before the request: got %+v, want none", out.Replies)
 			}
-			if wait := x.out.WakeAt.Sub(x.now); wait > quorumPollInterval || x.out.WakeDeferrable {
+			if wait := x.out.WakeAt.Sub(x.now); wait > quorumPollInterval || tickIsNext(x.out) {
 				t.Errorf("next look for contact: got after %v (deferrable: %v), want %v at most (false)",
-					wait, x.out.WakeDeferrable, quorumPollInterval)
+					wait, tickIsNext(x.out), quorumPollInterval)
 			}
 			x.advance(200 * time.Millisecond)
 			if len(x.pendingDrains) != 1 {
--- a/internal/control/registry/golden_test.go
+++ b/internal/control/registry/golden_test.go
@@ -109,7 +109,7 @@
 	h.revisions[i] = out.Revision
 	h.changed += len(out.Changed)
 	h.hashText(fmt.Sprint(i, h.now.UnixNano(), out.Urgent, out.Revision, out.RouterCount, out.Complete,
-		out.WakeAt.UnixNano(), out.WakeDeferrable))
+		out.WakeAt.UnixNano(), out.WakeAt.Equal(h.registries[i].nextTick)))
 	h.hashValue(out.Changed)
 	for _, reply := range out.Replies {
 		h.replies++
--- a/internal/control/registry/harness_test.go
+++ b/internal/control/registry/harness_test.go
@@ -184,3 +184,8 @@
 func rejected(out Output) bool {
 	return len(out.Replies) == 1 && out.Replies[0].Rejected && !out.Replies[0].InForce
 }
+
+// tickIsNext reports whether nothing but the tick is due at the next step.
+func tickIsNext(out Output) bool {
+	return out.DeadlineAt.IsZero() || out.WakeAt.Before(out.DeadlineAt)
+}
--- a/internal/control/registry/output.go
+++ b/internal/control/registry/output.go
@@ -8,15 +8,15 @@
 
 // Output is what the caller of Step carries out.
 type Output struct {
-	Replies        []Reply
-	Send           []Send
-	Changed        []protocol.Endpoint // for the routers: added, changed or Departed, by ID
-	Urgent         bool                // Changed must not wait for other changes
-	Revision       uint64              // newest revision of the table, Changed included; RoutersConfirmed refers to it
-	RouterCount    int                 // routers of all instances; 0 while unknown
-	Complete       bool                // the table lacks nothing that the other instances have
-	WakeAt         time.Time           // the next Step is due then at the latest
-	WakeDeferrable bool                // WakeAt is only the tick's: a quarter of a second later does no harm
+	Replies     []Reply
+	Send        []Send
+	Changed     []protocol.Endpoint // for the routers: added, changed or Departed, by ID
+	Urgent      bool                // Changed must not wait for other changes
+	Revision    uint64              // newest revision of the table, Changed included; RoutersConfirmed refers to it
+	RouterCount int                 // routers of all instances; 0 while unknown
+	Complete    bool                // the table lacks nothing that the other instances have
+	WakeAt      time.Time           // the next Step is due then at the latest
+	DeadlineAt  time.Time           // as WakeAt, but for the tick, which does no harm a quarter of a second later; zero: nothing is due
 }
 
 // Reply answers a Heartbeat or a Deregister.
--- a/internal/control/registry/registry.go
+++ b/internal/control/registry/registry.go
@@ -77,7 +77,7 @@
 	r.output.Complete = r.complete
 	r.output.RouterCount = r.routerCount()
 	r.output.WakeAt = r.wakeAt()
-	r.output.WakeDeferrable = r.output.WakeAt.Equal(r.nextTick)
+	r.output.DeadlineAt = r.deadlineAt()
 	return r.output
 }
 
@@ -136,17 +136,25 @@
 
 // wakeAt returns when the next step is due.
 func (r *Registry) wakeAt() time.Time {
-	wake := r.nextTick
-	if !r.nextFlush.IsZero() {
-		wake = earliest(wake, r.nextFlush)
+	if deadline := r.deadlineAt(); !deadline.IsZero() {
+		return earliest(r.nextTick, deadline)
 	}
-	if deadline := r.stalenessDeadline(); !deadline.IsZero() {
-		wake = earliest(wake, deadline)
+	return r.nextTick
+}
+
+// deadlineAt returns when the first thing is due beside the tick; zero: nothing is.
+func (r *Registry) deadlineAt() time.Time {
+	deadline := r.nextFlush
+	add := func(at time.Time) {
+		if deadline.IsZero() || !at.IsZero() && at.Before(deadline) {
+			deadline = at
+		}
 	}
+	add(r.stalenessDeadline())
 	for _, drain := range r.pendingDrains {
-		wake = earliest(wake, drain.wakeAt)
+		add(drain.wakeAt)
 	}
-	return wake
+	return deadline
 }
 
 // scheduleFlush has changes sent to the other instances after the delay at the latest. Ordinary changes in quick
