Courier's tests: each free address on a loopback host of its own

Known failure: TestUpgradeKilled, "bind: address already in use" now and then. freeAddress closed a free port of 127.0.0.1 for a process that listens on it later; any other socket, also one that a client opens meanwhile, may have got it by then.

Whether it never fails again, only time shows; the cause is gone by construction.

--- a/cmd/raventrestle/main_test.go
+++ b/cmd/raventrestle/main_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -59,9 +60,16 @@
 	return d
 }
 
-// freeAddress returns an address at which nobody listens.
+// addressCount is how many addresses freeAddress has returned.
+var addressCount atomic.Uint32
+
+// freeAddress returns an address at which nobody listens. Each one is on a loopback host of its own: a port that is free
+// now may otherwise be taken by any other socket before the address is used.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	const hostsPerNet = 250
+	number := int(addressCount.Add(1))
+	host := fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()%100, number/hostsPerNet, 1+number%hostsPerNet)
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		t.Fatal(err)
 	}
