Courier: a resend yields to a fresh message of the same step

Known failure: TestResendYieldsToFreshMessage, once beside load, "no yielded resend".

Cause: a step makes waiting resends yield to the fresh messages that it takes in, but looked only at resends from earlier steps. A resend that came in the same step, before the fresh message, was passed to the policy and sent first.

Change: a resend that begins is held against all fresh messages of its step.

Result: TestResendYieldsToFreshMessageOfTheSameStep forces both orders and fails before for "the resend first"; messages for other destinations don't make it yield.

--- a/internal/net/courier/deadletters.go
+++ b/internal/net/courier/deadletters.go
@@ -130,8 +130,8 @@
 }
 
 // startResend passes a dead letter to the policy as a message of this process. If fresh messages would have to wait for
-// it, it is returned to the dead letters unsent.
-func (c *Courier) startResend(a deadletter.ResendRequest, t time.Duration) raventrestle.Event {
+// it, also those that arrive in the same step, it is returned to the dead letters unsent.
+func (c *Courier) startResend(a deadletter.ResendRequest, t time.Duration, fresh arrivals) raventrestle.Event {
 	m := &message{Message: a.Message}
 	if a.MayHaveRun {
 		m.PriorRun, m.FirstRun = &a.FirstRun, &a.FirstRun
@@ -139,7 +139,7 @@
 	c.msgs[raventrestle.MessageID(m.ID)] = m
 	c.activeResends++
 	load := c.load()
-	if c.closing || c.deadLetters == nil || load.Held > load.MaxHeld*3/4 || c.waitingByDest()[m.Dest] > 0 {
+	if c.closing || c.deadLetters == nil || load.Held > load.MaxHeld*3/4 || c.waitingByDest()[m.Dest] > 0 || fresh.byDest[m.Dest] {
 		c.finishResend(m, "yielded")
 		return nil
 	}
@@ -179,23 +179,38 @@
 	})
 }
 
+// arrivals are the fresh messages among those of a step.
+type arrivals struct {
+	byDest map[int64]bool
+	count  int
+}
+
+// freshArrivals returns the fresh messages that are queued for a step; none where there can be no resends.
+func (c *Courier) freshArrivals(queued []any) arrivals {
+	if c.deadLetters == nil {
+		return arrivals{}
+	}
+	fresh := arrivals{byDest: map[int64]bool{}}
+	for _, m := range queued {
+		if a, isArrival := m.(arrival); isArrival {
+			fresh.byDest[a.Dest] = true
+			fresh.count++
+		}
+	}
+	return fresh
+}
+
 // yieldResends withdraws waiting resends from the policy if fresh messages arrive for their destination, or if their
 // space is needed for fresh messages.
-func (c *Courier) yieldResends(queued []any) (events []raventrestle.Event) {
+func (c *Courier) yieldResends(fresh arrivals) (events []raventrestle.Event) {
 	if c.activeResends == 0 {
 		return nil
 	}
-	freshDests := map[int64]bool{}
 	load := c.load()
-	for _, m := range queued {
-		if a, ok := m.(arrival); ok {
-			freshDests[a.Dest] = true
-			load.Held++
-		}
-	}
+	load.Held += fresh.count
 	excess := rule.Limits{}.ResendsToYield(load)
 	for id, m := range c.msgs {
-		if m.ResendNumber == 0 || m.inFlight || !freshDests[m.Dest] && excess <= 0 {
+		if m.ResendNumber == 0 || m.inFlight || !fresh.byDest[m.Dest] && excess <= 0 {
 			continue
 		}
 		excess--
--- a/internal/net/courier/deadletters_test.go
+++ b/internal/net/courier/deadletters_test.go
@@ -394,19 +394,9 @@
 	s.mu.Unlock()
 }
 
-// A resend that waits in the policy because of a Retry-After wait goes back to the store when a fresh message for the same
-// destination arrives, and is sent after it.
-func TestResendYieldsToFreshMessage(t *testing.T) {
-	order := make(chan string, 16)
-	first := true
-	endpoint := nettest.NewPeer(t, func(c net.Conn, call nettest.Call) bool {
-		order <- call.Header.Get("X-Txn")
-		if first {
-			first = false
-			return nettest.Answer(nettest.Plain(429, "X-Come-Back-Ms: 700\r\n", ""))(c, call)
-		}
-		return nettest.Answer(nettest.Plain(200, "", ""))(c, call)
-	})
+// newResendCourier returns a courier with one listed endpoint and its dead letters; neither runs.
+func newResendCourier(t *testing.T, endpoint *nettest.Peer) (*Courier, *deadletter.Manager) {
+	t.Helper()
 	discovery := nettest.NewPeer(t, nettest.Answer("HTTP/1.1 204 No Content\r\n\r\n"))
 	store, _, err := journal.Open(t.TempDir(), journal.Options{MaxBytes: 1 << 20, RecordAttempts: true}, nettest.Log)
 	if err != nil {
@@ -436,6 +426,56 @@
 		t.Fatal(err)
 	}
 	c.UseDeadLetters(k)
+	return c, k
+}
+
+// A resend and a fresh message for its destination that come in one step: the resend goes back to the store.
+func TestResendYieldsToFreshMessageOfTheSameStep(t *testing.T) {
+	endpoint := nettest.NewPeer(t, nettest.Answer(nettest.Plain(200, "", "")))
+	resend := deadletter.ResendRequest{Message: &journal.Message{
+		ID: "resend", Class: "free", Dest: 7, AcceptedAt: 1, ExpiresAt: time.Now().Add(time.Minute).UnixNano(), ResendNumber: 1,
+	}}
+	fresh := func(dest int64) arrival {
+		return arrival{Message: &journal.Message{
+			ID: "fresh", Class: "free", Dest: dest, AcceptedAt: 1, ExpiresAt: time.Now().Add(time.Minute).UnixNano(),
+		}}
+	}
+	for name, test := range map[string]struct {
+		queued []any
+		yields bool
+	}{
+		"the resend first":              {[]any{resend, fresh(7)}, true},
+		"the fresh message first":       {[]any{fresh(7), resend}, true},
+		"another destination's message": {[]any{resend, fresh(8)}, false},
+		"alone":                         {[]any{resend}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, k := newResendCourier(t, endpoint)
+			ctx, stop := context.WithCancel(t.Context())
+			t.Cleanup(func() { stop(); k.Wait() })
+			go k.Run(ctx)
+			c.step(ctx, test.queued)
+			if _, active := c.msgs["resend"]; active == test.yields {
+				t.Errorf("the resend is passed to the policy: %t, want %t", active, !test.yields)
+			}
+		})
+	}
+}
+
+// A resend that waits in the policy because of a Retry-After wait goes back to the store when a fresh message for the same
+// destination arrives, and is sent after it.
+func TestResendYieldsToFreshMessage(t *testing.T) {
+	order := make(chan string, 16)
+	first := true
+	endpoint := nettest.NewPeer(t, func(c net.Conn, call nettest.Call) bool {
+		order <- call.Header.Get("X-Txn")
+		if first {
+			first = false
+			return nettest.Answer(nettest.Plain(429, "X-Come-Back-Ms: 700\r\n", ""))(c, call)
+		}
+		return nettest.Answer(nettest.Plain(200, "", ""))(c, call)
+	})
+	c, k := newResendCourier(t, endpoint)
 	ctx, stop := context.WithCancel(t.Context())
 	t.Cleanup(func() { stop(); k.Wait() })
 	go k.Run(ctx)
--- a/internal/net/courier/step.go
+++ b/internal/net/courier/step.go
@@ -23,7 +23,8 @@
 	var records []journal.Record
 	var statusReplies []chan<- Status
 	handOverRequested := false
-	others = append(others, c.yieldResends(queued)...)
+	fresh := c.freshArrivals(queued)
+	others = append(others, c.yieldResends(fresh)...)
 	for _, m := range queued {
 		switch m := m.(type) {
 		case discovery.Update:
@@ -48,7 +49,7 @@
 			}
 			others = append(others, c.restoredEvent(m, t))
 		case deadletter.ResendRequest:
-			if e := c.startResend(m, t); e != nil {
+			if e := c.startResend(m, t, fresh); e != nil {
 				others = append(others, e)
 			}
 		case handOverMsg:
