--- a/internal/systemsim/departure_test.go
+++ b/internal/systemsim/acknowledgement_test.go
@@ -8,6 +8,9 @@
 // lateHeartbeats is how many heartbeats from before its end arrive after an endpoint's end was acknowledged.
 const lateHeartbeats = 12
 
+// acknowledgementTime is how long endpoints and operators go on before all faults are healed.
+const acknowledgementTime = 40 * time.Second
+
 // endOfAll is how all processes end at once.
 type endOfAll struct {
 	power   bool // they lose power; else they are killed
@@ -39,6 +42,40 @@
 	}
 }
 
+// TestAcknowledgedVersionsOutliveAllProcesses ends all processes at the moment at which a version's acknowledgement leaves an
+// instance, twice. It must be what each instance answers at the end, and no other change may be accepted on its base.
+func TestAcknowledgedVersionsOutliveAllProcesses(t *testing.T) {
+	const maxVersions = 60 // before the first end of all
+	for name, end := range endsOfAll {
+		t.Run(name, func(t *testing.T) {
+			eachSeed(*firstSeed, *scenarioCount, func(seed uint64) {
+				w := end.newWorld(seed, NoMutant)
+				versions, ends, next := 0, 0, w.random.IntN(maxVersions)
+				w.observeVersion = func(*change) {
+					if versions++; versions <= next || ends == 2 {
+						return
+					}
+					ends++
+					next = versions + w.random.IntN(maxVersions)
+					end.endAll(w)
+				}
+				if err := w.Run(acknowledgementTime); err != nil {
+					t.Error(err)
+					return
+				}
+				if ends != 2 {
+					t.Errorf("seed %d: all processes ended %d times, want 2", seed, ends)
+				}
+				if err := w.Finish(); err != nil {
+					t.Error(err)
+				} else {
+					w.requireEndpointsAreKnown(t)
+				}
+			})
+		})
+	}
+}
+
 // TestForgottenEndsAreFound plays the same with instances that forget: the rule must be seen broken in half of the runs
 // at least, whose late heartbeats come in time for it.
 func TestForgottenEndsAreFound(t *testing.T) {
@@ -61,30 +98,38 @@
 	}
 }
 
-func (c endOfAll) run(seed uint64, mutant Mutant) (*World, error) {
+func (c endOfAll) newWorld(seed uint64, mutant Mutant) *World {
 	setup := SetupOf(seed)
 	setup.Mutant, setup.Trace = mutant, tracer(seed)
-	w := NewWorld(setup)
+	return NewWorld(setup)
+}
+
+// run ends all processes at the first two acknowledgements of an endpoint's end.
+func (c endOfAll) run(seed uint64, mutant Mutant) (*World, error) {
+	w := c.newWorld(seed, mutant)
 	ends := 0
 	w.observeDrain = func(e *endpoint) {
-		if ends++; ends > 2 { // two ends in a row, the second one perhaps while the system starts again
+		if ends++; ends > 2 {
 			return
 		}
 		e.repeatHeartbeats()
-		w.endInstances(c.power)
-		if c.routers {
-			w.endRouters()
-		}
+		c.endAll(w)
 	}
-	for length := 40 * time.Second; length > 0; length -= time.Second {
-		if err := w.Run(time.Second); err != nil {
-			return w, err
-		}
+	if err := w.Run(acknowledgementTime); err != nil {
+		return w, err
 	}
 	w.observeDrain = nil
 	return w, w.Finish()
 }
 
+// endAll ends all processes within a millisecond; they start again within 1.2 s.
+func (c endOfAll) endAll(w *World) {
+	w.endInstances(c.power)
+	if c.routers {
+		w.endRouters()
+	}
+}
+
 // repeatHeartbeats has heartbeats in state ready arrive late that were sent before the endpoint's first call about its
 // end.
 func (e *endpoint) repeatHeartbeats() {
--- a/internal/systemsim/model.go
+++ b/internal/systemsim/model.go
@@ -79,6 +79,9 @@
 		newest = max(newest, m.acks[len(m.acks)-1].newest)
 	}
 	m.acks = append(m.acks, acknowledgement{at: w.Now(), newest: newest})
+	if w.observeVersion != nil {
+		w.observeVersion(c)
+	}
 }
 
 // recordRoleAction records that an instance acts in the singleton roles, and checks that no other one may.
--- a/internal/systemsim/world.go
+++ b/internal/systemsim/world.go
@@ -46,6 +46,7 @@
 	finishing       bool            // clients begin nothing new
 	healPartitions  []func()        // one for each partition so far
 	observeDrain    func(*endpoint) // called when an endpoint's end is acknowledged to it; nil: by nobody
+	observeVersion  func(*change)   // called when a version's acknowledgement leaves an instance; nil: by nobody
 	noFaultBefore   time.Duration   // no fault begins before: a lost disk is being replaced
 	linkPartitioned bool            // see partitionLink
 	model           model
