--- a/internal/router/ingress/harness_test.go
+++ b/internal/router/ingress/harness_test.go
@@ -279,9 +279,14 @@
 
 // request returns the text of a valid request.
 func request(method, path, id, body string, more ...string) string {
+	return requestWithKey(method, path, id, body, testKey, more...)
+}
+
+// requestWithKey returns the text of a request with a tenant's key.
+func requestWithKey(method, path, id, body, key string, more ...string) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n"+
-		"Api-Key: %s\r\n", method, path, testHost, id, testKey)
+		"Api-Key: %s\r\n", method, path, testHost, id, key)
 	fmt.Fprintf(&b, "X-Deadline-Ms: 5000\r\n")
 	for _, line := range more {
 		b.WriteString(line + "\r\n")
--- a/internal/router/ingress/limits_test.go
+++ b/internal/router/ingress/limits_test.go
@@ -146,57 +146,57 @@
 	}
 }
 
-// A longer idle limit keeps connections that are idle already; a shorter one applies after the next answer.
-func TestIdleLimitAppliesToKeptConnections(t *testing.T) {
-	const short = 100 * time.Millisecond
-	t.Run("raised", func(t *testing.T) {
-		t.Parallel()
-		w := newTestRouter(t, newEndpoint(t, echo))
-		w.setLimits(func(l *configuration.Limits) { l.IdleTimeoutMS = short.Milliseconds() })
-		kept := w.keptClient()
-		w.setLimits(func(*configuration.Limits) {})
-		time.Sleep(short + idleTimeoutMargin + 500*time.Millisecond)
-		kept.send(request("POST", "/once/x", "r2", "b"))
-		if got := kept.receive(); got.StatusCode != http.StatusOK {
-			t.Errorf("got %v, want 200", got.Response)
-		}
-	})
-	t.Run("lowered", func(t *testing.T) {
-		t.Parallel()
-		w := newTestRouter(t, newEndpoint(t, echo))
-		kept := w.keptClient()
-		w.setLimits(func(l *configuration.Limits) { l.IdleTimeoutMS = short.Milliseconds() })
-		kept.send(request("POST", "/once/x", "r2", "b"))
-		kept.receive()
-		kept.expectClosedWithin(short+idleTimeoutMargin/2, short+2*idleTimeoutMargin)
-	})
+// timeLimit is a limit of time on kept connections, with what it bounds.
+type timeLimit struct {
+	set    func(l *configuration.Limits, limit time.Duration)
+	margin time.Duration
+	begun  int  // bytes of a request that have come when the limit begins to run
+	answer bool // the limit in force applies after the next answer only
 }
 
-// The time for a head is the one in force when the head begins, on kept connections too.
-func TestTimeLimitOfHeadsAppliesToKeptConnections(t *testing.T) {
+var timeLimits = map[string]timeLimit{
+	"idle": {
+		set:    func(l *configuration.Limits, limit time.Duration) { l.IdleTimeoutMS = limit.Milliseconds() },
+		margin: idleTimeoutMargin, answer: true,
+	},
+	"head": {
+		set:    func(l *configuration.Limits, limit time.Duration) { l.HeaderTimeoutMS = limit.Milliseconds() },
+		margin: headTimeoutMargin, begun: 50,
+	},
+}
+
+// A longer limit keeps connections that are idle already, and a head that begins; a shorter idle limit applies after the next
+// answer, a shorter one for heads to the next head.
+func TestTimeLimitsApplyToKeptConnections(t *testing.T) {
 	const short = 100 * time.Millisecond
-	t.Run("raised", func(t *testing.T) {
-		t.Parallel()
-		w := newTestRouter(t, newEndpoint(t, echo))
-		w.setLimits(func(l *configuration.Limits) { l.HeaderTimeoutMS = short.Milliseconds() })
-		kept := w.keptClient()
-		w.setLimits(func(*configuration.Limits) {})
-		text := request("POST", "/once/x", "r2", "b")
-		kept.send(text[:50])
-		time.Sleep(short + headTimeoutMargin + 500*time.Millisecond)
-		kept.send(text[50:])
-		if got := kept.receive(); got.StatusCode != http.StatusOK {
-			t.Errorf("got %v, want 200", got.Response)
-		}
-	})
-	t.Run("lowered", func(t *testing.T) {
-		t.Parallel()
-		w := newTestRouter(t, newEndpoint(t, echo))
-		kept := w.keptClient()
-		w.setLimits(func(l *configuration.Limits) { l.HeaderTimeoutMS = short.Milliseconds() })
-		kept.send(request("POST", "/once/x", "r2", "b")[:50])
-		kept.expectClosedWithin(short+headTimeoutMargin/2, short+2*headTimeoutMargin)
-	})
+	text := request("POST", "/once/x", "r2", "b")
+	for name, limit := range timeLimits {
+		t.Run(name+", raised", func(t *testing.T) {
+			t.Parallel()
+			w := newTestRouter(t, newEndpoint(t, echo))
+			w.setLimits(func(l *configuration.Limits) { limit.set(l, short) })
+			kept := w.keptClient()
+			w.setLimits(func(*configuration.Limits) {})
+			kept.send(text[:limit.begun])
+			time.Sleep(short + limit.margin + 500*time.Millisecond)
+			kept.send(text[limit.begun:])
+			if got := kept.receive(); got.StatusCode != http.StatusOK {
+				t.Errorf("got %v, want 200", got.Response)
+			}
+		})
+		t.Run(name+", lowered", func(t *testing.T) {
+			t.Parallel()
+			w := newTestRouter(t, newEndpoint(t, echo))
+			kept := w.keptClient()
+			w.setLimits(func(l *configuration.Limits) { limit.set(l, short) })
+			if limit.answer {
+				kept.send(text)
+				kept.receive()
+			}
+			kept.send(text[:limit.begun])
+			kept.expectClosedWithin(short+limit.margin/2, short+2*limit.margin)
+		})
+	}
 }
 
 // A router that may lack the newest configuration does not know whether a request is too large.
