--- a/internal/router/ingress/configuration_change_test.go
+++ b/internal/router/ingress/configuration_change_test.go
@@ -23,9 +23,9 @@
 }
 
 // routeOf returns the route with a path prefix.
-func (i *index) routeOf(prefix string) *configuration.Route {
-	at := slices.IndexFunc(i.routes, func(r configuration.Route) bool { return r.PathPrefix == prefix })
-	return &i.routes[at]
+func (x *index) routeOf(prefix string) *configuration.Route {
+	at := slices.IndexFunc(x.routes, func(r configuration.Route) bool { return r.PathPrefix == prefix })
+	return &x.routes[at]
 }
 
 // A request on a kept connection is judged by the routes and tenants in force when it comes, whether the connection was idle
