Test surplus answers where a stream is resumed, by the router and by its client

Cause: the tests of surplus answers had complete answers to requests that were turned away or sent again; none had a stream that goes on elsewhere, or that its client takes up under the same id.

Change: two tests, TestSurplusAnswerIsNotTakenForTheRestOfAStream and TestSurplusStreamIsNotTakenForTheRest.

--- a/internal/router/ingress/harness_test.go
+++ b/internal/router/ingress/harness_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -93,8 +94,7 @@
 // fakeDecider stands for the dispatcher's decider: each request is sent to the endpoints in turn, as often as it asks for one.
 type fakeDecider struct {
 	mutex       sync.Mutex
-	endpoints   []string          // addresses; the ids are e0, e1 and so on
-	oneEndpoint bool              // all addresses are those of one endpoint, e0
+	endpoints   []string          // addresses; the ids are e0, e1 and so on, by the first place of the address
 	keepPending bool              // requests get no decision
 	rejectWith  *dispatch.Reject  // the decision for each request, nil for none
 	abandonNext *dispatch.Abandon // in the next step
@@ -160,10 +160,7 @@
 		return []dispatch.Output{dispatch.Reject{ID: id, Reason: dispatch.AttemptsExhausted, RetryAfter: 250 * time.Millisecond}}
 	}
 	d.attempts[id]++
-	endpoint := fmt.Sprintf("e%d", n)
-	if d.oneEndpoint {
-		endpoint = "e0"
-	}
+	endpoint := fmt.Sprintf("e%d", slices.Index(d.endpoints, d.endpoints[n])) // one endpoint may be chosen again
 	return []dispatch.Output{dispatch.Send{
 		ID: id, Endpoint: endpoint, Address: d.endpoints[n], Priority: 4, MaxConnections: 8,
 	}}
--- a/internal/router/ingress/surplus_answer_test.go
+++ b/internal/router/ingress/surplus_answer_test.go
@@ -33,6 +33,23 @@
 	return c.Conn.Write(b)
 }
 
+// surplusBefore serves like the given function, and sends a copy of its last answer on a connection before each next one.
+func surplusBefore(serve func(c net.Conn, r *receivedRequest) bool) func(c net.Conn, r *receivedRequest) bool {
+	var mutex sync.Mutex
+	previous := map[net.Conn][]byte{}
+	return func(c net.Conn, r *receivedRequest) bool {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if _, err := c.Write(previous[c]); err != nil {
+			return false
+		}
+		answer := &recordingConn{Conn: c}
+		ok := serve(answer, r)
+		previous[c] = answer.written.Bytes()
+		return ok
+	}
+}
+
 // surplusEndpoint answers a request's first arrival as told, and any further one with 200. On each connection, an answer
 // is followed by a second copy of itself when the next request arrives.
 type surplusEndpoint struct {
@@ -40,33 +57,25 @@
 	headers []string
 
 	mutex    sync.Mutex
-	previous map[net.Conn][]byte // the last answer on a connection
-	arrivals map[string]int      // by request id
+	arrivals map[string]int // by request id
 }
 
 func (s *surplusEndpoint) serve(c net.Conn, r *receivedRequest) bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if _, err := c.Write(s.previous[c]); err != nil {
-		return false
-	}
-	answer := &recordingConn{Conn: c}
 	id := r.Header.Get("X-Request-Id")
+	s.mutex.Lock()
 	s.arrivals[id]++
-	ok := false
-	if s.arrivals[id] == 1 {
-		ok = reply(answer, r, s.status, "first", s.headers...)
-	} else {
-		ok = success(answer, r, "second")
+	first := s.arrivals[id] == 1
+	s.mutex.Unlock()
+	if first {
+		return reply(c, r, s.status, "first", s.headers...)
 	}
-	s.previous[c] = answer.written.Bytes()
-	return ok
+	return success(c, r, "second")
 }
 
 func newSurplusEndpoint(t *testing.T, status string, headers []string) (*surplusEndpoint, *endpoint) {
 	t.Helper()
-	s := &surplusEndpoint{status: status, headers: headers, previous: map[net.Conn][]byte{}, arrivals: map[string]int{}}
-	return s, newEndpoint(t, s.serve)
+	s := &surplusEndpoint{status: status, headers: headers, arrivals: map[string]int{}}
+	return s, newEndpoint(t, surplusBefore(s.serve))
 }
 
 // Guards against review/1: the router sent a request that was turned away again on the same connection, and took a late
@@ -79,7 +88,6 @@
 		t.Run(name, func(t *testing.T) {
 			s, e := newSurplusEndpoint(t, a.status, a.headers)
 			w := newTestRouter(t, e, e, e)
-			w.decider.oneEndpoint = true
 			if got := w.ask(request("POST", "/once/x", "r1", "b")); got.text != "second" {
 				t.Errorf("got %v %q, want the answer to the second attempt", got.Status, got.text)
 			}
@@ -106,6 +114,47 @@
 	}
 }
 
+// A stream broke off at another endpoint, and goes on at one that has turned its request away before: a copy of that answer
+// is not taken for the rest of the stream.
+func TestSurplusAnswerIsNotTakenForTheRestOfAStream(t *testing.T) {
+	for name, a := range surplusAnswers {
+		if name == "failed" || name == "served" {
+			continue // not sent again
+		}
+		t.Run(name, func(t *testing.T) {
+			breaking := newEndpoint(t, streaming(3, "s0", reset))
+			resuming := newEndpoint(t, surplusBefore(func(c net.Conn, r *receivedRequest) bool {
+				if r.Header.Get("Last-Event-Id") == "" {
+					return reply(c, r, a.status, "first", a.headers...)
+				}
+				return streaming(5, "s1", nil)(c, r)
+			}))
+			w := newTestRouter(t, resuming, breaking, resuming)
+			got := w.ask(request("POST", "/resumable/x", "r1", "b"))
+			if got.err != nil || got.text != eventsTo(1, 5) || got.Header.Get("X-Response-Signature") != "s0" {
+				t.Errorf("got %v %q %v, want events 1 to 5 with the first signature", got.Response, got.text, got.err)
+			}
+			if arrived := len(resuming.requests()); arrived != 2 {
+				t.Errorf("the second endpoint got %d requests, want 2: one turned away, one resumed", arrived)
+			}
+		})
+	}
+}
+
+// The client takes up a stream under the same id: the copy of the whole stream that it got before is not taken for the rest.
+func TestSurplusStreamIsNotTakenForTheRest(t *testing.T) {
+	for _, path := range []string{"/resumable/x", "/stream/x"} {
+		e := newEndpoint(t, surplusBefore(streaming(5, "s0", nil)))
+		w := newTestRouter(t, e)
+		if got := w.ask(request("POST", path, "r1", "b")); got.text != eventsTo(1, 5) {
+			t.Fatalf("%s: got %q, want events 1 to 5", path, got.text)
+		}
+		if got := w.ask(request("POST", path, "r1", "b", "Last-Event-Id: 2")); got.err != nil || got.text != eventsTo(3, 5) {
+			t.Errorf("%s: got %q %v, want events 3 to 5", path, got.text, got.err)
+		}
+	}
+}
+
 // Only a request that is sent again needs another connection: others share one.
 func TestRequestsOfOtherClientsReuseTheConnection(t *testing.T) {
 	e := newEndpoint(t, echo)
