--- a/coordination/simnet/cluster.go
+++ b/coordination/simnet/cluster.go
@@ -51,6 +51,15 @@
 	return nil
 }
 
+// EndAll ends the processes of all machines at this moment, by a loss of power or by kills, and starts them again soon.
+func (c *Cluster) EndAll(power bool) {
+	if power {
+		c.world.powerLossOfAll(0)
+		return
+	}
+	c.world.killAll(0)
+}
+
 // Machines returns how many machines there are, removed ones included.
 func (c *Cluster) Machines() int { return len(c.world.machines) }
 
--- a/coordination/simnet/embedded.go
+++ b/coordination/simnet/embedded.go
@@ -49,6 +49,10 @@
 			return
 		}
 		head, length := w.head(), w.between(100*time.Millisecond, 4*time.Second)
+		if head == nil { // all processes have ended and start again
+			w.after(length, next)
+			return
+		}
 		switch w.random.IntN(7) {
 		case 0, 1:
 			head.freeze()
@@ -70,7 +74,8 @@
 	next()
 }
 
-// head returns the machine whose member is the head of the newest view that a running member has entered.
+// head returns the machine whose member is the head of the newest view that a running member has entered; nil if none
+// runs.
 func (w *World) head() *machine {
 	var newest *machine
 	for _, m := range w.machines {
@@ -81,6 +86,9 @@
 			newest = m
 		}
 	}
+	if newest == nil {
+		return nil
+	}
 	for _, m := range w.machines {
 		if m.node != nil && !m.removed && m.node.Self().Identity == newest.engine.Node().View().Head().Identity {
 			return m
--- a/internal/control/roles/fencing_test.go
+++ b/internal/control/roles/fencing_test.go
@@ -41,6 +41,10 @@
 	// Injected faults.
 	skipHandoverDelay bool // no delay after the former leader's lease
 	unboundedOrders   bool // an order may be in flight for longer than the handover delay
+	hastyStart        bool // a started process acts without that delay
+
+	endsOfAll   int // how often all processes still end at the moment at which an order is accepted
+	endsByPower bool
 }
 
 // simulatedProcess is one incarnation of a process. It has at most one order in flight.
@@ -48,6 +52,7 @@
 	incarnation   int
 	leadership    *Leadership
 	orderInFlight bool
+	acted         bool
 }
 
 // arrival is an order that arrived at the endpoint.
@@ -99,15 +104,19 @@
 	now := toTime(process.Now)
 	sender := f.processes[machine]
 	if sender == nil || sender.incarnation != process.Incarnation {
-		sender = &simulatedProcess{incarnation: process.Incarnation, leadership: NewLeadership(shortLease, now)}
+		startedAt := now
+		if f.hastyStart {
+			startedAt = now.Add(-shortLease)
+		}
+		sender = &simulatedProcess{incarnation: process.Incarnation, leadership: NewLeadership(shortLease, startedAt)}
 		f.processes[machine] = sender
 	}
 	status := statusOf(process.Status)
-	if f.skipHandoverDelay {
+	if f.skipHandoverDelay || f.hastyStart && !sender.acted {
 		status.PreviousLeaseExpiry, status.LeaderSince = now.Add(-shortLease), now.Add(-shortLease)
 	}
 	if out := sender.leadership.Step(now, status); out.MayAct && !sender.orderInFlight {
-		sender.orderInFlight = true
+		sender.orderInFlight, sender.acted = true, true
 		f.dial(machine, sender, out.Epoch)
 	}
 }
@@ -185,6 +194,17 @@
 		f.leaderChanges++
 	}
 	f.arrivals = append(f.arrivals, current)
+	f.maybeEndAll()
+}
+
+// maybeEndAll ends all processes now and then, while the endpoint accepts an order: what was sent before still arrives.
+func (f *fencingHistory) maybeEndAll() {
+	const ordersBetweenEnds = 10
+	if f.endsOfAll == 0 || f.cluster.RandomInt(ordersBetweenEnds) > 0 {
+		return
+	}
+	f.endsOfAll--
+	f.cluster.EndAll(f.endsByPower)
 }
 
 func (f *fencingHistory) fail(format string, values ...any) {
@@ -230,6 +250,28 @@
 	}
 }
 
+// TestOrdersAreFencedAfterAllProcessesEnd ends all processes several times, each time at the moment at which an endpoint
+// accepts an order. A leader that is started again must not act before what an earlier one sent has ended.
+func TestOrdersAreFencedAfterAllProcessesEnd(t *testing.T) {
+	const ends, seeds = 4, 8
+	for name, power := range map[string]bool{"kill": false, "loss of power": true} {
+		t.Run(name, func(t *testing.T) {
+			orders := 0
+			for seed := uint64(1); seed <= seeds; seed++ {
+				f := &fencingHistory{endsOfAll: ends, endsByPower: power}
+				if err := runFencingHistory(seed, f); err != nil {
+					t.Errorf("seed %d: %v", seed, err)
+				}
+				if f.endsOfAll > 0 {
+					t.Errorf("seed %d: all processes ended %d times too few", seed, f.endsOfAll)
+				}
+				orders += f.orders
+			}
+			t.Logf("%d histories, %d orders", seeds, orders)
+		})
+	}
+}
+
 // TestInjectedFencingFaultsAreDetected injects faults into the handover, which the histories must reveal. Two faults are
 // left out: a leader that alternates with another within one lease, which TestLeadersNeverAlternateInOneLease detects,
 // and a missing check of the lease right before an order is sent, which has no effect because the order timeout also
@@ -239,6 +281,7 @@
 	for name, inject := range map[string]func() *fencingHistory{
 		"no delay between leaders":              func() *fencingHistory { return &fencingHistory{skipHandoverDelay: true} },
 		"orders longer than the handover delay": func() *fencingHistory { return &fencingHistory{unboundedOrders: true} },
+		"no delay after a start":                func() *fencingHistory { return &fencingHistory{hastyStart: true, endsOfAll: 4} },
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := uint64(1); seed <= seeds; seed++ {
