Let KNOWN-RED.txt name scripts, which check.sh runs and prints

Cause: an entry had to be a go test, so that the cases of a review stood there as comments, which nothing ran.

Change: where the command begins with its ./FOLDER, it is a script: run within the same time, told by its exit code, or as absent where it must be built first. It takes no package out of the regular run.

--- a/check.sh
+++ b/check.sh
@@ -2,8 +2,9 @@
 # Checks format, vet, the linter, both builds, how they are linked and what a clean machine needs for them, plays a short soak
 # with real processes, and runs the tests.
 #
-# A test that is known to fail is listed in KNOWN-RED.txt, one line each, fields divided by tabs: test name, the go test
-# command that shows the failure (with its seed), what was seen, issue.
+# A test that is known to fail is listed in KNOWN-RED.txt, one line each, fields divided by tabs: test name, the command
+# that shows the failure (with its seed), what was seen, issue. The command is a go test, or a script with its arguments that
+# fails by its exit code; a script that is not there, as it must be built first, is told as such.
 # These commands run separately and their outcome is printed; all other tests must pass. A test whose command draws its
 # cases by another seed than this script's must pass with this script's.
 set -eu
@@ -38,15 +39,16 @@
 	done
 }
 
-# reds prints the known failures: test name, import path of its package, command, what was seen, issue.
+# reds prints the known failures: test name, import path of its package ("script" for a script), command, what was seen, issue.
 reds() {
 	[ -f "$known_red" ] || return 0
 	while IFS="$tab" read -r name command seen issue; do
 		case $name in '' | '#'*) continue ;; esac
 		folder=$(printf '%s\n' "$command" | tr ' ' '\n' | grep -m 1 '^\./' || :)
 		[ -n "$folder" ] && [ -n "$issue" ] ||
-			{ echo "$known_red: $name: want test, command with ./FOLDER, what was seen and issue, divided by tabs" >&2; exit 1; }
-		package=$(go list "$folder")
+			{ echo "$known_red: $name: want test, command with ./FOLDER or ./SCRIPT, what was seen and issue, divided by tabs" >&2; exit 1; }
+		package=script
+		[ "$folder" = "${command%% *}" ] || package=$(go list "$folder")
 		printf '%s\t%s\t%s\t%s\t%s\n' "$name" "$package" "$command" "$seen" "$issue"
 	done <"$known_red"
 }
@@ -85,6 +87,21 @@
 # Recorded decisions are compared bit by bit, so that tests run without the fused multiplication that other compilers use.
 [ "$(go env GOARCH)" = amd64 ] || export GOFLAGS="$(go env GOFLAGS) -gcflags=all=-d=fmahash=qn"
 
+# test_outcome runs the go test command of a known failure and prints what came of it.
+test_outcome() {
+	outcome=fails
+	output=$(GOFLAGS="${GOFLAGS:-} -v -count=1 -timeout=$known_red_time" sh -c "$1" 2>&1 </dev/null) && outcome=passes
+	printf '%s\n' "$output" | grep -q '^=== RUN' || outcome="does not run"
+	echo "$outcome"
+}
+
+# script_outcome runs the script of a known failure and prints what came of it.
+script_outcome() {
+	script=${1%% *}
+	[ -x "$script" ] || { echo "does not run, as there is no $script"; return; }
+	if timeout "$known_red_time" sh -c "$1" >/dev/null 2>&1 </dev/null; then echo passes; else echo "fails with exit code $?"; fi
+}
+
 tab=$(printf '\t')
 bad=$(gofmt -l .)
 [ -z "$bad" ] || { echo "not formatted: $bad"; exit 1; }
@@ -112,7 +129,7 @@
 	END { exit bad }' $files
 
 red_list=$(reds)
-red_packages=$(printf '%s\n' "$red_list" | cut -f2 | sort -u)
+red_packages=$(printf '%s\n' "$red_list" | cut -f2 | grep -vx script | sort -u || :)
 all_packages=$(go list ./...)
 rapid_packages=$(rapid_packages)
 [ -n "$rapid_packages" ] || { echo "no package has property tests by rapid: rapid_packages finds none"; exit 1; }
@@ -126,8 +143,10 @@
 	play_tests "$package" -race -skip "$(skipped_tests "$package" | pattern)"
 done
 [ -z "$red_list" ] || printf '%s\n' "$red_list" | while IFS="$tab" read -r name package command seen issue; do
-	outcome=fails
-	output=$(GOFLAGS="${GOFLAGS:-} -v -count=1 -timeout=$known_red_time" sh -c "$command" 2>&1 </dev/null) && outcome=passes
-	printf '%s\n' "$output" | grep -q '^=== RUN' || outcome="does not run"
+	if [ "$package" = script ]; then
+		outcome=$(script_outcome "$command")
+	else
+		outcome=$(test_outcome "$command")
+	fi
 	echo "known red: $name of $package $outcome ($seen; $issue)"
 done
