Tell an expired lease also where the connection closes before its error

Cause: a write that is refused for an expired lease makes net/http close the connection, and its client then reports either the write's error or that of the closed connection. In the second case an order that was surely not sent was logged as one that may have been; its outcome is unknown in both.

Change: the call notes that a write was refused, and the error wraps ErrLeaseExpired then.

--- a/internal/control/roles/endpoint_client.go
+++ b/internal/control/roles/endpoint_client.go
@@ -65,7 +65,7 @@
 // SendOrder sends one order with the epoch as its fencing token and returns its outcome. An error says why there was no
 // response. Unless the error is ErrLeaseExpired, the endpoint may still have accepted the order.
 func (c *EndpointClient) SendOrder(ctx context.Context, epoch uint64, order placer.Order) (placer.Outcome, error) {
-	ctx, cancel := context.WithTimeout(withEpoch(ctx, epoch), c.timeout)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	body := orderBody{
 		Operation:    operationLoad,
@@ -83,7 +83,7 @@
 	if err != nil {
 		return placer.Invalid, fmt.Errorf("order to endpoint %s: build request: %w", order.Endpoint, err)
 	}
-	response, err := c.client.Do(request.WithContext(ctx))
+	response, err := doGuarded(ctx, c.client, epoch, request)
 	if err != nil {
 		return placer.Unknown, fmt.Errorf("order to endpoint %s: %w", order.Endpoint, err)
 	}
@@ -119,14 +119,14 @@
 
 // Inspect reads an endpoint's own report. With an error, it returns an inspection that is marked as failed.
 func (c *EndpointClient) Inspect(ctx context.Context, epoch uint64, id, address string) (placer.Inspection, error) {
-	ctx, cancel := context.WithTimeout(withEpoch(ctx, epoch), c.timeout)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	failed := placer.Inspection{Endpoint: id, Failed: true}
 	request, err := sling.New().Base("http://"+address).Get("/-/report").Set("X-Expected-Instance", id).Request()
 	if err != nil {
 		return failed, fmt.Errorf("report of endpoint %s: build request: %w", id, err)
 	}
-	response, err := c.client.Do(request.WithContext(ctx))
+	response, err := doGuarded(ctx, c.client, epoch, request)
 	if err != nil {
 		return failed, fmt.Errorf("report of endpoint %s: %w", id, err)
 	}
--- a/internal/control/roles/endpoint_client_test.go
+++ b/internal/control/roles/endpoint_client_test.go
@@ -105,6 +105,40 @@
 	}
 }
 
+// closingConn ends the connection as soon as a write has failed, as net/http may do before it reports the write's error.
+type closingConn struct{ *leaseGuardedConn }
+
+func (c closingConn) Write(b []byte) (int, error) {
+	n, err := c.leaseGuardedConn.Write(b)
+	if err != nil {
+		_ = c.Close()
+		time.Sleep(10 * time.Millisecond) // until the reader of the connection has seen it
+	}
+	return n, err
+}
+
+// A refused write is told as such also where net/http reports the closed connection instead.
+func TestExpiredLeaseIsToldWhenTheConnectionClosesFirst(t *testing.T) {
+	endpoint := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer endpoint.Close()
+	client := NewEndpointClient("n", lease, func(uint64) bool { return false })
+	transport := client.client.Transport.(*http.Transport)
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		connection, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return closingConn{connection.(*leaseGuardedConn)}, nil
+	}
+	if _, err := client.SendOrder(t.Context(), 1, placer.Order{Address: serverAddress(endpoint)}); !errors.Is(err, ErrLeaseExpired) {
+		t.Errorf("order: got %v, want %v", err, ErrLeaseExpired)
+	}
+	if _, err := client.Inspect(t.Context(), 1, "e", serverAddress(endpoint)); !errors.Is(err, ErrLeaseExpired) {
+		t.Errorf("inspection: got %v, want %v", err, ErrLeaseExpired)
+	}
+}
+
 func TestOrderWithoutResponseHasUnknownOutcome(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/control/roles/lease_guard.go
+++ b/internal/control/roles/lease_guard.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,11 +19,24 @@
 // LeaseCheck reports whether this instance may act in an epoch at this moment.
 type LeaseCheck func(epoch uint64) bool
 
-// epochKey is the context key for the epoch of a call.
-type epochKey struct{}
+// guardedCall is one call to an endpoint.
+type guardedCall struct {
+	epoch   uint64      // 0: none, for which no lease is held
+	refused atomic.Bool // a write was refused because the lease had expired
+}
+
+// guardedCallKey is the context key for the *guardedCall of a request.
+type guardedCallKey struct{}
 
-func withEpoch(ctx context.Context, epoch uint64) context.Context {
-	return context.WithValue(ctx, epochKey{}, epoch)
+// doGuarded makes a call in an epoch. The error wraps ErrLeaseExpired if a write was refused: net/http closes the connection
+// then, and may report that alone.
+func doGuarded(ctx context.Context, client *http.Client, epoch uint64, request *http.Request) (*http.Response, error) {
+	call := &guardedCall{epoch: epoch}
+	response, err := client.Do(request.WithContext(context.WithValue(ctx, guardedCallKey{}, call)))
+	if err != nil && call.refused.Load() && !errors.Is(err, ErrLeaseExpired) {
+		err = fmt.Errorf("%w: %w", ErrLeaseExpired, err)
+	}
+	return response, err
 }
 
 // newHTTPClient returns the HTTP client for all calls to endpoints. Each call uses its own connection, on which nothing is
@@ -38,8 +52,11 @@
 		if tcp, isTCP := connection.(*net.TCPConn); isTCP {
 			_ = tcp.SetLinger(0) // if this fails, an order that timed out may arrive late
 		}
-		epoch, _ := ctx.Value(epochKey{}).(uint64) // 0 if there is no epoch; no lease is held for it
-		return &leaseGuardedConn{Conn: connection, leaseHeld: func() bool { return leaseHeld(epoch) }}, nil
+		call, guarded := ctx.Value(guardedCallKey{}).(*guardedCall)
+		if !guarded {
+			call = &guardedCall{}
+		}
+		return &leaseGuardedConn{Conn: connection, call: call, leaseHeld: leaseHeld}, nil
 	}
 	return &http.Client{
 		Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
@@ -65,11 +82,13 @@
 // leaseGuardedConn is a connection whose writes fail with ErrLeaseExpired when the lease is no longer held.
 type leaseGuardedConn struct {
 	net.Conn
-	leaseHeld func() bool
+	call      *guardedCall
+	leaseHeld LeaseCheck
 }
 
 func (c *leaseGuardedConn) Write(bytes []byte) (int, error) {
-	if !c.leaseHeld() {
+	if !c.leaseHeld(c.call.epoch) {
+		c.call.refused.Store(true)
 		return 0, ErrLeaseExpired
 	}
 	return c.Conn.Write(bytes)
