Soak: endpoints that leave, surplus answers, streams that run once, kills after a refusal

They send answers a second time, say 503 while a model is loaded, take longer for a load than configured, and end the connection where a stream is not complete. A third of the streams can't be resumed. Checked besides: MIXED, ORDER, and DRAIN at endpoints.

SIGHUP goes only to a router that has begun.

--- a/internal/lab/standin/order.go
+++ b/internal/lab/standin/order.go
@@ -43,6 +43,9 @@
 	}
 	e.revision++
 	e.orderRunning = true
+	if received.Operation == operationLoad && received.Adapter == "" {
+		e.loading = received.Model
+	}
 	e.goroutines.Go(func() { e.execute(received) })
 	e.options.Log.Info("order", "endpoint", e.options.ID, "operation", received.Operation, "model", received.Model,
 		"adapter", received.Adapter, "holder", received.Holder)
@@ -56,11 +59,14 @@
 		if received.Adapter != "" {
 			loadTime = adapterLoadTime
 		}
+		if e.options.ExtraLoadTime != nil {
+			loadTime += e.options.ExtraLoadTime()
+		}
 		time.Sleep(loadTime) // simulates the time for loading
 	}
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	e.orderRunning = false
+	e.orderRunning, e.loading = false, ""
 	model := e.models[received.Model]
 	switch {
 	case received.Operation == operationUnload && received.Adapter == "":
--- a/internal/lab/standin/standin.go
+++ b/internal/lab/standin/standin.go
@@ -28,6 +28,9 @@
 	EventsPerStream   int                      // number of events of a stream
 	HeartbeatInterval time.Duration
 	OnRun             func(requestID string) // called when a request begins to run; may be nil
+	OnArrival         func(requestID string) // called when a request arrives that is not misdirected; may be nil
+	RepeatAnswer      RepeatAnswer           // may be nil
+	ExtraLoadTime     func() time.Duration   // beyond LoadTime, of each load; may be nil
 	Log               *slog.Logger
 }
 
@@ -43,6 +46,7 @@
 	models          map[string]*loadedModel
 	revision        uint64 // number of accepted orders since the start
 	orderRunning    bool
+	loading         string // model that is being loaded; empty: none
 	runningRequests int
 	sequence        uint64
 	draining        bool
@@ -64,6 +68,9 @@
 		e.models[model] = &loadedModel{}
 	}
 	e.server = &http.Server{Handler: e.handler(), ReadHeaderTimeout: 5 * time.Second}
+	if options.RepeatAnswer != nil {
+		listener = surplusListener{listener, options.RepeatAnswer}
+	}
 	e.goroutines.Go(func() { _ = e.server.Serve(listener) }) // returns after Shutdown or Close
 	e.goroutines.Go(func() { e.register(ctx) })
 	return e, nil
--- a/internal/lab/system/operator.go
+++ b/internal/lab/system/operator.go
@@ -22,6 +22,7 @@
 	ledgerService    = "ledger"
 	writerPath       = "/write/"
 	ledgerPath       = "/ledger/"
+	oncePath         = "/once/" // streams that can't be resumed: they run once at most
 	tenantName       = "library"
 	tenantKey        = "key-of-the-library"
 	modelMB          = 40000
@@ -65,6 +66,10 @@
 				Name: "ledger", Hostname: host, PathPrefix: ledgerPath, Type: configuration.NonIdempotent, TimeoutMS: 2000,
 				LatencyTargetMS: 500, Backend: ledgerService, MaxAttempts: 1,
 			},
+			{
+				Name: "once", Hostname: host, PathPrefix: oncePath, Type: configuration.Streaming, TimeoutMS: 10000,
+				LatencyTargetMS: 5000, Backend: writerService, MaxAttempts: 2, EventGapTargetMS: 500,
+			},
 		},
 		Tenants: []configuration.Tenant{{
 			Name: tenantName, APIKeys: []string{tenantKey}, Unit: configuration.UnitTokens,
--- a/internal/lab/system/process.go
+++ b/internal/lab/system/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,10 +15,11 @@
 
 // process is one of the system's programs, running.
 type process struct {
-	name  string
-	log   string
-	run   *exec.Cmd
-	ended chan error
+	name     string
+	log      string
+	logStart int64 // size of the log at the start of the process
+	run      *exec.Cmd
+	ended    chan error
 }
 
 // startProcess writes the settings file and starts the program with it.
@@ -32,6 +34,9 @@
 		return nil, fmt.Errorf("log of %s: %w", name, err)
 	}
 	defer func() { _ = output.Close() }() // the program has its own descriptor of it
+	if p.logStart, err = output.Seek(0, io.SeekEnd); err != nil {
+		return nil, fmt.Errorf("log of %s: %w", name, err)
+	}
 	p.run = exec.Command(filepath.Join(w.options.Programs, program), "run")
 	p.run.Env = append(os.Environ(), nodeconfig.EnvironmentVariable+"="+path)
 	p.run.Stdout, p.run.Stderr = output, output
@@ -59,6 +64,22 @@
 	return all
 }
 
+// hasBegun reports whether the process has written to its log, which it does once it listens and handles signals.
+func (p *process) hasBegun() bool {
+	info, err := os.Stat(p.log)
+	return err == nil && info.Size() > p.logStart
+}
+
+// endedAtItsStart reports whether the process has ended by a SIGTERM that came before it could handle signals. It had
+// accepted nothing by then.
+func (p *process) endedAtItsStart() bool {
+	if p.run.ProcessState == nil {
+		return false
+	}
+	status, ok := p.run.ProcessState.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == syscall.SIGTERM && !p.hasBegun()
+}
+
 // exited says whether the process has ended by now.
 func (p *process) exited() bool {
 	select {
