Quota: bound how long headroom may be issued, and count it until then

What was seen (KNOWN-RED.txt, QUOTA): 41,698 spent in a window that allows 40,818, in the model, while one of three holders is cut off.

Cause: a successor counted the headroom of a cut-off owner's newest record as issued at the takeover, but that owner could issue it until its lease ended, so that it had left the successor's count when it was spent.

Change: headroom may be issued for 1.2 s from the making of its record, and a successor counts it as issued now until then. PeerCopy tells the age of the record, records name what is inherited; builds before ignore both. What is inherited is no demand.

--- a/internal/control/quota/doc.go
+++ b/internal/control/quota/doc.go
@@ -24,7 +24,9 @@
 //     until that credit has left all windows: ownership.go, takeover.go.
 //   - A holder that was killed knows what it issued from a record on its disk. The record also has a headroom, which is what
 //     may be issued before the next record. Nothing is issued beyond the headroom of a durable record, which is one that is
-//     synced to the holder's disk and to that of a peer (recorder.go).
+//     synced to the holder's disk and to that of a peer, and nothing later than recordValidity after it was made (recorder.go).
+//   - A new owner counts the headroom of the previous owner's record as issued until it can't be issued any more
+//     (inheritance.go).
 //   - A holder without a readable record issues nothing in its first issuance interval, unless its disk was empty.
 //
 // # Liveness
--- a/internal/control/quota/holder.go
+++ b/internal/control/quota/holder.go
@@ -30,6 +30,7 @@
 	expiredBeforeStart map[string]bool        // former holders that an earlier process recorded as expired
 	copies             map[string]*RecordCopy // newest records of other holders, by identity
 	copiesUnreadable   bool                   // see PersistedState.CopiesUnreadable
+	inheritances       []*inheritance
 
 	nearPeers, farPeers []Peer                 // in this holder's zone and in other zones, sorted by address
 	peerBackoffs        map[string]peerBackoff // peers that did not answer in time, by address
@@ -147,6 +148,9 @@
 		for _, recorded := range previousRecord.Tenants {
 			h.tenant(now, recorded.Name).issued.restore(recorded.Issued, recorded.Headroom)
 		}
+		for _, recorded := range previousRecord.Inherited { // which the recorded tenants include
+			h.inherit(now, recorded.Name, float64(recorded.Amount), now.Add(recordValidity))
+		}
 	}
 	return h
 }
@@ -155,6 +159,7 @@
 func (h *Holder) Step(now time.Time, in Input) Output {
 	h.output = Output{}
 	h.observe(now, in)
+	h.carryInheritances(now)
 	for _, event := range in.Events {
 		h.handle(now, event)
 	}
@@ -180,7 +185,7 @@
 		case *protocol.PeerCreditReturn:
 			h.peerReturnReceived(now, message)
 		case *protocol.PeerRecord:
-			h.peerRecordReceived(message)
+			h.peerRecordReceived(now, message)
 		case *protocol.PeerRecordAck:
 			h.recordAcknowledged(now, message)
 		case *protocol.PeerCopyRequest:
@@ -304,6 +309,11 @@
 			wake = check
 		}
 	}
+	for _, i := range h.inheritances {
+		if wake.IsZero() || i.until.Before(wake) {
+			wake = i.until
+		}
+	}
 	for _, request := range h.requests {
 		if wake.IsZero() || request.stageDeadline.Before(wake) {
 			wake = request.stageDeadline
--- a/internal/control/quota/record.go
+++ b/internal/control/quota/record.go
@@ -18,6 +18,14 @@
 	Shares         []RecordedShare  `cbor:"3,keyasint,omitempty"` // that were usable
 	Tenants        []RecordedTenant `cbor:"4,keyasint,omitempty"` // with issued credit in the interval, or with headroom
 	ExpiredHolders []string         `cbor:"5,keyasint,omitempty"` // former holders whose leases have ended
+	Inherited      []RecordedAmount `cbor:"6,keyasint,omitempty"` // part of Tenants that a previous owner may still issue
+}
+
+// RecordedAmount is an amount of one tenant's limit.
+type RecordedAmount struct {
+	_      struct{} `cbor:",toarray"`
+	Name   string
+	Amount uint64
 }
 
 // RecordedShare is a share that was usable.
--- a/internal/control/quota/recorder.go
+++ b/internal/control/quota/recorder.go
@@ -16,6 +16,8 @@
 	recordRetryInterval   = 500 * time.Millisecond          // after a record that could not be written
 	ackTimeout            = 25 * time.Millisecond           // for a peer's acknowledgement, from the start of the record
 	ackRetryInterval      = 50 * time.Millisecond           // after a record that no peer acknowledged in time
+	recordRefreshInterval = 600 * time.Millisecond          // after which a record is replaced while credit is issued
+	recordValidity        = 1200 * time.Millisecond         // from a record's start: its headroom may be issued so long
 	recordSequenceGap     = 1 << 20                         // between the sequences of two processes
 	unknownSequence       = 1 << 40                         // first sequence of a process that cannot read its earlier record
 	minHeadroomFraction   = 0.3                             // of the recently issued credit: with less headroom a new record is due
@@ -54,6 +56,7 @@
 	synced             bool      // the newest record is on the disk
 	acknowledged       bool      // a peer has stored the newest record, or none has to
 	startedAt          time.Time // when the newest record was made
+	validUntil         time.Time // until when the headroom of the newest durable record may be issued
 	retryAt            time.Time // no record is made before, because the previous one failed
 	hasWaiters         bool      // requests wait for the next record
 	expiredHolderCount int       // number of former holders that the newest record lists as expired
@@ -83,7 +86,7 @@
 		return
 	}
 	awaited := h.recorder.hasWaiters && now.Sub(h.recorder.startedAt) >= minRecordInterval
-	due := h.headroomIsLow() || len(h.expiredHolders(now)) > h.recorder.expiredHolderCount
+	due := h.headroomIsLow() || h.recordIsOld(now) || len(h.expiredHolders(now)) > h.recorder.expiredHolderCount
 	if awaited || now.Sub(h.recorder.startedAt) >= idleRecordInterval && due {
 		h.output.Record = h.newRecord(now, false)
 	}
@@ -100,17 +103,39 @@
 	return false
 }
 
+// recordIsOld reports whether the newest record's headroom, from which credit was issued recently, is about to expire.
+func (h *Holder) recordIsOld(now time.Time) bool {
+	if now.Sub(h.recorder.startedAt) < recordRefreshInterval {
+		return false
+	}
+	for _, t := range h.tenants {
+		if t.issued.sumOfNewest(headroomCells) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// availableHeadroom returns the amount that may be issued to a tenant before another record is durable. A holder that has
+// lost its peers, and does not know that a successor has its shares, stops within recordValidity.
+func (h *Holder) availableHeadroom(now time.Time, t *tenant) float64 {
+	if !now.Before(h.recorder.validUntil) {
+		return 0
+	}
+	return t.headroom.available()
+}
+
 // newRecord makes a record of all issued credit. The last one before the process ends has no headroom.
 func (h *Holder) newRecord(now time.Time, last bool) *Record {
 	h.recorder.sequence++
 	h.recorder.writing, h.recorder.hasWaiters, h.recorder.startedAt = true, false, now
 	record := &Record{
 		Sequence: h.recorder.sequence, Identity: h.config.Identity, Shares: h.ownership.usableShares(now),
-		ExpiredHolders: h.expiredHolders(now),
+		ExpiredHolders: h.expiredHolders(now), Inherited: h.recordedInheritance(),
 	}
 	h.recorder.synced, h.recorder.acknowledged, h.recorder.expiredHolderCount = false, !h.needsAck(), len(record.ExpiredHolders)
 	for _, t := range h.tenants {
-		needed := math.Ceil(t.issued.sumOfNewest(headroomCells) + awaitedHeadroomFactor*t.headroom.awaitedAmount + t.largestRequest)
+		needed := math.Ceil(h.recentDemand(t) + awaitedHeadroomFactor*t.headroom.awaitedAmount + t.largestRequest)
 		t.largestRequest *= largestRequestDecay
 		if last || t.issued.sum <= 0 && t.headroom.awaitedAmount == 0 {
 			needed = 0
@@ -163,7 +188,9 @@
 // endRecord makes the headroom of a durable record available, or abandons the record, and resumes the requests that waited for it.
 func (h *Holder) endRecord(now time.Time, durable bool, backoff time.Duration) {
 	h.recorder.writing = false
-	if !durable {
+	if durable {
+		h.recorder.validUntil = h.recorder.startedAt.Add(recordValidity)
+	} else {
 		h.recorder.retryAt = now.Add(backoff)
 	}
 	for _, t := range h.tenants {
--- a/internal/control/quota/request.go
+++ b/internal/control/quota/request.go
@@ -99,7 +99,7 @@
 		request.amount = math.Max(request.waitingAmount, math.Min(request.amount, available*maxPrefetchFraction))
 	}
 	t.largestRequest = math.Max(t.largestRequest, request.amount)
-	if needed := math.Min(request.amount, available); needed > t.headroom.available() && !h.stopping {
+	if needed := math.Min(request.amount, available); needed > h.availableHeadroom(now, t) && !h.stopping {
 		t.headroom.awaitedAmount += needed
 		h.recorder.hasWaiters = true
 		request.awaitedRecord = h.recorder.sequence + 1 // a record that is being written does not include it
@@ -112,7 +112,7 @@
 
 // issueFromOwnShares issues the requested amount as far as this holder's shares and the headroom permit.
 func (h *Holder) issueFromOwnShares(now time.Time, request *creditRequest, t *tenant, available float64) {
-	amount := math.Min(math.Min(request.amount, available), t.headroom.available())
+	amount := math.Min(math.Min(request.amount, available), h.availableHeadroom(now, t))
 	if amount <= 0 {
 		return
 	}
--- a/internal/control/quota/rules_test.go
+++ b/internal/control/quota/rules_test.go
@@ -1,6 +1,8 @@
 package quota
 
 import (
+	"flag"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -10,6 +12,8 @@
 	"raventrestle/internal/control/shares"
 )
 
+var cutOffSeeds = flag.Int("cut-off-seeds", 24, "how many seeds TestNoWindowExceedsItsAllowanceWhileAnOwnerIsCutOff plays")
+
 func tenantsWithRates(rates ...float64) []configuration.Tenant {
 	var tenants []configuration.Tenant
 	for i, rate := range rates {
@@ -74,6 +78,27 @@
 	})
 }
 
+// One holder is cut off by itself for longer than its lease, while its routers go on asking it and tenants request several
+// times their limits. Its successors must count what it may still issue (KNOWN-RED.txt had seed 62078338416283195 of
+// TestNoWindowExceedsItsAllowance).
+func TestNoWindowExceedsItsAllowanceWhileAnOwnerIsCutOff(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(*cutOffSeeds) {
+		random := rand.New(rand.NewPCG(seed, 23))
+		sim := newSimulation(seed, 3+random.IntN(3), 2+random.IntN(5), tenantsWithRates(300+random.Float64()*6000), random.Float64()*2000)
+		sim.lossRate = 0.001 + 0.02*random.Float64()
+		h := sim.holders[random.IntN(len(sim.holders))]
+		sim.schedule(5*time.Second+time.Duration(random.IntN(10_000))*time.Millisecond, func() {
+			h.partitionedUntil, h.partitionID = sim.now+10*time.Second, 1
+		})
+		factor := 1.2 + 4*random.Float64()
+		sim.run(35*time.Second, sim.arrivals(func(int) float64 { return factor }, 600))
+		if sim.violation != "" {
+			t.Errorf("seed %d: %s", seed, sim.violation)
+		}
+	}
+}
+
 // Tenants of different size request about as much as their limits allow. A small tenant sends requests that no single holder
 // can grant alone. No request is denied while the spending in the interval that holders count (a window and 0.4 s), including the
 // request, is below nine tenths of a window's limit. This must hold with a leader and without one.
--- a/internal/control/quota/takeover.go
+++ b/internal/control/quota/takeover.go
@@ -37,14 +37,16 @@
 	shares        []int           // indexes
 	answered      map[string]bool // identities of the instances that have answered
 	newestRecord  *Record         // newest of the received records and the local copy; nil: none yet
+	madeBefore    time.Time       // the previous owner made that record before
 	requestedAt   time.Time       // zero: not yet
 }
 
 // RecordCopy is the newest record of another holder.
 type RecordCopy struct {
 	Record     *Record
-	Encoded    []byte // as returned by Record.Encode
-	AckAddress string // address of the holder's process, which waits for the acknowledgement
+	Encoded    []byte    // as returned by Record.Encode
+	AckAddress string    // address of the holder's process, which waits for the acknowledgement
+	ReceivedAt time.Time // by this process; zero: by an earlier one
 }
 
 // CopyWritten is an event: a copy in Output.Copies is synced, or Err is the reason why not.
@@ -109,7 +111,7 @@
 }
 
 // peerRecordReceived stores another holder's record unless it lists a share that the holder has lost.
-func (h *Holder) peerRecordReceived(message *protocol.PeerRecord) {
+func (h *Holder) peerRecordReceived(now time.Time, message *protocol.PeerRecord) {
 	record, err := DecodeRecord(message.Record)
 	if err != nil || record.Identity != message.Identity || record.Sequence != message.Sequence {
 		return
@@ -125,7 +127,7 @@
 	if existing := h.copies[message.Identity]; existing != nil && existing.Record.Sequence > record.Sequence {
 		return
 	}
-	received := &RecordCopy{Record: record, Encoded: message.Record, AckAddress: message.Origin.Address}
+	received := &RecordCopy{Record: record, Encoded: message.Record, AckAddress: message.Origin.Address, ReceivedAt: now}
 	h.copies[message.Identity] = received
 	h.output.Copies = append(h.output.Copies, received)
 }
@@ -159,7 +161,7 @@
 	case request.Owner == h.config.Identity:
 		answer.Record = h.encodeIssuedCredit(now)
 	case stored != nil:
-		answer.Record = stored.Encoded
+		answer.Record, answer.Age = stored.Encoded, now.Sub(h.madeBefore(stored))
 	}
 	h.send(request.Origin.Address, answer)
 }
@@ -167,7 +169,10 @@
 // encodeIssuedCredit returns a record of what this holder issued in the newest interval. It is meant for the new owner of shares
 // that this holder has lost.
 func (h *Holder) encodeIssuedCredit(now time.Time) []byte {
-	record := &Record{Sequence: math.MaxUint64, Identity: h.config.Identity, Shares: h.ownership.recentlyUsableShares(now)}
+	record := &Record{
+		Sequence: math.MaxUint64, Identity: h.config.Identity, Shares: h.ownership.recentlyUsableShares(now),
+		Inherited: h.recordedInheritance(),
+	}
 	for name := range h.tenants {
 		t := h.tenant(now, name)
 		record.Tenants = append(record.Tenants, RecordedTenant{Name: name, Issued: t.issued.recordedCells()})
@@ -214,9 +219,7 @@
 		if err != nil || record.Identity != t.owner {
 			return
 		}
-		if t.newestRecord == nil || record.Sequence > t.newestRecord.Sequence {
-			t.newestRecord = record
-		}
+		t.observe(record, now.Add(-max(0, answer.Age)))
 	}
 	t.answered[answer.Identity] = true
 	h.finishTakeover(now, t)
@@ -228,9 +231,8 @@
 	if h.copiesUnreadable {
 		return
 	}
-	stored := h.copies[t.owner]
-	if stored != nil && (t.newestRecord == nil || stored.Record.Sequence > t.newestRecord.Sequence) {
-		t.newestRecord = stored.Record
+	if stored := h.copies[t.owner]; stored != nil {
+		t.observe(stored.Record, h.madeBefore(stored))
 	}
 	for holder, registeredAt := range h.lastRegisteredAt {
 		if holder != h.config.Identity && holder != t.owner &&
@@ -248,11 +250,27 @@
 			h.ownership.setUsable(now, i)
 		}
 	}
-	h.countIssuedCredit(now, t.newestRecord, float64(takenOver)/float64(max(1, len(t.newestRecord.Shares))))
+	h.countIssuedCredit(now, t.newestRecord, t.madeBefore, float64(takenOver)/float64(max(1, len(t.newestRecord.Shares))))
+}
+
+// observe keeps the newest record of the previous owner, which made it before the given time.
+func (t *takeover) observe(record *Record, madeBefore time.Time) {
+	switch {
+	case t.newestRecord == nil || record.Sequence > t.newestRecord.Sequence:
+		t.newestRecord, t.madeBefore = record, madeBefore
+	case record.Sequence == t.newestRecord.Sequence && madeBefore.Before(t.madeBefore):
+		t.madeBefore = madeBefore
+	}
+}
+
+// madeBefore returns a time before which the holder of the copied record made it.
+func (h *Holder) madeBefore(stored *RecordCopy) time.Time {
+	return later(stored.ReceivedAt, h.startedAt)
 }
 
-// countIssuedCredit counts a fraction of the issued credit and the headroom in another holder's record as issued by this holder.
-func (h *Holder) countIssuedCredit(now time.Time, record *Record, fraction float64) {
+// countIssuedCredit counts a fraction of the issued credit and the headroom in another holder's record, made before the given
+// time, as issued by this holder.
+func (h *Holder) countIssuedCredit(now time.Time, record *Record, madeBefore time.Time, fraction float64) {
 	if fraction <= 0 {
 		return
 	}
@@ -261,6 +279,11 @@
 		for i, amount := range recorded.Issued {
 			cells[i] = uint64(math.Ceil(float64(amount) * fraction))
 		}
-		h.tenant(now, recorded.Name).issued.restore(cells, uint64(math.Ceil(float64(recorded.Headroom)*fraction)))
+		headroom := uint64(math.Ceil(float64(recorded.Headroom) * fraction))
+		h.tenant(now, recorded.Name).issued.restore(cells, headroom)
+		h.inherit(now, recorded.Name, float64(headroom), madeBefore.Add(recordValidity))
+	}
+	for _, recorded := range record.Inherited { // which the recorded tenants include
+		h.inherit(now, recorded.Name, math.Ceil(float64(recorded.Amount)*fraction), now.Add(recordValidity))
 	}
 }
--- a/internal/protocol/golden_test.go
+++ b/internal/protocol/golden_test.go
@@ -26,9 +26,11 @@
 	message any
 }
 
+var filledOrigin = Origin{Address: "10.0.0.1:7500", Incarnation: 0x8000000000000001, SentAt: 71 * time.Millisecond}
+
 // filledMessages returns one message of each kind, with every field set to a value of its own.
 func filledMessages() []goldenMessage {
-	origin := Origin{Address: "10.0.0.1:7500", Incarnation: 0x8000000000000001, SentAt: 71 * time.Millisecond}
+	origin := filledOrigin
 	standing := FreshnessProof{Epoch: 301, HasMajorityContact: true, MajorityContactAge: 302, SentAt: 303, EchoedSequence: 304}
 	return []goldenMessage{
 		{"1", &Subscribe{Node: "node-1", Zone: "zone-2", Incarnation: 103, Generation: 104, Ready: true, EchoSequence: 106}},
@@ -84,7 +86,7 @@
 		{"42", &PeerRecord{Origin: origin, Identity: "identity-4202", Sequence: 4203, Record: []byte{0x42, 0x04}}},
 		{"43", &PeerRecordAck{Origin: origin, Sequence: 4302}},
 		{"44", &PeerCopyRequest{Origin: origin, Owner: "owner-4402", Table: 4403}},
-		{"45", &PeerCopy{Origin: origin, Identity: "identity-4502", Owner: "owner-4503", Table: 4504, Record: []byte{0x45, 0x05}}},
+		{"45", &PeerCopy{Origin: origin, Identity: "identity-4502", Owner: "owner-4503", Table: 4504, Record: []byte{0x45, 0x05}, Age: 4506}},
 	}
 }
 
@@ -143,7 +145,7 @@
 }
 
 // partialsBeforeStates is how many partial messages stand before those with the states of an endpoint.
-const partialsBeforeStates = 6
+const partialsBeforeStates = 7
 
 // partialMessages returns messages that the filled ones can't tell apart: those with one of two booleans, each state
 // of an endpoint, messages without anything in them, and such with empty ones nested in them.
@@ -153,6 +155,7 @@
 		{"2 issues credit", &Update{IssuesCredit: true}},
 		{"2 of 73ca247", filledUpdateOf73ca247()},
 		{"2 confirmed", &Update{GenerationConfirmed: true}},
+		{"45 of 00765aa6", &PeerCopy{Origin: filledOrigin, Identity: "identity-4502", Owner: "owner-4503", Table: 4504, Record: []byte{0x45, 0x05}}},
 		{"32 settle", &RegistryDelta{InForceAckRequested: true}},
 		{"32 whole", &RegistryDelta{FromCompleteTable: true}},
 	}
--- a/internal/protocol/quota.go
+++ b/internal/protocol/quota.go
@@ -93,11 +93,12 @@
 
 // PeerCopy answers a PeerCopyRequest.
 type PeerCopy struct {
-	Origin   Origin `cbor:"1,keyasint"`
-	Identity string `cbor:"2,keyasint"` // of the sender
-	Owner    string `cbor:"3,keyasint"`
-	Table    uint64 `cbor:"4,keyasint"`           // of the request
-	Record   []byte `cbor:"5,keyasint,omitempty"` // empty: it has none
+	Origin   Origin        `cbor:"1,keyasint"`
+	Identity string        `cbor:"2,keyasint"` // of the sender
+	Owner    string        `cbor:"3,keyasint"`
+	Table    uint64        `cbor:"4,keyasint"`           // of the request
+	Record   []byte        `cbor:"5,keyasint,omitempty"` // empty: it has none
+	Age      time.Duration `cbor:"6,keyasint,omitempty"` // since the sender received the record, at least
 }
 
 // Sender implements PeerMessage.
