Quota: date what a previous owner issued by the age of its record

Change: what is issued counts from when a peer received the record, the headroom from when it could be issued last; no record is made only because the one before is old.

--- a/internal/control/quota/holder.go
+++ b/internal/control/quota/holder.go
@@ -146,7 +146,7 @@
 		// A later record may have reached peers without reaching the disk.
 		h.recorder.sequence = previousRecord.Sequence + recordSequenceGap
 		for _, recorded := range previousRecord.Tenants {
-			h.tenant(now, recorded.Name).issued.restore(recorded.Issued, recorded.Headroom)
+			h.tenant(now, recorded.Name).issued.restore(recorded.Issued, recorded.Headroom, 0)
 		}
 		for _, recorded := range previousRecord.Inherited { // which the recorded tenants include
 			h.inherit(now, recorded.Name, float64(recorded.Amount), now.Add(recordValidity))
--- a/internal/control/quota/inheritance_test.go
+++ b/internal/control/quota/inheritance_test.go
@@ -86,6 +86,28 @@
 	}
 }
 
+// What the newest copy lists as issued is counted from when the record was made, at the latest when its oldest copy arrived.
+func TestIssuedCreditIsCountedFromItsRecord(t *testing.T) {
+	for _, age := range []time.Duration{0, time.Second, 4 * time.Second, time.Minute} {
+		d := newSuccessorDriver(t)
+		old, recent := copyFrom(t, d.before, d.after, "b", 6, 300), copyFrom(t, d.before, d.after, "c", 6, 300)
+		old.Message.(*protocol.PeerCopy).Age = age
+		d.step(10*time.Millisecond, old, recent)
+		interval := d.holder.config.issuanceInterval()
+		expires := d.now.Add(interval - age)
+		for d.now.Add(cellLength).Before(expires) {
+			d.step(cellLength)
+		}
+		if got := d.issued(); age < interval && got != 100 {
+			t.Errorf("record of age %v: %v is counted before it has left the interval, want 100", age, got)
+		}
+		d.step(3 * cellLength)
+		if got := d.issued(); got != 0 {
+			t.Errorf("record of age %v: %v is counted after its interval, want 0", age, got)
+		}
+	}
+}
+
 // A successor that is started again within that time, and the successor of a successor, count it as long.
 func TestInheritedHeadroomIsCountedByLaterSuccessors(t *testing.T) {
 	d := newSuccessorDriver(t)
--- a/internal/control/quota/record.go
+++ b/internal/control/quota/record.go
@@ -101,16 +101,21 @@
 	return cells
 }
 
-// restore adds recorded amounts as if the record were written now. The amount of each recorded cell is counted in the newest of
-// the cells that it covers.
-func (s *issuance) restore(cells []uint64, headroom uint64) {
-	s.add(float64(headroom))
+// restore adds the recorded amounts of a record that has at least the given age. The amount of each recorded cell is counted in
+// the newest of the cells that it covers, the headroom when it could be issued last.
+func (s *issuance) restore(cells []uint64, headroom uint64, age time.Duration) {
+	s.addBefore(max(0, age-recordValidity), float64(headroom))
 	for i, amount := range cells {
-		cell := int64(i) * cellsPerRecordedCell
-		if cell >= int64(len(s.cells)) {
-			break
-		}
-		s.cells[s.index(s.newest-cell)] += float64(amount)
-		s.sum += float64(amount)
+		s.addBefore(age+time.Duration(i)*recordedCellLength, float64(amount))
+	}
+}
+
+// addBefore counts an amount that was issued the given time ago, or earlier.
+func (s *issuance) addBefore(ago time.Duration, amount float64) {
+	cell := int64(ago / cellLength)
+	if cell >= int64(len(s.cells)) {
+		return // it has left the interval
 	}
+	s.cells[s.index(s.newest-cell)] += amount
+	s.sum += amount
 }
--- a/internal/control/quota/recorder.go
+++ b/internal/control/quota/recorder.go
@@ -16,7 +16,6 @@
 	recordRetryInterval   = 500 * time.Millisecond          // after a record that could not be written
 	ackTimeout            = 25 * time.Millisecond           // for a peer's acknowledgement, from the start of the record
 	ackRetryInterval      = 50 * time.Millisecond           // after a record that no peer acknowledged in time
-	recordRefreshInterval = 600 * time.Millisecond          // after which a record is replaced while credit is issued
 	recordValidity        = 1200 * time.Millisecond         // from a record's start: its headroom may be issued so long
 	recordSequenceGap     = 1 << 20                         // between the sequences of two processes
 	unknownSequence       = 1 << 40                         // first sequence of a process that cannot read its earlier record
@@ -86,7 +85,7 @@
 		return
 	}
 	awaited := h.recorder.hasWaiters && now.Sub(h.recorder.startedAt) >= minRecordInterval
-	due := h.headroomIsLow() || h.recordIsOld(now) || len(h.expiredHolders(now)) > h.recorder.expiredHolderCount
+	due := h.headroomIsLow() || len(h.expiredHolders(now)) > h.recorder.expiredHolderCount
 	if awaited || now.Sub(h.recorder.startedAt) >= idleRecordInterval && due {
 		h.output.Record = h.newRecord(now, false)
 	}
@@ -103,19 +102,6 @@
 	return false
 }
 
-// recordIsOld reports whether the newest record's headroom, from which credit was issued recently, is about to expire.
-func (h *Holder) recordIsOld(now time.Time) bool {
-	if now.Sub(h.recorder.startedAt) < recordRefreshInterval {
-		return false
-	}
-	for _, t := range h.tenants {
-		if t.issued.sumOfNewest(headroomCells) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // availableHeadroom returns the amount that may be issued to a tenant before another record is durable. A holder that has
 // lost its peers, and does not know that a successor has its shares, stops within recordValidity.
 func (h *Holder) availableHeadroom(now time.Time, t *tenant) float64 {
--- a/internal/control/quota/takeover.go
+++ b/internal/control/quota/takeover.go
@@ -274,16 +274,21 @@
 	if fraction <= 0 {
 		return
 	}
+	part := func(amount uint64) uint64 { return uint64(math.Ceil(float64(amount) * fraction)) }
+	age, until := max(0, now.Sub(madeBefore)), madeBefore.Add(recordValidity)
 	for _, recorded := range record.Tenants {
 		cells := make([]uint64, len(recorded.Issued))
 		for i, amount := range recorded.Issued {
-			cells[i] = uint64(math.Ceil(float64(amount) * fraction))
+			cells[i] = part(amount)
 		}
-		headroom := uint64(math.Ceil(float64(recorded.Headroom) * fraction))
-		h.tenant(now, recorded.Name).issued.restore(cells, headroom)
-		h.inherit(now, recorded.Name, float64(headroom), madeBefore.Add(recordValidity))
+		headroom := part(recorded.Headroom)
+		h.tenant(now, recorded.Name).issued.restore(cells, headroom, age)
+		h.inherit(now, recorded.Name, float64(headroom), until)
 	}
-	for _, recorded := range record.Inherited { // which the recorded tenants include
-		h.inherit(now, recorded.Name, math.Ceil(float64(recorded.Amount)*fraction), now.Add(recordValidity))
+	for _, recorded := range record.Inherited { // the newest recorded cell has it, but it may have been issued later
+		amount, issued := float64(part(recorded.Amount)), &h.tenant(now, recorded.Name).issued
+		issued.remove(issued.newest-int64(age/cellLength), amount)
+		issued.addBefore(max(0, age-recordValidity), amount)
+		h.inherit(now, recorded.Name, amount, until)
 	}
 }
